--- /dev/null
+++ b/backends/AgentServer.cpp
@@ -0,0 +1,714 @@
+#include "backends/AgentServer.h"
+
+#include "wasabicroft/Log.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr Milliseconds tickInterval { 5 }; // resolution of flow timers
+    constexpr Milliseconds slowTickInterval { 50 }; // links and remembered callers
+    constexpr size_t readBufferBytes = 64 * 1024;
+    constexpr size_t maxCallers = 20000;
+    constexpr Milliseconds callerMemory { 30000 }; // longest queue wait and reservation together, with a margin
+
+    OwnerOptions ownerOptions(const AgentOptions& options)
+    {
+        OwnerOptions owner = options.flows;
+        owner.upstream = upstreamIdOf(options.name);
+        owner.incarnation = randomIncarnation();
+        return owner;
+    }
+
+    void appendAddress(std::string& out, const asio::ip::address& address)
+    {
+        if (address.is_v4()) {
+            for (const unsigned char byte : address.to_v4().to_bytes())
+                out.push_back(static_cast<char>(byte));
+            return;
+        }
+        for (const unsigned char byte : address.to_v6().to_bytes())
+            out.push_back(static_cast<char>(byte));
+    }
+
+    void appendBigEndian(std::string& out, uint16_t value)
+    {
+        out.push_back(static_cast<char>(value >> 8));
+        out.push_back(static_cast<char>(value & 0xff));
+    }
+
+} // namespace
+
+std::string_view nameOf(UpstreamHealth health) { return upstreamHealthNames.at(static_cast<size_t>(health)); }
+
+//-----------------------------------------------------------------------------
+// [SECTION] Health probe
+//-----------------------------------------------------------------------------
+
+struct HealthProbe::Attempt {
+    explicit Attempt(asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> request;
+    boost::beast::http::response<boost::beast::http::string_body> response;
+};
+
+HealthProbe::HealthProbe(
+    asio::io_context& ioContext, HealthProbeOptions initialOptions, std::function<void(UpstreamHealth)> onChange)
+    : context(ioContext)
+    , options(std::move(initialOptions))
+    , changed(std::move(onChange))
+    , timer(ioContext)
+{
+}
+
+HealthProbe::~HealthProbe() { this->stop(); }
+
+void HealthProbe::start() { this->probe(); }
+
+void HealthProbe::stop()
+{
+    *this->alive = false;
+    this->timer.cancel();
+    if (this->attempt)
+        this->attempt->stream.cancel();
+}
+
+void HealthProbe::probe()
+{
+    namespace http = boost::beast::http;
+    const std::shared_ptr<Attempt> current = std::make_shared<Attempt>(this->context);
+    this->attempt = current;
+    current->request = { http::verb::get, "/health", 11 };
+    current->request.set(http::field::host, toString(this->options.endpoint));
+    current->request.set(http::field::connection, "close");
+    current->stream.expires_after(this->options.timeout);
+    const std::shared_ptr<bool> isAlive = this->alive;
+    current->stream.async_connect(toTcp(this->options.endpoint), [this, current, isAlive](error_code error) {
+        if (!*isAlive)
+            return;
+        if (error) {
+            this->report(UpstreamHealth::Unknown);
+            return;
+        }
+        http::async_write(
+            current->stream, current->request, [this, current, isAlive](error_code writeError, size_t) {
+                if (!*isAlive)
+                    return;
+                if (writeError) {
+                    this->report(UpstreamHealth::Unknown);
+                    return;
+                }
+                http::async_read(current->stream, current->buffer, current->response,
+                    [this, current, isAlive](error_code readError, size_t) {
+                        if (!*isAlive)
+                            return;
+                        const http::status status = current->response.result();
+                        if (readError)
+                            this->report(UpstreamHealth::Unknown);
+                        else if (status == http::status::ok)
+                            this->report(UpstreamHealth::Ready);
+                        else if (status == http::status::service_unavailable)
+                            this->report(UpstreamHealth::Draining);
+                        else
+                            this->report(UpstreamHealth::Unknown);
+                    });
+            });
+    });
+}
+
+void HealthProbe::report(UpstreamHealth health)
+{
+    this->attempt.reset();
+    if (health != this->last) {
+        this->last = health;
+        this->changed(health);
+    }
+    this->scheduleNext();
+}
+
+void HealthProbe::scheduleNext()
+{
+    this->timer.expires_after(this->options.interval);
+    this->timer.async_wait([this, isAlive = this->alive](error_code error) {
+        if (!error && *isAlive)
+            this->probe();
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] AgentServer
+//-----------------------------------------------------------------------------
+
+struct AgentServer::UpstreamConnection {
+    UpstreamConnection(asio::io_context& context, FlowId id, const Clock& clock)
+        : socket(context)
+        , flow(id)
+        , started(clock.now())
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    FlowId flow;
+    TimePoint started;
+    std::string proxyHeader; // sent first; not part of the flow's bytes
+    std::string queued; // for the upstream
+    std::string writing;
+    bool isConnected = false;
+    bool isReading = false;
+    bool upstreamFinished = false;
+    bool finishRequested = false; // FinishUpstream: half-close after the queued bytes
+    bool finSent = false;
+    bool isClosed = false;
+};
+
+AgentServer::AgentServer(
+    asio::io_context& ioContext, AgentOptions initialOptions, const Clock& timeSource, Metrics& counters)
+    : context(ioContext)
+    , options(std::move(initialOptions))
+    , clock(timeSource)
+    , metrics(counters)
+    , admission(this->options.admission, timeSource)
+    , owner(ownerOptions(this->options), this->admission, timeSource)
+    , acceptor(ioContext)
+    , ticker(ioContext)
+    , readBuffer(readBufferBytes)
+    , lastSlowTick(timeSource.now())
+{
+    this->updateDraining(); // until the configuration names the upstream
+}
+
+AgentServer::~AgentServer() { this->stop(); }
+
+Result<Endpoint> AgentServer::start()
+{
+    Result<asio::ip::tcp::acceptor> listener = openListener(this->context, this->options.linkEndpoint);
+    if (!listener)
+        return listener.error();
+    this->acceptor = std::move(listener.value());
+    this->accept();
+    this->scheduleTick();
+    return fromTcp(this->acceptor.local_endpoint());
+}
+
+void AgentServer::stop()
+{
+    if (std::exchange(this->isStopped, true))
+        return;
+    error_code ignored;
+    this->acceptor.close(ignored);
+    this->ticker.cancel();
+    for (const auto& [id, connection] : this->connections) {
+        connection->isClosed = true;
+        resetConnection(connection->socket);
+    }
+    this->connections.clear();
+    for (const auto& [id, link] : this->links)
+        link->close("stopping");
+    this->links.clear();
+}
+
+//-----------------------------------------------------------------------------
+// Links
+//-----------------------------------------------------------------------------
+
+void AgentServer::accept()
+{
+    this->acceptor.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+        if (this->isStopped || error == asio::error::operation_aborted)
+            return;
+        if (error || this->links.size() >= this->options.maxLinks) {
+            this->metrics.add("wasabi_accept_failures_total", "listener=\"link\"");
+        } else {
+            LinkHandlers handlers;
+            handlers.onFrame = [this](Link& link, Frame frame) { this->onFrame(link, std::move(frame)); };
+            handlers.onWritable = [this](Link&) { this->resumeReads(); };
+            handlers.onClosed = [this](Link& link, const std::string&) {
+                if (this->links.erase(link.id) == 0)
+                    return; // stopped
+                OwnerCommands commands;
+                this->owner.onLinkLost(link.id, commands);
+                this->run(commands);
+            };
+            const std::shared_ptr<Link> link = std::make_shared<Link>(
+                std::move(socket), this->options.links, this->clock, this->metrics, std::move(handlers));
+            link->id = ++this->lastLink;
+            this->links[link->id] = link;
+            link->start();
+        }
+        this->accept();
+    });
+}
+
+void AgentServer::onFrame(Link& link, Frame frame)
+{
+    if (this->isStopped)
+        return;
+    const bool isControl
+        = frame.kind == FrameKind::Announce || frame.kind == FrameKind::Fetch || frame.kind == FrameKind::Value;
+    if (isControl) {
+        if (!this->onControlFrame)
+            return;
+        const std::weak_ptr<Link> weakLink = link.weak_from_this();
+        this->onControlFrame(std::move(frame), [weakLink](const Frame& reply) {
+            if (const std::shared_ptr<Link> open = weakLink.lock())
+                open->send(reply);
+        });
+        return;
+    }
+    if (frame.configVersion > this->store.version().version && this->onNewerVersion)
+        this->onNewerVersion(frame.configVersion);
+    if (frame.kind == FrameKind::Open)
+        this->rememberCaller(frame);
+    OwnerCommands commands;
+    this->owner.onFrame(frame, ReplyRoute { link.id, frame.replyAddress }, commands);
+    this->run(commands);
+    const auto found = this->connections.find(frame.flow);
+    if (found != this->connections.end())
+        this->readUpstream(ConnectionPtr(found->second));
+    this->finishShutdown();
+}
+
+void AgentServer::rememberCaller(const Frame& open)
+{
+    // A plain flow carries the caller's address as its request id; a session flow as its reply address.
+    const bool isPlain = open.replyAddress.empty();
+    if (this->callers.size() >= maxCallers)
+        return;
+    if (this->callers.try_emplace(open.flow, FlowCaller { isPlain ? open.key : open.replyAddress, open.key, this->clock.now() })
+            .second)
+        this->callerOrder.emplace_back(this->clock.now(), open.flow);
+}
+
+void AgentServer::forgetOldCallers()
+{
+    const TimePoint before = this->clock.now() - callerMemory;
+    while (!this->callerOrder.empty() && this->callerOrder.front().first < before) {
+        this->callers.erase(this->callerOrder.front().second);
+        this->callerOrder.pop_front();
+    }
+}
+
+void AgentServer::logDecision(const Frame& reply)
+{
+    const auto caller = this->callers.find(reply.flow);
+    const std::string address = caller == this->callers.end() ? "" : caller->second.address;
+    const std::string requestId = caller == this->callers.end() ? "" : caller->second.requestId;
+    logEvent(Event::ReservationDecided,
+        { { "flow", reply.flow }, { "service", reply.service }, { "caller", address }, { "request-id", requestId },
+            { "class", nameOf(reply.trafficClass) }, { "decision", nameOf(reply.kind) },
+            { "reason", nameOf(reply.reason) }, { "reservation", reply.token.reservation },
+            { "busy-slots", static_cast<unsigned>(reply.load.busySlots) },
+            { "slots", static_cast<unsigned>(reply.load.slots) },
+            { "queue-length", static_cast<unsigned>(reply.load.queueLength) },
+            { "connections", reply.load.connections } });
+    this->metrics.add(
+        "wasabi_reservations_total", "decision=\"" + std::string(nameOf(reply.kind)) + '"');
+}
+
+//-----------------------------------------------------------------------------
+// Upstream
+//-----------------------------------------------------------------------------
+
+void AgentServer::run(OwnerCommands& commands)
+{
+    for (OwnerCommand& command : commands) {
+        if (SendToInitiator* send = std::get_if<SendToInitiator>(&command)) {
+            Frame& frame = send->frame;
+            if (frame.configVersion == 0)
+                frame.configVersion = this->store.version().version;
+            if (frame.kind == FrameKind::Opened || frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused)
+                this->logDecision(frame);
+            const auto link = this->links.find(send->route.link);
+            if (link == this->links.end() || !link->second->send(frame))
+                this->metrics.add("wasabi_frames_dropped_total", "cause=\"no-link\"");
+        } else if (const ConnectUpstream* request = std::get_if<ConnectUpstream>(&command)) {
+            this->connect(*request);
+        } else if (WriteUpstream* write = std::get_if<WriteUpstream>(&command)) {
+            const auto found = this->connections.find(write->flow);
+            if (found == this->connections.end())
+                continue;
+            found->second->queued += write->bytes;
+            this->writeUpstream(ConnectionPtr(found->second));
+        } else if (const FinishUpstream* finish = std::get_if<FinishUpstream>(&command)) {
+            const auto found = this->connections.find(finish->flow);
+            if (found == this->connections.end())
+                continue;
+            found->second->finishRequested = true;
+            this->writeUpstream(ConnectionPtr(found->second));
+        } else if (const ResetUpstream* reset = std::get_if<ResetUpstream>(&command)) {
+            const auto found = this->connections.find(reset->flow);
+            if (found != this->connections.end())
+                this->dropConnection(ConnectionPtr(found->second), true);
+        }
+    }
+    commands.clear();
+}
+
+const UpstreamConfig* AgentServer::ownConfig(const ServiceConfig& service) const
+{
+    for (const UpstreamConfig& upstream : service.upstreams) {
+        if (upstream.name == this->options.name)
+            return &upstream;
+    }
+    return nullptr;
+}
+
+// PROXY protocol v2: signature, command PROXY or LOCAL, family and addresses of caller and listener.
+std::string AgentServer::proxyHeader(FlowId flow, const ServiceConfig& service, TrafficClass trafficClass) const
+{
+    std::string header("\r\n\r\n\0\r\nQUIT\n", 12);
+    const auto caller = this->callers.find(flow);
+    const Result<Endpoint> source
+        = parseEndpoint(caller == this->callers.end() ? std::string() : caller->second.address);
+    const ListenerConfig* listener = nullptr;
+    for (const ListenerConfig& candidate : service.listeners) {
+        if (!listener || candidate.trafficClass == trafficClass)
+            listener = &candidate;
+    }
+    constexpr char local = 0x20;
+    constexpr char proxied = 0x21;
+    constexpr char tcpOverV4 = 0x11;
+    constexpr char tcpOverV6 = 0x21;
+    if (!source || !listener) {
+        header += local;
+        header += '\0';
+        appendBigEndian(header, 0);
+        return header;
+    }
+    const asio::ip::tcp::endpoint from = toTcp(source.value());
+    const asio::ip::tcp::endpoint to = toTcp(listener->endpoint);
+    if (from.address().is_v4() != to.address().is_v4()) {
+        header += local;
+        header += '\0';
+        appendBigEndian(header, 0);
+        return header;
+    }
+    std::string addresses;
+    appendAddress(addresses, from.address());
+    appendAddress(addresses, to.address());
+    appendBigEndian(addresses, from.port());
+    appendBigEndian(addresses, to.port());
+    header += proxied;
+    header += from.address().is_v4() ? tcpOverV4 : tcpOverV6;
+    appendBigEndian(header, static_cast<uint16_t>(addresses.size()));
+    return header + addresses;
+}
+
+void AgentServer::connect(const ConnectUpstream& request)
+{
+    const ConnectionPtr connection
+        = std::make_shared<UpstreamConnection>(this->context, request.flow, this->clock);
+    this->connections[request.flow] = connection;
+    const std::shared_ptr<const Snapshot> snapshot = this->store.current();
+    const ServiceConfig* service = snapshot ? snapshot->find(request.service) : nullptr;
+    const UpstreamConfig* upstream = service ? this->ownConfig(*service) : nullptr;
+    if (!upstream) {
+        asio::post(this->context,
+            [this, connection] { this->onConnected(connection, asio::error::host_not_found); });
+        return;
+    }
+    if (service->proxyHeader)
+        connection->proxyHeader = this->proxyHeader(request.flow, *service, request.trafficClass);
+    connection->socket.async_connect(
+        toTcp(upstream->address), [this, connection](error_code error) { this->onConnected(connection, error); });
+}
+
+void AgentServer::onConnected(const ConnectionPtr& connection, error_code error)
+{
+    if (connection->isClosed || this->isStopped)
+        return;
+    OwnerCommands commands;
+    if (error) {
+        this->metrics.add("wasabi_upstream_connect_failures_total");
+        logEvent(Event::UpstreamConnectFailed, { { "flow", connection->flow }, { "cause", error.message() } });
+        this->dropConnection(connection, true);
+        this->owner.onUpstreamConnectFailed(connection->flow, commands);
+        this->run(commands);
+        this->finishShutdown();
+        return;
+    }
+    connection->isConnected = true;
+    setConnectionOptions(connection->socket, this->options.userTimeout);
+    error_code ignored;
+    connection->socket.non_blocking(true, ignored);
+    this->writeUpstream(connection);
+    this->owner.onUpstreamConnected(connection->flow, commands);
+    this->run(commands);
+    this->readUpstream(connection);
+}
+
+void AgentServer::readUpstream(const ConnectionPtr& connection)
+{
+    if (!connection->isConnected || connection->isReading || connection->isClosed || connection->upstreamFinished)
+        return;
+    if (this->owner.freeSendBuffer(connection->flow) == 0)
+        return;
+    connection->isReading = true;
+    connection->socket.async_wait(asio::socket_base::wait_read, [this, connection](error_code error) {
+        connection->isReading = false;
+        if (connection->isClosed || error || this->isStopped)
+            return;
+        this->onUpstreamReadable(connection);
+    });
+}
+
+void AgentServer::onUpstreamReadable(const ConnectionPtr& connection)
+{
+    const size_t limit = std::min(this->readBuffer.size(), this->owner.freeSendBuffer(connection->flow));
+    if (limit == 0)
+        return; // resumed by the next Ack
+    error_code error;
+    const size_t size = connection->socket.read_some(asio::buffer(this->readBuffer.data(), limit), error);
+    OwnerCommands commands;
+    if (size > 0) {
+        this->owner.onUpstreamBytes(connection->flow, { this->readBuffer.data(), size }, commands);
+    } else if (error == asio::error::eof) {
+        connection->upstreamFinished = true;
+        this->owner.onUpstreamEnd(connection->flow, commands);
+    } else if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        this->dropConnection(connection, true);
+        this->owner.onUpstreamReset(connection->flow, commands);
+    }
+    this->run(commands);
+    this->finishConnection(connection);
+    this->readUpstream(connection);
+    this->finishShutdown();
+}
+
+void AgentServer::writeUpstream(const ConnectionPtr& connection)
+{
+    if (!connection->isConnected || connection->isClosed || !connection->writing.empty())
+        return;
+    const size_t headerBytes = connection->proxyHeader.size();
+    if (headerBytes > 0)
+        connection->writing = std::exchange(connection->proxyHeader, {});
+    connection->writing += std::exchange(connection->queued, {});
+    if (connection->writing.empty()) {
+        if (connection->finishRequested && !std::exchange(connection->finSent, true)) {
+            error_code ignored;
+            connection->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        }
+        this->finishConnection(connection);
+        return;
+    }
+    asio::async_write(connection->socket, asio::buffer(connection->writing),
+        [this, connection, headerBytes](error_code error, size_t size) {
+            connection->writing.clear();
+            if (connection->isClosed || this->isStopped)
+                return;
+            OwnerCommands commands;
+            if (error) {
+                this->dropConnection(connection, true);
+                this->owner.onUpstreamReset(connection->flow, commands);
+            } else if (size > headerBytes) {
+                this->owner.onUpstreamWritten(connection->flow, size - headerBytes, commands);
+            }
+            this->run(commands);
+            this->writeUpstream(connection);
+            this->finishShutdown();
+        });
+}
+
+// Closes the socket once both directions are finished.
+void AgentServer::finishConnection(const ConnectionPtr& connection)
+{
+    if (connection->finSent && connection->upstreamFinished && connection->writing.empty())
+        this->dropConnection(connection, false);
+}
+
+void AgentServer::dropConnection(const ConnectionPtr& connection, bool reset)
+{
+    if (std::exchange(connection->isClosed, true))
+        return;
+    error_code ignored;
+    if (reset)
+        resetConnection(connection->socket);
+    else
+        connection->socket.close(ignored);
+    const auto found = this->connections.find(connection->flow);
+    if (found != this->connections.end() && found->second == connection)
+        this->connections.erase(found);
+}
+
+// A link has room again, or a timer resent data: reads that waited for a free send buffer may go on.
+void AgentServer::resumeReads()
+{
+    std::vector<ConnectionPtr> open;
+    open.reserve(this->connections.size());
+    for (const auto& [id, connection] : this->connections)
+        open.push_back(connection);
+    for (const ConnectionPtr& connection : open)
+        this->readUpstream(connection);
+}
+
+//-----------------------------------------------------------------------------
+// Configuration, drain and timers
+//-----------------------------------------------------------------------------
+
+void AgentServer::applySnapshot(std::shared_ptr<const Snapshot> snapshot)
+{
+    if (this->isStopped || !this->store.offer(std::move(snapshot)))
+        return;
+    const std::shared_ptr<const Snapshot> current = this->store.current();
+    std::set<ServiceId> services;
+    bool isLeaving = false;
+    uint16_t slots = 0;
+    uint32_t connectionLimit = 0;
+    for (const ServiceConfig& service : current->services) {
+        const UpstreamConfig* upstream = this->ownConfig(service);
+        if (!upstream)
+            continue;
+        services.insert(service.id());
+        isLeaving = isLeaving || upstream->leaving;
+        slots = std::max(slots, service.slots);
+        connectionLimit = std::max(connectionLimit, service.connections);
+    }
+    this->leavesByConfig = isLeaving;
+    if (!services.empty())
+        this->admission.setLimits(slots, connectionLimit);
+    OwnerCommands commands;
+    this->owner.setServices(services, commands);
+    this->run(commands);
+    this->updateDraining();
+    const ConfigVersion version = this->store.version();
+    this->metrics.set("wasabi_config_version", "", static_cast<double>(version.version));
+    logEvent(Event::AgentConfigInForce,
+        { { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest },
+            { "services", static_cast<uint64_t>(services.size()) }, { "leaving", isLeaving },
+            { "slots", static_cast<unsigned>(slots) } });
+}
+
+void AgentServer::applyMembers(std::shared_ptr<const std::vector<Member>> members)
+{
+    this->leavesByMembers = false;
+    for (const Member& member : *members) {
+        if (member.name == this->options.name && member.role == MemberRole::Agent)
+            this->leavesByMembers = member.leaving;
+    }
+    this->updateDraining();
+}
+
+void AgentServer::applyHealth(UpstreamHealth value)
+{
+    // An unknown health keeps what was known: an endpoint that stops answering does not end a drain.
+    if (value != UpstreamHealth::Unknown)
+        this->health = value;
+    this->updateDraining();
+}
+
+void AgentServer::updateDraining()
+{
+    const bool isDraining = this->isShuttingDown || this->leavesByConfig || this->leavesByMembers
+        || this->health == UpstreamHealth::Draining;
+    if (isDraining == this->admission.draining())
+        return;
+    this->admission.setDraining(isDraining);
+    logEvent(Event::UpstreamDrainChanged,
+        { { "draining", isDraining }, { "health", nameOf(this->health) }, { "leaving-by-config", this->leavesByConfig },
+            { "leaving-by-members", this->leavesByMembers }, { "shutting-down", this->isShuttingDown },
+            { "open-flows", static_cast<uint64_t>(this->owner.openFlows()) } });
+    OwnerCommands commands;
+    this->owner.onTimer(commands); // ends queued requests
+    this->run(commands);
+}
+
+void AgentServer::scheduleTick()
+{
+    this->ticker.expires_after(tickInterval);
+    this->ticker.async_wait([this](error_code error) {
+        if (error || this->isStopped)
+            return;
+        this->onTick();
+        this->scheduleTick();
+    });
+}
+
+void AgentServer::onTick()
+{
+    const TimePoint now = this->clock.now();
+    const std::optional<TimePoint> due = this->owner.nextTimer();
+    if (due && *due <= now) {
+        OwnerCommands commands;
+        this->owner.onTimer(commands);
+        this->run(commands);
+        this->resumeReads();
+    }
+    this->finishShutdown();
+    if (now - this->lastSlowTick < slowTickInterval)
+        return;
+    this->lastSlowTick = now;
+    for (const auto& [id, link] : this->links)
+        link->onTick(false, this->options.links.heartbeatInterval);
+    std::vector<ConnectionPtr> late;
+    for (const auto& [id, connection] : this->connections) {
+        if (!connection->isConnected && now - connection->started > this->options.connectTimeout)
+            late.push_back(connection);
+    }
+    for (const ConnectionPtr& connection : late)
+        this->onConnected(connection, asio::error::timed_out);
+    this->forgetOldCallers();
+}
+
+void AgentServer::shutdown(std::function<void()> onDrained)
+{
+    this->isShuttingDown = true;
+    this->drained = std::move(onDrained);
+    this->updateDraining();
+    this->finishShutdown();
+}
+
+void AgentServer::finishShutdown()
+{
+    const bool isIdle
+        = this->owner.openFlows() == 0 && this->owner.reservations() == 0 && this->connections.empty();
+    if (this->isShuttingDown && isIdle && this->drained)
+        std::exchange(this->drained, nullptr)();
+}
+
+size_t AgentServer::openFlows() const { return this->owner.openFlows(); }
+
+uint64_t AgentServer::incarnation() const { return this->owner.settings().incarnation; }
+
+OperatorStatus AgentServer::status() const
+{
+    OperatorStatus status;
+    if (this->isShuttingDown)
+        status.notReadyCause = "shutting down";
+    else if (!this->store.current())
+        status.notReadyCause = "no configuration yet";
+    else if (this->owner.settings().services.empty())
+        status.notReadyCause = "the configuration names no upstream '" + this->options.name + "'";
+    else if (this->admission.draining())
+        status.notReadyCause = "draining";
+    status.ready = status.notReadyCause.empty();
+    const ConfigVersion version = this->store.version();
+    const Load load = this->admission.load();
+    status.json = boost::json::serialize(boost::json::object { { "name", this->options.name }, { "role", "agent" },
+        { "ready", status.ready }, { "cause", status.notReadyCause }, { "incarnation", this->incarnation() },
+        { "version",
+            boost::json::object {
+                { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest } } },
+        { "flows",
+            boost::json::object { { "reserved", this->owner.reservations() }, { "open", this->owner.openFlows() } } },
+        { "load",
+            boost::json::object { { "busySlots", load.busySlots }, { "slots", load.slots },
+                { "queueLength", load.queueLength }, { "connections", load.connections },
+                { "stragglers", this->admission.stragglers() } } },
+        { "health", std::string(nameOf(this->health)) }, { "links", this->links.size() } });
+    return status;
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/AgentServer.h
@@ -0,0 +1,172 @@
+// The data path of an agent: links from entries, reservations, and connections to its upstream.
+//
+// AgentServer belongs to the traffic thread, HealthProbe to the control thread.
+//
+// Index
+//   [SECTION] Health probe
+//   [SECTION] Options
+//   [SECTION] AgentServer
+#pragma once
+
+#include "backends/Link.h"
+#include "backends/OperatorStatus.h"
+#include "wasabicroft/Flow.h"
+#include "wasabicroft/Membership.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Health probe
+//-----------------------------------------------------------------------------
+
+enum class UpstreamHealth : uint8_t {
+    Unknown, // no answer, or another status: says nothing about draining
+    Ready, // 200
+    Draining, // 503
+};
+
+inline constexpr std::array<std::string_view, 3> upstreamHealthNames = { "unknown", "ready", "draining" };
+
+std::string_view nameOf(UpstreamHealth);
+
+struct HealthProbeOptions {
+    Endpoint endpoint; // of the upstream's GET /health
+    Milliseconds interval { 500 };
+    Milliseconds timeout { 1000 };
+};
+
+// Polls the health endpoint of the upstream and reports each change.
+class HealthProbe {
+public:
+    HealthProbe(boost::asio::io_context&, HealthProbeOptions, std::function<void(UpstreamHealth)> onChange);
+    ~HealthProbe();
+
+    void start();
+    void stop();
+
+private:
+    struct Attempt;
+
+    void probe();
+    void scheduleNext();
+    void report(UpstreamHealth);
+
+    boost::asio::io_context& context;
+    HealthProbeOptions options;
+    std::function<void(UpstreamHealth)> changed;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<Attempt> attempt;
+    UpstreamHealth last = UpstreamHealth::Unknown;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // false once stopped; held by pending callbacks
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options
+//-----------------------------------------------------------------------------
+
+struct AgentOptions {
+    std::string name; // of the upstream beside this agent
+    Endpoint linkEndpoint; // where entries connect; port 0 lets the kernel choose
+    LinkOptions links;
+    OwnerOptions flows; // upstream, incarnation and services are set by the agent
+    AdmissionOptions admission; // limits are overwritten by the configuration
+    Milliseconds connectTimeout { 2000 }; // to the upstream
+    Milliseconds userTimeout { 30000 }; // TCP_USER_TIMEOUT towards the upstream
+    size_t maxLinks = 4096; // further entries are refused
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] AgentServer
+//-----------------------------------------------------------------------------
+
+class AgentServer {
+public:
+    // Announce, Fetch and Value frames of peers; reply sends a frame back over the same link.
+    using ControlHandler = std::function<void(Frame, std::function<void(const Frame&)> reply)>;
+
+    AgentServer(boost::asio::io_context&, AgentOptions, const Clock&, Metrics&);
+    ~AgentServer();
+
+    Result<Endpoint> start(); // the address in use
+    void stop(); // closes everything at once
+
+    // Puts a snapshot in force; open flows are not touched. An older one is ignored.
+    void applySnapshot(std::shared_ptr<const Snapshot>);
+    void applyMembers(std::shared_ptr<const std::vector<Member>>);
+    void applyHealth(UpstreamHealth);
+
+    // Passes all reservations and calls onDrained when the last flow has ended.
+    void shutdown(std::function<void()> onDrained);
+
+    OperatorStatus status() const;
+    size_t openFlows() const;
+    uint64_t incarnation() const;
+
+    ControlHandler onControlFrame;
+    std::function<void(uint64_t version)> onNewerVersion; // a frame named a newer configuration than the one in force
+
+private:
+    struct UpstreamConnection;
+    using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+    // Caller of a flow, remembered from its Open until the connection to the upstream is set up.
+    struct FlowCaller {
+        std::string address; // "ip:port"; empty if unknown
+        std::string requestId;
+        TimePoint added;
+    };
+
+    // Links
+    void accept();
+    void onFrame(Link&, Frame);
+    void logDecision(const Frame& reply);
+    void rememberCaller(const Frame& open);
+    void forgetOldCallers();
+
+    // Upstream
+    void run(OwnerCommands&);
+    void connect(const ConnectUpstream&);
+    void onConnected(const ConnectionPtr&, boost::system::error_code);
+    void readUpstream(const ConnectionPtr&);
+    void onUpstreamReadable(const ConnectionPtr&);
+    void writeUpstream(const ConnectionPtr&);
+    void finishConnection(const ConnectionPtr&);
+    void dropConnection(const ConnectionPtr&, bool reset);
+    void resumeReads();
+    std::string proxyHeader(FlowId, const ServiceConfig&, TrafficClass) const;
+    const UpstreamConfig* ownConfig(const ServiceConfig&) const;
+
+    // Drain and timers
+    void updateDraining();
+    void scheduleTick();
+    void onTick();
+    void finishShutdown();
+
+    boost::asio::io_context& context;
+    AgentOptions options;
+    const Clock& clock;
+    Metrics& metrics;
+    Admission admission;
+    FlowOwner owner;
+    ConfigStore store;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::map<uint64_t, std::shared_ptr<Link>> links;
+    uint64_t lastLink = 0;
+    std::unordered_map<FlowId, ConnectionPtr> connections;
+    std::unordered_map<FlowId, FlowCaller> callers;
+    std::deque<std::pair<TimePoint, FlowId>> callerOrder; // oldest first
+    boost::asio::steady_timer ticker;
+    std::vector<char> readBuffer; // shared by all upstream connections, since reads never overlap on one thread
+    TimePoint lastSlowTick;
+    UpstreamHealth health = UpstreamHealth::Unknown;
+    bool leavesByMembers = false;
+    bool leavesByConfig = false;
+    bool isShuttingDown = false;
+    bool isStopped = false;
+    std::function<void()> drained;
+};
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/EntryServer.cpp
@@ -0,0 +1,921 @@
+#include "backends/EntryServer.h"
+
+#include "wasabicroft/Log.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr Milliseconds tickInterval { 5 }; // resolution of flow timers
+    constexpr Milliseconds slowTickInterval { 50 }; // links, suspicion and listeners that could not be opened
+    constexpr size_t readBufferBytes = 64 * 1024;
+    constexpr size_t maxDatagramBytes = 65536;
+    constexpr size_t datagramsPerWakeup = 64; // so that a flood of datagrams can't hold up plain flows
+    constexpr size_t maxListedRefusals = 20;
+    constexpr size_t maxKnownUpstreams = 20000; // about three times the design target
+    constexpr int datagramBufferBytes = 4 * 1024 * 1024;
+
+    std::string serviceLabel(const std::string& service) { return "service=\"" + service + "\""; }
+
+    bool isFromInitiator(FrameKind kind)
+    {
+        switch (kind) {
+        case FrameKind::Open:
+        case FrameKind::Data:
+        case FrameKind::Ack:
+        case FrameKind::Cancel:
+        case FrameKind::Query:
+        case FrameKind::Ping:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    PlacementOptions placementOptions(const EntryOptions& options)
+    {
+        PlacementOptions placement;
+        placement.failureDomain = options.failureDomain;
+        placement.candidates = options.candidates;
+        placement.suspicion = options.suspicion;
+        placement.random = [] { return randomFlowId().low; };
+        return placement;
+    }
+
+    bool carriesLoad(FrameKind kind)
+    {
+        return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
+    }
+
+} // namespace
+
+struct EntryServer::Listener {
+    Listener(asio::io_context& context, asio::ip::tcp::acceptor boundAcceptor)
+        : acceptor(std::move(boundAcceptor))
+        , datagrams(context)
+    {
+    }
+
+    std::string key; // "service/listener"
+    std::string name;
+    std::string serviceName;
+    ServiceId service;
+    TrafficClass trafficClass = TrafficClass::Request;
+    Endpoint configured;
+    Endpoint bound;
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::udp::socket datagrams;
+    bool closed = false;
+};
+
+struct EntryServer::PlainFlow {
+    PlainFlow(asio::ip::tcp::socket connection, FlowId id, InitiatorOptions options, const Clock& clock)
+        : socket(std::move(connection))
+        , initiator(id, std::move(options), clock)
+        , started(clock.now())
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    FlowInitiator initiator;
+    TimePoint started;
+    std::string caller;
+    std::string listener;
+    std::string serviceName;
+    std::vector<UpstreamId> candidates;
+    std::vector<Carrier> carriers; // links on which frames of this flow were sent
+    std::string queued; // for the caller, not yet being written
+    std::string writing;
+    bool isReading = false;
+    bool callerFinished = false;
+    bool upstreamFinished = false;
+    bool finSent = false;
+    bool isPlaced = false; // the placement line was written
+    bool isCounted = false; // Placement::onFlowStarted was called
+    bool isClosed = false;
+    std::optional<FlowEnded> end;
+    std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
+    std::optional<TimePoint> scheduled; // entry in the timer queue
+    size_t reportedReplies = 0; // of initiator.replies(), passed on to Placement
+};
+
+EntryServer::EntryServer(
+    asio::io_context& ioContext, EntryOptions initialOptions, const Clock& timeSource, Metrics& counters)
+    : context(ioContext)
+    , options(std::move(initialOptions))
+    , clock(timeSource)
+    , metrics(counters)
+    , links(ioContext, this->options.links, timeSource, counters,
+          LinkPoolHandlers {
+              [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
+                  this->onAgentFrame(upstream, trafficClass, std::move(frame));
+              },
+              [this](UpstreamId upstream, TrafficClass trafficClass) {
+                  this->forEachFlowOf(
+                      { upstream, trafficClass }, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
+              },
+              [this](UpstreamId upstream, TrafficClass trafficClass) {
+                  this->forEachFlowOf({ upstream, trafficClass }, [this](const PlainFlowPtr& flow) {
+                      InitiatorCommands commands;
+                      flow->initiator.onCarriageReset(commands);
+                      this->run(flow, commands);
+                  });
+              },
+              [this](UpstreamId upstream) { this->placement.onSilence(upstream); } })
+    , placement(placementOptions(this->options), timeSource)
+    , ticker(ioContext)
+    , readBuffer(readBufferBytes)
+    , lastSlowTick(timeSource.now())
+{
+}
+
+EntryServer::~EntryServer() { this->stop(); }
+
+void EntryServer::start() { this->scheduleTick(); }
+
+void EntryServer::stop()
+{
+    if (std::exchange(this->isStopped, true))
+        return;
+    this->ticker.cancel();
+    while (!this->listeners.empty())
+        this->closeListener(this->listeners.begin()->first);
+    for (const auto& [id, flow] : this->flows) {
+        flow->isClosed = true;
+        resetConnection(flow->socket);
+    }
+    this->flows.clear();
+    this->flowsByCarrier.clear();
+    this->links.closeAll();
+}
+
+//-----------------------------------------------------------------------------
+// Listeners and pools
+//-----------------------------------------------------------------------------
+
+void EntryServer::applySnapshot(std::shared_ptr<const Snapshot> snapshot)
+{
+    if (this->isStopped || !this->store.offer(std::move(snapshot)))
+        return;
+    this->updatePools();
+    this->openListeners();
+    const ConfigVersion version = this->store.version();
+    this->metrics.set("wasabi_config_version", "", static_cast<double>(version.version));
+    logEvent(Event::EntryConfigInForce,
+        { { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest },
+            { "listeners", static_cast<uint64_t>(this->listeners.size()) },
+            { "open-flows", static_cast<uint64_t>(this->flows.size()) } });
+}
+
+void EntryServer::applyMembers(std::shared_ptr<const std::vector<Member>> list)
+{
+    if (this->isStopped)
+        return;
+    this->members = std::move(list);
+    this->updatePools();
+}
+
+void EntryServer::updatePools()
+{
+    const std::shared_ptr<const Snapshot> snapshot = this->store.current();
+    if (!snapshot)
+        return;
+    std::set<UpstreamId> leaving;
+    if (this->members) {
+        for (const Member& member : *this->members) {
+            if (member.leaving && member.role == MemberRole::Agent)
+                leaving.insert(upstreamIdOf(member.name));
+        }
+    }
+    if (this->upstreams.size() > maxKnownUpstreams)
+        this->upstreams.clear();
+    for (const ServiceConfig& service : snapshot->services) {
+        std::vector<PlacementUpstream> pool;
+        for (const UpstreamConfig& upstream : service.upstreams) {
+            const UpstreamId id = upstreamIdOf(upstream.name);
+            pool.push_back(
+                { id, upstream.failureDomain, service.slots, upstream.leaving || leaving.contains(id) });
+            this->upstreams[id].name = upstream.name;
+            this->upstreams[id].services.insert(service.id());
+            this->links.setAddress(id, upstream.agent);
+        }
+        this->placement.setPool(service.id(), std::move(pool));
+    }
+}
+
+std::string EntryServer::upstreamName(UpstreamId id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? toString(id) : found->second.name;
+}
+
+void EntryServer::openListeners()
+{
+    const std::shared_ptr<const Snapshot> snapshot = this->store.current();
+    if (!snapshot || this->isShuttingDown || this->isStopped)
+        return;
+    std::map<std::string, std::pair<const ServiceConfig*, const ListenerConfig*>> wanted;
+    for (const ServiceConfig& service : snapshot->services) {
+        for (const ListenerConfig& listener : service.listeners)
+            wanted[service.name + '/' + listener.name] = { &service, &listener };
+    }
+    // Closing comes first: an address may move from one listener to another in one change.
+    std::vector<std::string> obsolete;
+    for (const auto& [key, listener] : this->listeners) {
+        const auto found = wanted.find(key);
+        if (found == wanted.end() || found->second.second->endpoint != listener->configured)
+            obsolete.push_back(key);
+    }
+    for (const std::string& key : obsolete)
+        this->closeListener(key);
+    for (const auto& [key, config] : wanted) {
+        const auto found = this->listeners.find(key);
+        if (found == this->listeners.end())
+            this->openListener(*config.first, *config.second);
+        else
+            found->second->trafficClass = config.second->trafficClass;
+    }
+}
+
+void EntryServer::openListener(const ServiceConfig& service, const ListenerConfig& config)
+{
+    const std::string key = service.name + '/' + config.name;
+    Endpoint address = config.endpoint;
+    if (!this->options.listenAddress.empty())
+        address.address = this->options.listenAddress;
+    Result<asio::ip::tcp::acceptor> acceptor = wasabicroft::openListener(this->context, address);
+    error_code error;
+    std::shared_ptr<Listener> listener;
+    if (acceptor) {
+        listener = std::make_shared<Listener>(this->context, std::move(acceptor.value()));
+        listener->bound = fromTcp(listener->acceptor.local_endpoint());
+        const asio::ip::udp::endpoint udpAddress = toUdp(listener->bound);
+        listener->datagrams.open(udpAddress.protocol(), error);
+        if (!error)
+            listener->datagrams.bind(udpAddress, error);
+    }
+    if (!listener || error) {
+        this->metrics.add("wasabi_listener_failures_total", serviceLabel(service.name));
+        logEvent(Event::ListenerFailed,
+            { { "service", service.name }, { "listener", config.name }, { "address", toString(address) },
+                { "cause", acceptor ? "UDP: " + error.message() : acceptor.error().message } });
+        return; // tried again with the next slow tick
+    }
+    listener->datagrams.non_blocking(true, error);
+    listener->datagrams.set_option(asio::socket_base::receive_buffer_size(datagramBufferBytes), error);
+    listener->key = key;
+    listener->name = config.name;
+    listener->serviceName = service.name;
+    listener->service = service.id();
+    listener->trafficClass = config.trafficClass;
+    listener->configured = config.endpoint;
+    this->listeners[key] = listener;
+    logEvent(Event::ListenerOpened,
+        { { "service", service.name }, { "listener", config.name }, { "address", toString(listener->bound) },
+            { "class", nameOf(config.trafficClass) } });
+    this->accept(listener);
+    this->receiveDatagram(listener);
+}
+
+void EntryServer::closeListener(const std::string& key)
+{
+    const auto found = this->listeners.find(key);
+    if (found == this->listeners.end())
+        return;
+    const std::shared_ptr<Listener> listener = found->second;
+    this->listeners.erase(found);
+    listener->closed = true;
+    error_code ignored;
+    listener->acceptor.close(ignored);
+    listener->datagrams.close(ignored);
+    logEvent(Event::ListenerClosed,
+        { { "service", listener->serviceName }, { "listener", listener->name },
+            { "address", toString(listener->bound) } });
+}
+
+std::optional<Endpoint> EntryServer::boundEndpoint(const std::string& service, const std::string& listener) const
+{
+    const auto found = this->listeners.find(service + '/' + listener);
+    if (found == this->listeners.end())
+        return std::nullopt;
+    return found->second->bound;
+}
+
+//-----------------------------------------------------------------------------
+// Plain flows
+//-----------------------------------------------------------------------------
+
+void EntryServer::accept(const std::shared_ptr<Listener>& listener)
+{
+    listener->acceptor.async_accept([this, listener](error_code error, asio::ip::tcp::socket socket) {
+        if (listener->closed || this->isStopped)
+            return;
+        if (error)
+            this->metrics.add("wasabi_accept_failures_total", serviceLabel(listener->serviceName));
+        else
+            this->startFlow(listener, std::move(socket));
+        this->accept(listener);
+    });
+}
+
+void EntryServer::startFlow(const std::shared_ptr<Listener>& listener, asio::ip::tcp::socket socket)
+{
+    error_code error;
+    const asio::ip::tcp::endpoint remote = socket.remote_endpoint(error);
+    if (error || this->flows.size() >= this->options.maxFlows) {
+        this->metrics.add("wasabi_flows_refused_total", serviceLabel(listener->serviceName));
+        resetConnection(socket);
+        return;
+    }
+    setConnectionOptions(socket, this->options.userTimeout);
+    socket.non_blocking(true, error);
+
+    InitiatorOptions initiatorOptions = this->options.flows;
+    initiatorOptions.service = listener->service;
+    initiatorOptions.trafficClass = listener->trafficClass;
+    initiatorOptions.configVersion = this->store.version().version;
+    // The agent logs the request id and puts this address into a PROXY protocol header.
+    initiatorOptions.requestId = toString(fromTcp(remote));
+    const FlowId id = randomFlowId();
+    const ServiceId service = listener->service;
+    initiatorOptions.mayRetry = [this, id, service] {
+        // Asking on after a Pass belongs to placement; only an attempt after silence or a failure is a retry.
+        const auto found = this->flows.find(id);
+        if (found != this->flows.end()) {
+            const std::vector<CandidateReply>& replies = found->second->initiator.replies();
+            if (!replies.empty() && replies.back().reply == FrameKind::Pass)
+                return true;
+        }
+        return this->placement.retryBudget(service).tryRetry();
+    };
+    const PlainFlowPtr flow
+        = std::make_shared<PlainFlow>(std::move(socket), id, std::move(initiatorOptions), this->clock);
+    flow->caller = toString(fromTcp(remote));
+    flow->listener = listener->name;
+    flow->serviceName = listener->serviceName;
+    flow->candidates = this->placement.candidates(service);
+    this->placement.retryBudget(service).onFirstAttempt();
+    this->flows[id] = flow;
+    this->metrics.add("wasabi_flows_started_total", serviceLabel(listener->serviceName));
+    InitiatorCommands commands;
+    flow->initiator.start(flow->candidates, commands);
+    this->run(flow, commands);
+}
+
+void EntryServer::readCaller(const PlainFlowPtr& flow)
+{
+    if (flow->isReading || flow->callerFinished || flow->isClosed || flow->end)
+        return;
+    if (flow->initiator.freeSendBuffer() == 0)
+        return;
+    for (const Carrier& carrier : flow->carriers) {
+        if (!this->links.hasRoom(carrier.first, carrier.second))
+            return;
+    }
+    flow->isReading = true;
+    // Waits for readiness instead of reading into a buffer of its own: idle flows hold no memory for reads.
+    flow->socket.async_wait(asio::socket_base::wait_read, [this, flow](error_code error) {
+        flow->isReading = false;
+        if (flow->isClosed || error || this->isStopped)
+            return;
+        this->onCallerReadable(flow);
+    });
+}
+
+void EntryServer::onCallerReadable(const PlainFlowPtr& flow)
+{
+    if (flow->end)
+        return;
+    const size_t limit = std::min(this->readBuffer.size(), flow->initiator.freeSendBuffer());
+    if (limit == 0)
+        return;
+    error_code error;
+    const size_t size = flow->socket.read_some(asio::buffer(this->readBuffer.data(), limit), error);
+    InitiatorCommands commands;
+    if (size > 0) {
+        const size_t taken = flow->initiator.write({ this->readBuffer.data(), size }, commands);
+        if (taken != size)
+            reportViolation("initiator takes bytes up to its free send buffer", { { "flow", flow->initiator.id() } });
+    } else if (error == asio::error::eof) {
+        flow->callerFinished = true;
+        flow->initiator.finishWriting(commands);
+    } else if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        flow->callerFinished = true;
+        flow->initiator.cancel(commands);
+    }
+    this->run(flow, commands);
+}
+
+void EntryServer::run(const PlainFlowPtr& flow, InitiatorCommands& commands)
+{
+    for (InitiatorCommand& command : commands) {
+        if (SendToOwner* send = std::get_if<SendToOwner>(&command))
+            this->execute(flow, *send);
+        else if (DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command))
+            flow->queued += deliver->bytes;
+        else if (std::holds_alternative<DeliverEndToCaller>(command))
+            flow->upstreamFinished = true;
+        else if (FlowEnded* end = std::get_if<FlowEnded>(&command))
+            flow->end = *end;
+    }
+    this->afterEvent(flow);
+}
+
+void EntryServer::execute(const PlainFlowPtr& flow, SendToOwner& send)
+{
+    const Carrier carrier { send.owner, flow->initiator.settings().trafficClass };
+    if (std::find(flow->carriers.begin(), flow->carriers.end(), carrier) == flow->carriers.end()) {
+        flow->carriers.push_back(carrier);
+        this->flowsByCarrier[carrier].insert(flow->initiator.id());
+        this->links.retain(carrier.first, carrier.second);
+    }
+    this->links.send(send.owner, carrier.second, send.frame);
+}
+
+void EntryServer::afterEvent(const PlainFlowPtr& flow)
+{
+    if (flow->isClosed)
+        return;
+    this->reportReplies(*flow);
+    if (!flow->isPlaced && (flow->initiator.phase() == InitiatorPhase::Bound || flow->end))
+        this->logPlacement(*flow);
+    const std::optional<TimePoint> next = flow->initiator.nextTimer();
+    if (next && !flow->end && (!flow->scheduled || *next < *flow->scheduled)) {
+        flow->scheduled = next;
+        this->timers.push({ *next, flow->initiator.id() });
+    }
+    this->writeCaller(flow);
+    this->readCaller(flow);
+}
+
+// Passes replies and silence on to Placement. A candidate that was asked and then passed over for the next one, without
+// a reply, was silent.
+void EntryServer::reportReplies(PlainFlow& flow)
+{
+    const std::vector<CandidateReply>& replies = flow.initiator.replies();
+    const bool isOver = flow.initiator.phase() != InitiatorPhase::Opening;
+    while (flow.reportedReplies < replies.size()) {
+        const CandidateReply& reply = replies[flow.reportedReplies];
+        const bool isAnswered = reply.reply != FrameKind::Open;
+        const bool isLast = flow.reportedReplies + 1 == replies.size();
+        if (!isAnswered && isLast && !isOver)
+            return;
+        const bool isCancelled = flow.end && flow.end->reason == Reason::Cancelled;
+        if (!isAnswered && !reply.queued && !isCancelled)
+            this->placement.onSilence(reply.upstream);
+        ++flow.reportedReplies;
+    }
+}
+
+void EntryServer::logPlacement(PlainFlow& flow)
+{
+    flow.isPlaced = true;
+    const bool isBound = flow.initiator.phase() == InitiatorPhase::Bound || flow.initiator.token().reservation != 0;
+    std::string candidates;
+    for (const UpstreamId& candidate : flow.candidates)
+        candidates += (candidates.empty() ? "" : ",") + this->upstreamName(candidate);
+    std::string replies;
+    for (const CandidateReply& reply : flow.initiator.replies()) {
+        replies += (replies.empty() ? "" : ",") + this->upstreamName(reply.upstream) + ':';
+        replies += reply.reply == FrameKind::Open ? "silent" : nameOf(reply.reply);
+        if (reply.reason != Reason::None)
+            replies += '(' + std::string(nameOf(reply.reason)) + ')';
+        if (reply.queued)
+            replies += "(queued)";
+    }
+    const UpstreamId owner = flow.initiator.token().owner;
+    std::string reason = "first candidate with room";
+    if (!isBound)
+        reason = flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
+    else if (!flow.initiator.replies().empty() && flow.initiator.replies().back().queued)
+        reason = "shortest queue";
+    else if (flow.initiator.replies().size() > 1)
+        reason = "next candidate with room";
+    const Milliseconds wait
+        = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
+    logEvent(isBound ? Event::FlowPlaced : Event::FlowNotPlaced,
+        { { "flow", flow.initiator.id() }, { "service", flow.serviceName }, { "listener", flow.listener },
+            { "caller", flow.caller }, { "candidates", candidates }, { "replies", replies },
+            { "choice", isBound ? this->upstreamName(owner) : "none" }, { "reason", reason },
+            { "reservation", flow.initiator.token().reservation }, { "wait-ms", wait } });
+    this->metrics.observe("wasabi_placement_seconds", serviceLabel(flow.serviceName), this->clock.now() - flow.started);
+    if (!isBound)
+        return;
+    flow.isCounted = true;
+    this->placement.onFlowStarted(owner);
+}
+
+void EntryServer::writeCaller(const PlainFlowPtr& flow)
+{
+    if (flow->isClosed || !flow->writing.empty())
+        return;
+    const bool isBroken = flow->end && flow->end->outcome != FlowOutcome::Completed;
+    if (flow->queued.empty() || isBroken) {
+        if (flow->end)
+            this->closeCaller(flow);
+        else if (flow->upstreamFinished && !std::exchange(flow->finSent, true)) {
+            error_code ignored;
+            flow->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        }
+        return;
+    }
+    std::swap(flow->writing, flow->queued);
+    asio::async_write(flow->socket, asio::buffer(flow->writing), [this, flow](error_code error, size_t size) {
+        flow->writing.clear();
+        if (flow->isClosed || this->isStopped)
+            return;
+        InitiatorCommands commands;
+        if (flow->end) { // nothing to report to a flow that ended
+            if (error)
+                flow->queued.clear();
+        } else if (error)
+            flow->initiator.cancel(commands);
+        else
+            flow->initiator.onDelivered(size, commands);
+        this->run(flow, commands);
+    });
+}
+
+// The flow has ended and everything was written. Only a complete flow and a refusal end in an orderly way: a caller must
+// never take the bytes of a broken flow for a whole answer.
+void EntryServer::closeCaller(const PlainFlowPtr& flow)
+{
+    if (flow->discardUntil)
+        return;
+    error_code ignored;
+    const FlowEnded& end = *flow->end;
+    if (end.outcome == FlowOutcome::Completed) {
+        flow->socket.shutdown(asio::socket_base::shutdown_both, ignored);
+        flow->socket.close(ignored);
+        this->eraseFlow(flow);
+        return;
+    }
+    const std::shared_ptr<const Snapshot> snapshot = this->store.current();
+    const ServiceConfig* service = snapshot ? snapshot->find(flow->initiator.settings().service) : nullptr;
+    if (end.outcome != FlowOutcome::NotRun || !service || service->refusal.empty()) {
+        resetConnection(flow->socket);
+        this->eraseFlow(flow);
+        return;
+    }
+    // The socket is new or idle in this direction, so the few bytes of a refusal fit into the kernel's buffer.
+    asio::write(flow->socket, asio::buffer(service->refusal), ignored);
+    flow->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    this->metrics.add("wasabi_refusals_sent_total", serviceLabel(flow->serviceName));
+    // Bytes of the caller that stay unread would turn the close into a reset, which may destroy the refusal.
+    flow->discardUntil = this->clock.now() + this->options.refusalLinger;
+    this->timers.push({ *flow->discardUntil, flow->initiator.id() });
+    this->discardCallerBytes(flow);
+}
+
+void EntryServer::discardCallerBytes(const PlainFlowPtr& flow)
+{
+    flow->socket.async_wait(asio::socket_base::wait_read, [this, flow](error_code error) {
+        if (flow->isClosed || this->isStopped)
+            return;
+        size_t size = 0;
+        if (!error)
+            size = flow->socket.read_some(asio::buffer(this->readBuffer), error);
+        const bool isWaiting = error == asio::error::would_block || error == asio::error::try_again;
+        if (size > 0 || isWaiting) {
+            this->discardCallerBytes(flow);
+            return;
+        }
+        error_code ignored;
+        flow->socket.close(ignored);
+        this->eraseFlow(flow);
+    });
+}
+
+void EntryServer::eraseFlow(const PlainFlowPtr& flow)
+{
+    if (std::exchange(flow->isClosed, true))
+        return;
+    const FlowId id = flow->initiator.id();
+    for (const Carrier& carrier : flow->carriers) {
+        this->links.release(carrier.first, carrier.second);
+        const auto found = this->flowsByCarrier.find(carrier);
+        if (found == this->flowsByCarrier.end())
+            continue;
+        found->second.erase(id);
+        if (found->second.empty())
+            this->flowsByCarrier.erase(found);
+    }
+    if (flow->isCounted)
+        this->placement.onFlowEnded(flow->initiator.token().owner);
+    const FlowEnded end = flow->end.value_or(FlowEnded());
+    const std::string owner = flow->isCounted ? this->upstreamName(flow->initiator.token().owner) : "none";
+    const Milliseconds duration = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow->started);
+    logEvent(Event::FlowEnded,
+        { { "flow", id }, { "service", flow->serviceName }, { "caller", flow->caller }, { "upstream", owner },
+            { "outcome", nameOf(end.outcome) }, { "reason", nameOf(end.reason) }, { "duration-ms", duration } });
+    this->metrics.add("wasabi_flows_ended_total",
+        serviceLabel(flow->serviceName) + ",outcome=\"" + std::string(nameOf(end.outcome)) + '"');
+    if (end.outcome == FlowOutcome::NotRun) {
+        this->lastRefusals.push_back(
+            toString(id) + ' ' + flow->serviceName + ' ' + flow->caller + ' ' + std::string(nameOf(end.reason)));
+        if (this->lastRefusals.size() > maxListedRefusals)
+            this->lastRefusals.pop_front();
+    }
+    this->flows.erase(id);
+    this->finishShutdown();
+}
+
+void EntryServer::forEachFlowOf(Carrier carrier, const std::function<void(const PlainFlowPtr&)>& action)
+{
+    const auto found = this->flowsByCarrier.find(carrier);
+    if (found == this->flowsByCarrier.end())
+        return;
+    const std::vector<FlowId> ids(found->second.begin(), found->second.end()); // the action may end flows
+    for (const FlowId& id : ids) {
+        const auto flow = this->flows.find(id);
+        if (flow != this->flows.end())
+            action(PlainFlowPtr(flow->second));
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Session frames
+//-----------------------------------------------------------------------------
+
+void EntryServer::receiveDatagram(const std::shared_ptr<Listener>& listener)
+{
+    listener->datagrams.async_wait(asio::socket_base::wait_read, [this, listener](error_code error) {
+        if (listener->closed || this->isStopped)
+            return;
+        for (size_t i = 0; i < datagramsPerWakeup && !error && !listener->closed; ++i) {
+            asio::ip::udp::endpoint caller;
+            const size_t size
+                = listener->datagrams.receive_from(asio::buffer(this->readBuffer), caller, 0, error);
+            if (!error)
+                this->onDatagram(*listener, fromUdp(caller), { this->readBuffer.data(), size });
+        }
+        if (!listener->closed)
+            this->receiveDatagram(listener);
+    });
+}
+
+void EntryServer::onDatagram(Listener& listener, const Endpoint& caller, std::string_view bytes)
+{
+    Result<Frame> decoded = decodeFrame(bytes);
+    const bool isUsable = decoded && isFromInitiator(decoded.value().kind);
+    if (!isUsable) {
+        // Counted only: anyone may send datagrams, and a log line for each would let them fill the log.
+        this->metrics.add("wasabi_invalid_frames_total",
+            decoded ? "source=\"datagram\",cause=\"kind\"" : "source=\"datagram\",cause=\"decode\"");
+        return;
+    }
+    Frame& frame = decoded.value();
+    if (frame.service != listener.service) {
+        this->metrics.add("wasabi_invalid_frames_total", "source=\"datagram\",cause=\"service\"");
+        this->refuse(listener, caller, frame, Reason::WrongService);
+        return;
+    }
+    this->forwardToOwner(listener, caller, frame);
+}
+
+void EntryServer::forwardToOwner(Listener& listener, const Endpoint& caller, Frame& frame)
+{
+    frame.replyAddress = toString(caller);
+    frame.trafficClass = listener.trafficClass;
+    if (frame.token.owner == UpstreamId() && frame.kind == FrameKind::Open && !this->placeBlankOpen(caller, frame)) {
+        this->refuse(listener, caller, frame, Reason::Overloaded);
+        return;
+    }
+    const auto upstream = this->upstreams.find(frame.token.owner);
+    if (upstream == this->upstreams.end() || !upstream->second.services.contains(frame.service)) {
+        this->metrics.add("wasabi_invalid_frames_total", "source=\"datagram\",cause=\"owner\"");
+        // Not a Refused: this entry may have an older configuration than the one that placed the flow.
+        return;
+    }
+    // The version of a caller is not trusted: it would let any caller cause reads from the platform.
+    frame.configVersion = this->store.version().version;
+    this->metrics.add("wasabi_session_frames_total", "direction=\"to-owner\"");
+    this->links.send(frame.token.owner, frame.trafficClass, frame);
+}
+
+bool EntryServer::placeBlankOpen(const Endpoint& caller, Frame& frame)
+{
+    const std::vector<UpstreamId> candidates = this->placement.candidates(frame.service);
+    if (candidates.empty())
+        return false;
+    frame.token.owner = candidates.front();
+    logEvent(Event::SessionFlowPlaced,
+        { { "flow", frame.flow }, { "service", frame.service }, { "request-id", frame.key },
+            { "caller", toString(caller) }, { "candidates", this->upstreamName(candidates.front()) },
+            { "choice", this->upstreamName(candidates.front()) }, { "reason", "first candidate of placement" } });
+    return true;
+}
+
+void EntryServer::refuse(Listener& listener, const Endpoint& caller, const Frame& frame, Reason reason)
+{
+    if (frame.kind != FrameKind::Open)
+        return; // only an Open is refused: nothing of it can have run
+    Frame reply;
+    reply.kind = FrameKind::Refused;
+    reply.flow = frame.flow;
+    reply.service = frame.service;
+    reply.token = frame.token;
+    reply.reason = reason;
+    reply.configVersion = this->store.version().version;
+    this->sendDatagram(listener, caller, reply);
+}
+
+void EntryServer::forwardToCaller(UpstreamId from, Frame& frame)
+{
+    const Result<Endpoint> caller = parseEndpoint(frame.replyAddress);
+    const auto upstream = this->upstreams.find(from);
+    const bool isMember = upstream != this->upstreams.end() && upstream->second.services.contains(frame.service);
+    std::shared_ptr<Listener> listener;
+    for (const auto& [key, candidate] : this->listeners) {
+        if (candidate->service == frame.service
+            && (!listener || candidate->trafficClass == frame.trafficClass))
+            listener = candidate;
+    }
+    if (!caller || caller.value().port == 0 || !isMember || !listener) {
+        this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"reply-address\"");
+        return;
+    }
+    if (frame.kind == FrameKind::Opened || frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused) {
+        logEvent(Event::SessionFlowReply,
+            { { "flow", frame.flow }, { "service", listener->serviceName }, { "caller", frame.replyAddress },
+                { "upstream", this->upstreamName(from) }, { "reply", nameOf(frame.kind) },
+                { "reason", nameOf(frame.reason) }, { "reservation", frame.token.reservation } });
+    }
+    frame.replyAddress.clear();
+    this->metrics.add("wasabi_session_frames_total", "direction=\"to-caller\"");
+    this->sendDatagram(*listener, caller.value(), frame);
+}
+
+void EntryServer::sendDatagram(Listener& listener, const Endpoint& caller, const Frame& frame)
+{
+    const std::string bytes = encodeFrame(frame);
+    error_code error;
+    listener.datagrams.send_to(asio::buffer(bytes), toUdp(caller), 0, error);
+    if (error)
+        this->metrics.add("wasabi_frames_dropped_total", "cause=\"datagram-send\"");
+}
+
+//-----------------------------------------------------------------------------
+// Links and timers
+//-----------------------------------------------------------------------------
+
+void EntryServer::onAgentFrame(UpstreamId from, TrafficClass trafficClass, Frame frame)
+{
+    this->placement.onReply(from);
+    if (carriesLoad(frame.kind))
+        this->placement.onLoad(from, frame.load);
+    this->noteVersion(frame.configVersion);
+    if (!frame.replyAddress.empty()) {
+        this->forwardToCaller(from, frame);
+        return;
+    }
+    const auto found = this->flows.find(frame.flow);
+    if (found == this->flows.end()) {
+        this->releaseUnknownFlow(from, trafficClass, frame);
+        return;
+    }
+    const PlainFlowPtr flow = found->second;
+    if (flow->end)
+        return;
+    if (frame.service != flow->initiator.settings().service) {
+        this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"service\"");
+        return;
+    }
+    InitiatorCommands commands;
+    flow->initiator.onFrame(frame, commands);
+    this->run(flow, commands);
+}
+
+// The flow ended here before the agent's frame arrived. A Cancel frees the slot at once instead of after the expiry.
+void EntryServer::releaseUnknownFlow(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
+{
+    this->metrics.add("wasabi_frames_dropped_total", "cause=\"unknown-flow\"");
+    if (frame.kind != FrameKind::Opened && frame.kind != FrameKind::Data)
+        return;
+    Frame cancel;
+    cancel.kind = FrameKind::Cancel;
+    cancel.flow = frame.flow;
+    cancel.service = frame.service;
+    cancel.token = frame.token;
+    cancel.trafficClass = trafficClass;
+    cancel.configVersion = this->store.version().version;
+    this->links.send(from, trafficClass, cancel);
+}
+
+void EntryServer::noteVersion(uint64_t version)
+{
+    if (version > this->store.version().version && this->onNewerVersion)
+        this->onNewerVersion(version);
+}
+
+void EntryServer::scheduleTick()
+{
+    this->ticker.expires_after(tickInterval);
+    this->ticker.async_wait([this](error_code error) {
+        if (error || this->isStopped)
+            return;
+        this->onTick();
+        this->scheduleTick();
+    });
+}
+
+void EntryServer::onTick()
+{
+    const TimePoint now = this->clock.now();
+    while (!this->timers.empty() && this->timers.top().at <= now) {
+        const FlowTimer timer = this->timers.top();
+        this->timers.pop();
+        const auto found = this->flows.find(timer.flow);
+        if (found == this->flows.end())
+            continue;
+        const PlainFlowPtr flow = found->second;
+        if (flow->discardUntil) {
+            if (now >= *flow->discardUntil) {
+                resetConnection(flow->socket);
+                this->eraseFlow(flow);
+            }
+            continue;
+        }
+        if (flow->scheduled == timer.at)
+            flow->scheduled.reset();
+        if (flow->end)
+            continue;
+        InitiatorCommands commands;
+        const std::optional<TimePoint> due = flow->initiator.nextTimer();
+        if (due && *due <= now)
+            flow->initiator.onTimer(commands);
+        this->run(flow, commands);
+    }
+    if (now - this->lastSlowTick < slowTickInterval)
+        return;
+    this->lastSlowTick = now;
+    this->placement.onTick();
+    this->links.onTick();
+    this->openListeners();
+}
+
+void EntryServer::shutdown(std::function<void()> onDrained)
+{
+    this->isShuttingDown = true;
+    this->drained = std::move(onDrained);
+    while (!this->listeners.empty())
+        this->closeListener(this->listeners.begin()->first);
+    this->finishShutdown();
+}
+
+void EntryServer::finishShutdown()
+{
+    if (this->isShuttingDown && this->flows.empty() && this->drained)
+        std::exchange(this->drained, nullptr)();
+}
+
+size_t EntryServer::openFlows() const { return this->flows.size(); }
+
+OperatorStatus EntryServer::status() const
+{
+    OperatorStatus status;
+    const std::shared_ptr<const Snapshot> snapshot = this->store.current();
+    if (this->isShuttingDown)
+        status.notReadyCause = "shutting down";
+    else if (!snapshot)
+        status.notReadyCause = "no configuration yet";
+    else if (this->listeners.empty())
+        status.notReadyCause = "no listener is open";
+    status.ready = status.notReadyCause.empty();
+
+    std::map<std::string, uint64_t> phases;
+    for (const auto& [id, flow] : this->flows)
+        ++phases[std::string(nameOf(flow->initiator.phase()))];
+    boost::json::object flowsByPhase;
+    for (const auto& [phase, count] : phases)
+        flowsByPhase[phase] = count;
+    boost::json::array listenerList;
+    for (const auto& [key, listener] : this->listeners)
+        listenerList.push_back(boost::json::object { { "name", key }, { "address", toString(listener->bound) },
+            { "class", std::string(nameOf(listener->trafficClass)) } });
+    boost::json::array memberList;
+    if (this->members) {
+        for (const Member& member : *this->members)
+            memberList.push_back(boost::json::object { { "name", member.name }, { "leaving", member.leaving } });
+    }
+    boost::json::array refusals;
+    for (const std::string& refusal : this->lastRefusals)
+        refusals.push_back(boost::json::string(refusal));
+    const ConfigVersion version = this->store.version();
+    status.json = boost::json::serialize(boost::json::object { { "name", this->options.name }, { "role", "entry" },
+        { "ready", status.ready }, { "cause", status.notReadyCause },
+        { "version",
+            boost::json::object {
+                { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest } } },
+        { "flows", flowsByPhase }, { "links", this->links.openLinks() }, { "listeners", listenerList },
+        { "members", memberList }, { "lastRefusals", refusals } });
+    return status;
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/Link.cpp
@@ -0,0 +1,428 @@
+#include "backends/Link.h"
+
+#include "wasabicroft/Log.h"
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    // Bytes of a Ping and its Pong on the wire, with the headers of both directions.
+    constexpr size_t heartbeatExchangeBytes = 320;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Socket helpers
+//-----------------------------------------------------------------------------
+
+asio::ip::tcp::endpoint toTcp(const Endpoint& endpoint)
+{
+    return { asio::ip::make_address(endpoint.address), endpoint.port };
+}
+
+asio::ip::udp::endpoint toUdp(const Endpoint& endpoint)
+{
+    return { asio::ip::make_address(endpoint.address), endpoint.port };
+}
+
+Endpoint fromTcp(const asio::ip::tcp::endpoint& endpoint)
+{
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
+Endpoint fromUdp(const asio::ip::udp::endpoint& endpoint)
+{
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
+void setConnectionOptions(asio::ip::tcp::socket& socket, Milliseconds userTimeout)
+{
+    using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    constexpr int keepAliveSeconds = 10;
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepIdle(keepAliveSeconds), ignored);
+    socket.set_option(KeepInterval(keepAliveSeconds), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(userTimeout.count())), ignored);
+}
+
+void resetConnection(asio::ip::tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+Result<asio::ip::tcp::acceptor> openListener(asio::io_context& context, const Endpoint& endpoint)
+{
+    asio::ip::tcp::acceptor acceptor(context);
+    const asio::ip::tcp::endpoint address = toTcp(endpoint);
+    error_code error;
+    acceptor.open(address.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(address, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return Error { ErrorKind::SystemCall,
+            "cannot listen on " + toString(endpoint) + ": " + error.message()
+                + "; choose an address of this instance and a free port" };
+    }
+    return acceptor;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Link
+//-----------------------------------------------------------------------------
+
+Link::Link(asio::ip::tcp::socket connection, LinkOptions initialOptions, const Clock& timeSource, Metrics& counters,
+    LinkHandlers callbacks)
+    : lastUse(timeSource.now())
+    , socket(std::move(connection))
+    , options(initialOptions)
+    , clock(timeSource)
+    , metrics(counters)
+    , handlers(std::move(callbacks))
+    , openedAt(timeSource.now())
+    , lastHeard(timeSource.now())
+{
+}
+
+void Link::start()
+{
+    this->connected = true;
+    this->lastHeard = this->clock.now();
+    setConnectionOptions(this->socket, this->options.userTimeout);
+    this->readPrefix();
+    this->write();
+}
+
+void Link::connect(const Endpoint& endpoint, std::function<void()> onConnected)
+{
+    this->socket.async_connect(
+        toTcp(endpoint), [self = this->shared_from_this(), onConnected = std::move(onConnected)](error_code error) {
+            if (self->closed)
+                return;
+            if (error) {
+                self->close("connect: " + error.message());
+                return;
+            }
+            self->start();
+            onConnected();
+        });
+}
+
+bool Link::send(const Frame& frame)
+{
+    if (this->closed)
+        return false;
+    if (this->queued.size() + this->writing.size() > this->options.maxQueueBytes) {
+        this->metrics.add("wasabi_frames_dropped_total", "cause=\"queue-full\"");
+        this->close("the peer does not read: the send queue is full");
+        return false;
+    }
+    appendPrefixedFrame(frame, this->queued);
+    const TimePoint now = this->clock.now();
+    if (!this->unansweredSince)
+        this->unansweredSince = now;
+    if (frame.kind != FrameKind::Ping && frame.kind != FrameKind::Pong)
+        this->lastUse = now;
+    this->write();
+    return !this->closed;
+}
+
+bool Link::hasRoom() const { return this->queued.size() + this->writing.size() <= this->options.highWaterBytes; }
+
+bool Link::isOpen() const { return !this->closed; }
+
+void Link::close(const std::string& cause)
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    error_code ignored;
+    this->socket.close(ignored);
+    // The handler runs later, so that a caller of send() is never called back while it changes its own state.
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this(), cause] {
+        if (self->handlers.onClosed)
+            self->handlers.onClosed(*self, cause);
+        self->handlers = {};
+    });
+}
+
+void Link::write()
+{
+    if (!this->connected || this->closed || !this->writing.empty() || this->queued.empty())
+        return;
+    std::swap(this->writing, this->queued);
+    asio::async_write(
+        this->socket, asio::buffer(this->writing), [self = this->shared_from_this()](error_code error, size_t) {
+            const bool wasFull = !self->hasRoom();
+            self->writing.clear();
+            if (self->closed)
+                return;
+            if (error) {
+                self->close("write: " + error.message());
+                return;
+            }
+            self->write();
+            if (wasFull && self->hasRoom() && self->handlers.onWritable)
+                self->handlers.onWritable(*self);
+        });
+}
+
+void Link::readPrefix()
+{
+    asio::async_read(
+        this->socket, asio::buffer(this->prefix), [self = this->shared_from_this()](error_code error, size_t) {
+            if (self->closed)
+                return;
+            if (error) {
+                self->close("read: " + error.message());
+                return;
+            }
+            size_t size = 0;
+            for (size_t i = 0; i < framePrefixBytes; ++i)
+                size |= static_cast<size_t>(self->prefix.at(i)) << (8 * i);
+            if (size > maxFrameBytes) {
+                // What follows can't be told apart from payload, so the connection is of no further use.
+                self->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"size-prefix\"");
+                logEvent(Event::InvalidFrame,
+                    { { "source", "link" }, { "cause", "size prefix over the limit" }, { "size-bytes", size } });
+                self->close("size prefix over the limit");
+                return;
+            }
+            self->readBody(size);
+        });
+}
+
+void Link::readBody(size_t size)
+{
+    this->body.resize(size);
+    asio::async_read(
+        this->socket, asio::buffer(this->body), [self = this->shared_from_this()](error_code error, size_t) {
+            if (self->closed)
+                return;
+            if (error) {
+                self->close("read: " + error.message());
+                return;
+            }
+            self->onBody();
+            if (!self->closed)
+                self->readPrefix();
+        });
+}
+
+void Link::onBody()
+{
+    this->lastHeard = this->clock.now();
+    this->unansweredSince.reset();
+    this->pingSent.reset();
+    Result<Frame> decoded = decodeFrame(this->body);
+    if (this->body.capacity() > 2 * maxPayloadBytes)
+        std::string().swap(this->body); // a configuration value must not hold its memory until the link ends
+    if (decoded) {
+        this->handleFrame(std::move(decoded.value()));
+        return;
+    }
+    this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"decode\"");
+    logEvent(Event::InvalidFrame, { { "source", "link" }, { "cause", decoded.error().message } });
+}
+
+void Link::handleFrame(Frame frame)
+{
+    const bool isHeartbeat = frame.flow == FlowId();
+    if (isHeartbeat && frame.kind == FrameKind::Ping) {
+        frame.kind = FrameKind::Pong;
+        this->send(frame);
+        this->unansweredSince.reset(); // a Pong has no answer
+        return;
+    }
+    if (isHeartbeat && frame.kind == FrameKind::Pong)
+        return;
+    this->lastUse = this->clock.now();
+    if (this->handlers.onFrame)
+        this->handlers.onFrame(*this, std::move(frame));
+}
+
+void Link::onTick(bool expectsTraffic, Milliseconds silenceLimit)
+{
+    if (this->closed)
+        return;
+    const TimePoint now = this->clock.now();
+    if (!this->connected) {
+        if (now - this->openedAt > this->options.connectTimeout)
+            this->close("connect: no answer in time");
+        return;
+    }
+    if (this->pingSent) {
+        if (now - *this->pingSent > this->options.heartbeatTimeout)
+            this->close("no answer to a heartbeat");
+        return;
+    }
+    const TimePoint since = this->unansweredSince.value_or(this->lastHeard);
+    const bool isOutstanding = this->unansweredSince || expectsTraffic;
+    const Milliseconds limit = this->unansweredSince ? this->options.heartbeatInterval : silenceLimit;
+    if (isOutstanding && now - since > limit) {
+        this->pingSent = now;
+        this->send(Frame());
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] LinkPool
+//-----------------------------------------------------------------------------
+
+LinkPool::LinkPool(asio::io_context& ioContext, LinkOptions initialOptions, const Clock& timeSource, Metrics& counters,
+    LinkPoolHandlers callbacks)
+    : context(ioContext)
+    , options(initialOptions)
+    , clock(timeSource)
+    , metrics(counters)
+    , handlers(std::move(callbacks))
+{
+}
+
+LinkPool::~LinkPool() { this->closeAll(); }
+
+void LinkPool::setAddress(UpstreamId upstream, const Endpoint& endpoint) { this->addresses[upstream] = endpoint; }
+
+bool LinkPool::knows(UpstreamId upstream) const { return this->addresses.contains(upstream); }
+
+Milliseconds LinkPool::backoff(unsigned failedDials) const
+{
+    const Milliseconds delay
+        = std::min(this->options.maxBackoff, this->options.minBackoff * (1 << std::min(failedDials, 10U)));
+    // Jitter of half the delay keeps entries from dialling a restarted agent at the same moment.
+    const uint64_t jitter = randomFlowId().low % static_cast<uint64_t>(delay.count() / 2 + 1);
+    return delay / 2 + Milliseconds(jitter);
+}
+
+void LinkPool::dial(PeerKey key, Peer& peer)
+{
+    LinkHandlers linkHandlers;
+    linkHandlers.onFrame
+        = [this, key](Link&, Frame frame) { this->handlers.onFrame(key.first, key.second, std::move(frame)); };
+    linkHandlers.onWritable = [this, key](Link&) { this->handlers.onWritable(key.first, key.second); };
+    linkHandlers.onClosed = [this, key](Link& link, const std::string& cause) {
+        const auto found = this->peers.find(key);
+        if (found != this->peers.end() && found->second.link.get() == &link)
+            this->onLinkClosed(key, cause);
+    };
+    peer.link = std::make_shared<Link>(
+        asio::ip::tcp::socket(this->context), this->options, this->clock, this->metrics, std::move(linkHandlers));
+    peer.link->connect(this->addresses.at(key.first), [this, key] {
+        Peer& connectedPeer = this->peers[key];
+        connectedPeer.failedDials = 0;
+        this->metrics.add("wasabi_links_established_total");
+        if (std::exchange(connectedPeer.framesLost, false))
+            this->handlers.onReestablished(key.first, key.second);
+    });
+}
+
+void LinkPool::onLinkClosed(PeerKey key, const std::string& cause)
+{
+    Peer& peer = this->peers[key];
+    peer.link.reset();
+    if (this->closing)
+        return;
+    peer.framesLost = true;
+    peer.nextDial = this->clock.now() + this->backoff(peer.failedDials);
+    ++peer.failedDials;
+    this->metrics.add("wasabi_links_lost_total");
+    logEvent(Event::LinkLost,
+        { { "upstream", key.first }, { "class", nameOf(key.second) }, { "cause", cause },
+            { "open-flows", static_cast<uint64_t>(peer.flows) } });
+    this->handlers.onUnreachable(key.first);
+}
+
+bool LinkPool::send(UpstreamId upstream, TrafficClass trafficClass, const Frame& frame)
+{
+    if (!this->knows(upstream)) {
+        this->metrics.add("wasabi_frames_dropped_total", "cause=\"unknown-upstream\"");
+        return false;
+    }
+    const PeerKey key { upstream, trafficClass };
+    Peer& peer = this->peers[key];
+    if (!peer.link && this->clock.now() >= peer.nextDial)
+        this->dial(key, peer);
+    if (peer.link && peer.link->send(frame))
+        return true;
+    peer.framesLost = true;
+    this->metrics.add("wasabi_frames_dropped_total", "cause=\"no-link\"");
+    return false;
+}
+
+bool LinkPool::hasRoom(UpstreamId upstream, TrafficClass trafficClass) const
+{
+    const auto found = this->peers.find({ upstream, trafficClass });
+    return found == this->peers.end() || !found->second.link || found->second.link->hasRoom();
+}
+
+void LinkPool::retain(UpstreamId upstream, TrafficClass trafficClass)
+{
+    if (this->peers[{ upstream, trafficClass }].flows++ == 0)
+        ++this->peersWithFlows;
+}
+
+void LinkPool::release(UpstreamId upstream, TrafficClass trafficClass)
+{
+    Peer& peer = this->peers[{ upstream, trafficClass }];
+    if (peer.flows > 0 && --peer.flows == 0)
+        --this->peersWithFlows;
+}
+
+Milliseconds LinkPool::heartbeatInterval() const
+{
+    const size_t bytes = this->peersWithFlows * heartbeatExchangeBytes;
+    return std::max(this->options.heartbeatInterval,
+        Milliseconds(bytes * 1000 / std::max<size_t>(1, this->options.heartbeatBytesPerSecond)));
+}
+
+void LinkPool::onTick()
+{
+    const TimePoint now = this->clock.now();
+    const Milliseconds silenceLimit = this->heartbeatInterval();
+    for (auto& [key, peer] : this->peers) {
+        if (!peer.link) {
+            if (peer.flows > 0 && now >= peer.nextDial)
+                this->dial(key, peer);
+            continue;
+        }
+        peer.link->onTick(peer.flows > 0, silenceLimit);
+        if (peer.flows == 0 && now - peer.link->lastUse > this->options.idleTimeout) {
+            const std::shared_ptr<Link> idle = std::exchange(peer.link, nullptr);
+            idle->close("idle");
+        }
+    }
+}
+
+void LinkPool::closeAll()
+{
+    this->closing = true;
+    for (auto& [key, peer] : this->peers) {
+        if (peer.link)
+            std::exchange(peer.link, nullptr)->close("stopping");
+    }
+}
+
+size_t LinkPool::openLinks() const
+{
+    return static_cast<size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [](const auto& item) { return item.second.link; }));
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/Link.h
@@ -0,0 +1,173 @@
+// TCP links that carry frames between the system's own processes, and the pool of links of an entry.
+//
+// Index
+//   [SECTION] Socket helpers
+//   [SECTION] Link
+//   [SECTION] LinkPool
+#pragma once
+
+#include "wasabicroft/Clock.h"
+#include "wasabicroft/Config.h"
+#include "wasabicroft/Frame.h"
+#include "wasabicroft/Metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Socket helpers
+//-----------------------------------------------------------------------------
+
+boost::asio::ip::tcp::endpoint toTcp(const Endpoint&);
+boost::asio::ip::udp::endpoint toUdp(const Endpoint&);
+Endpoint fromTcp(const boost::asio::ip::tcp::endpoint&);
+Endpoint fromUdp(const boost::asio::ip::udp::endpoint&);
+
+// Sets no-delay, keep-alive and TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer is gone.
+void setConnectionOptions(boost::asio::ip::tcp::socket&, Milliseconds userTimeout);
+
+// Closes with a reset instead of an orderly end, so that the peer can't take the bytes so far for a complete answer.
+void resetConnection(boost::asio::ip::tcp::socket&);
+
+// Opens, binds and listens; the address may be reused at once after a restart.
+Result<boost::asio::ip::tcp::acceptor> openListener(boost::asio::io_context&, const Endpoint&);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Link
+//-----------------------------------------------------------------------------
+
+struct LinkOptions {
+    size_t highWaterBytes = 1024 * 1024; // queued; hasRoom() is false above, sources of the link pause
+    size_t maxQueueBytes = 8 * 1024 * 1024; // queued; the link is closed above: its peer does not read
+    Milliseconds connectTimeout { 2000 };
+    Milliseconds heartbeatInterval { 1000 }; // Ping after this silence while an answer is outstanding
+    Milliseconds heartbeatTimeout { 2000 }; // from the Ping to the close of the link
+    Milliseconds idleTimeout { 60000 }; // without open flows and frames
+    Milliseconds minBackoff { 50 }; // before the first new dial
+    Milliseconds maxBackoff { 2000 };
+    Milliseconds userTimeout { 10000 }; // TCP_USER_TIMEOUT
+    size_t heartbeatBytesPerSecond = 4096; // heartbeats of all links with silent open flows, see LinkPool::onTick
+};
+
+class Link;
+
+struct LinkHandlers {
+    std::function<void(Link&, Frame)> onFrame;
+    std::function<void(Link&)> onWritable; // the queue fell below the high-water mark
+    std::function<void(Link&, const std::string& cause)> onClosed; // once
+};
+
+// One TCP connection with frames behind a 4-byte size prefix. Belongs to the traffic thread.
+// Answers Ping frames without a flow itself, and swallows their Pong.
+class Link : public std::enable_shared_from_this<Link> {
+public:
+    Link(boost::asio::ip::tcp::socket, LinkOptions, const Clock&, Metrics&, LinkHandlers);
+
+    void start(); // the socket is connected
+    void connect(const Endpoint&, std::function<void()> onConnected); // frames sent before that are queued
+
+    bool send(const Frame&); // false if the link is closed or its queue was full, which closes it
+    bool hasRoom() const;
+    void close(const std::string& cause);
+    bool isOpen() const;
+
+    // Sends a Ping after a silence of silenceLimit with something outstanding, and closes the link if the Ping stays
+    // unanswered. An answer is outstanding after a frame was sent, or while expectsTraffic is set.
+    void onTick(bool expectsTraffic, Milliseconds silenceLimit);
+
+    uint64_t id = 0; // chosen by the link's user
+    TimePoint lastUse; // a frame other than a heartbeat was sent or received
+
+private:
+    void readPrefix();
+    void readBody(size_t size);
+    void onBody();
+    void handleFrame(Frame);
+    void write();
+
+    boost::asio::ip::tcp::socket socket;
+    LinkOptions options;
+    const Clock& clock;
+    Metrics& metrics;
+    LinkHandlers handlers;
+    std::array<unsigned char, framePrefixBytes> prefix {};
+    std::string body;
+    std::string queued; // not yet handed to the kernel
+    std::string writing; // being written
+    bool connected = false;
+    bool closed = false;
+    TimePoint openedAt;
+    TimePoint lastHeard;
+    std::optional<TimePoint> unansweredSince; // first frame sent after lastHeard
+    std::optional<TimePoint> pingSent;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] LinkPool
+//-----------------------------------------------------------------------------
+
+struct LinkPoolHandlers {
+    std::function<void(UpstreamId, TrafficClass, Frame)> onFrame;
+    std::function<void(UpstreamId, TrafficClass)> onWritable;
+    std::function<void(UpstreamId, TrafficClass)> onReestablished; // frames may have been lost before
+    std::function<void(UpstreamId)> onUnreachable; // a dial failed or a link went silent
+};
+
+// The links of an entry: one for each agent and traffic class, because classes must not share a TCP stream over a lossy
+// path. A link is dialled when a frame is sent, dialled again with back-off while flows are open on it, and closed when
+// it is idle.
+class LinkPool {
+public:
+    LinkPool(boost::asio::io_context&, LinkOptions, const Clock&, Metrics&, LinkPoolHandlers);
+    ~LinkPool();
+
+    void setAddress(UpstreamId, const Endpoint&); // a changed address takes effect with the next dial
+    bool knows(UpstreamId) const;
+
+    bool send(UpstreamId, TrafficClass, const Frame&); // false if the frame was dropped
+    bool hasRoom(UpstreamId, TrafficClass) const;
+    void retain(UpstreamId, TrafficClass); // a flow was bound
+    void release(UpstreamId, TrafficClass);
+
+    // Heartbeats, idle links and dials; called about every 10 ms. A link with open flows and no traffic gets a
+    // heartbeat as well, because only the agent knows that the bytes of a feed do not arrive. The interval grows with
+    // the number of such links so that all heartbeats stay below heartbeatBytesPerSecond.
+    void onTick();
+    void closeAll();
+
+    size_t openLinks() const;
+
+private:
+    struct Peer {
+        std::shared_ptr<Link> link;
+        size_t flows = 0; // open
+        bool framesLost = false; // since the last established link
+        unsigned failedDials = 0; // consecutive
+        TimePoint nextDial;
+    };
+    using PeerKey = std::pair<UpstreamId, TrafficClass>;
+
+    void dial(PeerKey, Peer&);
+    void onLinkClosed(PeerKey, const std::string& cause);
+    Milliseconds backoff(unsigned failedDials) const;
+    Milliseconds heartbeatInterval() const;
+
+    boost::asio::io_context& context;
+    LinkOptions options;
+    const Clock& clock;
+    Metrics& metrics;
+    LinkPoolHandlers handlers;
+    std::map<UpstreamId, Endpoint> addresses;
+    std::map<PeerKey, Peer> peers;
+    size_t peersWithFlows = 0;
+    bool closing = false;
+};
+
+} // namespace wasabicroft
