--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -13,6 +13,7 @@
 #include "wasabicroft/Admission.h"
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Frame.h"
+#include "wasabicroft/Stream.h"
 
 #include <deque>
 #include <map>
@@ -141,9 +142,65 @@
     const InitiatorOptions& settings() const;
 
 private:
+    struct CandidateState {
+        bool queueTried = false;
+        bool mayAnswer = false; // an Open was sent and no final reply was seen
+    };
+
+    Frame makeFrame(FrameKind) const;
+    void sendOpen(InitiatorCommands& out);
+    bool askNext(InitiatorCommands& out); // false if no candidate is left
+    bool queueNext(InitiatorCommands& out); // false if no candidate is left to queue at
+    void tryNextOrEnd(InitiatorCommands& out);
+    void askCandidate(size_t index, bool queued, InitiatorCommands& out);
+    std::optional<size_t> candidateIndex(UpstreamId) const;
+    void bind(const Frame& opened, InitiatorCommands& out);
+    void pump(InitiatorCommands& out);
+    void sendData(StreamSegment, InitiatorCommands& out);
+    void sendAck(InitiatorCommands& out);
+    void sendPing(InitiatorCommands& out);
+    void sendCancel(OwnerToken, InitiatorCommands& out);
+    void releaseUnchosen(InitiatorCommands& out);
+    void end(Reason, Milliseconds retryAfter, InitiatorCommands& out);
+    void completeIfDone(InitiatorCommands& out);
+    bool isComplete() const;
+    bool wantsHeartbeat() const;
+
+    void onOpened(const Frame&, InitiatorCommands& out);
+    void onDeclined(const Frame&, InitiatorCommands& out); // Pass, or Refused in reply to Open
+    void onTokenRefused(const Frame&, InitiatorCommands& out); // Refused in reply to a frame with a token
+    void onData(const Frame&, InitiatorCommands& out);
+    void onAck(const Frame&, InitiatorCommands& out);
+    void onClosed(const Frame&, InitiatorCommands& out);
+    void onNothingHandedOver(Reason, InitiatorCommands& out);
+    void onFrameAfterEnd(const Frame&, InitiatorCommands& out);
+    void onOpenTimer(InitiatorCommands& out);
+
     FlowId flow;
     InitiatorOptions options;
     const Clock& clock;
+    InitiatorPhase state = InitiatorPhase::Idle;
+    OwnerToken chosen;
+    StreamSender sender;
+    StreamReceiver receiver;
+    std::vector<CandidateReply> candidateReplies;
+    std::vector<CandidateState> candidates;
+    size_t nextCandidate = 0;
+    size_t current = 0; // candidate asked last
+    size_t opensSent = 0; // without resends
+    bool queueing = false;
+    bool bound = false; // Data went out with the chosen token, and its owner did not deny the hand-over
+    bool upstreamWasReset = false; // the owner reported the end of the flow after a hand-over
+    bool endDelivered = false;
+    uint64_t advertisedLimit = 0; // first offset beyond the window that the owner knows
+    Reason lastDecline = Reason::None;
+    Milliseconds lastRetryAfter { 0 };
+    Milliseconds openResend { 0 };
+    std::optional<TimePoint> deadlineAt;
+    TimePoint candidateExpires; // the current candidate did not reply in time
+    TimePoint openResendAt;
+    TimePoint lastHeard;
+    TimePoint lastPing;
 };
 
 //-----------------------------------------------------------------------------
@@ -218,9 +275,73 @@
     const OwnerOptions& settings() const;
 
 private:
+    enum class FlowPhase : uint8_t { Queued, Reserved, Connecting, Established };
+
+    struct Flow {
+        Flow(const OwnerOptions&, bool timed);
+
+        FlowPhase phase = FlowPhase::Queued;
+        ServiceId service;
+        TrafficClass trafficClass = TrafficClass::Request;
+        uint64_t reservation = 0;
+        uint64_t incarnation = 0; // differs from the agent's only under FlowAblations::ignoreIncarnation
+        ReplyRoute route;
+        bool linkLost = false; // nothing is sent until a frame names a new route
+        StreamSender sender;
+        StreamReceiver receiver;
+        std::string beforeConnect; // received while the connection to the upstream is being set up
+        bool upstreamFinished = false; // FinishUpstream was issued
+        bool slotReleased = false;
+        TimePoint expires; // of the reservation
+        TimePoint lastHeard;
+        std::optional<TimePoint> timer; // key of this flow in timers
+    };
+
+    struct EndedFlow {
+        OwnerToken token;
+        ServiceId service;
+        bool handedOver = false;
+        Reason reason = Reason::None;
+    };
+
+    Frame makeFrame(FrameKind, FlowId, const Flow&) const;
+    static Frame replyTo(const Frame&, FrameKind, Reason);
+    bool namesThisAgent(const Frame&, const ReplyRoute&, OwnerCommands& out) const;
+    Flow* findByToken(const Frame&, const ReplyRoute&, OwnerCommands& out);
+    void onOpen(const Frame&, const ReplyRoute&, OwnerCommands& out);
+    void onData(const Frame&, const ReplyRoute&, OwnerCommands& out);
+    void onAck(const Frame&, const ReplyRoute&, OwnerCommands& out);
+    void onPing(const Frame&, const ReplyRoute&, OwnerCommands& out);
+    void onCancel(const Frame&, OwnerCommands& out);
+    void onQuery(const Frame&, const ReplyRoute&, OwnerCommands& out) const;
+    bool handOver(FlowId, Flow&, OwnerCommands& out);
+    void noteHeard(Flow&, const ReplyRoute&);
+    void reserve(FlowId, Flow&, OwnerCommands& out);
+    void sendOpened(FlowId, const Flow&, OwnerCommands& out) const;
+    void sendAck(FlowId, const Flow&, OwnerCommands& out) const;
+    void sendData(FlowId, const Flow&, StreamSegment, OwnerCommands& out) const;
+    void pump(FlowId, Flow&, OwnerCommands& out);
+    void writeUpstream(FlowId, Flow&, std::string bytes, OwnerCommands& out);
+    void finishUpstreamIfDone(FlowId, Flow&, OwnerCommands& out);
+    void endIfDone(FlowId, OwnerCommands& out);
+    void endFlow(FlowId, Reason, bool handedOver, OwnerCommands& out); // sends Closed and remembers the end
+    void dropFlow(FlowId, OwnerCommands& out); // forgets a flow that was never handed over
+    void releaseSlot(FlowId, Flow&, OwnerCommands& out);
+    void applyAdmission(OwnerCommands& out);
+    void remember(FlowId, const EndedFlow&);
+    void forgetExpired();
+    void schedule(FlowId, Flow&);
+    void onFlowTimer(FlowId, OwnerCommands& out);
+    Flow* find(FlowId);
+
     OwnerOptions options;
     Admission& admission;
     const Clock& clock;
+    uint64_t lastReservation = 0;
+    std::unordered_map<FlowId, Flow> flows;
+    std::set<std::pair<TimePoint, FlowId>> timers;
+    std::unordered_map<FlowId, EndedFlow> ended;
+    std::deque<std::pair<TimePoint, FlowId>> endedOrder; // time to forget, oldest first
 };
 
 } // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/FlowInitiator.cpp
@@ -0,0 +1,546 @@
+#include "wasabicroft/Flow.h"
+#include "wasabicroft/Log.h"
+
+#include <algorithm>
+
+namespace wasabicroft {
+
+namespace {
+    // A queued Open counts as lost after this many heartbeats without a reply of the agent.
+    constexpr int queueHeartbeatsBeforeLoss = 3;
+
+    StreamOptions senderOptions(const InitiatorOptions& options)
+    {
+        return { options.datagrams, options.sendBufferBytes, options.maxPayloadBytes, options.initialResendTimeout,
+            options.maxResendTimeout };
+    }
+} // namespace
+
+std::string_view nameOf(FlowOutcome outcome) { return flowOutcomeNames.at(static_cast<size_t>(outcome)); }
+
+std::string_view nameOf(InitiatorPhase phase) { return initiatorPhaseNames.at(static_cast<size_t>(phase)); }
+
+FlowInitiator::FlowInitiator(FlowId id, InitiatorOptions initialOptions, const Clock& timeSource)
+    : flow(id)
+    , options(std::move(initialOptions))
+    , clock(timeSource)
+    , sender(senderOptions(this->options))
+    , receiver(this->options.receiveWindowBytes)
+{
+    this->sender.requestStart();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Reservation
+//-----------------------------------------------------------------------------
+
+void FlowInitiator::start(std::vector<UpstreamId> upstreams, InitiatorCommands& out)
+{
+    if (this->state != InitiatorPhase::Idle)
+        return;
+    for (const UpstreamId upstream : upstreams)
+        this->candidateReplies.emplace_back().upstream = upstream;
+    this->candidates.resize(upstreams.size());
+    this->state = InitiatorPhase::Opening;
+    if (this->options.deadline > Milliseconds(0))
+        this->deadlineAt = this->clock.now() + this->options.deadline;
+    this->tryNextOrEnd(out);
+}
+
+Frame FlowInitiator::makeFrame(FrameKind kind) const
+{
+    Frame frame;
+    frame.kind = kind;
+    frame.flow = this->flow;
+    frame.service = this->options.service;
+    frame.token = this->chosen;
+    frame.configVersion = this->options.configVersion;
+    frame.trafficClass = this->options.trafficClass;
+    if (this->deadlineAt)
+        frame.deadline
+            = std::max(std::chrono::ceil<Milliseconds>(*this->deadlineAt - this->clock.now()), Milliseconds(1));
+    return frame;
+}
+
+void FlowInitiator::sendOpen(InitiatorCommands& out)
+{
+    Frame frame = this->makeFrame(FrameKind::Open);
+    frame.token = { this->candidateReplies[this->current].upstream, 0, 0 };
+    frame.key = this->options.requestId;
+    frame.window = static_cast<uint32_t>(this->options.receiveWindowBytes);
+    if (this->queueing)
+        frame.flags |= frame_flags::mayQueue;
+    if (this->options.idempotent)
+        frame.flags |= frame_flags::idempotent;
+    out.emplace_back(SendToOwner { frame.token.owner, std::move(frame) });
+}
+
+void FlowInitiator::askCandidate(size_t index, bool queued, InitiatorCommands& out)
+{
+    const TimePoint now = this->clock.now();
+    this->current = index;
+    this->queueing = queued;
+    ++this->opensSent;
+    this->candidates[index].mayAnswer = true;
+    this->candidates[index].queueTried = queued;
+    this->candidateReplies[index].queued = queued;
+    this->candidateReplies[index].reply = FrameKind::Open;
+    this->lastHeard = now;
+    this->openResend = queued ? this->options.heartbeatInterval : this->options.initialResendTimeout;
+    this->openResendAt = now + this->openResend;
+    this->candidateExpires
+        = now + (queued ? this->options.heartbeatInterval * queueHeartbeatsBeforeLoss : this->options.openTimeout);
+    this->sendOpen(out);
+}
+
+bool FlowInitiator::askNext(InitiatorCommands& out)
+{
+    if (this->nextCandidate >= this->candidates.size())
+        return false;
+    this->askCandidate(this->nextCandidate++, false, out);
+    return true;
+}
+
+bool FlowInitiator::queueNext(InitiatorCommands& out)
+{
+    std::optional<size_t> best;
+    for (size_t index = 0; index < this->candidates.size(); ++index) {
+        const CandidateReply& reply = this->candidateReplies[index];
+        if (this->candidates[index].queueTried || reply.reply != FrameKind::Pass || reply.reason == Reason::Draining)
+            continue;
+        if (!best || reply.load.queueLength < this->candidateReplies[*best].load.queueLength)
+            best = index;
+    }
+    if (!best)
+        return false;
+    this->askCandidate(*best, true, out);
+    return true;
+}
+
+void FlowInitiator::tryNextOrEnd(InitiatorCommands& out)
+{
+    this->state = InitiatorPhase::Opening;
+    const bool retryAllowed = this->opensSent == 0 || !this->options.mayRetry || this->options.mayRetry();
+    if (retryAllowed && (this->askNext(out) || this->queueNext(out)))
+        return;
+    this->end(this->lastDecline, this->lastRetryAfter, out);
+}
+
+std::optional<size_t> FlowInitiator::candidateIndex(UpstreamId upstream) const
+{
+    for (size_t index = 0; index < this->candidateReplies.size(); ++index)
+        if (this->candidateReplies[index].upstream == upstream)
+            return index;
+    return std::nullopt;
+}
+
+void FlowInitiator::onOpened(const Frame& frame, InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Bound && frame.token == this->chosen)
+        return;
+    const bool mayRebind = this->options.ablations.rebindAfterData && this->state == InitiatorPhase::Bound;
+    if (this->state == InitiatorPhase::Opening || mayRebind) {
+        const std::optional<size_t> index = this->candidateIndex(frame.token.owner);
+        if (index && this->candidates[*index].mayAnswer) {
+            this->bind(frame, out);
+            return;
+        }
+    }
+    this->sendCancel(frame.token, out);
+}
+
+void FlowInitiator::bind(const Frame& opened, InitiatorCommands& out)
+{
+    if (this->bound && !this->options.ablations.rebindAfterData)
+        reportViolation("a flow names one owner", { { "flow", this->flow } });
+    const size_t index = *this->candidateIndex(opened.token.owner);
+    this->candidateReplies[index].reply = FrameKind::Opened;
+    this->candidateReplies[index].load = opened.load;
+    this->candidates[index].mayAnswer = this->options.ablations.rebindAfterData;
+    this->current = index;
+    this->chosen = opened.token;
+    this->state = InitiatorPhase::Bound;
+    this->bound = true;
+    this->lastHeard = this->lastPing = this->clock.now();
+    if (!this->options.ablations.rebindAfterData)
+        this->releaseUnchosen(out);
+    this->sender.setPeerWindow(opened.window);
+    this->sender.resendAll();
+    this->sender.requestStart();
+    this->pump(out);
+}
+
+void FlowInitiator::releaseUnchosen(InitiatorCommands& out)
+{
+    for (size_t index = 0; index < this->candidates.size(); ++index) {
+        if (!this->candidates[index].mayAnswer)
+            continue;
+        this->candidates[index].mayAnswer = false;
+        this->sendCancel({ this->candidateReplies[index].upstream, 0, 0 }, out);
+    }
+}
+
+void FlowInitiator::onDeclined(const Frame& frame, InitiatorCommands& out)
+{
+    const std::optional<size_t> index = this->candidateIndex(frame.token.owner);
+    if (this->state != InitiatorPhase::Opening || !index || !this->candidates[*index].mayAnswer)
+        return;
+    // A Pass without a reason cannot answer a queued Open; it is the late reply to the earlier Open.
+    const bool queued = this->candidateReplies[*index].queued;
+    if (queued && frame.kind == FrameKind::Pass && frame.reason == Reason::None)
+        return;
+    this->candidateReplies[*index].reply = frame.kind;
+    this->candidateReplies[*index].reason = frame.reason;
+    this->candidateReplies[*index].load = frame.load;
+    this->candidates[*index].mayAnswer = false;
+    this->lastDecline = frame.reason == Reason::None ? Reason::Overloaded : frame.reason;
+    this->lastRetryAfter = std::max(this->lastRetryAfter, frame.retryAfter);
+    if (*index == this->current)
+        this->tryNextOrEnd(out);
+}
+
+void FlowInitiator::onOpenTimer(InitiatorCommands& out)
+{
+    const TimePoint now = this->clock.now();
+    if (now >= this->candidateExpires) {
+        this->lastDecline = Reason::NotRun;
+        this->tryNextOrEnd(out);
+        return;
+    }
+    if (now < this->openResendAt)
+        return;
+    if (!this->queueing)
+        this->openResend *= 2;
+    this->openResendAt = now + this->openResend;
+    if (this->queueing || this->options.datagrams)
+        this->sendOpen(out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Frames of the owner
+//-----------------------------------------------------------------------------
+
+void FlowInitiator::onFrame(const Frame& frame, InitiatorCommands& out)
+{
+    if (frame.flow != this->flow || frame.service != this->options.service || this->state == InitiatorPhase::Idle)
+        return;
+    if (this->state == InitiatorPhase::Ended) {
+        this->onFrameAfterEnd(frame, out);
+        return;
+    }
+    if (frame.kind == FrameKind::Opened) {
+        this->onOpened(frame, out);
+        return;
+    }
+    if (this->state == InitiatorPhase::Opening) {
+        const bool repliesToOpen = frame.token.reservation == 0;
+        if (!repliesToOpen)
+            return;
+        if (frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused)
+            this->onDeclined(frame, out);
+        if (frame.kind == FrameKind::Pong && this->queueing
+            && frame.token.owner == this->candidateReplies[this->current].upstream)
+            this->candidateExpires = std::max(this->candidateExpires,
+                this->clock.now() + this->options.heartbeatInterval * queueHeartbeatsBeforeLoss);
+        return;
+    }
+    if (frame.token != this->chosen)
+        return;
+    this->lastHeard = this->clock.now();
+    if (frame.kind == FrameKind::Refused)
+        this->onTokenRefused(frame, out);
+    else if (frame.kind == FrameKind::Data)
+        this->onData(frame, out);
+    else if (frame.kind == FrameKind::Ack)
+        this->onAck(frame, out);
+    else if (frame.kind == FrameKind::Closed)
+        this->onClosed(frame, out);
+}
+
+void FlowInitiator::onFrameAfterEnd(const Frame& frame, InitiatorCommands& out)
+{
+    const bool completed = this->isComplete();
+    if (frame.kind == FrameKind::Data && completed && frame.token == this->chosen)
+        this->sendAck(out);
+    else if (frame.kind == FrameKind::Opened && !(completed && frame.token == this->chosen))
+        this->sendCancel(frame.token, out);
+    else if ((frame.kind == FrameKind::Data || frame.kind == FrameKind::Ack) && !completed
+        && frame.token == this->chosen)
+        this->sendCancel(frame.token, out);
+}
+
+void FlowInitiator::onTokenRefused(const Frame& frame, InitiatorCommands& out)
+{
+    if (frame.reason == Reason::NotRun) {
+        this->onNothingHandedOver(frame.reason, out);
+        return;
+    }
+    this->end(frame.reason, frame.retryAfter, out);
+}
+
+void FlowInitiator::onData(const Frame& frame, InitiatorCommands& out)
+{
+    std::string bytes = this->receiver.accept(frame.offset, frame.payload, frame.has(frame_flags::finished));
+    if (!bytes.empty())
+        out.emplace_back(DeliverToCaller { std::move(bytes) });
+    if (this->receiver.finished() && !this->endDelivered) {
+        this->endDelivered = true;
+        out.emplace_back(DeliverEndToCaller {});
+    }
+    this->sendAck(out);
+    this->completeIfDone(out);
+}
+
+void FlowInitiator::onAck(const Frame& frame, InitiatorCommands& out)
+{
+    if (!this->sender.onAck(frame.offset, frame.window, frame.has(frame_flags::finished), this->clock.now())) {
+        reportViolation("an owner acknowledges only what was sent", { { "flow", this->flow } });
+        return;
+    }
+    this->pump(out);
+    this->completeIfDone(out);
+}
+
+void FlowInitiator::onClosed(const Frame& frame, InitiatorCommands& out)
+{
+    if (!frame.has(frame_flags::handedOver)) {
+        this->onNothingHandedOver(frame.reason, out);
+        return;
+    }
+    // The owner ends a flow without a reason only after it wrote all bytes of the caller and saw the acknowledgement of
+    // all bytes of the upstream.
+    if (frame.reason == Reason::None && this->receiver.finished() && this->sender.isFinished()) {
+        this->sender.onAck(this->sender.sent(), 0, true, this->clock.now());
+        this->completeIfDone(out);
+        return;
+    }
+    this->upstreamWasReset = frame.reason != Reason::OutcomeUnknown;
+    this->end(frame.reason == Reason::None ? Reason::UpstreamReset : frame.reason, frame.retryAfter, out);
+}
+
+void FlowInitiator::onNothingHandedOver(Reason reason, InitiatorCommands& out)
+{
+    if (this->sender.acknowledged() > 0 || this->receiver.received() > 0) {
+        reportViolation("an owner that took bytes handed them over", { { "flow", this->flow } });
+        this->end(Reason::OutcomeUnknown, Milliseconds(0), out);
+        return;
+    }
+    this->bound = false;
+    this->lastDecline = reason;
+    this->candidateReplies[this->current].reply = FrameKind::Closed;
+    this->candidateReplies[this->current].reason = reason;
+    this->sender.resendAll();
+    this->tryNextOrEnd(out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sending
+//-----------------------------------------------------------------------------
+
+void FlowInitiator::pump(InitiatorCommands& out)
+{
+    if (this->state != InitiatorPhase::Bound)
+        return;
+    while (std::optional<StreamSegment> segment = this->sender.nextSegment(this->clock.now()))
+        this->sendData(std::move(*segment), out);
+}
+
+void FlowInitiator::sendData(StreamSegment segment, InitiatorCommands& out)
+{
+    Frame frame = this->makeFrame(FrameKind::Data);
+    frame.offset = segment.offset;
+    frame.payload = std::move(segment.payload);
+    if (segment.finished)
+        frame.flags |= frame_flags::finished;
+    out.emplace_back(SendToOwner { this->chosen.owner, std::move(frame) });
+}
+
+void FlowInitiator::sendAck(InitiatorCommands& out)
+{
+    Frame frame = this->makeFrame(FrameKind::Ack);
+    frame.offset = this->receiver.received();
+    frame.window = this->receiver.window();
+    if (this->receiver.finished())
+        frame.flags |= frame_flags::finished;
+    this->advertisedLimit = frame.offset + frame.window;
+    out.emplace_back(SendToOwner { this->chosen.owner, std::move(frame) });
+}
+
+void FlowInitiator::sendPing(InitiatorCommands& out)
+{
+    this->lastPing = this->clock.now();
+    Frame frame = this->makeFrame(FrameKind::Ping);
+    frame.offset = this->receiver.received();
+    frame.window = this->receiver.window();
+    if (this->receiver.finished())
+        frame.flags |= frame_flags::finished;
+    out.emplace_back(SendToOwner { this->chosen.owner, std::move(frame) });
+}
+
+void FlowInitiator::sendCancel(OwnerToken token, InitiatorCommands& out)
+{
+    Frame frame = this->makeFrame(FrameKind::Cancel);
+    frame.token = token;
+    out.emplace_back(SendToOwner { token.owner, std::move(frame) });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Caller
+//-----------------------------------------------------------------------------
+
+size_t FlowInitiator::write(std::string_view bytes, InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Ended)
+        return 0;
+    const size_t taken = this->sender.append(bytes);
+    this->pump(out);
+    return taken;
+}
+
+void FlowInitiator::finishWriting(InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Ended)
+        return;
+    this->sender.finish();
+    this->pump(out);
+}
+
+void FlowInitiator::onDelivered(size_t bytes, InitiatorCommands& out)
+{
+    this->receiver.consume(bytes);
+    if (this->state != InitiatorPhase::Bound)
+        return;
+    // Half a window keeps the owner sending without an Ack for every read.
+    const uint64_t limit = this->receiver.received() + this->receiver.window();
+    if (limit >= this->advertisedLimit + this->options.receiveWindowBytes / 2)
+        this->sendAck(out);
+}
+
+void FlowInitiator::cancel(InitiatorCommands& out) { this->end(Reason::Cancelled, Milliseconds(0), out); }
+
+void FlowInitiator::onCarriageReset(InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Opening)
+        this->sendOpen(out);
+    if (this->state != InitiatorPhase::Bound)
+        return;
+    // The Ping tells the owner its new route and which bytes of the upstream are missing.
+    this->sendPing(out);
+    this->sender.resendAll();
+    this->pump(out);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Timers
+//-----------------------------------------------------------------------------
+
+bool FlowInitiator::wantsHeartbeat() const
+{
+    if (this->state != InitiatorPhase::Bound)
+        return false;
+    // An idle feed has no work outstanding; on a TCP link the daemons notice a lost link and call onCarriageReset.
+    const bool idleFeed = this->options.trafficClass == TrafficClass::Feed && !this->sender.hasUnacknowledged();
+    return this->options.datagrams || !idleFeed;
+}
+
+void FlowInitiator::onTimer(InitiatorCommands& out)
+{
+    const TimePoint now = this->clock.now();
+    const bool running = this->state == InitiatorPhase::Opening || this->state == InitiatorPhase::Bound;
+    if (!running)
+        return;
+    const bool coversWork
+        = this->state == InitiatorPhase::Opening || this->options.trafficClass == TrafficClass::Request;
+    if (this->deadlineAt && coversWork && now >= *this->deadlineAt) {
+        this->end(Reason::DeadlineExceeded, Milliseconds(0), out);
+        return;
+    }
+    if (this->state == InitiatorPhase::Opening) {
+        this->onOpenTimer(out);
+        return;
+    }
+    if (this->sender.onTimeout(now)) {
+        const size_t before = out.size();
+        this->pump(out);
+        if (out.size() == before)
+            this->sendData(this->sender.probe(), out);
+    }
+    const TimePoint quietSince = std::max(this->lastHeard, this->lastPing);
+    if (this->wantsHeartbeat() && now >= quietSince + this->options.heartbeatInterval)
+        this->sendPing(out);
+}
+
+std::optional<TimePoint> FlowInitiator::nextTimer() const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next](std::optional<TimePoint> time) {
+        if (time && (!next || *time < *next))
+            next = time;
+    };
+    if (this->state == InitiatorPhase::Opening) {
+        consider(this->deadlineAt);
+        consider(this->candidateExpires);
+        if (this->queueing || this->options.datagrams)
+            consider(this->openResendAt);
+    } else if (this->state == InitiatorPhase::Bound) {
+        if (this->options.trafficClass == TrafficClass::Request)
+            consider(this->deadlineAt);
+        consider(this->sender.nextTimer());
+        if (this->wantsHeartbeat())
+            consider(std::max(this->lastHeard, this->lastPing) + this->options.heartbeatInterval);
+    }
+    return next;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ending
+//-----------------------------------------------------------------------------
+
+bool FlowInitiator::isComplete() const { return this->receiver.finished() && this->sender.finishAcknowledged(); }
+
+FlowOutcome FlowInitiator::outcome() const
+{
+    if (this->state != InitiatorPhase::Ended)
+        return FlowOutcome::Open;
+    if (this->isComplete())
+        return FlowOutcome::Completed;
+    if (this->upstreamWasReset)
+        return FlowOutcome::UpstreamReset;
+    return this->bound ? FlowOutcome::OutcomeUnknown : FlowOutcome::NotRun;
+}
+
+void FlowInitiator::completeIfDone(InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Bound && this->isComplete())
+        this->end(Reason::None, Milliseconds(0), out);
+}
+
+void FlowInitiator::end(Reason reason, Milliseconds retryAfter, InitiatorCommands& out)
+{
+    if (this->state == InitiatorPhase::Ended)
+        return;
+    this->releaseUnchosen(out);
+    this->state = InitiatorPhase::Ended;
+    const FlowOutcome result = this->outcome();
+    if (result == FlowOutcome::OutcomeUnknown)
+        this->sendCancel(this->chosen, out);
+    if (result == FlowOutcome::NotRun && (this->sender.acknowledged() > 0 || this->receiver.received() > 0))
+        reportViolation("a flow with acknowledged bytes is not refused as not run", { { "flow", this->flow } });
+    out.emplace_back(FlowEnded { result, reason, retryAfter });
+}
+
+FlowId FlowInitiator::id() const { return this->flow; }
+
+InitiatorPhase FlowInitiator::phase() const { return this->state; }
+
+const OwnerToken& FlowInitiator::token() const { return this->chosen; }
+
+size_t FlowInitiator::freeSendBuffer() const { return this->sender.freeBuffer(); }
+
+bool FlowInitiator::hasUnacknowledged() const { return this->sender.hasUnacknowledged(); }
+
+const std::vector<CandidateReply>& FlowInitiator::replies() const { return this->candidateReplies; }
+
+const InitiatorOptions& FlowInitiator::settings() const { return this->options; }
+
+} // namespace wasabicroft
