--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -162,6 +162,7 @@
 
     asio::ip::tcp::socket socket;
     FlowId flow;
+    uint64_t link = 0; // that carried the last frame of the flow
     TimePoint started;
     std::string proxyHeader; // sent first; not part of the flow's bytes
     std::string queued; // for the upstream
@@ -187,7 +188,6 @@
     , readBuffer(readBufferBytes)
     , lastSlowTick(timeSource.now())
 {
-    this->updateDraining(); // until the configuration names the upstream
 }
 
 AgentServer::~AgentServer() { this->stop(); }
@@ -276,8 +276,10 @@
     this->owner.onFrame(frame, ReplyRoute { link.id, frame.replyAddress }, commands);
     this->run(commands);
     const auto found = this->connections.find(frame.flow);
-    if (found != this->connections.end())
+    if (found != this->connections.end()) {
+        found->second->link = link.id;
         this->readUpstream(ConnectionPtr(found->second));
+    }
     this->finishShutdown();
 }
 
@@ -454,7 +456,9 @@
 {
     if (!connection->isConnected || connection->isReading || connection->isClosed || connection->upstreamFinished)
         return;
-    if (this->owner.freeSendBuffer(connection->flow) == 0)
+    const auto link = this->links.find(connection->link);
+    const bool isLinkFull = link != this->links.end() && !link->second->hasRoom();
+    if (isLinkFull || this->owner.freeSendBuffer(connection->flow) == 0)
         return;
     connection->isReading = true;
     connection->socket.async_wait(asio::socket_base::wait_read, [this, connection](error_code error) {
