--- a/wasabicroft/Config.cpp
+++ b/wasabicroft/Config.cpp
@@ -14,11 +14,6 @@
             "'" + std::string(text) + "' is not an IP address with a port; write for example 192.0.2.1:443" };
     }
 
-    ConfigVersion versionOf(const Snapshot& snapshot)
-    {
-        return { snapshot.manifest.epoch, snapshot.manifest.version, snapshot.digest };
-    }
-
 } // namespace
 
 std::string toString(const Endpoint& endpoint)
@@ -54,6 +49,11 @@
     return found == this->services.end() ? nullptr : &*found;
 }
 
+ConfigVersion versionOf(const Snapshot& snapshot)
+{
+    return { snapshot.manifest.epoch, snapshot.manifest.version, snapshot.digest };
+}
+
 bool ConfigStore::offer(std::shared_ptr<const Snapshot> candidate)
 {
     if (this->snapshot && versionOf(*candidate) <= versionOf(*this->snapshot))
--- a/wasabicroft/Config.h
+++ b/wasabicroft/Config.h
@@ -93,6 +93,8 @@
     auto operator<=>(const ConfigVersion&) const = default;
 };
 
+ConfigVersion versionOf(const Snapshot&);
+
 //-----------------------------------------------------------------------------
 // [SECTION] ConfigStore
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/wasabicroft/ConfigCodec.cpp
@@ -0,0 +1,559 @@
+#include "wasabicroft/ConfigCodec.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <limits>
+#include <set>
+#include <span>
+#include <xxhash.h>
+
+namespace wasabicroft {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::string_view recompile = "; publish the output of wasabictl compile unchanged";
+
+    Error invalid(const std::string& message) { return Error { ErrorKind::InvalidConfig, message }; }
+
+    std::string hexOf(uint64_t value)
+    {
+        std::string digits(16, '0');
+        for (size_t i = digits.size(); i > 0; --i) {
+            digits[i - 1] = "0123456789abcdef"[value & 0xf];
+            value >>= 4;
+        }
+        return digits;
+    }
+
+    std::string rangeText(NumberRange range) { return std::to_string(range.min) + " to " + std::to_string(range.max); }
+
+    template <typename Item> std::vector<Item> sortedByName(std::vector<Item> items)
+    {
+        std::sort(items.begin(), items.end(), [](const Item& a, const Item& b) { return a.name < b.name; });
+        return items;
+    }
+
+    //-------------------------------------------------------------------------
+    // Decoding
+    //-------------------------------------------------------------------------
+
+    // Reads the members of a JSON object and remembers the first that is missing or of a wrong type.
+    class ObjectReader {
+    public:
+        ObjectReader(const json::value& value, std::string path)
+            : object(value.if_object())
+            , path(std::move(path))
+        {
+            if (!this->object)
+                this->fail("is not an object");
+        }
+
+        std::string text(std::string_view key)
+        {
+            const json::value* value = this->member(key);
+            if (!value)
+                return {};
+            if (!value->is_string()) {
+                this->fail(std::string(key) + " is not a string");
+                return {};
+            }
+            return std::string(value->get_string());
+        }
+
+        uint64_t number(std::string_view key, uint64_t max)
+        {
+            const json::value* value = this->member(key);
+            if (!value)
+                return 0;
+            const bool isNegative = value->is_int64() && value->get_int64() < 0;
+            if ((!value->is_int64() && !value->is_uint64()) || isNegative || value->to_number<uint64_t>() > max) {
+                this->fail(std::string(key) + " is not a whole number from 0 to " + std::to_string(max));
+                return 0;
+            }
+            return value->to_number<uint64_t>();
+        }
+
+        double real(std::string_view key)
+        {
+            const json::value* value = this->member(key);
+            if (value && value->is_number())
+                return value->to_number<double>();
+            if (value)
+                this->fail(std::string(key) + " is not a number");
+            return 0;
+        }
+
+        bool boolean(std::string_view key)
+        {
+            const json::value* value = this->member(key);
+            if (value && value->is_bool())
+                return value->get_bool();
+            if (value)
+                this->fail(std::string(key) + " is neither true nor false");
+            return false;
+        }
+
+        Endpoint endpoint(std::string_view key)
+        {
+            const std::string value = this->text(key);
+            if (this->problem)
+                return {};
+            const Result<Endpoint> endpoint = parseEndpoint(value);
+            if (endpoint)
+                return endpoint.value();
+            this->fail(std::string(key) + ": " + endpoint.error().message);
+            return {};
+        }
+
+        uint64_t digest(std::string_view key)
+        {
+            const std::string value = this->text(key);
+            uint64_t digest = 0;
+            const char* end = value.data() + value.size();
+            const std::from_chars_result parsed = std::from_chars(value.data(), end, digest, 16);
+            if (value.size() != 16 || parsed.ec != std::errc() || parsed.ptr != end)
+                this->fail(std::string(key) + " is not a digest of 16 hexadecimal digits");
+            return digest;
+        }
+
+        template <typename Name> Name named(std::string_view key, std::span<const std::string_view> names)
+        {
+            const std::string value = this->text(key);
+            const auto found = std::find(names.begin(), names.end(), value);
+            if (found == names.end()) {
+                this->fail(std::string(key) + " has the unknown value '" + value + "'");
+                return Name();
+            }
+            return static_cast<Name>(found - names.begin());
+        }
+
+        // Calls read(ObjectReader&) for every element of an array.
+        void each(std::string_view key, const std::function<void(ObjectReader&)>& read)
+        {
+            const json::value* value = this->member(key);
+            if (!value)
+                return;
+            if (!value->is_array()) {
+                this->fail(std::string(key) + " is not an array");
+                return;
+            }
+            for (size_t i = 0; i < value->get_array().size() && !this->problem; ++i) {
+                const std::string elementPath = this->path + '/' + std::string(key) + '/' + std::to_string(i);
+                ObjectReader element(value->get_array()[i], elementPath);
+                if (!element.problem)
+                    read(element);
+                element.finish();
+                if (element.problem)
+                    this->problem = element.problem;
+            }
+        }
+
+        // Rejects members that were not read.
+        void finish()
+        {
+            if (this->problem || !this->object)
+                return;
+            for (const json::key_value_pair& member : *this->object) {
+                if (!this->known.contains(std::string(member.key())))
+                    this->fail("has the unknown key '" + std::string(member.key()) + "'");
+            }
+        }
+
+        const std::optional<std::string>& error() const { return this->problem; }
+
+    private:
+        const json::value* member(std::string_view key)
+        {
+            if (!this->object)
+                return nullptr;
+            this->known.insert(std::string(key));
+            const json::value* value = this->object->if_contains(key);
+            if (!value)
+                this->fail("lacks the key '" + std::string(key) + "'");
+            return value;
+        }
+
+        void fail(const std::string& message)
+        {
+            if (!this->problem)
+                this->problem = this->path + ' ' + message;
+        }
+
+        const json::object* object;
+        std::string path;
+        std::set<std::string> known;
+        std::optional<std::string> problem;
+    };
+
+    // Decodes bytes with read and accepts them only if encode gives the same bytes back. That also rejects duplicate
+    // keys, of which the JSON parser would silently keep the last.
+    template <typename Value>
+    Result<Value> decodeCanonical(std::string_view bytes, const std::string& what,
+        const std::function<Value(ObjectReader&)>& read, const std::function<std::string(const Value&)>& encode)
+    {
+        json::error_code failure;
+        const json::value document = json::parse(json::string_view(bytes.data(), bytes.size()), failure);
+        if (failure)
+            return invalid(what + " is not valid JSON (" + failure.message() + ")" + std::string(recompile));
+        ObjectReader reader(document, what);
+        Value value {};
+        if (!reader.error())
+            value = read(reader);
+        reader.finish();
+        if (reader.error())
+            return invalid(*reader.error() + std::string(recompile));
+        if (encode(value) != bytes)
+            return invalid(what + " is not in the canonical encoding" + std::string(recompile));
+        return value;
+    }
+
+    ServiceConfig readService(ObjectReader& reader)
+    {
+        ServiceConfig service;
+        service.name = reader.text("name");
+        reader.each("listeners", [&](ObjectReader& entry) {
+            ListenerConfig listener;
+            listener.name = entry.text("name");
+            listener.endpoint = entry.endpoint("endpoint");
+            listener.trafficClass = entry.named<TrafficClass>("class", trafficClassNames);
+            service.listeners.push_back(listener);
+        });
+        reader.each("upstreams", [&](ObjectReader& entry) {
+            UpstreamConfig upstream;
+            upstream.name = entry.text("name");
+            upstream.failureDomain = entry.text("failureDomain");
+            upstream.agent = entry.endpoint("agent");
+            upstream.address = entry.endpoint("address");
+            upstream.leaving = entry.boolean("leaving");
+            service.upstreams.push_back(upstream);
+        });
+        service.slots = static_cast<uint16_t>(reader.number("slots", UINT16_MAX));
+        service.connections = static_cast<uint32_t>(reader.number("connections", UINT32_MAX));
+        service.queueLimit = static_cast<uint16_t>(reader.number("queueLimit", UINT16_MAX));
+        service.maxQueueWait = Milliseconds(reader.number("maxQueueWaitMs", INT32_MAX));
+        service.rampDuration = Milliseconds(reader.number("rampDurationMs", INT32_MAX));
+        service.retryBudget = reader.real("retryBudget");
+        service.proxyHeader = reader.boolean("proxyHeader");
+        service.refusal = reader.text("refusal");
+        return service;
+    }
+
+    Manifest readManifest(ObjectReader& reader)
+    {
+        Manifest manifest;
+        manifest.epoch = reader.number("epoch", UINT64_MAX);
+        manifest.version = reader.number("version", UINT64_MAX);
+        reader.each("services", [&](ObjectReader& entry) {
+            ManifestEntry service;
+            service.service = entry.text("name");
+            service.digest = entry.digest("digest");
+            manifest.services.push_back(service);
+        });
+        return manifest;
+    }
+
+    std::vector<Member> readMembers(ObjectReader& reader)
+    {
+        std::vector<Member> members;
+        reader.each("instances", [&](ObjectReader& entry) {
+            Member member;
+            member.name = entry.text("name");
+            member.role = entry.named<MemberRole>("role", memberRoleNames);
+            member.failureDomain = entry.text("failureDomain");
+            member.control = entry.endpoint("control");
+            member.leaving = entry.boolean("leaving");
+            members.push_back(member);
+        });
+        return members;
+    }
+
+    //-------------------------------------------------------------------------
+    // Validation
+    //-------------------------------------------------------------------------
+
+    class Validator {
+    public:
+        explicit Validator(const NameHash& hash)
+            : hash(hash)
+        {
+        }
+
+        void check(const ServiceConfig& service)
+        {
+            const std::string path = serviceKey(service.name);
+            this->checkName(path, "service", service.name, this->serviceHashes);
+            this->checkNumbers(path, service);
+            if (service.listeners.empty())
+                this->add(path + "/listeners", "the service has no listener; add at least one");
+            if (service.upstreams.empty())
+                this->add(path + "/upstreams", "the service has no upstream; add at least one or remove the service");
+            std::map<uint64_t, std::string> listenerHashes;
+            for (const ListenerConfig& listener : service.listeners) {
+                const std::string listenerPath = path + "/listeners/" + listener.name;
+                this->checkName(listenerPath, "listener", listener.name, listenerHashes);
+                this->checkEndpoint(listenerPath + "/endpoint", listener.endpoint);
+            }
+            for (const UpstreamConfig& upstream : service.upstreams)
+                this->check(path + "/upstreams/" + upstream.name, upstream);
+        }
+
+        std::vector<ConfigProblem> problems;
+
+    private:
+        void check(const std::string& path, const UpstreamConfig& upstream)
+        {
+            this->checkName(path, "upstream", upstream.name, this->upstreamHashes);
+            if (!isValidName(upstream.failureDomain))
+                this->add(path + "/failureDomain", this->nameRule("failure domain", upstream.failureDomain));
+            this->checkEndpoint(path + "/agent", upstream.agent);
+            this->checkEndpoint(path + "/address", upstream.address);
+        }
+
+        void checkNumbers(const std::string& path, const ServiceConfig& service)
+        {
+            this->checkRange(path + "/slots", service.slots, config_bounds::slots);
+            this->checkRange(path + "/connections", service.connections, config_bounds::connections);
+            this->checkRange(path + "/queueLimit", service.queueLimit, config_bounds::queueLimit);
+            this->checkDuration(path + "/maxQueueWait", service.maxQueueWait, config_bounds::maxQueueWait);
+            this->checkDuration(path + "/rampDuration", service.rampDuration, config_bounds::rampDuration);
+            if (!(service.retryBudget >= 0 && service.retryBudget <= config_bounds::maxRetryBudget))
+                this->add(path + "/retryBudget", "the retry budget is out of bounds; set it to a number from 0 to 1");
+            if (service.refusal.size() > config_bounds::maxRefusalBytes)
+                this->add(path + "/refusal",
+                    "the refusal has " + std::to_string(service.refusal.size()) + " bytes; shorten it to "
+                        + std::to_string(config_bounds::maxRefusalBytes));
+        }
+
+        void checkRange(const std::string& path, uint64_t value, NumberRange range)
+        {
+            if (!range.contains(value))
+                this->add(path,
+                    std::to_string(value) + " is out of bounds; set it to a whole number from " + rangeText(range));
+        }
+
+        void checkDuration(const std::string& path, Milliseconds value, NumberRange range)
+        {
+            if (value.count() < 0 || !range.contains(static_cast<uint64_t>(value.count())))
+                this->add(path,
+                    std::to_string(value.count()) + " ms is out of bounds; set it to " + rangeText(range)
+                        + " milliseconds");
+        }
+
+        std::string nameRule(std::string_view kind, const std::string& name) const
+        {
+            return '\'' + name + "' is not a valid name of a " + std::string(kind)
+                + "; use 1 to 64 lower-case letters, digits, '-' or '.', and start with a letter or digit";
+        }
+
+        // Frames carry hashes of names, so two names with one hash would be confused.
+        void checkName(const std::string& path, const std::string& kind, const std::string& name,
+            std::map<uint64_t, std::string>& hashes)
+        {
+            if (!isValidName(name)) {
+                this->add(path, this->nameRule(kind, name));
+                return;
+            }
+            const auto [found, isNew] = hashes.try_emplace(this->hash(name), name);
+            if (isNew)
+                return;
+            if (found->second == name)
+                this->add(path, kind + " name '" + name + "' is used twice; rename one of them");
+            else
+                this->add(path,
+                    kind + " names '" + name + "' and '" + found->second + "' have the same hash; rename one of them");
+        }
+
+        // An address serves one purpose only: shared by two services it would deliver traffic of one to the other.
+        void checkEndpoint(const std::string& path, const Endpoint& endpoint)
+        {
+            boost::system::error_code error;
+            const boost::asio::ip::address address = boost::asio::ip::make_address(endpoint.address, error);
+            if (error || endpoint.port == 0 || address.is_multicast()) {
+                this->add(path,
+                    '\'' + toString(endpoint)
+                        + "' is not a usable endpoint; set an IP address and a port from 1 to 65535");
+                return;
+            }
+            std::map<std::string, std::string>& users = this->endpoints[endpoint.port];
+            for (const auto& [other, otherPath] : users) {
+                const bool isWildcard
+                    = address.is_unspecified() || boost::asio::ip::make_address(other).is_unspecified();
+                if (other == endpoint.address || isWildcard) {
+                    this->add(path,
+                        toString(endpoint) + " overlaps " + toString(Endpoint { other, endpoint.port }) + " of "
+                            + otherPath + "; give one of them another address or port");
+                    return;
+                }
+            }
+            users.emplace(endpoint.address, path);
+        }
+
+        void add(const std::string& path, const std::string& message) { this->problems.push_back({ path, message }); }
+
+        const NameHash& hash;
+        std::map<uint64_t, std::string> serviceHashes;
+        std::map<uint64_t, std::string> upstreamHashes;
+        std::map<uint16_t, std::map<std::string, std::string>> endpoints; // port, address, path of the user
+    };
+
+    Error mismatch(const std::string& service)
+    {
+        return invalid("the value of service '" + service
+            + "' does not match its digest in the manifest; wait for the publication to finish or publish again");
+    }
+
+} // namespace
+
+std::string serviceKey(std::string_view service) { return std::string(serviceKeyPrefix) + std::string(service); }
+
+uint64_t digestOf(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
+
+std::string encodeManifest(const Manifest& manifest)
+{
+    std::vector<ManifestEntry> entries = manifest.services;
+    std::sort(entries.begin(), entries.end(),
+        [](const ManifestEntry& a, const ManifestEntry& b) { return a.service < b.service; });
+    json::array services;
+    for (const ManifestEntry& entry : entries)
+        services.push_back({ { "name", entry.service }, { "digest", hexOf(entry.digest) } });
+    return json::serialize(json::object {
+        { "epoch", manifest.epoch }, { "version", manifest.version }, { "services", std::move(services) } });
+}
+
+std::string encodeService(const ServiceConfig& service)
+{
+    json::array listeners;
+    for (const ListenerConfig& listener : sortedByName(service.listeners))
+        listeners.push_back({ { "name", listener.name }, { "endpoint", toString(listener.endpoint) },
+            { "class", json::string(nameOf(listener.trafficClass)) } });
+    json::array upstreams;
+    for (const UpstreamConfig& upstream : sortedByName(service.upstreams))
+        upstreams.push_back({ { "name", upstream.name }, { "failureDomain", upstream.failureDomain },
+            { "agent", toString(upstream.agent) }, { "address", toString(upstream.address) },
+            { "leaving", upstream.leaving } });
+    return json::serialize(json::object { { "name", service.name }, { "listeners", std::move(listeners) },
+        { "upstreams", std::move(upstreams) }, { "slots", service.slots }, { "connections", service.connections },
+        { "queueLimit", service.queueLimit }, { "maxQueueWaitMs", service.maxQueueWait.count() },
+        { "rampDurationMs", service.rampDuration.count() }, { "retryBudget", service.retryBudget },
+        { "proxyHeader", service.proxyHeader }, { "refusal", service.refusal } });
+}
+
+std::string encodeMembers(const std::vector<Member>& members)
+{
+    json::array instances;
+    for (const Member& member : sortedByName(members))
+        instances.push_back(
+            { { "name", member.name }, { "role", json::string(memberRoleNames.at(static_cast<size_t>(member.role))) },
+                { "failureDomain", member.failureDomain }, { "control", toString(member.control) },
+                { "leaving", member.leaving } });
+    return json::serialize(json::object { { "instances", std::move(instances) } });
+}
+
+Result<Manifest> decodeManifest(std::string_view bytes)
+{
+    Result<Manifest> manifest = decodeCanonical<Manifest>(bytes, "manifest", readManifest, encodeManifest);
+    if (!manifest)
+        return manifest;
+    const std::vector<ManifestEntry>& services = manifest.value().services;
+    if (services.empty())
+        return invalid("manifest lists no service" + std::string(recompile));
+    if (!config_bounds::version.contains(manifest.value().version))
+        return invalid("manifest has version 0; compile with a version of 1 or more");
+    for (size_t i = 1; i < services.size(); ++i) {
+        if (services[i].service == services[i - 1].service)
+            return invalid("manifest lists service '" + services[i].service + "' twice" + std::string(recompile));
+    }
+    return manifest;
+}
+
+Result<ServiceConfig> decodeService(std::string_view bytes)
+{
+    return decodeCanonical<ServiceConfig>(bytes, "service value", readService, encodeService);
+}
+
+Result<std::vector<Member>> decodeMembers(std::string_view bytes)
+{
+    Result<std::vector<Member>> members
+        = decodeCanonical<std::vector<Member>>(bytes, "instance list", readMembers, encodeMembers);
+    if (!members)
+        return members;
+    for (size_t i = 1; i < members.value().size(); ++i) {
+        if (members.value()[i].name == members.value()[i - 1].name)
+            return invalid("instance list names '" + members.value()[i].name + "' twice; remove one of the rows");
+    }
+    return members;
+}
+
+bool isValidName(std::string_view name)
+{
+    const auto isAlphanumeric = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9'); };
+    if (name.empty() || name.size() > config_bounds::maxNameBytes || !isAlphanumeric(name.front()))
+        return false;
+    return std::all_of(name.begin(), name.end(), [&](char c) { return isAlphanumeric(c) || c == '-' || c == '.'; });
+}
+
+std::vector<ConfigProblem> validate(const std::vector<ServiceConfig>& services, const NameHash& hash)
+{
+    Validator validator(hash);
+    for (const ServiceConfig& service : sortedByName(services))
+        validator.check(service);
+    if (services.empty())
+        validator.problems.push_back({ "services", "there is no service; add at least one" });
+    return validator.problems;
+}
+
+ConfigVersion versionOf(const Manifest& manifest, std::string_view manifestBytes)
+{
+    return { manifest.epoch, manifest.version, digestOf(manifestBytes) };
+}
+
+Result<std::shared_ptr<const Snapshot>> parseSnapshot(std::string_view manifestBytes, const ValuesByService& values)
+{
+    const Result<Manifest> manifest = decodeManifest(manifestBytes);
+    if (!manifest)
+        return manifest.error();
+    Snapshot snapshot { manifest.value(), digestOf(manifestBytes), {} };
+    for (const ManifestEntry& entry : manifest.value().services) {
+        const auto value = values.find(entry.service);
+        if (value == values.end())
+            return invalid("the value of service '" + entry.service + "' is missing; publish it with the manifest");
+        if (digestOf(value->second) != entry.digest)
+            return mismatch(entry.service);
+        const Result<ServiceConfig> service = decodeService(value->second);
+        if (!service)
+            return invalid("service '" + entry.service + "': " + service.error().message);
+        if (service.value().name != entry.service)
+            return invalid("the value of service '" + entry.service + "' is of service '" + service.value().name + '\''
+                + std::string(recompile));
+        snapshot.services.push_back(service.value());
+    }
+    const std::vector<ConfigProblem> problems = validate(snapshot.services);
+    if (!problems.empty())
+        return invalid(problems.front().path + ": " + problems.front().message + " (" + std::to_string(problems.size())
+            + " in all)");
+    return std::shared_ptr<const Snapshot>(std::make_shared<Snapshot>(std::move(snapshot)));
+}
+
+PublishedConfig publish(uint64_t epoch, uint64_t version, const std::vector<ServiceConfig>& services)
+{
+    PublishedConfig published;
+    Manifest manifest { epoch, version, {} };
+    for (const ServiceConfig& service : services) {
+        const std::string bytes = encodeService(service);
+        manifest.services.push_back({ service.name, digestOf(bytes) });
+        published.values[service.name] = bytes;
+    }
+    published.manifest = encodeManifest(manifest);
+    return published;
+}
+
+PublishedConfig publish(const Snapshot& snapshot)
+{
+    return publish(snapshot.manifest.epoch, snapshot.manifest.version, snapshot.services);
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/ConfigCodec.h
@@ -0,0 +1,109 @@
+// Published form of the configuration and of the instance list: JSON in one canonical encoding.
+//
+// The encoding is canonical: decoding accepts only the bytes that encoding would produce. A process can therefore
+// reproduce the published bytes, and their digests, from a Snapshot when a peer fetches them.
+//
+// Index
+//   [SECTION] Keys
+//   [SECTION] Encoding
+//   [SECTION] Validation
+//   [SECTION] Snapshots
+#pragma once
+
+#include "wasabicroft/Config.h"
+#include "wasabicroft/Membership.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Keys
+//-----------------------------------------------------------------------------
+
+inline constexpr std::string_view manifestKey = "manifest";
+inline constexpr std::string_view serviceKeyPrefix = "services/";
+
+std::string serviceKey(std::string_view service); // "services/label-print"
+
+// Bytes of published values by service name.
+using ValuesByService = std::map<std::string, std::string>;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Encoding
+//-----------------------------------------------------------------------------
+
+uint64_t digestOf(std::string_view bytes); // XXH3
+
+// The order of services, listeners and upstreams in the argument has no effect on the bytes: they are sorted by name.
+std::string encodeManifest(const Manifest&);
+std::string encodeService(const ServiceConfig&);
+std::string encodeMembers(const std::vector<Member>&);
+
+Result<Manifest> decodeManifest(std::string_view bytes);
+Result<ServiceConfig> decodeService(std::string_view bytes);
+Result<std::vector<Member>> decodeMembers(std::string_view bytes);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Validation
+//-----------------------------------------------------------------------------
+
+struct ConfigProblem {
+    std::string path; // "services/label-print/upstreams/printer-1/agent"
+    std::string message; // what is wrong and the remedy
+};
+
+struct NumberRange {
+    uint64_t min = 0;
+    uint64_t max = 0;
+
+    bool contains(uint64_t value) const { return value >= this->min && value <= this->max; }
+};
+
+// Bounds of values; shared by the parser of YAML sources and by validate.
+namespace config_bounds {
+    inline constexpr NumberRange version { 1, UINT64_MAX };
+    inline constexpr NumberRange port { 1, 65535 };
+    inline constexpr NumberRange slots { 1, 10000 };
+    inline constexpr NumberRange connections { 1, 1000000 };
+    inline constexpr NumberRange queueLimit { 0, 65535 };
+    inline constexpr NumberRange maxQueueWait { 0, 600000 }; // ms
+    inline constexpr NumberRange rampDuration { 0, 3600000 }; // ms
+    inline constexpr double maxRetryBudget = 1;
+    inline constexpr size_t maxNameBytes = 64;
+    inline constexpr size_t maxRefusalBytes = 4096;
+    inline constexpr size_t maxValueBytes = 1000000; // limit of the platform
+} // namespace config_bounds
+
+using NameHash = std::function<uint64_t(std::string_view)>;
+
+// All problems of a configuration; none if it may take effect. The result depends on nothing but the arguments, so that
+// every process and the compiler decide alike. hash stands in for hashName in tests of collisions.
+std::vector<ConfigProblem> validate(const std::vector<ServiceConfig>&, const NameHash& hash = hashName);
+
+// Lower-case letters, digits, '-' and '.'; starts with a letter or digit.
+bool isValidName(std::string_view name);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Snapshots
+//-----------------------------------------------------------------------------
+
+ConfigVersion versionOf(const Manifest&, std::string_view manifestBytes);
+
+// Accepts a configuration only if every value matches its digest in the manifest and the whole passes validate.
+Result<std::shared_ptr<const Snapshot>> parseSnapshot(std::string_view manifestBytes, const ValuesByService&);
+
+// Published bytes of a configuration.
+struct PublishedConfig {
+    std::string manifest;
+    ValuesByService values;
+};
+
+// Does not validate.
+PublishedConfig publish(uint64_t epoch, uint64_t version, const std::vector<ServiceConfig>&);
+PublishedConfig publish(const Snapshot&); // the bytes from which the snapshot was parsed
+
+} // namespace wasabicroft
