--- /dev/null
+++ b/wasabicroft/ConfigReader.cpp
@@ -0,0 +1,321 @@
+#include "wasabicroft/ConfigReader.h"
+
+#include "wasabicroft/Log.h"
+
+#include <algorithm>
+
+namespace wasabicroft {
+
+namespace {
+
+    // A reader that is told of a newer version often reads a platform that lags behind; a few quick reads suffice,
+    // after that the poll interval applies.
+    constexpr unsigned maxDoublings = 16;
+
+} // namespace
+
+ConfigReader::ConfigReader(ConfigReaderOptions readerOptions, const Clock& time)
+    : options(std::move(readerOptions))
+    , clock(time)
+    , random(this->options.seed)
+{
+    for (Stream& stream : this->streams)
+        stream.due = this->clock.now();
+}
+
+//-----------------------------------------------------------------------------
+// Calls
+//-----------------------------------------------------------------------------
+
+std::optional<PlatformCall> ConfigReader::nextCall(PlatformStream which)
+{
+    Stream& stream = this->at(which);
+    if (stream.inFlight || this->clock.now() < stream.due)
+        return std::nullopt;
+    PlatformCall call;
+    call.number = ++this->callCount;
+    call.stream = which;
+    const std::string* missing = which == PlatformStream::Config ? this->missingService() : nullptr;
+    if (missing) {
+        call.key = serviceKey(*missing);
+    } else {
+        call.key = which == PlatformStream::Config ? std::string(manifestKey) : std::string();
+        call.knownIndex = stream.index;
+        call.wait = this->isWatcher && stream.index ? this->options.watchWait : Milliseconds(0);
+    }
+    stream.inFlight = call;
+    return call;
+}
+
+TimePoint ConfigReader::nextCallTime(PlatformStream which) const
+{
+    const Stream& stream = this->at(which);
+    return stream.inFlight ? TimePoint::max() : stream.due;
+}
+
+bool ConfigReader::finishCall(const PlatformCall& call)
+{
+    Stream& stream = this->at(call.stream);
+    if (!stream.inFlight || stream.inFlight->number != call.number)
+        return false;
+    stream.inFlight.reset();
+    return true;
+}
+
+void ConfigReader::noteContact(Stream& stream)
+{
+    this->contact = this->clock.now();
+    if (stream.isUnreachable)
+        logEvent(Event::PlatformReachable, { { "failures", stream.retries } });
+    stream.isUnreachable = false;
+}
+
+void ConfigReader::onValue(const PlatformCall& call, uint64_t index, std::optional<std::string> bytes)
+{
+    if (!this->finishCall(call))
+        return;
+    Stream& stream = this->at(call.stream);
+    this->noteContact(stream);
+    if (call.stream == PlatformStream::Config) {
+        this->schedule(call.stream, this->takeConfigValue(call, index, bytes));
+        return;
+    }
+    stream.index = index;
+    this->schedule(call.stream, this->takeMembers(bytes));
+}
+
+void ConfigReader::onNotModified(const PlatformCall& call)
+{
+    if (!this->finishCall(call))
+        return;
+    this->noteContact(this->at(call.stream));
+    const bool isBehind = call.stream == PlatformStream::Config && this->hinted > this->version();
+    this->schedule(call.stream, isBehind ? Outcome::Retry : Outcome::Unchanged);
+}
+
+void ConfigReader::onFailure(const PlatformCall& call, const std::string& reason)
+{
+    if (!this->finishCall(call))
+        return;
+    Stream& stream = this->at(call.stream);
+    if (!stream.isUnreachable)
+        logEvent(Event::PlatformUnreachable,
+            { { "stream", platformStreamNames.at(static_cast<size_t>(call.stream)) }, { "key", call.key },
+                { "reason", reason } });
+    stream.isUnreachable = true;
+    this->schedule(call.stream, Outcome::Retry);
+}
+
+//-----------------------------------------------------------------------------
+// Timing
+//-----------------------------------------------------------------------------
+
+void ConfigReader::schedule(PlatformStream which, Outcome outcome)
+{
+    Stream& stream = this->at(which);
+    Milliseconds delay { 0 };
+    if (outcome == Outcome::Retry) {
+        // Without a limit at the poll interval, a published state that stays invalid would cost the platform more
+        // calls than a valid one.
+        const Milliseconds limit = stream.isUnreachable || this->isWatcher
+            ? this->options.maxBackOff
+            : std::max(this->options.maxBackOff, this->interval(which));
+        delay = this->backOff(stream.retries++, limit);
+    } else {
+        stream.retries = 0;
+        if (outcome == Outcome::Unchanged)
+            delay = this->isWatcher ? this->options.watchSpacing : this->varied(this->interval(which));
+    }
+    stream.due = this->clock.now() + delay;
+}
+
+Milliseconds ConfigReader::interval(PlatformStream which) const
+{
+    if (which == PlatformStream::Config)
+        return this->options.pollInterval;
+    return this->options.role == MemberRole::Entry ? this->options.entryInstancePollInterval
+                                                   : this->options.agentInstancePollInterval;
+}
+
+Milliseconds ConfigReader::varied(Milliseconds interval)
+{
+    std::uniform_real_distribution<double> factor(1 - this->options.jitter, 1 + this->options.jitter);
+    return Milliseconds(static_cast<int64_t>(static_cast<double>(interval.count()) * factor(this->random)));
+}
+
+Milliseconds ConfigReader::backOff(unsigned retries, Milliseconds limit)
+{
+    const Milliseconds full = std::min(limit, this->options.minBackOff * (1u << std::min(retries, maxDoublings)));
+    std::uniform_int_distribution<int64_t> delay(full.count() / 2, full.count());
+    return Milliseconds(delay(this->random));
+}
+
+//-----------------------------------------------------------------------------
+// Configuration
+//-----------------------------------------------------------------------------
+
+ConfigReader::Outcome ConfigReader::takeConfigValue(
+    const PlatformCall& call, uint64_t index, const std::optional<std::string>& bytes)
+{
+    Stream& stream = this->at(PlatformStream::Config);
+    if (call.key == manifestKey) {
+        stream.index = index;
+        if (bytes)
+            return this->takeManifest(*bytes);
+        this->reject("the platform has no manifest; publish the output of wasabictl compile");
+        return Outcome::Retry;
+    }
+    const std::string service = call.key.substr(serviceKeyPrefix.size());
+    const auto entry = std::find_if(this->pending.services.begin(), this->pending.services.end(),
+        [&](const ManifestEntry& candidate) { return candidate.service == service; });
+    if (this->pendingBytes.empty() || entry == this->pending.services.end())
+        return Outcome::Continue; // a snapshot from a peer made the read unnecessary
+    if (!bytes || digestOf(*bytes) != entry->digest) {
+        this->reject("the value of service '" + service
+            + (bytes ? "' does not match its digest in the manifest" : "' is missing")
+            + "; wait for the publication to finish or publish again");
+        this->pendingBytes.clear();
+        stream.index.reset();
+        return Outcome::Retry;
+    }
+    this->cache[service] = { entry->digest, *bytes };
+    return this->missingService() ? Outcome::Continue : this->finishSnapshot();
+}
+
+ConfigReader::Outcome ConfigReader::takeManifest(const std::string& bytes)
+{
+    this->pendingBytes.clear();
+    const Result<Manifest> manifest = decodeManifest(bytes);
+    if (!manifest) {
+        this->reject(manifest.error().message);
+        return Outcome::Unchanged;
+    }
+    const ConfigVersion offered = versionOf(manifest.value(), bytes);
+    const ConfigVersion current = this->version();
+    if (offered < current && offered != this->ignored) {
+        logEvent(Event::OlderConfigIgnored,
+            { { "epoch", offered.epoch }, { "version", offered.version }, { "epoch-in-force", current.epoch },
+                { "version-in-force", current.version } });
+        this->ignored = offered;
+    }
+    if (offered <= current)
+        return this->hinted > current ? Outcome::Retry : Outcome::Unchanged;
+    this->pendingBytes = bytes;
+    this->pending = manifest.value();
+    return this->missingService() ? Outcome::Continue : this->finishSnapshot();
+}
+
+ConfigReader::Outcome ConfigReader::finishSnapshot()
+{
+    ValuesByService values;
+    for (const ManifestEntry& entry : this->pending.services)
+        values[entry.service] = this->cache.at(entry.service).bytes;
+    const Result<std::shared_ptr<const Snapshot>> snapshot = parseSnapshot(this->pendingBytes, values);
+    this->pendingBytes.clear();
+    if (!snapshot) {
+        this->reject(snapshot.error().message);
+        return Outcome::Unchanged;
+    }
+    this->accept(snapshot.value());
+    return this->hinted > this->version() ? Outcome::Retry : Outcome::Unchanged;
+}
+
+void ConfigReader::accept(std::shared_ptr<const Snapshot> snapshot)
+{
+    this->accepted = std::move(snapshot);
+    this->update.snapshot = this->accepted;
+    this->lastRejection.clear();
+    std::erase_if(
+        this->cache, [&](const auto& item) { return this->accepted->find(serviceIdOf(item.first)) == nullptr; });
+    const ConfigVersion version = this->version();
+    logEvent(Event::ConfigAccepted,
+        { { "epoch", version.epoch }, { "version", version.version },
+            { "services", static_cast<uint64_t>(this->accepted->services.size()) } });
+}
+
+void ConfigReader::reject(const std::string& reason)
+{
+    ++this->rejections;
+    if (reason != this->lastRejection)
+        logEvent(Event::ConfigRejected,
+            { { "reason", reason }, { "epoch-in-force", this->version().epoch },
+                { "version-in-force", this->version().version } });
+    this->lastRejection = reason;
+}
+
+const std::string* ConfigReader::missingService() const
+{
+    if (this->pendingBytes.empty())
+        return nullptr;
+    for (const ManifestEntry& entry : this->pending.services) {
+        const auto cached = this->cache.find(entry.service);
+        if (cached == this->cache.end() || cached->second.digest != entry.digest)
+            return &entry.service;
+    }
+    return nullptr;
+}
+
+void ConfigReader::hint(ConfigVersion seen)
+{
+    if (seen <= this->version() || seen <= this->hinted)
+        return;
+    this->hinted = seen;
+    Stream& stream = this->at(PlatformStream::Config);
+    if (stream.inFlight && stream.inFlight->wait.count() == 0)
+        return; // the read in flight is followed by a retry if it brings an older version
+    stream.inFlight.reset();
+    stream.index.reset();
+    stream.retries = 0;
+    stream.due = this->clock.now();
+}
+
+void ConfigReader::offer(std::shared_ptr<const Snapshot> snapshot)
+{
+    if (versionOf(*snapshot) <= this->version())
+        return;
+    this->accept(std::move(snapshot));
+    if (!this->pendingBytes.empty() && versionOf(this->pending, this->pendingBytes) <= this->version())
+        this->pendingBytes.clear();
+}
+
+//-----------------------------------------------------------------------------
+// Instance list
+//-----------------------------------------------------------------------------
+
+ConfigReader::Outcome ConfigReader::takeMembers(const std::optional<std::string>& bytes)
+{
+    if (!bytes) {
+        logEvent(Event::InstancesRejected, { { "reason", "the platform has no instance list" } });
+        return Outcome::Retry;
+    }
+    Result<std::vector<Member>> list = decodeMembers(*bytes);
+    if (!list) {
+        logEvent(Event::InstancesRejected, { { "reason", list.error().message } });
+        return Outcome::Unchanged;
+    }
+    const std::vector<Member> watchers = selectWatchers(list.value(), this->options.watchers);
+    const bool isSelected = std::any_of(
+        watchers.begin(), watchers.end(), [this](const Member& member) { return member.name == this->options.self; });
+    logEvent(Event::InstancesChanged,
+        { { "instances", static_cast<uint64_t>(list.value().size()) },
+            { "watchers", static_cast<uint64_t>(watchers.size()) } });
+    if (isSelected != this->isWatcher)
+        logEvent(isSelected ? Event::WatcherSelected : Event::WatcherReleased, { { "self", this->options.self } });
+    if (isSelected && !this->isWatcher)
+        this->at(PlatformStream::Config).due = std::min(this->at(PlatformStream::Config).due, this->clock.now());
+    this->isWatcher = isSelected;
+    this->update.members = std::make_shared<const std::vector<Member>>(std::move(list.value()));
+    return Outcome::Unchanged;
+}
+
+PlatformUpdate ConfigReader::takeUpdate() { return std::exchange(this->update, {}); }
+
+ConfigVersion ConfigReader::version() const { return this->accepted ? versionOf(*this->accepted) : ConfigVersion(); }
+
+bool ConfigReader::watches() const { return this->isWatcher; }
+
+std::optional<TimePoint> ConfigReader::lastContact() const { return this->contact; }
+
+uint64_t ConfigReader::rejectedCount() const { return this->rejections; }
+
+} // namespace wasabicroft
