--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -268,8 +268,9 @@
         });
         return;
     }
-    if (frame.configVersion > this->store.version().version && this->onNewerVersion)
-        this->onNewerVersion(frame.configVersion);
+    const ConfigVersion current = this->store.version();
+    if (frame.configVersion > current.version && this->onNewerVersion)
+        this->onNewerVersion({ current.epoch, frame.configVersion, 0 });
     if (frame.kind == FrameKind::Open)
         this->rememberCaller(frame);
     OwnerCommands commands;
--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -106,7 +106,7 @@
     uint64_t incarnation() const;
 
     ControlHandler onControlFrame;
-    std::function<void(uint64_t version)> onNewerVersion; // a frame named a newer configuration than the one in force
+    std::function<void(ConfigVersion)> onNewerVersion; // a frame named a newer configuration than the one in force
 
 private:
     struct UpstreamConnection;
--- /dev/null
+++ b/backends/Daemon.cpp
@@ -0,0 +1,206 @@
+#include "backends/Daemon.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr size_t updateRingCapacity = 64;
+    constexpr Milliseconds statusInterval { 500 };
+    constexpr Milliseconds lastFramesDelay { 200 }; // lets the kernel send the last frames before the process ends
+    constexpr Milliseconds hour { 3600000 };
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Settings
+//-----------------------------------------------------------------------------
+
+std::string commonUsage(const std::string& defaultLink, const std::string& defaultAdmin)
+{
+    return R"(  --failure-domain NAME        Failure domain of this instance.
+  --platform IP:PORT           Configuration service and instance list [127.0.0.1:7100].
+  --link-endpoint IP:PORT      Where frames of other processes arrive [)"
+        + defaultLink + R"(].
+  --admin-endpoint IP:PORT     Operator endpoints: /metrics, /health, /ready, /status [)"
+        + defaultAdmin + R"(].
+  --log-threshold LEVEL        debug, info, warning or error [info].
+  --log-file FILE              Log file; standard error if empty.
+  --link-connect-timeout MS    Time limit to set up a link [2000].
+  --link-idle-timeout MS       A link without flows and frames is closed after this time [60000].
+  --link-user-timeout MS       The kernel ends a link whose bytes stay unacknowledged for this time [10000].
+  --link-queue-bytes N         Bytes queued on a link above which its sources pause [1048576].
+  --heartbeat-interval MS      Silence on a link with outstanding work before a heartbeat [1000].
+  --heartbeat-timeout MS       Time limit for the answer to a heartbeat [2000].
+  --heartbeat-bytes N          Heartbeat bytes per second for idle links with open flows [4096].
+  --platform-timeout MS        Time limit of a call to the platform [5000].
+  --shutdown-limit MS          Ends open flows this long after SIGTERM; 0 waits without a limit [0].
+  --check                      Checks the settings and exits.
+  --help                       Shows this text.
+  --version                    Shows the version.
+)";
+}
+
+CommonSettings readCommonSettings(SettingsReader& reader, const Endpoint& defaultLink, const Endpoint& defaultAdmin)
+{
+    constexpr Milliseconds minute { 60000 };
+    CommonSettings settings;
+    settings.name = reader.requiredText("--name");
+    settings.failureDomain = reader.text("--failure-domain", "");
+    settings.platform = reader.endpoint("--platform", { "127.0.0.1", 7100 });
+    settings.linkEndpoint = reader.endpoint("--link-endpoint", defaultLink);
+    settings.admin = reader.endpoint("--admin-endpoint", defaultAdmin);
+    settings.log.threshold = reader.severity("--log-threshold", Severity::Info);
+    settings.log.file = reader.text("--log-file", "");
+    settings.log.process = settings.name;
+    LinkOptions& links = settings.links;
+    links.connectTimeout = reader.duration("--link-connect-timeout", links.connectTimeout, Milliseconds(10), minute);
+    links.idleTimeout = reader.duration("--link-idle-timeout", links.idleTimeout, Milliseconds(100), hour);
+    links.userTimeout = reader.duration("--link-user-timeout", links.userTimeout, Milliseconds(100), hour);
+    links.highWaterBytes
+        = reader.number("--link-queue-bytes", links.highWaterBytes, maxPayloadBytes, links.maxQueueBytes / 2);
+    links.heartbeatInterval
+        = reader.duration("--heartbeat-interval", links.heartbeatInterval, Milliseconds(50), minute);
+    links.heartbeatTimeout = reader.duration("--heartbeat-timeout", links.heartbeatTimeout, Milliseconds(50), minute);
+    links.heartbeatBytesPerSecond
+        = reader.number("--heartbeat-bytes", links.heartbeatBytesPerSecond, 1, 1024 * 1024);
+    settings.platformTimeout = reader.duration("--platform-timeout", settings.platformTimeout, Milliseconds(50), minute);
+    settings.shutdownLimit = reader.duration("--shutdown-limit", Milliseconds(0), Milliseconds(0), 24 * hour);
+    settings.checkOnly = reader.boolean("--check", false);
+    return settings;
+}
+
+std::optional<int> settingsExitCode(
+    const SettingsReader& reader, const CommonSettings& settings, const std::string& program)
+{
+    if (!reader.errors().empty()) {
+        printErrors(reader.errors());
+        return exit_codes::wrongUsage;
+    }
+    if (!settings.checkOnly)
+        return std::nullopt;
+    std::cout << program << ": the settings are valid\n";
+    return exit_codes::success;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Process
+//-----------------------------------------------------------------------------
+
+namespace {
+
+    PlatformReaderOptions readerOptions(const CommonSettings& settings, MemberRole role)
+    {
+        PlatformReaderOptions options;
+        options.platform = settings.platform;
+        options.self = settings.name;
+        options.role = role;
+        options.failureDomain = settings.failureDomain;
+        options.callTimeout = settings.platformTimeout;
+        return options;
+    }
+
+} // namespace
+
+Daemon::Daemon(asio::io_context& traffic, const CommonSettings& commonSettings, MemberRole role, const Clock& clock,
+    Metrics& counters, DaemonHandlers callbacks)
+    : context(traffic)
+    , settings(commonSettings)
+    , metrics(counters)
+    , handlers(std::move(callbacks))
+    , updates(updateRingCapacity, traffic, [this](PlatformUpdate& update) { this->handlers.onUpdate(update); })
+    , operators(commonSettings.admin, counters)
+    , reader(readerOptions(commonSettings, role), clock,
+          [this](PlatformUpdate update) { this->updates.push(std::move(update)); })
+    , signals(traffic, SIGTERM, SIGINT)
+    , statusTimer(traffic)
+    , stopTimer(traffic)
+{
+}
+
+Daemon::~Daemon()
+{
+    this->reader.stop();
+    this->operators.stop();
+}
+
+Result<Endpoint> Daemon::start()
+{
+    Result<Endpoint> bound = this->operators.start();
+    if (!bound)
+        return bound;
+    this->awaitSignal();
+    this->publishStatus();
+    this->scheduleStatus();
+    this->reader.start();
+    return bound;
+}
+
+void Daemon::run() { this->context.run(); }
+
+void Daemon::hint(ConfigVersion version) { this->reader.hint(version); }
+
+void Daemon::offer(std::shared_ptr<const Snapshot> snapshot) { this->reader.offer(std::move(snapshot)); }
+
+void Daemon::awaitSignal()
+{
+    this->signals.async_wait([this](error_code error, int) {
+        if (error)
+            return;
+        if (this->isShuttingDown) {
+            this->context.stop();
+            return;
+        }
+        this->beginShutdown();
+        this->awaitSignal();
+    });
+}
+
+void Daemon::beginShutdown()
+{
+    this->isShuttingDown = true;
+    if (this->settings.shutdownLimit > Milliseconds(0)) {
+        this->stopTimer.expires_after(this->settings.shutdownLimit);
+        this->stopTimer.async_wait([this](error_code error) {
+            if (!error)
+                this->context.stop();
+        });
+    }
+    this->handlers.shutdown([this] { this->finish(); });
+    this->publishStatus();
+}
+
+void Daemon::finish()
+{
+    this->stopTimer.expires_after(lastFramesDelay);
+    this->stopTimer.async_wait([this](error_code error) {
+        if (!error)
+            this->context.stop();
+    });
+}
+
+void Daemon::publishStatus()
+{
+    this->metrics.set("wasabi_log_lines_dropped", "", static_cast<double>(droppedLogLines()));
+    this->metrics.set("wasabi_invariant_violations", "", static_cast<double>(violationCount()));
+    this->metrics.set("wasabi_ring_overflows", "ring=\"config\"", static_cast<double>(this->updates.overflows()));
+    this->operators.publish(std::make_shared<const OperatorStatus>(this->handlers.status()));
+}
+
+void Daemon::scheduleStatus()
+{
+    this->statusTimer.expires_after(statusInterval);
+    this->statusTimer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        this->publishStatus();
+        this->scheduleStatus();
+    });
+}
+
+} // namespace wasabicroft
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -810,8 +810,9 @@
 
 void EntryServer::noteVersion(uint64_t version)
 {
-    if (version > this->store.version().version && this->onNewerVersion)
-        this->onNewerVersion(version);
+    const ConfigVersion current = this->store.version();
+    if (version > current.version && this->onNewerVersion)
+        this->onNewerVersion({ current.epoch, version, 0 });
 }
 
 void EntryServer::scheduleTick()
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -71,7 +71,7 @@
     // The address in use, for listeners that are configured with port 0.
     std::optional<Endpoint> boundEndpoint(const std::string& service, const std::string& listener) const;
 
-    std::function<void(uint64_t version)> onNewerVersion; // a frame named a newer configuration than the one in force
+    std::function<void(ConfigVersion)> onNewerVersion; // a frame named a newer configuration than the one in force
 
 private:
     struct Listener;
--- /dev/null
+++ b/daemons/wasabi-agent.cpp
@@ -0,0 +1,147 @@
+// The agent: stands beside one upstream, grants reservations, owns flows and connects to the upstream.
+#include "backends/AgentServer.h"
+#include "backends/Daemon.h"
+
+#include <thread>
+
+namespace {
+
+using namespace wasabicroft;
+
+const Endpoint defaultLink { "127.0.0.1", 7300 };
+const Endpoint defaultAdmin { "127.0.0.1", 7301 };
+constexpr size_t healthRingCapacity = 64;
+
+std::string usageText()
+{
+    return R"(Agent of the load balancer: grants reservations for one upstream and forwards bytes to it.
+
+Usage:
+  wasabi-agent [options]
+
+Options:
+  --name NAME                  Name of the upstream beside this agent, as in the configuration.
+  --upstream-health IP:PORT    Where the upstream answers GET /health; not polled if empty.
+  --health-interval MS         Time between polls of the upstream's health [500].
+  --health-timeout MS          Time limit of a poll [1000].
+  --upstream-connect-timeout MS  Time limit to connect to the upstream [2000].
+  --upstream-user-timeout MS   The kernel ends an upstream connection whose bytes stay unacknowledged [30000].
+  --reservation-expiry MS      Life of a reservation without data [5000].
+  --flow-memory MS             How long the end of a flow is remembered [60000].
+  --abandon-after MS           A flow is ended when its initiator is silent for this time with work outstanding [30000].
+  --flow-buffer-bytes N        Buffer of a flow in each direction [262144].
+  --straggler-after MS         A slot held longer counts as a straggler [5000].
+  --queue-limit N              Waiting requests [32].
+  --max-queue-wait MS          Longest wait of a request without a deadline [10000].
+  --ramp MS                    Time until all slots are offered after a cold start [0].
+  --max-links N                Open links from entries [4096].
+)" + commonUsage(toString(defaultLink), toString(defaultAdmin))
+        + R"(
+Each setting may also come from an environment variable, for example WASABI_AGENT_LINK_ENDPOINT.
+)";
+}
+
+AgentOptions readAgentOptions(SettingsReader& reader, const CommonSettings& common)
+{
+    constexpr Milliseconds minute { 60000 };
+    constexpr Milliseconds least { 10 };
+    AgentOptions options;
+    options.name = common.name;
+    options.linkEndpoint = common.linkEndpoint;
+    options.links = common.links;
+    options.connectTimeout = reader.duration("--upstream-connect-timeout", options.connectTimeout, least, minute);
+    options.userTimeout = reader.duration("--upstream-user-timeout", options.userTimeout, least, 60 * minute);
+    OwnerOptions& flows = options.flows;
+    flows.reservationExpiry = reader.duration("--reservation-expiry", flows.reservationExpiry, least, minute);
+    flows.flowMemory = reader.duration("--flow-memory", flows.flowMemory, least, 60 * minute);
+    flows.abandonAfter = reader.duration("--abandon-after", flows.abandonAfter, least, 60 * minute);
+    flows.sendBufferBytes
+        = reader.number("--flow-buffer-bytes", flows.sendBufferBytes, maxPayloadBytes, 16 * 1024 * 1024);
+    flows.receiveWindowBytes = flows.sendBufferBytes;
+    AdmissionOptions& admission = options.admission;
+    admission.stragglerAfter = reader.duration("--straggler-after", admission.stragglerAfter, least, 60 * minute);
+    admission.queueLimit
+        = static_cast<uint16_t>(reader.number("--queue-limit", admission.queueLimit, 0, UINT16_MAX));
+    admission.maxQueueWait
+        = reader.duration("--max-queue-wait", admission.maxQueueWait, Milliseconds(0), 10 * minute);
+    admission.rampDuration = reader.duration("--ramp", admission.rampDuration, Milliseconds(0), 60 * minute);
+    options.maxLinks = reader.number("--max-links", options.maxLinks, 1, 100000);
+    return options;
+}
+
+struct HealthSettings {
+    std::optional<HealthProbeOptions> probe; // empty: the upstream has no health endpoint
+};
+
+HealthSettings readHealthSettings(SettingsReader& reader)
+{
+    HealthProbeOptions probe;
+    probe.interval = reader.duration("--health-interval", probe.interval, Milliseconds(50), Milliseconds(60000));
+    probe.timeout = reader.duration("--health-timeout", probe.timeout, Milliseconds(50), Milliseconds(60000));
+    probe.endpoint = reader.endpoint("--upstream-health", Endpoint());
+    if (probe.endpoint == Endpoint())
+        return {};
+    return { probe };
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    SettingsReader reader(parseCommandLine(argc, argv, usageText(), "wasabi-agent"), "WASABI_AGENT");
+    const CommonSettings common = readCommonSettings(reader, defaultLink, defaultAdmin);
+    const AgentOptions options = readAgentOptions(reader, common);
+    const HealthSettings health = readHealthSettings(reader);
+    if (const std::optional<int> code = settingsExitCode(reader, common, "wasabi-agent"))
+        return *code;
+
+    startLog(common.log);
+    const SystemClock clock;
+    Metrics metrics;
+    boost::asio::io_context traffic(1);
+    AgentServer server(traffic, options, clock, metrics);
+    DaemonHandlers handlers;
+    handlers.onUpdate = [&](PlatformUpdate& update) {
+        if (update.members)
+            server.applyMembers(update.members);
+        if (update.snapshot)
+            server.applySnapshot(update.snapshot);
+    };
+    handlers.status = [&] { return server.status(); };
+    handlers.shutdown = [&](std::function<void()> onDrained) {
+        logEvent(Event::AgentStopping, { { "open-flows", static_cast<uint64_t>(server.openFlows()) } });
+        server.shutdown(std::move(onDrained));
+    };
+    Daemon daemon(traffic, common, MemberRole::Agent, clock, metrics, handlers);
+    server.onNewerVersion = [&](ConfigVersion version) { daemon.hint(version); };
+    const Result<Endpoint> link = server.start();
+    const Result<Endpoint> admin = link ? daemon.start() : link;
+    if (!admin) {
+        printErrors({ admin.error() });
+        stopLog();
+        return exit_codes::refusedInput;
+    }
+    logEvent(Event::AgentStarted,
+        { { "version", WASABICROFT_VERSION }, { "incarnation", server.incarnation() },
+            { "links", toString(link.value()) }, { "admin", toString(admin.value()) },
+            { "platform", toString(common.platform) } });
+
+    Ring<UpstreamHealth> healthChanges(
+        healthRingCapacity, traffic, [&](UpstreamHealth& value) { server.applyHealth(value); });
+    boost::asio::io_context control(1);
+    std::optional<HealthProbe> probe;
+    std::thread controlThread;
+    if (health.probe) {
+        probe.emplace(control, *health.probe, [&](UpstreamHealth value) { healthChanges.push(value); });
+        probe->start();
+        controlThread = std::thread([&] { control.run(); });
+    }
+    daemon.run();
+    control.stop();
+    if (controlThread.joinable())
+        controlThread.join();
+    logEvent(Event::AgentStopped, { { "open-flows", static_cast<uint64_t>(server.openFlows()) } });
+    server.stop();
+    stopLog();
+    return exit_codes::success;
+}
--- a/wasabicroft/Settings.cpp
+++ b/wasabicroft/Settings.cpp
@@ -118,6 +118,19 @@
     return defaultValue;
 }
 
+std::string SettingsReader::ipAddress(const std::string& flag)
+{
+    const std::string value = this->text(flag, "");
+    const std::string host = value.find(':') == std::string::npos ? value : '[' + value + ']';
+    const Result<Endpoint> parsed = parseEndpoint(host + ":0");
+    if (value.empty())
+        return value;
+    if (parsed)
+        return parsed.value().address;
+    this->reject(flag, value, "an IP address, for example 127.0.0.1");
+    return "";
+}
+
 std::vector<Endpoint> SettingsReader::endpoints(const std::string& flag)
 {
     std::vector<Endpoint> values;
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -32,6 +32,7 @@
     uint64_t number(const std::string& flag, uint64_t defaultValue, uint64_t min, uint64_t max);
     Milliseconds duration(const std::string& flag, Milliseconds defaultValue, Milliseconds min, Milliseconds max);
     Endpoint endpoint(const std::string& flag, const Endpoint& defaultValue); // "ip:port"
+    std::string ipAddress(const std::string& flag); // may be empty
     std::vector<Endpoint> endpoints(const std::string& flag); // comma-separated; may be empty
     std::vector<std::string> list(const std::string& flag); // comma-separated; may be empty
     bool boolean(const std::string& flag, bool defaultValue);
