--- a/tests/FlowTest.cpp
+++ b/tests/FlowTest.cpp
@@ -12,7 +12,6 @@
     const UpstreamId first = upstreamIdOf("host-1");
     const UpstreamId second = upstreamIdOf("host-2");
     const FlowId flowId { 7, 9 };
-    const ReplyRoute link1 { 1, {} };
 
     template <typename Command, typename Commands> std::vector<Command> only(const Commands& commands)
     {
@@ -42,10 +41,11 @@
         OwnerCommands take(const Frame& frame)
         {
             OwnerCommands out;
-            this->owner.onFrame(frame, link1, out);
+            this->owner.onFrame(frame, this->route, out);
             return out;
         }
 
+        ReplyRoute route { 1, {} };
         Admission admission;
         FlowOwner owner;
     };
@@ -63,7 +63,7 @@
         FlowInitiator makeInitiator() { return FlowInitiator(flowId, this->options, this->clock); }
 
         // Passes frames both ways until both sides are silent; other commands are collected.
-        void exchange(FlowInitiator& initiator, InitiatorCommands commands, std::vector<Agent*> agents)
+        void exchange(FlowInitiator& initiator, InitiatorCommands commands, const std::vector<Agent*>& agents)
         {
             for (int round = 0; round < 100 && !commands.empty(); ++round) {
                 InitiatorCommands replies;
@@ -143,5 +143,333 @@
         EXPECT_EQ(agent.admission.load().busySlots, 0);
     }
 
+    Frame frameFor(FrameKind kind, OwnerToken token, ServiceId service = registrations)
+    {
+        Frame frame;
+        frame.kind = kind;
+        frame.flow = flowId;
+        frame.service = service;
+        frame.token = token;
+        return frame;
+    }
+
+    // Reserves the fixture's flow at the agent.
+    OwnerToken reserve(Agent& agent)
+    {
+        const OwnerCommands out = agent.take(frameFor(FrameKind::Open, { agent.owner.settings().upstream, 0, 0 }));
+        const std::vector<SendToInitiator> sent = only<SendToInitiator>(out);
+        EXPECT_EQ(sent.at(0).frame.kind, FrameKind::Opened);
+        return sent.at(0).frame.token;
+    }
+
+    Frame onlyReply(const OwnerCommands& out)
+    {
+        const std::vector<SendToInitiator> sent = only<SendToInitiator>(out);
+        EXPECT_EQ(sent.size(), 1U);
+        EXPECT_EQ(out.size(), 1U);
+        return sent.at(0).frame;
+    }
+
+    // Guards R4 and R5: a frame for work that this incarnation cannot vouch for is never answered as not run.
+    TEST_F(FlowFixture, UnknownTokensAreAnsweredWithOutcomeUnknown)
+    {
+        Agent agent(first, 11, this->clock);
+        const OwnerToken token = reserve(agent);
+        for (const OwnerToken& wrong :
+            { OwnerToken { first, 12, token.reservation }, OwnerToken { first, 11, token.reservation + 1 } })
+            for (const FrameKind kind : { FrameKind::Data, FrameKind::Ping, FrameKind::Ack }) {
+                const Frame reply = onlyReply(agent.take(frameFor(kind, wrong)));
+                EXPECT_EQ(reply.kind, FrameKind::Refused);
+                EXPECT_EQ(reply.reason, Reason::OutcomeUnknown);
+            }
+        this->clock.advance(Milliseconds(5001));
+        OwnerCommands out;
+        agent.owner.onTimer(out);
+        EXPECT_EQ(agent.owner.reservations(), 0U);
+        EXPECT_EQ(agent.admission.load().busySlots, 0);
+        EXPECT_EQ(onlyReply(agent.take(frameFor(FrameKind::Data, token))).reason, Reason::OutcomeUnknown);
+        EXPECT_EQ(onlyReply(agent.take(frameFor(FrameKind::Query, token))).reason, Reason::OutcomeUnknown);
+    }
+
+    // Guards R2: neither a reservation nor a byte crosses services, also when the configuration changes in between.
+    TEST_F(FlowFixture, ServicesAreKeptApart)
+    {
+        Agent agent(first, 11, this->clock);
+        EXPECT_EQ(
+            onlyReply(agent.take(frameFor(FrameKind::Open, { first, 0, 0 }, labels))).reason, Reason::WrongService);
+        EXPECT_EQ(onlyReply(agent.take(frameFor(FrameKind::Open, { second, 0, 0 }))).reason, Reason::WrongOwner);
+        const OwnerToken token = reserve(agent);
+        EXPECT_EQ(onlyReply(agent.take(frameFor(FrameKind::Data, token, labels))).reason, Reason::WrongService);
+        OwnerCommands out;
+        agent.owner.setServices({ labels }, out);
+        const Frame closed = onlyReply(agent.take(frameFor(FrameKind::Data, token)));
+        EXPECT_EQ(closed.kind, FrameKind::Closed);
+        EXPECT_EQ(closed.reason, Reason::WrongService);
+        EXPECT_FALSE(closed.has(frame_flags::handedOver));
+    }
+
+    // Guards R5: repeated and overlapping bytes reach the upstream once and in order.
+    TEST_F(FlowFixture, RepeatedBytesAreWrittenOnce)
+    {
+        Agent agent(first, 11, this->clock);
+        Frame data = frameFor(FrameKind::Data, reserve(agent));
+        OwnerCommands out = agent.take(data);
+        EXPECT_EQ(only<ConnectUpstream>(out).size(), 1U);
+        EXPECT_TRUE(only<ConnectUpstream>(agent.take(data)).empty());
+        agent.owner.onUpstreamConnected(flowId, out);
+        std::string written;
+        for (const auto& [offset, payload] : std::vector<std::pair<uint64_t, std::string>> {
+                 { 4, "efgh" }, { 0, "abc" }, { 0, "abc" }, { 2, "cde" }, { 0, "abcdefgh" }, { 300000, "x" } }) {
+            data.offset = offset;
+            data.payload = payload;
+            for (const WriteUpstream& write : only<WriteUpstream>(agent.take(data)))
+                written += write.bytes;
+        }
+        EXPECT_EQ(written, "abcdefgh");
+    }
+
+    // Guards the only case in which a bound flow may move: the owner's connection to its upstream failed.
+    TEST_F(FlowFixture, FailedConnectMovesToTheNextCandidate)
+    {
+        Agent one(first, 11, this->clock);
+        Agent two(second, 12, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first, second }, out);
+        initiator.write("register", out);
+        this->exchange(initiator, std::move(out), { &one, &two });
+        EXPECT_EQ(initiator.token().owner, first);
+        OwnerCommands owned;
+        one.owner.onUpstreamConnectFailed(flowId, owned);
+        InitiatorCommands replies;
+        this->answer(initiator, owned, replies);
+        this->exchange(initiator, replies, { &one, &two });
+        EXPECT_EQ(initiator.token().owner, second);
+        EXPECT_EQ(one.admission.load().busySlots, 0);
+        owned.clear();
+        two.owner.onUpstreamConnectFailed(flowId, owned);
+        this->fromOwner(initiator, two, owned);
+        EXPECT_EQ(initiator.outcome(), FlowOutcome::NotRun);
+    }
+
+    // Guards against an upstream that speaks first never being connected at the second candidate, because the first
+    // one acknowledged the start of the flow before its connect failed.
+    TEST_F(FlowFixture, FailedConnectStartsAnewWithoutBytes)
+    {
+        Agent one(first, 11, this->clock);
+        Agent two(second, 12, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first, second }, out);
+        this->exchange(initiator, std::move(out), { &one, &two });
+        OwnerCommands owned;
+        one.owner.onUpstreamConnectFailed(flowId, owned);
+        InitiatorCommands replies;
+        this->answer(initiator, owned, replies);
+        this->exchange(initiator, replies, { &one, &two });
+        EXPECT_EQ(two.owner.openFlows(), 1U);
+    }
+
+    // Guards R5: a reset after the hand-over neither moves the flow nor claims that nothing ran.
+    TEST_F(FlowFixture, ResetAfterHandOverEndsTheFlow)
+    {
+        Agent agent(first, 11, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first, second }, out);
+        initiator.write("register", out);
+        this->exchange(initiator, std::move(out), { &agent });
+        OwnerCommands owned;
+        agent.owner.onUpstreamConnected(flowId, owned);
+        agent.owner.onUpstreamReset(flowId, owned);
+        this->fromOwner(initiator, agent, owned);
+        EXPECT_EQ(initiator.outcome(), FlowOutcome::UpstreamReset);
+        EXPECT_EQ(initiator.replies()[1].reply, FrameKind::Open);
+        const Frame again = onlyReply(agent.take(frameFor(FrameKind::Open, { first, 0, 0 })));
+        EXPECT_EQ(again.reason, Reason::OutcomeUnknown);
+    }
+
+    // Guards against a slot that stays reserved when the reply of a slow candidate arrives late.
+    TEST_F(FlowFixture, LateOpenedIsCancelled)
+    {
+        Agent one(first, 11, this->clock);
+        Agent two(second, 12, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands asked;
+        initiator.start({ first, second }, asked);
+        const OwnerCommands late = one.take(only<SendToOwner>(asked).at(0).frame);
+        this->clock.advance(Milliseconds(301));
+        InitiatorCommands out;
+        initiator.onTimer(out);
+        // The Cancel for the unanswered candidate is lost.
+        this->exchange(initiator, std::move(out), { &two });
+        EXPECT_EQ(initiator.token().owner, second);
+        EXPECT_EQ(one.owner.reservations(), 1U);
+        this->fromOwner(initiator, one, late);
+        EXPECT_EQ(initiator.token().owner, second);
+        EXPECT_EQ(one.owner.reservations(), 0U);
+        EXPECT_EQ(one.admission.load().busySlots, 0);
+    }
+
+    // Guards waiting work: after Pass from all, the flow queues at the shortest queue and gets the next free slot.
+    TEST_F(FlowFixture, QueuesAfterPassFromAllAndIsGranted)
+    {
+        AdmissionOptions oneSlot;
+        oneSlot.slots = 1;
+        Agent one(first, 11, this->clock, oneSlot);
+        Agent two(second, 12, this->clock, oneSlot);
+        one.admission.request({ { 1, 1 }, TrafficClass::Request, false, Milliseconds(0) });
+        one.admission.request({ { 1, 2 }, TrafficClass::Request, true, Milliseconds(0) });
+        two.admission.request({ { 1, 3 }, TrafficClass::Request, false, Milliseconds(0) });
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first, second }, out);
+        this->exchange(initiator, std::move(out), { &one, &two });
+        EXPECT_EQ(two.admission.load().queueLength, 1);
+        EXPECT_TRUE(initiator.replies()[1].queued);
+        two.admission.release({ 1, 3 });
+        OwnerCommands owned;
+        two.owner.onTimer(owned);
+        this->fromOwner(initiator, two, owned);
+        EXPECT_EQ(initiator.phase(), InitiatorPhase::Bound);
+        EXPECT_EQ(two.owner.openFlows(), 1U);
+    }
+
+    // Guards R4 and the retry budget: without budget the flow ends as not run after the first Pass.
+    TEST_F(FlowFixture, EndsAsNotRunWithoutRetryBudget)
+    {
+        Agent one(first, 11, this->clock);
+        one.admission.setDraining(true);
+        this->options.mayRetry = [] { return false; };
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first, second }, out);
+        this->exchange(initiator, std::move(out), { &one });
+        EXPECT_EQ(initiator.outcome(), FlowOutcome::NotRun);
+        EXPECT_EQ(only<FlowEnded>(this->callerEvents).at(0).reason, Reason::Draining);
+    }
+
+    // Guards truthful refusals: the same deadline ends as not run before Data was sent, and as unknown afterwards.
+    TEST_F(FlowFixture, DeadlineOutcomeDependsOnWhetherDataWasSent)
+    {
+        Agent agent(first, 11, this->clock);
+        this->options.deadline = Milliseconds(200);
+        FlowInitiator unanswered = this->makeInitiator();
+        FlowInitiator bound = this->makeInitiator();
+        InitiatorCommands out;
+        unanswered.start({ second }, out);
+        out.clear();
+        bound.start({ first }, out);
+        this->exchange(bound, std::move(out), { &agent });
+        EXPECT_EQ(agent.owner.openFlows(), 1U);
+        this->clock.advance(Milliseconds(200));
+        out.clear();
+        unanswered.onTimer(out);
+        EXPECT_EQ(unanswered.outcome(), FlowOutcome::NotRun);
+        out.clear();
+        bound.onTimer(out);
+        this->exchange(bound, std::move(out), { &agent });
+        EXPECT_EQ(bound.outcome(), FlowOutcome::OutcomeUnknown);
+        EXPECT_EQ(agent.owner.openFlows(), 0U);
+        EXPECT_EQ(only<ResetUpstream>(this->upstreamEvents).size(), 1U);
+    }
+
+    // Guards bounded memory: neither side takes more than its buffer while the other does not read.
+    TEST_F(FlowFixture, SlowReadersStopTheSender)
+    {
+        Agent agent(first, 11, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first }, out);
+        this->exchange(initiator, std::move(out), { &agent });
+        OwnerCommands owned;
+        agent.owner.onUpstreamConnected(flowId, owned);
+        out.clear();
+        EXPECT_EQ(initiator.write(std::string(1000000, 'r'), out), this->options.sendBufferBytes);
+        this->exchange(initiator, std::move(out), { &agent });
+        EXPECT_EQ(initiator.freeSendBuffer(), 0U);
+
+        const std::string chunk(64 * 1024, 'a');
+        size_t sent = 0;
+        while (agent.owner.freeSendBuffer(flowId) >= chunk.size() && sent < 10000000) {
+            owned.clear();
+            agent.owner.onUpstreamBytes(flowId, chunk, owned);
+            sent += chunk.size();
+            this->fromOwner(initiator, agent, owned);
+        }
+        EXPECT_EQ(sent, 512U * 1024); // a receive window at the caller and a full send buffer at the owner
+        out.clear();
+        initiator.onDelivered(256 * 1024, out);
+        this->exchange(initiator, std::move(out), { &agent });
+        EXPECT_EQ(agent.owner.freeSendBuffer(flowId), 256U * 1024);
+    }
+
+    // Guards the resumption of a flow over a new link: nothing is lost or repeated.
+    TEST_F(FlowFixture, ResumesByOffsetOnANewLink)
+    {
+        Agent agent(first, 11, this->clock);
+        this->options.trafficClass = TrafficClass::Feed;
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first }, out);
+        this->exchange(initiator, std::move(out), { &agent });
+        OwnerCommands lost;
+        agent.owner.onUpstreamConnected(flowId, lost);
+        agent.owner.onUpstreamBytes(flowId, "alert 1 ", lost);
+        agent.owner.onLinkLost(agent.route.link, lost);
+        OwnerCommands silent;
+        agent.owner.onUpstreamBytes(flowId, "alert 2", silent);
+        EXPECT_TRUE(silent.empty());
+        out.clear();
+        initiator.onCarriageReset(out);
+        agent.route.link = 2;
+        this->exchange(initiator, std::move(out), { &agent });
+        std::string delivered;
+        for (const DeliverToCaller& deliver : only<DeliverToCaller>(this->callerEvents))
+            delivered += deliver.bytes;
+        EXPECT_EQ(delivered, "alert 1 alert 2");
+    }
+
+    // Guards R1: an idle feed and a paused agent are no reason to abandon a flow, a silent initiator is.
+    TEST_F(FlowFixture, AbandonsOnlyASilentInitiator)
+    {
+        Agent agent(first, 11, this->clock);
+        agent.take(frameFor(FrameKind::Data, reserve(agent)));
+        OwnerCommands out;
+        agent.owner.onUpstreamConnected(flowId, out);
+        agent.take(frameFor(FrameKind::Ping, { first, 11, 1 }));
+        this->clock.advance(std::chrono::hours(1));
+        agent.owner.onUpstreamBytes(flowId, "alert", out);
+        agent.owner.onTimer(out);
+        EXPECT_EQ(agent.owner.openFlows(), 1U);
+        this->clock.advance(std::chrono::minutes(5)); // the agent is paused past the timer
+        agent.owner.onTimer(out);
+        EXPECT_EQ(agent.owner.openFlows(), 1U);
+        this->clock.set(*agent.owner.nextTimer());
+        agent.owner.onTimer(out);
+        EXPECT_EQ(agent.owner.openFlows(), 0U);
+        EXPECT_EQ(only<ResetUpstream>(out).size(), 1U);
+    }
+
+    // Guards against taking the reply to a heartbeat for the acknowledgement of a lost first Data.
+    TEST_F(FlowFixture, LostFirstDataIsSentAgain)
+    {
+        Agent agent(first, 11, this->clock);
+        this->options.datagrams = true;
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands out;
+        initiator.start({ first }, out);
+        InitiatorCommands lost;
+        initiator.onFrame(onlyReply(agent.take(only<SendToOwner>(out).at(0).frame)), lost);
+        this->exchange(initiator, { SendToOwner { first, frameFor(FrameKind::Ping, initiator.token()) } }, { &agent });
+        EXPECT_EQ(agent.owner.openFlows(), 0U);
+        this->clock.set(*initiator.nextTimer());
+        out.clear();
+        initiator.onTimer(out);
+        this->exchange(initiator, std::move(out), { &agent });
+        EXPECT_EQ(agent.owner.openFlows(), 1U);
+        EXPECT_FALSE(initiator.hasUnacknowledged());
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -52,6 +52,8 @@
     bool ignoreIncarnation = false; // owner: accept Data and Open state of another incarnation
     bool rebindAfterData = false; // initiator: take a second Opened after Data was sent
     bool unknownIsNotRun = false; // owner: answer not-run for an unknown reservation
+
+    bool operator==(const FlowAblations&) const = default;
 };
 
 //-----------------------------------------------------------------------------
@@ -118,7 +120,7 @@
     FlowInitiator(FlowId, InitiatorOptions, const Clock&);
 
     // Asks the candidates in order; after a Pass from all, queues at the one with the shortest queue.
-    void start(std::vector<UpstreamId> candidates, InitiatorCommands& out);
+    void start(const std::vector<UpstreamId>& candidates, InitiatorCommands& out);
 
     void onFrame(const Frame&, InitiatorCommands& out);
 
@@ -209,7 +211,7 @@
 
 // Where replies for a flow go: a link of the agent, and through it a session caller if replyAddress is set.
 struct ReplyRoute {
-    uint64_t link = 0;
+    uint64_t link = 0; // numbers rise with every link that the agent accepts
     std::string replyAddress;
 };
 
@@ -272,6 +274,7 @@
     size_t freeSendBuffer(FlowId) const; // bytes that may be read from the upstream now
     size_t openFlows() const; // handed over and not ended
     size_t reservations() const; // granted and not handed over
+    size_t rememberedFlows() const; // ended and not forgotten
     const OwnerOptions& settings() const;
 
 private:
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -34,7 +34,7 @@
 // [SECTION] Reservation
 //-----------------------------------------------------------------------------
 
-void FlowInitiator::start(std::vector<UpstreamId> upstreams, InitiatorCommands& out)
+void FlowInitiator::start(const std::vector<UpstreamId>& upstreams, InitiatorCommands& out)
 {
     if (this->state != InitiatorPhase::Idle)
         return;
@@ -259,14 +259,15 @@
 
 void FlowInitiator::onFrameAfterEnd(const Frame& frame, InitiatorCommands& out)
 {
-    const bool completed = this->isComplete();
-    if (frame.kind == FrameKind::Data && completed && frame.token == this->chosen)
-        this->sendAck(out);
-    else if (frame.kind == FrameKind::Opened && !(completed && frame.token == this->chosen))
-        this->sendCancel(frame.token, out);
-    else if ((frame.kind == FrameKind::Data || frame.kind == FrameKind::Ack) && !completed
-        && frame.token == this->chosen)
-        this->sendCancel(frame.token, out);
+    if (this->isComplete() && frame.token == this->chosen) {
+        if (frame.kind == FrameKind::Data)
+            this->sendAck(out);
+        return;
+    }
+    const bool fromChosenOwner = frame.token == this->chosen;
+    const bool showsLiveFlow = frame.kind == FrameKind::Data || frame.kind == FrameKind::Ack;
+    if (frame.kind == FrameKind::Opened || (showsLiveFlow && fromChosenOwner))
+        this->sendCancel(frame.token, out); // an earlier Cancel was lost
 }
 
 void FlowInitiator::onTokenRefused(const Frame& frame, InitiatorCommands& out)
--- a/wasabicroft/FlowOwner.cpp
+++ b/wasabicroft/FlowOwner.cpp
@@ -109,13 +109,19 @@
 void FlowOwner::noteHeard(Flow& flow, const ReplyRoute& route)
 {
     flow.lastHeard = this->clock.now();
+    const bool datagrams = isDatagramRoute(route);
+    // Bytes of a replaced link may be read after those of its successor; they must not bring the dead route back.
+    const bool outdated
+        = !datagrams && (route.link < flow.route.link || (flow.linkLost && route.link == flow.route.link));
+    if (outdated)
+        return;
     // What was sent over the previous link may be lost. Frames of a session caller change links all the time, and its
     // flow resends on a timer.
-    if (flow.linkLost || (flow.route.link != route.link && !isDatagramRoute(route)))
+    if (flow.linkLost || (flow.route.link != route.link && !datagrams))
         flow.sender.resendAll();
     flow.linkLost = false;
     flow.route = route;
-    const StreamOptions carriage = senderOptions(this->options, isDatagramRoute(route));
+    const StreamOptions carriage = senderOptions(this->options, datagrams);
     flow.sender.setCarriage(carriage.timed, carriage.maxPayloadBytes);
 }
 
@@ -695,6 +701,8 @@
         [](const auto& entry) { return entry.second.phase == FlowPhase::Reserved; }));
 }
 
+size_t FlowOwner::rememberedFlows() const { return this->ended.size(); }
+
 const OwnerOptions& FlowOwner::settings() const { return this->options; }
 
 } // namespace wasabicroft
--- a/wasabicroft/Stream.cpp
+++ b/wasabicroft/Stream.cpp
@@ -39,7 +39,11 @@
     return count;
 }
 
-void StreamSender::requestStart() { this->startRequested = true; }
+void StreamSender::requestStart()
+{
+    this->startRequested = true;
+    this->startSent = this->startAcked = false; // an earlier receiver's acknowledgement does not count for this one
+}
 
 void StreamSender::finish() { this->finishRequested = true; }
 
