Let session callers open flows without knowing upstreams

Cause: FlowInitiator matched replies by the owner it had asked, so an Open that an entry places was cancelled when its owner replied. Change: the candidate placedByCarriage takes the name of the first owner that replies; bind takes the index of the candidate, since several candidates may get the same owner. The entry counts only candidates that were asked as silent.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -102,9 +102,17 @@
     std::optional<FlowEnded> end;
     std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
     std::optional<TimePoint> scheduled; // entry in the timer queue
-    size_t reportedReplies = 0; // of initiator.replies(), passed on to Placement
+    std::vector<UpstreamId> asked; // an Open was sent, in order
 };
 
+bool EntryServer::lastAskedPassed(const PlainFlow& flow)
+{
+    const std::vector<CandidateReply>& replies = flow.initiator.replies();
+    return std::any_of(replies.begin(), replies.end(), [&](const CandidateReply& reply) {
+        return !flow.asked.empty() && reply.upstream == flow.asked.back() && reply.reply == FrameKind::Pass;
+    });
+}
+
 EntryServer::EntryServer(
     asio::io_context& ioContext, EntryOptions initialOptions, const Clock& timeSource, Metrics& counters)
     : context(ioContext)
@@ -347,11 +355,9 @@
     initiatorOptions.mayRetry = [this, id, service] {
         // Asking on after a Pass belongs to placement; only an attempt after silence or a failure is a retry.
         const auto found = this->flows.find(id);
-        if (found != this->flows.end()) {
-            const std::vector<CandidateReply>& replies = found->second->initiator.replies();
-            if (!replies.empty() && replies.back().reply == FrameKind::Pass)
-                return true;
-        }
+        const bool isPass = found != this->flows.end() && lastAskedPassed(*found->second);
+        if (isPass)
+            return true;
         return this->placement.retryBudget(service).tryRetry();
     };
     const PlainFlowPtr flow
@@ -435,6 +441,9 @@
         this->flowsByCarrier[carrier].insert(flow->initiator.id());
         this->links.retain(carrier.first, carrier.second);
     }
+    const bool isNewCandidate = flow->asked.empty() || flow->asked.back() != send.owner;
+    if (send.frame.kind == FrameKind::Open && isNewCandidate)
+        flow->asked.push_back(send.owner);
     this->links.send(send.owner, carrier.second, send.frame);
 }
 
@@ -442,7 +451,6 @@
 {
     if (flow->isClosed)
         return;
-    this->reportReplies(*flow);
     if (!flow->isPlaced && (flow->initiator.phase() == InitiatorPhase::Bound || flow->end))
         this->logPlacement(*flow);
     const std::optional<TimePoint> next = flow->initiator.nextTimer();
@@ -454,48 +462,46 @@
     this->readCaller(flow);
 }
 
-// Passes replies and silence on to Placement. A candidate that was asked and then passed over for the next one, without
-// a reply, was silent.
-void EntryServer::reportReplies(PlainFlow& flow)
+// Candidates that were asked and did not reply in time count as evidence against them.
+void EntryServer::reportSilence(const PlainFlow& flow)
 {
-    const std::vector<CandidateReply>& replies = flow.initiator.replies();
-    const bool isOver = flow.initiator.phase() != InitiatorPhase::Opening;
-    while (flow.reportedReplies < replies.size()) {
-        const CandidateReply& reply = replies[flow.reportedReplies];
-        const bool isAnswered = reply.reply != FrameKind::Open;
-        const bool isLast = flow.reportedReplies + 1 == replies.size();
-        if (!isAnswered && isLast && !isOver)
-            return;
-        const bool isCancelled = flow.end && flow.end->reason == Reason::Cancelled;
-        if (!isAnswered && !reply.queued && !isCancelled)
+    if (flow.end && flow.end->reason == Reason::Cancelled)
+        return; // the caller went away before the time for a reply was over
+    for (const CandidateReply& reply : flow.initiator.replies()) {
+        const bool isAsked = std::find(flow.asked.begin(), flow.asked.end(), reply.upstream) != flow.asked.end();
+        if (isAsked && reply.reply == FrameKind::Open && !reply.queued)
             this->placement.onSilence(reply.upstream);
-        ++flow.reportedReplies;
     }
 }
 
 void EntryServer::logPlacement(PlainFlow& flow)
 {
     flow.isPlaced = true;
+    this->reportSilence(flow);
     const bool isBound = flow.initiator.phase() == InitiatorPhase::Bound || flow.initiator.token().reservation != 0;
     std::string candidates;
     for (const UpstreamId& candidate : flow.candidates)
         candidates += (candidates.empty() ? "" : ",") + this->upstreamName(candidate);
     std::string replies;
+    bool wasQueued = false;
     for (const CandidateReply& reply : flow.initiator.replies()) {
+        if (std::find(flow.asked.begin(), flow.asked.end(), reply.upstream) == flow.asked.end())
+            continue;
         replies += (replies.empty() ? "" : ",") + this->upstreamName(reply.upstream) + ':';
         replies += reply.reply == FrameKind::Open ? "silent" : nameOf(reply.reply);
         if (reply.reason != Reason::None)
             replies += '(' + std::string(nameOf(reply.reason)) + ')';
         if (reply.queued)
             replies += "(queued)";
+        wasQueued = wasQueued || reply.queued;
     }
     const UpstreamId owner = flow.initiator.token().owner;
     std::string reason = "first candidate with room";
     if (!isBound)
         reason = flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
-    else if (!flow.initiator.replies().empty() && flow.initiator.replies().back().queued)
+    else if (wasQueued)
         reason = "shortest queue";
-    else if (flow.initiator.replies().size() > 1)
+    else if (flow.asked.size() > 1)
         reason = "next candidate with room";
     const Milliseconds wait
         = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
@@ -683,7 +689,7 @@
 {
     frame.replyAddress = toString(caller);
     frame.trafficClass = listener.trafficClass;
-    if (frame.token.owner == UpstreamId() && frame.kind == FrameKind::Open && !this->placeBlankOpen(caller, frame)) {
+    if (frame.token.owner == placedByCarriage && frame.kind == FrameKind::Open && !this->placeBlankOpen(caller, frame)) {
         this->refuse(listener, caller, frame, Reason::Overloaded);
         return;
     }
@@ -768,13 +774,19 @@
 void EntryServer::onAgentFrame(UpstreamId from, TrafficClass trafficClass, Frame frame)
 {
     this->placement.onReply(from);
-    if (carriesLoad(frame.kind))
-        this->placement.onLoad(from, frame.load);
     this->noteVersion(frame.configVersion);
-    if (!frame.replyAddress.empty()) {
+    const bool hasLoad = carriesLoad(frame.kind);
+    const Load load = frame.load;
+    if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
-        return;
-    }
+    else
+        this->onPlainFlowFrame(from, trafficClass, frame);
+    if (hasLoad)
+        this->placement.onLoad(from, load); // after a flow was counted as started, which the load includes
+}
+
+void EntryServer::onPlainFlowFrame(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
+{
     const auto found = this->flows.find(frame.flow);
     if (found == this->flows.end()) {
         this->releaseUnknownFlow(from, trafficClass, frame);
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -109,7 +109,8 @@
     void run(const PlainFlowPtr&, InitiatorCommands&);
     void execute(const PlainFlowPtr&, SendToOwner&);
     void afterEvent(const PlainFlowPtr&);
-    void reportReplies(PlainFlow&);
+    static bool lastAskedPassed(const PlainFlow&);
+    void reportSilence(const PlainFlow&);
     void logPlacement(PlainFlow&);
     void eraseFlow(const PlainFlowPtr&);
     void forEachFlowOf(Carrier, const std::function<void(const PlainFlowPtr&)>&);
@@ -125,6 +126,7 @@
 
     // Links and timers
     void onAgentFrame(UpstreamId, TrafficClass, Frame);
+    void onPlainFlowFrame(UpstreamId, TrafficClass, const Frame&);
     void releaseUnknownFlow(UpstreamId, TrafficClass, const Frame&);
     void noteVersion(uint64_t version);
     void scheduleTick();
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -71,6 +71,10 @@
 
 std::string_view nameOf(InitiatorPhase);
 
+// Candidate of a session caller, which knows no upstreams: the entry that forwards the Open fills in the owner. The
+// caller learns the owner from the reply. Each entry of the list passed to start() may have this value.
+inline constexpr UpstreamId placedByCarriage { 0 };
+
 struct InitiatorOptions {
     ServiceId service;
     TrafficClass trafficClass = TrafficClass::Request;
@@ -155,8 +159,8 @@
     bool queueNext(InitiatorCommands& out); // false if no candidate is left to queue at
     void tryNextOrEnd(InitiatorCommands& out);
     void askCandidate(size_t index, bool queued, InitiatorCommands& out);
-    std::optional<size_t> candidateIndex(UpstreamId) const;
-    void bind(const Frame& opened, InitiatorCommands& out);
+    std::optional<size_t> replyingCandidate(UpstreamId owner);
+    void bind(const Frame& opened, size_t index, InitiatorCommands& out);
     void pump(InitiatorCommands& out);
     void sendData(StreamSegment, InitiatorCommands& out);
     void sendAck(InitiatorCommands& out);
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -126,11 +126,20 @@
     this->end(this->lastDecline, this->lastRetryAfter, out);
 }
 
-std::optional<size_t> FlowInitiator::candidateIndex(UpstreamId upstream) const
+// The candidate that this owner replies for. A candidate that the carriage placed takes the name of the first owner
+// that replies.
+std::optional<size_t> FlowInitiator::replyingCandidate(UpstreamId owner)
 {
-    for (size_t index = 0; index < this->candidateReplies.size(); ++index)
-        if (this->candidateReplies[index].upstream == upstream)
+    for (size_t index = 0; index < this->candidateReplies.size(); ++index) {
+        if (this->candidateReplies[index].upstream == owner && this->candidates[index].mayAnswer)
             return index;
+    }
+    for (size_t index = 0; index < this->candidateReplies.size(); ++index) {
+        if (this->candidateReplies[index].upstream != placedByCarriage || !this->candidates[index].mayAnswer)
+            continue;
+        this->candidateReplies[index].upstream = owner;
+        return index;
+    }
     return std::nullopt;
 }
 
@@ -140,20 +149,19 @@
         return;
     const bool mayRebind = this->options.ablations.rebindAfterData && this->state == InitiatorPhase::Bound;
     if (this->state == InitiatorPhase::Opening || mayRebind) {
-        const std::optional<size_t> index = this->candidateIndex(frame.token.owner);
-        if (index && this->candidates[*index].mayAnswer) {
-            this->bind(frame, out);
+        const std::optional<size_t> index = this->replyingCandidate(frame.token.owner);
+        if (index) {
+            this->bind(frame, *index, out);
             return;
         }
     }
     this->sendCancel(frame.token, out);
 }
 
-void FlowInitiator::bind(const Frame& opened, InitiatorCommands& out)
+void FlowInitiator::bind(const Frame& opened, size_t index, InitiatorCommands& out)
 {
     if (this->bound && !this->options.ablations.rebindAfterData)
         reportViolation("a flow names one owner", { { "flow", this->flow } });
-    const size_t index = *this->candidateIndex(opened.token.owner);
     this->candidateReplies[index].reply = FrameKind::Opened;
     this->candidateReplies[index].load = opened.load;
     this->candidates[index].mayAnswer = this->options.ablations.rebindAfterData;
@@ -176,14 +184,19 @@
         if (!this->candidates[index].mayAnswer)
             continue;
         this->candidates[index].mayAnswer = false;
-        this->sendCancel({ this->candidateReplies[index].upstream, 0, 0 }, out);
+        // An Open placed by the carriage may have reached the chosen owner a second time.
+        const UpstreamId upstream = this->candidateReplies[index].upstream;
+        if (upstream != placedByCarriage && upstream != this->chosen.owner)
+            this->sendCancel({ upstream, 0, 0 }, out);
     }
 }
 
 void FlowInitiator::onDeclined(const Frame& frame, InitiatorCommands& out)
 {
-    const std::optional<size_t> index = this->candidateIndex(frame.token.owner);
-    if (this->state != InitiatorPhase::Opening || !index || !this->candidates[*index].mayAnswer)
+    if (this->state != InitiatorPhase::Opening)
+        return;
+    const std::optional<size_t> index = this->replyingCandidate(frame.token.owner);
+    if (!index)
         return;
     // A Pass without a reason cannot answer a queued Open; it is the late reply to the earlier Open.
     const bool queued = this->candidateReplies[*index].queued;
