Test refusals, half-close, back-pressure, sessions and silent links

Cause: the guarantees of the data path had no test. Change: PathTest covers half-close by the upstream, slow readers, a configuration change under an open feed, refusal bytes, drain, the PROXY header, session frames through two entries, invalid frames and a link that goes silent; a flow that is placed again after a failed connect counts at its new owner; a lost link is logged once until it is restored.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -103,29 +103,28 @@
             this->report(UpstreamHealth::Unknown);
             return;
         }
-        http::async_write(
-            current->stream, current->request, [this, current, isAlive](error_code writeError, size_t) {
-                if (!*isAlive)
-                    return;
-                if (writeError) {
-                    this->report(UpstreamHealth::Unknown);
-                    return;
-                }
-                http::async_read(current->stream, current->buffer, current->response,
-                    [this, current, isAlive](error_code readError, size_t) {
-                        if (!*isAlive)
-                            return;
-                        const http::status status = current->response.result();
-                        if (readError)
-                            this->report(UpstreamHealth::Unknown);
-                        else if (status == http::status::ok)
-                            this->report(UpstreamHealth::Ready);
-                        else if (status == http::status::service_unavailable)
-                            this->report(UpstreamHealth::Draining);
-                        else
-                            this->report(UpstreamHealth::Unknown);
-                    });
-            });
+        http::async_write(current->stream, current->request, [this, current, isAlive](error_code writeError, size_t) {
+            if (!*isAlive)
+                return;
+            if (writeError) {
+                this->report(UpstreamHealth::Unknown);
+                return;
+            }
+            http::async_read(current->stream, current->buffer, current->response,
+                [this, current, isAlive](error_code readError, size_t) {
+                    if (!*isAlive)
+                        return;
+                    const http::status status = current->response.result();
+                    if (readError)
+                        this->report(UpstreamHealth::Unknown);
+                    else if (status == http::status::ok)
+                        this->report(UpstreamHealth::Ready);
+                    else if (status == http::status::service_unavailable)
+                        this->report(UpstreamHealth::Draining);
+                    else
+                        this->report(UpstreamHealth::Unknown);
+                });
+        });
     });
 }
 
@@ -290,7 +289,8 @@
     const bool isPlain = open.replyAddress.empty();
     if (this->callers.size() >= maxCallers)
         return;
-    if (this->callers.try_emplace(open.flow, FlowCaller { isPlain ? open.key : open.replyAddress, open.key, this->clock.now() })
+    if (this->callers
+            .try_emplace(open.flow, FlowCaller { isPlain ? open.key : open.replyAddress, open.key, this->clock.now() })
             .second)
         this->callerOrder.emplace_back(this->clock.now(), open.flow);
 }
@@ -317,8 +317,7 @@
             { "slots", static_cast<unsigned>(reply.load.slots) },
             { "queue-length", static_cast<unsigned>(reply.load.queueLength) },
             { "connections", reply.load.connections } });
-    this->metrics.add(
-        "wasabi_reservations_total", "decision=\"" + std::string(nameOf(reply.kind)) + '"');
+    this->metrics.add("wasabi_reservations_total", "decision=\"" + std::string(nameOf(reply.kind)) + '"');
 }
 
 //-----------------------------------------------------------------------------
@@ -412,15 +411,13 @@
 
 void AgentServer::connect(const ConnectUpstream& request)
 {
-    const ConnectionPtr connection
-        = std::make_shared<UpstreamConnection>(this->context, request.flow, this->clock);
+    const ConnectionPtr connection = std::make_shared<UpstreamConnection>(this->context, request.flow, this->clock);
     this->connections[request.flow] = connection;
     const std::shared_ptr<const Snapshot> snapshot = this->store.current();
     const ServiceConfig* service = snapshot ? snapshot->find(request.service) : nullptr;
     const UpstreamConfig* upstream = service ? this->ownConfig(*service) : nullptr;
     if (!upstream) {
-        asio::post(this->context,
-            [this, connection] { this->onConnected(connection, asio::error::host_not_found); });
+        asio::post(this->context, [this, connection] { this->onConnected(connection, asio::error::host_not_found); });
         return;
     }
     if (service->proxyHeader)
@@ -677,8 +674,7 @@
 
 void AgentServer::finishShutdown()
 {
-    const bool isIdle
-        = this->owner.openFlows() == 0 && this->owner.reservations() == 0 && this->connections.empty();
+    const bool isIdle = this->owner.openFlows() == 0 && this->owner.reservations() == 0 && this->connections.empty();
     if (this->isShuttingDown && isIdle && this->drained)
         std::exchange(this->drained, nullptr)();
 }
--- a/backends/Daemon.cpp
+++ b/backends/Daemon.cpp
@@ -67,9 +67,9 @@
     links.heartbeatInterval
         = reader.duration("--heartbeat-interval", links.heartbeatInterval, Milliseconds(50), minute);
     links.heartbeatTimeout = reader.duration("--heartbeat-timeout", links.heartbeatTimeout, Milliseconds(50), minute);
-    links.heartbeatBytesPerSecond
-        = reader.number("--heartbeat-bytes", links.heartbeatBytesPerSecond, 1, 1024 * 1024);
-    settings.platformTimeout = reader.duration("--platform-timeout", settings.platformTimeout, Milliseconds(50), minute);
+    links.heartbeatBytesPerSecond = reader.number("--heartbeat-bytes", links.heartbeatBytesPerSecond, 1, 1024 * 1024);
+    settings.platformTimeout
+        = reader.duration("--platform-timeout", settings.platformTimeout, Milliseconds(50), minute);
     settings.shutdownLimit = reader.duration("--shutdown-limit", Milliseconds(0), Milliseconds(0), 24 * hour);
     settings.checkOnly = reader.boolean("--check", false);
     return settings;
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -97,7 +97,7 @@
     bool upstreamFinished = false;
     bool finSent = false;
     bool isPlaced = false; // the placement line was written
-    bool isCounted = false; // Placement::onFlowStarted was called
+    std::optional<UpstreamId> countedAt; // Placement::onFlowStarted was called for this owner
     bool isClosed = false;
     std::optional<FlowEnded> end;
     std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
@@ -120,10 +120,9 @@
     , clock(timeSource)
     , metrics(counters)
     , links(ioContext, this->options.links, timeSource, counters,
-          LinkPoolHandlers {
-              [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
-                  this->onAgentFrame(upstream, trafficClass, std::move(frame));
-              },
+          LinkPoolHandlers { [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
+                                this->onAgentFrame(upstream, trafficClass, std::move(frame));
+                            },
               [this](UpstreamId upstream, TrafficClass trafficClass) {
                   this->forEachFlowOf(
                       { upstream, trafficClass }, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
@@ -207,8 +206,7 @@
         std::vector<PlacementUpstream> pool;
         for (const UpstreamConfig& upstream : service.upstreams) {
             const UpstreamId id = upstreamIdOf(upstream.name);
-            pool.push_back(
-                { id, upstream.failureDomain, service.slots, upstream.leaving || leaving.contains(id) });
+            pool.push_back({ id, upstream.failureDomain, service.slots, upstream.leaving || leaving.contains(id) });
             this->upstreams[id].name = upstream.name;
             this->upstreams[id].services.insert(service.id());
             this->links.setAddress(id, upstream.agent);
@@ -451,6 +449,12 @@
 {
     if (flow->isClosed)
         return;
+    if (flow->isPlaced && flow->initiator.phase() == InitiatorPhase::Opening) {
+        // The owner handed nothing over, so the flow is placed again.
+        flow->isPlaced = false;
+        if (flow->countedAt)
+            this->placement.onFlowEnded(*std::exchange(flow->countedAt, std::nullopt));
+    }
     if (!flow->isPlaced && (flow->initiator.phase() == InitiatorPhase::Bound || flow->end))
         this->logPlacement(*flow);
     const std::optional<TimePoint> next = flow->initiator.nextTimer();
@@ -503,8 +507,7 @@
         reason = "shortest queue";
     else if (flow.asked.size() > 1)
         reason = "next candidate with room";
-    const Milliseconds wait
-        = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
+    const Milliseconds wait = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
     logEvent(isBound ? Event::FlowPlaced : Event::FlowNotPlaced,
         { { "flow", flow.initiator.id() }, { "service", flow.serviceName }, { "listener", flow.listener },
             { "caller", flow.caller }, { "candidates", candidates }, { "replies", replies },
@@ -513,7 +516,7 @@
     this->metrics.observe("wasabi_placement_seconds", serviceLabel(flow.serviceName), this->clock.now() - flow.started);
     if (!isBound)
         return;
-    flow.isCounted = true;
+    flow.countedAt = owner;
     this->placement.onFlowStarted(owner);
 }
 
@@ -548,8 +551,8 @@
     });
 }
 
-// The flow has ended and everything was written. Only a complete flow and a refusal end in an orderly way: a caller must
-// never take the bytes of a broken flow for a whole answer.
+// The flow has ended and everything was written. Only a complete flow and a refusal end in an orderly way: a caller
+// must never take the bytes of a broken flow for a whole answer.
 void EntryServer::closeCaller(const PlainFlowPtr& flow)
 {
     if (flow->discardUntil)
@@ -612,10 +615,10 @@
         if (found->second.empty())
             this->flowsByCarrier.erase(found);
     }
-    if (flow->isCounted)
-        this->placement.onFlowEnded(flow->initiator.token().owner);
+    if (flow->countedAt)
+        this->placement.onFlowEnded(*flow->countedAt);
     const FlowEnded end = flow->end.value_or(FlowEnded());
-    const std::string owner = flow->isCounted ? this->upstreamName(flow->initiator.token().owner) : "none";
+    const std::string owner = flow->countedAt ? this->upstreamName(*flow->countedAt) : "none";
     const Milliseconds duration = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow->started);
     logEvent(Event::FlowEnded,
         { { "flow", id }, { "service", flow->serviceName }, { "caller", flow->caller }, { "upstream", owner },
@@ -656,8 +659,7 @@
             return;
         for (size_t i = 0; i < datagramsPerWakeup && !error && !listener->closed; ++i) {
             asio::ip::udp::endpoint caller;
-            const size_t size
-                = listener->datagrams.receive_from(asio::buffer(this->readBuffer), caller, 0, error);
+            const size_t size = listener->datagrams.receive_from(asio::buffer(this->readBuffer), caller, 0, error);
             if (!error)
                 this->onDatagram(*listener, fromUdp(caller), { this->readBuffer.data(), size });
         }
@@ -689,7 +691,8 @@
 {
     frame.replyAddress = toString(caller);
     frame.trafficClass = listener.trafficClass;
-    if (frame.token.owner == placedByCarriage && frame.kind == FrameKind::Open && !this->placeBlankOpen(caller, frame)) {
+    if (frame.token.owner == placedByCarriage && frame.kind == FrameKind::Open
+        && !this->placeBlankOpen(caller, frame)) {
         this->refuse(listener, caller, frame, Reason::Overloaded);
         return;
     }
@@ -739,8 +742,7 @@
     const bool isMember = upstream != this->upstreams.end() && upstream->second.services.contains(frame.service);
     std::shared_ptr<Listener> listener;
     for (const auto& [key, candidate] : this->listeners) {
-        if (candidate->service == frame.service
-            && (!listener || candidate->trafficClass == frame.trafficClass))
+        if (candidate->service == frame.service && (!listener || candidate->trafficClass == frame.trafficClass))
             listener = candidate;
     }
     if (!caller || caller.value().port == 0 || !isMember || !listener) {
--- a/backends/HttpServer.cpp
+++ b/backends/HttpServer.cpp
@@ -49,8 +49,7 @@
 private:
     void respond()
     {
-        const bool isRead
-            = this->request.method() == http::verb::get || this->request.method() == http::verb::head;
+        const bool isRead = this->request.method() == http::verb::get || this->request.method() == http::verb::head;
         this->response = { http::status::ok, this->request.version() };
         this->response.set(http::field::content_type, "text/plain");
         if (isRead)
@@ -103,7 +102,8 @@
     : endpoint(address)
     , metrics(counters)
     , acceptor(this->context)
-    , updates(updateRingCapacity, this->context, [this](OperatorStatusPtr& update) { this->status = std::move(update); })
+    , updates(
+          updateRingCapacity, this->context, [this](OperatorStatusPtr& update) { this->status = std::move(update); })
     , status(std::make_shared<OperatorStatus>(OperatorStatus { false, "starting", "{}" }))
 {
 }
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -326,7 +326,8 @@
         asio::ip::tcp::socket(this->context), this->options, this->clock, this->metrics, std::move(linkHandlers));
     peer.link->connect(this->addresses.at(key.first), [this, key] {
         Peer& connectedPeer = this->peers[key];
-        connectedPeer.failedDials = 0;
+        if (std::exchange(connectedPeer.failedDials, 0U) > 0)
+            logEvent(Event::LinkRestored, { { "upstream", key.first }, { "class", nameOf(key.second) } });
         this->metrics.add("wasabi_links_established_total");
         if (std::exchange(connectedPeer.framesLost, false))
             this->handlers.onReestablished(key.first, key.second);
@@ -341,11 +342,12 @@
         return;
     peer.framesLost = true;
     peer.nextDial = this->clock.now() + this->backoff(peer.failedDials);
-    ++peer.failedDials;
     this->metrics.add("wasabi_links_lost_total");
-    logEvent(Event::LinkLost,
-        { { "upstream", key.first }, { "class", nameOf(key.second) }, { "cause", cause },
-            { "open-flows", static_cast<uint64_t>(peer.flows) } });
+    if (peer.failedDials++ == 0) { // one line until the link is up again
+        logEvent(Event::LinkLost,
+            { { "upstream", key.first }, { "class", nameOf(key.second) }, { "cause", cause },
+                { "open-flows", static_cast<uint64_t>(peer.flows) } });
+    }
     this->handlers.onUnreachable(key.first);
 }
 
--- a/daemons/wasabi-agent.cpp
+++ b/daemons/wasabi-agent.cpp
@@ -60,10 +60,8 @@
     flows.receiveWindowBytes = flows.sendBufferBytes;
     AdmissionOptions& admission = options.admission;
     admission.stragglerAfter = reader.duration("--straggler-after", admission.stragglerAfter, least, 60 * minute);
-    admission.queueLimit
-        = static_cast<uint16_t>(reader.number("--queue-limit", admission.queueLimit, 0, UINT16_MAX));
-    admission.maxQueueWait
-        = reader.duration("--max-queue-wait", admission.maxQueueWait, Milliseconds(0), 10 * minute);
+    admission.queueLimit = static_cast<uint16_t>(reader.number("--queue-limit", admission.queueLimit, 0, UINT16_MAX));
+    admission.maxQueueWait = reader.duration("--max-queue-wait", admission.maxQueueWait, Milliseconds(0), 10 * minute);
     admission.rampDuration = reader.duration("--ramp", admission.rampDuration, Milliseconds(0), 60 * minute);
     options.maxLinks = reader.number("--max-links", options.maxLinks, 1, 100000);
     return options;
--- a/daemons/wasabi-entry.cpp
+++ b/daemons/wasabi-entry.cpp
@@ -44,8 +44,7 @@
     options.listenAddress = reader.ipAddress("--listen-address");
     InitiatorOptions& flows = options.flows;
     flows.openTimeout = reader.duration("--open-timeout", flows.openTimeout, Milliseconds(10), minute);
-    flows.heartbeatInterval
-        = reader.duration("--flow-heartbeat", flows.heartbeatInterval, Milliseconds(50), minute);
+    flows.heartbeatInterval = reader.duration("--flow-heartbeat", flows.heartbeatInterval, Milliseconds(50), minute);
     flows.sendBufferBytes
         = reader.number("--flow-buffer-bytes", flows.sendBufferBytes, maxPayloadBytes, 16 * 1024 * 1024);
     flows.receiveWindowBytes = flows.sendBufferBytes;
--- a/tests/PathProcessTest.cpp
+++ b/tests/PathProcessTest.cpp
@@ -102,8 +102,7 @@
             tcp::socket socket(this->context);
             error_code error;
             socket.connect({ asio::ip::make_address(address), port }, error);
-            const std::string request
-                = "GET " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            const std::string request = "GET " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
             std::string response;
             if (!error)
                 asio::write(socket, asio::buffer(request), error);
--- a/tests/PathTest.cpp
+++ b/tests/PathTest.cpp
@@ -217,6 +217,16 @@
             return socket;
         }
 
+        static bool counted(const Metrics& metrics, const std::string& labels, uint64_t count)
+        {
+            for (int i = 0; i < 500; ++i) {
+                if (metrics.counter("wasabi_invalid_frames_total", labels) >= count)
+                    return true;
+                std::this_thread::sleep_for(10ms);
+            }
+            return false;
+        }
+
         SystemClock clock;
         Metrics entryMetrics;
         Metrics agentMetrics;
@@ -268,5 +278,408 @@
         EXPECT_TRUE(received == sent);
     }
 
+    // Guards against an upstream's half-close that ends the direction of the caller.
+    TEST_F(PathTest, CallerGoesOnAfterTheUpstreamFinished)
+    {
+        std::promise<std::string> received;
+        Upstream finishing([&](tcp::socket& socket) {
+            error_code error;
+            asio::write(socket, asio::buffer(std::string("greeting")), error);
+            socket.shutdown(tcp::socket::shutdown_send, error);
+            received.set_value(readToEnd(socket, error));
+        });
+        this->startPath(finishing.endpoint());
+        tcp::socket caller = this->connect("orders");
+        error_code error;
+        EXPECT_EQ(readToEnd(caller, error), "greeting");
+        EXPECT_EQ(error, asio::error::eof);
+        asio::write(caller, asio::buffer(std::string("late order")));
+        caller.shutdown(tcp::socket::shutdown_send);
+        EXPECT_EQ(received.get_future().get(), "late order");
+    }
+
+    // Guards against a caller or an upstream that does not read: the other end must be slowed down, and no process may
+    // collect the bytes.
+    TEST_F(PathTest, SlowReadersStopTheSender)
+    {
+        std::promise<void> mayRead;
+        std::shared_future<void> start = mayRead.get_future().share();
+        const size_t size = 32 * 1024 * 1024;
+        Upstream slow([&](tcp::socket& socket) {
+            start.wait_for(testTimeout);
+            error_code error;
+            const std::string bytes = readToEnd(socket, error);
+            asio::write(socket, asio::buffer(std::to_string(bytes.size())), error);
+        });
+        this->startPath(slow.endpoint());
+        tcp::socket caller = this->connect("sheets");
+        caller.non_blocking(true);
+        const std::string bytes(size, 'x');
+        size_t sent = 0;
+        error_code error;
+        const TimePoint limit = this->clock.now() + 1s;
+        while (sent < size && this->clock.now() < limit) {
+            sent += caller.write_some(asio::buffer(bytes.data() + sent, size - sent), error);
+            if (error)
+                std::this_thread::sleep_for(1ms);
+        }
+        EXPECT_LT(sent, size) << "all bytes were taken although the upstream read none";
+        mayRead.set_value();
+        caller.non_blocking(false);
+        asio::write(caller, asio::buffer(bytes.data() + sent, size - sent));
+        caller.shutdown(tcp::socket::shutdown_send);
+        EXPECT_EQ(readToEnd(caller, error), std::to_string(size));
+    }
+
+    // Guards against a configuration change that breaks an open flow or does not take effect.
+    TEST_F(PathTest, FeedStaysOpenAcrossAConfigurationChange)
+    {
+        Upstream echoing(echo);
+        this->startPath(echoing.endpoint());
+        tcp::socket feed = this->connect("alerts");
+        const auto roundTrip = [&feed] {
+            asio::write(feed, asio::buffer(std::string("alert")));
+            std::string answer(5, '\0');
+            asio::read(feed, asio::buffer(answer));
+            return answer;
+        };
+        EXPECT_EQ(roundTrip(), "alert");
+        const Endpoint orders = this->listener("orders");
+        const std::shared_ptr<Snapshot> changed = this->snapshot(2);
+        ServiceConfig& service = changed->services.front();
+        std::erase_if(service.listeners, [](const ListenerConfig& listener) { return listener.name != "sheets"; });
+        service.listeners.push_back({ "labels", { "127.0.0.1", 0 }, TrafficClass::Request });
+        service.upstreams.front().leaving = true;
+        this->publish(changed);
+        EXPECT_EQ(roundTrip(), "alert");
+        EXPECT_NE(this->listener("labels").port, 0);
+        tcp::socket late(this->callerContext);
+        error_code error;
+        late.connect(toTcp(orders), error);
+        EXPECT_EQ(error, asio::error::connection_refused);
+        this->publish(this->snapshot(1));
+        EXPECT_NE(this->listener("labels").port, 0) << "an older version must not take effect";
+        EXPECT_EQ(roundTrip(), "alert");
+    }
+
+    // Guards against a false "not run": the refusal bytes may be sent only if no byte reached an upstream.
+    TEST_F(PathTest, RefusalBytesAreSentOnlyWhenNothingRan)
+    {
+        tcp::acceptor unused(this->callerContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        const Endpoint closedPort = fromTcp(unused.local_endpoint());
+        unused.close();
+        this->startPath(closedPort);
+        error_code error;
+        tcp::socket caller = this->connect("orders");
+        asio::write(caller, asio::buffer(std::string("order")));
+        EXPECT_EQ(readToEnd(caller, error), "not run\n");
+        EXPECT_EQ(error, asio::error::eof);
+
+        Upstream resetting([](tcp::socket& socket) {
+            std::string order(5, '\0');
+            error_code ignored;
+            asio::read(socket, asio::buffer(order), ignored);
+            resetConnection(socket);
+        });
+        this->upstream = resetting.endpoint();
+        this->publish(this->snapshot(2));
+        tcp::socket broken = this->connect("orders");
+        asio::write(broken, asio::buffer(std::string("order")));
+        EXPECT_EQ(readToEnd(broken, error), "");
+        EXPECT_EQ(error, asio::error::connection_reset);
+        EXPECT_EQ(resetting.connections, 1U);
+    }
+
+    // Guards against work that runs after a refusal, and against an agent that takes work while it drains.
+    TEST_F(PathTest, DrainingUpstreamGetsNoNewFlow)
+    {
+        Upstream echoing(echo);
+        this->startPath(echoing.endpoint());
+        this->agentThread.call([this] { this->agent->applyHealth(UpstreamHealth::Draining); });
+        tcp::socket caller = this->connect("orders");
+        error_code error;
+        EXPECT_EQ(readToEnd(caller, error), "not run\n");
+        EXPECT_EQ(echoing.connections, 0U);
+        this->agentThread.call([this] { this->agent->applyHealth(UpstreamHealth::Ready); });
+        tcp::socket next = this->connect("orders");
+        asio::write(next, asio::buffer(std::string("order")));
+        next.shutdown(tcp::socket::shutdown_send);
+        EXPECT_EQ(readToEnd(next, error), "order");
+    }
+
+    // Guards against a PROXY header that names the wrong caller or counts as bytes of the flow.
+    TEST_F(PathTest, ProxyHeaderNamesTheCaller)
+    {
+        std::promise<std::string> received;
+        Upstream recording([&](tcp::socket& socket) {
+            error_code error;
+            received.set_value(readToEnd(socket, error));
+        });
+        this->startPath(recording.endpoint());
+        const std::shared_ptr<Snapshot> changed = this->snapshot(2);
+        changed->services.front().proxyHeader = true;
+        this->publish(changed);
+        tcp::socket caller = this->connect("orders");
+        const tcp::endpoint local = caller.local_endpoint();
+        asio::write(caller, asio::buffer(std::string("order")));
+        caller.shutdown(tcp::socket::shutdown_send);
+        const std::string bytes = received.get_future().get();
+        ASSERT_EQ(bytes.size(), 28U + 5U);
+        EXPECT_EQ(bytes.substr(0, 12), std::string("\r\n\r\n\0\r\nQUIT\n", 12));
+        EXPECT_EQ(bytes.substr(12, 4), std::string("\x21\x11\0\x0c", 4));
+        EXPECT_EQ(bytes.substr(16, 4), std::string("\x7f\0\0\x01", 4));
+        const unsigned port = static_cast<unsigned char>(bytes[24]) * 256U + static_cast<unsigned char>(bytes[25]);
+        EXPECT_EQ(port, local.port());
+        EXPECT_EQ(bytes.substr(28), "order");
+    }
+
+    // Guards against frames that only the entry which saw the Open could forward.
+    TEST_F(PathTest, SessionFramesThroughTwoEntriesAreAnsweredWhole)
+    {
+        Upstream echoing(echo);
+        this->startPath(echoing.endpoint(), 2);
+        const std::array<Endpoint, 2> entryAddresses { this->listener("orders", 0), this->listener("orders", 1) };
+        udp::socket socket(this->callerContext, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        socket.non_blocking(true);
+        std::mt19937_64 random(20261204);
+
+        InitiatorOptions options;
+        options.service = serviceIdOf("core");
+        options.datagrams = true;
+        options.maxPayloadBytes = 1100;
+        options.requestId = "registration-1";
+        FlowInitiator flow(randomFlowId(), options, this->clock);
+        const std::string sent = randomBytes(300 * 1024);
+        std::string received;
+        size_t written = 0;
+        FlowOutcome outcome = FlowOutcome::Open;
+        std::array<unsigned, 2> framesSent {};
+        const auto execute = [&](InitiatorCommands& commands) {
+            std::vector<Frame> frames;
+            size_t delivered = 0;
+            for (InitiatorCommand& command : commands) {
+                if (SendToOwner* send = std::get_if<SendToOwner>(&command))
+                    frames.push_back(std::move(send->frame));
+                else if (DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command)) {
+                    received += deliver->bytes;
+                    delivered += deliver->bytes.size();
+                } else if (FlowEnded* end = std::get_if<FlowEnded>(&command))
+                    outcome = end->outcome;
+            }
+            commands.clear();
+            std::shuffle(frames.begin(), frames.end(), random);
+            for (const Frame& frame : frames) {
+                const size_t entry = random() % entryAddresses.size();
+                ++framesSent.at(entry);
+                error_code ignored;
+                socket.send_to(asio::buffer(encodeFrame(frame)), toUdp(entryAddresses.at(entry)), 0, ignored);
+            }
+            return delivered;
+        };
+        const std::function<void(InitiatorCommands&)> run = [&](InitiatorCommands& commands) {
+            while (const size_t delivered = execute(commands))
+                flow.onDelivered(delivered, commands);
+            execute(commands);
+        };
+
+        InitiatorCommands commands;
+        flow.start({ placedByCarriage, placedByCarriage }, commands);
+        run(commands);
+        const TimePoint limit = this->clock.now() + testTimeout;
+        std::vector<char> buffer(64 * 1024);
+        while (outcome == FlowOutcome::Open && this->clock.now() < limit) {
+            if (written < sent.size()) {
+                written += flow.write(std::string_view(sent).substr(written), commands);
+                if (written == sent.size())
+                    flow.finishWriting(commands);
+            }
+            error_code error;
+            udp::endpoint from;
+            const size_t size = socket.receive_from(asio::buffer(buffer), from, 0, error);
+            if (!error) {
+                const Result<Frame> frame = decodeFrame({ buffer.data(), size });
+                ASSERT_TRUE(frame.has_value());
+                EXPECT_TRUE(frame.value().replyAddress.empty());
+                flow.onFrame(frame.value(), commands);
+            } else
+                std::this_thread::sleep_for(200us);
+            const std::optional<TimePoint> due = flow.nextTimer();
+            if (due && *due <= this->clock.now())
+                flow.onTimer(commands);
+            run(commands);
+        }
+        EXPECT_EQ(nameOf(outcome), nameOf(FlowOutcome::Completed));
+        EXPECT_TRUE(received == sent) << received.size() << " of " << sent.size() << " bytes";
+        EXPECT_GT(framesSent[0], 0U);
+        EXPECT_GT(framesSent[1], 0U);
+        EXPECT_EQ(echoing.connections, 1U);
+    }
+
+    // Guards against a crash or unbounded memory use caused by bytes that are no valid frame.
+    TEST_F(PathTest, InvalidFramesAreCounted)
+    {
+        Upstream echoing(echo);
+        this->startPath(echoing.endpoint());
+        const Endpoint orders = this->listener("orders");
+        udp::socket socket(this->callerContext, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        std::mt19937_64 random(20261204);
+        for (size_t i = 0; i < 200; ++i) {
+            std::string bytes(random() % 200, '\0');
+            for (char& byte : bytes)
+                byte = static_cast<char>(random());
+            socket.send_to(asio::buffer(bytes), toUdp(orders));
+        }
+        Frame frame;
+        frame.kind = FrameKind::Open;
+        frame.flow = randomFlowId();
+        frame.service = serviceIdOf("other");
+        socket.send_to(asio::buffer(encodeFrame(frame)), toUdp(orders));
+        std::vector<char> buffer(64 * 1024);
+        const size_t size = socket.receive(asio::buffer(buffer));
+        const Result<Frame> reply = decodeFrame({ buffer.data(), size });
+        ASSERT_TRUE(reply.has_value());
+        EXPECT_EQ(nameOf(reply.value().kind), nameOf(FrameKind::Refused));
+        EXPECT_EQ(nameOf(reply.value().reason), nameOf(Reason::WrongService));
+        frame.kind = FrameKind::Data;
+        frame.service = serviceIdOf("core");
+        frame.token = { upstreamIdOf("unknown"), 1, 1 };
+        socket.send_to(asio::buffer(encodeFrame(frame)), toUdp(orders));
+        frame.kind = FrameKind::Closed;
+        socket.send_to(asio::buffer(encodeFrame(frame)), toUdp(orders));
+        EXPECT_TRUE(this->counted(this->entryMetrics, "source=\"datagram\",cause=\"decode\"", 200));
+        EXPECT_TRUE(this->counted(this->entryMetrics, "source=\"datagram\",cause=\"service\"", 1));
+        EXPECT_TRUE(this->counted(this->entryMetrics, "source=\"datagram\",cause=\"owner\"", 1));
+        EXPECT_TRUE(this->counted(this->entryMetrics, "source=\"datagram\",cause=\"kind\"", 1));
+
+        tcp::socket link(this->callerContext);
+        link.connect(toTcp(this->agentEndpoint));
+        std::string bytes("\x04\0\0\0junk", 8);
+        asio::write(link, asio::buffer(bytes));
+        EXPECT_TRUE(this->counted(this->agentMetrics, "source=\"link\",cause=\"decode\"", 1));
+        bytes = "\xff\xff\xff\xff";
+        asio::write(link, asio::buffer(bytes));
+        EXPECT_TRUE(this->counted(this->agentMetrics, "source=\"link\",cause=\"size-prefix\"", 1));
+        error_code error;
+        readToEnd(link, error);
+        EXPECT_TRUE(error) << "a link with an invalid size prefix must be closed";
+
+        tcp::socket caller = this->connect("orders");
+        asio::write(caller, asio::buffer(std::string("order")));
+        caller.shutdown(tcp::socket::shutdown_send);
+        EXPECT_EQ(readToEnd(caller, error), "order");
+    }
+
+    // Forwards connections until it is told to go silent: then it keeps them open and drops their bytes, as a path does
+    // that has lost the connection state. New connections work.
+    class SilencingRelay {
+    public:
+        explicit SilencingRelay(const Endpoint& target)
+            : destination(target)
+        {
+            this->relayThread.call([this] {
+                this->acceptor.emplace(this->relayThread.context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+                this->accept();
+            });
+        }
+
+        Endpoint endpoint()
+        {
+            return this->relayThread.call([this] { return fromTcp(this->acceptor->local_endpoint()); });
+        }
+        void silenceOpenConnections()
+        {
+            this->relayThread.call([this] {
+                for (const std::shared_ptr<Pair>& pair : this->pairs)
+                    pair->silent = true;
+            });
+        }
+
+    private:
+        struct Pair {
+            explicit Pair(tcp::socket accepted)
+                : ends { std::move(accepted), tcp::socket(ends[0].get_executor()) }
+            {
+            }
+            std::array<tcp::socket, 2> ends;
+            std::array<std::array<char, 16384>, 2> buffers {};
+            bool silent = false;
+        };
+
+        void accept()
+        {
+            this->acceptor->async_accept([this](error_code error, tcp::socket accepted) {
+                if (error)
+                    return;
+                const std::shared_ptr<Pair> pair = std::make_shared<Pair>(std::move(accepted));
+                pair->ends[1].connect(toTcp(this->destination), error);
+                this->pairs.push_back(pair);
+                this->forward(pair, 0);
+                this->forward(pair, 1);
+                this->accept();
+            });
+        }
+
+        void forward(const std::shared_ptr<Pair>& pair, size_t from)
+        {
+            pair->ends.at(from).async_read_some(
+                asio::buffer(pair->buffers.at(from)), [this, pair, from](error_code error, size_t size) {
+                    if (pair->silent && !error) {
+                        this->forward(pair, from);
+                        return;
+                    }
+                    if (pair->silent)
+                        return; // not even the end of the connection gets through
+                    error_code writeError;
+                    asio::write(pair->ends.at(1 - from), asio::buffer(pair->buffers.at(from).data(), size), writeError);
+                    if (error || writeError) {
+                        pair->ends[0].close(writeError);
+                        pair->ends[1].close(writeError);
+                        return;
+                    }
+                    this->forward(pair, from);
+                });
+        }
+
+        Endpoint destination;
+        std::optional<tcp::acceptor> acceptor;
+        std::vector<std::shared_ptr<Pair>> pairs;
+        TrafficThread relayThread; // last: ends before what its handlers use
+    };
+
+    // Guards against a feed that stays silent when the path loses an established link, and against lost or repeated
+    // bytes when it resumes. The bound of 5 s is a target of the design page.
+    TEST_F(PathTest, SilentFeedResumesWithinFiveSeconds)
+    {
+        std::promise<void> silenced;
+        std::shared_future<void> mayAlert = silenced.get_future().share();
+        Upstream alerting([&](tcp::socket& socket) {
+            error_code error;
+            asio::write(socket, asio::buffer(std::string("first,")), error);
+            mayAlert.wait_for(testTimeout);
+            asio::write(socket, asio::buffer(std::string("second")), error);
+            socket.shutdown(tcp::socket::shutdown_send, error);
+            readToEnd(socket, error);
+        });
+        this->startPath(alerting.endpoint());
+        SilencingRelay relay(this->agentEndpoint);
+        this->agentEndpoint = relay.endpoint();
+        this->publish(this->snapshot(2));
+        tcp::socket feed = this->connect("alerts");
+        std::string first(6, '\0');
+        asio::read(feed, asio::buffer(first));
+        EXPECT_EQ(first, "first,");
+        relay.silenceOpenConnections();
+        const TimePoint start = this->clock.now();
+        silenced.set_value();
+        error_code error;
+        EXPECT_EQ(readToEnd(feed, error), "second");
+        EXPECT_LT(this->clock.now() - start, 5s);
+        feed.shutdown(tcp::socket::shutdown_send);
+        // The relay must not end before the last bytes went through it.
+        for (int i = 0; i < 500 && this->agentThread.call([this] { return this->agent->openFlows(); }) > 0; ++i)
+            std::this_thread::sleep_for(10ms);
+        EXPECT_EQ(this->agentThread.call([this] { return this->agent->openFlows(); }), 0U);
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -39,6 +39,7 @@
         EventInfo { Event::FlowEnded, Severity::Info, "flow-ended" },
         EventInfo { Event::SessionFlowPlaced, Severity::Info, "session-flow-placed" },
         EventInfo { Event::SessionFlowReply, Severity::Info, "session-flow-reply" },
+        EventInfo { Event::LinkRestored, Severity::Info, "link-restored" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::InvariantViolated, Severity::Error, "invariant-violated" },
     };
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -43,6 +43,7 @@
     FlowEnded = 4104,
     SessionFlowPlaced = 4105,
     SessionFlowReply = 4106,
+    LinkRestored = 4107,
     SettingsRejected = 5001,
     InvariantViolated = 9001,
 };
