--- a/tests/PathTest.cpp
+++ b/tests/PathTest.cpp
@@ -582,6 +582,8 @@
             });
         }
 
+        ~SilencingRelay() { this->relayThread.stop(); }
+
         Endpoint endpoint()
         {
             return this->relayThread.call([this] { return fromTcp(this->acceptor->local_endpoint()); });
@@ -641,9 +643,9 @@
         }
 
         Endpoint destination;
+        TrafficThread relayThread; // its context outlives the sockets
         std::optional<tcp::acceptor> acceptor;
         std::vector<std::shared_ptr<Pair>> pairs;
-        TrafficThread relayThread; // last: ends before what its handlers use
     };
 
     // Guards against a feed that stays silent when the path loses an established link, and against lost or repeated
