Let a reservation follow its flow to a new link

After a link loss between Open and Data, the repeated Open moved the route but left the flow marked as lost, and frames of the new link were then taken for those of a replaced one; the agent stayed silent. FlowFixture.ReservationFollowsTheFlowToANewLink guards it.

--- a/tests/FlowModelTest.cpp
+++ b/tests/FlowModelTest.cpp
@@ -453,6 +453,12 @@
         this->lossPercent = step.amount % 60;
         break;
     case StepKind::ResetLinks:
+        if (this->options.datagrams) // the link of one entry
+            this->onHost(target, Milliseconds(0), [this, target, entry = 1U + step.amount % 3] {
+                OwnerCommands owned;
+                this->hosts[target].owner->onLinkLost(entry, owned);
+                this->handle(target, owned);
+            });
         for (size_t index = 0; index < this->callers.size(); ++index)
             if (!this->options.datagrams)
                 this->resetLink(index, target);
@@ -603,7 +609,7 @@
     // Guards R3, R4, R5 and the end of every flow when frames are lost, repeated, reordered and delayed.
     TEST(FlowModel, InvariantsHoldOverDatagrams)
     {
-        const Findings sum = runCases({ .datagrams = true, .naive = false, .ablations = {} }, 400);
+        const Findings sum = runCases({ .datagrams = true, .naive = false, .ablations = {} }, 1000);
         EXPECT_GT(sum.completed, sum.flows / 4);
         EXPECT_GT(sum.notRun, 0U);
     }
@@ -611,7 +617,7 @@
     // Guards the same when links are reset and resume by offset.
     TEST(FlowModel, InvariantsHoldOverTcpLinks)
     {
-        const Findings sum = runCases({ .datagrams = false, .naive = false, .ablations = {} }, 400);
+        const Findings sum = runCases({ .datagrams = false, .naive = false, .ablations = {} }, 1000);
         EXPECT_GT(sum.completed, sum.flows / 4);
         EXPECT_GT(sum.notRun, 0U);
     }
--- a/tests/FlowTest.cpp
+++ b/tests/FlowTest.cpp
@@ -430,6 +430,18 @@
         EXPECT_EQ(delivered, "alert 1 alert 2");
     }
 
+    // Guards against an agent that stays silent: the link was lost between Open and Data, and Open came again.
+    TEST_F(FlowFixture, ReservationFollowsTheFlowToANewLink)
+    {
+        Agent agent(first, 11, this->clock);
+        reserve(agent);
+        OwnerCommands out;
+        agent.owner.onLinkLost(agent.route.link, out);
+        agent.route.link = 2;
+        const OwnerToken token = reserve(agent);
+        EXPECT_EQ(only<SendToInitiator>(agent.take(frameFor(FrameKind::Data, token))).at(0).route.link, 2U);
+    }
+
     // Guards R1: an idle feed and a paused agent are no reason to abandon a flow, a silent initiator is.
     TEST_F(FlowFixture, AbandonsOnlyASilentInitiator)
     {
--- a/wasabicroft/FlowOwner.cpp
+++ b/wasabicroft/FlowOwner.cpp
@@ -167,7 +167,7 @@
         if (flow->service == frame.service) {
             // Before the first Data the initiator may open again through another entry.
             if (flow->phase == FlowPhase::Queued || flow->phase == FlowPhase::Reserved)
-                flow->route = route;
+                this->noteHeard(*flow, route);
             if (flow->phase != FlowPhase::Queued) {
                 this->sendOpened(frame.flow, *flow, out);
                 return;
