Keep the back-off while a published state stays invalid

Only an answer that ends the read resets it now; watchers retry within 2 s, others within the poll interval. The tests also cover rollback, outage, mixed publications and the naive reader.

--- a/backends/PlatformReader.cpp
+++ b/backends/PlatformReader.cpp
@@ -152,8 +152,8 @@
 // State of the control thread. Everything but status is used on that thread only.
 class PlatformReader::Loop {
 public:
-    Loop(PlatformReaderOptions readerOptions_, const Clock& time, std::function<void(PlatformUpdate)> deliverUpdate)
-        : options(std::move(readerOptions_))
+    Loop(PlatformReaderOptions loopOptions, const Clock& time, std::function<void(PlatformUpdate)> deliverUpdate)
+        : options(std::move(loopOptions))
         , clock(time)
         , deliver(std::move(deliverUpdate))
         , reader(readerOptions(this->options), time)
@@ -253,7 +253,7 @@
     {
         this->calls.at(static_cast<size_t>(call.stream)).reset();
         if (result.kind == CallResult::Kind::Value)
-            this->reader.onValue(call, result.index, std::move(result.bytes));
+            this->reader.onValue(call, result.index, result.bytes);
         else if (result.kind == CallResult::Kind::NotModified)
             this->reader.onNotModified(call);
         else
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -10,8 +10,11 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <condition_variable>
+#include <deque>
 #include <gtest/gtest.h>
+#include <random>
 #include <rapidcheck/gtest.h>
+#include <thread>
 
 namespace wasabicroft {
 namespace {
@@ -113,5 +116,468 @@
         EXPECT_TRUE(running.recorder.waitForVersion(2));
     }
 
+    TEST(PlatformReader, UnchangedValuesAreNotReadAgain)
+    {
+        FakePlatform platform;
+        std::vector<ServiceConfig> services = samples::twoServices();
+        platform.publish(publish(1, 1, services));
+        RunningReader running(platform);
+        ASSERT_TRUE(running.recorder.waitForVersion(1));
+        EXPECT_EQ(platform.counters().valueReads, 2u);
+        services[0].slots = 9;
+        platform.publish(publish(1, 2, services));
+        ASSERT_TRUE(running.recorder.waitForVersion(2));
+        EXPECT_EQ(platform.counters().valueReads, 3u);
+    }
+
+    TEST(PlatformReader, WatchersWatchAndOthersPoll)
+    {
+        FakePlatform platform;
+        platform.publish(samples::published(1, 4));
+        std::vector<Member> members;
+        for (int i = 1; i <= 12; ++i)
+            members.push_back(samples::member("entry-" + std::to_string(i)));
+        platform.setMembers(members);
+        std::vector<std::unique_ptr<RunningReader>> readers;
+        for (const Member& member : members)
+            readers.push_back(std::make_unique<RunningReader>(platform, member.name));
+        size_t watchers = 0;
+        for (const std::unique_ptr<RunningReader>& running : readers) {
+            ASSERT_TRUE(running->recorder.waitForVersion(1));
+            ASSERT_TRUE(running->recorder.waitForMembers(members.size()));
+            watchers += running->reader.status().watches ? 1 : 0;
+        }
+        EXPECT_EQ(watchers, WatcherOptions().watchersPerDomain);
+    }
+
+    TEST(PlatformReader, HintFetchesAtOnce)
+    {
+        FakePlatform platform;
+        platform.publish(samples::published(1, 4));
+        PlatformReaderOptions options = RunningReader::options(platform, "entry-1");
+        options.timing.pollInterval = Milliseconds(3600000);
+        SystemClock clock;
+        Recorder recorder;
+        PlatformReader reader(options, clock, [&](const PlatformUpdate& update) { recorder.take(update); });
+        reader.start();
+        ASSERT_TRUE(recorder.waitForVersion(1));
+        const PublishedConfig next = samples::published(2, 5);
+        platform.publish(next);
+        reader.hint(versionOf(*samples::snapshotOf(next)));
+        EXPECT_TRUE(recorder.waitForVersion(2));
+    }
+
+    TEST(PlatformReader, OutageKeepsTheVersionAndRecoveryBringsTheNext)
+    {
+        FakePlatform platform;
+        platform.publish(samples::published(1, 4));
+        platform.setMember(samples::member("entry-1"));
+        RunningReader running(platform);
+        ASSERT_TRUE(running.recorder.waitForVersion(1));
+        ASSERT_TRUE(running.recorder.waitForMembers(1));
+        platform.setDown(true);
+        platform.publish(samples::published(2, 5));
+        std::this_thread::sleep_for(Milliseconds(300));
+        EXPECT_EQ(running.recorder.last().version, 1u);
+        platform.setDown(false);
+        EXPECT_TRUE(running.recorder.waitForVersion(2));
+        platform.setStale(true);
+        platform.publish(samples::published(3, 6));
+        std::this_thread::sleep_for(Milliseconds(300));
+        EXPECT_EQ(running.recorder.last().version, 2u);
+        platform.setStale(false);
+        EXPECT_TRUE(running.recorder.waitForVersion(3));
+    }
+
+    TEST(PlatformReader, RollbackAndInvalidStatesChangeNothing)
+    {
+        FakePlatform platform;
+        platform.publish(samples::published(1, 4));
+        platform.publish(samples::published(2, 5));
+        RunningReader running(platform);
+        ASSERT_TRUE(running.recorder.waitForVersion(2));
+        ASSERT_TRUE(platform.rollBack(1));
+        std::this_thread::sleep_for(Milliseconds(300));
+        EXPECT_EQ(running.recorder.last().version, 2u);
+        platform.setKey(std::string(manifestKey), "{}");
+        std::this_thread::sleep_for(Milliseconds(300));
+        EXPECT_EQ(running.recorder.last().version, 2u);
+        EXPECT_GT(running.reader.status().rejected, 0u);
+        platform.publish(samples::published(3, 6));
+        EXPECT_TRUE(running.recorder.waitForVersion(3));
+    }
+
+    TEST(FakePlatform, RefusesWritesOnTheReadersPort)
+    {
+        FakePlatform platform;
+        platform.publish(samples::published(1, 4));
+        boost::asio::io_context context;
+        beast::tcp_stream stream(context);
+        stream.connect({ boost::asio::ip::make_address(platform.endpoint().address), platform.endpoint().port });
+        for (const http::verb verb : { http::verb::put, http::verb::post, http::verb::delete_ }) {
+            http::request<http::string_body> request(verb, "/v1/keys/manifest", 11);
+            request.body() = "{}";
+            request.prepare_payload();
+            http::write(stream, request);
+            beast::flat_buffer buffer;
+            http::response<http::string_body> response;
+            http::read(stream, buffer, response);
+            EXPECT_EQ(response.result(), http::status::method_not_allowed);
+        }
+        EXPECT_EQ(platform.counters().refusedWrites, 3u);
+    }
+
+    //-------------------------------------------------------------------------
+    // Decisions under a manual clock
+    //-------------------------------------------------------------------------
+
+    // Keys of a platform in memory; publications may be interleaved key by key.
+    class KeyTable {
+    public:
+        struct Value {
+            std::optional<std::string> bytes;
+            uint64_t index = 0;
+        };
+
+        void set(const std::string& key, const std::string& bytes) { this->values[key] = { bytes, ++this->lastIndex }; }
+
+        void setAll(const PublishedConfig& config)
+        {
+            for (const auto& [service, bytes] : config.values)
+                this->set(serviceKey(service), bytes);
+            this->set(std::string(manifestKey), config.manifest);
+        }
+
+        Value get(const std::string& key) const
+        {
+            const auto found = this->values.find(key);
+            return found == this->values.end() ? Value() : found->second;
+        }
+
+        bool isDown = false;
+
+    private:
+        std::map<std::string, Value> values;
+        uint64_t lastIndex = 0;
+    };
+
+    ConfigReaderOptions manualOptions(uint64_t seed)
+    {
+        ConfigReaderOptions options;
+        options.self = "entry-1";
+        options.seed = seed;
+        return options;
+    }
+
+    // A ConfigReader that reads a KeyTable, one call a step.
+    class SteppedReader {
+    public:
+        SteppedReader(const KeyTable& table, ManualClock& clock, uint64_t seed)
+            : reader(manualOptions(seed), clock)
+            , table(table)
+            , clock(clock)
+        {
+        }
+
+        // Makes the next call, after a pause if none is due.
+        void step()
+        {
+            const TimePoint due = this->reader.nextCallTime(PlatformStream::Config);
+            if (due > this->clock.now())
+                this->clock.set(due);
+            const std::optional<PlatformCall> call = this->reader.nextCall(PlatformStream::Config);
+            ASSERT_TRUE(call);
+            const KeyTable::Value value = this->table.get(call->key);
+            if (this->table.isDown)
+                this->reader.onFailure(*call, "down");
+            else if (call->knownIndex == value.index)
+                this->reader.onNotModified(*call);
+            else
+                this->reader.onValue(*call, value.index, value.bytes);
+            this->collect();
+        }
+
+        void offer(const std::shared_ptr<const Snapshot>& snapshot)
+        {
+            this->reader.offer(snapshot);
+            this->collect();
+        }
+
+        void collect()
+        {
+            const PlatformUpdate update = this->reader.takeUpdate();
+            if (!update.snapshot)
+                return;
+            this->reverts += this->inForce && versionOf(*update.snapshot) <= versionOf(*this->inForce) ? 1 : 0;
+            this->inForce = update.snapshot;
+            for (const ServiceConfig& service : this->inForce->services)
+                this->mixes += service.slots != this->inForce->services.front().slots ? 1 : 0;
+        }
+
+        ConfigReader reader;
+        std::shared_ptr<const Snapshot> inForce;
+        unsigned reverts = 0; // deliveries that were not newer than the one before
+        unsigned mixes = 0; // values of different publications in one snapshot
+
+    private:
+        const KeyTable& table;
+        ManualClock& clock;
+    };
+
+    // Takes whatever it reads: no digests, no order of versions. The baseline of the differential test.
+    class NaiveReader {
+    public:
+        explicit NaiveReader(const KeyTable& table)
+            : table(table)
+        {
+        }
+
+        void step()
+        {
+            if (this->table.isDown)
+                return;
+            const std::vector<std::string> keys = { std::string(manifestKey), "services/alerts", "services/labels" };
+            const std::optional<std::string> bytes = this->table.get(keys[this->position]).bytes;
+            if (bytes)
+                this->read[keys[this->position]] = *bytes;
+            this->position = (this->position + 1) % keys.size();
+            if (this->position == 0 && this->read.size() == keys.size())
+                this->apply();
+        }
+
+        unsigned reverts = 0;
+        unsigned mixes = 0;
+
+    private:
+        void apply()
+        {
+            const uint64_t newVersion = decodeManifest(this->read.at(std::string(manifestKey))).value().version;
+            this->reverts += newVersion < this->version ? 1 : 0;
+            this->version = newVersion;
+            const uint16_t slots = decodeService(this->read.at("services/alerts")).value().slots;
+            this->mixes += slots != decodeService(this->read.at("services/labels")).value().slots ? 1 : 0;
+        }
+
+        const KeyTable& table;
+        std::map<std::string, std::string> read;
+        size_t position = 0;
+        uint64_t version = 0;
+    };
+
+    // Key by key writes of two operators, outages and restored backups between the reads of both readers.
+    struct Schedule {
+        explicit Schedule(uint64_t seed)
+            : random(seed)
+            , reader(this->table, this->clock, seed)
+            , naive(this->table)
+        {
+        }
+
+        void run(size_t steps)
+        {
+            for (size_t i = 0; i < steps; ++i) {
+                const uint64_t choice = this->random() % 10;
+                if (choice == 0)
+                    this->startPublication(++this->version);
+                else if (choice == 1) // a backup of an older publication is restored
+                    this->startPublication(this->version - this->random() % std::min<uint64_t>(this->version, 4));
+                else if (choice == 2)
+                    this->table.isDown = !this->table.isDown;
+                else if (choice < 6)
+                    this->writeOneKey();
+                this->reader.step();
+                this->naive.step();
+            }
+        }
+
+        // Both operators may write the same version with different values.
+        void startPublication(uint64_t number)
+        {
+            const uint16_t slots = static_cast<uint16_t>(1 + 2 * (number % 1000) + this->random() % 2);
+            std::deque<std::pair<std::string, std::string>>& queue = this->writes.at(this->random() % 2);
+            const PublishedConfig config = samples::published(number, slots);
+            for (const auto& [service, bytes] : config.values)
+                queue.emplace_back(serviceKey(service), bytes);
+            queue.emplace_back(manifestKey, config.manifest);
+        }
+
+        void writeOneKey()
+        {
+            std::deque<std::pair<std::string, std::string>>& queue = this->writes.at(this->random() % 2);
+            if (queue.empty())
+                return;
+            this->table.set(queue.front().first, queue.front().second);
+            queue.pop_front();
+        }
+
+        std::mt19937_64 random;
+        ManualClock clock;
+        KeyTable table;
+        SteppedReader reader;
+        NaiveReader naive;
+        std::array<std::deque<std::pair<std::string, std::string>>, 2> writes; // of two operators
+        uint64_t version = 1;
+    };
+
+    // R8: complete and newer configurations only, and the last complete publication takes effect in the end.
+    RC_GTEST_PROP(ConfigReader, NeverRevertsNorMixesAndConverges, (uint64_t seed))
+    {
+        Schedule schedule(seed);
+        schedule.run(300);
+        schedule.table.isDown = false;
+        const PublishedConfig last = samples::published(schedule.version + 1, 3000);
+        schedule.table.setAll(last);
+        for (int i = 0; i < 20; ++i)
+            schedule.reader.step();
+        RC_ASSERT(schedule.reader.reverts == 0u);
+        RC_ASSERT(schedule.reader.mixes == 0u);
+        RC_ASSERT(versionOf(*schedule.reader.inForce) == versionOf(*samples::snapshotOf(last)));
+    }
+
+    // Shows that the schedule is able to find the faults which the reader avoids.
+    TEST(ConfigReader, NaiveReaderRevertsAndMixesInTheSameSchedules)
+    {
+        unsigned naiveReverts = 0;
+        unsigned naiveMixes = 0;
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            Schedule schedule(seed);
+            schedule.run(300);
+            EXPECT_EQ(schedule.reader.reverts, 0u) << "seed " << seed;
+            EXPECT_EQ(schedule.reader.mixes, 0u) << "seed " << seed;
+            naiveReverts += schedule.naive.reverts;
+            naiveMixes += schedule.naive.mixes;
+        }
+        RecordProperty("naiveReverts", static_cast<int>(naiveReverts));
+        RecordProperty("naiveMixes", static_cast<int>(naiveMixes));
+        EXPECT_GT(naiveReverts, 0u);
+        EXPECT_GT(naiveMixes, 0u);
+    }
+
+    TEST(ConfigReader, ManifestOfOneOperatorWithValuesOfAnotherIsNotUsed)
+    {
+        ManualClock clock;
+        KeyTable table;
+        const PublishedConfig a = samples::published(5, 4);
+        const PublishedConfig b = samples::published(5, 6);
+        table.setAll(a);
+        table.set(serviceKey("labels"), b.values.at("labels"));
+        SteppedReader stepped(table, clock, 1);
+        for (int i = 0; i < 50; ++i)
+            stepped.step();
+        EXPECT_EQ(stepped.inForce, nullptr);
+        EXPECT_GT(stepped.reader.rejectedCount(), 0u);
+        table.setAll(b);
+        for (int i = 0; i < 10; ++i)
+            stepped.step();
+        ASSERT_NE(stepped.inForce, nullptr);
+        EXPECT_EQ(stepped.inForce->services.front().slots, 6);
+    }
+
+    // Whichever publication the platform keeps, all processes end with the one that has the higher digest.
+    TEST(ConfigReader, ReadersConvergeWhenTwoOperatorsPublishOneVersion)
+    {
+        const std::array<PublishedConfig, 2> published = { samples::published(5, 4), samples::published(5, 6) };
+        for (const size_t first : { 0u, 1u }) {
+            ManualClock clock;
+            KeyTable table;
+            SteppedReader early(table, clock, 1);
+            SteppedReader late(table, clock, 2);
+            table.setAll(published.at(first));
+            for (int i = 0; i < 5; ++i)
+                early.step();
+            table.setAll(published.at(1 - first));
+            for (int i = 0; i < 5; ++i) {
+                early.step();
+                late.step();
+            }
+            const std::shared_ptr<const Snapshot> ofEarly = early.inForce;
+            ASSERT_NE(ofEarly, nullptr);
+            ASSERT_NE(late.inForce, nullptr);
+            early.offer(late.inForce); // peers exchange what they have in force
+            late.offer(ofEarly);
+            EXPECT_EQ(versionOf(*early.inForce), versionOf(*late.inForce));
+            EXPECT_EQ(early.reverts + late.reverts, 0u);
+        }
+    }
+
+    TEST(ConfigReader, BackOffGrowsToItsCapAndResets)
+    {
+        ManualClock clock;
+        KeyTable table;
+        table.isDown = true;
+        SteppedReader stepped(table, clock, 1);
+        for (int i = 0; i < 12; ++i)
+            stepped.step();
+        const Milliseconds cap = manualOptions(1).maxBackOff;
+        const Duration delay = stepped.reader.nextCallTime(PlatformStream::Config) - clock.now();
+        EXPECT_GE(delay, cap / 2);
+        EXPECT_LE(delay, cap);
+        table.isDown = false;
+        table.setAll(samples::published(1, 4));
+        for (int i = 0; i < 3; ++i)
+            stepped.step();
+        EXPECT_NE(stepped.inForce, nullptr);
+        table.isDown = true;
+        stepped.step();
+        EXPECT_LE(stepped.reader.nextCallTime(PlatformStream::Config) - clock.now(), manualOptions(1).minBackOff);
+    }
+
+    // A published state that stays invalid must not cost the platform more calls than the poll interval allows.
+    TEST(ConfigReader, LastingInvalidStateIsReadRarely)
+    {
+        ManualClock clock;
+        KeyTable table;
+        table.setAll(samples::published(5, 4));
+        table.set(serviceKey("alerts"), "{}");
+        SteppedReader stepped(table, clock, 1);
+        for (int i = 0; i < 40; ++i)
+            stepped.step();
+        const TimePoint start = clock.now();
+        for (int i = 0; i < 20; ++i) // a manifest and a value each time
+            stepped.step();
+        EXPECT_GE(clock.now() - start, 9 * manualOptions(1).pollInterval / 2);
+    }
+
+    TEST(ConfigReader, HintInterruptsAWatchAndRetriesWhileThePlatformLags)
+    {
+        ManualClock clock;
+        ConfigReader reader(manualOptions(1), clock);
+        const PublishedConfig current = samples::published(5, 4);
+        reader.offer(samples::snapshotOf(current));
+        const PlatformCall instances = reader.nextCall(PlatformStream::Instances).value();
+        reader.onValue(instances, 1, encodeMembers({ samples::member("entry-1") }));
+        ASSERT_TRUE(reader.watches());
+        const PlatformCall read = reader.nextCall(PlatformStream::Config).value();
+        reader.onValue(read, 7, current.manifest);
+        clock.advance(Milliseconds(100));
+        const PlatformCall watch = reader.nextCall(PlatformStream::Config).value();
+        EXPECT_GT(watch.wait, Milliseconds(0));
+        EXPECT_EQ(watch.knownIndex, std::optional<uint64_t>(7));
+        EXPECT_FALSE(reader.nextCall(PlatformStream::Config));
+
+        reader.hint({ 1, 6, 0 });
+        const PlatformCall urgent = reader.nextCall(PlatformStream::Config).value();
+        EXPECT_EQ(urgent.wait, Milliseconds(0));
+        EXPECT_FALSE(urgent.knownIndex);
+        reader.onNotModified(watch); // the late outcome of the abandoned watch has no effect
+        EXPECT_EQ(reader.nextCallTime(PlatformStream::Config), TimePoint::max());
+        reader.onValue(urgent, 7, current.manifest);
+        const Duration retry = reader.nextCallTime(PlatformStream::Config) - clock.now();
+        EXPECT_LE(retry, manualOptions(1).minBackOff);
+        reader.hint({ 1, 4, 0 }); // older than the one in force
+        EXPECT_EQ(reader.nextCallTime(PlatformStream::Config) - clock.now(), retry);
+    }
+
+    TEST(ConfigReader, InvalidInstanceListKeepsThePreviousOne)
+    {
+        ManualClock clock;
+        ConfigReader reader(manualOptions(1), clock);
+        reader.onValue(reader.nextCall(PlatformStream::Instances).value(), 1, "{\"instances\":1}");
+        EXPECT_EQ(reader.takeUpdate().members, nullptr);
+        EXPECT_FALSE(reader.nextCall(PlatformStream::Instances));
+        clock.advance(manualOptions(1).entryInstancePollInterval * 2);
+        EXPECT_TRUE(reader.nextCall(PlatformStream::Instances));
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/ConfigReader.cpp
+++ b/wasabicroft/ConfigReader.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-    // A reader that is told of a newer version often reads a platform that lags behind; a few quick reads suffice,
-    // after that the poll interval applies.
-    constexpr unsigned maxDoublings = 16;
+    constexpr unsigned maxDoublings = 16; // keeps the back-off representable
 
 } // namespace
 
@@ -70,7 +68,7 @@
     stream.isUnreachable = false;
 }
 
-void ConfigReader::onValue(const PlatformCall& call, uint64_t index, std::optional<std::string> bytes)
+void ConfigReader::onValue(const PlatformCall& call, uint64_t index, const std::optional<std::string>& bytes)
 {
     if (!this->finishCall(call))
         return;
@@ -114,21 +112,26 @@
 {
     Stream& stream = this->at(which);
     Milliseconds delay { 0 };
-    if (outcome == Outcome::Retry) {
-        // Without a limit at the poll interval, a published state that stays invalid would cost the platform more
-        // calls than a valid one.
-        const Milliseconds limit = stream.isUnreachable || this->isWatcher
-            ? this->options.maxBackOff
-            : std::max(this->options.maxBackOff, this->interval(which));
-        delay = this->backOff(stream.retries++, limit);
-    } else {
+    if (outcome == Outcome::Retry)
+        delay = this->backOff(stream.retries++, this->backOffLimit(which));
+    if (outcome == Outcome::Unchanged) {
         stream.retries = 0;
-        if (outcome == Outcome::Unchanged)
-            delay = this->isWatcher ? this->options.watchSpacing : this->varied(this->interval(which));
+        delay = this->isWatcher ? this->options.watchSpacing : this->varied(this->interval(which));
     }
     stream.due = this->clock.now() + delay;
 }
 
+Milliseconds ConfigReader::backOffLimit(PlatformStream which) const
+{
+    if (this->at(which).isUnreachable)
+        return this->options.maxBackOff;
+    // A state that stays invalid must not cost the platform more calls than a valid one. Watchers are few; they find
+    // the corrected state and announce it.
+    if (this->isWatcher)
+        return std::min(this->options.maxBackOff, this->options.maxWatcherRetry);
+    return std::max(this->options.maxBackOff, this->interval(which));
+}
+
 Milliseconds ConfigReader::interval(PlatformStream which) const
 {
     if (which == PlatformStream::Config)
--- a/wasabicroft/ConfigReader.h
+++ b/wasabicroft/ConfigReader.h
@@ -56,6 +56,7 @@
     Milliseconds watchSpacing { 100 }; // least time between the ends of two watches
     Milliseconds minBackOff { 200 };
     Milliseconds maxBackOff { 10000 };
+    Milliseconds maxWatcherRetry { 2000 }; // while the published state is invalid; changes take effect within 3 s
     WatcherOptions watchers;
     uint64_t seed = 1; // of the jitter
 };
@@ -72,7 +73,7 @@
     TimePoint nextCallTime(PlatformStream) const;
 
     // Outcome of a call. bytes are null if the platform has no such key.
-    void onValue(const PlatformCall&, uint64_t index, std::optional<std::string> bytes);
+    void onValue(const PlatformCall&, uint64_t index, const std::optional<std::string>& bytes);
     void onNotModified(const PlatformCall&);
     void onFailure(const PlatformCall&, const std::string& reason);
 
@@ -117,6 +118,7 @@
     void schedule(PlatformStream, Outcome);
     Milliseconds interval(PlatformStream) const;
     Milliseconds varied(Milliseconds interval);
+    Milliseconds backOffLimit(PlatformStream) const;
     Milliseconds backOff(unsigned retries, Milliseconds limit);
 
     Outcome takeConfigValue(const PlatformCall&, uint64_t index, const std::optional<std::string>& bytes);
