--- /dev/null
+++ b/daemons/wasabictl.cpp
@@ -0,0 +1,374 @@
+// Operators' tool: checks, compiles, compares and explains the source of a configuration; shows the state of daemons.
+#include "backends/PublishedDirectory.h"
+#include "wasabicroft/ConfigSource.h"
+#include "wasabicroft/Settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace wasabicroft {
+namespace {
+
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    namespace json = boost::json;
+
+    const std::string usage = R"(Checks, compiles, compares and explains configurations; shows the state of daemons.
+
+Usage:
+  wasabictl check BASE [OVERLAY...]
+  wasabictl compile --out DIR [--config-version N] [--epoch N] BASE [OVERLAY...]
+  wasabictl diff OLD NEW
+  wasabictl explain BASE <overlay-or-path>...
+  wasabictl status [--json] ENDPOINT...
+
+Commands:
+  check    Reports every problem of a base file with overlays.
+  compile  Writes the published values of a valid source into a directory, the manifest last.
+  diff     Lists the values that differ. OLD and NEW are compiled directories or sources; a source is the base file and
+           its overlays, separated by commas.
+  explain  Shows the values at or below a path (the last argument, for example services/label-print/slots) with the
+           file and line that set them.
+  status   Shows what the operator endpoints of daemons (IP:PORT) report.
+
+Options:
+  --out DIR           Directory of the published values.
+  --config-version N  Version to publish. By default 1 more than the version in DIR if anything changed.
+  --epoch N           Epoch to publish. By default that of DIR, or 1. Raise it only to rebuild from nothing.
+  --json              Prints JSON.
+  --help              Shows this text.
+  --version           Shows the version of the program.
+
+Exit codes: 0 success, 1 refused input, 2 wrong usage, 3 a daemon is unreachable.
+)";
+
+    constexpr std::chrono::seconds statusTimeout { 3 };
+    constexpr uint64_t maxStatusBytes = 16 * 1024 * 1024;
+
+    std::vector<std::string> split(const std::string& text, char separator)
+    {
+        std::vector<std::string> parts;
+        std::istringstream stream(text);
+        std::string part;
+        while (std::getline(stream, part, separator))
+            parts.push_back(part);
+        return parts;
+    }
+
+    //-------------------------------------------------------------------------
+    // Sources
+    //-------------------------------------------------------------------------
+
+    // Reads and parses a base file and its overlays; errors include files that cannot be read.
+    ConfigSource loadSource(const std::vector<std::string>& names)
+    {
+        std::vector<SourceFile> files;
+        ConfigSource unreadable;
+        for (const std::string& name : names) {
+            std::ifstream file(name, std::ios::binary);
+            std::ostringstream text;
+            text << file.rdbuf();
+            if (!file || !text)
+                unreadable.errors.push_back(
+                    { ErrorKind::SystemCall, name + ": cannot be read; name a file that exists and is readable" });
+            files.push_back({ name, text.str() });
+        }
+        if (!unreadable.errors.empty())
+            return unreadable;
+        return parseSource(files.front(), { files.begin() + 1, files.end() });
+    }
+
+    std::vector<std::string> sourceNames(const Flags& flags)
+    {
+        std::vector<std::string> names = { flags.at("BASE") };
+        const auto overlays = flags.find("OVERLAY");
+        if (overlays != flags.end()) {
+            for (const std::string& name : split(overlays->second, '\n'))
+                names.push_back(name);
+        }
+        return names;
+    }
+
+    int check(const Flags& flags)
+    {
+        const ConfigSource source = loadSource(sourceNames(flags));
+        printErrors(source.errors);
+        if (!source.errors.empty())
+            return exit_codes::refusedInput;
+        size_t upstreams = 0;
+        for (const ServiceConfig& service : source.services)
+            upstreams += service.upstreams.size();
+        std::cout << "valid: " << source.services.size() << " services, " << upstreams << " upstreams\n";
+        return exit_codes::success;
+    }
+
+    // What the directory holds; none if it holds no valid manifest.
+    std::optional<Manifest> presentManifest(const std::string& directory)
+    {
+        const Result<PublishedConfig> present = readPublishedDirectory(directory);
+        if (!present)
+            return std::nullopt;
+        const Result<Manifest> manifest = decodeManifest(present.value().manifest);
+        return manifest ? std::optional<Manifest>(manifest.value()) : std::nullopt;
+    }
+
+    int compile(const Flags& flags)
+    {
+        SettingsReader settings(flags, "WASABICTL");
+        const std::string directory = settings.requiredText("--out");
+        const std::optional<Manifest> present = presentManifest(directory);
+        const uint64_t epoch = settings.number("--epoch", present ? present->epoch : 1, 0, UINT64_MAX);
+        const uint64_t given = settings.number("--config-version", 0, 1, UINT64_MAX);
+        if (!settings.errors().empty()) {
+            printErrors(settings.errors());
+            return exit_codes::wrongUsage;
+        }
+        const ConfigSource source = loadSource(sourceNames(flags));
+        if (!source.errors.empty()) {
+            printErrors(source.errors);
+            return exit_codes::refusedInput;
+        }
+        uint64_t version = given ? given : 1;
+        if (!given && present && present->epoch == epoch) {
+            const std::string same = publish(epoch, present->version, source.services).manifest;
+            version = same == encodeManifest(*present) ? present->version : present->version + 1;
+        }
+        const PublishedConfig published = publish(epoch, version, source.services);
+        const Result<std::shared_ptr<const Snapshot>> checked = parseSnapshot(published.manifest, published.values);
+        const Result<bool> written = checked ? writePublishedDirectory(directory, published) : checked.error();
+        if (!written) {
+            printErrors({ written.error() });
+            return exit_codes::refusedInput;
+        }
+        std::cout << "epoch " << epoch << ", version " << version << ", " << published.values.size() << " services in "
+                  << directory << '\n';
+        return exit_codes::success;
+    }
+
+    //-------------------------------------------------------------------------
+    // Comparison and explanation
+    //-------------------------------------------------------------------------
+
+    // Services of a compiled directory or of a source; reports its errors.
+    std::optional<std::vector<ServiceConfig>> loadServices(const std::string& name)
+    {
+        if (!std::filesystem::is_directory(name)) {
+            const ConfigSource source = loadSource(split(name, ','));
+            printErrors(source.errors);
+            return source.errors.empty() ? std::optional(source.services) : std::nullopt;
+        }
+        const Result<PublishedConfig> published = readPublishedDirectory(name);
+        if (!published) {
+            printErrors({ published.error() });
+            return std::nullopt;
+        }
+        const Result<std::shared_ptr<const Snapshot>> snapshot
+            = parseSnapshot(published.value().manifest, published.value().values);
+        if (!snapshot) {
+            printErrors({ { snapshot.error().kind, name + ": " + snapshot.error().message } });
+            return std::nullopt;
+        }
+        return snapshot.value()->services;
+    }
+
+    std::map<std::string, std::string> flattenAll(const std::vector<ServiceConfig>& services)
+    {
+        std::map<std::string, std::string> values;
+        for (const ServiceConfig& service : services)
+            values.merge(flatten(service));
+        return values;
+    }
+
+    int diff(const Flags& flags)
+    {
+        const std::optional<std::vector<ServiceConfig>> oldServices = loadServices(flags.at("OLD"));
+        const std::optional<std::vector<ServiceConfig>> newServices = loadServices(flags.at("NEW"));
+        if (!oldServices || !newServices)
+            return exit_codes::refusedInput;
+        const std::map<std::string, std::string> before = flattenAll(*oldServices);
+        const std::map<std::string, std::string> after = flattenAll(*newServices);
+        std::map<std::string, std::string> all = before;
+        all.insert(after.begin(), after.end());
+        size_t differences = 0;
+        for (const auto& [path, text] : all) {
+            const auto left = before.find(path);
+            const auto right = after.find(path);
+            if (left != before.end() && right != after.end() && left->second == right->second)
+                continue;
+            ++differences;
+            if (left == before.end())
+                std::cout << "+ " << path << ": " << text << '\n';
+            else if (right == after.end())
+                std::cout << "- " << path << ": " << text << '\n';
+            else
+                std::cout << "~ " << path << ": " << left->second << " -> " << right->second << '\n';
+        }
+        std::cout << differences << " values differ\n";
+        return exit_codes::success;
+    }
+
+    int explain(const Flags& flags)
+    {
+        std::vector<std::string> names = split(flags.at("<overlay-or-path>"), '\n');
+        const std::string path = names.back();
+        names.back() = flags.at("BASE");
+        std::rotate(names.begin(), names.end() - 1, names.end());
+        const ConfigSource source = loadSource(names);
+        printErrors(source.errors);
+        if (!source.errors.empty())
+            return exit_codes::refusedInput;
+        const std::vector<Explanation> explanations = source.explain(path);
+        if (explanations.empty()) {
+            printErrors({ { ErrorKind::InvalidConfig,
+                "there is no value at '" + path + "'; name a path such as services/NAME or services/NAME/slots" } });
+            return exit_codes::refusedInput;
+        }
+        for (const Explanation& explanation : explanations) {
+            std::cout << explanation.path << ": " << explanation.text << "  # " << toString(explanation.origin);
+            for (const SourceValue& earlier : explanation.overridden)
+                std::cout << ", overrides " << earlier.text << " of " << toString(earlier.origin);
+            std::cout << '\n';
+        }
+        return exit_codes::success;
+    }
+
+    //-------------------------------------------------------------------------
+    // Status
+    //-------------------------------------------------------------------------
+
+    // GET /status of one daemon.
+    Result<json::value> fetchStatus(const Endpoint& endpoint)
+    {
+        const auto unreachable = [&](const std::string& reason) {
+            return Error { ErrorKind::Unreachable,
+                toString(endpoint) + ": " + reason
+                    + "; check that the daemon runs and that this is its operator address" };
+        };
+        boost::asio::io_context context;
+        beast::tcp_stream stream(context);
+        http::request<http::empty_body> request(http::verb::get, "/status", 11);
+        request.set(http::field::host, toString(endpoint));
+        request.set(http::field::connection, "close");
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxStatusBytes);
+        beast::flat_buffer buffer;
+        beast::error_code result = boost::asio::error::timed_out;
+        stream.expires_after(statusTimeout);
+        stream.async_connect(
+            { boost::asio::ip::make_address(endpoint.address), endpoint.port }, [&](beast::error_code connected) {
+                result = connected;
+                if (connected)
+                    return;
+                http::async_write(stream, request, [&](beast::error_code written, size_t) {
+                    result = written;
+                    if (!written)
+                        http::async_read(
+                            stream, buffer, parser, [&](beast::error_code read, size_t) { result = read; });
+                });
+            });
+        context.run();
+        if (result)
+            return unreachable(result.message());
+        if (parser.get().result() != http::status::ok)
+            return unreachable("HTTP status " + std::to_string(parser.get().result_int()));
+        json::error_code invalid;
+        const json::value status = json::parse(parser.get().body(), invalid);
+        if (invalid || !status.is_object())
+            return unreachable("the answer is not a JSON object");
+        return status;
+    }
+
+    // Text of a member for the table; nested objects as "key=value,...".
+    std::string cell(const json::object& status, std::string_view key)
+    {
+        const json::value* value = status.if_contains(key);
+        if (!value || value->is_null())
+            return "-";
+        if (value->is_string())
+            return std::string(value->get_string());
+        if (value->is_array())
+            return std::to_string(value->get_array().size());
+        if (!value->is_object())
+            return json::serialize(*value);
+        std::string text;
+        for (const json::key_value_pair& member : value->get_object())
+            text += (text.empty() ? "" : ",") + std::string(member.key()) + '='
+                + cell(value->get_object(), member.key());
+        return text.empty() ? "-" : text;
+    }
+
+    void printTable(const std::vector<std::vector<std::string>>& rows)
+    {
+        std::vector<size_t> widths(rows.front().size());
+        for (const std::vector<std::string>& row : rows) {
+            for (size_t i = 0; i < row.size(); ++i)
+                widths[i] = std::max(widths[i], row[i].size());
+        }
+        for (const std::vector<std::string>& row : rows) {
+            for (size_t i = 0; i + 1 < row.size(); ++i)
+                std::cout << std::left << std::setw(static_cast<int>(widths[i]) + 2) << row[i];
+            std::cout << row.back() << '\n';
+        }
+    }
+
+    int status(const Flags& flags)
+    {
+        const std::vector<std::string> names = split(flags.at("ENDPOINT"), '\n');
+        const std::vector<std::string> columns = { "process", "role", "ready", "config", "members", "flows" };
+        std::vector<std::vector<std::string>> rows = { { "endpoint" } };
+        rows.front().insert(rows.front().end(), columns.begin(), columns.end());
+        json::object all;
+        std::vector<Error> errors;
+        for (const std::string& name : names) {
+            const Result<Endpoint> endpoint = parseEndpoint(name);
+            if (!endpoint) {
+                printErrors({ endpoint.error() });
+                return exit_codes::wrongUsage;
+            }
+            const Result<json::value> answer = fetchStatus(endpoint.value());
+            if (!answer) {
+                errors.push_back(answer.error());
+                all[name] = nullptr;
+                continue;
+            }
+            all[name] = answer.value();
+            std::vector<std::string> row = { name };
+            for (const std::string& column : columns)
+                row.push_back(cell(answer.value().get_object(), column));
+            rows.push_back(row);
+        }
+        if (flags.contains("--json"))
+            std::cout << json::serialize(all) << '\n';
+        else
+            printTable(rows);
+        printErrors(errors);
+        return errors.empty() ? exit_codes::success : exit_codes::unreachable;
+    }
+
+    struct Command {
+        std::string name;
+        int (*run)(const Flags&);
+    };
+
+    const std::vector<Command> commands = { { "check", check }, { "compile", compile }, { "diff", diff },
+        { "explain", explain }, { "status", status } };
+
+} // namespace
+} // namespace wasabicroft
+
+int main(int argc, char** argv)
+{
+    const wasabicroft::Flags flags = wasabicroft::parseCommandLine(argc, argv, wasabicroft::usage, "wasabictl");
+    for (const wasabicroft::Command& command : wasabicroft::commands) {
+        if (flags.contains(command.name))
+            return command.run(flags);
+    }
+    return wasabicroft::exit_codes::wrongUsage;
+}
--- a/wasabicroft/ConfigCodec.cpp
+++ b/wasabicroft/ConfigCodec.cpp
@@ -318,8 +318,8 @@
             this->checkRange(path + "/slots", service.slots, config_bounds::slots);
             this->checkRange(path + "/connections", service.connections, config_bounds::connections);
             this->checkRange(path + "/queueLimit", service.queueLimit, config_bounds::queueLimit);
-            this->checkDuration(path + "/maxQueueWait", service.maxQueueWait, config_bounds::maxQueueWait);
-            this->checkDuration(path + "/rampDuration", service.rampDuration, config_bounds::rampDuration);
+            this->checkDuration(path + "/maxQueueWaitMs", service.maxQueueWait, config_bounds::maxQueueWait);
+            this->checkDuration(path + "/rampDurationMs", service.rampDuration, config_bounds::rampDuration);
             if (!(service.retryBudget >= 0 && service.retryBudget <= config_bounds::maxRetryBudget))
                 this->add(path + "/retryBudget", "the retry budget is out of bounds; set it to a number from 0 to 1");
             if (service.refusal.size() > config_bounds::maxRefusalBytes)
@@ -442,6 +442,36 @@
         { "proxyHeader", service.proxyHeader }, { "refusal", service.refusal } });
 }
 
+std::map<std::string, std::string> flatten(const ServiceConfig& service)
+{
+    std::map<std::string, std::string> values;
+    const std::string path = serviceKey(service.name);
+    const auto text = [](bool value) { return value ? "true" : "false"; };
+    for (const ListenerConfig& listener : service.listeners) {
+        const std::string listenerPath = path + "/listeners/" + listener.name;
+        values[listenerPath + "/endpoint"] = toString(listener.endpoint);
+        values[listenerPath + "/class"] = nameOf(listener.trafficClass);
+    }
+    for (const UpstreamConfig& upstream : service.upstreams) {
+        const std::string upstreamPath = path + "/upstreams/" + upstream.name;
+        values[upstreamPath + "/failureDomain"] = upstream.failureDomain;
+        values[upstreamPath + "/agent"] = toString(upstream.agent);
+        values[upstreamPath + "/address"] = toString(upstream.address);
+        values[upstreamPath + "/leaving"] = text(upstream.leaving);
+    }
+    values[path + "/slots"] = std::to_string(service.slots);
+    values[path + "/connections"] = std::to_string(service.connections);
+    values[path + "/queueLimit"] = std::to_string(service.queueLimit);
+    values[path + "/maxQueueWaitMs"] = std::to_string(service.maxQueueWait.count());
+    values[path + "/rampDurationMs"] = std::to_string(service.rampDuration.count());
+    std::array<char, 32> number {};
+    const std::to_chars_result end = std::to_chars(number.data(), number.data() + number.size(), service.retryBudget);
+    values[path + "/retryBudget"] = std::string(number.data(), end.ptr);
+    values[path + "/proxyHeader"] = text(service.proxyHeader);
+    values[path + "/refusal"] = json::serialize(json::string(service.refusal));
+    return values;
+}
+
 std::string encodeMembers(const std::vector<Member>& members)
 {
     json::array instances;
--- a/wasabicroft/ConfigCodec.h
+++ b/wasabicroft/ConfigCodec.h
@@ -43,6 +43,9 @@
 std::string encodeService(const ServiceConfig&);
 std::string encodeMembers(const std::vector<Member>&);
 
+// Every value of a service by its path, for example "services/alerts/upstreams/host-1/agent"; for diff and explain.
+std::map<std::string, std::string> flatten(const ServiceConfig&);
+
 Result<Manifest> decodeManifest(std::string_view bytes);
 Result<ServiceConfig> decodeService(std::string_view bytes);
 Result<std::vector<Member>> decodeMembers(std::string_view bytes);
--- a/wasabicroft/Settings.cpp
+++ b/wasabicroft/Settings.cpp
@@ -22,6 +22,14 @@
         return parts;
     }
 
+    std::string joinLines(const std::vector<std::string>& lines)
+    {
+        std::string text;
+        for (const std::string& line : lines)
+            text += (text.empty() ? "" : "\n") + line;
+        return text;
+    }
+
     std::optional<uint64_t> parseNumber(const std::string& text)
     {
         uint64_t value = 0;
@@ -174,6 +182,8 @@
                 flags[name] = "true";
             else if (value.isLong() && value.asLong() > 0)
                 flags[name] = std::to_string(value.asLong());
+            else if (value.isStringList() && !value.asStringList().empty())
+                flags[name] = joinLines(value.asStringList());
         }
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage;
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -19,7 +19,8 @@
     inline constexpr int unreachable = 3;
 } // namespace exit_codes
 
-// Parsed command line: flag name with dashes to value; absent flags are missing.
+// Parsed command line: flag name with dashes to value; absent flags are missing. A positional argument that may be
+// repeated has one value a line.
 using Flags = std::map<std::string, std::string>;
 
 class SettingsReader {
