--- a/fakes/Pattern.cpp
+++ b/fakes/Pattern.cpp
@@ -42,6 +42,12 @@
 void fillPattern(uint64_t offset, std::span<char> out)
 {
     size_t done = 0;
+    if (offset % wordBytes == 0) {
+        for (; done + wordBytes <= out.size(); done += wordBytes) {
+            const uint64_t word = patternWord((offset + done) / wordBytes);
+            std::memcpy(out.data() + done, &word, wordBytes);
+        }
+    }
     while (done < out.size()) {
         const uint64_t position = offset + done;
         const uint64_t word = patternWord(position / wordBytes);
--- a/fakes/Upstream.cpp
+++ b/fakes/Upstream.cpp
@@ -30,11 +30,14 @@
     constexpr uint64_t maxUploadBytes = 1ULL << 30;
     constexpr uint64_t maxDownloadBytes = 4ULL << 30;
     constexpr size_t maxHealthHistory = 1000;
+    constexpr Milliseconds maxRequestedWork { 60000 };
     constexpr const char* requestIdField = "X-Request-Id";
     constexpr const char* serviceField = "X-Service";
     constexpr const char* upstreamField = "X-Upstream";
     constexpr const char* deadlineField = "X-Deadline-Ms";
     constexpr const char* notRunField = "X-Not-Run";
+    constexpr const char* workField = "X-Work-Ms";
+    constexpr const char* workedField = "X-Worked-Us";
     constexpr const char* digestField = "X-Digest";
 
     // State shared by all connections of an upstream; used on its thread only.
@@ -83,7 +86,8 @@
             this->busyTime += std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - since);
         }
 
-        Duration workTime()
+        // Time that a registration works; base is the time without cold start and stragglers.
+        Duration workTime(Milliseconds base)
         {
             double factor = 1;
             const Duration age = SteadyClock::now() - this->begin;
@@ -95,7 +99,7 @@
                 factor *= this->options.stragglerFactor;
                 ++this->stragglers;
             }
-            return std::chrono::duration_cast<Duration>(this->options.workTime * factor);
+            return std::chrono::duration_cast<Duration>(base * factor);
         }
 
         void setDraining(bool value)
@@ -271,6 +275,14 @@
             this->answer(http::status::ok, boost::json::serialize(result) + "\n");
         }
 
+        Milliseconds requestedWork() const
+        {
+            const std::string wanted = this->field(workField);
+            if (wanted.empty())
+                return this->service.options.workTime;
+            return std::min(Milliseconds(std::strtoull(wanted.c_str(), nullptr, 10)), maxRequestedWork);
+        }
+
         void beginRegistration()
         {
             this->requestId = this->field(requestIdField);
@@ -281,7 +293,7 @@
             }
             Execution& execution = this->service.ledger.executions[this->requestId];
             execution.started += this->service.oneIn(faults.duplicateOneIn) ? 2 : 1;
-            Duration work = this->service.workTime();
+            Duration work = this->service.workTime(this->requestedWork());
             bool inTime = true;
             const std::string deadline = this->field(deadlineField);
             const Milliseconds limit(deadline.empty() ? 0 : std::strtoll(deadline.c_str(), nullptr, 10));
@@ -289,6 +301,7 @@
                 work = limit;
                 inTime = false;
             }
+            this->worked = std::chrono::duration_cast<std::chrono::microseconds>(work);
             this->watchReset();
             this->timer.expires_after(work);
             this->timer.async_wait([self = this->shared_from_this(), inTime](ErrorCode error) {
@@ -341,6 +354,9 @@
             this->response.set(upstreamField, this->service.options.name);
             if (!this->requestId.empty())
                 this->response.set(requestIdField, this->requestId);
+            if (this->worked.count() > 0)
+                this->response.set(workedField, std::to_string(this->worked.count()));
+            this->worked = {};
             if (this->notRun)
                 this->response.set(notRunField, "1");
             this->response.keep_alive(!this->closeAfterAnswer && this->parser->get().keep_alive());
@@ -491,6 +507,7 @@
         HttpRequest target;
         std::unique_ptr<SlotHold> slot;
         std::string requestId;
+        std::chrono::microseconds worked { 0 };
         bool notRun = false;
         bool closeAfterAnswer = false;
         bool ended = false; // the registration finished or was cancelled
--- a/fakes/Upstream.h
+++ b/fakes/Upstream.h
@@ -8,6 +8,7 @@
 //
 // Service port (mode Http); every answer carries X-Service and X-Upstream:
 //   POST /register       takes a slot and works; X-Request-Id is required; X-Deadline-Ms aborts the work with 504;
+//                        X-Work-Ms overrides the work time; the answer states the time in X-Worked-Us;
 //                        X-Service, if given, must name this service, else the answer is 421
 //   GET  /feed           endless feed lines (see Pattern.h), no slot; interval_ms and lines override the defaults
 //   GET  /download?bytes=N  takes a slot; pattern bytes with their digest in X-Digest
--- a/tests/Processes.cpp
+++ b/tests/Processes.cpp
@@ -98,6 +98,7 @@
     std::vector<std::string> words = { program.string() };
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
