--- /dev/null
+++ b/tests/FakesTest.cpp
@@ -0,0 +1,738 @@
+// Guards the stand-ins: the other tests are only worth what the fakes and the checks of the load tool are worth. Every
+// detector is shown silent on a good run and firing on a seeded fault.
+#include "fakes/Http.h"
+#include "fakes/Load.h"
+#include "fakes/Pattern.h"
+#include "fakes/Relay.h"
+#include "fakes/Upstream.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace wasabicroft::fakes {
+namespace {
+
+    namespace asio = boost::asio;
+    using Tcp = asio::ip::tcp;
+    using Udp = asio::ip::udp;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr Milliseconds callTimeout(3000);
+    constexpr Milliseconds silence(300); // long enough to tell silence from delay on loopback
+
+    double millisecondsSince(SteadyClock::time_point begin)
+    {
+        return std::chrono::duration<double, std::milli>(SteadyClock::now() - begin).count();
+    }
+
+    Result<HttpReply> registerOnce(const Endpoint& endpoint, const std::string& id,
+        std::map<std::string, std::string> headers = {}, Milliseconds timeout = callTimeout)
+    {
+        headers["X-Request-Id"] = id;
+        return httpCall(endpoint, "POST", "/register", timeout, headers, "{}");
+    }
+
+    UpstreamOptions fastUpstream(const std::string& service, const std::string& name)
+    {
+        UpstreamOptions options;
+        options.service = service;
+        options.name = name;
+        options.workTime = Milliseconds(5);
+        options.feedInterval = Milliseconds(5);
+        return options;
+    }
+
+    RelayOptions relayTo(std::vector<Endpoint> targets)
+    {
+        RelayOptions options;
+        options.targets = std::move(targets);
+        return options;
+    }
+
+    // A blocking TCP caller whose reads give up after a timeout.
+    class Caller {
+    public:
+        explicit Caller(const Endpoint& endpoint)
+            : socket(this->io)
+        {
+            this->socket.connect(tcpEndpointOf(endpoint));
+        }
+
+        void send(const std::string& bytes) { asio::write(this->socket, asio::buffer(bytes)); }
+        void closeSending() { this->socket.shutdown(Tcp::socket::shutdown_send); }
+        void reset()
+        {
+            this->socket.set_option(asio::socket_base::linger(true, 0));
+            this->socket.close();
+        }
+
+        // What arrives until the count of bytes, the end of the stream or the timeout.
+        std::string receive(size_t count, Milliseconds timeout)
+        {
+            std::string bytes;
+            std::vector<char> chunk(64 * 1024);
+            const SteadyClock::time_point end = SteadyClock::now() + timeout;
+            while (bytes.size() < count && SteadyClock::now() < end) {
+                std::optional<size_t> received;
+                this->socket.async_read_some(
+                    asio::buffer(chunk), [&](const boost::system::error_code& error, size_t size) {
+                        received = error ? 0 : size;
+                        this->ended = this->ended || error == asio::error::eof;
+                    });
+                this->io.restart();
+                this->io.run_until(end);
+                if (!received) {
+                    this->socket.cancel();
+                    this->io.restart();
+                    this->io.run();
+                }
+                if (!received || *received == 0)
+                    break;
+                bytes.append(chunk.data(), *received);
+            }
+            return bytes;
+        }
+
+        bool ended = false; // the end of the stream was received
+
+    private:
+        asio::io_context io;
+        Tcp::socket socket;
+    };
+
+    // A datagram socket that sends to one address.
+    class DatagramCaller {
+    public:
+        DatagramCaller()
+            : socket(this->io, Udp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        {
+            this->socket.non_blocking(true);
+        }
+
+        Endpoint endpoint() const { return { "127.0.0.1", this->socket.local_endpoint().port() }; }
+
+        void send(const Endpoint& to, const std::string& bytes)
+        {
+            this->socket.send_to(asio::buffer(bytes), Udp::endpoint(asio::ip::make_address(to.address), to.port));
+        }
+
+        // The next datagram; empty after the timeout.
+        std::string receive(Milliseconds timeout)
+        {
+            const SteadyClock::time_point end = SteadyClock::now() + timeout;
+            std::vector<char> bytes(2048);
+            do {
+                boost::system::error_code error;
+                const size_t count = this->socket.receive_from(asio::buffer(bytes), this->lastSender, 0, error);
+                if (!error)
+                    return { bytes.data(), count };
+                std::this_thread::sleep_for(Milliseconds(1));
+            } while (SteadyClock::now() < end);
+            return {};
+        }
+
+        Endpoint sender() const { return { this->lastSender.address().to_string(), this->lastSender.port() }; }
+
+    private:
+        asio::io_context io;
+        Udp::socket socket;
+        Udp::endpoint lastSender;
+    };
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Content
+    //-----------------------------------------------------------------------------
+
+    TEST(Pattern, DetectsChangedShiftedAndSwappedBytes)
+    {
+        std::string bytes(100000, ' ');
+        fillPattern(0, bytes);
+        EXPECT_TRUE(matchesPattern(0, bytes));
+        EXPECT_TRUE(matchesPattern(4097, std::string_view(bytes).substr(4097)));
+        EXPECT_FALSE(matchesPattern(0, std::string_view(bytes).substr(1)));
+        EXPECT_FALSE(matchesPattern(0, bytes.substr(65536) + bytes.substr(0, 65536)));
+        EXPECT_EQ(digestOf(bytes), patternDigest(bytes.size()));
+        bytes[70000] = static_cast<char>(bytes[70000] ^ 1);
+        EXPECT_FALSE(matchesPattern(0, bytes));
+        EXPECT_NE(digestOf(bytes), patternDigest(bytes.size()));
+    }
+
+    std::string feedLines(std::initializer_list<uint64_t> numbers, const std::string& upstream = "core-1")
+    {
+        std::string text;
+        for (const uint64_t number : numbers)
+            text += formatFeedLine({ number, steadyMicroseconds(), "alerts", upstream });
+        return text;
+    }
+
+    FeedCounts countsOf(const std::string& bytes)
+    {
+        FeedChecker checker("alerts");
+        for (size_t i = 0; i < bytes.size(); i += 7) // lines arrive in pieces
+            checker.consume(std::string_view(bytes).substr(i, 7));
+        return checker.counts();
+    }
+
+    TEST(FeedChecker, AcceptsACompleteFeed)
+    {
+        const FeedCounts counts = countsOf(feedLines({ 0, 1, 2, 3 }));
+        EXPECT_EQ(counts.lines, 4U);
+        EXPECT_FALSE(counts.broken());
+        EXPECT_EQ(counts.misdelivered, 0U);
+    }
+
+    TEST(FeedChecker, DetectsGapsRepeatsDamageAndForeignLines)
+    {
+        EXPECT_EQ(countsOf(feedLines({ 0, 1, 4 })).gaps, 2U);
+        EXPECT_EQ(countsOf(feedLines({ 2 })).gaps, 2U) << "lines missing at the begin";
+        EXPECT_EQ(countsOf(feedLines({ 0, 1, 1, 2 })).repeats, 1U);
+        EXPECT_EQ(countsOf(feedLines({ 0, 1 }) + feedLines({ 2 }, "core-2")).changedUpstream, 1U);
+        std::string damaged = feedLines({ 0, 1, 2 });
+        damaged[damaged.size() / 2] = static_cast<char>(damaged[damaged.size() / 2] ^ 1);
+        EXPECT_EQ(countsOf(damaged).corrupt, 1U);
+        EXPECT_EQ(countsOf(formatFeedLine({ 0, 0, "labels", "print-1" })).misdelivered, 1U);
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Upstream
+    //-----------------------------------------------------------------------------
+
+    TEST(Upstream, RecordsEveryExecutionAndNamesItself)
+    {
+        const Upstream upstream(fastUpstream("registrations", "core-1"));
+        for (int i = 0; i < 3; ++i) {
+            const Result<HttpReply> reply = registerOnce(upstream.endpoint(), i < 2 ? "same" : "other");
+            ASSERT_TRUE(reply);
+            EXPECT_EQ(reply.value().status, 200U);
+            EXPECT_EQ(reply.value().headers.at("x-service"), "registrations");
+            EXPECT_EQ(reply.value().headers.at("x-upstream"), "core-1");
+        }
+        const Ledger ledger = upstream.ledger();
+        EXPECT_EQ(ledger.executions.at("same").finished, 2U);
+        EXPECT_EQ(ledger.executions.at("other").finished, 1U);
+        const Result<HttpReply> json = httpCall(upstream.adminEndpoint(), "GET", "/ledger", callTimeout);
+        ASSERT_TRUE(json);
+        const Result<Ledger> parsed = ledgerFromJson(json.value().body);
+        ASSERT_TRUE(parsed);
+        EXPECT_EQ(parsed.value().executions.at("same").started, 2U);
+    }
+
+    TEST(Upstream, RecordsForeignAndMalformedRequests)
+    {
+        const Upstream upstream(fastUpstream("registrations", "core-1"));
+        const Result<HttpReply> foreign = registerOnce(upstream.endpoint(), "a", { { "X-Service", "label-print" } });
+        ASSERT_TRUE(foreign);
+        EXPECT_EQ(foreign.value().status, 421U);
+        EXPECT_EQ(httpCall(upstream.endpoint(), "POST", "/register", callTimeout).value().status, 400U);
+        Caller garbage(upstream.endpoint());
+        garbage.send("\x01\x02 this is not HTTP\r\n\r\n");
+        EXPECT_TRUE(garbage.receive(12, callTimeout).starts_with("HTTP/1.1 400"));
+        const Ledger ledger = upstream.ledger();
+        EXPECT_EQ(ledger.foreign, 1U);
+        EXPECT_EQ(ledger.malformed, 2U);
+        EXPECT_TRUE(ledger.executions.empty());
+    }
+
+    TEST(Upstream, ShedsWithoutExecutingWhenAllSlotsAreBusy)
+    {
+        UpstreamOptions options = fastUpstream("registrations", "core-1");
+        options.slots = 1;
+        const Upstream upstream(options);
+        std::thread first([&] { EXPECT_TRUE(registerOnce(upstream.endpoint(), "first", { { "X-Work-Ms", "400" } })); });
+        while (upstream.ledger().executions.empty())
+            std::this_thread::sleep_for(Milliseconds(1));
+        const Result<HttpReply> second = registerOnce(upstream.endpoint(), "second");
+        first.join();
+        ASSERT_TRUE(second);
+        EXPECT_EQ(second.value().status, 503U);
+        EXPECT_TRUE(second.value().headers.contains("x-not-run"));
+        EXPECT_EQ(upstream.ledger().executions.count("second"), 0U);
+        EXPECT_EQ(upstream.ledger().shed, 1U);
+        EXPECT_EQ(registerOnce(upstream.endpoint(), "third").value().status, 200U) << "the slot was not released";
+    }
+
+    TEST(Upstream, AbortsWorkOnDeadlineAndOnReset)
+    {
+        UpstreamOptions options = fastUpstream("registrations", "core-1");
+        options.slots = 1;
+        const Upstream upstream(options);
+        const Result<HttpReply> late
+            = registerOnce(upstream.endpoint(), "late", { { "X-Work-Ms", "2000" }, { "X-Deadline-Ms", "20" } });
+        ASSERT_TRUE(late);
+        EXPECT_EQ(late.value().status, 504U);
+        Caller caller(upstream.endpoint());
+        caller.send("POST /register HTTP/1.1\r\nX-Request-Id: reset\r\nX-Work-Ms: 20000\r\nContent-Length: 0\r\n\r\n");
+        while (upstream.ledger().executions.count("reset") == 0)
+            std::this_thread::sleep_for(Milliseconds(1));
+        caller.reset();
+        std::this_thread::sleep_for(Milliseconds(100));
+        EXPECT_EQ(upstream.ledger().executions.at("late").cancelled, 1U);
+        EXPECT_EQ(upstream.ledger().executions.at("reset").cancelled, 1U);
+        EXPECT_EQ(upstream.ledger().executions.at("reset").finished, 0U);
+        EXPECT_EQ(registerOnce(upstream.endpoint(), "next").value().status, 200U) << "the slot was not released";
+    }
+
+    // A caller that half-closes after its request still gets its answer.
+    TEST(Upstream, AnswersACallerThatHasHalfClosed)
+    {
+        const Upstream upstream(fastUpstream("registrations", "core-1"));
+        Caller caller(upstream.endpoint());
+        caller.send("POST /register HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        caller.closeSending();
+        EXPECT_TRUE(caller.receive(12, callTimeout).starts_with("HTTP/1.1 200"));
+        EXPECT_EQ(upstream.ledger().executions.at("a").cancelled, 0U);
+    }
+
+    TEST(Upstream, WorksSlowerAfterAColdStartAndAsAStraggler)
+    {
+        UpstreamOptions options = fastUpstream("registrations", "core-1");
+        options.workTime = Milliseconds(20);
+        options.coldStart = std::chrono::seconds(60);
+        const Upstream cold(options);
+        options.coldStart = Milliseconds(0);
+        options.stragglerOneIn = 1;
+        const Upstream straggling(options);
+        SteadyClock::time_point begin = SteadyClock::now();
+        ASSERT_TRUE(registerOnce(cold.endpoint(), "a"));
+        EXPECT_GE(millisecondsSince(begin), 90) << "5 times 20 ms, falling";
+        begin = SteadyClock::now();
+        ASSERT_TRUE(registerOnce(straggling.endpoint(), "a"));
+        EXPECT_GE(millisecondsSince(begin), 600) << "30 times 20 ms";
+    }
+
+    TEST(Upstream, DrainShowsAtOnceOrLaggedOrNeverInHealthAndIsRecorded)
+    {
+        UpstreamOptions options = fastUpstream("registrations", "core-1");
+        Upstream prompt(options);
+        options.healthLag = silence;
+        Upstream lagging(options);
+        options.health = HealthReport::AlwaysReady;
+        Upstream lying(options);
+        const auto health = [](const Upstream& upstream) {
+            return httpCall(upstream.adminEndpoint(), "GET", "/health", callTimeout).value().status;
+        };
+        EXPECT_EQ(health(prompt), 200U);
+        for (Upstream* upstream : { &prompt, &lagging, &lying })
+            upstream->drain();
+        EXPECT_EQ(health(prompt), 503U);
+        EXPECT_EQ(health(lagging), 200U);
+        std::this_thread::sleep_for(silence + Milliseconds(50));
+        EXPECT_EQ(health(lagging), 503U);
+        EXPECT_EQ(health(lying), 200U);
+        EXPECT_EQ(prompt.ledger().workAfterDrain, 0U);
+        EXPECT_TRUE(registerOnce(prompt.endpoint(), "late"));
+        EXPECT_EQ(prompt.ledger().workAfterDrain, 1U);
+        EXPECT_GE(prompt.ledger().lastWorkAfterDrain, silence);
+        prompt.undrain();
+        EXPECT_EQ(health(prompt), 200U);
+    }
+
+    TEST(Upstream, DownloadsAndUploadsAreVerifiable)
+    {
+        const Upstream upstream(fastUpstream("label-print", "print-1"));
+        const Result<HttpReply> download = httpCall(upstream.endpoint(), "GET", "/download?bytes=300001", callTimeout);
+        ASSERT_TRUE(download);
+        EXPECT_EQ(download.value().body.size(), 300001U);
+        EXPECT_TRUE(matchesPattern(0, download.value().body));
+        EXPECT_EQ(download.value().headers.at("x-digest"), digestOf(download.value().body));
+        std::string body = download.value().body;
+        EXPECT_NE(httpCall(upstream.endpoint(), "POST", "/upload", callTimeout, {}, body)
+                      .value()
+                      .body.find("\"pattern\":true"),
+            std::string::npos);
+        body[1234] = static_cast<char>(body[1234] ^ 1);
+        EXPECT_NE(httpCall(upstream.endpoint(), "POST", "/upload", callTimeout, {}, body)
+                      .value()
+                      .body.find("\"pattern\":false"),
+            std::string::npos);
+    }
+
+    TEST(Upstream, EchoRepeatsAllBytesAfterAHalfClose)
+    {
+        UpstreamOptions options = fastUpstream("echo", "echo-1");
+        options.mode = UpstreamMode::Echo;
+        const Upstream upstream(options);
+        Caller caller(upstream.endpoint());
+        caller.send("hello");
+        caller.closeSending();
+        EXPECT_EQ(caller.receive(SIZE_MAX, callTimeout), "echo echo-1\nhello");
+        EXPECT_TRUE(caller.ended);
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Relay
+    //-----------------------------------------------------------------------------
+
+    TEST(Relay, DelaysBothDirectionsAndStallsOnLoss)
+    {
+        const Upstream upstream(fastUpstream("registrations", "core-1"));
+        Relay relay(relayTo({ upstream.endpoint() }));
+        LinkConditions conditions;
+        conditions.delay = Milliseconds(40);
+        relay.setConditions(conditions);
+        SteadyClock::time_point begin = SteadyClock::now();
+        ASSERT_TRUE(registerOnce(relay.endpoint(), "a"));
+        EXPECT_GE(millisecondsSince(begin), 80);
+        EXPECT_EQ(relay.counts().stalls, 0U);
+        conditions.delay = Milliseconds(0);
+        conditions.loss = 1;
+        conditions.retransmission = Milliseconds(100);
+        relay.setConditions(conditions);
+        begin = SteadyClock::now();
+        ASSERT_TRUE(registerOnce(relay.endpoint(), "b"));
+        EXPECT_GE(millisecondsSince(begin), 200) << "one stall in each direction";
+        EXPECT_GE(relay.counts().stalls, 2U);
+    }
+
+    // Bytes must stay complete and in order through jitter, loss and back-pressure.
+    TEST(Relay, KeepsStreamsIntactUnderJitterAndLoss)
+    {
+        const Upstream upstream(fastUpstream("label-print", "print-1"));
+        RelayOptions options = relayTo({ upstream.endpoint() });
+        options.conditions.jitter = Milliseconds(5);
+        options.conditions.loss = 0.001;
+        options.conditions.retransmission = Milliseconds(2);
+        const Relay relay(options);
+        const Result<HttpReply> reply
+            = httpCall(relay.endpoint(), "GET", "/download?bytes=20000000", std::chrono::seconds(60));
+        ASSERT_TRUE(reply) << reply.error().message;
+        EXPECT_EQ(reply.value().body.size(), 20000000U);
+        EXPECT_TRUE(matchesPattern(0, reply.value().body));
+        EXPECT_GT(relay.counts().stalls, 0U);
+    }
+
+    TEST(Relay, ACutIsSilentAndDeliversAfterHealing)
+    {
+        UpstreamOptions options = fastUpstream("echo", "echo-1");
+        options.mode = UpstreamMode::Echo;
+        const Upstream upstream(options);
+        Relay relay(relayTo({ upstream.endpoint() }));
+        Caller caller(relay.endpoint());
+        caller.send("a");
+        EXPECT_EQ(caller.receive(13, callTimeout), "echo echo-1\na");
+        relay.cut();
+        caller.send("b");
+        Caller during(relay.endpoint());
+        during.send("c");
+        EXPECT_EQ(caller.receive(1, silence), "");
+        EXPECT_EQ(during.receive(1, silence), "");
+        EXPECT_FALSE(caller.ended) << "the connection must stay open";
+        relay.heal();
+        EXPECT_EQ(caller.receive(1, callTimeout), "b");
+        EXPECT_EQ(during.receive(13, callTimeout), "echo echo-1\nc");
+    }
+
+    TEST(Relay, SwallowedConnectionsStaySilentWhileNewOnesWork)
+    {
+        UpstreamOptions options = fastUpstream("echo", "echo-1");
+        options.mode = UpstreamMode::Echo;
+        const Upstream upstream(options);
+        Relay relay(relayTo({ upstream.endpoint() }));
+        Caller before(relay.endpoint());
+        before.send("a");
+        EXPECT_EQ(before.receive(13, callTimeout), "echo echo-1\na");
+        relay.swallowExisting();
+        before.send("b");
+        EXPECT_EQ(before.receive(1, silence), "");
+        relay.heal();
+        EXPECT_EQ(before.receive(1, silence), "") << "lost state must not come back";
+        EXPECT_FALSE(before.ended);
+        Caller after(relay.endpoint());
+        after.send("c");
+        EXPECT_EQ(after.receive(13, callTimeout), "echo echo-1\nc");
+    }
+
+    TEST(Relay, PassesHalfCloseAndReset)
+    {
+        UpstreamOptions options = fastUpstream("echo", "echo-1");
+        options.mode = UpstreamMode::Echo;
+        const Upstream upstream(options);
+        const Relay relay(relayTo({ upstream.endpoint() }));
+        Caller caller(relay.endpoint());
+        caller.send("hello");
+        caller.closeSending();
+        EXPECT_EQ(caller.receive(SIZE_MAX, callTimeout), "echo echo-1\nhello");
+        EXPECT_TRUE(caller.ended);
+        Caller resetting(relay.endpoint());
+        resetting.send("x");
+        EXPECT_EQ(resetting.receive(13, callTimeout).size(), 13U);
+        resetting.reset();
+        std::this_thread::sleep_for(Milliseconds(100));
+        EXPECT_EQ(relay.counts().openConnections, 0U);
+    }
+
+    TEST(Relay, FabricSpreadsConnectionsAndDatagramsOverAllTargets)
+    {
+        const Upstream first(fastUpstream("registrations", "core-1"));
+        const Upstream second(fastUpstream("registrations", "core-2"));
+        const Relay connections(relayTo({ first.endpoint(), second.endpoint() }));
+        for (int i = 0; i < 40; ++i)
+            ASSERT_TRUE(registerOnce(connections.endpoint(), "c" + std::to_string(i)));
+        EXPECT_GT(first.ledger().executions.size(), 5U);
+        EXPECT_GT(second.ledger().executions.size(), 5U);
+
+        DatagramCaller entryA;
+        DatagramCaller entryB;
+        DatagramCaller caller;
+        const Relay fabric(relayTo({ entryA.endpoint(), entryB.endpoint() }));
+        for (int i = 0; i < 40; ++i)
+            caller.send(fabric.endpoint(), "datagram");
+        int atA = 0;
+        int atB = 0;
+        while (!entryA.receive(Milliseconds(100)).empty())
+            ++atA;
+        while (!entryB.receive(Milliseconds(100)).empty())
+            ++atB;
+        EXPECT_EQ(atA + atB, 40);
+        EXPECT_GT(atA, 5);
+        EXPECT_GT(atB, 5);
+        entryA.send(entryA.sender(), "reply");
+        EXPECT_EQ(caller.receive(callTimeout), "reply");
+        EXPECT_EQ(caller.sender(), fabric.endpoint()) << "replies come from the public address";
+    }
+
+    TEST(Relay, DropsDatagramsByLossCutAndSwallow)
+    {
+        DatagramCaller entry;
+        DatagramCaller caller;
+        Relay relay(relayTo({ entry.endpoint() }));
+        LinkConditions conditions;
+        conditions.loss = 0.5;
+        relay.setConditions(conditions);
+        for (int i = 0; i < 200; ++i)
+            caller.send(relay.endpoint(), "x");
+        int received = 0;
+        while (!entry.receive(Milliseconds(100)).empty())
+            ++received;
+        EXPECT_GT(received, 60);
+        EXPECT_LT(received, 140);
+        EXPECT_EQ(relay.counts().droppedDatagrams, static_cast<uint64_t>(200 - received));
+        relay.setConditions({});
+        relay.cut();
+        caller.send(relay.endpoint(), "cut");
+        EXPECT_EQ(entry.receive(silence), "");
+        relay.heal();
+        caller.send(relay.endpoint(), "healed");
+        EXPECT_EQ(entry.receive(callTimeout), "healed");
+        relay.swallowExisting();
+        caller.send(relay.endpoint(), "swallowed");
+        EXPECT_EQ(entry.receive(silence), "");
+        DatagramCaller newCaller;
+        newCaller.send(relay.endpoint(), "new");
+        EXPECT_EQ(entry.receive(callTimeout), "new");
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Load tool
+    //-----------------------------------------------------------------------------
+
+    // A short run of all kinds of load against one upstream.
+    LoadReport runAgainst(const UpstreamOptions& upstreamOptions, const std::string& expectedService = "core")
+    {
+        const Upstream upstream(upstreamOptions);
+        LoadOptions options;
+        for (LoadTarget& target : options.targets)
+            target = { { upstream.endpoint() }, expectedService, 10, 100000 };
+        options.of(LoadKind::Registration).rate = 100;
+        options.upstreamAdmins = { upstream.adminEndpoint() };
+        options.seconds = 1.5;
+        options.work = Milliseconds(2);
+        options.timeout = Milliseconds(1000);
+        return runLoad(options);
+    }
+
+    UpstreamOptions core()
+    {
+        UpstreamOptions options = fastUpstream("core", "core-1");
+        options.slots = 1000;
+        return options;
+    }
+
+    std::string lines(const std::vector<std::string>& texts)
+    {
+        std::string all;
+        for (const std::string& text : texts)
+            all += text + '\n';
+        return all;
+    }
+
+    TEST(Load, AGoodRunHasNoViolations)
+    {
+        const LoadReport report = runAgainst(core());
+        EXPECT_TRUE(report.violations().empty()) << lines(report.violations());
+        for (const KindReport& kind : report.kinds) {
+            EXPECT_GT(kind.sent, 0U);
+            EXPECT_EQ(kind.count(Outcome::Answered), kind.sent);
+        }
+        EXPECT_GT(report.of(LoadKind::Registration).sent, 90U) << "100 a second for 1.5 s";
+        EXPECT_LT(report.of(LoadKind::Registration).sent, 220U);
+        EXPECT_EQ(report.feeds.opened, 10U);
+        EXPECT_GT(report.feeds.lines.lines, 500U);
+        EXPECT_EQ(report.ledger.ledgersRead, 1U);
+    }
+
+    TEST(Load, DetectsDuplicates)
+    {
+        UpstreamOptions options = core();
+        options.faults.duplicateOneIn = 10;
+        const LoadReport report = runAgainst(options);
+        EXPECT_GT(report.ledger.duplicates, 0U);
+        EXPECT_EQ(report.ledger.losses, 0U);
+    }
+
+    TEST(Load, DetectsLosses)
+    {
+        UpstreamOptions options = core();
+        options.faults.loseOneIn = 10;
+        const LoadReport report = runAgainst(options);
+        EXPECT_GT(report.ledger.losses, 0U);
+        EXPECT_EQ(report.ledger.duplicates, 0U);
+    }
+
+    TEST(Load, DistinguishesFalseFromTruthfulRefusals)
+    {
+        UpstreamOptions options = core();
+        options.faults.falseRefusalOneIn = 10;
+        EXPECT_GT(runAgainst(options).ledger.falseRefusals, 0U);
+        UpstreamOptions small = core();
+        small.slots = 0;
+        const LoadReport refused = runAgainst(small);
+        EXPECT_EQ(refused.ledger.falseRefusals, 0U);
+        EXPECT_EQ(refused.ledger.truthfulRefusals, refused.of(LoadKind::Registration).sent);
+    }
+
+    TEST(Load, DetectsBrokenFeeds)
+    {
+        UpstreamOptions gap = core();
+        gap.faults.feedGapOneIn = 20;
+        EXPECT_GT(runAgainst(gap).feeds.lines.gaps, 0U);
+        UpstreamOptions repeat = core();
+        repeat.faults.feedRepeatOneIn = 20;
+        EXPECT_GT(runAgainst(repeat).feeds.lines.repeats, 0U);
+        UpstreamOptions corrupt = core();
+        corrupt.faults.feedCorruptOneIn = 20;
+        const LoadReport report = runAgainst(corrupt);
+        EXPECT_GT(report.feeds.lines.corrupt, 0U);
+        EXPECT_GT(report.feeds.broken, 0U);
+    }
+
+    TEST(Load, DetectsMisdeliveredAnswersAndForeignRequests)
+    {
+        UpstreamOptions options = core();
+        options.faults.answerAsService = "label-print";
+        const LoadReport answers = runAgainst(options);
+        EXPECT_EQ(answers.of(LoadKind::Registration).misdelivered, answers.of(LoadKind::Registration).sent);
+        EXPECT_EQ(answers.of(LoadKind::Download).misdelivered, answers.of(LoadKind::Download).sent);
+        EXPECT_GT(answers.feeds.lines.misdelivered, 0U);
+        const LoadReport requests = runAgainst(core(), "label-print");
+        EXPECT_GE(requests.ledger.foreign, requests.of(LoadKind::Registration).sent);
+    }
+
+    // A feed that goes silent or ends must count, although no line is wrong.
+    TEST(Load, DetectsFeedsThatEndOrGoSilent)
+    {
+        const Upstream upstream(core());
+        Relay relay([&] {
+            RelayOptions options = relayTo({ upstream.endpoint() });
+            options.admin = Endpoint { "127.0.0.1", 0 };
+            return options;
+        }());
+        LoadOptions options;
+        options.of(LoadKind::Feed) = { { relay.endpoint() }, "core", 5, 0 };
+        options.seconds = 2;
+        options.silenceLimit = Milliseconds(500);
+        options.actions = { { 1, "/swallow", relay.adminEndpoint() } };
+        const LoadReport silent = runLoad(options);
+        EXPECT_EQ(silent.feeds.silences, 5U);
+        EXPECT_GT(silent.feeds.longestSilence, 0.5);
+        ASSERT_EQ(silent.marks.size(), 1U);
+        EXPECT_EQ(silent.marks[0].text.find("failed"), std::string::npos);
+
+        options.actions.clear();
+        std::unique_ptr<Upstream> leaving = std::make_unique<Upstream>(core());
+        options.of(LoadKind::Feed).addresses = { leaving->endpoint() };
+        std::thread stop([&] {
+            std::this_thread::sleep_for(Milliseconds(1300));
+            leaving.reset();
+        });
+        const LoadReport ended = runLoad(options);
+        stop.join();
+        EXPECT_EQ(ended.feeds.endedEarly, 5U);
+        EXPECT_GE(ended.feeds.broken, 5U);
+    }
+
+    TEST(Load, MissingLedgersAreAViolation)
+    {
+        LoadOptions options;
+        options.seconds = 0.1;
+        options.upstreamAdmins = { { "127.0.0.1", 1 } };
+        EXPECT_FALSE(runLoad(options).violations().empty());
+    }
+
+    TEST(Load, ComparesOutcomesWithTheSumOfAllLedgers)
+    {
+        Ledger first;
+        first.executions = { { "once", { 1, 1, 0 } }, { "twice", { 1, 1, 0 } }, { "refused", { 1, 0, 1 } } };
+        Ledger second;
+        second.executions = { { "twice", { 1, 1, 0 } }, { "unknown", { 1, 1, 0 } } };
+        const LedgerReport report = compareLedgers(
+            { { "once", Outcome::Answered }, { "twice", Outcome::Answered }, { "refused", Outcome::NotRun },
+                { "lost", Outcome::Answered }, { "true", Outcome::NotRun }, { "unknown", Outcome::Broken },
+                { "never", Outcome::TimedOut } },
+            { first, second });
+        EXPECT_EQ(report.duplicates, 1U);
+        EXPECT_EQ(report.losses, 1U);
+        EXPECT_EQ(report.falseRefusals, 1U);
+        EXPECT_EQ(report.truthfulRefusals, 1U);
+        EXPECT_EQ(report.unknownExecuted, 1U);
+        EXPECT_EQ(report.unknownNotExecuted, 1U);
+    }
+
+    TEST(Load, ImbalanceIsLargestOverMeanOfBusyTimePerWindow)
+    {
+        std::vector<BusySample> samples;
+        for (int second = 0; second <= 4; ++second) {
+            samples.push_back({ second * 1.0, "core", "core-1", second * 3.0 });
+            samples.push_back({ second * 1.0, "core", "core-2", second * 1.0 });
+        }
+        const std::vector<ImbalanceWindow> windows = imbalanceWindows(samples, 2);
+        ASSERT_EQ(windows.size(), 2U);
+        EXPECT_DOUBLE_EQ(windows[0].largestOverMean, 1.5);
+    }
+
+    TEST(Load, TheSwingMultipliesTheRate)
+    {
+        const Swing swing { 3, 10, 2, 5 };
+        EXPECT_DOUBLE_EQ(swing.factorAt(9), 1);
+        EXPECT_DOUBLE_EQ(swing.factorAt(11), 2);
+        EXPECT_DOUBLE_EQ(swing.factorAt(14), 3);
+        EXPECT_DOUBLE_EQ(swing.factorAt(18), 2);
+        EXPECT_DOUBLE_EQ(swing.factorAt(20), 1);
+    }
+
+    TEST(Load, QuantilesUseTheNearestRank)
+    {
+        KindReport report;
+        for (int i = 100; i >= 1; --i)
+            report.waits.push_back({ 0, static_cast<float>(i) });
+        EXPECT_DOUBLE_EQ(report.quantile(0.5), 50);
+        EXPECT_DOUBLE_EQ(report.quantile(0.99), 99);
+        EXPECT_DOUBLE_EQ(report.quantile(0.999), 100);
+    }
+
+    TEST(Load, ThePageIsSelfContained)
+    {
+        LoadReport report = runAgainst(core());
+        report.marks.push_back({ 0.5, "/cut <link>" });
+        const std::string page = reportPage(report, "trial & error");
+        EXPECT_NE(page.find("<svg"), std::string::npos);
+        EXPECT_NE(page.find("/cut &lt;link&gt;"), std::string::npos);
+        EXPECT_NE(page.find("trial &amp; error"), std::string::npos);
+        EXPECT_EQ(page.find("src="), std::string::npos);
+        EXPECT_EQ(page.find("href="), std::string::npos);
+    }
+
+} // namespace
+} // namespace wasabicroft::fakes
