--- a/backends/PlatformReader.cpp
+++ b/backends/PlatformReader.cpp
@@ -65,7 +65,7 @@
     // One HTTP call on its own connection.
     class HttpCall : public std::enable_shared_from_this<HttpCall> {
     public:
-        using Done = std::function<void(CallResult)>;
+        using Done = std::function<void(const CallResult&)>;
 
         HttpCall(asio::io_context& context, Done done)
             : stream(context)
@@ -125,10 +125,10 @@
             this->finish({ CallResult::Kind::Failure, 0, std::nullopt, error.message() });
         }
 
-        void finish(CallResult result)
+        void finish(const CallResult& result)
         {
             if (this->done)
-                std::exchange(this->done, nullptr)(std::move(result));
+                std::exchange(this->done, nullptr)(result);
         }
 
         beast::tcp_stream stream;
@@ -233,7 +233,7 @@
             if (this->calls.at(i))
                 this->calls.at(i)->cancel();
             this->calls.at(i) = std::make_shared<HttpCall>(
-                this->context, [this, call = *call](CallResult result) { this->report(call, std::move(result)); });
+                this->context, [this, call = *call](const CallResult& result) { this->report(call, result); });
             this->calls.at(i)->start(this->options.platform, *call, this->options.callTimeout);
         }
         const TimePoint due = this->reader.nextCallTime(which);
@@ -249,7 +249,7 @@
         });
     }
 
-    void report(const PlatformCall& call, CallResult result)
+    void report(const PlatformCall& call, const CallResult& result)
     {
         this->calls.at(static_cast<size_t>(call.stream)).reset();
         if (result.kind == CallResult::Kind::Value)
--- a/tests/ConfigSourceTest.cpp
+++ b/tests/ConfigSourceTest.cpp
@@ -28,6 +28,7 @@
     ConfigSource parse(const std::string& base, const std::vector<std::string>& overlays = {})
     {
         std::vector<SourceFile> files;
+        files.reserve(overlays.size());
         for (const std::string& overlay : overlays)
             files.push_back({ "overlay-" + std::to_string(files.size() + 1) + ".yaml", overlay });
         return parseSource({ "base.yaml", base }, files);
@@ -166,9 +167,10 @@
         const auto overlayOf = [&](int site) {
             std::vector<std::string> rows;
             for (int i = 1; i <= 4; ++i) {
-                const std::string host = "127.10." + std::to_string(10 + site) + '.' + std::to_string(i);
-                rows.push_back("      site-" + std::to_string(site) + "-host-" + std::to_string(i)
-                    + ": { failureDomain: site-a, agent: \"" + host + ":7200\", address: \"" + host + ":7300\" }\n");
+                std::ostringstream row;
+                row << "      site-" << site << "-host-" << i << ": { failureDomain: site-a, agent: \"127.10."
+                    << 10 + site << '.' << i << ":7200\", address: \"127.10." << 10 + site << '.' << i << ":7300\" }\n";
+                rows.push_back(row.str());
             }
             std::shuffle(rows.begin(), rows.end(), random);
             std::string text = "services:\n  alerts:\n    upstreams:\n";
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -135,6 +135,7 @@
         FakePlatform platform;
         platform.publish(samples::published(1, 4));
         std::vector<Member> members;
+        members.reserve(12);
         for (int i = 1; i <= 12; ++i)
             members.push_back(samples::member("entry-" + std::to_string(i)));
         platform.setMembers(members);
--- a/wasabicroft/ConfigSource.cpp
+++ b/wasabicroft/ConfigSource.cpp
@@ -141,11 +141,13 @@
         return Error { ErrorKind::InvalidConfig, toString(origin) + ": " + message };
     }
 
-    std::string join(const std::vector<std::string>& words)
+    std::string join(const std::vector<std::string>& words, std::string_view separator)
     {
         std::string text;
-        for (const std::string& word : words)
-            text += (text.empty() ? "" : ", ") + word;
+        for (const std::string& word : words) {
+            text += text.empty() ? std::string_view() : separator;
+            text += word;
+        }
         return text;
     }
 
@@ -340,6 +342,7 @@
         template <typename Item> static std::vector<std::string> namesOf(const std::vector<Key<Item>>& keys)
         {
             std::vector<std::string> names;
+            names.reserve(keys.size());
             for (const Key<Item>& key : keys)
                 names.push_back(key.name);
             return names;
@@ -347,7 +350,7 @@
 
         void reportUnknownKey(const YAML::Node& node, const std::string& key, const std::vector<std::string>& known)
         {
-            this->report(node, "unknown key '" + key + "'; the keys here are " + join(known));
+            this->report(node, "unknown key '" + key + "'; the keys here are " + join(known, ", "));
         }
 
         Origin originOf(const YAML::Node& node) const { return { this->source.name, node.Mark().line + 1 }; }
@@ -468,7 +471,7 @@
             service.listeners = this->buildEntries(path + '/' + listenersKey, listenerKeys);
             service.upstreams = this->buildEntries(path + '/' + upstreamsKey, upstreamKeys);
             for (const UpstreamConfig& upstream : service.upstreams)
-                this->checkDomain(path + '/' + upstreamsKey + '/' + upstream.name + "/failureDomain", upstream);
+                this->checkDomain(join({ path, upstreamsKey, upstream.name, "failureDomain" }, "/"), upstream);
             return service;
         }
 
