Refuse to compile a version below the one in the directory

A damaged manifest in the output directory made wasabictl start again at version 1, which every process would ignore as older. compile now refuses it, as well as versions lower than the present one.

--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -109,21 +109,32 @@
         return exit_codes::success;
     }
 
-    // What the directory holds; none if it holds no valid manifest.
-    std::optional<Manifest> presentManifest(const std::string& directory)
+    // Manifest that the directory holds; none if it holds no manifest.
+    Result<std::optional<Manifest>> presentManifest(const std::string& directory)
     {
+        if (!std::filesystem::exists(std::filesystem::path(directory) / "manifest.json"))
+            return std::optional<Manifest>();
         const Result<PublishedConfig> present = readPublishedDirectory(directory);
         if (!present)
-            return std::nullopt;
+            return present.error();
         const Result<Manifest> manifest = decodeManifest(present.value().manifest);
-        return manifest ? std::optional<Manifest>(manifest.value()) : std::nullopt;
+        if (!manifest)
+            return Error { ErrorKind::InvalidConfig,
+                directory + " holds an invalid manifest, so the next version is unknown; restore it or compile into an "
+                    + "empty directory with --config-version" };
+        return std::optional<Manifest>(manifest.value());
     }
 
     int compile(const Flags& flags)
     {
         SettingsReader settings(flags, "WASABICTL");
         const std::string directory = settings.requiredText("--out");
-        const std::optional<Manifest> present = presentManifest(directory);
+        const Result<std::optional<Manifest>> found = presentManifest(directory);
+        if (!found) {
+            printErrors({ found.error() });
+            return exit_codes::refusedInput;
+        }
+        const std::optional<Manifest>& present = found.value();
         const uint64_t epoch = settings.number("--epoch", present ? present->epoch : 1, 0, UINT64_MAX);
         const uint64_t given = settings.number("--config-version", 0, 1, UINT64_MAX);
         if (!settings.errors().empty()) {
@@ -140,6 +151,13 @@
             const std::string same = publish(epoch, present->version, source.services).manifest;
             version = same == encodeManifest(*present) ? present->version : present->version + 1;
         }
+        if (present && (epoch < present->epoch || (epoch == present->epoch && version < present->version))) {
+            printErrors({ { ErrorKind::InvalidConfig,
+                directory + " holds epoch " + std::to_string(present->epoch) + ", version "
+                    + std::to_string(present->version)
+                    + ", and processes ignore older ones; compile a higher version" } });
+            return exit_codes::refusedInput;
+        }
         const PublishedConfig published = publish(epoch, version, source.services);
         const Result<std::shared_ptr<const Snapshot>> checked = parseSnapshot(published.manifest, published.values);
         const Result<bool> written = checked ? writePublishedDirectory(directory, published) : checked.error();
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -140,6 +140,7 @@
             members.push_back(samples::member("entry-" + std::to_string(i)));
         platform.setMembers(members);
         std::vector<std::unique_ptr<RunningReader>> readers;
+        readers.reserve(members.size());
         for (const Member& member : members)
             readers.push_back(std::make_unique<RunningReader>(platform, member.name));
         size_t watchers = 0;
