--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -135,10 +135,12 @@
         FakePlatform platform;
         platform.publish(samples::published(1, 4));
         std::vector<Member> members;
+        members.reserve(12);
         for (int i = 1; i <= 12; ++i)
             members.push_back(samples::member("entry-" + std::to_string(i)));
         platform.setMembers(members);
         std::vector<std::unique_ptr<RunningReader>> readers;
+        readers.reserve(members.size());
         for (const Member& member : members)
             readers.push_back(std::make_unique<RunningReader>(platform, member.name));
         size_t watchers = 0;
