Apply queue, ramp and retry limits of the configuration

Cause: the agent took queue limit, wait and ramp from its own flags and the entry used the default retry budget, although the published configuration states them. Change: Admission::setQueue and setRamp; the flags are gone; removed services get an empty pool.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -567,20 +567,30 @@
     const std::shared_ptr<const Snapshot> current = this->store.current();
     std::set<ServiceId> services;
     bool isLeaving = false;
-    uint16_t slots = 0;
-    uint32_t connectionLimit = 0;
+    // An upstream of several services gets the largest limits of them.
+    ServiceConfig limits;
+    limits.slots = 0;
+    limits.connections = 0;
+    limits.queueLimit = 0;
+    limits.maxQueueWait = limits.rampDuration = Milliseconds(0);
     for (const ServiceConfig& service : current->services) {
         const UpstreamConfig* upstream = this->ownConfig(service);
         if (!upstream)
             continue;
         services.insert(service.id());
         isLeaving = isLeaving || upstream->leaving;
-        slots = std::max(slots, service.slots);
-        connectionLimit = std::max(connectionLimit, service.connections);
+        limits.slots = std::max(limits.slots, service.slots);
+        limits.connections = std::max(limits.connections, service.connections);
+        limits.queueLimit = std::max(limits.queueLimit, service.queueLimit);
+        limits.maxQueueWait = std::max(limits.maxQueueWait, service.maxQueueWait);
+        limits.rampDuration = std::max(limits.rampDuration, service.rampDuration);
     }
     this->leavesByConfig = isLeaving;
-    if (!services.empty())
-        this->admission.setLimits(slots, connectionLimit);
+    if (!services.empty()) {
+        this->admission.setLimits(limits.slots, limits.connections);
+        this->admission.setQueue(limits.queueLimit, limits.maxQueueWait);
+        this->admission.setRamp(limits.rampDuration);
+    }
     OwnerCommands commands;
     this->owner.setServices(services, commands);
     this->run(commands);
@@ -590,7 +600,7 @@
     logEvent(Event::AgentConfigInForce,
         { { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest },
             { "services", static_cast<uint64_t>(services.size()) }, { "leaving", isLeaving },
-            { "slots", static_cast<unsigned>(slots) } });
+            { "slots", static_cast<unsigned>(limits.slots) } });
 }
 
 void AgentServer::applyMembers(std::shared_ptr<const std::vector<Member>> members)
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -202,6 +202,10 @@
     }
     if (this->upstreams.size() > maxKnownUpstreams)
         this->upstreams.clear();
+    for (const auto& [service, share] : this->retryShares) {
+        if (!snapshot->find(service))
+            this->placement.setPool(service, {});
+    }
     for (const ServiceConfig& service : snapshot->services) {
         std::vector<PlacementUpstream> pool;
         for (const UpstreamConfig& upstream : service.upstreams) {
@@ -212,6 +216,10 @@
             this->links.setAddress(id, upstream.agent);
         }
         this->placement.setPool(service.id(), std::move(pool));
+        const auto [share, isNew] = this->retryShares.try_emplace(service.id(), service.retryBudget);
+        if (isNew || share->second != service.retryBudget)
+            this->placement.retryBudget(service.id()) = RetryBudget(service.retryBudget);
+        share->second = service.retryBudget;
     }
 }
 
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -143,6 +143,7 @@
     std::shared_ptr<const std::vector<Member>> members;
     std::map<std::string, std::shared_ptr<Listener>> listeners; // by "service/listener"
     std::map<UpstreamId, KnownUpstream> upstreams;
+    std::map<ServiceId, double> retryShares; // of the retry budgets in force
     std::unordered_map<FlowId, PlainFlowPtr> flows;
     std::map<Carrier, std::set<FlowId>> flowsByCarrier;
     std::priority_queue<FlowTimer, std::vector<FlowTimer>, std::greater<>> timers;
--- a/daemons/wasabi-agent.cpp
+++ b/daemons/wasabi-agent.cpp
@@ -31,9 +31,6 @@
   --abandon-after MS           A flow is ended when its initiator is silent for this time with work outstanding [30000].
   --flow-buffer-bytes N        Buffer of a flow in each direction [262144].
   --straggler-after MS         A slot held longer counts as a straggler [5000].
-  --queue-limit N              Waiting requests [32].
-  --max-queue-wait MS          Longest wait of a request without a deadline [10000].
-  --ramp MS                    Time until all slots are offered after a cold start [0].
   --max-links N                Open links from entries [4096].
 )" + commonUsage(toString(defaultLink), toString(defaultAdmin))
         + R"(
@@ -60,9 +57,6 @@
     flows.receiveWindowBytes = flows.sendBufferBytes;
     AdmissionOptions& admission = options.admission;
     admission.stragglerAfter = reader.duration("--straggler-after", admission.stragglerAfter, least, 60 * minute);
-    admission.queueLimit = static_cast<uint16_t>(reader.number("--queue-limit", admission.queueLimit, 0, UINT16_MAX));
-    admission.maxQueueWait = reader.duration("--max-queue-wait", admission.maxQueueWait, Milliseconds(0), 10 * minute);
-    admission.rampDuration = reader.duration("--ramp", admission.rampDuration, Milliseconds(0), 60 * minute);
     options.maxLinks = reader.number("--max-links", options.maxLinks, 1, 100000);
     return options;
 }
--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -109,6 +109,14 @@
 
 void Admission::restartRamp() { this->rampStart = this->clock.now(); }
 
+void Admission::setQueue(uint16_t queueLimit, Milliseconds maxQueueWait)
+{
+    this->options.queueLimit = queueLimit;
+    this->options.maxQueueWait = maxQueueWait;
+}
+
+void Admission::setRamp(Milliseconds duration) { this->options.rampDuration = duration; }
+
 void Admission::setLimits(uint16_t slots, uint32_t connections)
 {
     this->options.slots = slots;
