--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -28,6 +28,15 @@
         return owner;
     }
 
+    UpstreamHealth healthOf(boost::beast::http::status status)
+    {
+        if (status == boost::beast::http::status::ok)
+            return UpstreamHealth::Ready;
+        if (status == boost::beast::http::status::service_unavailable)
+            return UpstreamHealth::Draining;
+        return UpstreamHealth::Unknown;
+    }
+
     void appendAddress(std::string& out, const asio::ip::address& address)
     {
         if (address.is_v4()) {
@@ -114,15 +123,7 @@
                 [this, current, isAlive](error_code readError, size_t) {
                     if (!*isAlive)
                         return;
-                    const http::status status = current->response.result();
-                    if (readError)
-                        this->report(UpstreamHealth::Unknown);
-                    else if (status == http::status::ok)
-                        this->report(UpstreamHealth::Ready);
-                    else if (status == http::status::service_unavailable)
-                        this->report(UpstreamHealth::Draining);
-                    else
-                        this->report(UpstreamHealth::Unknown);
+                    this->report(readError ? UpstreamHealth::Unknown : healthOf(current->response.result()));
                 });
         });
     });
@@ -603,7 +604,7 @@
             { "slots", static_cast<unsigned>(limits.slots) } });
 }
 
-void AgentServer::applyMembers(std::shared_ptr<const std::vector<Member>> members)
+void AgentServer::applyMembers(const std::shared_ptr<const std::vector<Member>>& members)
 {
     this->leavesByMembers = false;
     for (const Member& member : *members) {
--- a/tests/PathProcessTest.cpp
+++ b/tests/PathProcessTest.cpp
@@ -40,6 +40,7 @@
         {
             arguments.front() = std::string(PROGRAM_DIRECTORY) + '/' + arguments.front();
             std::vector<char*> pointers;
+            pointers.reserve(arguments.size() + 1);
             for (std::string& argument : arguments)
                 pointers.push_back(argument.data());
             pointers.push_back(nullptr);
--- a/tests/PathTest.cpp
+++ b/tests/PathTest.cpp
@@ -598,8 +598,8 @@
 
     private:
         struct Pair {
-            explicit Pair(tcp::socket accepted)
-                : ends { std::move(accepted), tcp::socket(ends[0].get_executor()) }
+            Pair(asio::io_context& context, tcp::socket accepted)
+                : ends { std::move(accepted), tcp::socket(context) }
             {
             }
             std::array<tcp::socket, 2> ends;
@@ -612,7 +612,8 @@
             this->acceptor->async_accept([this](error_code error, tcp::socket accepted) {
                 if (error)
                     return;
-                const std::shared_ptr<Pair> pair = std::make_shared<Pair>(std::move(accepted));
+                const std::shared_ptr<Pair> pair
+                    = std::make_shared<Pair>(this->relayThread.context, std::move(accepted));
                 pair->ends[1].connect(toTcp(this->destination), error);
                 this->pairs.push_back(pair);
                 this->forward(pair, 0);
