--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -14,8 +14,7 @@
 
     constexpr Milliseconds tickInterval { 5 }; // resolution of flow timers
     constexpr Milliseconds slowTickInterval { 50 }; // links, suspicion and listeners that could not be opened
-    constexpr size_t readBufferBytes = 64 * 1024;
-    constexpr size_t maxDatagramBytes = 65536;
+    constexpr size_t readBufferBytes = 64 * 1024; // holds the largest datagram
     constexpr size_t datagramsPerWakeup = 64; // so that a flood of datagrams can't hold up plain flows
     constexpr size_t maxListedRefusals = 20;
     constexpr size_t maxKnownUpstreams = 20000; // about three times the design target
@@ -202,6 +201,10 @@
     }
     if (this->upstreams.size() > maxKnownUpstreams)
         this->upstreams.clear();
+    for (const auto& [service, share] : this->retryShares) {
+        if (!snapshot->find(service))
+            this->placement.setPool(service, {});
+    }
     for (const ServiceConfig& service : snapshot->services) {
         std::vector<PlacementUpstream> pool;
         for (const UpstreamConfig& upstream : service.upstreams) {
@@ -212,6 +215,10 @@
             this->links.setAddress(id, upstream.agent);
         }
         this->placement.setPool(service.id(), std::move(pool));
+        const auto [share, isNew] = this->retryShares.try_emplace(service.id(), service.retryBudget);
+        if (isNew || share->second != service.retryBudget)
+            this->placement.retryBudget(service.id()) = RetryBudget(service.retryBudget);
+        share->second = service.retryBudget;
     }
 }
 
