--- a/daemons/wasabi-load.cpp
+++ b/daemons/wasabi-load.cpp
@@ -14,8 +14,9 @@
 
 const char* const usage
     = R"(Sends feeds, registrations, downloads and uploads, and checks that no feed breaks, that every registration ran at
-most once and every answer belongs to its request. Upstreams must speak the protocol of fake-upstream. Exit code 1
-means that a guarantee was violated.
+most once and every answer belongs to its request. Upstreams must speak the protocol of fake-upstream. An answer with
+status 503 and the header X-Not-Run: 1, from an upstream or as refusal bytes of a balancer, states that nothing ran.
+Exit code 1 means that a guarantee was violated.
 
 Usage:
   wasabi-load [options]
--- a/fakes/LoadReport.cpp
+++ b/fakes/LoadReport.cpp
@@ -41,14 +41,19 @@
         }
     }
 
-    // The reading of an upstream nearest to a point of time.
-    double busyAt(const std::vector<const BusySample*>& samples, double at)
+    // Busy time of an upstream within a window: the steps between readings whose middle lies in it. A smaller reading
+    // than the one before means that the upstream was restarted and counts from zero.
+    double busyWithin(const std::vector<const BusySample*>& samples, double begin, double end)
     {
-        const auto nearest
-            = std::min_element(samples.begin(), samples.end(), [at](const BusySample* left, const BusySample* right) {
-                  return std::abs(left->at - at) < std::abs(right->at - at);
-              });
-        return (*nearest)->busy;
+        double busy = 0;
+        for (size_t i = 1; i < samples.size(); ++i) {
+            const double middle = (samples[i - 1]->at + samples[i]->at) / 2;
+            if (middle < begin || middle >= end)
+                continue;
+            const double step = samples[i]->busy - samples[i - 1]->busy;
+            busy += step >= 0 ? step : samples[i]->busy;
+        }
+        return busy;
     }
 
     ImbalanceWindow windowOf(
@@ -57,7 +62,7 @@
         double largest = 0;
         double sum = 0;
         for (const auto& [name, samples] : upstreams) {
-            const double busy = busyAt(samples, end) - busyAt(samples, begin);
+            const double busy = busyWithin(samples, begin, end);
             largest = std::max(largest, busy);
             sum += busy;
         }
--- a/fakes/Upstream.cpp
+++ b/fakes/Upstream.cpp
@@ -75,15 +75,24 @@
                 ++this->ledger.shed;
                 return false;
             }
+            this->advanceBusyTime();
             ++this->busySlots;
             this->noteNewWork();
             return true;
         }
 
-        void releaseSlot(SteadyClock::time_point since)
+        void releaseSlot()
         {
+            this->advanceBusyTime();
             --this->busySlots;
-            this->busyTime += std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - since);
+        }
+
+        // Integrates the busy slots over time, so that work in progress counts before it ends.
+        void advanceBusyTime()
+        {
+            const SteadyClock::time_point now = SteadyClock::now();
+            this->busyTime += this->busySlots * (now - this->busyTimeAt);
+            this->busyTimeAt = now;
         }
 
         // Time that a registration works; base is the time without cold start and stragglers.
@@ -137,7 +146,8 @@
         uint64_t requests = 0;
         uint64_t stragglers = 0;
         uint64_t bytesSent = 0;
-        std::chrono::microseconds busyTime { 0 }; // sum over all slots
+        Duration busyTime { 0 }; // sum over all slots up to busyTimeAt
+        SteadyClock::time_point busyTimeAt = SteadyClock::now();
     };
 
     // Holds a slot until it is destroyed.
@@ -147,13 +157,12 @@
             : service(slotOwner)
         {
         }
-        ~SlotHold() { this->service.releaseSlot(this->since); }
+        ~SlotHold() { this->service.releaseSlot(); }
         SlotHold(const SlotHold&) = delete;
         SlotHold& operator=(const SlotHold&) = delete;
 
     private:
         Service& service;
-        SteadyClock::time_point since = SteadyClock::now();
     };
 
     class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -568,12 +577,14 @@
         bool greeted = false;
     };
 
-    boost::json::object loadOf(const Service& service)
+    boost::json::object loadOf(Service& service)
     {
+        service.advanceBusyTime();
         return { { "service", service.options.service }, { "upstream", service.options.name },
             { "busy", service.busySlots }, { "slots", service.options.slots }, { "connections", service.connections },
             { "feeds", service.feeds }, { "requests", service.requests }, { "stragglers", service.stragglers },
-            { "bytes_sent", service.bytesSent }, { "busy_us", service.busyTime.count() },
+            { "bytes_sent", service.bytesSent },
+            { "busy_us", std::chrono::duration_cast<std::chrono::microseconds>(service.busyTime).count() },
             { "draining", service.draining } };
     }
 
--- a/tests/FakesTest.cpp
+++ b/tests/FakesTest.cpp
@@ -702,6 +702,32 @@
         EXPECT_DOUBLE_EQ(windows[0].largestOverMean, 1.5);
     }
 
+    // A restarted upstream counts from zero; the window must not get a negative busy time.
+    TEST(Load, ImbalanceSurvivesARestartOfAnUpstream)
+    {
+        std::vector<BusySample> samples;
+        for (int second = 0; second <= 4; ++second) {
+            samples.push_back({ second * 1.0, "core", "core-1", 100 + second * 1.0 });
+            samples.push_back({ second * 1.0, "core", "core-2", second < 2 ? 50 + second * 1.0 : second - 1.0 });
+        }
+        const std::vector<ImbalanceWindow> windows = imbalanceWindows(samples, 4);
+        ASSERT_EQ(windows.size(), 1U);
+        EXPECT_DOUBLE_EQ(windows[0].largestOverMean, 1);
+    }
+
+    TEST(Upstream, BusyTimeCountsWorkInProgress)
+    {
+        const Upstream upstream(core());
+        std::thread caller([&] { EXPECT_TRUE(registerOnce(upstream.endpoint(), "a", { { "X-Work-Ms", "600" } })); });
+        std::this_thread::sleep_for(Milliseconds(300));
+        const Result<HttpReply> load = httpCall(upstream.adminEndpoint(), "GET", "/load", callTimeout);
+        caller.join();
+        ASSERT_TRUE(load);
+        const size_t position = load.value().body.find("\"busy_us\":");
+        ASSERT_NE(position, std::string::npos);
+        EXPECT_GT(std::strtoll(load.value().body.c_str() + position + 10, nullptr, 10), 100000);
+    }
+
     TEST(Load, TheSwingMultipliesTheRate)
     {
         const Swing swing { 3, 10, 2, 5 };
