--- a/tests/FakesTest.cpp
+++ b/tests/FakesTest.cpp
@@ -564,7 +564,7 @@
         EXPECT_TRUE(report.violations().empty()) << lines(report.violations());
         for (const KindReport& kind : report.kinds) {
             EXPECT_GT(kind.sent, 0U);
-            EXPECT_EQ(kind.count(Outcome::Answered), kind.sent);
+            EXPECT_EQ(kind.count(Outcome::Answered), kind.sent) << reportTable(report);
         }
         EXPECT_GT(report.of(LoadKind::Registration).sent, 90U) << "100 a second for 1.5 s";
         EXPECT_LT(report.of(LoadKind::Registration).sent, 220U);
