Add reservations ahead, backup waiters and probes to admission and placement

Cause: a slot stays idle for a round trip after each grant, and a request that queues at one host never learns that a slot became free at another. Change: Admission can reserve ahead and keep backup waiters; its queue is ordered by deadline and refuses requests that can't be served in time. Suspicion needs failures over a span of time, discards evidence before the first time-out after a pause counts, and reinstates by one probe at a time. The retry budget starts empty, so attempts never exceed 1.2 per request.

--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -28,78 +28,185 @@
     return static_cast<uint16_t>(start + static_cast<int>(share * (this->options.slots - start)));
 }
 
-bool Admission::hasRoom(TrafficClass trafficClass) const
+// Stragglers are not expected to free their slot soon, so nothing is reserved ahead behind them.
+unsigned Admission::allowedAhead() const
+{
+    if (this->options.reserveAhead == 0)
+        return 0;
+    const size_t slow = this->stragglers();
+    const unsigned normal = this->runningSlots > slow ? this->runningSlots - static_cast<unsigned>(slow) : 0;
+    return std::min<unsigned>(this->options.reserveAhead, normal);
+}
+
+bool Admission::hasRoom(TrafficClass trafficClass, unsigned ahead) const
 {
     if (this->holders.size() >= this->options.connections)
         return false;
-    return !this->takesSlot(trafficClass) || this->busySlots < this->offeredSlots();
+    return !this->takesSlot(trafficClass) || this->reservedSlots < this->offeredSlots() + ahead;
 }
 
 void Admission::grant(FlowId flow, TrafficClass trafficClass)
 {
-    this->holders[flow] = { trafficClass, this->clock.now() };
-    if (this->takesSlot(trafficClass))
-        ++this->busySlots;
+    const bool startsAtOnce = this->options.reserveAhead == 0 || !this->takesSlot(trafficClass);
+    this->holders[flow]
+        = { trafficClass, this->clock.now(), startsAtOnce ? HolderPhase::Running : HolderPhase::Reserved };
+    if (!this->takesSlot(trafficClass))
+        return;
+    ++this->reservedSlots;
+    if (startsAtOnce)
+        ++this->runningSlots;
+}
+
+Duration Admission::expectedWait() const
+{
+    const double slots = std::max<double>(1, this->offeredSlots());
+    const double before = static_cast<double>(this->queue.size()) + 1;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(before * this->meanHold / slots));
+}
+
+Milliseconds Admission::retryAfter() const
+{
+    return std::max(Milliseconds(100), std::chrono::duration_cast<Milliseconds>(this->expectedWait()));
 }
 
-Milliseconds Admission::retryAfter() const { return Milliseconds(100 * (1 + this->queue.size())); }
+void Admission::enqueue(const Waiter& waiter)
+{
+    std::deque<Waiter>& target = waiter.backup ? this->backups : this->queue;
+    auto position = target.end();
+    if (this->options.deadlineOrder) {
+        position = std::upper_bound(target.begin(), target.end(), waiter,
+            [](const Waiter& a, const Waiter& b) { return a.expires < b.expires; });
+    }
+    target.insert(position, waiter);
+}
 
 AdmissionVerdict Admission::request(const AdmissionRequest& request)
 {
     if (this->isDraining)
         return { AdmissionDecision::Pass, Reason::Draining, Milliseconds(0) };
+    if (this->holders.contains(request.flow))
+        return { AdmissionDecision::Granted };
     const bool mayOvertake = this->queue.empty() || !this->takesSlot(request.trafficClass);
-    if (mayOvertake && this->hasRoom(request.trafficClass)) {
+    if (mayOvertake && this->hasRoom(request.trafficClass, 0)) {
+        this->release(request.flow); // a repeated request that still waits here
         this->grant(request.flow, request.trafficClass);
         return { AdmissionDecision::Granted };
     }
-    if (!request.mayQueue)
+    if (!request.mayQueue && !request.backup)
         return { AdmissionDecision::Pass };
-    if (this->queue.size() >= this->options.queueLimit)
-        return { AdmissionDecision::Refused, Reason::Overloaded, this->retryAfter() };
+    this->release(request.flow);
     const Milliseconds wait = request.deadline > Milliseconds(0) ? request.deadline : this->options.maxQueueWait;
-    this->queue.push_back({ request.flow, request.trafficClass, this->clock.now() + wait });
+    const size_t waiting = request.backup ? this->backups.size() : this->queue.size();
+    const bool isLate = this->options.refuseEarly && !request.backup && this->expectedWait() > wait;
+    if (waiting >= this->options.queueLimit || isLate)
+        return { AdmissionDecision::Refused, Reason::Overloaded, this->retryAfter() };
+    this->enqueue({ request.flow, request.trafficClass, this->clock.now() + wait, request.backup });
     return { AdmissionDecision::Queued };
 }
 
 void Admission::release(FlowId flow)
 {
     const auto holder = this->holders.find(flow);
-    if (holder != this->holders.end()) {
-        if (this->takesSlot(holder->second.trafficClass))
-            --this->busySlots;
-        this->holders.erase(holder);
+    if (holder == this->holders.end()) {
+        const auto isFlow = [flow](const Waiter& waiter) { return waiter.flow == flow; };
+        std::erase_if(this->queue, isFlow);
+        std::erase_if(this->backups, isFlow);
         return;
     }
-    std::erase_if(this->queue, [flow](const Waiter& waiter) { return waiter.flow == flow; });
+    const Holder& held = holder->second;
+    if (this->takesSlot(held.trafficClass)) {
+        --this->reservedSlots;
+        if (held.phase == HolderPhase::Running) {
+            --this->runningSlots;
+            const double seconds = std::chrono::duration<double>(this->clock.now() - held.since).count();
+            constexpr double weight = 0.05;
+            this->meanHold += weight * (seconds - this->meanHold);
+        } else if (held.phase == HolderPhase::Ready)
+            std::erase(this->ready, flow);
+    }
+    this->holders.erase(holder);
 }
 
-std::vector<AdmissionChange> Admission::update()
+bool Admission::start(FlowId flow)
+{
+    const auto found = this->holders.find(flow);
+    if (found == this->holders.end())
+        return false;
+    Holder& holder = found->second;
+    if (holder.phase == HolderPhase::Running)
+        return true;
+    if (holder.phase == HolderPhase::Ready)
+        return false;
+    holder.since = this->clock.now();
+    if (this->ready.empty() && this->runningSlots < this->offeredSlots()) {
+        holder.phase = HolderPhase::Running;
+        ++this->runningSlots;
+        return true;
+    }
+    holder.phase = HolderPhase::Ready;
+    this->ready.push_back(flow);
+    return false;
+}
+
+std::vector<FlowId> Admission::takeStarts()
+{
+    std::vector<FlowId> started;
+    while (!this->ready.empty() && this->runningSlots < this->offeredSlots()) {
+        const FlowId flow = this->ready.front();
+        this->ready.pop_front();
+        this->holders[flow].phase = HolderPhase::Running;
+        this->holders[flow].since = this->clock.now();
+        ++this->runningSlots;
+        started.push_back(flow);
+    }
+    return started;
+}
+
+void Admission::updateQueue(std::deque<Waiter>& waiters, bool isBackup, std::vector<AdmissionChange>& changes)
 {
-    std::vector<AdmissionChange> changes;
     const TimePoint now = this->clock.now();
-    std::deque<Waiter> waiting;
-    for (const Waiter& waiter : this->queue) {
+    std::deque<Waiter> kept;
+    bool slotWaiterKept = isBackup && !this->queue.empty();
+    for (const Waiter& waiter : waiters) {
+        const bool blocked = this->takesSlot(waiter.trafficClass) && slotWaiterKept;
+        const unsigned ahead = isBackup ? 0 : this->allowedAhead();
         if (this->isDraining)
-            changes.push_back({ waiter.flow, AdmissionDecision::Refused, Reason::Draining, Milliseconds(0) });
+            changes.push_back({ waiter.flow, AdmissionDecision::Refused, Reason::Draining, Milliseconds(0), isBackup });
         else if (waiter.expires <= now)
             changes.push_back(
-                { waiter.flow, AdmissionDecision::Refused, Reason::DeadlineExceeded, this->retryAfter() });
-        else if (waiting.empty() && this->hasRoom(waiter.trafficClass)) {
+                { waiter.flow, AdmissionDecision::Refused, Reason::DeadlineExceeded, this->retryAfter(), isBackup });
+        else if (!blocked && this->hasRoom(waiter.trafficClass, ahead)) {
             this->grant(waiter.flow, waiter.trafficClass);
-            changes.push_back({ waiter.flow, AdmissionDecision::Granted });
-        } else
-            waiting.push_back(waiter);
+            changes.push_back({ waiter.flow, AdmissionDecision::Granted, Reason::None, Milliseconds(0), isBackup });
+        } else {
+            slotWaiterKept = slotWaiterKept || this->takesSlot(waiter.trafficClass);
+            kept.push_back(waiter);
+        }
     }
-    this->queue = std::move(waiting);
+    waiters = std::move(kept);
+}
+
+std::vector<AdmissionChange> Admission::update()
+{
+    std::vector<AdmissionChange> changes;
+    this->updateQueue(this->queue, false, changes);
+    this->updateQueue(this->backups, true, changes);
     return changes;
 }
 
 std::optional<TimePoint> Admission::nextTimer() const
 {
     std::optional<TimePoint> next;
-    for (const Waiter& waiter : this->queue)
-        next = std::min(next.value_or(waiter.expires), waiter.expires);
+    for (const std::deque<Waiter>* waiters : { &this->queue, &this->backups }) {
+        for (const Waiter& waiter : *waiters)
+            next = std::min(next.value_or(waiter.expires), waiter.expires);
+    }
+    // While the ramp lasts, the next slot may be offered without any other event.
+    const bool waits = next.has_value() || !this->ready.empty();
+    if (waits && this->clock.now() < this->rampStart + this->options.rampDuration) {
+        const TimePoint rampStep = this->clock.now() + std::max(Milliseconds(1), this->options.rampDuration / 100);
+        next = std::min(next.value_or(rampStep), rampStep);
+    }
     return next;
 }
 
@@ -117,7 +224,10 @@
 
 Load Admission::load() const
 {
-    return { this->busySlots, this->offeredSlots(), static_cast<uint16_t>(this->queue.size()),
+    const unsigned offered = this->offeredSlots();
+    const unsigned busy = std::min(this->reservedSlots, offered);
+    const size_t waiting = this->queue.size() + (this->reservedSlots - busy);
+    return { static_cast<uint16_t>(busy), static_cast<uint16_t>(offered), static_cast<uint16_t>(waiting),
         static_cast<uint32_t>(this->holders.size()) };
 }
 
@@ -125,7 +235,8 @@
 {
     const TimePoint before = this->clock.now() - this->options.stragglerAfter;
     return static_cast<size_t>(std::count_if(this->holders.begin(), this->holders.end(), [&](const auto& holder) {
-        return this->takesSlot(holder.second.trafficClass) && holder.second.since < before;
+        return this->takesSlot(holder.second.trafficClass) && holder.second.phase == HolderPhase::Running
+            && holder.second.since < before;
     }));
 }
 
--- a/wasabicroft/Admission.h
+++ b/wasabicroft/Admission.h
@@ -19,6 +19,12 @@
     Milliseconds rampDuration { 0 }; // cold start: time until all slots are offered; 0 means no ramp
     uint16_t rampStartSlots = 1; // slots offered at the start of the ramp
     Milliseconds stragglerAfter { 5000 }; // a slot held longer counts as a straggler
+
+    // Reservations granted to waiting requests beyond the slots, so that the Data of the next request is already at
+    // the agent when a slot becomes free. With a value over 0, work starts only when start() or takeStarts() says so.
+    uint16_t reserveAhead = 0;
+    bool deadlineOrder = true; // earliest deadline first; false is first come, first served
+    bool refuseEarly = true; // refuse a request whose expected wait is over its deadline
 };
 
 enum class AdmissionDecision : uint8_t { Granted, Queued, Pass, Refused };
@@ -32,6 +38,9 @@
     TrafficClass trafficClass = TrafficClass::Request;
     bool mayQueue = false;
     Milliseconds deadline { 0 }; // remaining time; 0 means none
+
+    // The request already waits at another upstream; here it gets only a slot for which nothing else waits.
+    bool backup = false;
 };
 
 struct AdmissionVerdict {
@@ -46,6 +55,7 @@
     AdmissionDecision decision = AdmissionDecision::Granted; // Granted or Refused
     Reason reason = Reason::None;
     Milliseconds retryAfter { 0 };
+    bool backup = false; // a refusal of a backup needs no reply
 };
 
 class Admission {
@@ -59,6 +69,11 @@
     std::vector<AdmissionChange> update();
     std::optional<TimePoint> nextTimer() const;
 
+    // The first Data of a granted flow arrived: true if its work may start now. Otherwise takeStarts() names the flow
+    // once a slot is free. Feeds and, without reserveAhead, all granted flows may start at once.
+    bool start(FlowId);
+    std::vector<FlowId> takeStarts();
+
     void setDraining(bool);
     bool draining() const;
     void restartRamp(); // the upstream started anew
@@ -68,27 +83,38 @@
     size_t stragglers() const;
 
 private:
+    enum class HolderPhase : uint8_t { Reserved, Ready, Running };
     struct Holder {
         TrafficClass trafficClass = TrafficClass::Request;
-        TimePoint since;
+        TimePoint since; // of the current phase
+        HolderPhase phase = HolderPhase::Reserved;
     };
     struct Waiter {
         FlowId flow;
         TrafficClass trafficClass = TrafficClass::Request;
         TimePoint expires;
+        bool backup = false;
     };
 
     uint16_t offeredSlots() const;
     bool takesSlot(TrafficClass) const;
-    bool hasRoom(TrafficClass) const;
+    bool hasRoom(TrafficClass, unsigned ahead) const;
+    unsigned allowedAhead() const;
     void grant(FlowId, TrafficClass);
+    void enqueue(const Waiter&);
+    void updateQueue(std::deque<Waiter>&, bool isBackup, std::vector<AdmissionChange>&);
+    Duration expectedWait() const;
     Milliseconds retryAfter() const;
 
     AdmissionOptions options;
     const Clock& clock;
     std::unordered_map<FlowId, Holder> holders;
     std::deque<Waiter> queue;
-    uint16_t busySlots = 0;
+    std::deque<Waiter> backups;
+    std::deque<FlowId> ready; // Data arrived, no slot yet; in order of arrival
+    unsigned reservedSlots = 0; // granted flows that take a slot, running or not
+    unsigned runningSlots = 0;
+    double meanHold = 0; // seconds, moving average of the running time
     bool isDraining = false;
     TimePoint rampStart;
 };
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -12,7 +12,6 @@
 RetryBudget::RetryBudget(double retryShare, double maxTokens)
     : share(retryShare)
     , burst(maxTokens)
-    , tokens(maxTokens)
 {
 }
 
@@ -41,28 +40,59 @@
 
 void Suspicion::onFailure(UpstreamId upstream)
 {
+    // After a pause, time-outs fire before any reply that arrived meanwhile is read.
+    if (this->discardAfterPause())
+        return;
+    const TimePoint now = this->clock.now();
     Evidence& item = this->evidence[upstream];
-    if (++item.failures < this->options.failuresToEject)
+    if (item.failures++ == 0)
+        item.firstFailure = now;
+    const bool isProbe = item.ejections > 0;
+    if (isProbe && now < item.nextProbe)
+        return; // an attempt from before the ejection
+    const unsigned needed = std::max(2U, this->options.failuresToEject);
+    if (!isProbe && (item.failures < needed || now - item.firstFailure < this->options.minEvidenceSpan))
         return;
     const Milliseconds ejection
         = std::min(this->options.maxEjection, this->options.minEjection * (1 << std::min(item.ejections, 10U)));
-    item.ejectedUntil = this->clock.now() + ejection;
+    item.nextProbe = now + ejection;
     ++item.ejections;
-    item.failures = this->options.failuresToEject - 1; // one more failure of the probe ejects again
 }
 
-void Suspicion::onTick()
+bool Suspicion::discardAfterPause()
 {
     const TimePoint now = this->clock.now();
-    if (now - this->lastTick > this->options.pauseThreshold)
+    const bool wasPaused = now - this->lastTick > this->options.pauseThreshold;
+    if (wasPaused)
         this->evidence.clear();
-    this->lastTick = now;
+    return wasPaused;
+}
+
+void Suspicion::onTick()
+{
+    this->discardAfterPause();
+    this->lastTick = this->clock.now();
 }
 
 bool Suspicion::isSuspect(UpstreamId upstream) const
 {
     const auto found = this->evidence.find(upstream);
-    return found != this->evidence.end() && found->second.ejectedUntil > this->clock.now();
+    return found != this->evidence.end() && found->second.ejections > 0;
+}
+
+std::optional<UpstreamId> Suspicion::takeProbe(const std::vector<UpstreamId>& pool)
+{
+    const TimePoint now = this->clock.now();
+    for (const UpstreamId& upstream : pool) {
+        const auto found = this->evidence.find(upstream);
+        if (found == this->evidence.end() || found->second.ejections == 0 || found->second.nextProbe > now)
+            continue;
+        if (now - found->second.lastProbe < this->options.minEjection)
+            continue;
+        found->second.lastProbe = now;
+        return upstream;
+    }
+    return std::nullopt;
 }
 
 void Suspicion::forget(UpstreamId upstream) { this->evidence.erase(upstream); }
@@ -97,17 +127,16 @@
     this->pools[service] = std::move(pool);
 }
 
-double Placement::cost(const PlacementUpstream& upstream) const
+double Placement::occupied(const PlacementUpstream& upstream) const
 {
     const auto found = this->estimates.find(upstream.id);
     const Estimate estimate = found == this->estimates.end() ? Estimate() : found->second;
     const double slots = std::max<double>(1, estimate.load.slots > 0 ? estimate.load.slots : upstream.slots);
-    const double busy = std::max<double>(estimate.ownFlows, estimate.load.busySlots + estimate.load.queueLength);
-    const bool isLocal = upstream.failureDomain == this->options.failureDomain;
-    return busy / slots + (isLocal ? 0 : this->options.remotePenalty);
+    const double reported = estimate.load.busySlots + estimate.load.queueLength;
+    return std::max(0.0, reported + static_cast<double>(estimate.ownChange)) / slots;
 }
 
-std::vector<UpstreamId> Placement::candidates(ServiceId service)
+std::vector<Placement::Ranked> Placement::ranked(ServiceId service)
 {
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
@@ -117,35 +146,54 @@
         if (!upstream.leaving)
             live.push_back(upstream.id);
     }
-    std::vector<UpstreamId> chosen = this->suspects.usable(live);
-    for (size_t i = chosen.size(); i > 1; --i)
-        std::swap(chosen[i - 1], chosen[this->options.random() % i]);
-    const auto costOf = [&](UpstreamId id) {
-        const auto found = std::find_if(pool->second.begin(), pool->second.end(),
-            [id](const PlacementUpstream& upstream) { return upstream.id == id; });
-        return this->cost(*found);
-    };
-    std::stable_sort(chosen.begin(), chosen.end(), [&](UpstreamId a, UpstreamId b) { return costOf(a) < costOf(b); });
-    if (chosen.size() > this->options.candidates)
-        chosen.resize(this->options.candidates);
-    return chosen;
+    const std::vector<UpstreamId> usable = this->suspects.usable(live);
+    std::vector<Ranked> ranking;
+    for (const PlacementUpstream& upstream : pool->second) {
+        if (std::find(usable.begin(), usable.end(), upstream.id) == usable.end())
+            continue;
+        const bool isLocal = upstream.failureDomain == this->options.failureDomain;
+        const double share = this->occupied(upstream);
+        ranking.push_back({ upstream.id, share + (isLocal ? 0 : this->options.remotePenalty), share });
+    }
+    for (size_t i = ranking.size(); i > 1; --i)
+        std::swap(ranking[i - 1], ranking[this->options.random() % i]);
+    std::stable_sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) { return a.cost < b.cost; });
+    const std::optional<UpstreamId> probe = this->suspects.takeProbe(live);
+    if (probe) {
+        std::erase_if(ranking, [&](const Ranked& item) { return item.id == *probe; });
+        ranking.insert(ranking.begin(), { *probe, 0, 0 });
+    }
+    return ranking;
+}
+
+std::vector<UpstreamId> Placement::candidates(ServiceId service) { return this->plan(service).asks; }
+
+PlacementPlan Placement::plan(ServiceId service)
+{
+    PlacementPlan plan;
+    const std::vector<Ranked> ranking = this->ranked(service);
+    plan.saturated = !ranking.empty();
+    for (const Ranked& item : ranking) {
+        if (plan.asks.size() < this->options.candidates)
+            plan.asks.push_back(item.id);
+        if (plan.waitAt.size() < this->options.waitAt)
+            plan.waitAt.push_back(item.id);
+        plan.saturated = plan.saturated && item.occupied > 1;
+    }
+    return plan;
 }
 
 void Placement::onLoad(UpstreamId upstream, const Load& load)
 {
     Estimate& estimate = this->estimates[upstream];
     estimate.load = load;
+    estimate.ownChange = 0;
     estimate.reported = this->clock.now();
 }
 
-void Placement::onFlowStarted(UpstreamId upstream) { ++this->estimates[upstream].ownFlows; }
+void Placement::onFlowStarted(UpstreamId upstream) { ++this->estimates[upstream].ownChange; }
 
-void Placement::onFlowEnded(UpstreamId upstream)
-{
-    Estimate& estimate = this->estimates[upstream];
-    if (estimate.ownFlows > 0)
-        --estimate.ownFlows;
-}
+void Placement::onFlowEnded(UpstreamId upstream) { --this->estimates[upstream].ownChange; }
 
 void Placement::onReply(UpstreamId upstream) { this->suspects.onSuccess(upstream); }
 
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -30,7 +30,7 @@
 private:
     double share = 0.2; // tokens earned per first attempt
     double burst = 10; // most tokens held
-    double tokens = 10;
+    double tokens = 0; // starts empty, so that attempts never exceed (1 + share) per request
 };
 
 //-----------------------------------------------------------------------------
@@ -38,7 +38,8 @@
 //-----------------------------------------------------------------------------
 
 struct SuspicionOptions {
-    unsigned failuresToEject = 3; // consecutive silent or refused attempts
+    unsigned failuresToEject = 3; // consecutive silent or refused attempts; at least 2
+    Milliseconds minEvidenceSpan { 200 }; // between first and last failure; one stall can fail many flows at once
     Milliseconds minEjection { 1000 };
     Milliseconds maxEjection { 30000 };
     double maxEjectedShare = 0.5; // of a pool
@@ -53,7 +54,10 @@
     void onSuccess(UpstreamId);
     void onFailure(UpstreamId); // no reply in time, or connection refused
     void onTick(); // called about every 100 ms; a long gap means that this process was paused
-    bool isSuspect(UpstreamId) const;
+    bool isSuspect(UpstreamId) const; // until a probe succeeds
+
+    // A suspect of the pool whose ejection time is over, for one flow as a probe; empty if none is due.
+    std::optional<UpstreamId> takeProbe(const std::vector<UpstreamId>& pool);
     void forget(UpstreamId);
 
     // The pool without suspects, or the whole pool if more than maxEjectedShare of it is suspect.
@@ -63,9 +67,13 @@
     struct Evidence {
         unsigned failures = 0; // consecutive
         unsigned ejections = 0; // consecutive
-        TimePoint ejectedUntil;
+        TimePoint firstFailure;
+        TimePoint nextProbe; // end of the ejection
+        TimePoint lastProbe;
     };
 
+    bool discardAfterPause();
+
     SuspicionOptions options;
     const Clock& clock;
     TimePoint lastTick;
@@ -86,11 +94,18 @@
 struct PlacementOptions {
     std::string failureDomain; // of this entry
     size_t candidates = 2; // asked in turn before a flow queues
+    size_t waitAt = 8; // most upstreams at which one flow waits
     double remotePenalty = 0.25; // added to the busy share of an upstream in another failure domain
     SuspicionOptions suspicion;
     std::function<uint64_t()> random; // required
 };
 
+struct PlacementPlan {
+    std::vector<UpstreamId> asks; // in turn, without queueing
+    std::vector<UpstreamId> waitAt; // after Pass from all: queue at the first, wait as backup at the others
+    bool saturated = false; // work is known to wait at every upstream: queue at once, ask nothing first
+};
+
 class Placement {
 public:
     Placement(PlacementOptions, const Clock&);
@@ -99,9 +114,10 @@
 
     // Candidates in the order in which they are to be asked; empty if the service has no usable upstream.
     std::vector<UpstreamId> candidates(ServiceId);
+    PlacementPlan plan(ServiceId);
 
     void onLoad(UpstreamId, const Load&); // piggybacked on any reply
-    void onFlowStarted(UpstreamId);
+    void onFlowStarted(UpstreamId); // before the onLoad of the same reply, which already counts the flow
     void onFlowEnded(UpstreamId);
     void onReply(UpstreamId); // any reply: the agent is alive
     void onSilence(UpstreamId); // no reply in time, or connection refused
@@ -113,11 +129,18 @@
 private:
     struct Estimate {
         Load load;
-        uint32_t ownFlows = 0; // started here and not ended
+        int64_t ownChange = 0; // own flows started minus ended since the report
         TimePoint reported;
     };
 
-    double cost(const PlacementUpstream&) const;
+    struct Ranked {
+        UpstreamId id;
+        double cost = 0;
+        double occupied = 0; // busy and waiting over slots
+    };
+
+    double occupied(const PlacementUpstream&) const;
+    std::vector<Ranked> ranked(ServiceId);
 
     PlacementOptions options;
     const Clock& clock;
