Add an event-driven model of one pool and its bench

Drives the real Placement and Admission beside random pick, two choices by report and an ideal central queue.

--- /dev/null
+++ b/bench/PolicyModel.h
@@ -0,0 +1,826 @@
+// Event-driven model of one pool: drives the real Placement of several entries and the real Admission of each host.
+// Links only delay messages. Three modes without these classes get the same arrivals for comparison.
+//
+// Index
+//   [SECTION] Options and results
+//   [SECTION] Arrivals
+//   [SECTION] Model
+//   [SECTION] Naive modes and the central queue
+//   [SECTION] The real policy
+//   [SECTION] Figures
+#pragma once
+
+#include "wasabicroft/Admission.h"
+#include "wasabicroft/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options and results
+//-----------------------------------------------------------------------------
+
+enum class PolicyMode : uint8_t { Random, TwoChoices, Policy, Central };
+inline constexpr std::array<std::string_view, 4> policyModeNames = { "random", "two-choices", "policy", "central" };
+
+enum class ArrivalProcess : uint8_t { Steady, Swing, Rolling };
+inline constexpr std::array<std::string_view, 3> arrivalProcessNames = { "steady", "swing", "rolling" };
+
+struct PolicyPool {
+    std::string name = "strazca";
+    unsigned hosts = 7;
+    uint16_t slots = 4; // per host
+    Milliseconds domainDelay { 4 }; // one way, between failure domains
+};
+
+inline PolicyPool strazcaPool() { return {}; }
+inline PolicyPool rigCheckPool() { return { "rigcheck", 7, 2, Milliseconds(3) }; }
+
+// Switches and numbers of the real policy.
+struct PolicyTuning {
+    size_t candidates = 2;
+    double remotePenalty = 0.25;
+    uint16_t reserveAhead = 1;
+    bool backups = true; // wait as backup at the other hosts
+    bool queueAtOnceWhenSaturated = true;
+    bool deadlineOrder = true;
+    bool ramp = true;
+    uint16_t queueLimit = 32;
+    Milliseconds backupDelay { 50 }; // of a request that queued at once
+    Milliseconds stragglerAfter { 250 };
+};
+
+struct PolicyModelOptions {
+    PolicyPool pool;
+    ArrivalProcess process = ArrivalProcess::Steady;
+    PolicyMode mode = PolicyMode::Policy;
+    PolicyTuning tuning;
+    uint64_t seed = 1;
+    unsigned entries = 6;
+    double seconds = 120; // length of the steady process
+};
+
+struct PolicyFigures {
+    double waitP50 = 0, waitP99 = 0, waitP999 = 0; // ms from arrival until the work starts
+    double imbalance = 0; // largest over mean of busy slot time per host, worst 10 s window
+    double crestGoodput = 0; // useful slot time over the slots' time at the crest; swing only
+    double refusalP99 = 0; // ms
+    double attempts = 0; // per request: the first, and each after a refusal or time-out
+    double opens = 0; // reservation requests per request, including backups
+    double longestIdle = 0; // ms that one slot was idle while one request waited
+    double overRamp = 0; // most work in progress above the ramp at a joining host
+    size_t requests = 0, served = 0, refused = 0, expired = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Arrivals
+//-----------------------------------------------------------------------------
+
+namespace policy_model {
+    constexpr double normalWork = 0.050; // s
+    constexpr double stragglerWork = 1.5; // s, one in a hundred
+    constexpr double meanWork = 0.99 * normalWork + 0.01 * stragglerWork;
+    constexpr double use = 0.8;
+    constexpr double crestStart = 12; // s; the swing begins 2 s before
+    constexpr double crestEnd = 20; // s
+    constexpr double replaceInterval = 10; // s between the replacements of two hosts
+    constexpr double replaceTime = 3; // s from drain to the new instance
+    constexpr double coldTime = 2; // s during which a new instance is slower
+    constexpr double coldFactor = 1.5;
+    constexpr double window = 10; // s, of the imbalance
+    constexpr Milliseconds reportInterval { 500 };
+    constexpr Milliseconds localDelay { 0 };
+    constexpr Milliseconds callerDeadline { 2000 };
+    constexpr Milliseconds naiveTimeout { 1000 };
+    constexpr unsigned naiveMaxAttempts = 20; // bounds the run; a naive caller has no limit
+    constexpr Milliseconds rampDuration { 5000 };
+
+    inline Duration fromSeconds(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    inline double toMs(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+    struct Arrival {
+        double at = 0; // s
+        double work = 0; // s
+        unsigned entry = 0;
+    };
+
+    inline double lengthOf(const PolicyModelOptions& options)
+    {
+        if (options.process == ArrivalProcess::Steady)
+            return options.seconds;
+        return options.process == ArrivalProcess::Swing ? 40 : (options.pool.hosts + 1) * replaceInterval;
+    }
+
+    // Demand over capacity at a time.
+    inline double demand(ArrivalProcess process, double at)
+    {
+        if (process != ArrivalProcess::Swing || at < crestStart - 2 || at > crestEnd + 2)
+            return use;
+        const double up = std::min(1.0, (at - (crestStart - 2)) / 2);
+        const double down = std::min(1.0, (crestEnd + 2 - at) / 2);
+        return use + (3 - use) * std::min(up, down);
+    }
+
+    inline std::vector<Arrival> arrivals(const PolicyModelOptions& options)
+    {
+        std::mt19937_64 random(options.seed);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        const double capacity = options.pool.hosts * options.pool.slots / meanWork;
+        std::exponential_distribution<double> gap(3 * capacity);
+        std::vector<Arrival> list;
+        for (double at = gap(random); at < lengthOf(options); at += gap(random)) {
+            const bool isKept = uniform(random) < demand(options.process, at) / 3;
+            const double work = uniform(random) < 0.01 ? stragglerWork : normalWork;
+            const unsigned entry = static_cast<unsigned>(random() % options.entries);
+            if (isKept)
+                list.push_back({ at, work, entry });
+        }
+        return list;
+    }
+} // namespace policy_model
+
+//-----------------------------------------------------------------------------
+// [SECTION] Model
+//-----------------------------------------------------------------------------
+
+class PolicyModel {
+public:
+    explicit PolicyModel(PolicyModelOptions modelOptions)
+        : options(std::move(modelOptions))
+        , random(this->options.seed + 1)
+        , origin(this->clock.now())
+    {
+        this->buildHosts();
+        this->buildEntries();
+        for (const policy_model::Arrival& arrival : policy_model::arrivals(this->options)) {
+            const size_t index = this->requests.size();
+            const TimePoint at = this->origin + policy_model::fromSeconds(arrival.at);
+            this->requests.push_back({ at, policy_model::fromSeconds(arrival.work), arrival.entry });
+            this->events.push({ at, this->sequence++, [this, index] { this->arrive(index); } });
+        }
+    }
+
+    PolicyFigures run()
+    {
+        const TimePoint end = this->origin + policy_model::fromSeconds(policy_model::lengthOf(this->options));
+        if (this->options.mode != PolicyMode::Central)
+            this->scheduleReports(end);
+        if (this->options.process == ArrivalProcess::Rolling)
+            this->scheduleReplacements();
+        const TimePoint last = end + std::chrono::seconds(30);
+        while (!this->events.empty() && this->events.top().at <= last) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->clock.set(event.at);
+            event.run();
+        }
+        return this->figures();
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        uint64_t sequence = 0;
+        std::function<void()> run;
+        bool operator<(const Event& other) const
+        {
+            return std::tie(this->at, this->sequence) > std::tie(other.at, other.sequence);
+        }
+    };
+    struct Request {
+        TimePoint at;
+        Duration work;
+        unsigned entry = 0;
+        int bound = -1; // host chosen by the entry
+        bool started = false;
+        bool done = false;
+        bool refused = false;
+        bool expired = false;
+        unsigned attempts = 0;
+        unsigned opens = 0;
+        Duration wait { 0 };
+        Duration refusalLatency { 0 };
+        std::set<unsigned> waitingAt {}; // hosts
+        int primary = -1; // host at which it queues, others are backups
+    };
+    struct Idle {
+        TimePoint from;
+        TimePoint to;
+    };
+    struct Run {
+        size_t request = 0;
+        unsigned host = 0;
+        TimePoint from;
+        TimePoint to;
+        bool useful = false;
+    };
+    struct Host {
+        std::unique_ptr<Admission> admission;
+        std::string domain;
+        TimePoint joined;
+        bool isCold = false;
+        bool isDraining = false;
+        unsigned running = 0;
+        std::deque<size_t> fifo; // naive modes
+        std::deque<Idle> idle; // intervals with an idle slot
+        std::optional<TimePoint> idleSince;
+        std::optional<TimePoint> timer;
+    };
+    struct Entry {
+        std::unique_ptr<Placement> placement;
+        std::string domain;
+        std::vector<Load> reports; // naive modes
+    };
+
+    void after(Duration delay, std::function<void()> run)
+    {
+        this->events.push({ this->clock.now() + delay, this->sequence++, std::move(run) });
+    }
+
+    Duration delayTo(const Request& request, unsigned host) const
+    {
+        const bool isLocal = this->entries[request.entry].domain == this->hosts[host].domain;
+        return isLocal ? policy_model::localDelay : this->options.pool.domainDelay;
+    }
+
+    static FlowId flowOf(size_t index) { return { 1, index }; }
+    static UpstreamId upstreamOf(unsigned host) { return { host + 1 }; }
+    static unsigned hostOf(UpstreamId upstream) { return static_cast<unsigned>(upstream.value - 1); }
+
+    std::unique_ptr<Admission> newAdmission(bool joins)
+    {
+        AdmissionOptions admission;
+        admission.slots = this->options.pool.slots;
+        admission.queueLimit = this->options.tuning.queueLimit;
+        admission.reserveAhead = this->options.tuning.reserveAhead;
+        admission.deadlineOrder = this->options.tuning.deadlineOrder;
+        admission.stragglerAfter = this->options.tuning.stragglerAfter;
+        if (joins && this->options.tuning.ramp)
+            admission.rampDuration = policy_model::rampDuration;
+        return std::make_unique<Admission>(admission, this->clock);
+    }
+
+    void buildHosts()
+    {
+        for (unsigned i = 0; i < this->options.pool.hosts; ++i) {
+            Host host;
+            host.domain = std::to_string(i % 3);
+            host.admission = this->newAdmission(false);
+            host.idleSince = this->origin;
+            this->hosts.push_back(std::move(host));
+        }
+    }
+
+    void buildEntries()
+    {
+        for (unsigned i = 0; i < this->options.entries; ++i) {
+            Entry entry;
+            entry.domain = std::to_string(i % 3);
+            entry.reports.resize(this->options.pool.hosts);
+            PlacementOptions placement;
+            placement.failureDomain = entry.domain;
+            placement.candidates = this->options.tuning.candidates;
+            placement.remotePenalty = this->options.tuning.remotePenalty;
+            placement.random = [this] { return this->random(); };
+            entry.placement = std::make_unique<Placement>(placement, this->clock);
+            this->entries.push_back(std::move(entry));
+        }
+        this->publishPool();
+    }
+
+    void publishPool()
+    {
+        for (Entry& entry : this->entries) {
+            std::vector<PlacementUpstream> pool;
+            for (unsigned i = 0; i < this->hosts.size(); ++i)
+                pool.push_back(
+                    { upstreamOf(i), this->hosts[i].domain, this->options.pool.slots, this->hosts[i].isDraining });
+            entry.placement->setPool(service, pool);
+        }
+    }
+
+    void scheduleReports(TimePoint end)
+    {
+        for (TimePoint at = this->origin; at < end; at += policy_model::reportInterval) {
+            this->events.push({ at, this->sequence++, [this] {
+                                   for (unsigned i = 0; i < this->hosts.size(); ++i)
+                                       this->report(i);
+                               } });
+        }
+    }
+
+    void report(unsigned host)
+    {
+        const Load load = this->loadOf(host);
+        this->after(this->options.pool.domainDelay, [this, host, load] {
+            for (Entry& entry : this->entries) {
+                entry.reports[host] = load;
+                entry.placement->onLoad(upstreamOf(host), load);
+                entry.placement->onTick();
+            }
+        });
+    }
+
+    Load loadOf(unsigned index) const
+    {
+        const Host& host = this->hosts[index];
+        if (this->options.mode == PolicyMode::Policy)
+            return host.admission->load();
+        return { static_cast<uint16_t>(host.running), this->options.pool.slots,
+            static_cast<uint16_t>(host.fifo.size()), 0 };
+    }
+
+    void scheduleReplacements()
+    {
+        for (unsigned i = 0; i < this->hosts.size(); ++i) {
+            const TimePoint at = this->origin + policy_model::fromSeconds((i + 0.5) * policy_model::replaceInterval);
+            this->events.push({ at, this->sequence++, [this, i] { this->drain(i); } });
+            this->events.push({ at + policy_model::fromSeconds(policy_model::replaceTime), this->sequence++,
+                [this, i] { this->replace(i); } });
+        }
+    }
+
+    void drain(unsigned index)
+    {
+        this->hosts[index].isDraining = true;
+        this->hosts[index].admission->setDraining(true);
+        this->after(policy_model::reportInterval, [this] { this->publishPool(); });
+        this->pump(index);
+    }
+
+    void replace(unsigned index)
+    {
+        Host& host = this->hosts[index];
+        host.isDraining = false;
+        host.isCold = true;
+        host.joined = this->clock.now();
+        host.admission = this->newAdmission(true);
+        host.timer.reset();
+        this->after(policy_model::fromSeconds(policy_model::coldTime), [this, index] {
+            this->hosts[index].isCold = false;
+        });
+        this->after(policy_model::reportInterval, [this] { this->publishPool(); });
+        this->pump(index);
+    }
+
+    // Slots that a host may use now; the ramp is computed here independently of Admission.
+    unsigned allowed(const Host& host) const
+    {
+        if (host.isDraining)
+            return 0;
+        const double slots = this->options.pool.slots;
+        const double age = std::chrono::duration<double>(this->clock.now() - host.joined).count();
+        const double ramp = std::chrono::duration<double>(policy_model::rampDuration).count();
+        const bool isJoining = host.joined != TimePoint() && age < ramp;
+        return isJoining ? static_cast<unsigned>(1 + age / ramp * (slots - 1) + 1e-6) : static_cast<unsigned>(slots);
+    }
+
+    void trackIdle(Host& host)
+    {
+        const bool hasIdle = host.running < this->allowed(host);
+        if (hasIdle && !host.idleSince)
+            host.idleSince = this->clock.now();
+        if (!hasIdle && host.idleSince) {
+            host.idle.push_back({ *host.idleSince, this->clock.now() });
+            host.idleSince.reset();
+        }
+        while (!host.idle.empty() && host.idle.front().to + std::chrono::seconds(15) < this->clock.now())
+            host.idle.pop_front();
+    }
+
+    void trackWaitEnd(const Request& request)
+    {
+        const TimePoint now = this->clock.now();
+        for (const Host& host : this->hosts) {
+            if (host.idleSince)
+                this->longestIdle = std::max(this->longestIdle, now - std::max(*host.idleSince, request.at));
+            for (auto idle = host.idle.rbegin(); idle != host.idle.rend() && idle->to > request.at; ++idle)
+                this->longestIdle = std::max(this->longestIdle, idle->to - std::max(idle->from, request.at));
+        }
+    }
+
+    void beginWork(size_t index, unsigned hostIndex)
+    {
+        Request& request = this->requests[index];
+        Host& host = this->hosts[hostIndex];
+        if (!request.started) {
+            request.started = true;
+            request.wait = this->clock.now() - request.at;
+            this->trackWaitEnd(request);
+        }
+        ++host.running;
+        const unsigned allowed = this->allowed(host);
+        if (!host.isDraining && host.running > allowed)
+            this->overRamp = std::max<double>(this->overRamp, host.running - allowed);
+        this->trackIdle(host);
+        const Duration work
+            = host.isCold ? policy_model::fromSeconds(policy_model::coldFactor * policy_model::toMs(request.work) / 1000)
+                          : request.work;
+        const size_t run = this->runs.size();
+        this->runs.push_back({ index, hostIndex, this->clock.now(), this->clock.now() + work });
+        this->after(work, [this, run] { this->endWork(run); });
+    }
+
+    void endWork(size_t runIndex)
+    {
+        Run& run = this->runs[runIndex];
+        Request& request = this->requests[run.request];
+        Host& host = this->hosts[run.host];
+        --host.running;
+        const bool inTime = this->clock.now() <= request.at + policy_model::callerDeadline + request.work;
+        run.useful = !request.done && inTime;
+        request.done = request.done || inTime;
+        if (this->options.mode == PolicyMode::Policy) {
+            host.admission->release(flowOf(run.request));
+            this->reply(run.request, run.host,
+                [this, index = run.request, h = run.host] { this->entryOf(index).onFlowEnded(upstreamOf(h)); });
+        }
+        this->trackIdle(host);
+        this->pump(run.host);
+    }
+
+    void arrive(size_t index)
+    {
+        if (this->options.mode == PolicyMode::Policy)
+            this->place(index);
+        else if (this->options.mode == PolicyMode::Central)
+            this->arriveCentral(index);
+        else
+            this->sendNaive(index);
+    }
+
+    void pump(unsigned host)
+    {
+        if (this->options.mode == PolicyMode::Policy)
+            this->pumpAdmission(host);
+        else if (this->options.mode == PolicyMode::Central)
+            this->pumpCentral();
+        else
+            this->pumpNaive(host);
+        this->trackIdle(this->hosts[host]);
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Naive modes and the central queue
+    //-----------------------------------------------------------------------------
+
+    void arriveCentral(size_t index)
+    {
+        Request& request = this->requests[index];
+        request.attempts = 1;
+        const size_t limit = static_cast<size_t>(this->options.tuning.queueLimit) * this->hosts.size();
+        if (this->central.size() >= limit) {
+            request.refused = true;
+            return;
+        }
+        this->central.push_back(index);
+        this->pumpCentral();
+    }
+
+    void pumpCentral()
+    {
+        while (!this->central.empty()) {
+            int best = -1;
+            for (unsigned i = 0; i < this->hosts.size(); ++i) {
+                const Host& host = this->hosts[i];
+                const bool isLess = best < 0 || host.running < this->hosts[static_cast<unsigned>(best)].running;
+                if (host.running < this->allowed(host) && isLess)
+                    best = static_cast<int>(i);
+            }
+            if (best < 0)
+                return;
+            const size_t index = this->central.front();
+            this->central.pop_front();
+            this->beginWork(index, static_cast<unsigned>(best));
+        }
+    }
+
+    void sendNaive(size_t index)
+    {
+        Request& request = this->requests[index];
+        if (request.done || request.attempts >= policy_model::naiveMaxAttempts)
+            return;
+        ++request.attempts;
+        ++request.opens;
+        unsigned host = static_cast<unsigned>(this->random() % this->hosts.size());
+        if (this->options.mode == PolicyMode::TwoChoices) {
+            const unsigned other = static_cast<unsigned>(this->random() % this->hosts.size());
+            const std::vector<Load>& reports = this->entries[request.entry].reports;
+            const auto busy = [&](unsigned i) { return reports[i].busySlots + reports[i].queueLength; };
+            host = busy(other) < busy(host) ? other : host;
+        }
+        this->after(this->delayTo(request, host), [this, index, host] {
+            if (this->hosts[host].isDraining) {
+                this->after(this->delayTo(this->requests[index], host), [this, index] { this->sendNaive(index); });
+                return;
+            }
+            this->hosts[host].fifo.push_back(index);
+            this->pump(host);
+        });
+        this->after(policy_model::naiveTimeout + request.work, [this, index] { this->sendNaive(index); });
+    }
+
+    void pumpNaive(unsigned index)
+    {
+        Host& host = this->hosts[index];
+        while (!host.fifo.empty() && host.running < this->options.pool.slots) {
+            const size_t next = host.fifo.front();
+            host.fifo.pop_front();
+            this->beginWork(next, index);
+        }
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] The real policy
+    //-----------------------------------------------------------------------------
+
+    Placement& entryOf(size_t index) { return *this->entries[this->requests[index].entry].placement; }
+
+    // Sends a reply that carries the host's load; the entry first handles the reply, then the load.
+    void reply(size_t index, unsigned host, std::function<void()> handle)
+    {
+        const Load load = this->hosts[host].admission->load();
+        this->after(this->delayTo(this->requests[index], host), [this, index, host, load, handle] {
+            this->entryOf(index).onReply(upstreamOf(host));
+            const bool isCounted = this->requests[index].bound < 0;
+            if (isCounted)
+                this->entryOf(index).onLoad(upstreamOf(host), load);
+            handle();
+            if (!isCounted)
+                this->entryOf(index).onLoad(upstreamOf(host), load);
+        });
+    }
+
+    void place(size_t index)
+    {
+        ++this->requests[index].attempts;
+        this->entryOf(index).retryBudget(service).onFirstAttempt();
+        this->placeAgain(index);
+    }
+
+    void placeAgain(size_t index)
+    {
+        const PlacementPlan plan = this->entryOf(index).plan(service);
+        if (plan.saturated && this->options.tuning.queueAtOnceWhenSaturated)
+            this->wait(index, true);
+        else
+            this->ask(index, plan.asks, 0);
+    }
+
+    AdmissionRequest openOf(size_t index, bool mayQueue, bool backup) const
+    {
+        const Request& request = this->requests[index];
+        const Duration left = request.at + policy_model::callerDeadline - this->clock.now();
+        const Milliseconds deadline = std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(left));
+        return { flowOf(index), TrafficClass::Request, mayQueue, deadline, backup };
+    }
+
+    void ask(size_t index, const std::vector<UpstreamId>& asks, size_t next)
+    {
+        if (next >= asks.size()) {
+            this->wait(index, false);
+            return;
+        }
+        ++this->requests[index].opens;
+        const unsigned host = hostOf(asks[next]);
+        this->after(this->delayTo(this->requests[index], host), [this, index, asks, next, host] {
+            const AdmissionVerdict verdict = this->hosts[host].admission->request(this->openOf(index, false, false));
+            const bool isGranted = verdict.decision == AdmissionDecision::Granted;
+            this->reply(index, host, [this, index, asks, next, host, isGranted] {
+                if (isGranted)
+                    this->onOpened(index, host);
+                else
+                    this->ask(index, asks, next + 1);
+            });
+        });
+    }
+
+    void wait(size_t index, bool atOnce)
+    {
+        const std::vector<UpstreamId> waitAt = this->entryOf(index).plan(service).waitAt;
+        if (waitAt.empty()) {
+            this->refuse(index);
+            return;
+        }
+        this->requests[index].primary = static_cast<int>(hostOf(waitAt.front()));
+        this->waitAtHost(index, hostOf(waitAt.front()), false);
+        if (!this->options.tuning.backups)
+            return;
+        this->after(atOnce ? Duration(this->options.tuning.backupDelay) : Duration(0), [this, index, waitAt] {
+            const Request& request = this->requests[index];
+            for (size_t i = 1; i < waitAt.size() && request.bound < 0 && !request.refused; ++i)
+                this->waitAtHost(index, hostOf(waitAt[i]), true);
+        });
+    }
+
+    void waitAtHost(size_t index, unsigned host, bool backup)
+    {
+        ++this->requests[index].opens;
+        this->requests[index].waitingAt.insert(host);
+        this->after(this->delayTo(this->requests[index], host), [this, index, host, backup] {
+            const AdmissionVerdict verdict
+                = this->hosts[host].admission->request(this->openOf(index, !backup, backup));
+            if (verdict.decision == AdmissionDecision::Granted)
+                this->reply(index, host, [this, index, host] { this->onOpened(index, host); });
+            else if (verdict.decision != AdmissionDecision::Queued)
+                this->reply(index, host,
+                    [this, index, host, reason = verdict.reason] { this->onRefused(index, host, reason); });
+            this->pump(host);
+        });
+    }
+
+    void onOpened(size_t index, unsigned host)
+    {
+        Request& request = this->requests[index];
+        request.waitingAt.erase(host);
+        if (request.bound >= 0 || request.refused) {
+            this->cancelAt(index, host);
+            return;
+        }
+        request.bound = static_cast<int>(host);
+        for (const unsigned other : std::set<unsigned>(request.waitingAt))
+            this->cancelAt(index, other);
+        this->entryOf(index).onFlowStarted(upstreamOf(host));
+        this->after(this->delayTo(request, host), [this, index, host] {
+            if (this->hosts[host].admission->start(flowOf(index)))
+                this->beginWork(index, host);
+            this->pump(host);
+        });
+    }
+
+    void cancelAt(size_t index, unsigned host)
+    {
+        this->requests[index].waitingAt.erase(host);
+        this->after(this->delayTo(this->requests[index], host), [this, index, host] {
+            this->hosts[host].admission->release(flowOf(index));
+            this->pump(host);
+        });
+    }
+
+    void onRefused(size_t index, unsigned host, Reason reason)
+    {
+        Request& request = this->requests[index];
+        request.waitingAt.erase(host);
+        const bool isPrimary = request.primary == static_cast<int>(host);
+        if (request.bound >= 0 || request.refused || !isPrimary)
+            return;
+        const bool mayRetry
+            = reason == Reason::Draining && this->entryOf(index).retryBudget(service).tryRetry();
+        if (mayRetry) {
+            ++request.attempts;
+            this->placeAgain(index);
+            return;
+        }
+        if (reason == Reason::Draining && !request.waitingAt.empty())
+            return; // still waits as a backup elsewhere
+        request.expired = reason == Reason::DeadlineExceeded;
+        this->refuse(index);
+    }
+
+    void refuse(size_t index)
+    {
+        Request& request = this->requests[index];
+        request.refused = true;
+        request.refusalLatency = this->clock.now() - request.at;
+        for (const unsigned other : std::set<unsigned>(request.waitingAt))
+            this->cancelAt(index, other);
+    }
+
+    void pumpAdmission(unsigned index)
+    {
+        Host& host = this->hosts[index];
+        for (const FlowId flow : host.admission->takeStarts())
+            this->beginWork(flow.low, index);
+        for (const AdmissionChange& change : host.admission->update()) {
+            const size_t request = change.flow.low;
+            if (change.decision == AdmissionDecision::Granted)
+                this->reply(request, index, [this, request, index] { this->onOpened(request, index); });
+            else
+                this->reply(request, index,
+                    [this, request, index, reason = change.reason] { this->onRefused(request, index, reason); });
+        }
+        const std::optional<TimePoint> next = host.admission->nextTimer();
+        if (next && (!host.timer || *next < *host.timer)) {
+            host.timer = next;
+            this->after(std::max(Duration(0), *next - this->clock.now()), [this, index, at = *next] {
+                if (this->hosts[index].timer != at)
+                    return;
+                this->hosts[index].timer.reset();
+                this->pump(index);
+            });
+        }
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Figures
+    //-----------------------------------------------------------------------------
+
+    static double percentile(std::vector<double>& values, double share)
+    {
+        if (values.empty())
+            return 0;
+        std::sort(values.begin(), values.end());
+        const double rank = std::ceil(share * static_cast<double>(values.size()));
+        return values[static_cast<size_t>(std::max(1.0, rank)) - 1];
+    }
+
+    double overlapSeconds(const Run& run, double from, double to) const
+    {
+        const double start = std::chrono::duration<double>(run.from - this->origin).count();
+        const double end = std::chrono::duration<double>(run.to - this->origin).count();
+        return std::max(0.0, std::min(end, to) - std::max(start, from));
+    }
+
+    double worstImbalance() const
+    {
+        double worst = 0;
+        for (double from = 0; from + policy_model::window <= policy_model::lengthOf(this->options);
+             from += policy_model::window) {
+            std::vector<double> busy(this->hosts.size());
+            double total = 0;
+            for (const Run& run : this->runs) {
+                const double seconds = this->overlapSeconds(run, from, from + policy_model::window);
+                busy[run.host] += seconds;
+                total += seconds;
+            }
+            const double mean = total / static_cast<double>(busy.size());
+            if (mean > 0)
+                worst = std::max(worst, *std::max_element(busy.begin(), busy.end()) / mean);
+        }
+        return worst;
+    }
+
+    double crestGoodput() const
+    {
+        double useful = 0;
+        for (const Run& run : this->runs) {
+            if (run.useful)
+                useful += this->overlapSeconds(run, policy_model::crestStart, policy_model::crestEnd);
+        }
+        const double slots = this->options.pool.slots * static_cast<double>(this->hosts.size());
+        return useful / (slots * (policy_model::crestEnd - policy_model::crestStart));
+    }
+
+    PolicyFigures figures() const
+    {
+        PolicyFigures result;
+        std::vector<double> waits;
+        std::vector<double> refusals;
+        double attempts = 0;
+        double opens = 0;
+        for (const Request& request : this->requests) {
+            attempts += request.attempts;
+            opens += request.opens;
+            result.served += request.done ? 1 : 0;
+            result.expired += request.expired ? 1 : 0;
+            if (request.started)
+                waits.push_back(policy_model::toMs(request.wait));
+            if (request.refused && !request.expired)
+                refusals.push_back(policy_model::toMs(request.refusalLatency));
+        }
+        result.requests = this->requests.size();
+        result.refused = refusals.size();
+        result.waitP50 = percentile(waits, 0.5);
+        result.waitP99 = percentile(waits, 0.99);
+        result.waitP999 = percentile(waits, 0.999);
+        result.refusalP99 = percentile(refusals, 0.99);
+        result.imbalance = this->worstImbalance();
+        result.crestGoodput = this->options.process == ArrivalProcess::Swing ? this->crestGoodput() : 0;
+        result.attempts = attempts / static_cast<double>(this->requests.size());
+        result.opens = opens / static_cast<double>(this->requests.size());
+        result.longestIdle = policy_model::toMs(this->longestIdle);
+        result.overRamp = this->overRamp;
+        return result;
+    }
+
+    static constexpr ServiceId service { 1 };
+
+    PolicyModelOptions options;
+    ManualClock clock;
+    std::mt19937_64 random;
+    TimePoint origin;
+    uint64_t sequence = 0;
+    std::priority_queue<Event> events;
+    std::vector<Request> requests;
+    std::vector<Host> hosts;
+    std::vector<Entry> entries;
+    std::vector<Run> runs;
+    std::deque<size_t> central;
+    Duration longestIdle { 0 };
+    double overRamp = 0;
+};
+
+} // namespace wasabicroft
--- /dev/null
+++ b/bench/policy.cpp
@@ -0,0 +1,104 @@
+// Compares the load policy with naive ones and with one ideal central queue; see docs/POLICY.md.
+#include "bench/PolicyModel.h"
+
+#include <cstdio>
+#include <docopt/docopt.h>
+
+namespace wasabicroft {
+namespace {
+
+    constexpr char usage[] = R"(Measures the load policy in an event-driven model of one pool.
+
+Usage:
+  policy [--seed=N] [--pool=NAME] [--process=NAME] [--mode=NAME] [--seconds=N] [--csv] [--candidates=N]
+         [--penalty=X] [--ahead=N] [--queue=N] [--straggler=MS] [--backup-delay=MS] [--no-backups] [--no-saturated]
+         [--fifo] [--no-ramp]
+
+Options:
+  --seed=N           Seed of arrivals and choices [default: 1].
+  --pool=NAME        strazca, rigcheck or all [default: all].
+  --process=NAME     steady, swing, rolling or all [default: all].
+  --mode=NAME        random, two-choices, policy, central or all [default: all].
+  --seconds=N        Length of the steady process [default: 120].
+  --csv              Print CSV instead of a table.
+  --candidates=N     Upstreams asked in turn [default: 2].
+  --penalty=X        Cost of another failure domain [default: 0.25].
+  --ahead=N          Reservations ahead [default: 1].
+  --queue=N          Queue limit per host [default: 32].
+  --straggler=MS     A slot held longer is a straggler [default: 250].
+  --backup-delay=MS  Until a request that queued at once also waits elsewhere [default: 50].
+  --no-backups       Queue at one host only.
+  --no-saturated     Always ask before queueing.
+  --fifo             Queue by arrival instead of by deadline.
+  --no-ramp          No cold-start ramp.
+)";
+
+    using Arguments = std::map<std::string, docopt::value>;
+
+    PolicyTuning tuningOf(const Arguments& arguments)
+    {
+        PolicyTuning tuning;
+        tuning.candidates = static_cast<size_t>(arguments.at("--candidates").asLong());
+        tuning.remotePenalty = std::stod(arguments.at("--penalty").asString());
+        tuning.reserveAhead = static_cast<uint16_t>(arguments.at("--ahead").asLong());
+        tuning.queueLimit = static_cast<uint16_t>(arguments.at("--queue").asLong());
+        tuning.stragglerAfter = Milliseconds(arguments.at("--straggler").asLong());
+        tuning.backupDelay = Milliseconds(arguments.at("--backup-delay").asLong());
+        tuning.backups = !arguments.at("--no-backups").asBool();
+        tuning.queueAtOnceWhenSaturated = !arguments.at("--no-saturated").asBool();
+        tuning.deadlineOrder = !arguments.at("--fifo").asBool();
+        tuning.ramp = !arguments.at("--no-ramp").asBool();
+        return tuning;
+    }
+
+    void print(const PolicyModelOptions& options, const PolicyFigures& f, bool csv)
+    {
+        const char* format = csv ? "%s,%s,%s,%.1f,%.1f,%.1f,%.3f,%.3f,%.1f,%.2f,%.2f,%.1f,%.0f,%zu,%zu,%zu,%zu\n"
+                                 : "%-8s %-8s %-11s %8.1f %8.1f %8.1f %7.3f %7.3f %8.1f %6.2f %6.2f %8.1f %5.0f %7zu "
+                                   "%7zu %7zu %7zu\n";
+        std::printf(format, options.pool.name.c_str(),
+            std::string(arrivalProcessNames.at(static_cast<size_t>(options.process))).c_str(),
+            std::string(policyModeNames.at(static_cast<size_t>(options.mode))).c_str(), f.waitP50, f.waitP99,
+            f.waitP999, f.imbalance, f.crestGoodput, f.refusalP99, f.attempts, f.opens, f.longestIdle, f.overRamp,
+            f.requests, f.served, f.refused, f.expired);
+    }
+
+    bool isChosen(const Arguments& arguments, const char* option, std::string_view name)
+    {
+        const std::string wanted = arguments.at(option).asString();
+        return wanted == "all" || wanted == name;
+    }
+
+    int run(const Arguments& arguments)
+    {
+        const bool csv = arguments.at("--csv").asBool();
+        std::puts(csv
+                ? "pool,process,mode,p50,p99,p999,imbalance,goodput,refusal-p99,attempts,opens,idle,over-ramp,requests,"
+                  "served,refused,expired"
+                : "pool     process  mode             p50      p99    p99.9  imbal. goodput  refused  att.  opens     "
+                  "idle  ramp     req  served refused expired");
+        for (const PolicyPool& pool : { strazcaPool(), rigCheckPool() }) {
+            for (size_t process = 0; process < arrivalProcessNames.size(); ++process) {
+                for (size_t mode = 0; mode < policyModeNames.size(); ++mode) {
+                    if (!isChosen(arguments, "--pool", pool.name)
+                        || !isChosen(arguments, "--process", arrivalProcessNames.at(process))
+                        || !isChosen(arguments, "--mode", policyModeNames.at(mode)))
+                        continue;
+                    const PolicyModelOptions options { pool, static_cast<ArrivalProcess>(process),
+                        static_cast<PolicyMode>(mode), tuningOf(arguments),
+                        static_cast<uint64_t>(arguments.at("--seed").asLong()), 6,
+                        std::stod(arguments.at("--seconds").asString()) };
+                    print(options, PolicyModel(options).run(), csv);
+                }
+            }
+        }
+        return 0;
+    }
+
+} // namespace
+} // namespace wasabicroft
+
+int main(int argc, char** argv)
+{
+    return wasabicroft::run(docopt::docopt(wasabicroft::usage, { argv + 1, argv + argc }, true));
+}
