--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -51,6 +51,9 @@
     size_t candidates = 2;
     double remotePenalty = 0.25;
     uint16_t reserveAhead = 1;
+    uint16_t reserveAheadFrom = 4;
+    Milliseconds backupPatience { 100 };
+    bool backupSalt = true;
     bool backups = true; // wait as backup at the other hosts
     bool queueAtOnceWhenSaturated = true;
     bool deadlineOrder = true;
@@ -80,6 +83,8 @@
     double longestIdle = 0; // ms that one slot was idle while one request waited
     double overRamp = 0; // most work in progress above the ramp at a joining host
     size_t requests = 0, served = 0, refused = 0, expired = 0;
+    size_t late = 0; // served after the caller's deadline
+    size_t lost = 0; // neither served nor refused
 };
 
 //-----------------------------------------------------------------------------
@@ -260,12 +265,15 @@
     static UpstreamId upstreamOf(unsigned host) { return { host + 1 }; }
     static unsigned hostOf(UpstreamId upstream) { return static_cast<unsigned>(upstream.value - 1); }
 
-    std::unique_ptr<Admission> newAdmission(bool joins)
+    std::unique_ptr<Admission> newAdmission(bool joins, unsigned host)
     {
         AdmissionOptions admission;
         admission.slots = this->options.pool.slots;
         admission.queueLimit = this->options.tuning.queueLimit;
         admission.reserveAhead = this->options.tuning.reserveAhead;
+        admission.reserveAheadFrom = this->options.tuning.reserveAheadFrom;
+        admission.backupPatience = this->options.tuning.backupPatience;
+        admission.backupSalt = this->options.tuning.backupSalt ? host + 1 : 0;
         admission.deadlineOrder = this->options.tuning.deadlineOrder;
         admission.stragglerAfter = this->options.tuning.stragglerAfter;
         if (joins && this->options.tuning.ramp)
@@ -278,7 +286,7 @@
         for (unsigned i = 0; i < this->options.pool.hosts; ++i) {
             Host host;
             host.domain = std::to_string(i % 3);
-            host.admission = this->newAdmission(false);
+            host.admission = this->newAdmission(false, i);
             host.idleSince = this->origin;
             this->hosts.push_back(std::move(host));
         }
@@ -364,10 +372,14 @@
     void replace(unsigned index)
     {
         Host& host = this->hosts[index];
+        if (host.running > 0) { // a planned stop waits for the work in progress
+            this->after(Milliseconds(100), [this, index] { this->replace(index); });
+            return;
+        }
         host.isDraining = false;
         host.isCold = true;
         host.joined = this->clock.now();
-        host.admission = this->newAdmission(true);
+        host.admission = this->newAdmission(true, index);
         host.timer.reset();
         this->after(policy_model::fromSeconds(policy_model::coldTime), [this, index] {
             this->hosts[index].isCold = false;
@@ -675,8 +687,15 @@
         Request& request = this->requests[index];
         request.waitingAt.erase(host);
         const bool isPrimary = request.primary == static_cast<int>(host);
-        if (request.bound >= 0 || request.refused || !isPrimary)
+        if (request.bound >= 0 || request.refused)
             return;
+        if (!isPrimary) {
+            const bool waitsNowhere = request.primary < 0 && request.waitingAt.empty();
+            if (waitsNowhere)
+                this->refuseFor(index, reason);
+            return;
+        }
+        request.primary = -1;
         const bool mayRetry
             = reason == Reason::Draining && this->entryOf(index).retryBudget(service).tryRetry();
         if (mayRetry) {
@@ -686,7 +705,12 @@
         }
         if (reason == Reason::Draining && !request.waitingAt.empty())
             return; // still waits as a backup elsewhere
-        request.expired = reason == Reason::DeadlineExceeded;
+        this->refuseFor(index, reason);
+    }
+
+    void refuseFor(size_t index, Reason reason)
+    {
+        this->requests[index].expired = reason == Reason::DeadlineExceeded;
         this->refuse(index);
     }
 
@@ -786,6 +810,8 @@
             opens += request.opens;
             result.served += request.done ? 1 : 0;
             result.expired += request.expired ? 1 : 0;
+            result.late += request.started && !request.done ? 1 : 0;
+            result.lost += !request.started && !request.refused ? 1 : 0;
             if (request.started)
                 waits.push_back(policy_model::toMs(request.wait));
             if (request.refused && !request.expired)
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -12,7 +12,7 @@
 Usage:
   policy [--seed=N] [--pool=NAME] [--process=NAME] [--mode=NAME] [--seconds=N] [--csv] [--candidates=N]
          [--penalty=X] [--ahead=N] [--queue=N] [--straggler=MS] [--backup-delay=MS] [--no-backups] [--no-saturated]
-         [--fifo] [--no-ramp]
+         [--fifo] [--no-ramp] [--ahead-from=N] [--patience=MS] [--no-salt]
 
 Options:
   --seed=N           Seed of arrivals and choices [default: 1].
@@ -24,6 +24,9 @@
   --candidates=N     Upstreams asked in turn [default: 2].
   --penalty=X        Cost of another failure domain [default: 0.25].
   --ahead=N          Reservations ahead [default: 1].
+  --ahead-from=N     Waiting requests from which reservations ahead are granted [default: 4].
+  --patience=MS      A backup whose deadline is earlier by this goes before the queue [default: 100].
+  --no-salt          All hosts grant the same backup first.
   --queue=N          Queue limit per host [default: 32].
   --straggler=MS     A slot held longer is a straggler [default: 250].
   --backup-delay=MS  Until a request that queued at once also waits elsewhere [default: 50].
@@ -41,6 +44,9 @@
         tuning.candidates = static_cast<size_t>(arguments.at("--candidates").asLong());
         tuning.remotePenalty = std::stod(arguments.at("--penalty").asString());
         tuning.reserveAhead = static_cast<uint16_t>(arguments.at("--ahead").asLong());
+        tuning.reserveAheadFrom = static_cast<uint16_t>(arguments.at("--ahead-from").asLong());
+        tuning.backupPatience = Milliseconds(arguments.at("--patience").asLong());
+        tuning.backupSalt = !arguments.at("--no-salt").asBool();
         tuning.queueLimit = static_cast<uint16_t>(arguments.at("--queue").asLong());
         tuning.stragglerAfter = Milliseconds(arguments.at("--straggler").asLong());
         tuning.backupDelay = Milliseconds(arguments.at("--backup-delay").asLong());
@@ -53,14 +59,14 @@
 
     void print(const PolicyModelOptions& options, const PolicyFigures& f, bool csv)
     {
-        const char* format = csv ? "%s,%s,%s,%.1f,%.1f,%.1f,%.3f,%.3f,%.1f,%.2f,%.2f,%.1f,%.0f,%zu,%zu,%zu,%zu\n"
+        const char* format = csv ? "%s,%s,%s,%.1f,%.1f,%.1f,%.3f,%.3f,%.1f,%.2f,%.2f,%.1f,%.0f,%zu,%zu,%zu,%zu,%zu,%zu\n"
                                  : "%-8s %-8s %-11s %8.1f %8.1f %8.1f %7.3f %7.3f %8.1f %6.2f %6.2f %8.1f %5.0f %7zu "
-                                   "%7zu %7zu %7zu\n";
+                                   "%7zu %7zu %7zu %5zu %5zu\n";
         std::printf(format, options.pool.name.c_str(),
             std::string(arrivalProcessNames.at(static_cast<size_t>(options.process))).c_str(),
             std::string(policyModeNames.at(static_cast<size_t>(options.mode))).c_str(), f.waitP50, f.waitP99,
             f.waitP999, f.imbalance, f.crestGoodput, f.refusalP99, f.attempts, f.opens, f.longestIdle, f.overRamp,
-            f.requests, f.served, f.refused, f.expired);
+            f.requests, f.served, f.refused, f.expired, f.late, f.lost);
     }
 
     bool isChosen(const Arguments& arguments, const char* option, std::string_view name)
@@ -74,9 +80,9 @@
         const bool csv = arguments.at("--csv").asBool();
         std::puts(csv
                 ? "pool,process,mode,p50,p99,p999,imbalance,goodput,refusal-p99,attempts,opens,idle,over-ramp,requests,"
-                  "served,refused,expired"
+                  "served,refused,expired,late,lost"
                 : "pool     process  mode             p50      p99    p99.9  imbal. goodput  refused  att.  opens     "
-                  "idle  ramp     req  served refused expired");
+                  "idle  ramp     req  served refused expired  late  lost");
         for (const PolicyPool& pool : { strazcaPool(), rigCheckPool() }) {
             for (size_t process = 0; process < arrivalProcessNames.size(); ++process) {
                 for (size_t mode = 0; mode < policyModeNames.size(); ++mode) {
--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -162,35 +162,79 @@
     return started;
 }
 
-void Admission::updateQueue(std::deque<Waiter>& waiters, bool isBackup, std::vector<AdmissionChange>& changes)
+void Admission::refuseExpired(std::deque<Waiter>& waiters, std::vector<AdmissionChange>& changes)
 {
     const TimePoint now = this->clock.now();
-    std::deque<Waiter> kept;
-    bool slotWaiterKept = isBackup && !this->queue.empty();
-    for (const Waiter& waiter : waiters) {
-        const bool blocked = this->takesSlot(waiter.trafficClass) && slotWaiterKept;
-        const unsigned ahead = isBackup ? 0 : this->allowedAhead();
+    std::erase_if(waiters, [&](const Waiter& waiter) {
+        const bool isExpired = waiter.expires <= now;
         if (this->isDraining)
-            changes.push_back({ waiter.flow, AdmissionDecision::Refused, Reason::Draining, Milliseconds(0), isBackup });
-        else if (waiter.expires <= now)
             changes.push_back(
-                { waiter.flow, AdmissionDecision::Refused, Reason::DeadlineExceeded, this->retryAfter(), isBackup });
-        else if (!blocked && this->hasRoom(waiter.trafficClass, ahead)) {
-            this->grant(waiter.flow, waiter.trafficClass);
-            changes.push_back({ waiter.flow, AdmissionDecision::Granted, Reason::None, Milliseconds(0), isBackup });
-        } else {
-            slotWaiterKept = slotWaiterKept || this->takesSlot(waiter.trafficClass);
-            kept.push_back(waiter);
+                { waiter.flow, AdmissionDecision::Refused, Reason::Draining, Milliseconds(0), waiter.backup });
+        else if (isExpired)
+            changes.push_back({ waiter.flow, AdmissionDecision::Refused, Reason::DeadlineExceeded, this->retryAfter(),
+                waiter.backup });
+        return this->isDraining || isExpired;
+    });
+}
+
+void Admission::grantQueued(std::vector<AdmissionChange>& changes)
+{
+    bool slotWaiterKept = false;
+    for (auto waiter = this->queue.begin(); waiter != this->queue.end();) {
+        const bool takes = this->takesSlot(waiter->trafficClass);
+        const unsigned ahead = this->queue.size() >= this->options.reserveAheadFrom ? this->allowedAhead() : 0;
+        if ((takes && slotWaiterKept) || !this->hasRoom(waiter->trafficClass, ahead)) {
+            slotWaiterKept = slotWaiterKept || takes;
+            ++waiter;
+            continue;
+        }
+        this->grant(waiter->flow, waiter->trafficClass);
+        changes.push_back({ waiter->flow, AdmissionDecision::Granted });
+        waiter = this->queue.erase(waiter);
+    }
+}
+
+// Orders backups of about the same age differently at each upstream. Granted at two upstreams at once, a request
+// leaves one slot idle for a round trip.
+uint64_t Admission::backupRank(const Waiter& waiter) const
+{
+    constexpr uint64_t multiplier = 0x9E3779B97F4A7C15; // of Fibonacci hashing
+    uint64_t value = (waiter.flow.high ^ waiter.flow.low ^ this->options.backupSalt * multiplier) * multiplier;
+    value ^= value >> 32;
+    return value * multiplier;
+}
+
+void Admission::grantBackups(std::vector<AdmissionChange>& changes, bool onlyUrgent)
+{
+    while (!this->backups.empty() && this->hasRoom(TrafficClass::Request, 0)) {
+        const TimePoint first = std::min_element(this->backups.begin(), this->backups.end(), [](const Waiter& a, const Waiter& b) { return a.expires < b.expires; })->expires;
+        if (onlyUrgent && !this->queue.empty() && first + this->options.backupPatience > this->queue.front().expires)
+            return;
+        auto best = this->backups.end();
+        for (auto waiter = this->backups.begin(); waiter != this->backups.end(); ++waiter) {
+            if (waiter->expires > first + this->options.backupPatience / 2)
+                continue;
+            if (best == this->backups.end() || this->backupRank(*waiter) < this->backupRank(*best))
+                best = waiter;
         }
+        this->grant(best->flow, best->trafficClass);
+        changes.push_back({ best->flow, AdmissionDecision::Granted, Reason::None, Milliseconds(0), true });
+        this->backups.erase(best);
     }
-    waiters = std::move(kept);
 }
 
 std::vector<AdmissionChange> Admission::update()
 {
     std::vector<AdmissionChange> changes;
-    this->updateQueue(this->queue, false, changes);
-    this->updateQueue(this->backups, true, changes);
+    this->refuseExpired(this->queue, changes);
+    this->refuseExpired(this->backups, changes);
+    if (this->isDraining)
+        return changes;
+    if (!this->queue.empty())
+        this->grantBackups(changes, true);
+    this->grantQueued(changes);
+    if (this->queue.empty())
+        this->grantBackups(changes, false);
     return changes;
 }
 
--- a/wasabicroft/Admission.h
+++ b/wasabicroft/Admission.h
@@ -23,6 +23,9 @@
     // Reservations granted to waiting requests beyond the slots, so that the Data of the next request is already at
     // the agent when a slot becomes free. With a value over 0, work starts only when start() or takeStarts() says so.
     uint16_t reserveAhead = 0;
+    uint16_t reserveAheadFrom = 1; // waiting requests from which reservations ahead are granted
+    Milliseconds backupPatience { 100 }; // a backup whose deadline is earlier by this goes before the queue
+    uint64_t backupSalt = 0; // differs per upstream, so that upstreams seldom grant the same backup at once
     bool deadlineOrder = true; // earliest deadline first; false is first come, first served
     bool refuseEarly = true; // refuse a request whose expected wait is over its deadline
 };
@@ -102,7 +105,10 @@
     unsigned allowedAhead() const;
     void grant(FlowId, TrafficClass);
     void enqueue(const Waiter&);
-    void updateQueue(std::deque<Waiter>&, bool isBackup, std::vector<AdmissionChange>&);
+    void refuseExpired(std::deque<Waiter>&, std::vector<AdmissionChange>&);
+    void grantQueued(std::vector<AdmissionChange>&);
+    void grantBackups(std::vector<AdmissionChange>&, bool onlyUrgent);
+    uint64_t backupRank(const Waiter&) const;
     Duration expectedWait() const;
     Milliseconds retryAfter() const;
 
