Ignore a second grant of the same host in the policy model

Cause: after a drain, a request that waits as a backup at a host may also ask it; the second Opened made the entry cancel its own reservation, and five requests ran in four slots.

--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -52,7 +52,7 @@
     double remotePenalty = 0.25;
     uint16_t reserveAhead = 1;
     uint16_t reserveAheadFrom = 4;
-    Milliseconds backupPatience { 100 };
+    Milliseconds backupPatience { 50 };
     bool backupSalt = true;
     bool backups = true; // wait as backup at the other hosts
     bool queueAtOnceWhenSaturated = true;
@@ -347,8 +347,8 @@
         const Host& host = this->hosts[index];
         if (this->options.mode == PolicyMode::Policy)
             return host.admission->load();
-        return { static_cast<uint16_t>(host.running), this->options.pool.slots,
-            static_cast<uint16_t>(host.fifo.size()), 0 };
+        return { static_cast<uint16_t>(host.running), this->options.pool.slots, static_cast<uint16_t>(host.fifo.size()),
+            0 };
     }
 
     void scheduleReplacements()
@@ -381,9 +381,8 @@
         host.joined = this->clock.now();
         host.admission = this->newAdmission(true, index);
         host.timer.reset();
-        this->after(policy_model::fromSeconds(policy_model::coldTime), [this, index] {
-            this->hosts[index].isCold = false;
-        });
+        this->after(
+            policy_model::fromSeconds(policy_model::coldTime), [this, index] { this->hosts[index].isCold = false; });
         this->after(policy_model::reportInterval, [this] { this->publishPool(); });
         this->pump(index);
     }
@@ -438,9 +437,9 @@
         if (!host.isDraining && host.running > allowed)
             this->overRamp = std::max<double>(this->overRamp, host.running - allowed);
         this->trackIdle(host);
-        const Duration work
-            = host.isCold ? policy_model::fromSeconds(policy_model::coldFactor * policy_model::toMs(request.work) / 1000)
-                          : request.work;
+        const Duration work = host.isCold
+            ? policy_model::fromSeconds(policy_model::coldFactor * policy_model::toMs(request.work) / 1000)
+            : request.work;
         const size_t run = this->runs.size();
         this->runs.push_back({ index, hostIndex, this->clock.now(), this->clock.now() + work });
         this->after(work, [this, run] { this->endWork(run); });
@@ -602,6 +601,8 @@
 
     void ask(size_t index, const std::vector<UpstreamId>& asks, size_t next)
     {
+        if (this->requests[index].bound >= 0 || this->requests[index].refused)
+            return;
         if (next >= asks.size()) {
             this->wait(index, false);
             return;
@@ -643,8 +644,7 @@
         ++this->requests[index].opens;
         this->requests[index].waitingAt.insert(host);
         this->after(this->delayTo(this->requests[index], host), [this, index, host, backup] {
-            const AdmissionVerdict verdict
-                = this->hosts[host].admission->request(this->openOf(index, !backup, backup));
+            const AdmissionVerdict verdict = this->hosts[host].admission->request(this->openOf(index, !backup, backup));
             if (verdict.decision == AdmissionDecision::Granted)
                 this->reply(index, host, [this, index, host] { this->onOpened(index, host); });
             else if (verdict.decision != AdmissionDecision::Queued)
@@ -658,6 +658,8 @@
     {
         Request& request = this->requests[index];
         request.waitingAt.erase(host);
+        if (request.bound == static_cast<int>(host))
+            return; // a second Open to the same host names the same reservation
         if (request.bound >= 0 || request.refused) {
             this->cancelAt(index, host);
             return;
@@ -696,8 +698,7 @@
             return;
         }
         request.primary = -1;
-        const bool mayRetry
-            = reason == Reason::Draining && this->entryOf(index).retryBudget(service).tryRetry();
+        const bool mayRetry = reason == Reason::Draining && this->entryOf(index).retryBudget(service).tryRetry();
         if (mayRetry) {
             ++request.attempts;
             this->placeAgain(index);
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -25,7 +25,7 @@
   --penalty=X        Cost of another failure domain [default: 0.25].
   --ahead=N          Reservations ahead [default: 1].
   --ahead-from=N     Waiting requests from which reservations ahead are granted [default: 4].
-  --patience=MS      A backup whose deadline is earlier by this goes before the queue [default: 100].
+  --patience=MS      A backup whose deadline is earlier by this goes before the queue [default: 50].
   --no-salt          All hosts grant the same backup first.
   --queue=N          Queue limit per host [default: 32].
   --straggler=MS     A slot held longer is a straggler [default: 250].
@@ -59,9 +59,10 @@
 
     void print(const PolicyModelOptions& options, const PolicyFigures& f, bool csv)
     {
-        const char* format = csv ? "%s,%s,%s,%.1f,%.1f,%.1f,%.3f,%.3f,%.1f,%.2f,%.2f,%.1f,%.0f,%zu,%zu,%zu,%zu,%zu,%zu\n"
-                                 : "%-8s %-8s %-11s %8.1f %8.1f %8.1f %7.3f %7.3f %8.1f %6.2f %6.2f %8.1f %5.0f %7zu "
-                                   "%7zu %7zu %7zu %5zu %5zu\n";
+        const char* format = csv
+            ? "%s,%s,%s,%.1f,%.1f,%.1f,%.3f,%.3f,%.1f,%.2f,%.2f,%.1f,%.0f,%zu,%zu,%zu,%zu,%zu,%zu\n"
+            : "%-8s %-8s %-11s %8.1f %8.1f %8.1f %7.3f %7.3f %8.1f %6.2f %6.2f %8.1f %5.0f %7zu "
+              "%7zu %7zu %7zu %5zu %5zu\n";
         std::printf(format, options.pool.name.c_str(),
             std::string(arrivalProcessNames.at(static_cast<size_t>(options.process))).c_str(),
             std::string(policyModeNames.at(static_cast<size_t>(options.mode))).c_str(), f.waitP50, f.waitP99,
--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -207,7 +207,10 @@
 void Admission::grantBackups(std::vector<AdmissionChange>& changes, bool onlyUrgent)
 {
     while (!this->backups.empty() && this->hasRoom(TrafficClass::Request, 0)) {
-        const TimePoint first = std::min_element(this->backups.begin(), this->backups.end(), [](const Waiter& a, const Waiter& b) { return a.expires < b.expires; })->expires;
+        const TimePoint first
+            = std::min_element(this->backups.begin(), this->backups.end(), [](const Waiter& a, const Waiter& b) {
+                  return a.expires < b.expires;
+              })->expires;
         if (onlyUrgent && !this->queue.empty() && first + this->options.backupPatience > this->queue.front().expires)
             return;
         auto best = this->backups.end();
