--- /dev/null
+++ b/wasabicroft/Schedule.h
@@ -0,0 +1,118 @@
+// Scheduling of frames that wait to be written to one link or socket, by traffic class. No I/O.
+//
+// Feeds go first within a byte budget per interval, then requests, then bulk. A minimum share keeps bulk moving while
+// requests saturate the link. Within a class, flows take turns by deficit round robin.
+//
+// Index
+//   [SECTION] Options and results
+//   [SECTION] Deficit round robin
+//   [SECTION] ClassScheduler
+#pragma once
+
+#include "wasabicroft/Clock.h"
+
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options and results
+//-----------------------------------------------------------------------------
+
+struct ScheduleOptions {
+    size_t feedBudgetBytes = 64 * 1024; // served before other classes per interval; more waits like a request
+    Milliseconds feedInterval { 100 };
+    double bulkShare = 0.1; // of the bytes of other classes, sent as bulk while bulk waits
+    size_t quantumBytes = 4 * 1024; // of a flow per turn; writers cut bulk into frames of at most this size
+    std::array<size_t, trafficClassCount> classLimitBytes = { 256 * 1024, 1024 * 1024, 1024 * 1024 };
+    size_t flowLimitBytes = 64 * 1024;
+};
+
+enum class PushResult : uint8_t {
+    Accepted,
+    AcceptedPause, // accepted, but stop reading the flow until takeResumed() names it
+    Rejected, // not stored: a limit is reached; push again after takeResumed() names the flow
+};
+
+inline constexpr std::array<std::string_view, 3> pushResultNames = { "accepted", "accepted-pause", "rejected" };
+
+std::string_view nameOf(PushResult);
+
+struct ScheduledFrame {
+    FlowId flow;
+    TrafficClass trafficClass = TrafficClass::Request;
+    std::string bytes;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Deficit round robin
+//-----------------------------------------------------------------------------
+
+// Frames of one class. A flow sends at most its deficit per turn; frames of a flow stay in order.
+class DeficitRoundRobin {
+public:
+    explicit DeficitRoundRobin(size_t quantumBytes);
+
+    void push(ScheduledFrame);
+    std::optional<ScheduledFrame> pop();
+    size_t remove(FlowId); // returns the bytes dropped
+    bool empty() const;
+    size_t bytes() const;
+    size_t bytesOf(FlowId) const;
+
+private:
+    struct FlowQueue {
+        std::deque<ScheduledFrame> frames;
+        size_t bytes = 0;
+        size_t deficit = 0; // bytes it may still send in this turn
+    };
+
+    size_t quantum = 0;
+    size_t total = 0;
+    std::unordered_map<FlowId, FlowQueue> flows;
+    std::deque<FlowId> turns; // flows with frames; the first has the turn
+    bool turnStarted = false; // the first flow already got its quantum
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] ClassScheduler
+//-----------------------------------------------------------------------------
+
+class ClassScheduler {
+public:
+    ClassScheduler(ScheduleOptions, const Clock&);
+
+    PushResult push(FlowId, TrafficClass, std::string bytes);
+    std::optional<ScheduledFrame> next(); // the frame to write now; empty if nothing waits
+    void remove(FlowId); // drops the waiting frames of an ended flow
+
+    // Paused or rejected flows that may push again.
+    std::vector<FlowId> takeResumed();
+
+    bool empty() const;
+    size_t bytes(TrafficClass) const;
+
+private:
+    struct PausedFlow {
+        TrafficClass trafficClass = TrafficClass::Request;
+    };
+
+    DeficitRoundRobin& queueOf(TrafficClass);
+    const DeficitRoundRobin& queueOf(TrafficClass) const;
+    void refillFeedBudget();
+    TrafficClass nextClass();
+    void account(const ScheduledFrame&);
+
+    ScheduleOptions options;
+    const Clock& clock;
+    std::vector<DeficitRoundRobin> queues; // by class
+    std::unordered_map<FlowId, PausedFlow> paused;
+    TimePoint feedIntervalStart;
+    size_t feedBytesSent = 0; // in this interval
+    double bulkCredit = 0; // bytes that bulk may send before other classes
+    bool feedTurn = false; // a feed over its budget alternates with requests
+};
+
+} // namespace wasabicroft
