--- /dev/null
+++ b/tests/PlacementTest.cpp
@@ -0,0 +1,254 @@
+// Guards placement: candidate order, bounded ejection, reinstatement by probes and the retry budget.
+#include "wasabicroft/Placement.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace wasabicroft {
+namespace {
+
+    constexpr ServiceId service { 1 };
+
+    std::vector<UpstreamId> poolOf(size_t size)
+    {
+        std::vector<UpstreamId> pool;
+        for (size_t i = 0; i < size; ++i)
+            pool.push_back({ i + 1 });
+        return pool;
+    }
+
+    // Fails an upstream until it is ejected; ticks like a running process.
+    void eject(Suspicion& suspicion, ManualClock& clock, UpstreamId upstream)
+    {
+        for (int i = 0; i < 4; ++i) {
+            suspicion.onFailure(upstream);
+            clock.advance(Milliseconds(100));
+            suspicion.onTick();
+        }
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Retry budget
+    //-----------------------------------------------------------------------------
+
+    // Guards against a retry storm: every attempt fails and every request retries as often as it may.
+    RC_GTEST_PROP(RetryBudget, TotalFailureCausesAtMostOnePointTwoAttemptsPerRequest, ())
+    {
+        RetryBudget budget;
+        const int requests = *rc::gen::inRange(1, 2000);
+        int attempts = 0;
+        for (int i = 0; i < requests; ++i) {
+            budget.onFirstAttempt();
+            ++attempts;
+            for (int retry = 0; retry < 5 && budget.tryRetry(); ++retry)
+                ++attempts;
+        }
+        RC_ASSERT(attempts <= 1.2 * requests + 1e-6);
+    }
+
+    // Shows that the bound above depends on the budget.
+    TEST(RetryBudget, AnUnlimitedBudgetExceedsTheBound)
+    {
+        RetryBudget budget(1000, 1000);
+        budget.onFirstAttempt();
+        int attempts = 1;
+        while (attempts < 6 && budget.tryRetry())
+            ++attempts;
+        EXPECT_GT(attempts, 1.2);
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Suspicion
+    //-----------------------------------------------------------------------------
+
+    // Guards against an entry that ejects most of a pool because its own network is at fault.
+    RC_GTEST_PROP(Suspicion, NeverLeavesOutMoreThanHalfOfAPool, ())
+    {
+        ManualClock clock;
+        Suspicion suspicion({}, clock);
+        const std::vector<UpstreamId> pool = poolOf(*rc::gen::inRange<size_t>(1, 9));
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i) {
+            const UpstreamId upstream = pool[*rc::gen::inRange<size_t>(0, pool.size())];
+            if (*rc::gen::inRange(0, 10) == 0)
+                suspicion.onSuccess(upstream);
+            else
+                suspicion.onFailure(upstream);
+            clock.advance(Milliseconds(*rc::gen::inRange(0, 150)));
+            suspicion.onTick();
+            RC_ASSERT(2 * suspicion.usable(pool).size() >= pool.size());
+        }
+    }
+
+    // Shows that the bound above depends on maxEjectedShare.
+    TEST(Suspicion, WithoutTheShareMostOfAPoolIsLeftOut)
+    {
+        ManualClock clock;
+        SuspicionOptions options;
+        options.maxEjectedShare = 1;
+        Suspicion suspicion(options, clock);
+        const std::vector<UpstreamId> pool = poolOf(4);
+        for (size_t i = 0; i < 3; ++i)
+            eject(suspicion, clock, pool[i]);
+        EXPECT_EQ(suspicion.usable(pool).size(), 1U);
+    }
+
+    // Guards against ejection on one lost frame, whatever the options say.
+    RC_GTEST_PROP(Suspicion, OneLostFrameNeverEjects, ())
+    {
+        ManualClock clock;
+        SuspicionOptions options;
+        options.failuresToEject = *rc::gen::inRange(0U, 5U);
+        options.minEvidenceSpan = Milliseconds(0);
+        Suspicion suspicion(options, clock);
+        for (int i = 0; i < 20; ++i) {
+            suspicion.onFailure({ 1 });
+            RC_ASSERT(!suspicion.isSuspect({ 1 }));
+            suspicion.onSuccess({ 1 });
+            clock.advance(Milliseconds(100));
+            suspicion.onTick();
+        }
+    }
+
+    // Guards against ejection after one short stall in which many flows time out together.
+    TEST(Suspicion, FailuresAtOneMomentAreOnePieceOfEvidence)
+    {
+        for (const bool needsSpan : { true, false }) {
+            ManualClock clock;
+            SuspicionOptions options;
+            if (!needsSpan)
+                options.minEvidenceSpan = Milliseconds(0);
+            Suspicion suspicion(options, clock);
+            for (int i = 0; i < 10; ++i)
+                suspicion.onFailure({ 1 });
+            EXPECT_EQ(suspicion.isSuspect({ 1 }), !needsSpan);
+        }
+    }
+
+    // Guards against a process that resumes, sees all its time-outs fire at once and ejects healthy upstreams.
+    TEST(Suspicion, APauseDiscardsEvidenceBeforeTheFirstTimeOutCounts)
+    {
+        for (const bool detectsPause : { true, false }) {
+            ManualClock clock;
+            SuspicionOptions options;
+            if (!detectsPause)
+                options.pauseThreshold = Milliseconds(1000000);
+            Suspicion suspicion(options, clock);
+            suspicion.onFailure({ 1 });
+            suspicion.onFailure({ 1 });
+            clock.advance(Milliseconds(5000));
+            suspicion.onFailure({ 1 }); // fires before onTick
+            suspicion.onFailure({ 1 });
+            suspicion.onTick();
+            EXPECT_EQ(suspicion.isSuspect({ 1 }), !detectsPause);
+        }
+    }
+
+    // Guards against an upstream that stays ejected after it recovered, and against one that gets all traffic as a
+    // probe.
+    TEST(Suspicion, OneProbeAtATimeReinstates)
+    {
+        ManualClock clock;
+        Suspicion suspicion({}, clock);
+        const std::vector<UpstreamId> pool = poolOf(4);
+        eject(suspicion, clock, pool[0]);
+        ASSERT_TRUE(suspicion.isSuspect(pool[0]));
+        EXPECT_FALSE(suspicion.takeProbe(pool));
+        for (int i = 0; i < 15; ++i) {
+            clock.advance(Milliseconds(100));
+            suspicion.onTick();
+        }
+        EXPECT_EQ(suspicion.takeProbe(pool), pool[0]);
+        EXPECT_FALSE(suspicion.takeProbe(pool));
+        EXPECT_TRUE(suspicion.isSuspect(pool[0])); // until the probe succeeds
+        suspicion.onSuccess(pool[0]);
+        EXPECT_FALSE(suspicion.isSuspect(pool[0]));
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Placement
+    //-----------------------------------------------------------------------------
+
+    class PlacementFixture {
+    public:
+        explicit PlacementFixture(size_t size, uint64_t seed = 1)
+            : random(seed)
+        {
+            PlacementOptions options;
+            options.failureDomain = "a";
+            options.random = [this] { return this->random(); };
+            this->placement.emplace(options, this->clock);
+            for (size_t i = 0; i < size; ++i)
+                this->pool.push_back({ { i + 1 }, i % 2 == 0 ? "a" : "b", 4, false });
+            this->placement->setPool(service, this->pool);
+        }
+
+        ManualClock clock;
+        std::mt19937_64 random;
+        std::vector<PlacementUpstream> pool;
+        std::optional<Placement> placement;
+    };
+
+    // Differential: the first candidate is never costlier than a plain minimum over the whole pool.
+    RC_GTEST_PROP(Placement, FirstCandidateHasTheLeastCost, ())
+    {
+        PlacementFixture fixture(*rc::gen::inRange<size_t>(1, 9), *rc::gen::arbitrary<uint64_t>());
+        std::map<uint64_t, double> cost;
+        for (const PlacementUpstream& upstream : fixture.pool) {
+            const Load load { static_cast<uint16_t>(*rc::gen::inRange(0, 5)), 4,
+                static_cast<uint16_t>(*rc::gen::inRange(0, 9)), 0 };
+            fixture.placement->onLoad(upstream.id, load);
+            const int started = *rc::gen::inRange(0, 4);
+            for (int i = 0; i < started; ++i)
+                fixture.placement->onFlowStarted(upstream.id);
+            cost[upstream.id.value] = (load.busySlots + load.queueLength + started) / 4.0
+                + (upstream.failureDomain == "a" ? 0 : PlacementOptions().remotePenalty);
+        }
+        const auto least = std::min_element(
+            cost.begin(), cost.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+        const PlacementPlan plan = fixture.placement->plan(service);
+        RC_ASSERT(cost[plan.asks.at(0).value] == least->second);
+        std::set<UpstreamId> distinct(plan.waitAt.begin(), plan.waitAt.end());
+        RC_ASSERT(distinct.size() == plan.waitAt.size());
+    }
+
+    // Guards against new work at a leaving upstream.
+    RC_GTEST_PROP(Placement, NeverNamesALeavingUpstream, ())
+    {
+        PlacementFixture fixture(6);
+        for (PlacementUpstream& upstream : fixture.pool)
+            upstream.leaving = *rc::gen::arbitrary<bool>();
+        fixture.placement->setPool(service, fixture.pool);
+        for (const UpstreamId id : fixture.placement->plan(service).waitAt)
+            RC_ASSERT(!fixture.pool[id.value - 1].leaving);
+    }
+
+    // Guards against a round trip wasted on Pass when every upstream is known to have a queue.
+    TEST(Placement, PlanIsSaturatedOnlyIfWorkWaitsEverywhere)
+    {
+        PlacementFixture fixture(2);
+        fixture.placement->onLoad({ 1 }, { 4, 4, 2, 4 });
+        fixture.placement->onLoad({ 2 }, { 4, 4, 0, 4 });
+        EXPECT_FALSE(fixture.placement->plan(service).saturated);
+        fixture.placement->onLoad({ 2 }, { 4, 4, 1, 4 });
+        EXPECT_TRUE(fixture.placement->plan(service).saturated);
+        EXPECT_FALSE(fixture.placement->plan({ 99 }).saturated);
+    }
+
+    // Guards against an estimate that keeps own flows which ended long ago.
+    TEST(Placement, AReportReplacesOwnChanges)
+    {
+        PlacementFixture fixture(2);
+        for (int i = 0; i < 4; ++i)
+            fixture.placement->onFlowStarted({ 1 });
+        EXPECT_EQ(fixture.placement->candidates(service).at(0), UpstreamId { 2 });
+        fixture.placement->onLoad({ 1 }, { 0, 4, 0, 0 });
+        EXPECT_EQ(fixture.placement->candidates(service).at(0), UpstreamId { 1 });
+    }
+
+} // namespace
+} // namespace wasabicroft
--- /dev/null
+++ b/tests/PolicyTest.cpp
@@ -0,0 +1,109 @@
+// Guards the load policy's targets of section 4.7 of docs/design.md in the model of one pool, beside naive modes.
+#include "bench/PolicyModel.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabicroft {
+namespace {
+
+    PolicyFigures measure(
+        const PolicyPool& pool, ArrivalProcess process, PolicyMode mode, const PolicyTuning& tuning = {})
+    {
+        PolicyModelOptions options;
+        options.pool = pool;
+        options.process = process;
+        options.mode = mode;
+        options.tuning = tuning;
+        options.seed = 20261204;
+        return PolicyModel(options).run();
+    }
+
+    double roundTripMs(const PolicyPool& pool) { return 2.0 * static_cast<double>(pool.domainDelay.count()); }
+
+    struct PoolTest : testing::TestWithParam<std::string> {
+        static PolicyPool pool() { return GetParam() == "strazca" ? strazcaPool() : rigCheckPool(); }
+    };
+
+    struct ProcessTest : testing::TestWithParam<std::tuple<std::string, ArrivalProcess>> {
+        static PolicyPool pool() { return std::get<0>(GetParam()) == "strazca" ? strazcaPool() : rigCheckPool(); }
+        static ArrivalProcess process() { return std::get<1>(GetParam()); }
+        static PolicyFigures figures() { return measure(pool(), process(), PolicyMode::Policy); }
+    };
+
+    std::string processTestName(const testing::TestParamInfo<ProcessTest::ParamType>& info)
+    {
+        const std::string process(arrivalProcessNames.at(static_cast<size_t>(std::get<1>(info.param))));
+        return std::get<0>(info.param) + "_" + process;
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Policy, PoolTest, testing::Values("strazca", "rigcheck"),
+        [](const testing::TestParamInfo<std::string>& info) { return info.param; });
+    INSTANTIATE_TEST_SUITE_P(Policy, ProcessTest,
+        testing::Combine(testing::Values("strazca", "rigcheck"),
+            testing::Values(ArrivalProcess::Steady, ArrivalProcess::Swing, ArrivalProcess::Rolling)),
+        processTestName);
+
+    TEST_P(ProcessTest, P99WaitIsAtMostTwiceThatOfACentralQueue)
+    {
+        const PolicyFigures central = measure(pool(), process(), PolicyMode::Central);
+        EXPECT_LE(figures().waitP99, 2 * central.waitP99);
+    }
+
+    // Shows that the check above fails without the policy.
+    TEST_P(PoolTest, RandomPickIsOverTwiceTheCentralQueue)
+    {
+        const PolicyFigures central = measure(pool(), ArrivalProcess::Steady, PolicyMode::Central);
+        EXPECT_GT(measure(pool(), ArrivalProcess::Steady, PolicyMode::Random).waitP99, 2 * central.waitP99);
+        EXPECT_GT(measure(pool(), ArrivalProcess::Steady, PolicyMode::TwoChoices).waitP99, 2 * central.waitP99);
+    }
+
+    TEST_P(ProcessTest, ImbalanceIsWithinTheTarget)
+    {
+        EXPECT_LE(figures().imbalance, process() == ArrivalProcess::Steady ? 1.15 : 1.3);
+    }
+
+    TEST_P(PoolTest, GoodputAtTheCrestIsAtLeast95Percent)
+    {
+        EXPECT_GE(measure(pool(), ArrivalProcess::Swing, PolicyMode::Policy).crestGoodput, 0.95);
+    }
+
+    // Shows that the check above fails without the policy.
+    TEST_P(PoolTest, RandomPickLosesGoodputAtTheCrest)
+    {
+        EXPECT_LT(measure(pool(), ArrivalProcess::Swing, PolicyMode::Random).crestGoodput, 0.95);
+    }
+
+    TEST_P(ProcessTest, RefusalTakesAtMostOneRoundTripPlus5Ms)
+    {
+        EXPECT_LE(figures().refusalP99, roundTripMs(pool()) + 5);
+    }
+
+    TEST_P(ProcessTest, NoSlotIsIdleForOverOneRoundTripWhileWorkWaits)
+    {
+        EXPECT_LE(figures().longestIdle, roundTripMs(pool()));
+    }
+
+    TEST_P(ProcessTest, AttemptsAreAtMostOnePointTwoPerRequest) { EXPECT_LE(figures().attempts, 1.2); }
+
+    TEST_P(ProcessTest, EveryRequestIsServedOrRefused) { EXPECT_EQ(figures().lost, 0U); }
+
+    // Guards against a cold instance that gets all new flows; the second half shows that the ramp is the cause.
+    TEST_P(PoolTest, AJoiningUpstreamStaysWithinItsRamp)
+    {
+        EXPECT_EQ(measure(pool(), ArrivalProcess::Rolling, PolicyMode::Policy).overRamp, 0);
+        PolicyTuning withoutRamp;
+        withoutRamp.ramp = false;
+        EXPECT_GT(measure(pool(), ArrivalProcess::Rolling, PolicyMode::Policy, withoutRamp).overRamp, 0);
+    }
+
+    // Guards against a change that makes waiting at several upstreams useless.
+    TEST_P(PoolTest, BackupsShortenTheLongestIdleTime)
+    {
+        PolicyTuning withoutBackups;
+        withoutBackups.backups = false;
+        EXPECT_LT(measure(pool(), ArrivalProcess::Steady, PolicyMode::Policy).longestIdle,
+            measure(pool(), ArrivalProcess::Steady, PolicyMode::Policy, withoutBackups).longestIdle);
+    }
+
+} // namespace
+} // namespace wasabicroft
