--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -49,6 +49,7 @@
 // Switches and numbers of the real policy.
 struct PolicyTuning {
     size_t candidates = 2;
+    size_t waitAt = 8; // most hosts at which one request waits
     double remotePenalty = 0.25;
     uint16_t reserveAhead = 1;
     uint16_t reserveAheadFrom = 4;
@@ -301,6 +302,7 @@
             PlacementOptions placement;
             placement.failureDomain = entry.domain;
             placement.candidates = this->options.tuning.candidates;
+            placement.waitAt = this->options.tuning.waitAt;
             placement.remotePenalty = this->options.tuning.remotePenalty;
             placement.random = [this] { return this->random(); };
             entry.placement = std::make_unique<Placement>(placement, this->clock);
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -13,6 +13,7 @@
   policy [--seed=N] [--pool=NAME] [--process=NAME] [--mode=NAME] [--seconds=N] [--csv] [--candidates=N]
          [--penalty=X] [--ahead=N] [--queue=N] [--straggler=MS] [--backup-delay=MS] [--no-backups] [--no-saturated]
          [--fifo] [--no-ramp] [--ahead-from=N] [--patience=MS] [--no-salt]
+         [--wait-at=N]
 
 Options:
   --seed=N           Seed of arrivals and choices [default: 1].
@@ -22,6 +23,7 @@
   --seconds=N        Length of the steady process [default: 120].
   --csv              Print CSV instead of a table.
   --candidates=N     Upstreams asked in turn [default: 2].
+  --wait-at=N        Hosts at which one request waits [default: 8].
   --penalty=X        Cost of another failure domain [default: 0.25].
   --ahead=N          Reservations ahead [default: 1].
   --ahead-from=N     Waiting requests from which reservations ahead are granted [default: 4].
@@ -42,6 +44,7 @@
     {
         PolicyTuning tuning;
         tuning.candidates = static_cast<size_t>(arguments.at("--candidates").asLong());
+        tuning.waitAt = static_cast<size_t>(arguments.at("--wait-at").asLong());
         tuning.remotePenalty = std::stod(arguments.at("--penalty").asString());
         tuning.reserveAhead = static_cast<uint16_t>(arguments.at("--ahead").asLong());
         tuning.reserveAheadFrom = static_cast<uint16_t>(arguments.at("--ahead-from").asLong());
