Let more requests wait as backups and reserve ahead only behind two slots without stragglers

Causes: at the crest the backups of a pool did not fit in one host's limit of 16, so requests behind two stragglers found no other host; a reservation ahead behind one slot waited for a straggler.

--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -28,14 +28,15 @@
     return static_cast<uint16_t>(start + static_cast<int>(share * (this->options.slots - start)));
 }
 
-// Stragglers are not expected to free their slot soon, so nothing is reserved ahead behind them.
+// Stragglers are not expected to free their slot soon, and one other may turn out to be a straggler as well, so one
+// reservation ahead needs two slots that are not held by stragglers.
 unsigned Admission::allowedAhead() const
 {
     if (this->options.reserveAhead == 0)
         return 0;
     const size_t slow = this->stragglers();
     const unsigned normal = this->runningSlots > slow ? this->runningSlots - static_cast<unsigned>(slow) : 0;
-    return std::min<unsigned>(this->options.reserveAhead, normal);
+    return std::min<unsigned>(this->options.reserveAhead, normal / 2);
 }
 
 bool Admission::hasRoom(TrafficClass trafficClass, unsigned ahead) const
@@ -98,7 +99,8 @@
     const Milliseconds wait = request.deadline > Milliseconds(0) ? request.deadline : this->options.maxQueueWait;
     const size_t waiting = request.backup ? this->backups.size() : this->queue.size();
     const bool isLate = this->options.refuseEarly && !request.backup && this->expectedWait() > wait;
-    if (waiting >= this->options.queueLimit || isLate)
+    const size_t limit = request.backup ? this->options.backupLimit : this->options.queueLimit;
+    if (waiting >= limit || isLate)
         return { AdmissionDecision::Refused, Reason::Overloaded, this->retryAfter() };
     this->enqueue({ request.flow, request.trafficClass, this->clock.now() + wait, request.backup });
     return { AdmissionDecision::Queued };
--- a/wasabicroft/Admission.h
+++ b/wasabicroft/Admission.h
@@ -15,6 +15,7 @@
     uint16_t slots = 4; // concurrent requests and bulk transfers
     uint32_t connections = 2000; // concurrent connections of all classes
     uint16_t queueLimit = 32; // waiting requests
+    uint16_t backupLimit = 128; // requests that wait here as a backup; the pool's queues together are longer than one
     Milliseconds maxQueueWait { 10000 }; // for requests without a deadline
     Milliseconds rampDuration { 0 }; // cold start: time until all slots are offered; 0 means no ramp
     uint16_t rampStartSlots = 1; // slots offered at the start of the ramp
