Let urgent backups use reservations ahead and avoid upstreams that replied draining

Traces of requests that expired after 2 s showed two faults: backups never got a slot while the queue used every reservation ahead, and a draining upstream looked idle, so requests queued there until the lagging list named it. The first form of the new test bounded the time by the patience; it was wrong, as requests that arrived within the patience may go first, and now bounds the order. It fails with the change switched off.

--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -563,7 +563,7 @@
     Placement& entryOf(size_t index) { return *this->entries[this->requests[index].entry].placement; }
 
     // Sends a reply that carries the host's load; the entry first handles the reply, then the load.
-    void reply(size_t index, unsigned host, std::function<void()> handle)
+    void reply(size_t index, unsigned host, const std::function<void()>& handle)
     {
         const Load load = this->hosts[host].admission->load();
         this->after(this->delayTo(this->requests[index], host), [this, index, host, load, handle] {
@@ -614,7 +614,10 @@
         this->after(this->delayTo(this->requests[index], host), [this, index, asks, next, host] {
             const AdmissionVerdict verdict = this->hosts[host].admission->request(this->openOf(index, false, false));
             const bool isGranted = verdict.decision == AdmissionDecision::Granted;
-            this->reply(index, host, [this, index, asks, next, host, isGranted] {
+            const bool isDraining = verdict.reason == Reason::Draining;
+            this->reply(index, host, [this, index, asks, next, host, isGranted, isDraining] {
+                if (isDraining)
+                    this->entryOf(index).onDraining(upstreamOf(host));
                 if (isGranted)
                     this->onOpened(index, host);
                 else
@@ -688,6 +691,8 @@
 
     void onRefused(size_t index, unsigned host, Reason reason)
     {
+        if (reason == Reason::Draining)
+            this->entryOf(index).onDraining(upstreamOf(host));
         Request& request = this->requests[index];
         request.waitingAt.erase(host);
         const bool isPrimary = request.primary == static_cast<int>(host);
@@ -723,6 +728,7 @@
     {
         Request& request = this->requests[index];
         request.refused = true;
+        this->trackWaitEnd(request);
         request.refusalLatency = this->clock.now() - request.at;
         for (const unsigned other : std::set<unsigned>(request.waitingAt))
             this->cancelAt(index, other);
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -392,6 +392,52 @@
         }
     }
 
+    // Guards against a backup that starves because a queue that never ends uses every reservation ahead: no request
+    // that arrived later by more than the patience may be granted before it.
+    TEST(Admission, ABackupDoesNotStarveBehindAQueueThatReservesAhead)
+    {
+        ManualClock clock;
+        AdmissionOptions options;
+        options.slots = 2;
+        options.reserveAhead = 1;
+        options.stragglerAfter = Milliseconds(1000);
+        Admission admission(options, clock);
+        std::deque<FlowId> running;
+        uint64_t next = 10;
+        std::map<FlowId, TimePoint> arrived;
+        const TimePoint start = clock.now();
+        const auto grant = [&](FlowId flow) {
+            if (admission.start(flow))
+                running.push_back(flow);
+        };
+        for (int i = 0; i < 2; ++i, ++next) {
+            admission.request(openOf(next, false));
+            grant(flowOf(next));
+        }
+        AdmissionRequest backup = openOf(1, false, Milliseconds(5000));
+        backup.backup = true;
+        admission.request(backup);
+        bool isGranted = false;
+        for (int step = 0; !isGranted && step < 200; ++step) {
+            clock.advance(Milliseconds(10));
+            for (int i = 0; i < 4; ++i, ++next) {
+                admission.request(openOf(next, true, Milliseconds(5000)));
+                arrived[flowOf(next)] = clock.now();
+            }
+            admission.release(running.front());
+            running.pop_front();
+            for (const FlowId flow : admission.takeStarts())
+                running.push_back(flow);
+            for (const AdmissionChange& change : admission.update()) {
+                isGranted = isGranted || change.flow == flowOf(1);
+                if (!isGranted)
+                    EXPECT_LE(arrived[change.flow] - start, options.backupPatience);
+                grant(change.flow);
+            }
+        }
+        EXPECT_TRUE(isGranted);
+    }
+
     // Guards against feeds that queue behind requests although only the slots are exhausted.
     TEST(Admission, AFeedIsNotBlockedByAQueueForSlots)
     {
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -227,6 +227,19 @@
             RC_ASSERT(!fixture.pool[id.value - 1].leaving);
     }
 
+    // Guards against requests sent to a draining upstream, which looks idle, until the lagging instance list says so.
+    TEST(Placement, ADrainingReplyRemovesTheUpstreamBeforeTheInstanceListDoes)
+    {
+        PlacementFixture fixture(2);
+        fixture.placement->onLoad({ 1 }, { 0, 4, 0, 0 });
+        fixture.placement->onLoad({ 2 }, { 4, 4, 3, 4 });
+        EXPECT_EQ(fixture.placement->plan(service).waitAt.front(), UpstreamId { 1 }); // without the reply
+        fixture.placement->onDraining({ 1 });
+        EXPECT_EQ(fixture.placement->plan(service).waitAt, std::vector<UpstreamId>({ { 2 } }));
+        fixture.clock.advance(Milliseconds(1000));
+        EXPECT_EQ(fixture.placement->plan(service).waitAt.size(), 2U);
+    }
+
     // Guards against a round trip wasted on Pass when every upstream is known to have a queue.
     TEST(Placement, PlanIsSaturatedOnlyIfWorkWaitsEverywhere)
     {
--- a/tests/ScheduleTest.cpp
+++ b/tests/ScheduleTest.cpp
@@ -165,6 +165,7 @@
         ManualClock clock;
         ClassScheduler scheduler({}, clock);
         std::vector<PushResult> results;
+        results.reserve(100);
         for (int i = 0; i < 100; ++i)
             results.push_back(scheduler.push(flowOf(1), TrafficClass::Bulk, std::string(4096, 'b')));
         EXPECT_EQ(results.front(), PushResult::Accepted);
--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -208,7 +208,10 @@
 
 void Admission::grantBackups(std::vector<AdmissionChange>& changes, bool onlyUrgent)
 {
-    while (!this->backups.empty() && this->hasRoom(TrafficClass::Request, 0)) {
+    // Urgent backups share the reservations ahead; otherwise a queue that always uses them would starve backups.
+    const bool mayReserveAhead = onlyUrgent && this->queue.size() >= this->options.reserveAheadFrom;
+    const unsigned ahead = mayReserveAhead ? this->allowedAhead() : 0;
+    while (!this->backups.empty() && this->hasRoom(TrafficClass::Request, ahead)) {
         const TimePoint first
             = std::min_element(this->backups.begin(), this->backups.end(), [](const Waiter& a, const Waiter& b) {
                   return a.expires < b.expires;
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -127,6 +127,12 @@
     this->pools[service] = std::move(pool);
 }
 
+bool Placement::isDraining(UpstreamId upstream) const
+{
+    const auto found = this->estimates.find(upstream);
+    return found != this->estimates.end() && this->clock.now() < found->second.drainingUntil;
+}
+
 double Placement::occupied(const PlacementUpstream& upstream) const
 {
     const auto found = this->estimates.find(upstream.id);
@@ -143,7 +149,7 @@
         return {};
     std::vector<UpstreamId> live;
     for (const PlacementUpstream& upstream : pool->second) {
-        if (!upstream.leaving)
+        if (!upstream.leaving && !this->isDraining(upstream.id))
             live.push_back(upstream.id);
     }
     const std::vector<UpstreamId> usable = this->suspects.usable(live);
@@ -197,6 +203,11 @@
 
 void Placement::onReply(UpstreamId upstream) { this->suspects.onSuccess(upstream); }
 
+void Placement::onDraining(UpstreamId upstream)
+{
+    this->estimates[upstream].drainingUntil = this->clock.now() + this->options.drainingHold;
+}
+
 void Placement::onSilence(UpstreamId upstream) { this->suspects.onFailure(upstream); }
 
 void Placement::onTick() { this->suspects.onTick(); }
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -96,6 +96,7 @@
     size_t candidates = 2; // asked in turn before a flow queues
     size_t waitAt = 8; // most upstreams at which one flow waits
     double remotePenalty = 0.25; // added to the busy share of an upstream in another failure domain
+    Milliseconds drainingHold { 1000 }; // after a reply that the upstream drains
     SuspicionOptions suspicion;
     std::function<uint64_t()> random; // required
 };
@@ -120,6 +121,7 @@
     void onFlowStarted(UpstreamId); // before the onLoad of the same reply, which already counts the flow
     void onFlowEnded(UpstreamId);
     void onReply(UpstreamId); // any reply: the agent is alive
+    void onDraining(UpstreamId); // a reply said so; no candidate for drainingHold, whatever the instance list says
     void onSilence(UpstreamId); // no reply in time, or connection refused
     void onTick();
 
@@ -131,6 +133,7 @@
         Load load;
         int64_t ownChange = 0; // own flows started minus ended since the report
         TimePoint reported;
+        TimePoint drainingUntil;
     };
 
     struct Ranked {
@@ -139,6 +142,7 @@
         double occupied = 0; // busy and waiting over slots
     };
 
+    bool isDraining(UpstreamId) const;
     double occupied(const PlacementUpstream&) const;
     std::vector<Ranked> ranked(ServiceId);
 
