--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -398,7 +398,7 @@
     {
         ManualClock clock;
         AdmissionOptions options;
-        options.slots = 2;
+        options.slots = 4;
         options.reserveAhead = 1;
         options.stragglerAfter = Milliseconds(1000);
         Admission admission(options, clock);
@@ -410,7 +410,7 @@
             if (admission.start(flow))
                 running.push_back(flow);
         };
-        for (int i = 0; i < 2; ++i, ++next) {
+        for (int i = 0; i < 4; ++i, ++next) {
             admission.request(openOf(next, false));
             grant(flowOf(next));
         }
@@ -430,8 +430,9 @@
                 running.push_back(flow);
             for (const AdmissionChange& change : admission.update()) {
                 isGranted = isGranted || change.flow == flowOf(1);
-                if (!isGranted)
+                if (!isGranted) {
                     EXPECT_LE(arrived[change.flow] - start, options.backupPatience);
+                }
                 grant(change.flow);
             }
         }
--- a/tests/PolicyTest.cpp
+++ b/tests/PolicyTest.cpp
@@ -104,6 +104,15 @@
         }
     }
 
+    TEST(PolicySeeds, RefusalTakesAtMostOneRoundTripPlus5MsForSeeds6And8)
+    {
+        const double target = roundTripMs(strazcaPool()) + 5;
+        const PolicyFigures steady = measure(strazcaPool(), ArrivalProcess::Steady, PolicyMode::Policy, {}, 6);
+        EXPECT_LE(steady.refusalP99, target);
+        const PolicyFigures rolling = measure(strazcaPool(), ArrivalProcess::Rolling, PolicyMode::Policy, {}, 8);
+        EXPECT_LE(rolling.refusalP99, target);
+    }
+
     // Guards against a change that makes reservations ahead useless at the crest.
     TEST(PolicyMechanisms, ReservationsAheadRaiseGoodputAtTheCrest)
     {
