--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -310,7 +310,7 @@
         if (!value || value->is_null())
             return "-";
         if (value->is_string())
-            return std::string(value->get_string());
+            return value->get_string().empty() ? "-" : std::string(value->get_string());
         if (value->is_array())
             return std::to_string(value->get_array().size());
         if (!value->is_object())
@@ -322,6 +322,33 @@
         return text.empty() ? "-" : text;
     }
 
+    // "epoch.version" of the configuration in force.
+    std::string versionCell(const json::object& status)
+    {
+        const json::value* version = status.if_contains("version");
+        if (!version || !version->is_object())
+            return "-";
+        return cell(version->get_object(), "epoch") + '.' + cell(version->get_object(), "version");
+    }
+
+    // "busy/slots" and the requests waiting, of an agent.
+    std::string loadCell(const json::object& status)
+    {
+        const json::value* load = status.if_contains("load");
+        if (!load || !load->is_object())
+            return "-";
+        const json::object& fields = load->get_object();
+        return cell(fields, "busySlots") + '/' + cell(fields, "slots") + " busy, " + cell(fields, "queueLength")
+            + " waiting";
+    }
+
+    std::vector<std::string> statusRow(const std::string& endpoint, const json::object& status)
+    {
+        return { endpoint, cell(status, "name"), cell(status, "role"), cell(status, "ready"), versionCell(status),
+            cell(status, "members"), cell(status, "flows"), loadCell(status), cell(status, "lastRefusals"),
+            cell(status, "cause") };
+    }
+
     void printTable(const std::vector<std::vector<std::string>>& rows)
     {
         std::vector<size_t> widths(rows.front().size());
@@ -339,9 +366,8 @@
     int status(const Flags& flags)
     {
         const std::vector<std::string> names = split(flags.at("ENDPOINT"), '\n');
-        const std::vector<std::string> columns = { "process", "role", "ready", "config", "members", "flows" };
-        std::vector<std::vector<std::string>> rows = { { "endpoint" } };
-        rows.front().insert(rows.front().end(), columns.begin(), columns.end());
+        std::vector<std::vector<std::string>> rows
+            = { { "endpoint", "name", "role", "ready", "version", "members", "flows", "load", "refusals", "cause" } };
         json::object all;
         std::vector<Error> errors;
         for (const std::string& name : names) {
@@ -357,10 +383,7 @@
                 continue;
             }
             all[name] = answer.value();
-            std::vector<std::string> row = { name };
-            for (const std::string& column : columns)
-                row.push_back(cell(answer.value().get_object(), column));
-            rows.push_back(row);
+            rows.push_back(statusRow(name, answer.value().get_object()));
         }
         if (flags.contains("--json"))
             std::cout << json::serialize(all) << '\n';
--- a/tests/PathProcessTest.cpp
+++ b/tests/PathProcessTest.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
+#include <cstdio>
 #include <gtest/gtest.h>
+#include <regex>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -136,6 +138,17 @@
         ServiceConfig service;
     };
 
+    std::string runStatusTool(const std::string& endpoints)
+    {
+        const std::string command = std::string(PROGRAM_DIRECTORY) + "/wasabictl status " + endpoints + " 2>&1";
+        std::string output;
+        FILE* pipe = popen(command.c_str(), "r");
+        for (int c = fgetc(pipe); c != EOF; c = fgetc(pipe))
+            output += static_cast<char>(c);
+        EXPECT_EQ(pclose(pipe), 0) << output;
+        return output;
+    }
+
     // Guards against a broken wiring of settings, threads and configuration, and against a graceful shutdown that
     // interrupts an open flow or accepts new ones.
     TEST_F(PathProcess, RequestIsServedAndShutdownWaitsForOpenFlows)
@@ -152,6 +165,10 @@
         EXPECT_EQ(request, "hello");
         EXPECT_EQ(exchange(host, caller, "answer"), "answer");
         EXPECT_NE(this->get(7005, "/status").find("\"version\":1"), std::string::npos);
+        // The tool once looked for fields that the daemons do not report, and printed an empty table.
+        const std::string table = runStatusTool(address + ":7005 " + address + ":7006");
+        EXPECT_TRUE(std::regex_search(table, std::regex(":7005 +entry-1 +entry +true +1\\.1 "))) << table;
+        EXPECT_TRUE(std::regex_search(table, std::regex(":7006 +host-1 +agent +true +1\\.1 "))) << table;
         EXPECT_NE(this->get(7005, "/metrics").find("wasabi_flows_started_total"), std::string::npos);
 
         entry->terminate();
