Check overlapping endpoints without comparing all pairs

Cause: the check of an endpoint parsed and compared every earlier endpoint of its port, so validation was quadratic in the number of hosts. Every process validates every change, which has to be in force everywhere within 3 s. Change: look up the same address; a wildcard can only be the sole user of its port, so only the first one is parsed.

--- a/wasabicroft/ConfigCodec.cpp
+++ b/wasabicroft/ConfigCodec.cpp
@@ -378,18 +378,20 @@
                         + "' is not a usable endpoint; set an IP address and a port from 1 to 65535");
                 return;
             }
+            // A wildcard is the only user of its port, so comparing with the first one finds it. Comparing with all
+            // users took over 3 s for 5,900 hosts.
             std::map<std::string, std::string>& users = this->endpoints[endpoint.port];
-            for (const auto& [other, otherPath] : users) {
-                const bool isWildcard
-                    = address.is_unspecified() || boost::asio::ip::make_address(other).is_unspecified();
-                if (other == endpoint.address || isWildcard) {
-                    this->add(path,
-                        toString(endpoint) + " overlaps " + toString(Endpoint { other, endpoint.port }) + " of "
-                            + otherPath + "; give one of them another address or port");
-                    return;
-                }
+            auto overlap = users.find(endpoint.address);
+            if (overlap == users.end() && !users.empty()
+                && (address.is_unspecified() || boost::asio::ip::make_address(users.begin()->first).is_unspecified()))
+                overlap = users.begin();
+            if (overlap == users.end()) {
+                users.emplace(endpoint.address, path);
+                return;
             }
-            users.emplace(endpoint.address, path);
+            this->add(path,
+                toString(endpoint) + " overlaps " + toString(Endpoint { overlap->first, endpoint.port }) + " of "
+                    + overlap->second + "; give one of them another address or port");
         }
 
         void add(const std::string& path, const std::string& message) { this->problems.push_back({ path, message }); }
