Let an idle agent not scan its open flows

Cause: finishShutdown counted open flows and reservations after every frame and every 5 ms tick, although the agent was not shutting down; every 50 ms all connections were searched for late connects. Change: count only while shutting down with no connection left; late connects are found in a queue in order of their start. The timeout of a connect is unchanged.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -414,6 +414,7 @@
 {
     const ConnectionPtr connection = std::make_shared<UpstreamConnection>(this->context, request.flow, this->clock);
     this->connections[request.flow] = connection;
+    this->connecting.push_back(connection);
     const std::shared_ptr<const Snapshot> snapshot = this->store.current();
     const ServiceConfig* service = snapshot ? snapshot->find(request.service) : nullptr;
     const UpstreamConfig* upstream = service ? this->ownConfig(*service) : nullptr;
@@ -665,16 +666,24 @@
     this->lastSlowTick = now;
     for (const auto& [id, link] : this->links)
         link->onTick(false, this->options.links.heartbeatInterval);
-    std::vector<ConnectionPtr> late;
-    for (const auto& [id, connection] : this->connections) {
-        if (!connection->isConnected && now - connection->started > this->options.connectTimeout)
-            late.push_back(connection);
-    }
-    for (const ConnectionPtr& connection : late)
-        this->onConnected(connection, asio::error::timed_out);
+    this->endLateConnects();
     this->forgetOldCallers();
 }
 
+// All connects have the same timeout, so the oldest that is still in progress decides.
+void AgentServer::endLateConnects()
+{
+    while (!this->connecting.empty()) {
+        const ConnectionPtr oldest = this->connecting.front().lock();
+        const bool inProgress = oldest && !oldest->isClosed && !oldest->isConnected;
+        if (inProgress && this->clock.now() - oldest->started <= this->options.connectTimeout)
+            return;
+        this->connecting.pop_front();
+        if (inProgress)
+            this->onConnected(oldest, asio::error::timed_out);
+    }
+}
+
 void AgentServer::shutdown(std::function<void()> onDrained)
 {
     this->isShuttingDown = true;
@@ -685,8 +694,10 @@
 
 void AgentServer::finishShutdown()
 {
-    const bool isIdle = this->owner.openFlows() == 0 && this->owner.reservations() == 0 && this->connections.empty();
-    if (this->isShuttingDown && isIdle && this->drained)
+    // Called after every event: counting flows scans all of them, so it comes last.
+    if (!this->isShuttingDown || !this->drained || !this->connections.empty())
+        return;
+    if (this->owner.openFlows() == 0 && this->owner.reservations() == 0)
         std::exchange(this->drained, nullptr)();
 }
 
--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -134,6 +134,7 @@
     void onUpstreamReadable(const ConnectionPtr&);
     void writeUpstream(const ConnectionPtr&);
     void finishConnection(const ConnectionPtr&);
+    void endLateConnects();
     void dropConnection(const ConnectionPtr&, bool reset);
     void resumeReads();
     std::string proxyHeader(FlowId, const ServiceConfig&, TrafficClass) const;
@@ -156,6 +157,7 @@
     std::map<uint64_t, std::shared_ptr<Link>> links;
     uint64_t lastLink = 0;
     std::unordered_map<FlowId, ConnectionPtr> connections;
+    std::deque<std::weak_ptr<UpstreamConnection>> connecting; // oldest first; also ones that are connected or closed
     std::unordered_map<FlowId, FlowCaller> callers;
     std::deque<std::pair<TimePoint, FlowId>> callerOrder; // oldest first
     boost::asio::steady_timer ticker;
