Remove scans of listeners, members and flows from an idle entry

Cause: every 50 ms the entry rebuilt its list of listeners; every reply to a session caller searched all listeners; status(), called twice a second, built JSON of every member and a string per flow; placement read the system's random source once per upstream of a pool. Change: listeners are opened again only if one could not be opened; an index of listeners by service; the text of the member list is made once per list; phases are counted in an array; placement uses a seeded generator.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
+#include <random>
 
 namespace wasabicroft {
 
@@ -39,11 +40,13 @@
 
     PlacementOptions placementOptions(const EntryOptions& options)
     {
+        // Placement draws once per upstream of a pool; the operating system's source costs a system call per draw.
+        std::mt19937_64 generator(randomFlowId().low);
         PlacementOptions placement;
         placement.failureDomain = options.failureDomain;
         placement.candidates = options.candidates;
         placement.suspicion = options.suspicion;
-        placement.random = [] { return randomFlowId().low; };
+        placement.random = [generator]() mutable { return generator(); };
         return placement;
     }
 
@@ -184,6 +187,10 @@
     if (this->isStopped)
         return;
     this->members = std::move(list);
+    boost::json::array memberList;
+    for (const Member& member : *this->members)
+        memberList.push_back(boost::json::object { { "name", member.name }, { "leaving", member.leaving } });
+    this->membersJson = boost::json::serialize(memberList);
     this->updatePools();
 }
 
@@ -247,16 +254,17 @@
     }
     for (const std::string& key : obsolete)
         this->closeListener(key);
+    this->retryListeners = false;
     for (const auto& [key, config] : wanted) {
         const auto found = this->listeners.find(key);
         if (found == this->listeners.end())
-            this->openListener(*config.first, *config.second);
+            this->retryListeners = !this->openListener(*config.first, *config.second) || this->retryListeners;
         else
             found->second->trafficClass = config.second->trafficClass;
     }
 }
 
-void EntryServer::openListener(const ServiceConfig& service, const ListenerConfig& config)
+bool EntryServer::openListener(const ServiceConfig& service, const ListenerConfig& config)
 {
     const std::string key = service.name + '/' + config.name;
     Endpoint address = config.endpoint;
@@ -278,7 +286,7 @@
         logEvent(Event::ListenerFailed,
             { { "service", service.name }, { "listener", config.name }, { "address", toString(address) },
                 { "cause", acceptor ? "UDP: " + error.message() : acceptor.error().message } });
-        return; // tried again with the next slow tick
+        return false; // tried again with the next slow tick
     }
     listener->datagrams.non_blocking(true, error);
     listener->datagrams.set_option(asio::socket_base::receive_buffer_size(datagramBufferBytes), error);
@@ -289,11 +297,13 @@
     listener->trafficClass = config.trafficClass;
     listener->configured = config.endpoint;
     this->listeners[key] = listener;
+    this->listenersByService[listener->service].push_back(listener);
     logEvent(Event::ListenerOpened,
         { { "service", service.name }, { "listener", config.name }, { "address", toString(listener->bound) },
             { "class", nameOf(config.trafficClass) } });
     this->accept(listener);
     this->receiveDatagram(listener);
+    return true;
 }
 
 void EntryServer::closeListener(const std::string& key)
@@ -303,6 +313,10 @@
         return;
     const std::shared_ptr<Listener> listener = found->second;
     this->listeners.erase(found);
+    const auto sameService = this->listenersByService.find(listener->service);
+    std::erase(sameService->second, listener);
+    if (sameService->second.empty())
+        this->listenersByService.erase(sameService);
     listener->closed = true;
     error_code ignored;
     listener->acceptor.close(ignored);
@@ -748,9 +762,11 @@
     const auto upstream = this->upstreams.find(from);
     const bool isMember = upstream != this->upstreams.end() && upstream->second.services.contains(frame.service);
     std::shared_ptr<Listener> listener;
-    for (const auto& [key, candidate] : this->listeners) {
-        if (candidate->service == frame.service && (!listener || candidate->trafficClass == frame.trafficClass))
-            listener = candidate;
+    if (const auto found = this->listenersByService.find(frame.service); found != this->listenersByService.end()) {
+        for (const std::shared_ptr<Listener>& candidate : found->second) {
+            if (!listener || candidate->trafficClass == frame.trafficClass)
+                listener = candidate;
+        }
     }
     if (!caller || caller.value().port == 0 || !isMember || !listener) {
         this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"reply-address\"");
@@ -879,7 +895,8 @@
     this->lastSlowTick = now;
     this->placement.onTick();
     this->links.onTick();
-    this->openListeners();
+    if (this->retryListeners)
+        this->openListeners();
 }
 
 void EntryServer::shutdown(std::function<void()> onDrained)
@@ -911,21 +928,18 @@
         status.notReadyCause = "no listener is open";
     status.ready = status.notReadyCause.empty();
 
-    std::map<std::string, uint64_t> phases;
+    std::array<uint64_t, initiatorPhaseNames.size()> phases {};
     for (const auto& [id, flow] : this->flows)
-        ++phases[std::string(nameOf(flow->initiator.phase()))];
+        ++phases.at(static_cast<size_t>(flow->initiator.phase()));
     boost::json::object flowsByPhase;
-    for (const auto& [phase, count] : phases)
-        flowsByPhase[phase] = count;
+    for (size_t phase = 0; phase < phases.size(); ++phase) {
+        if (phases.at(phase) > 0)
+            flowsByPhase[initiatorPhaseNames.at(phase)] = phases.at(phase);
+    }
     boost::json::array listenerList;
     for (const auto& [key, listener] : this->listeners)
         listenerList.push_back(boost::json::object { { "name", key }, { "address", toString(listener->bound) },
             { "class", std::string(nameOf(listener->trafficClass)) } });
-    boost::json::array memberList;
-    if (this->members) {
-        for (const Member& member : *this->members)
-            memberList.push_back(boost::json::object { { "name", member.name }, { "leaving", member.leaving } });
-    }
     boost::json::array refusals;
     for (const std::string& refusal : this->lastRefusals)
         refusals.push_back(boost::json::string(refusal));
@@ -936,7 +950,10 @@
             boost::json::object {
                 { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest } } },
         { "flows", flowsByPhase }, { "links", this->links.openLinks() }, { "listeners", listenerList },
-        { "members", memberList }, { "lastRefusals", refusals } });
+        { "lastRefusals", refusals } });
+    // The list has thousands of rows and status() runs twice a second, so its text is made once per list.
+    status.json.pop_back();
+    status.json += ",\"members\":" + this->membersJson + '}';
     return status;
 }
 
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -93,7 +93,7 @@
 
     // Listeners and pools
     void openListeners();
-    void openListener(const ServiceConfig&, const ListenerConfig&);
+    bool openListener(const ServiceConfig&, const ListenerConfig&);
     void closeListener(const std::string& key);
     void updatePools();
     std::string upstreamName(UpstreamId) const;
@@ -142,12 +142,15 @@
     ConfigStore store;
     std::shared_ptr<const std::vector<Member>> members;
     std::map<std::string, std::shared_ptr<Listener>> listeners; // by "service/listener"
+    std::unordered_map<ServiceId, std::vector<std::shared_ptr<Listener>>> listenersByService; // same ones
+    bool retryListeners = false; // some listeners could not be opened
     std::map<UpstreamId, KnownUpstream> upstreams;
     std::map<ServiceId, double> retryShares; // of the retry budgets in force
     std::unordered_map<FlowId, PlainFlowPtr> flows;
     std::map<Carrier, std::set<FlowId>> flowsByCarrier;
     std::priority_queue<FlowTimer, std::vector<FlowTimer>, std::greater<>> timers;
     std::deque<std::string> lastRefusals; // for /status
+    std::string membersJson = "[]"; // for /status
     boost::asio::steady_timer ticker;
     std::vector<char> readBuffer; // shared by all sockets, since reads never overlap on one thread
     TimePoint lastSlowTick;
