--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -22,6 +22,7 @@
 #include <malloc.h>
 #include <new>
 #include <poll.h>
+#include <random>
 #include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
@@ -365,9 +366,9 @@
         std::vector<ServiceConfig> services(serviceCount);
         for (size_t i = 0; i < serviceCount; ++i) {
             services[i].name = "service-" + std::to_string(i);
-            services[i].listeners = { { "main",
-                { "127.1." + std::to_string(i / 250) + '.' + std::to_string(1 + i % 250), 7000 },
-                TrafficClass::Request } };
+            services[i].listeners
+                = { { "main", { "127.1." + std::to_string(i / 250) + '.' + std::to_string(1 + i % 250), 7000 },
+                    TrafficClass::Request } };
         }
         for (size_t i = 0; i < hostCount; ++i) {
             const std::string host = "127.2." + std::to_string(i / 250) + '.' + std::to_string(1 + i % 250);
@@ -394,8 +395,20 @@
     // [SECTION] Entry
     //-------------------------------------------------------------------------
 
-    void measurePlain(Report& report)
+    // Placement lines are formatted and queued as in the daemons. Off for counts of memory, because the records are
+    // freed by the writer's thread.
+    void enableLog(bool enabled)
+    {
+        stopLog();
+        LogOptions log;
+        log.file = "/dev/null";
+        if (enabled)
+            startLog(log);
+    }
+
+    void measurePlain(Report& report, bool logs)
     {
+        enableLog(logs);
         for (const size_t count : { 500U, 1000U, 2000U, 4000U }) { // four descriptors a flow
             Path path(1);
             const asio::ip::tcp::endpoint front = toTcp(path.front());
@@ -419,10 +432,14 @@
                 exchange(sockets.back());
             }
             const double size = static_cast<double>(count);
+            if (!logs) {
+                report.add("plain: entry bytes per open flow", size, path.entryThread.bytes() - entryBytes);
+                report.add("plain: agent bytes per open flow", size, path.agentThread.bytes() - agentBytes);
+                continue;
+            }
             report.add("plain: entry us CPU per new flow", size, (path.entryThread.cpuSeconds() - entryCpu) * 1e6);
             report.add("plain: agent us CPU per new flow", size, (path.agentThread.cpuSeconds() - agentCpu) * 1e6);
-            report.add("plain: entry bytes per open flow", size, path.entryThread.bytes() - entryBytes);
-            report.add("plain: agent bytes per open flow", size, path.agentThread.bytes() - agentBytes);
+            std::this_thread::sleep_for(6s); // the timers of opening flows have expired
             const double entryIdle = path.entryThread.cpuSeconds();
             const double agentIdle = path.agentThread.cpuSeconds();
             std::this_thread::sleep_for(2s);
@@ -430,11 +447,28 @@
                 (path.entryThread.cpuSeconds() - entryIdle) * 1e6 / 2);
             report.add("plain: agent us CPU a second per idle open flow", size,
                 (path.agentThread.cpuSeconds() - agentIdle) * 1e6 / 2);
+            const double statusBegin = path.entryThread.cpuSeconds();
+            for (int i = 0; i < 10; ++i)
+                path.entryThread.call([&] { return path.entry.status().ready; });
+            report.add("plain: entry us CPU per status(), by open flows", size,
+                (path.entryThread.cpuSeconds() - statusBegin) * 1e5);
+            const double agentStatusBegin = path.agentThread.cpuSeconds();
+            for (int i = 0; i < 10; ++i)
+                path.agentThread.call([&] { return path.agent.status().ready; });
+            report.add("plain: agent us CPU per status(), by open flows", size,
+                (path.agentThread.cpuSeconds() - agentStatusBegin) * 1e5);
         }
     }
 
+    void measurePlain(Report& report)
+    {
+        measurePlain(report, true);
+        measurePlain(report, false);
+    }
+
     void measureSession(Report& report)
     {
+        enableLog(true);
         {
             Path path(1);
             const std::vector<UpstreamId> owner = { upstreamIdOf("host-0") };
@@ -446,9 +480,10 @@
                 const double size = static_cast<double>(answers);
                 report.add("session: entry us CPU per frame pair forwarded", size,
                     (path.entryThread.cpuSeconds() - entryCpu) * 1e6);
-                report.add("session: agent us CPU per frame pair", size,
-                    (path.agentThread.cpuSeconds() - agentCpu) * 1e6);
+                report.add(
+                    "session: agent us CPU per frame pair", size, (path.agentThread.cpuSeconds() - agentCpu) * 1e6);
             }
+            enableLog(false);
             for (const size_t count : { 1000U, 2000U, 4000U }) {
                 const double entryBytes = path.entryThread.bytes();
                 const double agentBytes = path.agentThread.bytes();
@@ -457,6 +492,7 @@
                 report.add("session: agent bytes per reserved flow", size, path.agentThread.bytes() - agentBytes);
             }
         }
+        enableLog(true);
         for (const size_t services : { 100U, 200U, 400U, 780U }) {
             Path path(services);
             const std::vector<UpstreamId> owner = { upstreamIdOf("host-0") };
@@ -469,13 +505,14 @@
                 (path.entryThread.cpuSeconds() - entryCpu) * 1e6 / count);
             const double idle = path.entryThread.cpuSeconds();
             std::this_thread::sleep_for(2s);
-            report.add("idle: entry us CPU a second, by listeners", size,
-                (path.entryThread.cpuSeconds() - idle) * 1e6 / 2);
+            report.add(
+                "idle: entry us CPU a second, by listeners", size, (path.entryThread.cpuSeconds() - idle) * 1e6 / 2);
         }
     }
 
     void measureLinks(Report& report)
     {
+        enableLog(false);
         for (const size_t count : { 500U, 1000U, 2000U, 4000U }) { // two descriptors a link
             Path path(1, count);
             std::vector<UpstreamId> owners;
@@ -488,10 +525,14 @@
             report.add("links: entry us CPU per link opened and one frame pair", size,
                 (path.entryThread.cpuSeconds() - cpu) * 1e6);
             report.add("links: entry bytes per linked agent", size, path.entryThread.bytes() - bytes);
+            std::this_thread::sleep_for(3s); // the heartbeats after the last frames are over
             const double idle = path.entryThread.cpuSeconds();
+            const double agentIdle = path.agentThread.cpuSeconds();
             std::this_thread::sleep_for(2s);
-            report.add("links: entry us CPU a second per idle link", size,
-                (path.entryThread.cpuSeconds() - idle) * 1e6 / 2);
+            report.add(
+                "links: entry us CPU a second per idle link", size, (path.entryThread.cpuSeconds() - idle) * 1e6 / 2);
+            report.add("links: agent us CPU a second per idle link", size,
+                (path.agentThread.cpuSeconds() - agentIdle) * 1e6 / 2);
         }
     }
 
@@ -671,7 +712,7 @@
             entry.stop();
 
             PlacementOptions options;
-            options.random = [] { return randomFlowId().low; };
+            options.random = std::mt19937_64(20261204);
             Placement placement(options, clock);
             std::vector<PlacementUpstream> pool;
             for (size_t i = 0; i < count; ++i)
@@ -682,7 +723,7 @@
         for (const size_t count : { 4U, 8U, 16U, 32U, 64U }) {
             SystemClock clock;
             PlacementOptions options;
-            options.random = [] { return randomFlowId().low; };
+            options.random = std::mt19937_64(20261204);
             Placement placement(options, clock);
             std::vector<PlacementUpstream> pool;
             for (size_t i = 0; i < count; ++i)
@@ -768,14 +809,10 @@
         getrlimit(RLIMIT_NOFILE, &files);
         files.rlim_cur = files.rlim_max;
         setrlimit(RLIMIT_NOFILE, &files);
-        LogOptions log;
-        log.file = "/dev/null"; // placement lines are formatted and queued as in the daemons
-        startLog(log);
         const std::string part = arguments.at("--part").asString();
-        const std::vector<std::pair<std::string, void (*)(Report&)>> parts
-            = { { "plain", measurePlain }, { "session", measureSession }, { "links", measureLinks },
-                  { "agent", measureAgent }, { "config", measureConfig }, { "members", measureMembers },
-                  { "traffic", measureTraffic } };
+        const std::vector<std::pair<std::string, void (*)(Report&)>> parts = { { "plain", measurePlain },
+            { "session", measureSession }, { "links", measureLinks }, { "agent", measureAgent },
+            { "config", measureConfig }, { "members", measureMembers }, { "traffic", measureTraffic } };
         Report report;
         alarm(600); // the program ends after this time, also if a stand-in is silent
         for (const auto& [name, measure] : parts) {
