Rank a pool without searching it for each upstream

Cause: ranked() searched the usable upstreams for each one of the pool, for every new flow. Change: both lists have the same order, so one pass over both does. WorkPerPlanGrowsInProportionToThePool failed before.

--- a/tests/SlopesTest.cpp
+++ b/tests/SlopesTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <ctime>
 #include <gtest/gtest.h>
+#include <random>
 #include <sys/resource.h>
 
 namespace wasabicroft {
@@ -139,6 +140,23 @@
     EXPECT_LT(leastSeconds([&] { tick(many); }), 10 * baseline);
 }
 
+// Guards against a plan that searches the pool for each of its upstreams; a plan is made for every new flow.
+TEST(Slopes, WorkPerPlanGrowsInProportionToThePool)
+{
+    const auto planSeconds = [](size_t count) {
+        ManualClock clock;
+        PlacementOptions options;
+        options.random = std::mt19937_64(20261204);
+        Placement placement(options, clock);
+        std::vector<PlacementUpstream> pool;
+        for (size_t i = 1; i <= count; ++i)
+            pool.push_back({ { i * 0x9E3779B97F4A7C15 }, "domain-a", 4, false });
+        placement.setPool({ 1 }, pool);
+        return leastSeconds([&] { EXPECT_EQ(placement.plan({ 1 }).asks.size(), 2U); });
+    };
+    EXPECT_LT(planSeconds(16000), 2 * 16 * planSeconds(1000)); // quadratic work would take 256 times
+}
+
 // Guards against validation that compares every endpoint with every other: 5,900 hosts took over 3 s, the target for a
 // change to be in force everywhere.
 TEST(Slopes, ValidationGrowsInProportionToHosts)
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -154,9 +154,11 @@
     }
     const std::vector<UpstreamId> usable = this->suspects.usable(live);
     std::vector<Ranked> ranking;
+    auto next = usable.begin(); // usable has the order of the pool
     for (const PlacementUpstream& upstream : pool->second) {
-        if (std::find(usable.begin(), usable.end(), upstream.id) == usable.end())
+        if (next == usable.end() || *next != upstream.id)
             continue;
+        ++next;
         const bool isLocal = upstream.failureDomain == this->options.failureDomain;
         const double share = this->occupied(upstream);
         ranking.push_back({ upstream.id, share + (isLocal ? 0 : this->options.remotePenalty), share });
