--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -540,8 +540,39 @@
     // [SECTION] Agent
     //-------------------------------------------------------------------------
 
+    // The initiator's part of session callers; entries hold one per plain flow beside the socket.
+    void measureInitiator(Report& report)
+    {
+        for (const size_t count : { 1000U, 2000U, 4000U, 8000U }) {
+            ManualClock clock;
+            std::vector<std::unique_ptr<FlowInitiator>> initiators;
+            initiators.reserve(count);
+            const int64_t empty = liveBytes;
+            const double begin = ownThreadSeconds();
+            for (size_t i = 1; i <= count; ++i) {
+                InitiatorOptions options;
+                options.service = serviceIdOf("service-0");
+                options.datagrams = true;
+                initiators.push_back(std::make_unique<FlowInitiator>(FlowId { i, i }, options, clock));
+                InitiatorCommands out;
+                initiators.back()->start({ placedByCarriage }, out);
+                Frame opened;
+                opened.kind = FrameKind::Opened;
+                opened.flow = { i, i };
+                opened.service = options.service;
+                opened.token = { upstreamIdOf("host-0"), 1, i };
+                initiators.back()->onFrame(opened, out);
+                initiators.back()->write(std::string(64, 'x'), out);
+            }
+            const double size = static_cast<double>(count);
+            report.add("initiator: us CPU per new flow", size, (ownThreadSeconds() - begin) * 1e6);
+            report.add("initiator: bytes per open flow", size, static_cast<double>(liveBytes - empty));
+        }
+    }
+
     void measureAgent(Report& report)
     {
+        measureInitiator(report);
         for (const size_t count : { 1000U, 2000U, 4000U, 8000U }) {
             ManualClock clock;
             AdmissionOptions limits;
@@ -645,6 +676,7 @@
         report.add("config: bytes of memory, " + by, size, static_cast<double>(liveBytes - bytesBefore));
         report.add("config: ms CPU to start, " + by, size, start.cpu * 1e3);
         report.add("config: bytes read to start, " + by, size, start.bytes);
+        report.add("config: calls to start, " + by, size, start.calls);
         services.front().slots = 5;
         clock.advance(60s);
         const ReadCost change = read(reader, publish(1, 2, services), 2);
