Measure link sharing and skip unreachable candidates at once

A refused dial cost an opening flow its open timeout of 300 ms: the Open was dropped and nobody told the initiator. A failed dial, a lost link or an Open that no link takes now makes the initiator ask the next candidate.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -122,18 +122,21 @@
           LinkPoolHandlers { [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
                                 this->onAgentFrame(upstream, trafficClass, std::move(frame));
                             },
-              [this](UpstreamId upstream, TrafficClass trafficClass) {
-                  this->forEachFlowOf(
-                      { upstream, trafficClass }, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
+              [this](const Carrier& carrier) {
+                  this->forEachFlowOf(carrier, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
               },
-              [this](UpstreamId upstream, TrafficClass trafficClass) {
-                  this->forEachFlowOf({ upstream, trafficClass }, [this](const PlainFlowPtr& flow) {
+              [this](const Carrier& carrier) {
+                  this->forEachFlowOf(carrier, [this](const PlainFlowPtr& flow) {
                       InitiatorCommands commands;
                       flow->initiator.onCarriageReset(commands);
                       this->run(flow, commands);
                   });
               },
-              [this](UpstreamId upstream) { this->placement.onSilence(upstream); } })
+              [this](const Carrier& carrier) {
+                  this->placement.onSilence(carrier.upstream);
+                  this->forEachFlowOf(carrier,
+                      [this, carrier](const PlainFlowPtr& flow) { this->failOpening(flow, carrier.upstream); });
+              } })
     , placement(placementOptions(this->options), timeSource)
     , ticker(ioContext)
     , readBuffer(readBufferBytes)
@@ -386,7 +389,7 @@
     if (flow->initiator.freeSendBuffer() == 0)
         return;
     for (const Carrier& carrier : flow->carriers) {
-        if (!this->links.hasRoom(carrier.first, carrier.second))
+        if (!this->links.hasRoom(carrier))
             return;
     }
     flow->isReading = true;
@@ -440,16 +443,34 @@
 
 void EntryServer::execute(const PlainFlowPtr& flow, SendToOwner& send)
 {
-    const Carrier carrier { send.owner, flow->initiator.settings().trafficClass };
+    const TrafficClass trafficClass = flow->initiator.settings().trafficClass;
+    const Carrier carrier = this->links.carrierOf(send.owner, trafficClass, flow->initiator.id());
     if (std::find(flow->carriers.begin(), flow->carriers.end(), carrier) == flow->carriers.end()) {
         flow->carriers.push_back(carrier);
         this->flowsByCarrier[carrier].insert(flow->initiator.id());
-        this->links.retain(carrier.first, carrier.second);
+        this->links.retain(carrier);
     }
     const bool isNewCandidate = flow->asked.empty() || flow->asked.back() != send.owner;
     if (send.frame.kind == FrameKind::Open && isNewCandidate)
         flow->asked.push_back(send.owner);
-    this->links.send(send.owner, carrier.second, send.frame);
+    const bool isSent = this->links.send(send.owner, trafficClass, send.frame);
+    if (isSent || send.frame.kind != FrameKind::Open)
+        return;
+    // Later, because the commands of this event are still being executed.
+    asio::post(this->context, [this, flow, owner = send.owner] {
+        if (!flow->isClosed)
+            this->failOpening(flow, owner);
+    });
+}
+
+// The link to an asked candidate is refused or lost: the flow goes on to the next one without waiting for the timeout.
+void EntryServer::failOpening(const PlainFlowPtr& flow, UpstreamId upstream)
+{
+    if (flow->isClosed || flow->end)
+        return;
+    InitiatorCommands commands;
+    flow->initiator.onUnreachable(upstream, commands);
+    this->run(flow, commands);
 }
 
 void EntryServer::afterEvent(const PlainFlowPtr& flow)
@@ -614,7 +635,7 @@
         return;
     const FlowId id = flow->initiator.id();
     for (const Carrier& carrier : flow->carriers) {
-        this->links.release(carrier.first, carrier.second);
+        this->links.release(carrier);
         const auto found = this->flowsByCarrier.find(carrier);
         if (found == this->flowsByCarrier.end())
             continue;
@@ -642,7 +663,7 @@
     this->finishShutdown();
 }
 
-void EntryServer::forEachFlowOf(Carrier carrier, const std::function<void(const PlainFlowPtr&)>& action)
+void EntryServer::forEachFlowOf(const Carrier& carrier, const std::function<void(const PlainFlowPtr&)>& action)
 {
     const auto found = this->flowsByCarrier.find(carrier);
     if (found == this->flowsByCarrier.end())
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -77,7 +77,6 @@
     struct Listener;
     struct PlainFlow;
     using PlainFlowPtr = std::shared_ptr<PlainFlow>;
-    using Carrier = std::pair<UpstreamId, TrafficClass>;
 
     struct FlowTimer {
         TimePoint at;
@@ -110,10 +109,11 @@
     void execute(const PlainFlowPtr&, SendToOwner&);
     void afterEvent(const PlainFlowPtr&);
     static bool lastAskedPassed(const PlainFlow&);
+    void failOpening(const PlainFlowPtr&, UpstreamId);
     void reportSilence(const PlainFlow&);
     void logPlacement(PlainFlow&);
     void eraseFlow(const PlainFlowPtr&);
-    void forEachFlowOf(Carrier, const std::function<void(const PlainFlowPtr&)>&);
+    void forEachFlowOf(const Carrier&, const std::function<void(const PlainFlowPtr&)>&);
 
     // Session frames
     void receiveDatagram(const std::shared_ptr<Listener>&);
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -88,6 +88,8 @@
 // [SECTION] Link
 //-----------------------------------------------------------------------------
 
+std::string_view nameOf(LinkSharing sharing) { return linkSharingNames.at(static_cast<size_t>(sharing)); }
+
 Link::Link(asio::ip::tcp::socket connection, LinkOptions initialOptions, const Clock& timeSource, Metrics& counters,
     LinkHandlers callbacks)
     : lastUse(timeSource.now())
@@ -311,32 +313,43 @@
     return delay / 2 + Milliseconds(jitter);
 }
 
-void LinkPool::dial(PeerKey key, Peer& peer)
+Carrier LinkPool::carrierOf(UpstreamId upstream, TrafficClass trafficClass, FlowId flow) const
+{
+    if (this->options.sharing == LinkSharing::AllClasses)
+        return { upstream, TrafficClass::Request, {} };
+    return { upstream, trafficClass, this->options.sharing == LinkSharing::PerFlow ? flow : FlowId() };
+}
+
+void LinkPool::dial(const Carrier& carrier, Peer& peer)
 {
     LinkHandlers linkHandlers;
     linkHandlers.onFrame
-        = [this, key](Link&, Frame frame) { this->handlers.onFrame(key.first, key.second, std::move(frame)); };
-    linkHandlers.onWritable = [this, key](Link&) { this->handlers.onWritable(key.first, key.second); };
-    linkHandlers.onClosed = [this, key](Link& link, const std::string& cause) {
-        const auto found = this->peers.find(key);
+        = [this, carrier](Link&, Frame frame) { 
+            const TrafficClass trafficClass
+                = this->options.sharing == LinkSharing::AllClasses ? frame.trafficClass : carrier.trafficClass;
+            this->handlers.onFrame(carrier.upstream, trafficClass, std::move(frame));
+        };
+    linkHandlers.onWritable = [this, carrier](Link&) { this->handlers.onWritable(carrier); };
+    linkHandlers.onClosed = [this, carrier](Link& link, const std::string& cause) {
+        const auto found = this->peers.find(carrier);
         if (found != this->peers.end() && found->second.link.get() == &link)
-            this->onLinkClosed(key, cause);
+            this->onLinkClosed(carrier, cause);
     };
     peer.link = std::make_shared<Link>(
         asio::ip::tcp::socket(this->context), this->options, this->clock, this->metrics, std::move(linkHandlers));
-    peer.link->connect(this->addresses.at(key.first), [this, key] {
-        Peer& connectedPeer = this->peers[key];
+    peer.link->connect(this->addresses.at(carrier.upstream), [this, carrier] {
+        Peer& connectedPeer = this->peers[carrier];
         if (std::exchange(connectedPeer.failedDials, 0U) > 0)
-            logEvent(Event::LinkRestored, { { "upstream", key.first }, { "class", nameOf(key.second) } });
+            logEvent(Event::LinkRestored, { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) } });
         this->metrics.add("wasabi_links_established_total");
         if (std::exchange(connectedPeer.framesLost, false))
-            this->handlers.onReestablished(key.first, key.second);
+            this->handlers.onReestablished(carrier);
     });
 }
 
-void LinkPool::onLinkClosed(PeerKey key, const std::string& cause)
+void LinkPool::onLinkClosed(const Carrier& carrier, const std::string& cause)
 {
-    Peer& peer = this->peers[key];
+    Peer& peer = this->peers[carrier];
     peer.link.reset();
     if (this->closing)
         return;
@@ -345,10 +358,10 @@
     this->metrics.add("wasabi_links_lost_total");
     if (peer.failedDials++ == 0) { // one line until the link is up again
         logEvent(Event::LinkLost,
-            { { "upstream", key.first }, { "class", nameOf(key.second) }, { "cause", cause },
+            { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) }, { "cause", cause },
                 { "open-flows", static_cast<uint64_t>(peer.flows) } });
     }
-    this->handlers.onUnreachable(key.first);
+    this->handlers.onUnreachable(carrier);
 }
 
 bool LinkPool::send(UpstreamId upstream, TrafficClass trafficClass, const Frame& frame)
@@ -357,10 +370,10 @@
         this->metrics.add("wasabi_frames_dropped_total", "cause=\"unknown-upstream\"");
         return false;
     }
-    const PeerKey key { upstream, trafficClass };
-    Peer& peer = this->peers[key];
+    const Carrier carrier = this->carrierOf(upstream, trafficClass, frame.flow);
+    Peer& peer = this->peers[carrier];
     if (!peer.link && this->clock.now() >= peer.nextDial)
-        this->dial(key, peer);
+        this->dial(carrier, peer);
     if (peer.link && peer.link->send(frame))
         return true;
     peer.framesLost = true;
@@ -368,21 +381,21 @@
     return false;
 }
 
-bool LinkPool::hasRoom(UpstreamId upstream, TrafficClass trafficClass) const
+bool LinkPool::hasRoom(const Carrier& carrier) const
 {
-    const auto found = this->peers.find({ upstream, trafficClass });
+    const auto found = this->peers.find(carrier);
     return found == this->peers.end() || !found->second.link || found->second.link->hasRoom();
 }
 
-void LinkPool::retain(UpstreamId upstream, TrafficClass trafficClass)
+void LinkPool::retain(const Carrier& carrier)
 {
-    if (this->peers[{ upstream, trafficClass }].flows++ == 0)
+    if (this->peers[carrier].flows++ == 0)
         ++this->peersWithFlows;
 }
 
-void LinkPool::release(UpstreamId upstream, TrafficClass trafficClass)
+void LinkPool::release(const Carrier& carrier)
 {
-    Peer& peer = this->peers[{ upstream, trafficClass }];
+    Peer& peer = this->peers[carrier];
     if (peer.flows > 0 && --peer.flows == 0)
         --this->peersWithFlows;
 }
@@ -398,14 +411,20 @@
 {
     const TimePoint now = this->clock.now();
     const Milliseconds silenceLimit = this->heartbeatInterval();
-    for (auto& [key, peer] : this->peers) {
+    for (auto item = this->peers.begin(); item != this->peers.end();) {
+        auto& [carrier, peer] = *item++;
         if (!peer.link) {
             if (peer.flows > 0 && now >= peer.nextDial)
-                this->dial(key, peer);
+                this->dial(carrier, peer);
+            else if (peer.flows == 0 && carrier.flow != FlowId())
+                this->peers.erase(carrier); // the flow has ended
             continue;
         }
+        // No other flow can use the link of one flow; its last frames get a round trip.
+        const Milliseconds idleTimeout
+            = carrier.flow == FlowId() ? this->options.idleTimeout : this->options.heartbeatInterval;
         peer.link->onTick(peer.flows > 0, silenceLimit);
-        if (peer.flows == 0 && now - peer.link->lastUse > this->options.idleTimeout) {
+        if (peer.flows == 0 && now - peer.link->lastUse > idleTimeout) {
             const std::shared_ptr<Link> idle = std::exchange(peer.link, nullptr);
             idle->close("idle");
         }
--- a/backends/Link.h
+++ b/backends/Link.h
@@ -43,7 +43,19 @@
 // [SECTION] Link
 //-----------------------------------------------------------------------------
 
+// Which frames share a TCP connection. A lost segment stalls every frame behind it on the same connection.
+enum class LinkSharing : uint8_t {
+    AllClasses, // one link for each agent
+    PerClass, // one link for each agent and traffic class
+    PerFlow, // one link for each flow
+};
+
+inline constexpr std::array<std::string_view, 3> linkSharingNames = { "all-classes", "per-class", "per-flow" };
+
+std::string_view nameOf(LinkSharing);
+
 struct LinkOptions {
+    LinkSharing sharing = LinkSharing::PerClass; // of a LinkPool
     size_t highWaterBytes = 1024 * 1024; // queued; hasRoom() is false above, sources of the link pause
     size_t maxQueueBytes = 8 * 1024 * 1024; // queued; the link is closed above: its peer does not read
     Milliseconds connectTimeout { 2000 };
@@ -113,15 +125,23 @@
 // [SECTION] LinkPool
 //-----------------------------------------------------------------------------
 
+// Names one link of a pool.
+struct Carrier {
+    UpstreamId upstream;
+    TrafficClass trafficClass = TrafficClass::Request; // Request for a link of all classes
+    FlowId flow; // zero for a link that flows share
+
+    auto operator<=>(const Carrier&) const = default;
+};
+
 struct LinkPoolHandlers {
     std::function<void(UpstreamId, TrafficClass, Frame)> onFrame;
-    std::function<void(UpstreamId, TrafficClass)> onWritable;
-    std::function<void(UpstreamId, TrafficClass)> onReestablished; // frames may have been lost before
-    std::function<void(UpstreamId)> onUnreachable; // a dial failed or a link went silent
+    std::function<void(const Carrier&)> onWritable;
+    std::function<void(const Carrier&)> onReestablished; // frames may have been lost before
+    std::function<void(const Carrier&)> onUnreachable; // a dial failed or a link was lost
 };
 
-// The links of an entry: one for each agent and traffic class, because classes must not share a TCP stream over a lossy
-// path. A link is dialled when a frame is sent, dialled again with back-off while flows are open on it, and closed when
+// The links of an entry, shared as LinkOptions::sharing says. A link is dialled when a frame is sent, dialled again with back-off while flows are open on it, and closed when
 // it is idle.
 class LinkPool {
 public:
@@ -132,9 +152,10 @@
     bool knows(UpstreamId) const;
 
     bool send(UpstreamId, TrafficClass, const Frame&); // false if the frame was dropped
-    bool hasRoom(UpstreamId, TrafficClass) const;
-    void retain(UpstreamId, TrafficClass); // a flow was bound
-    void release(UpstreamId, TrafficClass);
+    Carrier carrierOf(UpstreamId, TrafficClass, FlowId) const; // the link that takes these frames
+    bool hasRoom(const Carrier&) const;
+    void retain(const Carrier&); // a flow was bound
+    void release(const Carrier&);
 
     // Heartbeats, idle links and dials; called about every 10 ms. A link with open flows and no traffic gets a
     // heartbeat as well, because only the agent knows that the bytes of a feed do not arrive. The interval grows with
@@ -152,10 +173,9 @@
         unsigned failedDials = 0; // consecutive
         TimePoint nextDial;
     };
-    using PeerKey = std::pair<UpstreamId, TrafficClass>;
 
-    void dial(PeerKey, Peer&);
-    void onLinkClosed(PeerKey, const std::string& cause);
+    void dial(const Carrier&, Peer&);
+    void onLinkClosed(const Carrier&, const std::string& cause);
     Milliseconds backoff(unsigned failedDials) const;
     Milliseconds heartbeatInterval() const;
 
@@ -165,7 +185,7 @@
     Metrics& metrics;
     LinkPoolHandlers handlers;
     std::map<UpstreamId, Endpoint> addresses;
-    std::map<PeerKey, Peer> peers;
+    std::map<Carrier, Peer> peers;
     size_t peersWithFlows = 0;
     bool closing = false;
 };
--- a/daemons/wasabi-entry.cpp
+++ b/daemons/wasabi-entry.cpp
@@ -25,6 +25,7 @@
   --max-flows N                Open plain flows; further callers are refused [200000].
   --caller-user-timeout MS     The kernel ends a caller's connection whose bytes stay unacknowledged [30000].
   --flow-buffer-bytes N        Buffer of a flow in each direction [262144].
+  --link-sharing NAME          Flows that share a link to an agent: all-classes, per-class or per-flow [per-class].
   --suspect-failures N         Failed attempts in a row before an upstream is ejected [3].
   --min-ejection MS            Shortest ejection of a suspect upstream [1000].
   --max-ejection MS            Longest ejection of a suspect upstream [30000].
@@ -48,6 +49,12 @@
     flows.sendBufferBytes
         = reader.number("--flow-buffer-bytes", flows.sendBufferBytes, maxPayloadBytes, 16 * 1024 * 1024);
     flows.receiveWindowBytes = flows.sendBufferBytes;
+    const std::string sharing = reader.text("--link-sharing", std::string(nameOf(options.links.sharing)));
+    const auto sharingName = std::find(linkSharingNames.begin(), linkSharingNames.end(), sharing);
+    if (sharingName == linkSharingNames.end())
+        reader.reject("--link-sharing", sharing, "one of all-classes, per-class and per-flow");
+    else
+        options.links.sharing = static_cast<LinkSharing>(sharingName - linkSharingNames.begin());
     options.candidates = reader.number("--candidates", options.candidates, 1, 8);
     options.maxFlows = reader.number("--max-flows", options.maxFlows, 1, 1000000);
     options.userTimeout = reader.duration("--caller-user-timeout", options.userTimeout, Milliseconds(100), 60 * minute);
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -135,6 +135,7 @@
     void cancel(InitiatorCommands& out);
     void onCarriageReset(
         InitiatorCommands& out); // the link to the owner was re-established: resend what is unacknowledged
+    void onUnreachable(UpstreamId, InitiatorCommands& out); // its link is refused or lost: ask the next candidate
     void onTimer(InitiatorCommands& out);
     std::optional<TimePoint> nextTimer() const;
 
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -444,6 +444,18 @@
     this->pump(out);
 }
 
+// A queued Open stays with its candidate: it is sent again when the link is back, before its own limit.
+void FlowInitiator::onUnreachable(UpstreamId upstream, InitiatorCommands& out)
+{
+    const bool isAsked = this->state == InitiatorPhase::Opening && !this->queueing
+        && this->candidateReplies[this->current].upstream == upstream;
+    if (!isAsked)
+        return;
+    // The candidate may still answer: an Open that left before the link was lost can have been granted.
+    this->lastDecline = Reason::NotRun;
+    this->tryNextOrEnd(out);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Timers
 //-----------------------------------------------------------------------------
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -39,12 +39,14 @@
     bool boolean(const std::string& flag, bool defaultValue);
     Severity severity(const std::string& flag, Severity defaultValue);
 
+    // Adds an error for a value that the program itself checks.
+    void reject(const std::string& flag, const std::string& value, const std::string& expected);
+
     const std::vector<Error>& errors() const;
 
 private:
     std::optional<std::string> find(const std::string& flag) const;
     std::string environmentName(const std::string& flag) const;
-    void reject(const std::string& flag, const std::string& value, const std::string& expected);
 
     Flags flags;
     std::string prefix;
