Read and write links in batches and avoid small segments

Downloads ran at 70 MB/s: the agent read what little an Ack freed in its send buffer, so frames shrank (silly window syndrome), each frame cost two reads, one Ack and often a write of its own, and the encoder allocated per frame. A link now parses all frames of one read, writes once per event, the entry acknowledges once per read, and nearly full windows wait for the next Ack.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -457,7 +457,9 @@
         return;
     const auto link = this->links.find(connection->link);
     const bool isLinkFull = link != this->links.end() && !link->second->hasRoom();
-    if (isLinkFull || this->owner.freeSendBuffer(connection->flow) == 0)
+    // Small reads behind a nearly full buffer would become small frames.
+    const size_t least = std::min(this->options.flows.maxPayloadBytes, this->options.flows.sendBufferBytes);
+    if (isLinkFull || this->owner.freeSendBuffer(connection->flow) < least)
         return;
     connection->isReading = true;
     connection->socket.async_wait(asio::socket_base::wait_read, [this, connection](error_code error) {
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -47,6 +47,14 @@
         return placement;
     }
 
+    void appendOrMove(std::string& to, std::string bytes)
+    {
+        if (to.empty())
+            to = std::move(bytes);
+        else
+            to += bytes;
+    }
+
     bool carriesLoad(FrameKind kind)
     {
         return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
@@ -122,6 +130,7 @@
           LinkPoolHandlers { [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
                                 this->onAgentFrame(upstream, trafficClass, std::move(frame));
                             },
+              [this] { this->sendDeferredAcks(); },
               [this](const Carrier& carrier) {
                   this->forEachFlowOf(carrier, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
               },
@@ -354,6 +363,7 @@
 
     InitiatorOptions initiatorOptions = this->options.flows;
     initiatorOptions.service = listener->service;
+    initiatorOptions.deferAcks = true;
     initiatorOptions.trafficClass = listener->trafficClass;
     initiatorOptions.configVersion = this->store.version().version;
     // The agent logs the request id and puts this address into a PROXY protocol header.
@@ -432,7 +442,7 @@
         if (SendToOwner* send = std::get_if<SendToOwner>(&command))
             this->execute(flow, *send);
         else if (DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command))
-            flow->queued += deliver->bytes;
+            appendOrMove(flow->queued, std::move(deliver->bytes));
         else if (std::holds_alternative<DeliverEndToCaller>(command))
             flow->upstreamFinished = true;
         else if (FlowEnded* end = std::get_if<FlowEnded>(&command))
@@ -830,10 +840,24 @@
         return;
     }
     InitiatorCommands commands;
+    const bool hadDeferredAck = flow->initiator.hasDeferredAck();
     flow->initiator.onFrame(frame, commands);
+    if (!hadDeferredAck && flow->initiator.hasDeferredAck())
+        this->deferredAcks.push_back(flow);
     this->run(flow, commands);
 }
 
+void EntryServer::sendDeferredAcks()
+{
+    for (const PlainFlowPtr& flow : std::exchange(this->deferredAcks, {})) {
+        if (flow->isClosed || flow->end)
+            continue;
+        InitiatorCommands commands;
+        flow->initiator.sendDeferredAck(commands);
+        this->run(flow, commands);
+    }
+}
+
 // The flow ended here before the agent's frame arrived. A Cancel frees the slot at once instead of after the expiry.
 void EntryServer::releaseUnknownFlow(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
 {
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -127,6 +127,7 @@
     // Links and timers
     void onAgentFrame(UpstreamId, TrafficClass, Frame);
     void onPlainFlowFrame(UpstreamId, TrafficClass, const Frame&);
+    void sendDeferredAcks();
     void releaseUnknownFlow(UpstreamId, TrafficClass, const Frame&);
     void noteVersion(uint64_t version);
     void scheduleTick();
@@ -146,6 +147,7 @@
     std::map<ServiceId, double> retryShares; // of the retry budgets in force
     std::unordered_map<FlowId, PlainFlowPtr> flows;
     std::map<Carrier, std::set<FlowId>> flowsByCarrier;
+    std::vector<PlainFlowPtr> deferredAcks; // flows with Data in the present read of a link
     std::priority_queue<FlowTimer, std::vector<FlowTimer>, std::greater<>> timers;
     std::deque<std::string> lastRefusals; // for /status
     boost::asio::steady_timer ticker;
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -3,7 +3,6 @@
 #include "wasabicroft/Log.h"
 
 #include <algorithm>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 
@@ -16,6 +15,23 @@
 
     // Bytes of a Ping and its Pong on the wire, with the headers of both directions.
     constexpr size_t heartbeatExchangeBytes = 320;
+    constexpr size_t readBufferBytes = 256 * 1024;
+
+    // Shared by all links of a thread, since reads never overlap: an idle link holds no memory for reads.
+    std::vector<char>& readBuffer()
+    {
+        thread_local std::vector<char> buffer(readBufferBytes);
+        return buffer;
+    }
+
+    // The body size that a complete size prefix states.
+    size_t bodyBytes(std::string_view prefix)
+    {
+        size_t size = 0;
+        for (size_t i = 0; i < framePrefixBytes; ++i)
+            size |= static_cast<size_t>(static_cast<unsigned char>(prefix[i])) << (8 * i);
+        return size;
+    }
 
 } // namespace
 
@@ -108,7 +124,9 @@
     this->connected = true;
     this->lastHeard = this->clock.now();
     setConnectionOptions(this->socket, this->options.userTimeout);
-    this->readPrefix();
+    error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    this->waitReadable();
     this->write();
 }
 
@@ -142,8 +160,8 @@
         this->unansweredSince = now;
     if (frame.kind != FrameKind::Ping && frame.kind != FrameKind::Pong)
         this->lastUse = now;
-    this->write();
-    return !this->closed;
+    this->scheduleWrite();
+    return true;
 }
 
 bool Link::hasRoom() const { return this->queued.size() + this->writing.size() <= this->options.highWaterBytes; }
@@ -165,6 +183,17 @@
     });
 }
 
+// Frames of one event leave in one system call.
+void Link::scheduleWrite()
+{
+    if (!this->connected || std::exchange(this->writeScheduled, true))
+        return;
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        self->writeScheduled = false;
+        self->write();
+    });
+}
+
 void Link::write()
 {
     if (!this->connected || this->closed || !this->writing.empty() || this->queued.empty())
@@ -186,56 +215,82 @@
         });
 }
 
-void Link::readPrefix()
+void Link::waitReadable()
 {
-    asio::async_read(
-        this->socket, asio::buffer(this->prefix), [self = this->shared_from_this()](error_code error, size_t) {
-            if (self->closed)
-                return;
-            if (error) {
-                self->close("read: " + error.message());
-                return;
-            }
-            size_t size = 0;
-            for (size_t i = 0; i < framePrefixBytes; ++i)
-                size |= static_cast<size_t>(self->prefix.at(i)) << (8 * i);
-            if (size > maxFrameBytes) {
-                // What follows can't be told apart from payload, so the connection is of no further use.
-                self->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"size-prefix\"");
-                logEvent(Event::InvalidFrame,
-                    { { "source", "link" }, { "cause", "size prefix over the limit" }, { "size-bytes", size } });
-                self->close("size prefix over the limit");
-                return;
-            }
-            self->readBody(size);
-        });
+    this->socket.async_wait(asio::socket_base::wait_read, [self = this->shared_from_this()](error_code error) {
+        if (self->closed)
+            return;
+        if (error)
+            self->close("read: " + error.message());
+        else
+            self->onReadable();
+    });
 }
 
-void Link::readBody(size_t size)
+void Link::onReadable()
 {
-    this->body.resize(size);
-    asio::async_read(
-        this->socket, asio::buffer(this->body), [self = this->shared_from_this()](error_code error, size_t) {
-            if (self->closed)
-                return;
-            if (error) {
-                self->close("read: " + error.message());
+    error_code error;
+    std::vector<char>& buffer = readBuffer();
+    const size_t size = this->socket.read_some(asio::buffer(buffer), error);
+    if (size > 0) {
+        this->lastHeard = this->clock.now();
+        this->consume({ buffer.data(), size });
+        if (this->handlers.onBatchEnd)
+            this->handlers.onBatchEnd(*this);
+    } else if (error != asio::error::would_block && error != asio::error::try_again) {
+        this->close("read: " + error.message());
+    }
+    if (!this->closed)
+        this->waitReadable();
+}
+
+void Link::consume(std::string_view bytes)
+{
+    while (!this->closed && !bytes.empty()) {
+        if (this->partial.empty() && bytes.size() >= framePrefixBytes) {
+            const size_t size = bodyBytes(bytes);
+            if (!this->isWithinLimit(size))
                 return;
+            if (bytes.size() >= framePrefixBytes + size) {
+                this->onBody(bytes.substr(framePrefixBytes, size));
+                bytes.remove_prefix(framePrefixBytes + size);
+                continue;
             }
-            self->onBody();
-            if (!self->closed)
-                self->readPrefix();
-        });
+        }
+        const bool hasPrefix = this->partial.size() >= framePrefixBytes;
+        const size_t wanted = framePrefixBytes + (hasPrefix ? bodyBytes(this->partial) : 0);
+        const size_t taken = std::min(wanted - this->partial.size(), bytes.size());
+        this->partial.append(bytes.substr(0, taken));
+        bytes.remove_prefix(taken);
+        if (this->partial.size() < framePrefixBytes)
+            continue;
+        const size_t size = bodyBytes(this->partial);
+        if (!this->isWithinLimit(size))
+            return;
+        if (this->partial.size() < framePrefixBytes + size)
+            continue;
+        const std::string frame = std::exchange(this->partial, {});
+        this->onBody(std::string_view(frame).substr(framePrefixBytes));
+    }
 }
 
-void Link::onBody()
+// Closes the link otherwise: what follows can't be told apart from payload.
+bool Link::isWithinLimit(size_t frameBytes)
+{
+    if (frameBytes <= maxFrameBytes)
+        return true;
+    this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"size-prefix\"");
+    logEvent(Event::InvalidFrame,
+        { { "source", "link" }, { "cause", "size prefix over the limit" }, { "size-bytes", frameBytes } });
+    this->close("size prefix over the limit");
+    return false;
+}
+
+void Link::onBody(std::string_view body)
 {
-    this->lastHeard = this->clock.now();
     this->unansweredSince.reset();
     this->pingSent.reset();
-    Result<Frame> decoded = decodeFrame(this->body);
-    if (this->body.capacity() > 2 * maxPayloadBytes)
-        std::string().swap(this->body); // a configuration value must not hold its memory until the link ends
+    Result<Frame> decoded = decodeFrame(body);
     if (decoded) {
         this->handleFrame(std::move(decoded.value()));
         return;
@@ -329,6 +384,8 @@
                 = this->options.sharing == LinkSharing::AllClasses ? frame.trafficClass : carrier.trafficClass;
             this->handlers.onFrame(carrier.upstream, trafficClass, std::move(frame));
         };
+    if (this->handlers.onBatchEnd)
+        linkHandlers.onBatchEnd = [this](Link&) { this->handlers.onBatchEnd(); };
     linkHandlers.onWritable = [this, carrier](Link&) { this->handlers.onWritable(carrier); };
     linkHandlers.onClosed = [this, carrier](Link& link, const std::string& cause) {
         const auto found = this->peers.find(carrier);
--- a/backends/Link.h
+++ b/backends/Link.h
@@ -72,6 +72,7 @@
 
 struct LinkHandlers {
     std::function<void(Link&, Frame)> onFrame;
+    std::function<void(Link&)> onBatchEnd; // all frames of one read were passed to onFrame
     std::function<void(Link&)> onWritable; // the queue fell below the high-water mark
     std::function<void(Link&, const std::string& cause)> onClosed; // once
 };
@@ -98,10 +99,13 @@
     TimePoint lastUse; // a frame other than a heartbeat was sent or received
 
 private:
-    void readPrefix();
-    void readBody(size_t size);
-    void onBody();
+    void waitReadable();
+    void onReadable();
+    void consume(std::string_view bytes);
+    bool isWithinLimit(size_t frameBytes);
+    void onBody(std::string_view body);
     void handleFrame(Frame);
+    void scheduleWrite();
     void write();
 
     boost::asio::ip::tcp::socket socket;
@@ -109,10 +113,10 @@
     const Clock& clock;
     Metrics& metrics;
     LinkHandlers handlers;
-    std::array<unsigned char, framePrefixBytes> prefix {};
-    std::string body;
+    std::string partial; // begin of a frame whose end has not arrived, with its size prefix
     std::string queued; // not yet handed to the kernel
     std::string writing; // being written
+    bool writeScheduled = false;
     bool connected = false;
     bool closed = false;
     TimePoint openedAt;
@@ -136,6 +140,7 @@
 
 struct LinkPoolHandlers {
     std::function<void(UpstreamId, TrafficClass, Frame)> onFrame;
+    std::function<void()> onBatchEnd; // all frames of one read were passed to onFrame; may be empty
     std::function<void(const Carrier&)> onWritable;
     std::function<void(const Carrier&)> onReestablished; // frames may have been lost before
     std::function<void(const Carrier&)> onUnreachable; // a dial failed or a link was lost
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -79,6 +79,7 @@
     ServiceId service;
     TrafficClass trafficClass = TrafficClass::Request;
     bool idempotent = false;
+    bool deferAcks = false; // Data is acknowledged by sendDeferredAck(), so that one Ack covers several frames
     bool datagrams = false; // carriage may lose frames: resend on a timer; otherwise only after onCarriageReset
     std::string requestId; // sent in Open.key; may be empty
     uint64_t configVersion = 0;
@@ -135,6 +136,8 @@
     void cancel(InitiatorCommands& out);
     void onCarriageReset(
         InitiatorCommands& out); // the link to the owner was re-established: resend what is unacknowledged
+    void sendDeferredAck(InitiatorCommands& out); // after the last of the frames that arrived together
+    bool hasDeferredAck() const;
     void onUnreachable(UpstreamId, InitiatorCommands& out); // its link is refused or lost: ask the next candidate
     void onTimer(InitiatorCommands& out);
     std::optional<TimePoint> nextTimer() const;
@@ -199,6 +202,7 @@
     bool bound = false; // Data went out with the chosen token, and its owner did not deny the hand-over
     bool upstreamWasReset = false; // the owner reported the end of the flow after a hand-over
     bool endDelivered = false;
+    bool ackDeferred = false;
     uint64_t advertisedLimit = 0; // first offset beyond the window that the owner knows
     Reason lastDecline = Reason::None;
     Milliseconds lastRetryAfter { 0 };
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -301,10 +301,20 @@
         this->endDelivered = true;
         out.emplace_back(DeliverEndToCaller {});
     }
-    this->sendAck(out);
+    this->ackDeferred = this->options.deferAcks && !this->receiver.finished();
+    if (!this->ackDeferred)
+        this->sendAck(out);
     this->completeIfDone(out);
 }
 
+void FlowInitiator::sendDeferredAck(InitiatorCommands& out)
+{
+    if (this->ackDeferred && this->state == InitiatorPhase::Bound)
+        this->sendAck(out);
+}
+
+bool FlowInitiator::hasDeferredAck() const { return this->ackDeferred; }
+
 void FlowInitiator::onAck(const Frame& frame, InitiatorCommands& out)
 {
     if (!this->sender.onAck(frame.offset, frame.window, frame.has(frame_flags::finished), this->clock.now())) {
@@ -371,6 +381,7 @@
 
 void FlowInitiator::sendAck(InitiatorCommands& out)
 {
+    this->ackDeferred = false;
     Frame frame = this->makeFrame(FrameKind::Ack);
     frame.offset = this->receiver.received();
     frame.window = this->receiver.window();
--- a/wasabicroft/Frame.cpp
+++ b/wasabicroft/Frame.cpp
@@ -102,7 +102,9 @@
 
 void appendPrefixedFrame(const Frame& frame, std::string& out)
 {
-    flatbuffers::FlatBufferBuilder builder(256 + frame.payload.size());
+    // Kept between calls, so that a frame costs no allocation.
+    thread_local flatbuffers::FlatBufferBuilder builder(maxPayloadBytes + 1024);
+    builder.Clear();
     build(builder, frame);
     const uint32_t size = builder.GetSize();
     for (int shift = 0; shift < 32; shift += 8)
--- a/wasabicroft/Stream.cpp
+++ b/wasabicroft/Stream.cpp
@@ -80,8 +80,12 @@
     if (this->options.timed)
         limit = std::min(limit, this->base + static_cast<uint64_t>(this->congestionWindow));
     const uint64_t room = limit > this->next ? limit - this->next : 0;
-    const uint64_t count
-        = std::min({ room, this->end() - this->next, static_cast<uint64_t>(this->options.maxPayloadBytes) });
+    const uint64_t waiting = this->end() - this->next;
+    const uint64_t segmentLimit = this->options.maxPayloadBytes;
+    // A nearly full window would cut the stream into ever smaller segments (silly window syndrome, RFC 1122). An
+    // acknowledgement of what is in flight opens it further.
+    const bool isWindowSmall = room < std::min(waiting, segmentLimit) && this->next > this->base;
+    const uint64_t count = isWindowSmall ? 0 : std::min({ room, waiting, segmentLimit });
     const bool last = this->finishRequested && this->next + count == this->end();
     const bool sendFinish = last && !this->finishSent;
     const bool sendStart = this->startRequested && !this->startSent;
