--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -47,12 +47,14 @@
         return placement;
     }
 
-    void appendOrMove(std::string& to, std::string bytes)
+    // Written by one system call without joining the pieces.
+    std::vector<asio::const_buffer> buffersOf(const std::vector<std::string>& pieces)
     {
-        if (to.empty())
-            to = std::move(bytes);
-        else
-            to += bytes;
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(pieces.size());
+        for (const std::string& piece : pieces)
+            buffers.push_back(asio::buffer(piece));
+        return buffers;
     }
 
     bool carriesLoad(FrameKind kind)
@@ -97,8 +99,8 @@
     std::string serviceName;
     std::vector<UpstreamId> candidates;
     std::vector<Carrier> carriers; // links on which frames of this flow were sent
-    std::string queued; // for the caller, not yet being written
-    std::string writing;
+    std::vector<std::string> queued; // for the caller, not yet being written
+    std::vector<std::string> writing;
     bool isReading = false;
     bool callerFinished = false;
     bool upstreamFinished = false;
@@ -110,6 +112,7 @@
     std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
     std::optional<TimePoint> scheduled; // entry in the timer queue
     std::vector<UpstreamId> asked; // an Open was sent, in order
+    bool lastUnreachable = false; // the link to the candidate asked last is refused or lost
 };
 
 bool EntryServer::lastAskedPassed(const PlainFlow& flow)
@@ -371,10 +374,12 @@
     const FlowId id = randomFlowId();
     const ServiceId service = listener->service;
     initiatorOptions.mayRetry = [this, id, service] {
-        // Asking on after a Pass belongs to placement; only an attempt after silence or a failure is a retry.
+        // Asking on after a Pass or when no link takes the Open belongs to placement; only an attempt after silence or
+        // a failure is a retry.
         const auto found = this->flows.find(id);
-        const bool isPass = found != this->flows.end() && lastAskedPassed(*found->second);
-        if (isPass)
+        const bool belongsToPlacement
+            = found != this->flows.end() && (found->second->lastUnreachable || lastAskedPassed(*found->second));
+        if (belongsToPlacement)
             return true;
         return this->placement.retryBudget(service).tryRetry();
     };
@@ -442,7 +447,7 @@
         if (SendToOwner* send = std::get_if<SendToOwner>(&command))
             this->execute(flow, *send);
         else if (DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command))
-            appendOrMove(flow->queued, std::move(deliver->bytes));
+            flow->queued.push_back(std::move(deliver->bytes));
         else if (std::holds_alternative<DeliverEndToCaller>(command))
             flow->upstreamFinished = true;
         else if (FlowEnded* end = std::get_if<FlowEnded>(&command))
@@ -479,7 +484,9 @@
     if (flow->isClosed || flow->end)
         return;
     InitiatorCommands commands;
+    flow->lastUnreachable = true;
     flow->initiator.onUnreachable(upstream, commands);
+    flow->lastUnreachable = false;
     this->run(flow, commands);
 }
 
@@ -573,7 +580,7 @@
         return;
     }
     std::swap(flow->writing, flow->queued);
-    asio::async_write(flow->socket, asio::buffer(flow->writing), [this, flow](error_code error, size_t size) {
+    asio::async_write(flow->socket, buffersOf(flow->writing), [this, flow](error_code error, size_t size) {
         flow->writing.clear();
         if (flow->isClosed || this->isStopped)
             return;
--- a/bench/CarriageRun.h
+++ b/bench/CarriageRun.h
@@ -39,6 +39,8 @@
     Milliseconds warmUp { 500 }; // of each phase; its lines are not counted
     Milliseconds idleTime { 10000 };
     Milliseconds loadTime { 10000 };
+    Milliseconds openTimeout { 300 };
+    bool withRefusedAgent = false; // a second upstream whose agent refuses links
     uint64_t seed = 1;
 };
 
@@ -175,6 +177,7 @@
         this->linkRelay = this->makeRelay(agentEndpoint, given.linkPath);
         EntryOptions entryOptions;
         entryOptions.links = given.links;
+        entryOptions.flows.openTimeout = given.openTimeout;
         this->entry = std::make_unique<EntryServer>(
             this->entryThread.context, entryOptions, this->clock, this->entryMetrics);
         const std::shared_ptr<const Snapshot> snapshot = this->snapshotFor(this->linkRelay->endpoint());
@@ -202,9 +205,23 @@
     CarriageRun(const CarriageRun&) = delete;
     CarriageRun& operator=(const CarriageRun&) = delete;
 
+    // Address of the listener "alerts" or "sheets" at the entry, without a relay.
+    Endpoint listener(const std::string& name)
+    {
+        return this->entryThread.call([&] { return this->entry->boundEndpoint("core", name).value(); });
+    }
+
+    fakes::Relay& relayOfLinks() { return *this->linkRelay; }
+    const Metrics& metricsOfAgent() const { return this->agentMetrics; }
+    const Metrics& metricsOfEntry() const { return this->entryMetrics; }
+
     CarriageFigures run()
     {
-        this->callerThread.call([this] { this->startFeeds(); });
+        for (unsigned i = 0; i < this->options.feeds; ++i) {
+            this->callerThread.call([this] { this->startFeed(); });
+            // Lines of feeds that start together would share a segment.
+            std::this_thread::sleep_for(this->options.feedInterval / this->options.feeds);
+        }
         this->measure(this->figures.idleDelays, this->options.idleTime);
         this->callerThread.call([this] { this->startDownloads(); });
         this->measure(this->figures.loadedDelays, this->options.loadTime);
@@ -243,34 +260,28 @@
         service.listeners = { { "alerts", { "127.0.0.1", 0 }, TrafficClass::Feed },
             { "sheets", { "127.0.0.1", 0 }, TrafficClass::Bulk } };
         service.upstreams = { { "host-1", "a", agentAddress, this->upstream.endpoint(), false } };
+        if (this->options.withRefusedAgent)
+            service.upstreams.push_back({ "host-2", "a", { "127.0.0.1", 1 }, this->upstream.endpoint(), false });
         const std::shared_ptr<Snapshot> snapshot = std::make_shared<Snapshot>();
         snapshot->manifest.version = 1;
         snapshot->services = { service };
         return snapshot;
     }
 
-    Endpoint listener(const std::string& name)
+    void startFeed()
     {
-        return this->entryThread.call([&] { return this->entry->boundEndpoint("core", name).value(); });
-    }
-
-    void startFeeds()
-    {
-        for (unsigned i = 0; i < this->options.feeds; ++i) {
-            this->checkers.push_back(std::make_unique<fakes::FeedChecker>("core"));
-            fakes::FeedChecker* checker = this->checkers.back().get();
-            checker->onDelay = [this](std::chrono::microseconds delay) {
-                if (this->measured)
-                    this->measured->push_back(static_cast<double>(delay.count()) / 1000);
-            };
-            const std::shared_ptr<CarriageCaller> caller = std::make_shared<CarriageCaller>(
-                this->callerThread.context, this->feedRelay->endpoint(), "/feed", false);
-            const std::shared_ptr<std::string> header = std::make_shared<std::string>();
-            caller->onBytes
-                = [checker, header](std::string_view bytes) { consumeBody(*checker, *header, bytes); };
-            caller->start();
-            this->callers.push_back(caller);
-        }
+        this->checkers.push_back(std::make_unique<fakes::FeedChecker>("core"));
+        fakes::FeedChecker* checker = this->checkers.back().get();
+        checker->onDelay = [this](std::chrono::microseconds delay) {
+            if (this->measured)
+                this->measured->push_back(static_cast<double>(delay.count()) / 1000);
+        };
+        const std::shared_ptr<CarriageCaller> caller
+            = std::make_shared<CarriageCaller>(this->callerThread.context, this->feedRelay->endpoint(), "/feed", false);
+        const std::shared_ptr<std::string> header = std::make_shared<std::string>();
+        caller->onBytes = [checker, header](std::string_view bytes) { consumeBody(*checker, *header, bytes); };
+        caller->start();
+        this->callers.push_back(caller);
     }
 
     // The lines begin behind the response header, whose bytes are collected in header until it is complete.
--- a/bench/path-speed.sh
+++ b/bench/path-speed.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Starts two naive relays in a row and an entry with an agent in front of the same upstream, and compares both paths.
-# Usage: bench/path-speed.sh [BUILD_DIRECTORY [PATH_SPEED_OPTION...]]; ENTRY_OPTIONS holds flags of the entry.
+# Usage: bench/path-speed.sh [BUILD_DIRECTORY [PATH_SPEED_OPTION...]]; ENTRY_OPTIONS and AGENT_OPTIONS hold
+# flags of entry and agent.
 set -eu
 bin=${1:-build}/bin
 [ $# -eq 0 ] || shift
@@ -38,7 +39,7 @@
 start "$bin/naive-relay" --targets="$address:7005" --listen="$address:7006"
 sleep 0.5
 start "$bin/wasabi-agent" --name host-1 --platform "$address:7010" --link-endpoint "$address:7003" \
-    --admin-endpoint "$address:7012" --log-threshold "${LOG_THRESHOLD:-info}" --log-file "$directory/agent.log"
+    --admin-endpoint "$address:7012" --log-threshold "${LOG_THRESHOLD:-info}" --log-file "$directory/agent.log" ${AGENT_OPTIONS:-}
 start "$bin/wasabi-entry" --name entry-1 --platform "$address:7010" --link-endpoint "$address:7008" \
     --admin-endpoint "$address:7013" --log-threshold "${LOG_THRESHOLD:-info}" --log-file "$directory/entry.log" \
     ${ENTRY_OPTIONS:-}
