--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -50,6 +50,16 @@
         return placement;
     }
 
+    // Written by one system call without joining the pieces.
+    std::vector<asio::const_buffer> buffersOf(const std::vector<std::string>& pieces)
+    {
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(pieces.size());
+        for (const std::string& piece : pieces)
+            buffers.push_back(asio::buffer(piece));
+        return buffers;
+    }
+
     bool carriesLoad(FrameKind kind)
     {
         return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
@@ -92,8 +102,8 @@
     std::string serviceName;
     std::vector<UpstreamId> candidates;
     std::vector<Carrier> carriers; // links on which frames of this flow were sent
-    std::string queued; // for the caller, not yet being written
-    std::string writing;
+    std::vector<std::string> queued; // for the caller, not yet being written
+    std::vector<std::string> writing;
     bool isReading = false;
     bool callerFinished = false;
     bool upstreamFinished = false;
@@ -105,6 +115,7 @@
     std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
     std::optional<TimePoint> scheduled; // entry in the timer queue
     std::vector<UpstreamId> asked; // an Open was sent, in order
+    bool lastUnreachable = false; // the link to the candidate asked last is refused or lost
 };
 
 bool EntryServer::lastAskedPassed(const PlainFlow& flow)
@@ -125,18 +136,22 @@
           LinkPoolHandlers { [this](UpstreamId upstream, TrafficClass trafficClass, Frame frame) {
                                 this->onAgentFrame(upstream, trafficClass, std::move(frame));
                             },
-              [this](UpstreamId upstream, TrafficClass trafficClass) {
-                  this->forEachFlowOf(
-                      { upstream, trafficClass }, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
+              [this] { this->sendDeferredAcks(); },
+              [this](const Carrier& carrier) {
+                  this->forEachFlowOf(carrier, [this](const PlainFlowPtr& flow) { this->readCaller(flow); });
               },
-              [this](UpstreamId upstream, TrafficClass trafficClass) {
-                  this->forEachFlowOf({ upstream, trafficClass }, [this](const PlainFlowPtr& flow) {
+              [this](const Carrier& carrier) {
+                  this->forEachFlowOf(carrier, [this](const PlainFlowPtr& flow) {
                       InitiatorCommands commands;
                       flow->initiator.onCarriageReset(commands);
                       this->run(flow, commands);
                   });
               },
-              [this](UpstreamId upstream) { this->placement.onSilence(upstream); } })
+              [this](const Carrier& carrier) {
+                  this->placement.onSilence(carrier.upstream);
+                  this->forEachFlowOf(carrier,
+                      [this, carrier](const PlainFlowPtr& flow) { this->failOpening(flow, carrier.upstream); });
+              } })
     , placement(placementOptions(this->options), timeSource)
     , ticker(ioContext)
     , readBuffer(readBufferBytes)
@@ -365,6 +380,7 @@
 
     InitiatorOptions initiatorOptions = this->options.flows;
     initiatorOptions.service = listener->service;
+    initiatorOptions.deferAcks = true;
     initiatorOptions.trafficClass = listener->trafficClass;
     initiatorOptions.configVersion = this->store.version().version;
     // The agent logs the request id and puts this address into a PROXY protocol header.
@@ -372,10 +388,12 @@
     const FlowId id = randomFlowId();
     const ServiceId service = listener->service;
     initiatorOptions.mayRetry = [this, id, service] {
-        // Asking on after a Pass belongs to placement; only an attempt after silence or a failure is a retry.
+        // Asking on after a Pass or when no link takes the Open belongs to placement; only an attempt after silence or
+        // a failure is a retry.
         const auto found = this->flows.find(id);
-        const bool isPass = found != this->flows.end() && lastAskedPassed(*found->second);
-        if (isPass)
+        const bool belongsToPlacement
+            = found != this->flows.end() && (found->second->lastUnreachable || lastAskedPassed(*found->second));
+        if (belongsToPlacement)
             return true;
         return this->placement.retryBudget(service).tryRetry();
     };
@@ -400,7 +418,7 @@
     if (flow->initiator.freeSendBuffer() == 0)
         return;
     for (const Carrier& carrier : flow->carriers) {
-        if (!this->links.hasRoom(carrier.first, carrier.second))
+        if (!this->links.hasRoom(carrier))
             return;
     }
     flow->isReading = true;
@@ -443,7 +461,7 @@
         if (SendToOwner* send = std::get_if<SendToOwner>(&command))
             this->execute(flow, *send);
         else if (DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command))
-            flow->queued += deliver->bytes;
+            flow->queued.push_back(std::move(deliver->bytes));
         else if (std::holds_alternative<DeliverEndToCaller>(command))
             flow->upstreamFinished = true;
         else if (FlowEnded* end = std::get_if<FlowEnded>(&command))
@@ -454,16 +472,36 @@
 
 void EntryServer::execute(const PlainFlowPtr& flow, SendToOwner& send)
 {
-    const Carrier carrier { send.owner, flow->initiator.settings().trafficClass };
+    const TrafficClass trafficClass = flow->initiator.settings().trafficClass;
+    const Carrier carrier = this->links.carrierOf(send.owner, trafficClass, flow->initiator.id());
     if (std::find(flow->carriers.begin(), flow->carriers.end(), carrier) == flow->carriers.end()) {
         flow->carriers.push_back(carrier);
         this->flowsByCarrier[carrier].insert(flow->initiator.id());
-        this->links.retain(carrier.first, carrier.second);
+        this->links.retain(carrier);
     }
     const bool isNewCandidate = flow->asked.empty() || flow->asked.back() != send.owner;
     if (send.frame.kind == FrameKind::Open && isNewCandidate)
         flow->asked.push_back(send.owner);
-    this->links.send(send.owner, carrier.second, send.frame);
+    const bool isSent = this->links.send(send.owner, trafficClass, send.frame);
+    if (isSent || send.frame.kind != FrameKind::Open)
+        return;
+    // Later, because the commands of this event are still being executed.
+    asio::post(this->context, [this, flow, owner = send.owner] {
+        if (!flow->isClosed)
+            this->failOpening(flow, owner);
+    });
+}
+
+// The link to an asked candidate is refused or lost: the flow goes on to the next one without waiting for the timeout.
+void EntryServer::failOpening(const PlainFlowPtr& flow, UpstreamId upstream)
+{
+    if (flow->isClosed || flow->end)
+        return;
+    InitiatorCommands commands;
+    flow->lastUnreachable = true;
+    flow->initiator.onUnreachable(upstream, commands);
+    flow->lastUnreachable = false;
+    this->run(flow, commands);
 }
 
 void EntryServer::afterEvent(const PlainFlowPtr& flow)
@@ -556,7 +594,7 @@
         return;
     }
     std::swap(flow->writing, flow->queued);
-    asio::async_write(flow->socket, asio::buffer(flow->writing), [this, flow](error_code error, size_t size) {
+    asio::async_write(flow->socket, buffersOf(flow->writing), [this, flow](error_code error, size_t size) {
         flow->writing.clear();
         if (flow->isClosed || this->isStopped)
             return;
@@ -628,7 +666,7 @@
         return;
     const FlowId id = flow->initiator.id();
     for (const Carrier& carrier : flow->carriers) {
-        this->links.release(carrier.first, carrier.second);
+        this->links.release(carrier);
         const auto found = this->flowsByCarrier.find(carrier);
         if (found == this->flowsByCarrier.end())
             continue;
@@ -656,7 +694,7 @@
     this->finishShutdown();
 }
 
-void EntryServer::forEachFlowOf(Carrier carrier, const std::function<void(const PlainFlowPtr&)>& action)
+void EntryServer::forEachFlowOf(const Carrier& carrier, const std::function<void(const PlainFlowPtr&)>& action)
 {
     const auto found = this->flowsByCarrier.find(carrier);
     if (found == this->flowsByCarrier.end())
@@ -825,10 +863,24 @@
         return;
     }
     InitiatorCommands commands;
+    const bool hadDeferredAck = flow->initiator.hasDeferredAck();
     flow->initiator.onFrame(frame, commands);
+    if (!hadDeferredAck && flow->initiator.hasDeferredAck())
+        this->deferredAcks.push_back(flow);
     this->run(flow, commands);
 }
 
+void EntryServer::sendDeferredAcks()
+{
+    for (const PlainFlowPtr& flow : std::exchange(this->deferredAcks, {})) {
+        if (flow->isClosed || flow->end)
+            continue;
+        InitiatorCommands commands;
+        flow->initiator.sendDeferredAck(commands);
+        this->run(flow, commands);
+    }
+}
+
 // The flow ended here before the agent's frame arrived. A Cancel frees the slot at once instead of after the expiry.
 void EntryServer::releaseUnknownFlow(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
 {
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -77,7 +77,6 @@
     struct Listener;
     struct PlainFlow;
     using PlainFlowPtr = std::shared_ptr<PlainFlow>;
-    using Carrier = std::pair<UpstreamId, TrafficClass>;
 
     struct FlowTimer {
         TimePoint at;
@@ -110,10 +109,11 @@
     void execute(const PlainFlowPtr&, SendToOwner&);
     void afterEvent(const PlainFlowPtr&);
     static bool lastAskedPassed(const PlainFlow&);
+    void failOpening(const PlainFlowPtr&, UpstreamId);
     void reportSilence(const PlainFlow&);
     void logPlacement(PlainFlow&);
     void eraseFlow(const PlainFlowPtr&);
-    void forEachFlowOf(Carrier, const std::function<void(const PlainFlowPtr&)>&);
+    void forEachFlowOf(const Carrier&, const std::function<void(const PlainFlowPtr&)>&);
 
     // Session frames
     void receiveDatagram(const std::shared_ptr<Listener>&);
@@ -127,6 +127,7 @@
     // Links and timers
     void onAgentFrame(UpstreamId, TrafficClass, Frame);
     void onPlainFlowFrame(UpstreamId, TrafficClass, const Frame&);
+    void sendDeferredAcks();
     void releaseUnknownFlow(UpstreamId, TrafficClass, const Frame&);
     void noteVersion(uint64_t version);
     void scheduleTick();
@@ -148,6 +149,7 @@
     std::map<ServiceId, double> retryShares; // of the retry budgets in force
     std::unordered_map<FlowId, PlainFlowPtr> flows;
     std::map<Carrier, std::set<FlowId>> flowsByCarrier;
+    std::vector<PlainFlowPtr> deferredAcks; // flows with Data in the present read of a link
     std::priority_queue<FlowTimer, std::vector<FlowTimer>, std::greater<>> timers;
     std::deque<std::string> lastRefusals; // for /status
     std::string membersJson = "[]"; // for /status
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -3,7 +3,6 @@
 #include "wasabicroft/Log.h"
 
 #include <algorithm>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 
@@ -22,6 +21,24 @@
     constexpr size_t minVisitsPerTick = 256;
     constexpr size_t ticksPerRound = 10;
 
+    constexpr size_t readBufferBytes = 256 * 1024;
+
+    // Shared by all links of a thread, since reads never overlap: an idle link holds no memory for reads.
+    std::vector<char>& readBuffer()
+    {
+        thread_local std::vector<char> buffer(readBufferBytes);
+        return buffer;
+    }
+
+    // The body size that a complete size prefix states.
+    size_t bodyBytes(std::string_view prefix)
+    {
+        size_t size = 0;
+        for (size_t i = 0; i < framePrefixBytes; ++i)
+            size |= static_cast<size_t>(static_cast<unsigned char>(prefix[i])) << (8 * i);
+        return size;
+    }
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -93,6 +110,8 @@
 // [SECTION] Link
 //-----------------------------------------------------------------------------
 
+std::string_view nameOf(LinkSharing sharing) { return linkSharingNames.at(static_cast<size_t>(sharing)); }
+
 Link::Link(asio::ip::tcp::socket connection, LinkOptions initialOptions, const Clock& timeSource, Metrics& counters,
     LinkHandlers callbacks)
     : lastUse(timeSource.now())
@@ -111,7 +130,9 @@
     this->connected = true;
     this->lastHeard = this->clock.now();
     setConnectionOptions(this->socket, this->options.userTimeout);
-    this->readPrefix();
+    error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    this->waitReadable();
     this->write();
 }
 
@@ -145,8 +166,8 @@
         this->unansweredSince = now;
     if (frame.kind != FrameKind::Ping && frame.kind != FrameKind::Pong)
         this->lastUse = now;
-    this->write();
-    return !this->closed;
+    this->scheduleWrite();
+    return true;
 }
 
 bool Link::hasRoom() const { return this->queued.size() + this->writing.size() <= this->options.highWaterBytes; }
@@ -168,6 +189,17 @@
     });
 }
 
+// Frames of one event leave in one system call.
+void Link::scheduleWrite()
+{
+    if (!this->connected || std::exchange(this->writeScheduled, true))
+        return;
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        self->writeScheduled = false;
+        self->write();
+    });
+}
+
 void Link::write()
 {
     if (!this->connected || this->closed || !this->writing.empty() || this->queued.empty())
@@ -189,56 +221,82 @@
         });
 }
 
-void Link::readPrefix()
+void Link::waitReadable()
 {
-    asio::async_read(
-        this->socket, asio::buffer(this->prefix), [self = this->shared_from_this()](error_code error, size_t) {
-            if (self->closed)
-                return;
-            if (error) {
-                self->close("read: " + error.message());
-                return;
-            }
-            size_t size = 0;
-            for (size_t i = 0; i < framePrefixBytes; ++i)
-                size |= static_cast<size_t>(self->prefix.at(i)) << (8 * i);
-            if (size > maxFrameBytes) {
-                // What follows can't be told apart from payload, so the connection is of no further use.
-                self->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"size-prefix\"");
-                logEvent(Event::InvalidFrame,
-                    { { "source", "link" }, { "cause", "size prefix over the limit" }, { "size-bytes", size } });
-                self->close("size prefix over the limit");
-                return;
-            }
-            self->readBody(size);
-        });
+    this->socket.async_wait(asio::socket_base::wait_read, [self = this->shared_from_this()](error_code error) {
+        if (self->closed)
+            return;
+        if (error)
+            self->close("read: " + error.message());
+        else
+            self->onReadable();
+    });
 }
 
-void Link::readBody(size_t size)
+void Link::onReadable()
 {
-    this->body.resize(size);
-    asio::async_read(
-        this->socket, asio::buffer(this->body), [self = this->shared_from_this()](error_code error, size_t) {
-            if (self->closed)
-                return;
-            if (error) {
-                self->close("read: " + error.message());
+    error_code error;
+    std::vector<char>& buffer = readBuffer();
+    const size_t size = this->socket.read_some(asio::buffer(buffer), error);
+    if (size > 0) {
+        this->lastHeard = this->clock.now();
+        this->consume({ buffer.data(), size });
+        if (this->handlers.onBatchEnd)
+            this->handlers.onBatchEnd(*this);
+    } else if (error != asio::error::would_block && error != asio::error::try_again) {
+        this->close("read: " + error.message());
+    }
+    if (!this->closed)
+        this->waitReadable();
+}
+
+void Link::consume(std::string_view bytes)
+{
+    while (!this->closed && !bytes.empty()) {
+        if (this->partial.empty() && bytes.size() >= framePrefixBytes) {
+            const size_t size = bodyBytes(bytes);
+            if (!this->isWithinLimit(size))
                 return;
+            if (bytes.size() >= framePrefixBytes + size) {
+                this->onBody(bytes.substr(framePrefixBytes, size));
+                bytes.remove_prefix(framePrefixBytes + size);
+                continue;
             }
-            self->onBody();
-            if (!self->closed)
-                self->readPrefix();
-        });
+        }
+        const bool hasPrefix = this->partial.size() >= framePrefixBytes;
+        const size_t wanted = framePrefixBytes + (hasPrefix ? bodyBytes(this->partial) : 0);
+        const size_t taken = std::min(wanted - this->partial.size(), bytes.size());
+        this->partial.append(bytes.substr(0, taken));
+        bytes.remove_prefix(taken);
+        if (this->partial.size() < framePrefixBytes)
+            continue;
+        const size_t size = bodyBytes(this->partial);
+        if (!this->isWithinLimit(size))
+            return;
+        if (this->partial.size() < framePrefixBytes + size)
+            continue;
+        const std::string frame = std::exchange(this->partial, {});
+        this->onBody(std::string_view(frame).substr(framePrefixBytes));
+    }
 }
 
-void Link::onBody()
+// Closes the link otherwise: what follows can't be told apart from payload.
+bool Link::isWithinLimit(size_t frameBytes)
+{
+    if (frameBytes <= maxFrameBytes)
+        return true;
+    this->metrics.add("wasabi_invalid_frames_total", "source=\"link\",cause=\"size-prefix\"");
+    logEvent(Event::InvalidFrame,
+        { { "source", "link" }, { "cause", "size prefix over the limit" }, { "size-bytes", frameBytes } });
+    this->close("size prefix over the limit");
+    return false;
+}
+
+void Link::onBody(std::string_view body)
 {
-    this->lastHeard = this->clock.now();
     this->unansweredSince.reset();
     this->pingSent.reset();
-    Result<Frame> decoded = decodeFrame(this->body);
-    if (this->body.capacity() > 2 * maxPayloadBytes)
-        std::string().swap(this->body); // a configuration value must not hold its memory until the link ends
+    Result<Frame> decoded = decodeFrame(body);
     if (decoded) {
         this->handleFrame(std::move(decoded.value()));
         return;
@@ -316,32 +374,45 @@
     return delay / 2 + Milliseconds(jitter);
 }
 
-void LinkPool::dial(PeerKey key, Peer& peer)
+Carrier LinkPool::carrierOf(UpstreamId upstream, TrafficClass trafficClass, FlowId flow) const
+{
+    if (this->options.sharing == LinkSharing::AllClasses)
+        return { upstream, TrafficClass::Request, {} };
+    return { upstream, trafficClass, this->options.sharing == LinkSharing::PerFlow ? flow : FlowId() };
+}
+
+void LinkPool::dial(const Carrier& carrier, Peer& peer)
 {
     LinkHandlers linkHandlers;
-    linkHandlers.onFrame
-        = [this, key](Link&, Frame frame) { this->handlers.onFrame(key.first, key.second, std::move(frame)); };
-    linkHandlers.onWritable = [this, key](Link&) { this->handlers.onWritable(key.first, key.second); };
-    linkHandlers.onClosed = [this, key](Link& link, const std::string& cause) {
-        const auto found = this->peers.find(key);
+    linkHandlers.onFrame = [this, carrier](Link&, Frame frame) {
+        const TrafficClass trafficClass
+            = this->options.sharing == LinkSharing::AllClasses ? frame.trafficClass : carrier.trafficClass;
+        this->handlers.onFrame(carrier.upstream, trafficClass, std::move(frame));
+    };
+    if (this->handlers.onBatchEnd)
+        linkHandlers.onBatchEnd = [this](Link&) { this->handlers.onBatchEnd(); };
+    linkHandlers.onWritable = [this, carrier](Link&) { this->handlers.onWritable(carrier); };
+    linkHandlers.onClosed = [this, carrier](Link& link, const std::string& cause) {
+        const auto found = this->peers.find(carrier);
         if (found != this->peers.end() && found->second.link.get() == &link)
-            this->onLinkClosed(key, cause);
+            this->onLinkClosed(carrier, cause);
     };
     peer.link = std::make_shared<Link>(
         asio::ip::tcp::socket(this->context), this->options, this->clock, this->metrics, std::move(linkHandlers));
-    peer.link->connect(this->addresses.at(key.first), [this, key] {
-        Peer& connectedPeer = this->peers[key];
+    peer.link->connect(this->addresses.at(carrier.upstream), [this, carrier] {
+        Peer& connectedPeer = this->peers[carrier];
         if (std::exchange(connectedPeer.failedDials, 0U) > 0)
-            logEvent(Event::LinkRestored, { { "upstream", key.first }, { "class", nameOf(key.second) } });
+            logEvent(
+                Event::LinkRestored, { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) } });
         this->metrics.add("wasabi_links_established_total");
         if (std::exchange(connectedPeer.framesLost, false))
-            this->handlers.onReestablished(key.first, key.second);
+            this->handlers.onReestablished(carrier);
     });
 }
 
-void LinkPool::onLinkClosed(PeerKey key, const std::string& cause)
+void LinkPool::onLinkClosed(const Carrier& carrier, const std::string& cause)
 {
-    Peer& peer = this->peers[key];
+    Peer& peer = this->peers[carrier];
     peer.link.reset();
     if (this->closing)
         return;
@@ -350,10 +421,10 @@
     this->metrics.add("wasabi_links_lost_total");
     if (peer.failedDials++ == 0) { // one line until the link is up again
         logEvent(Event::LinkLost,
-            { { "upstream", key.first }, { "class", nameOf(key.second) }, { "cause", cause },
+            { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) }, { "cause", cause },
                 { "open-flows", static_cast<uint64_t>(peer.flows) } });
     }
-    this->handlers.onUnreachable(key.first);
+    this->handlers.onUnreachable(carrier);
 }
 
 bool LinkPool::send(UpstreamId upstream, TrafficClass trafficClass, const Frame& frame)
@@ -362,10 +433,10 @@
         this->metrics.add("wasabi_frames_dropped_total", "cause=\"unknown-upstream\"");
         return false;
     }
-    const PeerKey key { upstream, trafficClass };
-    Peer& peer = this->peers[key];
+    const Carrier carrier = this->carrierOf(upstream, trafficClass, frame.flow);
+    Peer& peer = this->peers[carrier];
     if (!peer.link && this->clock.now() >= peer.nextDial)
-        this->dial(key, peer);
+        this->dial(carrier, peer);
     if (peer.link && peer.link->send(frame))
         return true;
     peer.framesLost = true;
@@ -373,21 +444,21 @@
     return false;
 }
 
-bool LinkPool::hasRoom(UpstreamId upstream, TrafficClass trafficClass) const
+bool LinkPool::hasRoom(const Carrier& carrier) const
 {
-    const auto found = this->peers.find({ upstream, trafficClass });
+    const auto found = this->peers.find(carrier);
     return found == this->peers.end() || !found->second.link || found->second.link->hasRoom();
 }
 
-void LinkPool::retain(UpstreamId upstream, TrafficClass trafficClass)
+void LinkPool::retain(const Carrier& carrier)
 {
-    if (this->peers[{ upstream, trafficClass }].flows++ == 0)
+    if (this->peers[carrier].flows++ == 0)
         ++this->peersWithFlows;
 }
 
-void LinkPool::release(UpstreamId upstream, TrafficClass trafficClass)
+void LinkPool::release(const Carrier& carrier)
 {
-    Peer& peer = this->peers[{ upstream, trafficClass }];
+    Peer& peer = this->peers[carrier];
     if (peer.flows > 0 && --peer.flows == 0)
         --this->peersWithFlows;
 }
@@ -406,19 +477,24 @@
     const size_t wanted = std::max(minVisitsPerTick, (this->peers.size() + ticksPerRound - 1) / ticksPerRound);
     const size_t visits = std::min(this->peers.size(), wanted);
     auto position = this->peers.upper_bound(this->lastVisited);
-    for (size_t visit = 0; visit < visits; ++visit, ++position) {
+    for (size_t visit = 0; visit < visits; ++visit) {
         if (position == this->peers.end())
             position = this->peers.begin();
-        const PeerKey key = position->first;
-        Peer& peer = position->second;
-        this->lastVisited = key;
+        const auto item = position++;
+        auto& [carrier, peer] = *item;
+        this->lastVisited = carrier;
         if (!peer.link) {
             if (peer.flows > 0 && now >= peer.nextDial)
-                this->dial(key, peer);
+                this->dial(carrier, peer);
+            else if (peer.flows == 0 && carrier.flow != FlowId())
+                this->peers.erase(item); // the flow has ended
             continue;
         }
+        // No other flow can use the link of one flow; its last frames get a round trip.
+        const Milliseconds idleTimeout
+            = carrier.flow == FlowId() ? this->options.idleTimeout : this->options.heartbeatInterval;
         peer.link->onTick(peer.flows > 0, silenceLimit);
-        if (peer.flows == 0 && now - peer.link->lastUse > this->options.idleTimeout) {
+        if (peer.flows == 0 && now - peer.link->lastUse > idleTimeout) {
             const std::shared_ptr<Link> idle = std::exchange(peer.link, nullptr);
             idle->close("idle");
         }
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -301,10 +301,20 @@
         this->endDelivered = true;
         out.emplace_back(DeliverEndToCaller {});
     }
-    this->sendAck(out);
+    this->ackDeferred = this->options.deferAcks && !this->receiver.finished();
+    if (!this->ackDeferred)
+        this->sendAck(out);
     this->completeIfDone(out);
 }
 
+void FlowInitiator::sendDeferredAck(InitiatorCommands& out)
+{
+    if (this->ackDeferred && this->state == InitiatorPhase::Bound)
+        this->sendAck(out);
+}
+
+bool FlowInitiator::hasDeferredAck() const { return this->ackDeferred; }
+
 void FlowInitiator::onAck(const Frame& frame, InitiatorCommands& out)
 {
     if (!this->sender.onAck(frame.offset, frame.window, frame.has(frame_flags::finished), this->clock.now())) {
@@ -371,6 +381,7 @@
 
 void FlowInitiator::sendAck(InitiatorCommands& out)
 {
+    this->ackDeferred = false;
     Frame frame = this->makeFrame(FrameKind::Ack);
     frame.offset = this->receiver.received();
     frame.window = this->receiver.window();
@@ -444,6 +455,18 @@
     this->pump(out);
 }
 
+// A queued Open stays with its candidate: it is sent again when the link is back, before its own limit.
+void FlowInitiator::onUnreachable(UpstreamId upstream, InitiatorCommands& out)
+{
+    const bool isAsked = this->state == InitiatorPhase::Opening && !this->queueing
+        && this->candidateReplies[this->current].upstream == upstream;
+    if (!isAsked)
+        return;
+    // The candidate may still answer: an Open that left before the link was lost can have been granted.
+    this->lastDecline = Reason::NotRun;
+    this->tryNextOrEnd(out);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Timers
 //-----------------------------------------------------------------------------
