--- a/schemas/Frame_generated.h
+++ b/schemas/Frame_generated.h
@@ -44,7 +44,9 @@
     VT_CONNECTIONS = 40,
     VT_REPLY_ADDRESS = 42,
     VT_KEY = 44,
-    VT_PAYLOAD = 46
+    VT_PAYLOAD = 46,
+    VT_CONFIG_EPOCH = 48,
+    VT_CONFIG_DIGEST = 50
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -112,6 +114,12 @@
   const flatbuffers::Vector<uint8_t> *payload() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
   }
+  uint64_t config_epoch() const {
+    return GetField<uint64_t>(VT_CONFIG_EPOCH, 0);
+  }
+  uint64_t config_digest() const {
+    return GetField<uint64_t>(VT_CONFIG_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -139,6 +147,8 @@
            verifier.VerifyString(key()) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
            verifier.VerifyVector(payload()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -213,6 +223,12 @@
   void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
     fbb_.AddOffset(Frame::VT_PAYLOAD, payload);
   }
+  void add_config_epoch(uint64_t config_epoch) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CONFIG_EPOCH, config_epoch, 0);
+  }
+  void add_config_digest(uint64_t config_digest) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CONFIG_DIGEST, config_digest, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -247,8 +263,12 @@
     uint32_t connections = 0,
     flatbuffers::Offset<flatbuffers::String> reply_address = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0,
+    uint64_t config_epoch = 0,
+    uint64_t config_digest = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_config_digest(config_digest);
+  builder_.add_config_epoch(config_epoch);
   builder_.add_offset(offset);
   builder_.add_config_version(config_version);
   builder_.add_reservation(reservation);
@@ -302,7 +322,9 @@
     uint32_t connections = 0,
     const char *reply_address = nullptr,
     const char *key = nullptr,
-    const std::vector<uint8_t> *payload = nullptr) {
+    const std::vector<uint8_t> *payload = nullptr,
+    uint64_t config_epoch = 0,
+    uint64_t config_digest = 0) {
   auto reply_address__ = reply_address ? _fbb.CreateString(reply_address) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
@@ -329,7 +351,9 @@
       connections,
       reply_address__,
       key__,
-      payload__);
+      payload__,
+      config_epoch,
+      config_digest);
 }
 
 inline const wasabicroft::wire::Frame *GetFrame(const void *buf) {
--- a/tests/FrameTest.cpp
+++ b/tests/FrameTest.cpp
@@ -16,6 +16,8 @@
         frame.token
             = { { *rc::gen::arbitrary<uint64_t>() }, *rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>() };
         frame.configVersion = *rc::gen::arbitrary<uint64_t>();
+        frame.configEpoch = *rc::gen::arbitrary<uint64_t>();
+        frame.configDigest = *rc::gen::arbitrary<uint64_t>();
         frame.offset = *rc::gen::arbitrary<uint64_t>();
         frame.window = *rc::gen::arbitrary<uint32_t>();
         frame.trafficClass = static_cast<TrafficClass>(*rc::gen::inRange<int>(0, trafficClassCount));
--- a/wasabicroft/Frame.cpp
+++ b/wasabicroft/Frame.cpp
@@ -43,7 +43,7 @@
             frame.configVersion, frame.offset, frame.window, static_cast<uint8_t>(frame.trafficClass), frame.flags,
             static_cast<uint8_t>(frame.reason), toWireMilliseconds(frame.deadline),
             toWireMilliseconds(frame.retryAfter), frame.load.busySlots, frame.load.slots, frame.load.queueLength,
-            frame.load.connections, replyAddress, key, payload));
+            frame.load.connections, replyAddress, key, payload, frame.configEpoch, frame.configDigest));
     }
 
     Error invalidFrame(std::string what)
@@ -72,6 +72,8 @@
         frame.service = { in.service() };
         frame.token = { { in.owner() }, in.incarnation(), in.reservation() };
         frame.configVersion = in.config_version();
+        frame.configEpoch = in.config_epoch();
+        frame.configDigest = in.config_digest();
         frame.offset = in.offset();
         frame.window = in.window();
         frame.trafficClass = static_cast<TrafficClass>(in.traffic_class());
--- a/wasabicroft/Frame.h
+++ b/wasabicroft/Frame.h
@@ -65,6 +65,7 @@
     inline constexpr uint8_t idempotent = 1 << 1; // Open: the work may run more than once
     inline constexpr uint8_t finished = 1 << 2; // Data: last bytes of this direction
     inline constexpr uint8_t handedOver = 1 << 3; // Closed, Answer: bytes were handed to the upstream
+    inline constexpr uint8_t reply = 1 << 4; // Announce: answers another one and gets no answer itself
 } // namespace frame_flags
 
 //-----------------------------------------------------------------------------
@@ -77,6 +78,8 @@
     ServiceId service;
     OwnerToken token; // Open: only owner is set
     uint64_t configVersion = 0;
+    uint64_t configEpoch = 0; // Announce, Fetch and Value only
+    uint64_t configDigest = 0; // of the manifest; Announce, Fetch and Value only
     uint64_t offset = 0; // bytes from the start of this direction
     uint32_t window = 0; // bytes that the sender of an Ack can take beyond offset
     TrafficClass trafficClass = TrafficClass::Request;
--- a/wasabicroft/Membership.cpp
+++ b/wasabicroft/Membership.cpp
@@ -7,17 +7,30 @@
 
 namespace {
 
-    bool precedes(const Member& a, const Member& b)
+    // Finalizer of SplitMix64: orders of different rings are independent of each other.
+    uint64_t positionInRing(uint64_t hash, size_t ring)
     {
-        const uint64_t hashA = hashName(a.name);
-        const uint64_t hashB = hashName(b.name);
-        return hashA != hashB ? hashA > hashB : a.name < b.name;
+        uint64_t value = hash + 0x9e3779b97f4a7c15U * (ring + 1);
+        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
+        value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
+        return value ^ (value >> 31);
     }
 
-    std::vector<Member> ranked(std::vector<Member> members)
+    struct Ranked {
+        uint64_t hash = 0;
+        const Member* member = nullptr;
+    };
+
+    std::vector<Ranked> ranked(const std::vector<Member>& members)
     {
-        std::sort(members.begin(), members.end(), precedes);
-        return members;
+        std::vector<Ranked> order;
+        order.reserve(members.size());
+        for (const Member& member : members)
+            order.push_back({ hashName(member.name), &member });
+        std::sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
+            return a.hash != b.hash ? a.hash > b.hash : a.member->name < b.member->name;
+        });
+        return order;
     }
 
 } // namespace
@@ -26,7 +39,8 @@
 {
     std::map<std::string, size_t> taken;
     std::vector<Member> watchers;
-    for (const Member& member : ranked(members)) {
+    for (const Ranked& entry : ranked(members)) {
+        const Member& member = *entry.member;
         if (member.leaving || taken[member.failureDomain] >= options.watchersPerDomain)
             continue;
         ++taken[member.failureDomain];
@@ -38,17 +52,36 @@
 std::vector<Member> announcePeers(
     const std::vector<Member>& members, const std::string& self, const WatcherOptions& options)
 {
-    // A tree over the ranked list: member i tells members i * fanOut + 1 ... i * fanOut + fanOut.
-    const std::vector<Member> order = ranked(members);
     const auto own
-        = std::find_if(order.begin(), order.end(), [&](const Member& member) { return member.name == self; });
+        = std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.name == self; });
+    if (own == members.end())
+        return {};
+    std::vector<uint64_t> hashes;
+    hashes.reserve(members.size());
+    for (const Member& member : members)
+        hashes.push_back(hashName(member.name));
+    const size_t ownIndex = static_cast<size_t>(own - members.begin());
     std::vector<Member> peers;
-    if (own == order.end())
-        return peers;
-    const size_t index = static_cast<size_t>(own - order.begin());
-    const size_t first = index * options.announceFanOut + 1;
-    for (size_t i = first; i < std::min(order.size(), first + options.announceFanOut); ++i)
-        peers.push_back(order[i]);
+    for (size_t ring = options.announceFanOut; ring-- > 0;) {
+        const bool isInDomain = ring < options.announceFanOutInDomain;
+        const uint64_t ownPosition = positionInRing(hashes[ownIndex], ring);
+        const Member* successor = nullptr;
+        uint64_t least = UINT64_MAX;
+        for (size_t i = 0; i < members.size(); ++i) {
+            if (i == ownIndex || (isInDomain && members[i].failureDomain != own->failureDomain))
+                continue;
+            const uint64_t distance = positionInRing(hashes[i], ring) - ownPosition; // wraps around
+            if (!successor || distance < least) {
+                successor = &members[i];
+                least = distance;
+            }
+        }
+        const bool isListed = successor && std::any_of(peers.begin(), peers.end(), [&](const Member& peer) {
+            return peer.name == successor->name;
+        });
+        if (successor && !isListed)
+            peers.push_back(*successor);
+    }
     return peers;
 }
 
