--- a/backends/Link.h
+++ b/backends/Link.h
@@ -193,7 +193,7 @@
     std::map<UpstreamId, Endpoint> addresses;
     std::map<Carrier, Peer> peers;
     size_t peersWithFlows = 0;
-    PeerKey lastVisited {}; // by onTick
+    Carrier lastVisited {}; // by onTick
     bool closing = false;
 };
 
--- a/daemons/wasabi-agent.cpp
+++ b/daemons/wasabi-agent.cpp
@@ -57,6 +57,8 @@
     flows.receiveWindowBytes = flows.sendBufferBytes;
     AdmissionOptions& admission = options.admission;
     admission.stragglerAfter = reader.duration("--straggler-after", admission.stragglerAfter, least, 60 * minute);
+    if (common.isDisabled("await-version"))
+        options.versionWait = Milliseconds(0);
     options.maxLinks = reader.number("--max-links", options.maxLinks, 1, 100000);
     return options;
 }
@@ -105,7 +107,8 @@
         server.shutdown(std::move(onDrained));
     };
     Daemon daemon(traffic, common, MemberRole::Agent, clock, metrics, handlers);
-    server.onNewerVersion = [&](ConfigVersion version) { daemon.hint(version); };
+    server.onControlFrame = [&](Frame frame, const Daemon::Reply& reply) { daemon.onPeerFrame(std::move(frame), reply); };
+    server.onNewerVersion = [&](uint64_t version, const Daemon::Reply& reply) { daemon.onPeerVersion(version, reply); };
     const Result<Endpoint> link = server.start();
     const Result<Endpoint> admin = link ? daemon.start() : link;
     if (!admin) {
