Merge the parts' interfaces: demo with peers, link pool test, stopped children

Cause: the demo and two tests were written before the reader of the platform exchanged versions with peers and before links were named by Carrier. Change: the harness waits until the child reports the stop. Open: Propagation.ReadsThePlatformOnlyWhenPeersFail fails in the merged tree.

--- a/daemons/wasabi-demo.cpp
+++ b/daemons/wasabi-demo.cpp
@@ -59,11 +59,19 @@
 // Server of the library with the traffic thread that runs it and the platform reader that feeds it.
 template <typename Server, typename Options> class Instance {
 public:
-    Instance(const std::string& name, MemberRole role, const Endpoint& platform, Options options, const Clock& clock)
+    // Without peerEndpoint, frames of peers arrive over the server's own links.
+    Instance(const Member& member, std::optional<Endpoint> peerEndpoint, const Endpoint& platform, Options options,
+        const Clock& clock)
         : server(this->context, std::move(options), clock, this->metrics)
-        , reader({ platform, name, role, {}, callTimeout, {} }, clock,
+        , reader(readerOptions(member, std::move(peerEndpoint), platform, this->metrics), clock,
               [this](PlatformUpdate update) { this->post(std::move(update)); })
     {
+        this->server.onControlFrame = [this](Frame frame, const PlatformReader::Reply& reply) {
+            this->reader.onPeerFrame(std::move(frame), this->onTrafficThread(reply));
+        };
+        this->server.onNewerVersion = [this](uint64_t newer, const PlatformReader::Reply& reply) {
+            this->reader.onPeerVersion(newer, this->onTrafficThread(reply));
+        };
     }
     ~Instance()
     {
@@ -82,7 +90,8 @@
     void start(const std::function<void(Server&)>& startServer)
     {
         startServer(this->server);
-        this->reader.start();
+        if (const Result<bool> started = this->reader.start(); !started)
+            printErrors({ started.error() });
         this->thread = std::thread([this] { this->context.run(); });
     }
 
@@ -98,6 +107,25 @@
     uint64_t versionInForce() const { return this->version; }
 
 private:
+    static PlatformReaderOptions readerOptions(
+        const Member& member, std::optional<Endpoint> peerEndpoint, const Endpoint& platform, Metrics& metrics)
+    {
+        PlatformReaderOptions options;
+        options.platform = platform;
+        options.self = member.name;
+        options.role = member.role;
+        options.peers.emplace();
+        options.peers->listen = std::move(peerEndpoint);
+        options.metrics = &metrics;
+        return options;
+    }
+
+    PlatformReader::Reply onTrafficThread(PlatformReader::Reply reply)
+    {
+        return [this, reply = std::move(reply)](
+                   const Frame& frame) { asio::post(this->context, [reply, frame] { reply(frame); }); };
+    }
+
     void post(PlatformUpdate update)
     {
         asio::post(this->context, [this, received = std::move(update)] {
@@ -225,9 +253,10 @@
         AgentOptions options;
         options.name = upstream.name;
         options.linkEndpoint = upstream.agent;
-        this->platform.setMember({ upstream.name, MemberRole::Agent, upstream.failureDomain, upstream.agent, false });
-        this->agents.push_back(std::make_unique<AgentInstance>(
-            upstream.name, MemberRole::Agent, this->platform.endpoint(), options, this->clock));
+        const Member member { upstream.name, MemberRole::Agent, upstream.failureDomain, upstream.agent, false };
+        this->platform.setMember(member);
+        this->agents.push_back(
+            std::make_unique<AgentInstance>(member, std::nullopt, this->platform.endpoint(), options, this->clock));
         this->agents.back()->start([](AgentServer& server) {
             if (const Result<Endpoint> listening = server.start(); !listening)
                 printErrors({ listening.error() });
@@ -240,9 +269,10 @@
         options.name = name;
         options.failureDomain = this->services.front().upstreams.front().failureDomain;
         options.listenAddress = address;
-        this->platform.setMember({ name, MemberRole::Entry, options.failureDomain, { address, 7200 }, false });
+        const Member member { name, MemberRole::Entry, options.failureDomain, { address, 7200 }, false };
+        this->platform.setMember(member);
         this->entries.push_back(
-            std::make_unique<EntryInstance>(name, MemberRole::Entry, this->platform.endpoint(), options, this->clock));
+            std::make_unique<EntryInstance>(member, member.control, this->platform.endpoint(), options, this->clock));
         this->entries.back()->start([](EntryServer& server) { server.start(); });
     }
 
--- a/tests/Processes.cpp
+++ b/tests/Processes.cpp
@@ -124,8 +124,14 @@
 void Process::signal(int number)
 {
     // The process id stays reserved until waitpid reaped the child, so the signal cannot reach another process.
-    if (!this->exitCode)
-        kill(this->pid, number);
+    if (this->exitCode)
+        return;
+    kill(this->pid, number);
+    if (number != SIGSTOP)
+        return;
+    // The child may go on for a moment on another core; a test that checks its silence would be flaky.
+    siginfo_t stopped {};
+    waitid(P_PID, static_cast<id_t>(this->pid), &stopped, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 std::optional<int> Process::waitExit(Milliseconds timeout)
--- a/tests/SlopesTest.cpp
+++ b/tests/SlopesTest.cpp
@@ -323,7 +323,7 @@
     ManualClock clock;
     Metrics metrics;
     LinkPoolHandlers handlers;
-    handlers.onUnreachable = [](UpstreamId) {};
+    handlers.onUnreachable = [](const Carrier&) {};
     LinkPool pool(context, LinkOptions(), clock, metrics, handlers);
     constexpr size_t count = 4000;
     Result<asio::ip::tcp::acceptor> acceptor = openListener(context, { "127.0.0.1", 0 });
