Prove the propagation at 6,400 members and with real processes

Cause: version spread was not shown at any size. On the way two faults appeared. Validation compared every address with all others of its port (about 30 s for 780 services); it now looks up the address, and a test bounds its time. A value that came over an accepted link was not matched to the request, because every frame got a new route; routes are now numbered by link.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -265,11 +265,11 @@
     };
     if (isControl) {
         if (this->onControlFrame)
-            this->onControlFrame(std::move(frame), reply);
+            this->onControlFrame(link.id, std::move(frame), reply);
         return;
     }
     if (frame.configVersion > this->store.version().version && this->onNewerVersion)
-        this->onNewerVersion(frame.configVersion, reply);
+        this->onNewerVersion(link.id, frame.configVersion, reply);
     if (!this->awaitsVersion(link.id, frame))
         this->handleFrame(link.id, frame);
 }
--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -88,7 +88,7 @@
 class AgentServer {
 public:
     // Announce, Fetch and Value frames of peers; reply sends a frame back over the same link.
-    using ControlHandler = std::function<void(Frame, std::function<void(const Frame&)> reply)>;
+    using ControlHandler = std::function<void(uint64_t link, Frame, std::function<void(const Frame&)> reply)>;
 
     AgentServer(boost::asio::io_context&, AgentOptions, const Clock&, Metrics&);
     ~AgentServer();
@@ -110,7 +110,7 @@
 
     ControlHandler onControlFrame;
     // A frame named a newer configuration than the one in force; reply sends a frame back over the same link.
-    std::function<void(uint64_t version, std::function<void(const Frame&)> reply)> onNewerVersion;
+    std::function<void(uint64_t link, uint64_t version, std::function<void(const Frame&)> reply)> onNewerVersion;
 
 private:
     struct UpstreamConnection;
--- a/backends/Daemon.cpp
+++ b/backends/Daemon.cpp
@@ -200,24 +200,23 @@
 
 Daemon::Reply Daemon::onTrafficThread(Reply reply)
 {
-    return [this, reply = std::move(reply)](const Frame& frame) {
-        asio::post(this->context, [reply, frame] { reply(frame); });
-    };
+    return [this, reply = std::move(reply)](
+               const Frame& frame) { asio::post(this->context, [reply, frame] { reply(frame); }); };
 }
 
-void Daemon::onPeerFrame(Frame frame, Reply reply)
+void Daemon::onPeerFrame(uint64_t link, Frame frame, Reply reply)
 {
-    this->reader.onPeerFrame(std::move(frame), this->onTrafficThread(std::move(reply)));
+    this->reader.onPeerFrame(link, std::move(frame), this->onTrafficThread(std::move(reply)));
 }
 
-void Daemon::onPeerVersion(uint64_t version, const Reply& reply)
+void Daemon::onPeerVersion(uint64_t link, uint64_t version, const Reply& reply)
 {
     // Every frame carries the version; one of them is enough to start a fetch.
     const TimePoint now = this->clock.now();
     if (now - this->lastPeerVersion < peerVersionSpacing)
         return;
     this->lastPeerVersion = now;
-    this->reader.onPeerVersion(version, this->onTrafficThread(reply));
+    this->reader.onPeerVersion(link, version, this->onTrafficThread(reply));
 }
 
 void Daemon::awaitSignal()
--- a/backends/Daemon.h
+++ b/backends/Daemon.h
@@ -68,8 +68,8 @@
 
     // The next two belong to the traffic thread; reply is called on it.
     using Reply = std::function<void(const Frame&)>;
-    void onPeerFrame(Frame, Reply); // Announce, Fetch or Value
-    void onPeerVersion(uint64_t version, const Reply&); // a peer named a newer version in another frame
+    void onPeerFrame(uint64_t link, Frame, Reply); // Announce, Fetch or Value
+    void onPeerVersion(uint64_t link, uint64_t version, const Reply&); // a peer named a newer version in another frame
 
 private:
     void awaitSignal();
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -48,6 +48,11 @@
         return placement;
     }
 
+    uint64_t linkNumber(UpstreamId upstream, TrafficClass trafficClass)
+    {
+        return upstream.value + static_cast<uint64_t>(trafficClass);
+    }
+
     bool carriesLoad(FrameKind kind)
     {
         return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
@@ -780,7 +785,7 @@
         = frame.kind == FrameKind::Announce || frame.kind == FrameKind::Fetch || frame.kind == FrameKind::Value;
     if (isControl) {
         if (this->onControlFrame)
-            this->onControlFrame(std::move(frame), this->replyTo(from, trafficClass));
+            this->onControlFrame(linkNumber(from, trafficClass), std::move(frame), this->replyTo(from, trafficClass));
         return;
     }
     this->noteVersion(from, trafficClass, frame.configVersion);
@@ -840,7 +845,7 @@
 void EntryServer::noteVersion(UpstreamId from, TrafficClass trafficClass, uint64_t version)
 {
     if (version > this->store.version().version && this->onNewerVersion)
-        this->onNewerVersion(version, this->replyTo(from, trafficClass));
+        this->onNewerVersion(linkNumber(from, trafficClass), version, this->replyTo(from, trafficClass));
 }
 
 void EntryServer::scheduleTick()
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -73,8 +73,8 @@
 
     // Called with frames of agents; reply sends a frame back over the same link.
     using Reply = std::function<void(const Frame&)>;
-    std::function<void(Frame, Reply)> onControlFrame; // Announce, Fetch or Value
-    std::function<void(uint64_t version, Reply)> onNewerVersion; // newer than the configuration in force
+    std::function<void(uint64_t link, Frame, Reply)> onControlFrame; // Announce, Fetch or Value
+    std::function<void(uint64_t link, uint64_t version, Reply)> onNewerVersion; // newer than the configuration in force
 
 private:
     struct Listener;
--- a/backends/PeerLinks.cpp
+++ b/backends/PeerLinks.cpp
@@ -11,6 +11,7 @@
 
     constexpr size_t maxLinks = 1024;
     constexpr size_t maxForeignLinks = 256; // a fetch is over long before so many others began
+    constexpr uint64_t foreignLinkBit = uint64_t(1) << 63; // own links are numbered from 1
     constexpr Milliseconds idleTimeout { 5000 };
     const std::string idleCause = "idle";
 
@@ -71,8 +72,7 @@
         this->metrics.add("wasabi_peer_frames_total", "direction=\"received\"");
         this->handlers.onFrame(route, frame);
     };
-    linkHandlers.onClosed
-        = [this, route](Link& link, const std::string& cause) { this->onClosed(route, link, cause); };
+    linkHandlers.onClosed = [this, route](Link& link, const std::string& cause) { this->onClosed(route, link, cause); };
     return std::make_shared<Link>(
         std::move(socket), this->options, this->clock, this->metrics, std::move(linkHandlers));
 }
@@ -90,8 +90,8 @@
 {
     const PeerRoute& route = peerFrame.route;
     this->metrics.add("wasabi_peer_frames_total", "direction=\"sent\"");
-    const auto other = std::find_if(this->foreign.begin(), this->foreign.end(),
-        [&](const ForeignLink& link) { return link.number == route.link; });
+    const auto other = std::find_if(
+        this->foreign.begin(), this->foreign.end(), [&](const ForeignLink& link) { return link.number == route.link; });
     if (route.link != 0 && other != this->foreign.end()) {
         other->reply(peerFrame.frame);
         return;
@@ -103,12 +103,14 @@
         this->metrics.add("wasabi_frames_dropped_total", "cause=\"no-peer-link\"");
 }
 
-PeerRoute PeerLinks::routeFor(Reply reply)
+PeerRoute PeerLinks::routeFor(uint64_t link, Reply reply)
 {
+    const uint64_t number = link | foreignLinkBit;
+    std::erase_if(this->foreign, [&](const ForeignLink& known) { return known.number == number; });
     if (this->foreign.size() >= maxForeignLinks)
         this->foreign.pop_front();
-    this->foreign.push_back({ ++this->lastLink, std::move(reply) });
-    return { {}, this->foreign.back().number };
+    this->foreign.push_back({ number, std::move(reply) });
+    return { {}, number };
 }
 
 void PeerLinks::onClosed(const PeerRoute& route, const Link& link, const std::string& cause)
--- a/backends/PeerLinks.h
+++ b/backends/PeerLinks.h
@@ -26,7 +26,7 @@
 
     Result<Endpoint> listen(const Endpoint&); // accepts links of peers; returns the address in use
     void send(const PeerFrame&);
-    PeerRoute routeFor(Reply); // of a peer whose link belongs to another thread
+    PeerRoute routeFor(uint64_t link, Reply); // of a peer whose link belongs to another thread, by its number there
     void onTick(); // idle links and dials; called about every 50 ms
     void closeAll();
 
--- a/backends/PlatformReader.cpp
+++ b/backends/PlatformReader.cpp
@@ -1,12 +1,12 @@
 #include "backends/PlatformReader.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <atomic>
 #include <charconv>
 #include <mutex>
 #include <thread>
@@ -279,17 +279,17 @@
         });
     }
 
-    void onPeerFrame(Frame frame, Reply reply)
+    void onPeerFrame(uint64_t link, Frame frame, Reply reply)
     {
-        this->runForPeer([this, frame = std::move(frame), reply = std::move(reply)]() mutable {
-            this->propagation->onFrame(this->links->routeFor(std::move(reply)), frame);
+        this->runForPeer([this, link, frame = std::move(frame), reply = std::move(reply)]() mutable {
+            this->propagation->onFrame(this->links->routeFor(link, std::move(reply)), frame);
         });
     }
 
-    void onPeerVersion(uint64_t version, Reply reply)
+    void onPeerVersion(uint64_t link, uint64_t version, Reply reply)
     {
-        this->runForPeer([this, version, reply = std::move(reply)]() mutable {
-            this->propagation->onHint(this->links->routeFor(std::move(reply)), version);
+        this->runForPeer([this, link, version, reply = std::move(reply)]() mutable {
+            this->propagation->onHint(this->links->routeFor(link, std::move(reply)), version);
         });
     }
 
@@ -469,14 +469,14 @@
 
 void PlatformReader::offer(std::shared_ptr<const Snapshot> snapshot) { this->loop->offer(std::move(snapshot)); }
 
-void PlatformReader::onPeerFrame(Frame frame, Reply reply)
+void PlatformReader::onPeerFrame(uint64_t link, Frame frame, Reply reply)
 {
-    this->loop->onPeerFrame(std::move(frame), std::move(reply));
+    this->loop->onPeerFrame(link, std::move(frame), std::move(reply));
 }
 
-void PlatformReader::onPeerVersion(uint64_t version, Reply reply)
+void PlatformReader::onPeerVersion(uint64_t link, uint64_t version, Reply reply)
 {
-    this->loop->onPeerVersion(version, std::move(reply));
+    this->loop->onPeerVersion(link, version, std::move(reply));
 }
 
 PlatformReaderStatus PlatformReader::status() const { return this->loop->status(); }
--- a/backends/PlatformReader.h
+++ b/backends/PlatformReader.h
@@ -54,8 +54,8 @@
 
     // A frame of a peer whose link belongs to another thread. reply is called on the control thread.
     using Reply = std::function<void(const Frame&)>;
-    void onPeerFrame(Frame, Reply);
-    void onPeerVersion(uint64_t version, Reply); // an ordinary frame of the peer carried a newer version
+    void onPeerFrame(uint64_t link, Frame, Reply); // link numbers the links of that thread
+    void onPeerVersion(uint64_t link, uint64_t version, Reply); // an ordinary frame of the peer carried a newer version
 
 private:
     class Loop;
--- a/bench/propagation.cpp
+++ b/bench/propagation.cpp
@@ -55,12 +55,11 @@
 
 void printRow(const std::string& name, const PropagationFigures& figures, double changesPerDay)
 {
-    std::cout << std::left << std::setw(43) << name << std::right << std::setw(6) << figures.reached << '/'
-              << std::left << std::setw(6) << figures.live << std::right << std::setw(8) << figures.last.count()
-              << std::setw(10) << figures.platformCalls << std::setw(8) << figures.peakCalls << std::setw(9)
-              << std::fixed << std::setprecision(1)
-              << static_cast<double>(figures.platformCalls) * changesPerDay / secondsPerDay << std::setw(11)
-              << std::setprecision(0) << figures.bytesPerSecond(changesPerDay) << std::setw(11)
+    std::cout << std::left << std::setw(43) << name << std::right << std::setw(6) << figures.reached << '/' << std::left
+              << std::setw(6) << figures.live << std::right << std::setw(8) << figures.last.count() << std::setw(10)
+              << figures.platformCalls << std::setw(8) << figures.peakCalls << std::setw(9) << std::fixed
+              << std::setprecision(1) << static_cast<double>(figures.platformCalls) * changesPerDay / secondsPerDay
+              << std::setw(11) << std::setprecision(0) << figures.bytesPerSecond(changesPerDay) << std::setw(11)
               << figures.maxChangeBytes / 1024 << '\n';
 }
 
--- a/daemons/wasabi-agent.cpp
+++ b/daemons/wasabi-agent.cpp
@@ -113,8 +113,12 @@
         server.shutdown(std::move(onDrained));
     };
     Daemon daemon(traffic, common, MemberRole::Agent, clock, metrics, handlers);
-    server.onControlFrame = [&](Frame frame, const Daemon::Reply& reply) { daemon.onPeerFrame(std::move(frame), reply); };
-    server.onNewerVersion = [&](uint64_t version, const Daemon::Reply& reply) { daemon.onPeerVersion(version, reply); };
+    server.onControlFrame = [&](uint64_t peer, Frame frame, const Daemon::Reply& reply) {
+        daemon.onPeerFrame(peer, std::move(frame), reply);
+    };
+    server.onNewerVersion = [&](uint64_t peer, uint64_t version, const Daemon::Reply& reply) {
+        daemon.onPeerVersion(peer, version, reply);
+    };
     const Result<Endpoint> link = server.start();
     const Result<Endpoint> admin = link ? daemon.start() : link;
     if (!admin) {
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -83,7 +83,7 @@
         explicit RunningReader(const FakePlatform& platform, const std::string& name = "entry-1")
             : reader(options(platform, name), this->clock, [this](const PlatformUpdate& u) { this->recorder.take(u); })
         {
-            this->reader.start();
+            EXPECT_TRUE(this->reader.start());
         }
 
         static PlatformReaderOptions options(const FakePlatform& platform, const std::string& name)
@@ -161,7 +161,7 @@
         SystemClock clock;
         Recorder recorder;
         PlatformReader reader(options, clock, [&](const PlatformUpdate& update) { recorder.take(update); });
-        reader.start();
+        ASSERT_TRUE(reader.start());
         ASSERT_TRUE(recorder.waitForVersion(1));
         const PublishedConfig next = samples::published(2, 5);
         platform.publish(next);
--- a/tests/PropagationTest.cpp
+++ b/tests/PropagationTest.cpp
@@ -79,8 +79,7 @@
     {
         std::vector<Member> members;
         for (int i = 0; i < 300; ++i)
-            members.push_back(
-                samples::member("member-" + std::to_string(i), "domain-" + std::to_string(i % 3)));
+            members.push_back(samples::member("member-" + std::to_string(i), "domain-" + std::to_string(i % 3)));
         std::map<std::string, std::set<std::string>> toldBy;
         std::map<std::string, size_t> inDomain;
         for (const Member& member : members) {
@@ -98,6 +97,17 @@
         EXPECT_TRUE(announcePeers({ members[0] }, members[0].name, WatcherOptions()).empty());
     }
 
+    // Guards against validation whose time grows with the square of the configuration: it once compared every address
+    // with all others of the same port, which took many seconds at this size. A change crosses up to six processes
+    // within changeLimit, and each of them validates it.
+    TEST(PropagationAtScale, ValidationIsFastEnoughForEveryHop)
+    {
+        const PublishedConfig config = publish(1, 1, PropagationWorld::makeServices(780));
+        const TimePoint start = std::chrono::steady_clock::now();
+        ASSERT_TRUE(parseSnapshot(config.manifest, config.values));
+        EXPECT_LT(std::chrono::steady_clock::now() - start, changeLimit / 6);
+    }
+
     // Two processes whose frames are exchanged by hand.
     struct Pair {
         ManualClock clock;
--- a/tests/PropagationWorld.h
+++ b/tests/PropagationWorld.h
@@ -89,8 +89,8 @@
             if (!node.hasChange)
                 continue;
             ++figures.reached;
-            figures.last = std::max(
-                figures.last, std::chrono::duration_cast<Milliseconds>(*node.hasChange - published));
+            figures.last
+                = std::max(figures.last, std::chrono::duration_cast<Milliseconds>(*node.hasChange - published));
         }
         const double idle = figures.idleBytesPerSecond * static_cast<double>(changeTime.count()) / 1000;
         figures.meanChangeBytes = std::max(0.0, this->totalBytes() / static_cast<double>(this->nodes.size()) - idle);
@@ -102,6 +102,23 @@
         return figures;
     }
 
+    static std::vector<ServiceConfig> makeServices(size_t count)
+    {
+        std::vector<ServiceConfig> services(count);
+        for (size_t i = 0; i < count; ++i) {
+            const std::string number = std::to_string(i);
+            const std::string network = "10." + std::to_string(i / 250) + '.' + std::to_string(i % 250) + '.';
+            services[i].name = "service-" + number;
+            services[i].listeners.push_back({ "main", { network + "250", 7000 }, TrafficClass::Request });
+            for (int host = 1; host <= 8; ++host) {
+                const std::string address = network + std::to_string(host);
+                services[i].upstreams.push_back({ "host-" + number + '-' + std::to_string(host), "domain-1",
+                    { address, 7200 }, { address, 7300 }, false });
+            }
+        }
+        return services;
+    }
+
 private:
     static constexpr size_t headerBytes = 66; // Ethernet, IPv4 and TCP with timestamps
     static constexpr size_t segmentBytes = 1448;
@@ -127,23 +144,6 @@
         }
     };
 
-    static std::vector<ServiceConfig> makeServices(size_t count)
-    {
-        std::vector<ServiceConfig> services(count);
-        for (size_t i = 0; i < count; ++i) {
-            const std::string number = std::to_string(i);
-            const std::string network = "10." + std::to_string(i / 250) + '.' + std::to_string(i % 250) + '.';
-            services[i].name = "service-" + number;
-            services[i].listeners.push_back({ "main", { network + "250", 7000 }, TrafficClass::Request });
-            for (int host = 1; host <= 8; ++host) {
-                const std::string address = network + std::to_string(host);
-                services[i].upstreams.push_back({ "host-" + number + '-' + std::to_string(host), "domain-1",
-                    { address, 7200 }, { address, 7300 }, false });
-            }
-        }
-        return services;
-    }
-
     Member makeMember(size_t index) const
     {
         Member member;
@@ -325,10 +325,11 @@
     TimePoint platformAnswer()
     {
         ++this->platformCalls;
-        const Duration spacing = std::chrono::nanoseconds(std::chrono::seconds(1)) / this->options.platformCallsPerSecond;
+        const Duration spacing
+            = std::chrono::nanoseconds(std::chrono::seconds(1)) / this->options.platformCallsPerSecond;
         this->platformFree = std::max(this->platformFree, this->clock.now()) + spacing;
-        ++this->callsBySecond[std::chrono::duration_cast<std::chrono::seconds>(
-            this->platformFree.time_since_epoch()).count()];
+        ++this->callsBySecond[std::chrono::duration_cast<std::chrono::seconds>(this->platformFree.time_since_epoch())
+                                  .count()];
         return this->platformFree + 2 * this->options.inRegionDelay;
     }
 
--- a/wasabicroft/ConfigCodec.cpp
+++ b/wasabicroft/ConfigCodec.cpp
@@ -304,6 +304,11 @@
         std::vector<ConfigProblem> problems;
 
     private:
+        struct PortUsers {
+            std::map<std::string, std::string> paths; // by address
+            std::string wildcard; // address that stands for all; empty if none
+        };
+
         void check(const std::string& path, const UpstreamConfig& upstream)
         {
             this->checkName(path, "upstream", upstream.name, this->upstreamHashes);
@@ -378,18 +383,21 @@
                         + "' is not a usable endpoint; set an IP address and a port from 1 to 65535");
                 return;
             }
-            std::map<std::string, std::string>& users = this->endpoints[endpoint.port];
-            for (const auto& [other, otherPath] : users) {
-                const bool isWildcard
-                    = address.is_unspecified() || boost::asio::ip::make_address(other).is_unspecified();
-                if (other == endpoint.address || isWildcard) {
-                    this->add(path,
-                        toString(endpoint) + " overlaps " + toString(Endpoint { other, endpoint.port }) + " of "
-                            + otherPath + "; give one of them another address or port");
-                    return;
-                }
+            PortUsers& users = this->endpoints[endpoint.port];
+            std::map<std::string, std::string>::const_iterator other = users.paths.find(endpoint.address);
+            if (other == users.paths.end() && address.is_unspecified())
+                other = users.paths.begin();
+            if (other == users.paths.end())
+                other = users.paths.find(users.wildcard);
+            if (other != users.paths.end()) {
+                this->add(path,
+                    toString(endpoint) + " overlaps " + toString(Endpoint { other->first, endpoint.port }) + " of "
+                        + other->second + "; give one of them another address or port");
+                return;
             }
-            users.emplace(endpoint.address, path);
+            users.paths.emplace(endpoint.address, path);
+            if (address.is_unspecified())
+                users.wildcard = endpoint.address;
         }
 
         void add(const std::string& path, const std::string& message) { this->problems.push_back({ path, message }); }
@@ -397,7 +405,7 @@
         const NameHash& hash;
         std::map<uint64_t, std::string> serviceHashes;
         std::map<uint64_t, std::string> upstreamHashes;
-        std::map<uint16_t, std::map<std::string, std::string>> endpoints; // port, address, path of the user
+        std::map<uint16_t, PortUsers> endpoints;
     };
 
     Error mismatch(const std::string& service)
--- a/wasabicroft/Propagation.cpp
+++ b/wasabicroft/Propagation.cpp
@@ -114,7 +114,7 @@
         return;
     this->isStarting = false;
     if (this->held)
-        this->accept(std::exchange(this->held, nullptr), now);
+        this->accept(std::exchange(this->held, nullptr), now + this->options.confirmationLimit);
     this->updateFallback();
 }
 
@@ -206,8 +206,8 @@
         this->addSource({ from, seen, now + remaining });
     else if (seen == current && remaining.count() > 0)
         this->confirm(now + remaining);
-    const bool isFresher
-        = seen == current && this->isConfirmed() && *this->confirmedUntil - now > remaining + this->options.antiEntropyInterval;
+    const bool isFresher = seen == current && this->isConfirmed()
+        && *this->confirmedUntil - now > remaining + this->options.antiEntropyInterval;
     // A reply gets no reply, or two processes without a configuration would answer each other for ever.
     if (!isReply && (seen < current || seen == ConfigVersion() || isFresher))
         this->announce(from, frame_flags::reply);
@@ -504,8 +504,10 @@
 
 void Propagation::scheduleFallback(Milliseconds least, Milliseconds spread)
 {
-    if (!this->fallbackFrom && !this->isWatcher)
-        this->fallbackFrom = this->clock.now() + least + this->randomUpTo(spread);
+    if (this->isWatcher)
+        return;
+    const TimePoint from = this->clock.now() + least + this->randomUpTo(spread);
+    this->fallbackFrom = std::min(this->fallbackFrom.value_or(from), from);
 }
 
 void Propagation::updateFallback()
@@ -521,7 +523,7 @@
         logEvent(Event::ConfigUnconfirmed,
             { { "version", this->version().version }, { "limit-ms", this->options.confirmationLimit.count() } });
     }
-    if (!this->needsFallback())
+    if (!this->needsFallback() || this->fallbackFrom)
         return;
     const Milliseconds delay = std::min(this->options.maxFallbackDelay,
         this->options.minFallbackDelay * (1U << std::min(this->fallbackRuns, maxDoublings)));
