--- a/tests/PropagationProcessTest.cpp
+++ b/tests/PropagationProcessTest.cpp
@@ -73,17 +73,19 @@
             return wasabicroft::versionOf(decodeManifest(config.manifest).value(), config.manifest);
         }
 
-        void start(const Daemon& daemon, const std::string& disabled = "", const std::string& peers = "")
+        void start(const Daemon& daemon, const std::string& disabled = "", const std::string& peers = "",
+            const std::vector<std::string>& more = {})
         {
-            this->startAt(this->platform.endpoint(), daemon, disabled, peers);
+            this->startAt(this->platform.endpoint(), daemon, disabled, peers, more);
         }
 
         void startAt(const Endpoint& source, const Daemon& daemon, const std::string& disabled = "",
-            const std::string& peers = "")
+            const std::string& peers = "", const std::vector<std::string>& more = {})
         {
             std::vector<std::string> arguments = { "--name", daemon.name, "--failure-domain", daemon.domain,
                 "--platform", toString(source), "--link-endpoint", toString(daemon.link), "--admin-endpoint",
                 toString(daemon.admin), "--announce-interval", "2000" };
+            arguments.insert(arguments.end(), more.begin(), more.end());
             if (!disabled.empty())
                 arguments.insert(arguments.end(), { "--disable", disabled });
             if (!peers.empty())
@@ -199,6 +201,29 @@
         EXPECT_EQ(this->countInForce(versionOf(first)), this->daemons.size());
     }
 
+    // Guards against a loss of contact that operators don't see: without the platform nobody confirms the version,
+    // which stays in force.
+    TEST_F(PropagationProcess, StatusReportsAVersionThatNobodyConfirms)
+    {
+        const PublishedConfig first = this->makeConfig(1, 4);
+        this->platform.publish(first);
+        this->daemons.resize(10);
+        for (const Daemon& daemon : this->daemons)
+            this->start(daemon, "", "", { "--confirmation-limit", "4000" });
+        ASSERT_TRUE(this->allReach(versionOf(first), startLimit)) << this->countInForce(versionOf(first));
+        const auto unconfirmed = [&] {
+            return std::count_if(this->daemons.begin(), this->daemons.end(), [](const Daemon& daemon) {
+                const boost::json::object status = statusOf(daemon);
+                const boost::json::value* report = status.if_contains("configuration");
+                return report && !report->at("confirmed").as_bool();
+            });
+        };
+        EXPECT_EQ(unconfirmed(), 0);
+        this->platform.setDown(true);
+        EXPECT_TRUE(waitUntil([&] { return unconfirmed() == 10; }, 4 * changeLimit)) << unconfirmed();
+        EXPECT_EQ(this->countInForce(versionOf(first)), this->daemons.size());
+    }
+
     // Guards against a fall of the version after the platform came back with an older state, also over a restart.
     TEST_F(PropagationProcess, NoVersionFallsWhenThePlatformIsRestoredToAnOlderState)
     {
