--- a/fakes/Platform.cpp
+++ b/fakes/Platform.cpp
@@ -305,6 +305,7 @@
             if (!error && (!this->isDown || &acceptor == &this->controls)) {
                 const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), handle);
                 if (&acceptor == &this->readers) {
+                    ++this->counters.connections;
                     std::erase_if(this->sessions, [](const std::weak_ptr<Session>& old) { return old.expired(); });
                     this->sessions.push_back(session);
                 }
@@ -489,7 +490,8 @@
     {
         return boost::json::serialize(boost::json::object { { "manifestReads", this->counters.manifestReads },
             { "valueReads", this->counters.valueReads }, { "instanceReads", this->counters.instanceReads },
-            { "watches", this->counters.watches }, { "refusedWrites", this->counters.refusedWrites } });
+            { "watches", this->counters.watches }, { "refusedWrites", this->counters.refusedWrites },
+            { "connections", this->counters.connections } });
     }
 
     asio::io_context context;
--- a/fakes/Platform.h
+++ b/fakes/Platform.h
@@ -35,6 +35,7 @@
     uint64_t instanceReads = 0;
     uint64_t watches = 0; // of the above, those that were held back
     uint64_t refusedWrites = 0;
+    uint64_t connections = 0; // accepted from readers
 
     uint64_t calls() const { return this->manifestReads + this->valueReads + this->instanceReads; }
 };
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -130,6 +130,26 @@
         EXPECT_EQ(platform.counters().valueReads, 3u);
     }
 
+    // Guards against a connection per value, which cost a first load of many services as many handshakes, and against a
+    // platform that counts as unreachable because it closed a connection that was idle.
+    TEST(PlatformReader, CallsShareOneConnectionPerStream)
+    {
+        FakePlatform platform;
+        std::vector<ServiceConfig> services;
+        for (uint16_t i = 1; i <= 50; ++i)
+            services.push_back(samples::service("service-" + std::to_string(i), i));
+        platform.publish(publish(1, 1, services));
+        RunningReader running(platform);
+        ASSERT_TRUE(running.recorder.waitForVersion(1));
+        EXPECT_EQ(platform.counters().valueReads, 50u);
+        EXPECT_LE(platform.counters().connections, platformStreamCount);
+        platform.setDown(true);
+        platform.setDown(false);
+        services[0].slots = 9;
+        platform.publish(publish(1, 2, services));
+        EXPECT_TRUE(running.recorder.waitForVersion(2));
+    }
+
     TEST(PlatformReader, WatchersWatchAndOthersPoll)
     {
         FakePlatform platform;
