--- a/daemons/wasabi-demo.cpp
+++ b/daemons/wasabi-demo.cpp
@@ -66,11 +66,11 @@
         , reader(readerOptions(member, std::move(peerEndpoint), platform, this->metrics), clock,
               [this](PlatformUpdate update) { this->post(std::move(update)); })
     {
-        this->server.onControlFrame = [this](Frame frame, const PlatformReader::Reply& reply) {
-            this->reader.onPeerFrame(std::move(frame), this->onTrafficThread(reply));
+        this->server.onControlFrame = [this](uint64_t link, Frame frame, const PlatformReader::Reply& reply) {
+            this->reader.onPeerFrame(link, std::move(frame), this->onTrafficThread(reply));
         };
-        this->server.onNewerVersion = [this](uint64_t newer, const PlatformReader::Reply& reply) {
-            this->reader.onPeerVersion(newer, this->onTrafficThread(reply));
+        this->server.onNewerVersion = [this](uint64_t link, uint64_t newer, const PlatformReader::Reply& reply) {
+            this->reader.onPeerVersion(link, newer, this->onTrafficThread(reply));
         };
     }
     ~Instance()
--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -83,7 +83,7 @@
         explicit RunningReader(const FakePlatform& platform, const std::string& name = "entry-1")
             : reader(options(platform, name), this->clock, [this](const PlatformUpdate& u) { this->recorder.take(u); })
         {
-            EXPECT_TRUE(this->reader.start().has_value());
+            EXPECT_TRUE(this->reader.start());
         }
 
         static PlatformReaderOptions options(const FakePlatform& platform, const std::string& name)
@@ -130,6 +130,26 @@
         EXPECT_EQ(platform.counters().valueReads, 3u);
     }
 
+    // Guards against a connection per value, which cost a first load of many services as many handshakes, and against a
+    // platform that counts as unreachable because it closed a connection that was idle.
+    TEST(PlatformReader, CallsShareOneConnectionPerStream)
+    {
+        FakePlatform platform;
+        std::vector<ServiceConfig> services;
+        for (uint16_t i = 1; i <= 50; ++i)
+            services.push_back(samples::service("service-" + std::to_string(i), i));
+        platform.publish(publish(1, 1, services));
+        RunningReader running(platform);
+        ASSERT_TRUE(running.recorder.waitForVersion(1));
+        EXPECT_EQ(platform.counters().valueReads, 50u);
+        EXPECT_LE(platform.counters().connections, platformStreamCount);
+        platform.setDown(true);
+        platform.setDown(false);
+        services[0].slots = 9;
+        platform.publish(publish(1, 2, services));
+        EXPECT_TRUE(running.recorder.waitForVersion(2));
+    }
+
     TEST(PlatformReader, WatchersWatchAndOthersPoll)
     {
         FakePlatform platform;
@@ -161,7 +181,7 @@
         SystemClock clock;
         Recorder recorder;
         PlatformReader reader(options, clock, [&](const PlatformUpdate& update) { recorder.take(update); });
-        ASSERT_TRUE(reader.start().has_value());
+        ASSERT_TRUE(reader.start());
         ASSERT_TRUE(recorder.waitForVersion(1));
         const PublishedConfig next = samples::published(2, 5);
         platform.publish(next);
