--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -64,13 +64,18 @@
     using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using NotSentLowWater = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
     constexpr int keepAliveSeconds = 10;
+    // The kernel reports a socket as writable only below this many unsent bytes. Without it a slow reader fills several
+    // megabytes of kernel memory, and what is written later waits behind them.
+    constexpr int unsentBytes = 128 * 1024;
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(KeepIdle(keepAliveSeconds), ignored);
     socket.set_option(KeepInterval(keepAliveSeconds), ignored);
     socket.set_option(UserTimeout(static_cast<int>(userTimeout.count())), ignored);
+    socket.set_option(NotSentLowWater(unsentBytes), ignored);
 }
 
 void resetConnection(asio::ip::tcp::socket& socket)
--- a/backends/Link.h
+++ b/backends/Link.h
@@ -30,7 +30,8 @@
 Endpoint fromTcp(const boost::asio::ip::tcp::endpoint&);
 Endpoint fromUdp(const boost::asio::ip::udp::endpoint&);
 
-// Sets no-delay, keep-alive and TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer is gone.
+// Sets no-delay, keep-alive and TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer is gone, and a bound of
+// the unsent bytes that the kernel holds.
 void setConnectionOptions(boost::asio::ip::tcp::socket&, Milliseconds userTimeout);
 
 // Closes with a reset instead of an orderly end, so that the peer can't take the bytes so far for a complete answer.
