Send small frames before the log line of their event

Replies waited for the formatting of the log line of their decision, and a posted write waited for it as well. Small frames are written at once, the agent logs a decision after its reply, and reads up to a full send buffer.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -16,7 +16,7 @@
 
     constexpr Milliseconds tickInterval { 5 }; // resolution of flow timers
     constexpr Milliseconds slowTickInterval { 50 }; // links and remembered callers
-    constexpr size_t readBufferBytes = 64 * 1024;
+    constexpr size_t readBufferBytes = 256 * 1024; // a full send buffer in one read
     constexpr size_t maxCallers = 20000;
     constexpr Milliseconds callerMemory { 30000 }; // longest queue wait and reservation together, with a margin
 
@@ -332,11 +332,12 @@
             Frame& frame = send->frame;
             if (frame.configVersion == 0)
                 frame.configVersion = this->store.version().version;
-            if (frame.kind == FrameKind::Opened || frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused)
-                this->logDecision(frame);
             const auto link = this->links.find(send->route.link);
             if (link == this->links.end() || !link->second->send(frame))
                 this->metrics.add("wasabi_frames_dropped_total", "cause=\"no-link\"");
+            // After the reply was sent, so that it does not wait for the log.
+            if (frame.kind == FrameKind::Opened || frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused)
+                this->logDecision(frame);
         } else if (const ConnectUpstream* request = std::get_if<ConnectUpstream>(&command)) {
             this->connect(*request);
         } else if (WriteUpstream* write = std::get_if<WriteUpstream>(&command)) {
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -16,6 +16,7 @@
     // Bytes of a Ping and its Pong on the wire, with the headers of both directions.
     constexpr size_t heartbeatExchangeBytes = 320;
     constexpr size_t readBufferBytes = 256 * 1024;
+    constexpr size_t largePayloadBytes = 4 * 1024; // such frames of one event share a system call
 
     // Shared by all links of a thread, since reads never overlap: an idle link holds no memory for reads.
     std::vector<char>& readBuffer()
@@ -165,8 +166,12 @@
         this->unansweredSince = now;
     if (frame.kind != FrameKind::Ping && frame.kind != FrameKind::Pong)
         this->lastUse = now;
-    this->scheduleWrite();
-    return true;
+    // Small frames leave at once: a reply must not wait for the log line of its event.
+    if (frame.payload.size() < largePayloadBytes)
+        this->write();
+    else
+        this->scheduleWrite();
+    return !this->closed;
 }
 
 bool Link::hasRoom() const { return this->queued.size() + this->writing.size() <= this->options.highWaterBytes; }
@@ -188,7 +193,7 @@
     });
 }
 
-// Frames of one event leave in one system call.
+// Large frames of one event leave in one system call.
 void Link::scheduleWrite()
 {
     if (!this->connected || std::exchange(this->writeScheduled, true))
