Count flows only during a shutdown and format the sources

AgentServer::finishShutdown counted all flows after each frame and read, which grows with the open flows; now it returns first unless a shutdown is under way. Carriage tests compare the violation count instead of aborting, because the setting stayed on for the ablations of FlowModel in the same process.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -688,8 +688,10 @@
 
 void AgentServer::finishShutdown()
 {
+    if (!this->isShuttingDown)
+        return; // counting the flows takes long while there are many
     const bool isIdle = this->owner.openFlows() == 0 && this->owner.reservations() == 0 && this->connections.empty();
-    if (this->isShuttingDown && isIdle && this->drained)
+    if (isIdle && this->drained)
         std::exchange(this->drained, nullptr)();
 }
 
--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -388,12 +388,11 @@
 void LinkPool::dial(const Carrier& carrier, Peer& peer)
 {
     LinkHandlers linkHandlers;
-    linkHandlers.onFrame
-        = [this, carrier](Link&, Frame frame) { 
-            const TrafficClass trafficClass
-                = this->options.sharing == LinkSharing::AllClasses ? frame.trafficClass : carrier.trafficClass;
-            this->handlers.onFrame(carrier.upstream, trafficClass, std::move(frame));
-        };
+    linkHandlers.onFrame = [this, carrier](Link&, Frame frame) {
+        const TrafficClass trafficClass
+            = this->options.sharing == LinkSharing::AllClasses ? frame.trafficClass : carrier.trafficClass;
+        this->handlers.onFrame(carrier.upstream, trafficClass, std::move(frame));
+    };
     if (this->handlers.onBatchEnd)
         linkHandlers.onBatchEnd = [this](Link&) { this->handlers.onBatchEnd(); };
     linkHandlers.onWritable = [this, carrier](Link&) { this->handlers.onWritable(carrier); };
@@ -407,7 +406,8 @@
     peer.link->connect(this->addresses.at(carrier.upstream), [this, carrier] {
         Peer& connectedPeer = this->peers[carrier];
         if (std::exchange(connectedPeer.failedDials, 0U) > 0)
-            logEvent(Event::LinkRestored, { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) } });
+            logEvent(
+                Event::LinkRestored, { { "upstream", carrier.upstream }, { "class", nameOf(carrier.trafficClass) } });
         this->metrics.add("wasabi_links_established_total");
         if (std::exchange(connectedPeer.framesLost, false))
             this->handlers.onReestablished(carrier);
--- a/backends/Link.h
+++ b/backends/Link.h
@@ -30,8 +30,8 @@
 Endpoint fromTcp(const boost::asio::ip::tcp::endpoint&);
 Endpoint fromUdp(const boost::asio::ip::udp::endpoint&);
 
-// Sets no-delay, keep-alive and TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer is gone, and a bound of
-// the unsent bytes that the kernel holds.
+// Sets no-delay, keep-alive and TCP_USER_TIMEOUT, so that the kernel ends a connection whose peer is gone, and a bound
+// of the unsent bytes that the kernel holds.
 void setConnectionOptions(boost::asio::ip::tcp::socket&, Milliseconds userTimeout);
 
 // Closes with a reset instead of an orderly end, so that the peer can't take the bytes so far for a complete answer.
@@ -147,8 +147,8 @@
     std::function<void(const Carrier&)> onUnreachable; // a dial failed or a link was lost
 };
 
-// The links of an entry, shared as LinkOptions::sharing says. A link is dialled when a frame is sent, dialled again with back-off while flows are open on it, and closed when
-// it is idle.
+// The links of an entry, shared as LinkOptions::sharing says. A link is dialled when a frame is sent, dialled again
+// with back-off while flows are open on it, and closed when it is idle.
 class LinkPool {
 public:
     LinkPool(boost::asio::io_context&, LinkOptions, const Clock&, Metrics&, LinkPoolHandlers);
--- a/bench/CarriageRun.h
+++ b/bench/CarriageRun.h
@@ -116,13 +116,12 @@
 
     void start()
     {
-        this->socket.async_connect(
-            this->endpoint, [self = this->shared_from_this()](boost::system::error_code error) {
-                if (error)
-                    return;
-                boost::asio::async_write(self->socket, boost::asio::buffer(self->request),
-                    [self](boost::system::error_code, size_t) { self->read(); });
-            });
+        this->socket.async_connect(this->endpoint, [self = this->shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return;
+            boost::asio::async_write(self->socket, boost::asio::buffer(self->request),
+                [self](boost::system::error_code, size_t) { self->read(); });
+        });
     }
 
     void stop()
@@ -171,15 +170,15 @@
         agentOptions.name = "host-1";
         agentOptions.linkEndpoint = { "127.0.0.1", 0 };
         agentOptions.links = given.links;
-        this->agent = std::make_unique<AgentServer>(
-            this->agentThread.context, agentOptions, this->clock, this->agentMetrics);
+        this->agent
+            = std::make_unique<AgentServer>(this->agentThread.context, agentOptions, this->clock, this->agentMetrics);
         const Endpoint agentEndpoint = this->agentThread.call([this] { return this->agent->start().value(); });
         this->linkRelay = this->makeRelay(agentEndpoint, given.linkPath);
         EntryOptions entryOptions;
         entryOptions.links = given.links;
         entryOptions.flows.openTimeout = given.openTimeout;
-        this->entry = std::make_unique<EntryServer>(
-            this->entryThread.context, entryOptions, this->clock, this->entryMetrics);
+        this->entry
+            = std::make_unique<EntryServer>(this->entryThread.context, entryOptions, this->clock, this->entryMetrics);
         const std::shared_ptr<const Snapshot> snapshot = this->snapshotFor(this->linkRelay->endpoint());
         this->agentThread.call([&] { this->agent->applySnapshot(snapshot); });
         this->entryThread.call([&] {
@@ -306,8 +305,7 @@
         for (unsigned i = 0; i < this->options.downloads; ++i) {
             const std::shared_ptr<CarriageCaller> caller = std::make_shared<CarriageCaller>(
                 this->callerThread.context, this->bulkRelay->endpoint(), "/download?bytes=8000000", true);
-            caller->onBytes
-                = [this](std::string_view bytes) { this->figures.downloadedBytes += bytes.size(); };
+            caller->onBytes = [this](std::string_view bytes) { this->figures.downloadedBytes += bytes.size(); };
             caller->start();
             this->callers.push_back(caller);
         }
--- a/tests/CarriageTest.cpp
+++ b/tests/CarriageTest.cpp
@@ -86,7 +86,7 @@
     // Guards against lost, repeated or reordered bytes when the path loses a link that carries a bulk transfer.
     TEST(Carriage, ADownloadIsCompleteAlthoughItsLinkIsLostTwice)
     {
-        abortOnViolation(true);
+        const uint64_t violations = violationCount();
         CarriageRun path(plainPath());
         asio::io_context context;
         constexpr size_t size = 30000000;
@@ -104,6 +104,7 @@
         EXPECT_GE(path.relayOfLinks().counts().connections, 3U) << "the link was not replaced";
         EXPECT_EQ(body.size(), size);
         EXPECT_TRUE(fakes::matchesPattern(0, body));
+        EXPECT_EQ(violationCount(), violations);
     }
 
     // Guards against processes that collect the bytes of callers who do not read: the agent must stop reading from the
