--- a/backends/Link.cpp
+++ b/backends/Link.cpp
@@ -22,6 +22,7 @@
     constexpr size_t ticksPerRound = 10;
 
     constexpr size_t readBufferBytes = 256 * 1024;
+    constexpr size_t largePayloadBytes = 4 * 1024; // such frames of one event share a system call
 
     // Shared by all links of a thread, since reads never overlap: an idle link holds no memory for reads.
     std::vector<char>& readBuffer()
@@ -70,13 +71,18 @@
     using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using NotSentLowWater = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
     constexpr int keepAliveSeconds = 10;
+    // The kernel reports a socket as writable only below this many unsent bytes. Without it a slow reader fills several
+    // megabytes of kernel memory, and what is written later waits behind them.
+    constexpr int unsentBytes = 128 * 1024;
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(KeepIdle(keepAliveSeconds), ignored);
     socket.set_option(KeepInterval(keepAliveSeconds), ignored);
     socket.set_option(UserTimeout(static_cast<int>(userTimeout.count())), ignored);
+    socket.set_option(NotSentLowWater(unsentBytes), ignored);
 }
 
 void resetConnection(asio::ip::tcp::socket& socket)
@@ -166,8 +172,12 @@
         this->unansweredSince = now;
     if (frame.kind != FrameKind::Ping && frame.kind != FrameKind::Pong)
         this->lastUse = now;
-    this->scheduleWrite();
-    return true;
+    // Small frames leave at once: a reply must not wait for the log line of its event.
+    if (frame.payload.size() < largePayloadBytes)
+        this->write();
+    else
+        this->scheduleWrite();
+    return !this->closed;
 }
 
 bool Link::hasRoom() const { return this->queued.size() + this->writing.size() <= this->options.highWaterBytes; }
@@ -189,7 +199,7 @@
     });
 }
 
-// Frames of one event leave in one system call.
+// Large frames of one event leave in one system call.
 void Link::scheduleWrite()
 {
     if (!this->connected || std::exchange(this->writeScheduled, true))
