--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -116,11 +116,9 @@
                     if (!*isAlive)
                         return;
                     const http::status status = current->response.result();
-                    if (readError)
-                        this->report(UpstreamHealth::Unknown);
-                    else if (status == http::status::ok)
+                    if (!readError && status == http::status::ok)
                         this->report(UpstreamHealth::Ready);
-                    else if (status == http::status::service_unavailable)
+                    else if (!readError && status == http::status::service_unavailable)
                         this->report(UpstreamHealth::Draining);
                     else
                         this->report(UpstreamHealth::Unknown);
@@ -632,7 +630,7 @@
             { "slots", static_cast<unsigned>(slots) } });
 }
 
-void AgentServer::applyMembers(std::shared_ptr<const std::vector<Member>> members)
+void AgentServer::applyMembers(const std::shared_ptr<const std::vector<Member>>& members)
 {
     this->leavesByMembers = false;
     for (const Member& member : *members) {
--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -98,7 +98,7 @@
 
     // Puts a snapshot in force; open flows are not touched. An older one is ignored.
     void applySnapshot(std::shared_ptr<const Snapshot>);
-    void applyMembers(std::shared_ptr<const std::vector<Member>>);
+    void applyMembers(const std::shared_ptr<const std::vector<Member>>&);
     void applyHealth(UpstreamHealth);
 
     // Passes all reservations and calls onDrained when the last flow has ended.
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -15,7 +15,6 @@
     constexpr Milliseconds tickInterval { 5 }; // resolution of flow timers
     constexpr Milliseconds slowTickInterval { 50 }; // links, suspicion and listeners that could not be opened
     constexpr size_t readBufferBytes = 64 * 1024;
-    constexpr size_t maxDatagramBytes = 65536;
     constexpr size_t datagramsPerWakeup = 64; // so that a flood of datagrams can't hold up plain flows
     constexpr size_t maxListedRefusals = 20;
     constexpr size_t maxKnownUpstreams = 20000; // about three times the design target
--- a/tests/PropagationTest.cpp
+++ b/tests/PropagationTest.cpp
@@ -78,6 +78,7 @@
     TEST(AnnouncePeers, EveryMemberIsToldByAsManyAsItTells)
     {
         std::vector<Member> members;
+        members.reserve(300);
         for (int i = 0; i < 300; ++i)
             members.push_back(samples::member("member-" + std::to_string(i), "domain-" + std::to_string(i % 3)));
         std::map<std::string, std::set<std::string>> toldBy;
