Measure the sequential policy of the daemons in the model

Cause: the model compared the chosen policy with naive ones only, not with what the daemons did until now (two candidates in turn, then one queue, loads from replies only, no backups, no reservations ahead). Change: mode sequential of build/bin/policy.

--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -1,5 +1,6 @@
 // Event-driven model of one pool: drives the real Placement of several entries and the real Admission of each host.
-// Links only delay messages. Three modes without these classes get the same arrivals for comparison.
+// Links only delay messages. Three modes without these classes get the same arrivals for comparison, and so does the
+// simpler policy that the daemons had before: two candidates, then one queue, without backups and reservations ahead.
 //
 // Index
 //   [SECTION] Options and results
@@ -30,8 +31,9 @@
 // [SECTION] Options and results
 //-----------------------------------------------------------------------------
 
-enum class PolicyMode : uint8_t { Random, TwoChoices, Policy, Central };
-inline constexpr std::array<std::string_view, 4> policyModeNames = { "random", "two-choices", "policy", "central" };
+enum class PolicyMode : uint8_t { Random, TwoChoices, Sequential, Policy, Central };
+inline constexpr std::array<std::string_view, 5> policyModeNames
+    = { "random", "two-choices", "sequential", "policy", "central" };
 
 enum class ArrivalProcess : uint8_t { Steady, Swing, Rolling };
 inline constexpr std::array<std::string_view, 3> arrivalProcessNames = { "steady", "swing", "rolling" };
@@ -169,6 +171,11 @@
         , random(this->options.seed + 1)
         , origin(this->clock.now())
     {
+        if (this->options.mode == PolicyMode::Sequential) {
+            this->options.tuning.reserveAhead = 0;
+            this->options.tuning.backups = false;
+            this->options.tuning.queueAtOnceWhenSaturated = false;
+        }
         this->buildHosts();
         this->buildEntries();
         for (const policy_model::Arrival& arrival : policy_model::arrivals(this->options)) {
@@ -221,6 +228,7 @@
         Duration refusalLatency { 0 };
         std::set<unsigned> waitingAt {}; // hosts
         int primary = -1; // host at which it queues, others are backups
+        std::map<unsigned, unsigned> passed {}; // sequential mode: queue length of each host that passed, not tried yet
     };
     struct Idle {
         TimePoint from;
@@ -262,6 +270,11 @@
         return isLocal ? policy_model::localDelay : this->options.pool.domainDelay;
     }
 
+    bool usesAdmission() const
+    {
+        return this->options.mode == PolicyMode::Policy || this->options.mode == PolicyMode::Sequential;
+    }
+
     static FlowId flowOf(size_t index) { return { 1, index }; }
     static UpstreamId upstreamOf(unsigned host) { return { host + 1 }; }
     static unsigned hostOf(UpstreamId upstream) { return static_cast<unsigned>(upstream.value - 1); }
@@ -338,7 +351,8 @@
         this->after(this->options.pool.domainDelay, [this, host, load] {
             for (Entry& entry : this->entries) {
                 entry.reports[host] = load;
-                entry.placement->onLoad(upstreamOf(host), load);
+                if (this->options.mode != PolicyMode::Sequential) // which learns loads from replies only
+                    entry.placement->onLoad(upstreamOf(host), load);
                 entry.placement->onTick();
             }
         });
@@ -347,7 +361,7 @@
     Load loadOf(unsigned index) const
     {
         const Host& host = this->hosts[index];
-        if (this->options.mode == PolicyMode::Policy)
+        if (this->usesAdmission())
             return host.admission->load();
         return { static_cast<uint16_t>(host.running), this->options.pool.slots, static_cast<uint16_t>(host.fifo.size()),
             0 };
@@ -456,7 +470,7 @@
         const bool inTime = this->clock.now() <= request.at + policy_model::callerDeadline + request.work;
         run.useful = !request.done && inTime;
         request.done = request.done || inTime;
-        if (this->options.mode == PolicyMode::Policy) {
+        if (this->usesAdmission()) {
             host.admission->release(flowOf(run.request));
             this->reply(run.request, run.host,
                 [this, index = run.request, h = run.host] { this->entryOf(index).onFlowEnded(upstreamOf(h)); });
@@ -467,7 +481,7 @@
 
     void arrive(size_t index)
     {
-        if (this->options.mode == PolicyMode::Policy)
+        if (this->usesAdmission())
             this->place(index);
         else if (this->options.mode == PolicyMode::Central)
             this->arriveCentral(index);
@@ -477,7 +491,7 @@
 
     void pump(unsigned host)
     {
-        if (this->options.mode == PolicyMode::Policy)
+        if (this->usesAdmission())
             this->pumpAdmission(host);
         else if (this->options.mode == PolicyMode::Central)
             this->pumpCentral();
@@ -615,9 +629,12 @@
             const AdmissionVerdict verdict = this->hosts[host].admission->request(this->openOf(index, false, false));
             const bool isGranted = verdict.decision == AdmissionDecision::Granted;
             const bool isDraining = verdict.reason == Reason::Draining;
-            this->reply(index, host, [this, index, asks, next, host, isGranted, isDraining] {
-                if (isDraining)
+            const unsigned queueLength = this->hosts[host].admission->load().queueLength;
+            this->reply(index, host, [this, index, asks, next, host, isGranted, isDraining, queueLength] {
+                if (isDraining && this->options.mode == PolicyMode::Policy)
                     this->entryOf(index).onDraining(upstreamOf(host));
+                if (!isGranted && !isDraining)
+                    this->requests[index].passed[host] = queueLength;
                 if (isGranted)
                     this->onOpened(index, host);
                 else
@@ -626,8 +643,28 @@
         });
     }
 
+    // Queues at the host with the shortest queue of those that passed.
+    void waitAtShortest(size_t index)
+    {
+        Request& request = this->requests[index];
+        const auto shortest = std::min_element(request.passed.begin(), request.passed.end(),
+            [](const auto& a, const auto& b) { return a.second < b.second; });
+        if (shortest == request.passed.end()) {
+            this->refuse(index);
+            return;
+        }
+        const unsigned host = shortest->first;
+        request.passed.erase(shortest);
+        request.primary = static_cast<int>(host);
+        this->waitAtHost(index, host, false);
+    }
+
     void wait(size_t index, bool atOnce)
     {
+        if (this->options.mode == PolicyMode::Sequential) {
+            this->waitAtShortest(index);
+            return;
+        }
         const std::vector<UpstreamId> waitAt = this->entryOf(index).plan(service).waitAt;
         if (waitAt.empty()) {
             this->refuse(index);
@@ -691,7 +728,7 @@
 
     void onRefused(size_t index, unsigned host, Reason reason)
     {
-        if (reason == Reason::Draining)
+        if (reason == Reason::Draining && this->options.mode == PolicyMode::Policy)
             this->entryOf(index).onDraining(upstreamOf(host));
         Request& request = this->requests[index];
         request.waitingAt.erase(host);
@@ -705,6 +742,14 @@
             return;
         }
         request.primary = -1;
+        if (this->options.mode == PolicyMode::Sequential) {
+            const bool mayQueueElsewhere = this->entryOf(index).retryBudget(service).tryRetry();
+            if (mayQueueElsewhere)
+                this->waitAtShortest(index);
+            else
+                this->refuseFor(index, reason);
+            return;
+        }
         const bool mayRetry = reason == Reason::Draining && this->entryOf(index).retryBudget(service).tryRetry();
         if (mayRetry) {
             ++request.attempts;
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -19,7 +19,7 @@
   --seed=N           Seed of arrivals and choices [default: 1].
   --pool=NAME        strazca, rigcheck or all [default: all].
   --process=NAME     steady, swing, rolling or all [default: all].
-  --mode=NAME        random, two-choices, policy, central or all [default: all].
+  --mode=NAME        random, two-choices, sequential, policy, central or all [default: all].
   --seconds=N        Length of the steady process [default: 120].
   --csv              Print CSV instead of a table.
   --candidates=N     Upstreams asked in turn [default: 2].
