Let flows wait at several upstreams and hold Data until a slot is free

Change: Open has the flag backup. FlowInitiator takes the plan of Placement when the flow has to wait, binds to the first Opened, cancels the other waits, and asks the retry budget only after silence, a refusal or a failed connect. FlowOwner starts work when Admission says so and holds the Data of a reservation ahead (phase Held, nothing handed over). Service configuration: stragglerAfterMs. Loads are taken from every frame that carries one.

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -28,6 +28,13 @@
         return owner;
     }
 
+    AdmissionOptions admissionOptions(const AgentOptions& options)
+    {
+        AdmissionOptions admission = options.admission;
+        admission.backupSalt = upstreamIdOf(options.name).value;
+        return admission;
+    }
+
     UpstreamHealth healthOf(boost::beast::http::status status)
     {
         if (status == boost::beast::http::status::ok)
@@ -181,7 +188,7 @@
     , options(std::move(initialOptions))
     , clock(timeSource)
     , metrics(counters)
-    , admission(this->options.admission, timeSource)
+    , admission(admissionOptions(this->options), timeSource)
     , owner(ownerOptions(this->options), this->admission, timeSource)
     , acceptor(ioContext)
     , ticker(ioContext)
@@ -573,7 +580,7 @@
     limits.slots = 0;
     limits.connections = 0;
     limits.queueLimit = 0;
-    limits.maxQueueWait = limits.rampDuration = Milliseconds(0);
+    limits.maxQueueWait = limits.rampDuration = limits.stragglerAfter = Milliseconds(0);
     for (const ServiceConfig& service : current->services) {
         const UpstreamConfig* upstream = this->ownConfig(service);
         if (!upstream)
@@ -585,12 +592,14 @@
         limits.queueLimit = std::max(limits.queueLimit, service.queueLimit);
         limits.maxQueueWait = std::max(limits.maxQueueWait, service.maxQueueWait);
         limits.rampDuration = std::max(limits.rampDuration, service.rampDuration);
+        limits.stragglerAfter = std::max(limits.stragglerAfter, service.stragglerAfter);
     }
     this->leavesByConfig = isLeaving;
     if (!services.empty()) {
         this->admission.setLimits(limits.slots, limits.connections);
         this->admission.setQueue(limits.queueLimit, limits.maxQueueWait);
         this->admission.setRamp(limits.rampDuration);
+        this->admission.setStragglerAfter(limits.stragglerAfter);
     }
     OwnerCommands commands;
     this->owner.setServices(services, commands);
--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -72,7 +72,11 @@
     Endpoint linkEndpoint; // where entries connect; port 0 lets the kernel choose
     LinkOptions links;
     OwnerOptions flows; // upstream, incarnation and services are set by the agent
-    AdmissionOptions admission; // limits are overwritten by the configuration
+    AdmissionOptions admission { // limits are overwritten by the configuration, backupSalt is set by the agent
+        .reserveAhead = 1,
+        .reserveAheadFrom = 2,
+        .backupPatience = Milliseconds(50),
+    };
     Milliseconds connectTimeout { 2000 }; // to the upstream
     Milliseconds userTimeout { 30000 }; // TCP_USER_TIMEOUT towards the upstream
     size_t maxLinks = 4096; // further entries are refused
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -42,16 +42,12 @@
         PlacementOptions placement;
         placement.failureDomain = options.failureDomain;
         placement.candidates = options.candidates;
+        placement.waitAt = options.waitAt;
         placement.suspicion = options.suspicion;
         placement.random = [] { return randomFlowId().low; };
         return placement;
     }
 
-    bool carriesLoad(FrameKind kind)
-    {
-        return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
-    }
-
 } // namespace
 
 struct EntryServer::Listener {
@@ -104,14 +100,6 @@
     std::vector<UpstreamId> asked; // an Open was sent, in order
 };
 
-bool EntryServer::lastAskedPassed(const PlainFlow& flow)
-{
-    const std::vector<CandidateReply>& replies = flow.initiator.replies();
-    return std::any_of(replies.begin(), replies.end(), [&](const CandidateReply& reply) {
-        return !flow.asked.empty() && reply.upstream == flow.asked.back() && reply.reply == FrameKind::Pass;
-    });
-}
-
 EntryServer::EntryServer(
     asio::io_context& ioContext, EntryOptions initialOptions, const Clock& timeSource, Metrics& counters)
     : context(ioContext)
@@ -357,25 +345,21 @@
     initiatorOptions.requestId = toString(fromTcp(remote));
     const FlowId id = randomFlowId();
     const ServiceId service = listener->service;
-    initiatorOptions.mayRetry = [this, id, service] {
-        // Asking on after a Pass belongs to placement; only an attempt after silence or a failure is a retry.
-        const auto found = this->flows.find(id);
-        const bool isPass = found != this->flows.end() && lastAskedPassed(*found->second);
-        if (isPass)
-            return true;
-        return this->placement.retryBudget(service).tryRetry();
-    };
+    initiatorOptions.mayRetry = [this, service] { return this->placement.retryBudget(service).tryRetry(); };
+    initiatorOptions.plan = [this, service] { return this->placement.plan(service); };
     const PlainFlowPtr flow
         = std::make_shared<PlainFlow>(std::move(socket), id, std::move(initiatorOptions), this->clock);
     flow->caller = toString(fromTcp(remote));
     flow->listener = listener->name;
     flow->serviceName = listener->serviceName;
-    flow->candidates = this->placement.candidates(service);
+    const PlacementPlan plan = this->placement.plan(service);
+    const bool mayWait = listener->trafficClass != TrafficClass::Feed; // a feed takes no slot
+    flow->candidates = plan.asks;
     this->placement.retryBudget(service).onFirstAttempt();
     this->flows[id] = flow;
     this->metrics.add("wasabi_flows_started_total", serviceLabel(listener->serviceName));
     InitiatorCommands commands;
-    flow->initiator.start(flow->candidates, commands);
+    flow->initiator.start(flow->candidates, commands, plan.saturated && mayWait);
     this->run(flow, commands);
 }
 
@@ -446,8 +430,8 @@
         this->flowsByCarrier[carrier].insert(flow->initiator.id());
         this->links.retain(carrier.first, carrier.second);
     }
-    const bool isNewCandidate = flow->asked.empty() || flow->asked.back() != send.owner;
-    if (send.frame.kind == FrameKind::Open && isNewCandidate)
+    const bool isKnown = std::find(flow->asked.begin(), flow->asked.end(), send.owner) != flow->asked.end();
+    if (send.frame.kind == FrameKind::Open && !isKnown)
         flow->asked.push_back(send.owner);
     this->links.send(send.owner, carrier.second, send.frame);
 }
@@ -485,6 +469,17 @@
     }
 }
 
+std::string EntryServer::placementReason(const PlainFlow& flow, bool isBound)
+{
+    if (!isBound)
+        return flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
+    for (const CandidateReply& reply : flow.initiator.replies()) {
+        if (reply.upstream == flow.initiator.token().owner && reply.queued)
+            return reply.backup ? "first free slot as a backup" : "shortest queue";
+    }
+    return flow.asked.size() > 1 ? "next candidate with room" : "first candidate with room";
+}
+
 void EntryServer::logPlacement(PlainFlow& flow)
 {
     flow.isPlaced = true;
@@ -494,7 +489,6 @@
     for (const UpstreamId& candidate : flow.candidates)
         candidates += (candidates.empty() ? "" : ",") + this->upstreamName(candidate);
     std::string replies;
-    bool wasQueued = false;
     for (const CandidateReply& reply : flow.initiator.replies()) {
         if (std::find(flow.asked.begin(), flow.asked.end(), reply.upstream) == flow.asked.end())
             continue;
@@ -503,17 +497,10 @@
         if (reply.reason != Reason::None)
             replies += '(' + std::string(nameOf(reply.reason)) + ')';
         if (reply.queued)
-            replies += "(queued)";
-        wasQueued = wasQueued || reply.queued;
+            replies += reply.backup ? "(backup)" : "(queued)";
     }
     const UpstreamId owner = flow.initiator.token().owner;
-    std::string reason = "first candidate with room";
-    if (!isBound)
-        reason = flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
-    else if (wasQueued)
-        reason = "shortest queue";
-    else if (flow.asked.size() > 1)
-        reason = "next candidate with room";
+    const std::string reason = placementReason(flow, isBound);
     const Milliseconds wait = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
     logEvent(isBound ? Event::FlowPlaced : Event::FlowNotPlaced,
         { { "flow", flow.initiator.id() }, { "service", flow.serviceName }, { "listener", flow.listener },
@@ -784,8 +771,11 @@
 {
     this->placement.onReply(from);
     this->noteVersion(frame.configVersion);
-    const bool hasLoad = carriesLoad(frame.kind);
+    const bool hasLoad = frame.load.slots > 0; // most frames of an owner carry it
+    const bool isDraining = frame.reason == Reason::Draining && frame.kind == FrameKind::Pass;
     const Load load = frame.load;
+    if (isDraining)
+        this->placement.onDraining(from);
     if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
     else
--- a/backends/EntryServer.h
+++ b/backends/EntryServer.h
@@ -30,7 +30,8 @@
     LinkOptions links;
     InitiatorOptions flows; // service, class, version, request id and retry hook are set for each flow
     SuspicionOptions suspicion;
-    size_t candidates = 2; // asked in turn before a flow queues
+    size_t candidates = 2; // asked in turn before a flow waits
+    size_t waitAt = 8; // most upstreams at which one flow waits
     size_t maxFlows = 200000; // open plain flows; further callers are refused
     Milliseconds userTimeout { 30000 }; // TCP_USER_TIMEOUT towards callers
     Milliseconds refusalLinger { 1000 }; // time for a caller to read the refusal bytes before the socket is closed
@@ -109,8 +110,8 @@
     void run(const PlainFlowPtr&, InitiatorCommands&);
     void execute(const PlainFlowPtr&, SendToOwner&);
     void afterEvent(const PlainFlowPtr&);
-    static bool lastAskedPassed(const PlainFlow&);
     void reportSilence(const PlainFlow&);
+    static std::string placementReason(const PlainFlow&, bool isBound);
     void logPlacement(PlainFlow&);
     void eraseFlow(const PlainFlowPtr&);
     void forEachFlowOf(Carrier, const std::function<void(const PlainFlowPtr&)>&);
--- a/wasabicroft/Admission.cpp
+++ b/wasabicroft/Admission.cpp
@@ -274,6 +274,8 @@
     this->options.maxQueueWait = maxQueueWait;
 }
 
+void Admission::setStragglerAfter(Milliseconds value) { this->options.stragglerAfter = value; }
+
 void Admission::setRamp(Milliseconds duration) { this->options.rampDuration = duration; }
 
 void Admission::setLimits(uint16_t slots, uint32_t connections)
--- a/wasabicroft/Admission.h
+++ b/wasabicroft/Admission.h
@@ -83,6 +83,7 @@
     void restartRamp(); // the upstream started anew
     void setLimits(uint16_t slots, uint32_t connections); // configuration changed; holders keep their slots
     void setQueue(uint16_t queueLimit, Milliseconds maxQueueWait); // for requests that are not yet queued
+    void setStragglerAfter(Milliseconds);
     void setRamp(Milliseconds duration); // changes the end of a ramp that has begun
 
     Load load() const;
--- a/wasabicroft/Config.h
+++ b/wasabicroft/Config.h
@@ -53,6 +53,7 @@
     uint16_t queueLimit = 32; // per upstream, waiting requests
     Milliseconds maxQueueWait { 10000 };
     Milliseconds rampDuration { 0 }; // cold start
+    Milliseconds stragglerAfter { 5000 }; // a slot held longer is a straggler; about 1.5 times the usual duration
     double retryBudget = 0.2; // retries per request
     bool proxyHeader = false; // send a PROXY protocol v2 header to the upstream
     std::string refusal; // bytes sent to a plain caller before closing, only if nothing ran
--- a/wasabicroft/ConfigCodec.cpp
+++ b/wasabicroft/ConfigCodec.cpp
@@ -236,6 +236,7 @@
         service.queueLimit = static_cast<uint16_t>(reader.number("queueLimit", UINT16_MAX));
         service.maxQueueWait = Milliseconds(reader.number("maxQueueWaitMs", INT32_MAX));
         service.rampDuration = Milliseconds(reader.number("rampDurationMs", INT32_MAX));
+        service.stragglerAfter = Milliseconds(reader.number("stragglerAfterMs", INT32_MAX));
         service.retryBudget = reader.real("retryBudget");
         service.proxyHeader = reader.boolean("proxyHeader");
         service.refusal = reader.text("refusal");
@@ -320,6 +321,7 @@
             this->checkRange(path + "/queueLimit", service.queueLimit, config_bounds::queueLimit);
             this->checkDuration(path + "/maxQueueWaitMs", service.maxQueueWait, config_bounds::maxQueueWait);
             this->checkDuration(path + "/rampDurationMs", service.rampDuration, config_bounds::rampDuration);
+            this->checkDuration(path + "/stragglerAfterMs", service.stragglerAfter, config_bounds::stragglerAfter);
             if (!(service.retryBudget >= 0 && service.retryBudget <= config_bounds::maxRetryBudget))
                 this->add(path + "/retryBudget", "the retry budget is out of bounds; set it to a number from 0 to 1");
             if (service.refusal.size() > config_bounds::maxRefusalBytes)
@@ -438,8 +440,9 @@
     return json::serialize(json::object { { "name", service.name }, { "listeners", std::move(listeners) },
         { "upstreams", std::move(upstreams) }, { "slots", service.slots }, { "connections", service.connections },
         { "queueLimit", service.queueLimit }, { "maxQueueWaitMs", service.maxQueueWait.count() },
-        { "rampDurationMs", service.rampDuration.count() }, { "retryBudget", service.retryBudget },
-        { "proxyHeader", service.proxyHeader }, { "refusal", service.refusal } });
+        { "rampDurationMs", service.rampDuration.count() }, { "stragglerAfterMs", service.stragglerAfter.count() },
+        { "retryBudget", service.retryBudget }, { "proxyHeader", service.proxyHeader },
+        { "refusal", service.refusal } });
 }
 
 std::map<std::string, std::string> flatten(const ServiceConfig& service)
@@ -464,6 +467,7 @@
     values[path + "/queueLimit"] = std::to_string(service.queueLimit);
     values[path + "/maxQueueWaitMs"] = std::to_string(service.maxQueueWait.count());
     values[path + "/rampDurationMs"] = std::to_string(service.rampDuration.count());
+    values[path + "/stragglerAfterMs"] = std::to_string(service.stragglerAfter.count());
     std::array<char, 32> number {};
     const std::to_chars_result end = std::to_chars(number.data(), number.data() + number.size(), service.retryBudget);
     values[path + "/retryBudget"] = std::string(number.data(), end.ptr);
--- a/wasabicroft/ConfigCodec.h
+++ b/wasabicroft/ConfigCodec.h
@@ -75,6 +75,7 @@
     inline constexpr NumberRange queueLimit { 0, 65535 };
     inline constexpr NumberRange maxQueueWait { 0, 600000 }; // ms
     inline constexpr NumberRange rampDuration { 0, 3600000 }; // ms
+    inline constexpr NumberRange stragglerAfter { 1, 3600000 }; // ms
     inline constexpr double maxRetryBudget = 1;
     inline constexpr size_t maxNameBytes = 64;
     inline constexpr size_t maxRefusalBytes = 4096;
--- a/wasabicroft/ConfigSource.cpp
+++ b/wasabicroft/ConfigSource.cpp
@@ -124,6 +124,7 @@
         { "queueLimit", wholeNumber(&ServiceConfig::queueLimit, config_bounds::queueLimit) },
         { "maxQueueWaitMs", milliseconds(&ServiceConfig::maxQueueWait, config_bounds::maxQueueWait) },
         { "rampDurationMs", milliseconds(&ServiceConfig::rampDuration, config_bounds::rampDuration) },
+        { "stragglerAfterMs", milliseconds(&ServiceConfig::stragglerAfter, config_bounds::stragglerAfter) },
         { "retryBudget", fraction(&ServiceConfig::retryBudget, config_bounds::maxRetryBudget) },
         { "proxyHeader", boolean(&ServiceConfig::proxyHeader) },
         { "refusal", assignRefusal },
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -13,6 +13,7 @@
 #include "wasabicroft/Admission.h"
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Frame.h"
+#include "wasabicroft/Placement.h"
 #include "wasabicroft/Stream.h"
 
 #include <deque>
@@ -90,7 +91,13 @@
     size_t sendBufferBytes = 256 * 1024;
     size_t receiveWindowBytes = 256 * 1024;
     size_t maxPayloadBytes = 16 * 1024; // per Data frame; session callers use 1,100
-    std::function<bool()> mayRetry; // retry budget; asked before each Open after the first; empty means always
+    // Retry budget: asked before an Open that follows silence, a refusal or a failed connect. Asking on after Pass is
+    // no retry. Empty means always.
+    std::function<bool()> mayRetry;
+    // Placement at the time when the flow has to wait: it queues at the first upstream of waitAt and waits as a backup
+    // at the others. Empty: it queues at the asked upstream with the shortest queue, without backups.
+    std::function<PlacementPlan()> plan;
+    Milliseconds backupDelay { 10 }; // of the backups of a flow that queues without asking first
     FlowAblations ablations;
 };
 
@@ -116,15 +123,17 @@
     FrameKind reply = FrameKind::Open; // Open means no reply yet
     Reason reason = Reason::None;
     Load load;
-    bool queued = false; // asked with mayQueue
+    bool queued = false; // waits or waited there
+    bool backup = false; // waits or waited there as a backup
 };
 
 class FlowInitiator {
 public:
     FlowInitiator(FlowId, InitiatorOptions, const Clock&);
 
-    // Asks the candidates in order; after a Pass from all, queues at the one with the shortest queue.
-    void start(const std::vector<UpstreamId>& candidates, InitiatorCommands& out);
+    // Asks the candidates in order; after a Pass from all, waits as InitiatorOptions::plan says. With queueAtOnce it
+    // waits without asking first.
+    void start(const std::vector<UpstreamId>& candidates, InitiatorCommands& out, bool queueAtOnce = false);
 
     void onFrame(const Frame&, InitiatorCommands& out);
 
@@ -149,16 +158,26 @@
 
 private:
     struct CandidateState {
+        bool asked = false; // an Open was sent
         bool queueTried = false;
         bool mayAnswer = false; // an Open was sent and no final reply was seen
+        bool waiting = false; // queued or backup there, as far as known
+        TimePoint waitExpires; // the agent counts as lost unless it answers a heartbeat before
     };
 
     Frame makeFrame(FrameKind) const;
-    void sendOpen(InitiatorCommands& out);
+    void sendOpen(size_t index, InitiatorCommands& out);
+    void resendOpens(InitiatorCommands& out);
     bool askNext(InitiatorCommands& out); // false if no candidate is left
     bool queueNext(InitiatorCommands& out); // false if no candidate is left to queue at
-    void tryNextOrEnd(InitiatorCommands& out);
-    void askCandidate(size_t index, bool queued, InitiatorCommands& out);
+    bool queueAtShortest(InitiatorCommands& out);
+    size_t candidateFor(UpstreamId); // adds it if it is none yet
+    bool mayWaitAt(size_t index) const;
+    void waitAt(size_t index, bool backup, InitiatorCommands& out);
+    void sendBackups(InitiatorCommands& out);
+    bool waitsAnywhere() const;
+    void tryNextOrEnd(bool isRetry, InitiatorCommands& out);
+    void askCandidate(size_t index, InitiatorCommands& out);
     std::optional<size_t> replyingCandidate(UpstreamId owner);
     void bind(const Frame& opened, size_t index, InitiatorCommands& out);
     void pump(InitiatorCommands& out);
@@ -174,6 +193,7 @@
 
     void onOpened(const Frame&, InitiatorCommands& out);
     void onDeclined(const Frame&, InitiatorCommands& out); // Pass, or Refused in reply to Open
+    void onWaitDeclined(size_t index, const Frame&, InitiatorCommands& out);
     void onTokenRefused(const Frame&, InitiatorCommands& out); // Refused in reply to a frame with a token
     void onData(const Frame&, InitiatorCommands& out);
     void onAck(const Frame&, InitiatorCommands& out);
@@ -193,8 +213,10 @@
     std::vector<CandidateState> candidates;
     size_t nextCandidate = 0;
     size_t current = 0; // candidate asked last
-    size_t opensSent = 0; // without resends
-    bool queueing = false;
+    bool queueing = false; // waits at one or more candidates; current is the one at which it queues
+    bool queuesAtOnce = false;
+    std::vector<size_t> pendingBackups; // candidates at which the flow will wait from backupsAt on
+    TimePoint backupsAt;
     bool bound = false; // Data went out with the chosen token, and its owner did not deny the hand-over
     bool upstreamWasReset = false; // the owner reported the end of the flow after a hand-over
     bool endDelivered = false;
@@ -277,12 +299,13 @@
 
     size_t freeSendBuffer(FlowId) const; // bytes that may be read from the upstream now
     size_t openFlows() const; // handed over and not ended
-    size_t reservations() const; // granted and not handed over
+    size_t reservations() const; // granted and not handed over, whether Data arrived or not
     size_t rememberedFlows() const; // ended and not forgotten
     const OwnerOptions& settings() const;
 
 private:
-    enum class FlowPhase : uint8_t { Queued, Reserved, Connecting, Established };
+    // Held: the first Data arrived and waits here for a slot; nothing was handed over.
+    enum class FlowPhase : uint8_t { Queued, Reserved, Held, Connecting, Established };
 
     struct Flow {
         Flow(const OwnerOptions&, bool timed);
@@ -322,6 +345,8 @@
     void onCancel(const Frame&, OwnerCommands& out);
     void onQuery(const Frame&, const ReplyRoute&, OwnerCommands& out) const;
     bool handOver(FlowId, Flow&, OwnerCommands& out);
+    bool startWork(FlowId, Flow&, OwnerCommands& out);
+    static bool hasStarted(const Flow&); // the connection to the upstream is or was being set up
     void noteHeard(Flow&, const ReplyRoute&);
     void reserve(FlowId, Flow&, OwnerCommands& out);
     void sendOpened(FlowId, const Flow&, OwnerCommands& out) const;
@@ -334,7 +359,7 @@
     void endFlow(FlowId, Reason, bool handedOver, OwnerCommands& out); // sends Closed and remembers the end
     void dropFlow(FlowId, OwnerCommands& out); // forgets a flow that was never handed over
     void releaseSlot(FlowId, Flow&, OwnerCommands& out);
-    void applyAdmission(OwnerCommands& out);
+    void applyAdmission(OwnerCommands& out); // starts held flows and answers queued ones
     void remember(FlowId, const EndedFlow&);
     void forgetExpired();
     void schedule(FlowId, Flow&);
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -34,7 +34,7 @@
 // [SECTION] Reservation
 //-----------------------------------------------------------------------------
 
-void FlowInitiator::start(const std::vector<UpstreamId>& upstreams, InitiatorCommands& out)
+void FlowInitiator::start(const std::vector<UpstreamId>& upstreams, InitiatorCommands& out, bool queueAtOnce)
 {
     if (this->state != InitiatorPhase::Idle)
         return;
@@ -44,7 +44,8 @@
     this->state = InitiatorPhase::Opening;
     if (this->options.deadline > Milliseconds(0))
         this->deadlineAt = this->clock.now() + this->options.deadline;
-    this->tryNextOrEnd(out);
+    this->queuesAtOnce = queueAtOnce && this->options.plan;
+    this->tryNextOrEnd(false, out);
 }
 
 Frame FlowInitiator::makeFrame(FrameKind kind) const
@@ -62,66 +63,155 @@
     return frame;
 }
 
-void FlowInitiator::sendOpen(InitiatorCommands& out)
+void FlowInitiator::sendOpen(size_t index, InitiatorCommands& out)
 {
+    const CandidateReply& candidate = this->candidateReplies[index];
     Frame frame = this->makeFrame(FrameKind::Open);
-    frame.token = { this->candidateReplies[this->current].upstream, 0, 0 };
+    frame.token = { candidate.upstream, 0, 0 };
     frame.key = this->options.requestId;
     frame.window = static_cast<uint32_t>(this->options.receiveWindowBytes);
-    if (this->queueing)
+    if (candidate.backup)
+        frame.flags |= frame_flags::backup;
+    else if (candidate.queued)
         frame.flags |= frame_flags::mayQueue;
     if (this->options.idempotent)
         frame.flags |= frame_flags::idempotent;
     out.emplace_back(SendToOwner { frame.token.owner, std::move(frame) });
 }
 
-void FlowInitiator::askCandidate(size_t index, bool queued, InitiatorCommands& out)
+// Sends the Open that is being asked, or those of all candidates at which the flow waits.
+void FlowInitiator::resendOpens(InitiatorCommands& out)
+{
+    for (size_t index = 0; index < this->candidates.size(); ++index) {
+        const bool isAsked = !this->queueing && index == this->current;
+        if (isAsked || this->candidates[index].waiting)
+            this->sendOpen(index, out);
+    }
+}
+
+void FlowInitiator::askCandidate(size_t index, InitiatorCommands& out)
 {
     const TimePoint now = this->clock.now();
     this->current = index;
-    this->queueing = queued;
-    ++this->opensSent;
+    this->queueing = false;
+    this->candidates[index].asked = true;
     this->candidates[index].mayAnswer = true;
-    this->candidates[index].queueTried = queued;
-    this->candidateReplies[index].queued = queued;
     this->candidateReplies[index].reply = FrameKind::Open;
     this->lastHeard = now;
-    this->openResend = queued ? this->options.heartbeatInterval : this->options.initialResendTimeout;
+    this->openResend = this->options.initialResendTimeout;
     this->openResendAt = now + this->openResend;
-    this->candidateExpires
-        = now + (queued ? this->options.heartbeatInterval * queueHeartbeatsBeforeLoss : this->options.openTimeout);
-    this->sendOpen(out);
+    this->candidateExpires = now + this->options.openTimeout;
+    this->sendOpen(index, out);
 }
 
 bool FlowInitiator::askNext(InitiatorCommands& out)
 {
-    if (this->nextCandidate >= this->candidates.size())
+    if (this->queuesAtOnce || this->nextCandidate >= this->candidates.size())
         return false;
-    this->askCandidate(this->nextCandidate++, false, out);
+    this->askCandidate(this->nextCandidate++, out);
     return true;
 }
 
-bool FlowInitiator::queueNext(InitiatorCommands& out)
+//-----------------------------------------------------------------------------
+// [SECTION] Waiting
+//-----------------------------------------------------------------------------
+
+size_t FlowInitiator::candidateFor(UpstreamId upstream)
+{
+    for (size_t index = 0; index < this->candidateReplies.size(); ++index) {
+        if (this->candidateReplies[index].upstream == upstream)
+            return index;
+    }
+    this->candidateReplies.emplace_back().upstream = upstream;
+    this->candidates.emplace_back();
+    return this->candidates.size() - 1;
+}
+
+// An asked candidate that stays silent, drains, refuses or failed is none to wait at.
+bool FlowInitiator::mayWaitAt(size_t index) const
+{
+    const CandidateReply& reply = this->candidateReplies[index];
+    const bool passed = reply.reply == FrameKind::Pass && reply.reason != Reason::Draining;
+    return !this->candidates[index].queueTried && (passed || !this->candidates[index].asked);
+}
+
+void FlowInitiator::waitAt(size_t index, bool backup, InitiatorCommands& out)
+{
+    const TimePoint now = this->clock.now();
+    CandidateState& candidate = this->candidates[index];
+    candidate.asked = candidate.queueTried = candidate.mayAnswer = candidate.waiting = true;
+    candidate.waitExpires = now + this->options.heartbeatInterval * queueHeartbeatsBeforeLoss;
+    this->candidateReplies[index].reply = FrameKind::Open;
+    this->candidateReplies[index].reason = Reason::None;
+    this->candidateReplies[index].queued = true;
+    this->candidateReplies[index].backup = backup;
+    this->sendOpen(index, out);
+}
+
+bool FlowInitiator::queueAtShortest(InitiatorCommands& out)
 {
     std::optional<size_t> best;
     for (size_t index = 0; index < this->candidates.size(); ++index) {
         const CandidateReply& reply = this->candidateReplies[index];
-        if (this->candidates[index].queueTried || reply.reply != FrameKind::Pass || reply.reason == Reason::Draining)
+        if (reply.reply != FrameKind::Pass || !this->mayWaitAt(index))
             continue;
         if (!best || reply.load.queueLength < this->candidateReplies[*best].load.queueLength)
             best = index;
     }
     if (!best)
         return false;
-    this->askCandidate(*best, true, out);
+    this->current = *best;
+    this->waitAt(*best, false, out);
     return true;
 }
 
-void FlowInitiator::tryNextOrEnd(InitiatorCommands& out)
+bool FlowInitiator::queueNext(InitiatorCommands& out)
+{
+    const TimePoint now = this->clock.now();
+    this->queueing = true;
+    this->lastHeard = now;
+    this->openResend = this->options.heartbeatInterval;
+    this->openResendAt = now + this->openResend;
+    this->pendingBackups.clear();
+    if (!this->options.plan)
+        return this->queueAtShortest(out);
+    bool isFirst = true;
+    for (const UpstreamId upstream : this->options.plan().waitAt) {
+        const size_t index = this->candidateFor(upstream);
+        if (!this->mayWaitAt(index))
+            continue;
+        if (std::exchange(isFirst, false)) {
+            this->current = index;
+            this->waitAt(index, false, out);
+        } else
+            this->pendingBackups.push_back(index);
+    }
+    this->nextCandidate = this->candidates.size(); // the ones added here are not asked in turn
+    this->backupsAt = this->queuesAtOnce ? now + this->options.backupDelay : now;
+    if (!this->queuesAtOnce)
+        this->sendBackups(out);
+    this->queuesAtOnce = false;
+    return !isFirst;
+}
+
+void FlowInitiator::sendBackups(InitiatorCommands& out)
+{
+    for (const size_t index : std::exchange(this->pendingBackups, {}))
+        this->waitAt(index, true, out);
+}
+
+bool FlowInitiator::waitsAnywhere() const
+{
+    return !this->pendingBackups.empty()
+        || std::any_of(this->candidates.begin(), this->candidates.end(),
+            [](const CandidateState& candidate) { return candidate.waiting; });
+}
+
+void FlowInitiator::tryNextOrEnd(bool isRetry, InitiatorCommands& out)
 {
     this->state = InitiatorPhase::Opening;
-    const bool retryAllowed = this->opensSent == 0 || !this->options.mayRetry || this->options.mayRetry();
-    if (retryAllowed && (this->askNext(out) || this->queueNext(out)))
+    const bool isAllowed = !isRetry || !this->options.mayRetry || this->options.mayRetry();
+    if (isAllowed && (this->askNext(out) || this->queueNext(out)))
         return;
     this->end(this->lastDecline, this->lastRetryAfter, out);
 }
@@ -165,6 +255,8 @@
     this->candidateReplies[index].reply = FrameKind::Opened;
     this->candidateReplies[index].load = opened.load;
     this->candidates[index].mayAnswer = this->options.ablations.rebindAfterData;
+    this->candidates[index].waiting = false;
+    this->pendingBackups.clear();
     this->current = index;
     this->chosen = opened.token;
     this->state = InitiatorPhase::Bound;
@@ -183,7 +275,12 @@
     for (size_t index = 0; index < this->candidates.size(); ++index) {
         if (!this->candidates[index].mayAnswer)
             continue;
-        this->candidates[index].mayAnswer = false;
+        // If the chosen owner hands nothing over, the flow may wait at the other candidates again.
+        if (this->candidates[index].waiting) {
+            this->candidates[index].queueTried = false;
+            this->candidateReplies[index].reply = FrameKind::Pass;
+        }
+        this->candidates[index].mayAnswer = this->candidates[index].waiting = false;
         // An Open placed by the carriage may have reached the chosen owner a second time.
         const UpstreamId upstream = this->candidateReplies[index].upstream;
         if (upstream != placedByCarriage && upstream != this->chosen.owner)
@@ -208,16 +305,43 @@
     this->candidates[*index].mayAnswer = false;
     this->lastDecline = frame.reason == Reason::None ? Reason::Overloaded : frame.reason;
     this->lastRetryAfter = std::max(this->lastRetryAfter, frame.retryAfter);
-    if (*index == this->current)
-        this->tryNextOrEnd(out);
+    if (std::exchange(this->candidates[*index].waiting, false))
+        this->onWaitDeclined(*index, frame, out);
+    else if (*index == this->current && !this->queueing)
+        this->tryNextOrEnd(frame.kind != FrameKind::Pass, out);
+}
+
+void FlowInitiator::onWaitDeclined(size_t index, const Frame& frame, InitiatorCommands& out)
+{
+    if (!this->waitsAnywhere()) {
+        this->tryNextOrEnd(frame.kind != FrameKind::Pass, out);
+        return;
+    }
+    if (index != this->current || frame.kind == FrameKind::Pass)
+        return;
+    // The queue that was estimated as the shortest is full. Unless work waits everywhere, a backup is likely to get a
+    // slot soon; otherwise an early refusal is of more use to the caller.
+    const bool isHopeless = frame.reason == Reason::DeadlineExceeded
+        || (frame.reason == Reason::Overloaded && this->options.plan && this->options.plan().saturated);
+    if (isHopeless)
+        this->end(this->lastDecline, this->lastRetryAfter, out);
 }
 
 void FlowInitiator::onOpenTimer(InitiatorCommands& out)
 {
     const TimePoint now = this->clock.now();
-    if (now >= this->candidateExpires) {
+    if (!this->queueing && now >= this->candidateExpires) {
+        this->lastDecline = Reason::NotRun;
+        this->tryNextOrEnd(true, out);
+        return;
+    }
+    if (!this->pendingBackups.empty() && now >= this->backupsAt)
+        this->sendBackups(out);
+    for (CandidateState& candidate : this->candidates)
+        candidate.waiting = candidate.waiting && now < candidate.waitExpires;
+    if (this->queueing && !this->waitsAnywhere()) {
         this->lastDecline = Reason::NotRun;
-        this->tryNextOrEnd(out);
+        this->tryNextOrEnd(true, out);
         return;
     }
     if (now < this->openResendAt)
@@ -226,7 +350,7 @@
         this->openResend *= 2;
     this->openResendAt = now + this->openResend;
     if (this->queueing || this->options.datagrams)
-        this->sendOpen(out);
+        this->resendOpens(out);
 }
 
 //-----------------------------------------------------------------------------
@@ -251,10 +375,13 @@
             return;
         if (frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused)
             this->onDeclined(frame, out);
-        if (frame.kind == FrameKind::Pong && this->queueing
-            && frame.token.owner == this->candidateReplies[this->current].upstream)
-            this->candidateExpires = std::max(this->candidateExpires,
-                this->clock.now() + this->options.heartbeatInterval * queueHeartbeatsBeforeLoss);
+        if (frame.kind == FrameKind::Pong) {
+            for (size_t index = 0; index < this->candidates.size(); ++index) {
+                if (this->candidateReplies[index].upstream == frame.token.owner)
+                    this->candidates[index].waitExpires
+                        = this->clock.now() + this->options.heartbeatInterval * queueHeartbeatsBeforeLoss;
+            }
+        }
         return;
     }
     if (frame.token != this->chosen)
@@ -344,7 +471,7 @@
     this->candidateReplies[this->current].reply = FrameKind::Closed;
     this->candidateReplies[this->current].reason = reason;
     this->sender.resendAll();
-    this->tryNextOrEnd(out);
+    this->tryNextOrEnd(true, out);
 }
 
 //-----------------------------------------------------------------------------
@@ -435,7 +562,7 @@
 void FlowInitiator::onCarriageReset(InitiatorCommands& out)
 {
     if (this->state == InitiatorPhase::Opening)
-        this->sendOpen(out);
+        this->resendOpens(out);
     if (this->state != InitiatorPhase::Bound)
         return;
     // The Ping tells the owner its new route and which bytes of the upstream are missing.
@@ -493,7 +620,14 @@
     };
     if (this->state == InitiatorPhase::Opening) {
         consider(this->deadlineAt);
-        consider(this->candidateExpires);
+        if (!this->queueing)
+            consider(this->candidateExpires);
+        if (!this->pendingBackups.empty())
+            consider(this->backupsAt);
+        for (const CandidateState& candidate : this->candidates) {
+            if (candidate.waiting)
+                consider(candidate.waitExpires);
+        }
         if (this->queueing || this->options.datagrams)
             consider(this->openResendAt);
     } else if (this->state == InitiatorPhase::Bound) {
--- a/wasabicroft/FlowOwner.cpp
+++ b/wasabicroft/FlowOwner.cpp
@@ -186,8 +186,9 @@
         out.emplace_back(SendToInitiator { route, std::move(reply) });
         return;
     }
-    const AdmissionVerdict verdict
-        = this->admission.request({ frame.flow, frame.trafficClass, frame.has(frame_flags::mayQueue), frame.deadline });
+    const AdmissionVerdict verdict = this->admission.request({ frame.flow, frame.trafficClass,
+        frame.has(frame_flags::mayQueue), frame.deadline, frame.has(frame_flags::backup) });
+    const bool isQueued = verdict.decision == AdmissionDecision::Queued;
     if (verdict.decision == AdmissionDecision::Granted || verdict.decision == AdmissionDecision::Queued) {
         Flow& flow = this->flows.try_emplace(frame.flow, this->options, isDatagramRoute(route)).first->second;
         flow.service = frame.service;
@@ -209,6 +210,8 @@
     }
     reply.load = this->admission.load();
     out.emplace_back(SendToInitiator { route, std::move(reply) });
+    if (isQueued)
+        this->applyAdmission(out); // a reservation ahead may be due at once
 }
 
 void FlowOwner::reserve(FlowId id, Flow& flow, OwnerCommands& out)
@@ -230,6 +233,11 @@
 
 void FlowOwner::applyAdmission(OwnerCommands& out)
 {
+    for (const FlowId id : this->admission.takeStarts()) {
+        Flow* flow = this->find(id);
+        if (flow && flow->phase == FlowPhase::Held)
+            this->startWork(id, *flow, out);
+    }
     for (const AdmissionChange& change : this->admission.update()) {
         Flow* flow = this->find(change.flow);
         if (!flow || flow->phase != FlowPhase::Queued) {
@@ -302,8 +310,24 @@
     this->endIfDone(frame.flow, out);
 }
 
-// Starts the work of a reserved flow, or ends it if the service left this upstream since the reservation.
+bool FlowOwner::hasStarted(const Flow& flow)
+{
+    return flow.phase == FlowPhase::Connecting || flow.phase == FlowPhase::Established;
+}
+
+// The first Data of a reserved flow arrived: starts its work, or holds it until a slot is free. False if it ended.
 bool FlowOwner::handOver(FlowId id, Flow& flow, OwnerCommands& out)
+{
+    const bool ignoresReservations = this->options.ablations.ignoreReservation || this->options.ablations.ignoreIncarnation;
+    if (this->admission.start(id) || ignoresReservations)
+        return this->startWork(id, flow, out);
+    flow.phase = FlowPhase::Held;
+    this->schedule(id, flow);
+    return true;
+}
+
+// Connects a flow to the upstream, or ends it if the service left this upstream since the reservation.
+bool FlowOwner::startWork(FlowId id, Flow& flow, OwnerCommands& out)
 {
     if (!this->options.services.contains(flow.service)) {
         this->endFlow(id, Reason::WrongService, false, out);
@@ -353,16 +377,20 @@
     Flow* flow = this->find(frame.flow);
     if (!flow || frame.token.owner != this->options.upstream)
         return;
-    const bool workStarted = flow->phase == FlowPhase::Connecting || flow->phase == FlowPhase::Established;
     const bool namesToken
         = frame.token.incarnation == flow->incarnation && frame.token.reservation == flow->reservation;
-    // Without a token, Cancel releases an unanswered Open; it never ends work that started.
-    if (!workStarted && (namesToken || frame.token.reservation == 0))
+    // Without a token, Cancel releases an unanswered Open; it never ends a flow whose Data arrived.
+    const bool hasData = flow->phase == FlowPhase::Held || hasStarted(*flow);
+    if (!hasData && (namesToken || frame.token.reservation == 0)) {
         this->dropFlow(frame.flow, out);
-    else if (workStarted && namesToken) {
-        out.emplace_back(ResetUpstream { frame.flow });
-        this->endFlow(frame.flow, Reason::Cancelled, true, out);
+        return;
     }
+    if (!hasData || !namesToken)
+        return;
+    const bool wasStarted = hasStarted(*flow);
+    if (wasStarted)
+        out.emplace_back(ResetUpstream { frame.flow });
+    this->endFlow(frame.flow, Reason::Cancelled, wasStarted, out);
 }
 
 void FlowOwner::onQuery(const Frame& frame, const ReplyRoute& route, OwnerCommands& out) const
@@ -372,9 +400,7 @@
     const auto live = this->flows.find(frame.flow);
     const auto past = this->ended.find(frame.flow);
     if (live != this->flows.end()) {
-        const bool started
-            = live->second.phase == FlowPhase::Connecting || live->second.phase == FlowPhase::Established;
-        reply.reason = started ? Reason::HandedOver : Reason::None;
+        reply.reason = hasStarted(live->second) ? Reason::HandedOver : Reason::None;
     } else if (past != this->ended.end() && past->second.handedOver)
         reply.reason = past->second.reason == Reason::UpstreamReset ? Reason::UpstreamReset : Reason::HandedOver;
     else if (past != this->ended.end() && past->second.token == frame.token)
@@ -426,7 +452,7 @@
 {
     if (bytes.empty())
         return;
-    if (flow.phase == FlowPhase::Connecting)
+    if (flow.phase == FlowPhase::Held || flow.phase == FlowPhase::Connecting)
         flow.beforeConnect += bytes;
     else
         out.emplace_back(WriteUpstream { id, std::move(bytes) });
@@ -637,8 +663,10 @@
     if (expectsFrames && now > abandonAt + pauseThreshold)
         flow.lastHeard = now; // frames that arrived during the pause are still to be read
     else if (expectsFrames && now >= abandonAt) {
-        out.emplace_back(ResetUpstream { id });
-        this->endFlow(id, Reason::OutcomeUnknown, true, out);
+        const bool wasStarted = hasStarted(flow);
+        if (wasStarted)
+            out.emplace_back(ResetUpstream { id });
+        this->endFlow(id, wasStarted ? Reason::OutcomeUnknown : Reason::NotRun, wasStarted, out);
         return;
     }
     if (!flow.linkLost && flow.sender.onTimeout(now)) {
@@ -690,15 +718,15 @@
 
 size_t FlowOwner::openFlows() const
 {
-    return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(), [](const auto& entry) {
-        return entry.second.phase == FlowPhase::Connecting || entry.second.phase == FlowPhase::Established;
-    }));
+    return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(), [](const auto& entry) { return hasStarted(entry.second); }));
 }
 
 size_t FlowOwner::reservations() const
 {
     return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(),
-        [](const auto& entry) { return entry.second.phase == FlowPhase::Reserved; }));
+        [](const auto& entry) {
+            return entry.second.phase == FlowPhase::Reserved || entry.second.phase == FlowPhase::Held;
+        }));
 }
 
 size_t FlowOwner::rememberedFlows() const { return this->ended.size(); }
--- a/wasabicroft/Frame.h
+++ b/wasabicroft/Frame.h
@@ -65,6 +65,7 @@
     inline constexpr uint8_t idempotent = 1 << 1; // Open: the work may run more than once
     inline constexpr uint8_t finished = 1 << 2; // Data: last bytes of this direction
     inline constexpr uint8_t handedOver = 1 << 3; // Closed, Answer: bytes were handed to the upstream
+    inline constexpr uint8_t backup = 1 << 4; // Open: the request also waits at another upstream
 } // namespace frame_flags
 
 //-----------------------------------------------------------------------------
