Ask upstreams again when all of a pool drain, and use loads of Pass at once

Cause: an entry held an upstream as draining for 1 s; with no other upstream it refused flows after the drain ended (PathTest.DrainingUpstreamGetsNoNewFlow). A flow that passed planned its wait before the load of that Pass was taken. Change: Placement ignores what it remembers of drains if nothing else is left; EntryServer takes the load of Pass and Refused before the flow sees them.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -774,14 +774,18 @@
     const bool hasLoad = frame.load.slots > 0; // most frames of an owner carry it
     const bool isDraining = frame.reason == Reason::Draining && frame.kind == FrameKind::Pass;
     const Load load = frame.load;
+    // A flow that passed plans with this load; an Opened counts its flow as started first, which the load includes.
+    const bool isDecline = frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused;
+    if (hasLoad && isDecline)
+        this->placement.onLoad(from, load);
     if (isDraining)
         this->placement.onDraining(from);
     if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
     else
         this->onPlainFlowFrame(from, trafficClass, frame);
-    if (hasLoad)
-        this->placement.onLoad(from, load); // after a flow was counted as started, which the load includes
+    if (hasLoad && !isDecline)
+        this->placement.onLoad(from, load);
 }
 
 void EntryServer::onPlainFlowFrame(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
--- a/daemons/wasabi-entry.cpp
+++ b/daemons/wasabi-entry.cpp
@@ -22,6 +22,7 @@
   --open-timeout MS            Time limit for the reply of each candidate [300].
   --flow-heartbeat MS          Silence of a flow with outstanding work before a heartbeat [1000].
   --candidates N               Upstreams asked in turn before a flow queues [2].
+  --wait-at N                  Upstreams at which a flow waits after they passed; 1: no backups [8].
   --max-flows N                Open plain flows; further callers are refused [200000].
   --caller-user-timeout MS     The kernel ends a caller's connection whose bytes stay unacknowledged [30000].
   --flow-buffer-bytes N        Buffer of a flow in each direction [262144].
@@ -49,6 +50,7 @@
         = reader.number("--flow-buffer-bytes", flows.sendBufferBytes, maxPayloadBytes, 16 * 1024 * 1024);
     flows.receiveWindowBytes = flows.sendBufferBytes;
     options.candidates = reader.number("--candidates", options.candidates, 1, 8);
+    options.waitAt = reader.number("--wait-at", options.waitAt, 1, 64);
     options.maxFlows = reader.number("--max-flows", options.maxFlows, 1, 1000000);
     options.userTimeout = reader.duration("--caller-user-timeout", options.userTimeout, Milliseconds(100), 60 * minute);
     SuspicionOptions& suspicion = options.suspicion;
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -240,6 +240,15 @@
         EXPECT_EQ(fixture.placement->plan(service).waitAt.size(), 2U);
     }
 
+    // Guards against a false refusal after a drain ended: the only upstream was still remembered as draining.
+    TEST(Placement, UpstreamsThatAllDrainAreAskedAgain)
+    {
+        PlacementFixture fixture(2);
+        fixture.placement->onDraining({ 1 });
+        fixture.placement->onDraining({ 2 });
+        EXPECT_EQ(fixture.placement->plan(service).waitAt.size(), 2U);
+    }
+
     // Guards against a round trip wasted on Pass when every upstream is known to have a queue.
     TEST(Placement, PlanIsSaturatedOnlyIfWorkWaitsEverywhere)
     {
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -147,11 +147,18 @@
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
         return {};
+    std::vector<UpstreamId> staying;
     std::vector<UpstreamId> live;
     for (const PlacementUpstream& upstream : pool->second) {
-        if (!upstream.leaving && !this->isDraining(upstream.id))
+        if (upstream.leaving)
+            continue;
+        staying.push_back(upstream.id);
+        if (!this->isDraining(upstream.id))
             live.push_back(upstream.id);
     }
+    // What an entry remembers of a drain is a hint. Without any other upstream it would refuse flows after the drain.
+    if (live.empty())
+        live = staying;
     const std::vector<UpstreamId> usable = this->suspects.usable(live);
     std::vector<Ranked> ranking;
     for (const PlacementUpstream& upstream : pool->second) {
