--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -227,6 +227,7 @@
         Duration wait { 0 };
         Duration refusalLatency { 0 };
         std::set<unsigned> waitingAt {}; // hosts
+        bool queuedAtOnce = false; // without asking first
         int primary = -1; // host at which it queues, others are backups
         std::map<unsigned, unsigned> passed {}; // sequential mode: queue length of each host that passed, not tried yet
     };
@@ -670,6 +671,7 @@
             this->refuse(index);
             return;
         }
+        this->requests[index].queuedAtOnce = atOnce;
         this->requests[index].primary = static_cast<int>(hostOf(waitAt.front()));
         this->waitAtHost(index, hostOf(waitAt.front()), false);
         if (!this->options.tuning.backups)
@@ -756,8 +758,10 @@
             this->placeAgain(index);
             return;
         }
-        // Unless work waits everywhere, another host at which it waits as a backup is likely to take it soon.
-        const bool mayWait = reason == Reason::Draining || !this->entryOf(index).plan(service).saturated;
+        // Unless work waits everywhere, another host at which it waits as a backup is likely to take it soon. After the
+        // round trips of asking first, a refusal would come too late to be of use.
+        const bool mayWait
+            = reason == Reason::Draining || !request.queuedAtOnce || !this->entryOf(index).plan(service).saturated;
         if (reason != Reason::DeadlineExceeded && mayWait && !request.waitingAt.empty())
             return;
         this->refuseFor(index, reason);
--- a/daemons/wasabi-agent.cpp
+++ b/daemons/wasabi-agent.cpp
@@ -30,7 +30,6 @@
   --flow-memory MS             How long the end of a flow is remembered [60000].
   --abandon-after MS           A flow is ended when its initiator is silent for this time with work outstanding [30000].
   --flow-buffer-bytes N        Buffer of a flow in each direction [262144].
-  --straggler-after MS         A slot held longer counts as a straggler [5000].
   --max-links N                Open links from entries [4096].
 )" + commonUsage(toString(defaultLink), toString(defaultAdmin))
         + R"(
@@ -55,8 +54,6 @@
     flows.sendBufferBytes
         = reader.number("--flow-buffer-bytes", flows.sendBufferBytes, maxPayloadBytes, 16 * 1024 * 1024);
     flows.receiveWindowBytes = flows.sendBufferBytes;
-    AdmissionOptions& admission = options.admission;
-    admission.stragglerAfter = reader.duration("--straggler-after", admission.stragglerAfter, least, 60 * minute);
     options.maxLinks = reader.number("--max-links", options.maxLinks, 1, 100000);
     return options;
 }
--- a/tests/FlowTest.cpp
+++ b/tests/FlowTest.cpp
@@ -444,6 +444,27 @@
         EXPECT_EQ(initiator.outcome(), FlowOutcome::NotRun);
     }
 
+    // Guards the time of a refusal: where work waits everywhere, a full queue refuses a flow that queued at once, but a
+    // flow that asked first goes on as a backup, because its refusal would take several round trips.
+    TEST_F(FlowFixture, AFullQueueRefusesOnlyAFlowThatQueuedAtOnce)
+    {
+        for (const bool atOnce : { true, false }) {
+            AdmissionOptions full;
+            full.slots = 1;
+            full.queueLimit = 0;
+            Agent one(first, 11, this->clock, full);
+            Agent two(second, 12, this->clock, full);
+            one.admission.request({ { 1, 1 }, TrafficClass::Request, false, Milliseconds(0) });
+            two.admission.request({ { 1, 2 }, TrafficClass::Request, false, Milliseconds(0) });
+            this->options.plan = [] { return PlacementPlan { { first }, { first, second }, true }; };
+            FlowInitiator initiator = this->makeInitiator();
+            InitiatorCommands out;
+            initiator.start({ first }, out, atOnce);
+            this->exchange(initiator, std::move(out), { &one, &two });
+            EXPECT_EQ(initiator.outcome(), atOnce ? FlowOutcome::NotRun : FlowOutcome::Open);
+        }
+    }
+
     // Guards the slots and R4: a reservation ahead starts no work before a slot is free, and until then nothing ran.
     TEST_F(FlowFixture, ReservationAheadHoldsDataUntilASlotIsFree)
     {
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -214,7 +214,8 @@
     size_t nextCandidate = 0;
     size_t current = 0; // candidate asked last
     bool queueing = false; // waits at one or more candidates; current is the one at which it queues
-    bool queuesAtOnce = false;
+    bool queuesAtOnce = false; // will wait without asking first
+    bool queuedAtOnce = false; // waits without having asked first
     std::vector<size_t> pendingBackups; // candidates at which the flow will wait from backupsAt on
     TimePoint backupsAt;
     bool bound = false; // Data went out with the chosen token, and its owner did not deny the hand-over
--- a/wasabicroft/FlowInitiator.cpp
+++ b/wasabicroft/FlowInitiator.cpp
@@ -190,7 +190,7 @@
     this->backupsAt = this->queuesAtOnce ? now + this->options.backupDelay : now;
     if (!this->queuesAtOnce)
         this->sendBackups(out);
-    this->queuesAtOnce = false;
+    this->queuedAtOnce = std::exchange(this->queuesAtOnce, false);
     return !isFirst;
 }
 
@@ -320,9 +320,10 @@
     if (index != this->current || frame.kind == FrameKind::Pass)
         return;
     // The queue that was estimated as the shortest is full. Unless work waits everywhere, a backup is likely to get a
-    // slot soon; otherwise an early refusal is of more use to the caller.
-    const bool isHopeless = frame.reason == Reason::DeadlineExceeded
-        || (frame.reason == Reason::Overloaded && this->options.plan && this->options.plan().saturated);
+    // slot soon. After the round trips of asking first, a refusal would come too late to be of use.
+    const bool isSaturated = this->queuedAtOnce && this->options.plan && this->options.plan().saturated;
+    const bool isHopeless
+        = frame.reason == Reason::DeadlineExceeded || (frame.reason == Reason::Overloaded && isSaturated);
     if (isHopeless)
         this->end(this->lastDecline, this->lastRetryAfter, out);
 }
