Record asking as a backup as tried and not taken

Cause: slots stay idle for over one round trip while work waits, because a request asks two upstreams before it waits anywhere.

--- a/backends/AgentServer.h
+++ b/backends/AgentServer.h
@@ -72,7 +72,8 @@
     Endpoint linkEndpoint; // where entries connect; port 0 lets the kernel choose
     LinkOptions links;
     OwnerOptions flows; // upstream, incarnation and services are set by the agent
-    AdmissionOptions admission { // limits are overwritten by the configuration, backupSalt is set by the agent
+    AdmissionOptions admission {
+        // limits are overwritten by the configuration, backupSalt is set by the agent
         .reserveAhead = 1,
         .reserveAheadFrom = 2,
         .backupPatience = Milliseconds(50),
--- a/bench/PolicyModel.h
+++ b/bench/PolicyModel.h
@@ -58,6 +58,7 @@
     Milliseconds backupPatience { 50 };
     bool backupSalt = true;
     bool backups = true; // wait as backup at the other hosts
+    bool askAsBackup = false; // an asked host that has no slot keeps the request as a backup instead of passing it
     bool queueAtOnceWhenSaturated = true;
     bool deadlineOrder = true;
     bool ramp = true;
@@ -627,7 +628,10 @@
         ++this->requests[index].opens;
         const unsigned host = hostOf(asks[next]);
         this->after(this->delayTo(this->requests[index], host), [this, index, asks, next, host] {
-            const AdmissionVerdict verdict = this->hosts[host].admission->request(this->openOf(index, false, false));
+            const AdmissionVerdict verdict
+                = this->hosts[host].admission->request(this->openOf(index, false, this->options.tuning.askAsBackup));
+            if (verdict.decision == AdmissionDecision::Queued)
+                this->requests[index].waitingAt.insert(host);
             const bool isGranted = verdict.decision == AdmissionDecision::Granted;
             const bool isDraining = verdict.reason == Reason::Draining;
             const unsigned queueLength = this->hosts[host].admission->load().queueLength;
@@ -678,8 +682,10 @@
             return;
         this->after(atOnce ? Duration(this->options.tuning.backupDelay) : Duration(0), [this, index, waitAt] {
             const Request& request = this->requests[index];
-            for (size_t i = 1; i < waitAt.size() && request.bound < 0 && !request.refused; ++i)
-                this->waitAtHost(index, hostOf(waitAt[i]), true);
+            for (size_t i = 1; i < waitAt.size() && request.bound < 0 && !request.refused; ++i) {
+                if (!request.waitingAt.contains(hostOf(waitAt[i])))
+                    this->waitAtHost(index, hostOf(waitAt[i]), true);
+            }
         });
     }
 
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -13,7 +13,7 @@
   policy [--seed=N] [--pool=NAME] [--process=NAME] [--mode=NAME] [--seconds=N] [--csv] [--candidates=N]
          [--penalty=X] [--ahead=N] [--queue=N] [--straggler=MS] [--backup-delay=MS] [--no-backups] [--no-saturated]
          [--fifo] [--no-ramp] [--ahead-from=N] [--patience=MS] [--no-salt]
-         [--wait-at=N]
+         [--wait-at=N] [--ask-as-backup]
 
 Options:
   --seed=N           Seed of arrivals and choices [default: 1].
@@ -33,6 +33,7 @@
   --straggler=MS     A slot held longer is a straggler [default: 75].
   --backup-delay=MS  Until a request that queued at once also waits elsewhere [default: 10].
   --no-backups       Queue at one host only.
+  --ask-as-backup    An asked host without a free slot keeps the request as a backup.
   --no-saturated     Always ask before queueing.
   --fifo             Queue by arrival instead of by deadline.
   --no-ramp          No cold-start ramp.
@@ -54,6 +55,7 @@
         tuning.stragglerAfter = Milliseconds(arguments.at("--straggler").asLong());
         tuning.backupDelay = Milliseconds(arguments.at("--backup-delay").asLong());
         tuning.backups = !arguments.at("--no-backups").asBool();
+        tuning.askAsBackup = arguments.at("--ask-as-backup").asBool();
         tuning.queueAtOnceWhenSaturated = !arguments.at("--no-saturated").asBool();
         tuning.deadlineOrder = !arguments.at("--fifo").asBool();
         tuning.ramp = !arguments.at("--no-ramp").asBool();
--- a/bench/pool-load.cpp
+++ b/bench/pool-load.cpp
@@ -19,7 +19,8 @@
 using namespace wasabicroft::fakes; // NOLINT(google-build-using-namespace)
 using namespace std::chrono_literals;
 
-const char* const usage = R"(Load through 2 entries and 7 agents, then through 2 naive relays, to upstreams with 4 slots and 50 ms of work, one in
+const char* const usage
+    = R"(Load through 2 entries and 7 agents, then through 2 naive relays, to upstreams with 4 slots and 50 ms of work, one in
 100 taking 30 times longer: 80% use, then a swing to 3 times the capacity. Takes about 90 s with the default durations.
 
 Usage:
@@ -107,12 +108,13 @@
     const KindReport& requests = report.of(LoadKind::Registration);
     const double crestBegin = plan.steady + riseSeconds;
     double answered = 0;
-    for (size_t second = static_cast<size_t>(crestBegin); second < static_cast<size_t>(crestBegin + plan.crest); ++second)
-        answered += second < requests.answeredPerSecond.size()
-            ? static_cast<double>(requests.answeredPerSecond[second])
-            : 0;
+    for (size_t second = static_cast<size_t>(crestBegin); second < static_cast<size_t>(crestBegin + plan.crest);
+         ++second)
+        answered
+            += second < requests.answeredPerSecond.size() ? static_cast<double>(requests.answeredPerSecond[second]) : 0;
     uint64_t steadyRefusals = 0;
-    for (size_t second = 0; second < std::min(static_cast<size_t>(plan.steady), requests.refusedPerSecond.size()); ++second)
+    for (size_t second = 0; second < std::min(static_cast<size_t>(plan.steady), requests.refusedPerSecond.size());
+         ++second)
         steadyRefusals += requests.refusedPerSecond[second];
     double steadyImbalance = 0;
     double swingImbalance = 0;
@@ -120,9 +122,11 @@
         double& worst = window.end <= plan.steady ? steadyImbalance : swingImbalance;
         worst = std::max(worst, window.largestOverMean);
     }
-    std::printf("%-7s steady wait p50 %.1f p99 %.1f ms, refused %llu; crest wait p50 %.1f p99 %.1f ms; crest goodput %.3f; imbalance "
-                "steady %.3f swing %.3f\n        sent %llu answered %llu not-run %llu failed %llu broken %llu timed-out "
-                "%llu unconnected %llu; false refusals %llu duplicates %llu losses %llu shed by upstreams %llu\n",
+    std::printf(
+        "%-7s steady wait p50 %.1f p99 %.1f ms, refused %llu; crest wait p50 %.1f p99 %.1f ms; crest goodput %.3f; "
+        "imbalance "
+        "steady %.3f swing %.3f\n        sent %llu answered %llu not-run %llu failed %llu broken %llu timed-out "
+        "%llu unconnected %llu; false refusals %llu duplicates %llu losses %llu shed by upstreams %llu\n",
         path.c_str(), quantile(requests.waits, 1, plan.steady, 0.5), quantile(requests.waits, 1, plan.steady, 0.99),
         static_cast<unsigned long long>(steadyRefusals),
         quantile(requests.waits, crestBegin, crestBegin + plan.crest, 0.5),
--- a/tests/ColdStartProcessTest.cpp
+++ b/tests/ColdStartProcessTest.cpp
@@ -25,7 +25,8 @@
     // Slots that a ramp has offered at most by now; the agent's ramp begins after its start.
     int64_t offeredAt(Duration sinceStart)
     {
-        const double share = std::min(1.0, std::chrono::duration<double>(sinceStart) / std::chrono::duration<double>(ramp));
+        const double share
+            = std::min(1.0, std::chrono::duration<double>(sinceStart) / std::chrono::duration<double>(ramp));
         return 1 + static_cast<int64_t>(share * (slots - 1));
     }
 
--- a/tests/FlowModelTest.cpp
+++ b/tests/FlowModelTest.cpp
@@ -657,7 +657,8 @@
     // Guards R3, R4, R5 and the end of every flow when frames are lost, repeated, reordered and delayed.
     TEST_P(FlowModelSeeds, InvariantsHoldOverDatagrams)
     {
-        const Findings sum = runCases({ .datagrams = true, .naive = false, .ablations = {} }, casesPerRange, GetParam());
+        const Findings sum
+            = runCases({ .datagrams = true, .naive = false, .ablations = {} }, casesPerRange, GetParam());
         EXPECT_GT(sum.completed, sum.flows / 4);
         EXPECT_GT(sum.notRun, 0U);
         EXPECT_GT(sum.backupWins, 0U);
--- a/tests/FlowWorld.h
+++ b/tests/FlowWorld.h
@@ -82,10 +82,10 @@
 inline std::ostream& operator<<(std::ostream& out, const Findings& findings)
 {
     return out << "flows " << findings.flows << ", completed " << findings.completed << ", not run " << findings.notRun
-               << ", bound as backup " << findings.backupWins << ", held " << findings.held << ", handed over twice " << findings.handedOverTwice << ", false not-run " << findings.falseNotRun
-               << ", wrong request " << findings.wrongRequest << ", wrong answer " << findings.wrongAnswer
-               << ", unbounded " << findings.unbounded << ", not ended " << findings.notEnded << ", violations "
-               << findings.violations;
+               << ", bound as backup " << findings.backupWins << ", held " << findings.held << ", handed over twice "
+               << findings.handedOverTwice << ", false not-run " << findings.falseNotRun << ", wrong request "
+               << findings.wrongRequest << ", wrong answer " << findings.wrongAnswer << ", unbounded "
+               << findings.unbounded << ", not ended " << findings.notEnded << ", violations " << findings.violations;
 }
 
 class FlowWorld {
--- a/wasabicroft/FlowOwner.cpp
+++ b/wasabicroft/FlowOwner.cpp
@@ -318,7 +318,8 @@
 // The first Data of a reserved flow arrived: starts its work, or holds it until a slot is free. False if it ended.
 bool FlowOwner::handOver(FlowId id, Flow& flow, OwnerCommands& out)
 {
-    const bool ignoresReservations = this->options.ablations.ignoreReservation || this->options.ablations.ignoreIncarnation;
+    const bool ignoresReservations
+        = this->options.ablations.ignoreReservation || this->options.ablations.ignoreIncarnation;
     if (this->admission.start(id) || ignoresReservations)
         return this->startWork(id, flow, out);
     flow.phase = FlowPhase::Held;
@@ -718,15 +719,15 @@
 
 size_t FlowOwner::openFlows() const
 {
-    return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(), [](const auto& entry) { return hasStarted(entry.second); }));
+    return static_cast<size_t>(std::count_if(
+        this->flows.begin(), this->flows.end(), [](const auto& entry) { return hasStarted(entry.second); }));
 }
 
 size_t FlowOwner::reservations() const
 {
-    return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(),
-        [](const auto& entry) {
-            return entry.second.phase == FlowPhase::Reserved || entry.second.phase == FlowPhase::Held;
-        }));
+    return static_cast<size_t>(std::count_if(this->flows.begin(), this->flows.end(), [](const auto& entry) {
+        return entry.second.phase == FlowPhase::Reserved || entry.second.phase == FlowPhase::Held;
+    }));
 }
 
 size_t FlowOwner::rememberedFlows() const { return this->ended.size(); }
