--- a/bench/pool-load.cpp
+++ b/bench/pool-load.cpp
@@ -30,7 +30,7 @@
   --steady-ms=N        Time at 80% use [default: 20000].
   --crest-ms=N         Time at 3 times the capacity [default: 8000].
   --seed=N             Seed of arrivals and stragglers [default: 1].
-  --entry-options=LIST Comma-separated options of the entries, for example --wait-at,1,--candidates,2.
+  --entry-options=LIST  Comma-separated options of the entries, for example --wait-at,1,--candidates,2.
   -h --help            Show this text.
   --version            Show the version.
 )";
