--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -45,6 +45,7 @@
         PlacementOptions placement;
         placement.failureDomain = options.failureDomain;
         placement.candidates = options.candidates;
+        placement.waitAt = options.waitAt;
         placement.suspicion = options.suspicion;
         placement.random = [generator]() mutable { return generator(); };
         return placement;
@@ -65,11 +66,6 @@
         return upstream.value + static_cast<uint64_t>(trafficClass);
     }
 
-    bool carriesLoad(FrameKind kind)
-    {
-        return kind == FrameKind::Opened || kind == FrameKind::Pass || kind == FrameKind::Refused;
-    }
-
 } // namespace
 
 struct EntryServer::Listener {
@@ -120,17 +116,8 @@
     std::optional<TimePoint> discardUntil; // the refusal was sent; waiting for the caller to close
     std::optional<TimePoint> scheduled; // entry in the timer queue
     std::vector<UpstreamId> asked; // an Open was sent, in order
-    bool lastUnreachable = false; // the link to the candidate asked last is refused or lost
 };
 
-bool EntryServer::lastAskedPassed(const PlainFlow& flow)
-{
-    const std::vector<CandidateReply>& replies = flow.initiator.replies();
-    return std::any_of(replies.begin(), replies.end(), [&](const CandidateReply& reply) {
-        return !flow.asked.empty() && reply.upstream == flow.asked.back() && reply.reply == FrameKind::Pass;
-    });
-}
-
 EntryServer::EntryServer(
     asio::io_context& ioContext, EntryOptions initialOptions, const Clock& timeSource, Metrics& counters)
     : context(ioContext)
@@ -392,27 +379,21 @@
     initiatorOptions.requestId = toString(fromTcp(remote));
     const FlowId id = randomFlowId();
     const ServiceId service = listener->service;
-    initiatorOptions.mayRetry = [this, id, service] {
-        // Asking on after a Pass or when no link takes the Open belongs to placement; only an attempt after silence or
-        // a failure is a retry.
-        const auto found = this->flows.find(id);
-        const bool belongsToPlacement
-            = found != this->flows.end() && (found->second->lastUnreachable || lastAskedPassed(*found->second));
-        if (belongsToPlacement)
-            return true;
-        return this->placement.retryBudget(service).tryRetry();
-    };
+    initiatorOptions.mayRetry = [this, service] { return this->placement.retryBudget(service).tryRetry(); };
+    initiatorOptions.plan = [this, service] { return this->placement.plan(service); };
     const PlainFlowPtr flow
         = std::make_shared<PlainFlow>(std::move(socket), id, std::move(initiatorOptions), this->clock);
     flow->caller = toString(fromTcp(remote));
     flow->listener = listener->name;
     flow->serviceName = listener->serviceName;
-    flow->candidates = this->placement.candidates(service);
+    const PlacementPlan plan = this->placement.plan(service);
+    const bool mayWait = listener->trafficClass != TrafficClass::Feed; // a feed takes no slot
+    flow->candidates = plan.asks;
     this->placement.retryBudget(service).onFirstAttempt();
     this->flows[id] = flow;
     this->metrics.add("wasabi_flows_started_total", serviceLabel(listener->serviceName));
     InitiatorCommands commands;
-    flow->initiator.start(flow->candidates, commands);
+    flow->initiator.start(flow->candidates, commands, plan.saturated && mayWait);
     this->run(flow, commands);
 }
 
@@ -484,8 +465,8 @@
         this->flowsByCarrier[carrier].insert(flow->initiator.id());
         this->links.retain(carrier);
     }
-    const bool isNewCandidate = flow->asked.empty() || flow->asked.back() != send.owner;
-    if (send.frame.kind == FrameKind::Open && isNewCandidate)
+    const bool isKnown = std::find(flow->asked.begin(), flow->asked.end(), send.owner) != flow->asked.end();
+    if (send.frame.kind == FrameKind::Open && !isKnown)
         flow->asked.push_back(send.owner);
     const bool isSent = this->links.send(send.owner, trafficClass, send.frame);
     if (isSent || send.frame.kind != FrameKind::Open)
@@ -503,9 +484,7 @@
     if (flow->isClosed || flow->end)
         return;
     InitiatorCommands commands;
-    flow->lastUnreachable = true;
     flow->initiator.onUnreachable(upstream, commands);
-    flow->lastUnreachable = false;
     this->run(flow, commands);
 }
 
@@ -542,6 +521,17 @@
     }
 }
 
+std::string EntryServer::placementReason(const PlainFlow& flow, bool isBound)
+{
+    if (!isBound)
+        return flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
+    for (const CandidateReply& reply : flow.initiator.replies()) {
+        if (reply.upstream == flow.initiator.token().owner && reply.queued)
+            return reply.backup ? "first free slot as a backup" : "shortest queue";
+    }
+    return flow.asked.size() > 1 ? "next candidate with room" : "first candidate with room";
+}
+
 void EntryServer::logPlacement(PlainFlow& flow)
 {
     flow.isPlaced = true;
@@ -551,7 +541,6 @@
     for (const UpstreamId& candidate : flow.candidates)
         candidates += (candidates.empty() ? "" : ",") + this->upstreamName(candidate);
     std::string replies;
-    bool wasQueued = false;
     for (const CandidateReply& reply : flow.initiator.replies()) {
         if (std::find(flow.asked.begin(), flow.asked.end(), reply.upstream) == flow.asked.end())
             continue;
@@ -560,17 +549,10 @@
         if (reply.reason != Reason::None)
             replies += '(' + std::string(nameOf(reply.reason)) + ')';
         if (reply.queued)
-            replies += "(queued)";
-        wasQueued = wasQueued || reply.queued;
+            replies += reply.backup ? "(backup)" : "(queued)";
     }
     const UpstreamId owner = flow.initiator.token().owner;
-    std::string reason = "first candidate with room";
-    if (!isBound)
-        reason = flow.candidates.empty() ? "no usable upstream" : "no candidate granted a reservation";
-    else if (wasQueued)
-        reason = "shortest queue";
-    else if (flow.asked.size() > 1)
-        reason = "next candidate with room";
+    const std::string reason = placementReason(flow, isBound);
     const Milliseconds wait = std::chrono::duration_cast<Milliseconds>(this->clock.now() - flow.started);
     logEvent(isBound ? Event::FlowPlaced : Event::FlowNotPlaced,
         { { "flow", flow.initiator.id() }, { "service", flow.serviceName }, { "listener", flow.listener },
@@ -850,14 +832,21 @@
         return;
     }
     this->noteVersion(from, trafficClass, frame.configVersion);
-    const bool hasLoad = carriesLoad(frame.kind);
+    const bool hasLoad = frame.load.slots > 0; // most frames of an owner carry it
+    const bool isDraining = frame.reason == Reason::Draining && frame.kind == FrameKind::Pass;
     const Load load = frame.load;
+    // A flow that passed plans with this load; an Opened counts its flow as started first, which the load includes.
+    const bool isDecline = frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused;
+    if (hasLoad && isDecline)
+        this->placement.onLoad(from, load);
+    if (isDraining)
+        this->placement.onDraining(from);
     if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
     else
         this->onPlainFlowFrame(from, trafficClass, frame);
-    if (hasLoad)
-        this->placement.onLoad(from, load); // after a flow was counted as started, which the load includes
+    if (hasLoad && !isDecline)
+        this->placement.onLoad(from, load);
 }
 
 void EntryServer::onPlainFlowFrame(UpstreamId from, TrafficClass trafficClass, const Frame& frame)
--- a/wasabicroft/Frame.h
+++ b/wasabicroft/Frame.h
@@ -66,6 +66,7 @@
     inline constexpr uint8_t finished = 1 << 2; // Data: last bytes of this direction
     inline constexpr uint8_t handedOver = 1 << 3; // Closed, Answer: bytes were handed to the upstream
     inline constexpr uint8_t reply = 1 << 4; // Announce: answers another one and gets no answer itself
+    inline constexpr uint8_t backup = 1 << 5; // Open: the request also waits at another upstream
 } // namespace frame_flags
 
 //-----------------------------------------------------------------------------
