--- /dev/null
+++ b/backends/SessionClient.cpp
@@ -0,0 +1,547 @@
+#include "backends/SessionClient.h"
+
+#include "backends/Link.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <thread>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr size_t readBufferBytes = 64 * 1024; // holds the largest datagram
+    constexpr size_t datagramsPerWakeup = 64;
+    constexpr size_t datagramPayloadBytes = 1100; // fits a frame into the usual path MTU of 1,500 bytes
+    constexpr int socketBufferBytes = 4 * 1024 * 1024;
+    // Share of the frames that still go to silent entries, so that a recovered one is noticed.
+    constexpr unsigned silentEntryOneIn = 16;
+
+} // namespace
+
+std::string_view nameOf(QueryOutcome outcome) { return queryOutcomeNames.at(static_cast<size_t>(outcome)); }
+
+// The state of a client; belongs to its thread. Pending callbacks of the io_context keep it alive.
+class SessionClient::Engine : public std::enable_shared_from_this<Engine> {
+public:
+    asio::io_context& context;
+
+    Engine(asio::io_context& ioContext, SessionOptions initialOptions, const Clock& timeSource)
+        : context(ioContext)
+        , options(std::move(initialOptions))
+        , clock(timeSource)
+        , socket(ioContext)
+        , timer(ioContext)
+        , random(randomIncarnation())
+        , readBuffer(readBufferBytes)
+    {
+        if (this->options.entries.empty())
+            throw std::invalid_argument("a session client needs the address of at least one entry");
+        this->setEntries(this->options.entries);
+        const asio::ip::udp::endpoint first = toUdp(this->options.entries.front());
+        this->socket.open(first.protocol());
+        this->socket.bind({ first.protocol(), 0 });
+        this->socket.non_blocking(true);
+        error_code ignored; // the kernel may allow less
+        this->socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+    }
+
+    void start() { this->receive(); }
+
+    void stop()
+    {
+        this->isStopped = true;
+        this->timer.cancel();
+        error_code ignored;
+        this->socket.close(ignored);
+        this->flows.clear();
+        this->queries.clear();
+    }
+
+    void open(FlowId id, SessionRequest request, SessionHandlers handlers)
+    {
+        if (this->isStopped)
+            return;
+        if (this->flows.size() >= this->options.maxFlows) {
+            if (handlers.onEnded)
+                handlers.onEnded(id, { FlowOutcome::NotRun, Reason::Overloaded, Milliseconds(0), {} });
+            return;
+        }
+        const FlowPtr flow = std::make_shared<Flow>(id, this->initiatorOptions(std::move(request)), this->clock);
+        flow->handlers = std::move(handlers);
+        this->flows[id] = flow;
+        InitiatorCommands commands;
+        flow->initiator.start(std::vector<UpstreamId>(this->options.opens, placedByCarriage), commands);
+        this->run(flow, commands);
+    }
+
+    void write(FlowId id, std::string bytes)
+    {
+        this->withOpenFlow(id, [&](const FlowPtr& flow, InitiatorCommands& commands) {
+            flow->unsent += bytes;
+            flow->announceWritable = true;
+            this->fill(*flow, commands);
+        });
+    }
+
+    void finish(FlowId id)
+    {
+        this->withOpenFlow(id, [&](const FlowPtr& flow, InitiatorCommands& commands) {
+            flow->finishRequested = true;
+            this->fill(*flow, commands);
+        });
+    }
+
+    void consumed(FlowId id, size_t bytes)
+    {
+        this->withOpenFlow(id, [&](const FlowPtr& flow, InitiatorCommands& commands) {
+            flow->initiator.onDelivered(bytes, commands);
+        });
+    }
+
+    void cancel(FlowId id)
+    {
+        this->withOpenFlow(
+            id, [](const FlowPtr& flow, InitiatorCommands& commands) { flow->initiator.cancel(commands); });
+    }
+
+    void query(FlowId id, OwnerToken token, std::function<void(QueryOutcome)> answer)
+    {
+        if (this->isStopped)
+            return;
+        PendingQuery& pending = this->queries[id];
+        pending = { token, std::move(answer), this->clock.now() + this->options.queryTimeout, this->clock.now() };
+        this->sendQuery(id, pending);
+        this->armTimer();
+    }
+
+    void setEntries(const std::vector<Endpoint>& endpoints)
+    {
+        if (endpoints.empty())
+            return;
+        std::vector<Entry> next;
+        for (const Endpoint& endpoint : endpoints) {
+            Entry entry { toUdp(endpoint), std::nullopt };
+            for (const Entry& known : this->entries)
+                if (known.endpoint == entry.endpoint)
+                    entry = known;
+            next.push_back(entry);
+        }
+        this->entries = std::move(next);
+    }
+
+private:
+    struct Flow {
+        Flow(FlowId id, InitiatorOptions initiatorOptions, const Clock& clock)
+            : initiator(id, std::move(initiatorOptions), clock)
+        {
+        }
+
+        FlowInitiator initiator;
+        SessionHandlers handlers;
+        std::string unsent; // given to write(), not yet in the send buffer
+        bool finishRequested = false;
+        bool finishPassedOn = false;
+        bool announceWritable = false;
+        bool isEnded = false;
+        std::optional<TimePoint> timer; // key in timers
+    };
+    using FlowPtr = std::shared_ptr<Flow>;
+
+    struct PendingQuery {
+        OwnerToken token;
+        std::function<void(QueryOutcome)> answer;
+        TimePoint expires;
+        TimePoint resendAt;
+    };
+
+    struct Entry {
+        asio::ip::udp::endpoint endpoint;
+        std::optional<TimePoint> unansweredSince; // first frame sent after the last one received
+    };
+
+    InitiatorOptions initiatorOptions(SessionRequest request) const
+    {
+        InitiatorOptions flow;
+        flow.service = serviceIdOf(this->options.service);
+        flow.trafficClass = this->options.trafficClass;
+        flow.idempotent = request.idempotent;
+        flow.datagrams = true;
+        flow.requestId = std::move(request.requestId);
+        flow.deadline = request.deadline;
+        flow.openTimeout = this->options.openTimeout;
+        flow.heartbeatInterval = this->options.heartbeatInterval;
+        flow.sendBufferBytes = flow.receiveWindowBytes = this->options.bufferBytes;
+        flow.maxPayloadBytes = datagramPayloadBytes;
+        return flow;
+    }
+
+    template <typename Action> void withOpenFlow(FlowId id, Action action)
+    {
+        const auto found = this->flows.find(id);
+        if (this->isStopped || found == this->flows.end() || found->second->isEnded)
+            return;
+        const FlowPtr flow = found->second;
+        InitiatorCommands commands;
+        action(flow, commands);
+        this->run(flow, commands);
+    }
+
+    // Moves bytes of the caller into the send buffer.
+    void fill(Flow& flow, InitiatorCommands& commands)
+    {
+        if (!flow.unsent.empty())
+            flow.unsent.erase(0, flow.initiator.write(flow.unsent, commands));
+        if (flow.unsent.empty() && flow.finishRequested && !std::exchange(flow.finishPassedOn, true))
+            flow.initiator.finishWriting(commands);
+    }
+
+    void run(const FlowPtr& flow, InitiatorCommands& commands)
+    {
+        if (!flow->isEnded)
+            this->fill(*flow, commands);
+        for (InitiatorCommand& command : commands) {
+            if (this->isStopped)
+                return;
+            if (SendToOwner* send = std::get_if<SendToOwner>(&command))
+                this->send(send->frame);
+            else if (const DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&command)) {
+                if (flow->handlers.onBytes)
+                    flow->handlers.onBytes(flow->initiator.id(), deliver->bytes);
+            } else if (std::holds_alternative<DeliverEndToCaller>(command)) {
+                if (flow->handlers.onFinished)
+                    flow->handlers.onFinished(flow->initiator.id());
+            } else if (const FlowEnded* end = std::get_if<FlowEnded>(&command))
+                this->onEnded(flow, *end);
+        }
+        if (this->isStopped)
+            return;
+        const bool isWritable = !flow->isEnded && flow->unsent.empty() && flow->initiator.freeSendBuffer() > 0;
+        if (isWritable && std::exchange(flow->announceWritable, false) && flow->handlers.onWritable)
+            flow->handlers.onWritable(flow->initiator.id());
+        this->schedule(flow);
+    }
+
+    void onEnded(const FlowPtr& flow, const FlowEnded& end)
+    {
+        if (std::exchange(flow->isEnded, true))
+            return;
+        flow->unsent.clear();
+        this->forgetAt.emplace_back(this->clock.now() + this->options.endedMemory, flow->initiator.id());
+        const SessionHandlers handlers = std::exchange(flow->handlers, {});
+        if (handlers.onEnded)
+            handlers.onEnded(
+                flow->initiator.id(), { end.outcome, end.reason, end.retryAfter, flow->initiator.token() });
+    }
+
+    //-------------------------------------------------------------------------
+    // Datagrams
+    //-------------------------------------------------------------------------
+
+    bool isSilent(const Entry& entry) const
+    {
+        return entry.unansweredSince && this->clock.now() - *entry.unansweredSince > this->options.silentEntryAfter;
+    }
+
+    // Any entry can forward any frame. Entries that return nothing are avoided, because every frame that is lost with a
+    // failed entry costs its flow a resend timeout.
+    Entry& chooseEntry()
+    {
+        std::vector<size_t> answering;
+        for (size_t index = 0; index < this->entries.size(); ++index)
+            if (!this->isSilent(this->entries[index]))
+                answering.push_back(index);
+        const bool useAny = answering.empty() || this->random() % silentEntryOneIn == 0;
+        const size_t count = useAny ? this->entries.size() : answering.size();
+        const size_t drawn = this->random() % count;
+        return this->entries[useAny ? drawn : answering[drawn]];
+    }
+
+    void send(const Frame& frame)
+    {
+        Entry& entry = this->chooseEntry();
+        error_code ignored; // a datagram that is not sent is lost like any other and sent again
+        this->socket.send_to(asio::buffer(encodeFrame(frame)), entry.endpoint, 0, ignored);
+        const bool expectsReply = frame.kind == FrameKind::Open || frame.kind == FrameKind::Ping
+            || frame.kind == FrameKind::Data || frame.kind == FrameKind::Query;
+        if (expectsReply && !entry.unansweredSince)
+            entry.unansweredSince = this->clock.now();
+    }
+
+    void noteAnswer(const asio::ip::udp::endpoint& from)
+    {
+        for (Entry& entry : this->entries)
+            if (entry.endpoint == from)
+                entry.unansweredSince.reset();
+    }
+
+    void receive()
+    {
+        this->socket.async_wait(
+            asio::socket_base::wait_read, [self = this->shared_from_this()](error_code error) {
+                if (error == asio::error::operation_aborted || self->isStopped)
+                    return;
+                for (size_t i = 0; i < datagramsPerWakeup && !self->isStopped; ++i) {
+                    asio::ip::udp::endpoint from;
+                    const size_t size = self->socket.receive_from(asio::buffer(self->readBuffer), from, 0, error);
+                    if (error)
+                        break;
+                    self->onDatagram(from, { self->readBuffer.data(), size });
+                }
+                if (!self->isStopped)
+                    self->receive();
+            });
+    }
+
+    void onDatagram(const asio::ip::udp::endpoint& from, std::string_view bytes)
+    {
+        const Result<Frame> decoded = decodeFrame(bytes);
+        if (!decoded)
+            return;
+        this->noteAnswer(from);
+        const Frame& frame = decoded.value();
+        if (frame.kind == FrameKind::Answer) {
+            this->onAnswer(frame);
+            return;
+        }
+        const auto found = this->flows.find(frame.flow);
+        if (found == this->flows.end()) {
+            this->releaseUnknownFlow(frame);
+            return;
+        }
+        const FlowPtr flow = found->second;
+        InitiatorCommands commands;
+        flow->initiator.onFrame(frame, commands);
+        this->run(flow, commands);
+    }
+
+    // The flow was forgotten here, or this client took the address of another one. Frees what the agent still holds.
+    void releaseUnknownFlow(const Frame& frame)
+    {
+        const bool showsLiveFlow = frame.kind == FrameKind::Opened || frame.kind == FrameKind::Data;
+        if (!showsLiveFlow || frame.service != serviceIdOf(this->options.service))
+            return;
+        Frame cancel;
+        cancel.kind = FrameKind::Cancel;
+        cancel.flow = frame.flow;
+        cancel.service = frame.service;
+        cancel.token = frame.token;
+        cancel.trafficClass = this->options.trafficClass;
+        this->send(cancel);
+    }
+
+    //-------------------------------------------------------------------------
+    // Queries
+    //-------------------------------------------------------------------------
+
+    void sendQuery(FlowId id, PendingQuery& pending)
+    {
+        Frame frame;
+        frame.kind = FrameKind::Query;
+        frame.flow = id;
+        frame.service = serviceIdOf(this->options.service);
+        frame.token = pending.token;
+        frame.trafficClass = this->options.trafficClass;
+        this->send(frame);
+        pending.resendAt = this->clock.now() + this->options.queryResend;
+    }
+
+    static QueryOutcome queryOutcomeOf(Reason reason)
+    {
+        switch (reason) {
+        case Reason::HandedOver:
+        case Reason::UpstreamReset:
+            return QueryOutcome::HandedOver;
+        case Reason::NotRun:
+            return QueryOutcome::NotHandedOver;
+        case Reason::None:
+            return QueryOutcome::Reserved;
+        default:
+            return QueryOutcome::Unknown;
+        }
+    }
+
+    void onAnswer(const Frame& frame)
+    {
+        const auto found = this->queries.find(frame.flow);
+        if (found != this->queries.end() && found->second.token == frame.token)
+            this->endQuery(frame.flow, queryOutcomeOf(frame.reason));
+    }
+
+    void endQuery(FlowId id, QueryOutcome outcome)
+    {
+        const std::function<void(QueryOutcome)> answer = std::move(this->queries[id].answer);
+        this->queries.erase(id);
+        if (answer)
+            answer(outcome);
+    }
+
+    //-------------------------------------------------------------------------
+    // Timers
+    //-------------------------------------------------------------------------
+
+    void schedule(const FlowPtr& flow)
+    {
+        const std::optional<TimePoint> next = flow->initiator.nextTimer();
+        if (next != flow->timer) {
+            if (flow->timer)
+                this->timers.erase({ *flow->timer, flow->initiator.id() });
+            flow->timer = next;
+            if (next)
+                this->timers.emplace(*next, flow->initiator.id());
+        }
+        this->armTimer();
+    }
+
+    std::optional<TimePoint> nextWake() const
+    {
+        std::optional<TimePoint> next;
+        const auto consider = [&next](TimePoint at) { next = std::min(next.value_or(at), at); };
+        if (!this->timers.empty())
+            consider(this->timers.begin()->first);
+        if (!this->forgetAt.empty())
+            consider(this->forgetAt.front().first);
+        for (const auto& [id, pending] : this->queries)
+            consider(std::min(pending.resendAt, pending.expires));
+        return next;
+    }
+
+    void armTimer()
+    {
+        const std::optional<TimePoint> next = this->nextWake();
+        if (!next || (this->armedFor && *this->armedFor <= *next))
+            return;
+        this->armedFor = next;
+        this->timer.expires_after(*next - this->clock.now());
+        this->timer.async_wait([self = this->shared_from_this()](error_code error) {
+            if (error || self->isStopped)
+                return;
+            self->armedFor.reset();
+            self->onTimer();
+            if (!self->isStopped)
+                self->armTimer();
+        });
+    }
+
+    void onTimer()
+    {
+        const TimePoint now = this->clock.now();
+        while (!this->isStopped && !this->timers.empty() && this->timers.begin()->first <= now) {
+            const FlowId id = this->timers.begin()->second;
+            this->timers.erase(this->timers.begin());
+            const FlowPtr flow = this->flows[id];
+            flow->timer.reset();
+            InitiatorCommands commands;
+            flow->initiator.onTimer(commands);
+            this->run(flow, commands);
+        }
+        while (!this->forgetAt.empty() && this->forgetAt.front().first <= now) {
+            this->flows.erase(this->forgetAt.front().second);
+            this->forgetAt.pop_front();
+        }
+        std::vector<FlowId> expired;
+        for (auto& [id, pending] : this->queries) {
+            if (pending.expires <= now)
+                expired.push_back(id);
+            else if (pending.resendAt <= now)
+                this->sendQuery(id, pending);
+        }
+        for (const FlowId& id : expired)
+            this->endQuery(id, QueryOutcome::NoAnswer);
+    }
+
+    SessionOptions options;
+    const Clock& clock;
+    asio::ip::udp::socket socket;
+    asio::steady_timer timer;
+    std::optional<TimePoint> armedFor;
+    std::mt19937_64 random;
+    std::vector<char> readBuffer;
+    std::vector<Entry> entries;
+    std::unordered_map<FlowId, FlowPtr> flows; // open and ended ones
+    std::set<std::pair<TimePoint, FlowId>> timers; // of open flows
+    std::deque<std::pair<TimePoint, FlowId>> forgetAt; // ended flows, oldest first
+    std::unordered_map<FlowId, PendingQuery> queries;
+    bool isStopped = false;
+};
+
+struct SessionClient::OwnThread {
+    asio::io_context context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> guard { asio::make_work_guard(this->context) };
+    std::thread thread;
+};
+
+SessionClient::SessionClient(asio::io_context& context, SessionOptions options, const Clock& clock)
+    : engine(std::make_shared<Engine>(context, std::move(options), clock))
+{
+    this->post([](Engine& running) { running.start(); });
+}
+
+SessionClient::SessionClient(SessionOptions options, const Clock& clock)
+    : ownThread(std::make_unique<OwnThread>())
+{
+    this->engine = std::make_shared<Engine>(this->ownThread->context, std::move(options), clock);
+    this->post([](Engine& running) { running.start(); });
+    this->ownThread->thread = std::thread([&context = this->ownThread->context] { context.run(); });
+}
+
+SessionClient::~SessionClient()
+{
+    if (this->ownThread) {
+        this->ownThread->context.stop();
+        this->ownThread->thread.join();
+    }
+    this->engine->stop();
+}
+
+template <typename Action> void SessionClient::post(Action action)
+{
+    asio::post(this->engine->context, [running = this->engine, work = std::move(action)]() mutable { work(*running); });
+}
+
+FlowId SessionClient::open(SessionRequest request, SessionHandlers handlers)
+{
+    const FlowId id = randomFlowId();
+    this->post([id, request = std::move(request), handlers = std::move(handlers)](Engine& running) mutable {
+        running.open(id, std::move(request), std::move(handlers));
+    });
+    return id;
+}
+
+void SessionClient::write(FlowId id, std::string bytes)
+{
+    this->post([id, bytes = std::move(bytes)](Engine& running) mutable { running.write(id, std::move(bytes)); });
+}
+
+void SessionClient::finish(FlowId id)
+{
+    this->post([id](Engine& running) { running.finish(id); });
+}
+
+void SessionClient::consumed(FlowId id, size_t bytes)
+{
+    this->post([id, bytes](Engine& running) { running.consumed(id, bytes); });
+}
+
+void SessionClient::cancel(FlowId id)
+{
+    this->post([id](Engine& running) { running.cancel(id); });
+}
+
+void SessionClient::query(FlowId id, OwnerToken token, std::function<void(QueryOutcome)> answer)
+{
+    this->post([id, token, answer = std::move(answer)](Engine& running) mutable {
+        running.query(id, token, std::move(answer));
+    });
+}
+
+void SessionClient::setEntries(std::vector<Endpoint> endpoints)
+{
+    this->post([endpoints = std::move(endpoints)](Engine& running) { running.setEntries(endpoints); });
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/tests/ChaosProcessTest.cpp
@@ -0,0 +1,34 @@
+// A short run of the chaos program with a fixed seed; bench/chaos.cpp runs longer ones.
+#include "tests/Chaos.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabicroft::tests {
+namespace {
+
+    // Guards against faults that break a guarantee only together (R2 to R6), and against a fleet that does not recover.
+    TEST(ChaosProcess, RandomFaultsBreakNoGuarantee)
+    {
+        ChaosOptions options;
+        options.seed = 20261204;
+        options.programs = PROGRAM_DIRECTORY;
+        const ChaosResult result = runChaos(options, std::cout);
+        for (const std::string& violation : result.violations)
+            ADD_FAILURE() << violation;
+        std::cout << result.report;
+    }
+
+    // Guards against a schedule that a seed does not fix, and against faults that are never drawn.
+    TEST(ChaosSchedule, IsFixedByItsSeedAndHoldsEveryFault)
+    {
+        std::ostringstream first;
+        std::ostringstream second;
+        printSchedule(chaosSchedule(7, Milliseconds(120000)), first);
+        printSchedule(chaosSchedule(7, Milliseconds(120000)), second);
+        EXPECT_EQ(first.str(), second.str());
+        for (const std::string_view fault : chaosFaultNames)
+            EXPECT_NE(first.str().find(fault), std::string::npos) << fault;
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- a/tests/FlowTest.cpp
+++ b/tests/FlowTest.cpp
@@ -349,6 +349,52 @@
         EXPECT_EQ(only<FlowEnded>(this->callerEvents).at(0).reason, Reason::Draining);
     }
 
+    // Guards against work that starts at a leaving upstream because its reservation is older than the drain, and against
+    // such a request that is refused although another upstream is free.
+    TEST_F(FlowFixture, ReservationGrantedBeforeADrainStartsNoWorkAfterIt)
+    {
+        Agent one(first, 11, this->clock);
+        Agent two(second, 12, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands commands;
+        initiator.start({ first, second }, commands);
+        const std::vector<SendToOwner> opens = only<SendToOwner>(commands);
+        ASSERT_EQ(opens.size(), 1U);
+        const std::vector<SendToInitiator> granted = only<SendToInitiator>(one.take(opens[0].frame));
+        ASSERT_EQ(granted.at(0).frame.kind, FrameKind::Opened);
+
+        this->clock.advance(Milliseconds(3000)); // the initiator is paused, within the reservation's life
+        one.admission.setDraining(true);
+        InitiatorCommands resumed;
+        initiator.onFrame(granted[0].frame, resumed);
+        this->exchange(initiator, resumed, { &one, &two });
+
+        EXPECT_EQ(one.owner.openFlows(), 0U) << "new work at a draining upstream";
+        EXPECT_EQ(one.admission.load().busySlots, 0);
+        EXPECT_EQ(two.owner.openFlows(), 1U);
+        EXPECT_EQ(only<ConnectUpstream>(this->upstreamEvents).size(), 1U);
+        EXPECT_EQ(initiator.phase(), InitiatorPhase::Bound);
+        EXPECT_EQ(initiator.token().owner, second);
+    }
+
+    // Guards against a drain that is not reported as the reason when there is no other upstream.
+    TEST_F(FlowFixture, RequestOfADrainedOnlyUpstreamIsNotRun)
+    {
+        Agent one(first, 11, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands commands;
+        initiator.start({ first }, commands);
+        InitiatorCommands replies;
+        this->answer(initiator, one.take(only<SendToOwner>(commands).at(0).frame), replies);
+        one.admission.setDraining(true);
+        this->exchange(initiator, replies, { &one });
+        EXPECT_EQ(initiator.outcome(), FlowOutcome::NotRun);
+        const std::vector<FlowEnded> ends = only<FlowEnded>(this->callerEvents);
+        ASSERT_EQ(ends.size(), 1U);
+        EXPECT_EQ(ends[0].reason, Reason::Draining);
+        EXPECT_TRUE(only<ConnectUpstream>(this->upstreamEvents).empty());
+    }
+
     // Guards truthful refusals: the same deadline ends as not run before Data was sent, and as unknown afterwards.
     TEST_F(FlowFixture, DeadlineOutcomeDependsOnWhetherDataWasSent)
     {
--- /dev/null
+++ b/tests/MisdeliveryTest.cpp
@@ -0,0 +1,315 @@
+// Guards R2: bytes for one service never reach an upstream of another one, although addresses are used again, some
+// processes have a stale configuration and frames of earlier flows arrive late.
+#include "backends/AgentServer.h"
+#include "backends/EntryServer.h"
+#include "backends/SessionClient.h"
+#include "fakes/Load.h"
+#include "fakes/Relay.h"
+#include "wasabicroft/Log.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <random>
+#include <thread>
+
+namespace wasabicroft {
+namespace {
+
+    namespace asio = boost::asio;
+    using namespace std::chrono_literals;
+
+    constexpr const char* address = "127.43.0.1"; // of this test file only
+    constexpr size_t placeCount = 4;
+    constexpr std::array<const char*, 2> services { "core", "labels" };
+
+    // An instance's addresses. Its upstream and agent are replaced together, often by those of the other service.
+    struct Place {
+        Endpoint link;
+        Endpoint upstreamAddress;
+        size_t service = 0;
+        unsigned generation = 0;
+        std::string name;
+        std::unique_ptr<fakes::Upstream> upstream;
+        std::unique_ptr<AgentServer> agent;
+    };
+
+    struct Tally {
+        uint64_t foreign = 0;
+        uint64_t malformed = 0;
+    };
+
+    class Misdelivery : public testing::Test {
+    protected:
+        template <typename Function> auto call(Function function)
+        {
+            std::packaged_task<decltype(function())()> task(std::move(function));
+            std::future<decltype(function())> result = task.get_future();
+            asio::post(this->context, [&task] { task(); });
+            return result.get();
+        }
+
+        Misdelivery()
+            : guard(asio::make_work_guard(this->context))
+            , thread([this] { this->context.run(); })
+        {
+            for (size_t i = 0; i < placeCount; ++i) {
+                this->places[i].link = { address, static_cast<uint16_t>(7100 + i) };
+                this->places[i].upstreamAddress = { address, static_cast<uint16_t>(7200 + i) };
+            }
+        }
+
+        ~Misdelivery() override
+        {
+            this->call([this] {
+                for (const std::unique_ptr<EntryServer>& entry : this->entries)
+                    entry->stop();
+                for (Place& place : this->places)
+                    if (place.agent)
+                        place.agent->stop();
+                return 0;
+            });
+            this->context.stop();
+            this->thread.join();
+        }
+
+        void replace(Place& place, size_t service)
+        {
+            if (place.agent) {
+                this->call([&] {
+                    place.agent->stop();
+                    return 0;
+                });
+                this->retired.push_back(std::move(place.agent));
+                this->count(place);
+            }
+            place.service = service;
+            place.name = std::string(services.at(service)) + '-' + std::to_string(&place - this->places.data()) + '-'
+                + std::to_string(++place.generation);
+            fakes::UpstreamOptions options;
+            options.service = services.at(service);
+            options.name = place.name;
+            options.listen = place.upstreamAddress;
+            options.slots = 64;
+            place.upstream.reset();
+            place.upstream = std::make_unique<fakes::Upstream>(options);
+            AgentOptions agent;
+            agent.name = place.name;
+            agent.linkEndpoint = place.link;
+            place.agent = std::make_unique<AgentServer>(this->context, agent, this->clock, this->metrics);
+            ASSERT_TRUE(this->call([&] { return place.agent->start().has_value(); }));
+        }
+
+        void count(const Place& place)
+        {
+            const fakes::Ledger ledger = place.upstream->ledger();
+            this->tally.foreign += ledger.foreign;
+            this->tally.malformed += ledger.malformed;
+        }
+
+        std::shared_ptr<const Snapshot> nextSnapshot()
+        {
+            const std::shared_ptr<Snapshot> snapshot = std::make_shared<Snapshot>();
+            snapshot->manifest.version = ++this->version;
+            for (size_t i = 0; i < services.size(); ++i) {
+                ServiceConfig service;
+                service.name = services.at(i);
+                service.listeners
+                    = { { "request", { address, static_cast<uint16_t>(7300 + i) }, TrafficClass::Request } };
+                for (const Place& place : this->places)
+                    if (place.service == i && place.agent)
+                        service.upstreams.push_back({ place.name, "a", place.link, place.upstreamAddress, false });
+                snapshot->services.push_back(service);
+            }
+            return snapshot;
+        }
+
+        // Puts the snapshot in force at each process with the given probability; the others stay stale.
+        void publish(const std::shared_ptr<const Snapshot>& snapshot, double share)
+        {
+            this->call([&] {
+                std::bernoulli_distribution reached(share);
+                for (const std::unique_ptr<EntryServer>& entry : this->entries)
+                    if (reached(this->random))
+                        entry->applySnapshot(snapshot);
+                for (Place& place : this->places)
+                    if (place.agent && reached(this->random))
+                        place.agent->applySnapshot(snapshot);
+                return 0;
+            });
+        }
+
+        std::vector<Endpoint> listeners(size_t service) const
+        {
+            std::vector<Endpoint> all;
+            for (size_t i = 0; i < 2; ++i)
+                all.push_back({ "127.43.0." + std::to_string(10 + i), static_cast<uint16_t>(7300 + service) });
+            return all;
+        }
+
+        void startEntries()
+        {
+            for (size_t i = 0; i < 2; ++i) {
+                EntryOptions options;
+                options.listenAddress = "127.43.0." + std::to_string(10 + i);
+                options.flows.openTimeout = 150ms;
+                options.links.minBackoff = 20ms;
+                options.links.maxBackoff = 100ms;
+                options.suspicion.maxEjection = 500ms;
+                this->entries.push_back(
+                    std::make_unique<EntryServer>(this->context, options, this->clock, this->metrics));
+            }
+        }
+
+        SystemClock clock;
+        Metrics metrics;
+        asio::io_context context;
+        asio::executor_work_guard<asio::io_context::executor_type> guard;
+        std::thread thread;
+        std::mt19937_64 random { 20261204 };
+        std::array<Place, placeCount> places;
+        std::vector<std::unique_ptr<EntryServer>> entries;
+        std::vector<std::unique_ptr<AgentServer>> retired; // callbacks of the io_context may still name them
+        uint64_t version = 0;
+        Tally tally;
+    };
+
+    fakes::LoadOptions requestsOf(const std::string& service, const std::vector<Endpoint>& addresses, uint64_t seed)
+    {
+        fakes::LoadOptions options;
+        options.seconds = 8;
+        options.seed = seed;
+        options.timeout = 2000ms;
+        options.work = 20ms;
+        options.of(fakes::LoadKind::Registration) = { addresses, service, 80 };
+        return options;
+    }
+
+    // A session caller's request; the answer has to come from an upstream of its own service.
+    struct SessionCalls {
+        SessionCalls(const std::string& name, std::vector<Endpoint> addresses, const Clock& clock)
+            : service(name)
+            , client(
+                  [&] {
+                      SessionOptions options;
+                      options.service = name;
+                      options.entries = std::move(addresses);
+                      return options;
+                  }(),
+                  clock)
+        {
+        }
+
+        void send(unsigned number)
+        {
+            const std::shared_ptr<std::string> answer = std::make_shared<std::string>();
+            const std::string id = this->service + "-s" + std::to_string(number);
+            SessionHandlers handlers;
+            handlers.onBytes = [this, answer](FlowId flow, std::string_view bytes) {
+                *answer += bytes;
+                this->client.consumed(flow, bytes.size());
+            };
+            handlers.onEnded = [this, answer, id](FlowId, const SessionEnd& end) {
+                ++this->ended;
+                if (answer->find("X-Service: ") != std::string::npos
+                    && answer->find("X-Service: " + this->service + "\r\n") == std::string::npos)
+                    ++this->foreignAnswers;
+                if (end.outcome != FlowOutcome::Completed)
+                    return;
+                ++this->completed;
+                if (!answer->ends_with("registered " + id + "\n"))
+                    ++this->wrongAnswers;
+            };
+            SessionRequest request;
+            request.requestId = id;
+            request.deadline = 2000ms;
+            const FlowId flow = this->client.open(request, handlers);
+            this->client.write(flow,
+                "POST /register HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-Id: " + id + "\r\nX-Service: "
+                    + this->service + "\r\nX-Work-Ms: 20\r\nContent-Length: 0\r\n\r\n");
+            this->client.finish(flow);
+        }
+
+        std::string service;
+        std::atomic<unsigned> ended = 0;
+        std::atomic<unsigned> completed = 0;
+        std::atomic<unsigned> foreignAnswers = 0;
+        std::atomic<unsigned> wrongAnswers = 0;
+        SessionClient client;
+    };
+
+    TEST_F(Misdelivery, NoByteReachesAForeignServiceWhenAddressesAreUsedAgain)
+    {
+        abortOnViolation(true);
+        this->startEntries();
+        for (size_t i = 0; i < placeCount; ++i)
+            this->replace(this->places[i], i % services.size());
+        this->publish(this->nextSnapshot(), 1);
+        this->call([this] {
+            for (const std::unique_ptr<EntryServer>& entry : this->entries)
+                entry->start();
+            return 0;
+        });
+        std::vector<std::future<fakes::LoadReport>> runs;
+        std::vector<std::unique_ptr<SessionCalls>> sessions;
+        for (size_t i = 0; i < services.size(); ++i) {
+            runs.push_back(std::async(std::launch::async,
+                [options = requestsOf(services.at(i), this->listeners(i), i + 1)] { return fakes::runLoad(options); }));
+            sessions.push_back(std::make_unique<SessionCalls>(services.at(i), this->listeners(i), this->clock));
+        }
+        constexpr unsigned steps = 80;
+        for (unsigned step = 0; step < steps; ++step) {
+            for (const std::unique_ptr<SessionCalls>& calls : sessions)
+                for (unsigned i = 0; i < 6; ++i)
+                    calls->send(step * 6 + i);
+            if (step % 2 == 1) {
+                Place& place = this->places.at(this->random() % placeCount);
+                this->replace(place, this->random() % 3 == 0 ? place.service : 1 - place.service);
+            }
+            this->publish(this->nextSnapshot(), 0.6);
+            std::this_thread::sleep_for(100ms);
+        }
+        for (size_t i = 0; i < services.size(); ++i) {
+            const fakes::LoadReport report = runs[i].get();
+            const fakes::KindReport& kind = report.of(fakes::LoadKind::Registration);
+            EXPECT_EQ(kind.misdelivered, 0U);
+            EXPECT_EQ(kind.corrupt, 0U);
+            EXPECT_GT(kind.count(fakes::Outcome::Answered), 100U) << fakes::reportTable(report);
+            const SessionCalls& calls = *sessions[i];
+            EXPECT_EQ(calls.foreignAnswers, 0U);
+            EXPECT_EQ(calls.wrongAnswers, 0U);
+            EXPECT_GT(calls.completed, 100U) << calls.ended << " ended";
+            std::cout << services.at(i) << ": plain " << kind.count(fakes::Outcome::Answered) << " of " << kind.sent
+                      << " answered, session " << calls.completed << " of " << calls.ended << " completed\n";
+        }
+        for (const Place& place : this->places)
+            this->count(place);
+        EXPECT_EQ(this->tally.foreign, 0U);
+        EXPECT_EQ(this->tally.malformed, 0U);
+    }
+
+    // Shows that the check finds misdelivery: a relay without reservations keeps sending to addresses that another
+    // service has taken.
+    TEST_F(Misdelivery, ANaiveRelayIsFound)
+    {
+        for (size_t i = 0; i < placeCount; ++i)
+            this->replace(this->places[i], 0);
+        fakes::RelayOptions options;
+        options.listen = { address, 7400 };
+        for (const Place& place : this->places)
+            options.targets.push_back(place.upstreamAddress);
+        const fakes::Relay relay(options);
+        fakes::LoadOptions load = requestsOf("core", { options.listen }, 3);
+        load.seconds = 2;
+        std::future<fakes::LoadReport> run
+            = std::async(std::launch::async, [&load] { return fakes::runLoad(load); });
+        std::this_thread::sleep_for(500ms);
+        this->replace(this->places[0], 1);
+        run.get();
+        for (const Place& place : this->places)
+            this->count(place);
+        EXPECT_GT(this->tally.foreign, 0U);
+    }
+
+} // namespace
+} // namespace wasabicroft
--- a/tests/Processes.cpp
+++ b/tests/Processes.cpp
@@ -1,5 +1,6 @@
 #include "tests/Processes.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/udp.hpp>
 #include <cerrno>
@@ -187,6 +188,12 @@
     throw std::out_of_range("no process is named " + name);
 }
 
+bool ProcessGroup::isRunning(const std::string& name) const
+{
+    return std::any_of(this->processes.begin(), this->processes.end(),
+        [&](const std::unique_ptr<Process>& process) { return process->name() == name && process->running(); });
+}
+
 void ProcessGroup::remove(const std::string& name)
 {
     std::erase_if(this->processes, [&](const std::unique_ptr<Process>& process) { return process->name() == name; });
--- a/tests/Processes.h
+++ b/tests/Processes.h
@@ -63,7 +63,8 @@
     // Throws std::runtime_error if the program cannot be started.
     Process& start(const std::string& name, const std::string& program, const std::vector<std::string>& arguments);
 
-    Process& operator[](const std::string& name) const;
+    Process& operator[](const std::string& name) const; // throws std::out_of_range
+    bool isRunning(const std::string& name) const; // false also for an unknown name
     void remove(const std::string& name); // ends it
     const std::filesystem::path& logDirectory() const { return this->directory.path; }
     std::string allLogs() const; // for the message of a failing test
--- a/wasabicroft/Flow.h
+++ b/wasabicroft/Flow.h
@@ -52,6 +52,7 @@
     bool ignoreIncarnation = false; // owner: accept Data and Open state of another incarnation
     bool rebindAfterData = false; // initiator: take a second Opened after Data was sent
     bool unknownIsNotRun = false; // owner: answer not-run for an unknown reservation
+    bool startWhileDraining = false; // owner: hand over for a reservation granted before the drain
 
     bool operator==(const FlowAblations&) const = default;
 };
--- a/wasabicroft/FlowOwner.cpp
+++ b/wasabicroft/FlowOwner.cpp
@@ -302,13 +302,19 @@
     this->endIfDone(frame.flow, out);
 }
 
-// Starts the work of a reserved flow, or ends it if the service left this upstream since the reservation.
+// Starts the work of a reserved flow, or ends it if the service left this upstream or a drain began since the
+// reservation. A paused initiator may send its first Data as late as the reservation expires, which is long after a
+// drain has to have stopped new work.
 bool FlowOwner::handOver(FlowId id, Flow& flow, OwnerCommands& out)
 {
     if (!this->options.services.contains(flow.service)) {
         this->endFlow(id, Reason::WrongService, false, out);
         return false;
     }
+    if (this->admission.draining() && !this->options.ablations.startWhileDraining) {
+        this->endFlow(id, Reason::Draining, false, out);
+        return false;
+    }
     const bool heldHere = flow.incarnation == this->options.incarnation && flow.reservation <= this->lastReservation;
     if (!heldHere && !this->options.ablations.ignoreIncarnation && !this->options.ablations.ignoreReservation)
         reportViolation("work starts only for a reservation of this incarnation", { { "flow", id } });
