--- a/tests/FailureProcessTest.cpp
+++ b/tests/FailureProcessTest.cpp
@@ -47,7 +47,8 @@
         void startFleet(size_t entries, size_t coreUpstreams, size_t labelUpstreams)
         {
             this->fleet.addService("core");
-            this->fleet.addService("labels");
+            if (labelUpstreams > 0)
+                this->fleet.addService("labels"); // a service without upstreams is not valid
             for (size_t i = 1; i <= coreUpstreams; ++i)
                 this->fleet.addUpstream("core", "core-" + std::to_string(i));
             for (size_t i = 1; i <= labelUpstreams; ++i)
@@ -112,7 +113,7 @@
     TEST_P(RegistrationFailure, RunsAtMostOnceAndIsNeverRefusedFalsely)
     {
         const auto [fault, victim] = this->GetParam();
-        this->startFleet(2, 3, 0);
+        ASSERT_NO_FATAL_FAILURE(this->startFleet(2, 3, 0));
         fakes::RelayOptions relay;
         relay.listen = freeEndpoint();
         relay.targets = { this->fleet.entryAddress("entry-1", "core", requestListener) };
@@ -174,7 +175,7 @@
     // addresses go to another service, the configuration changes, the instance list lags.
     TEST_F(FailureProcess, PlannedChangesBreakNoFlow)
     {
-        this->startFleet(2, 3, 2);
+        ASSERT_NO_FATAL_FAILURE(this->startFleet(2, 3, 2));
         const auto connector = [&](const std::string& service, const char* listener) {
             return std::vector<Endpoint> { this->fleet.startConnector(service, listener) };
         };
@@ -229,7 +230,7 @@
     // Guards against a session flow that depends on one entry.
     TEST_F(FailureProcess, SessionFlowsSurviveTheKillOfAnyEntry)
     {
-        this->startFleet(3, 3, 2);
+        ASSERT_NO_FATAL_FAILURE(this->startFleet(3, 3, 2));
         const auto connector = [&](const std::string& service, const char* listener) {
             return std::vector<Endpoint> { this->fleet.startConnector(service, listener) };
         };
@@ -263,7 +264,7 @@
     // or the configuration marks it) and against a request that a drain cuts (R7).
     TEST_P(Drain, LeavingUpstreamGetsNoNewWorkAndNoRequestIsCut)
     {
-        this->startFleet(2, 3, 0);
+        ASSERT_NO_FATAL_FAILURE(this->startFleet(2, 3, 0));
         LoadOptions options = loadOptions(10, 5, this->fleet);
         options.timeout = 8000ms;
         options.of(LoadKind::Registration) = { this->fleet.entryAddresses("core", requestListener), "core", 60 };
@@ -326,7 +327,7 @@
     // its connections while new ones work.
     TEST_F(FailureProcess, FeedGoesOnWithinFiveSecondsAfterItsConnectionIsSwallowed)
     {
-        this->startFleet(2, 2, 0);
+        ASSERT_NO_FATAL_FAILURE(this->startFleet(2, 2, 0));
         LoadOptions plain = loadOptions(10, 7, this->fleet);
         plain.silenceLimit = 5000ms;
         plain.of(LoadKind::Feed) = { this->fleet.entryAddresses("core", feedListener), "core", 20 };
