Avoid upstreams that replied draining for session flows too

Change: the entry tells Placement of each reply with reason draining. The test harness closes inherited sockets in its children: an address could not be used again in a test.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -786,6 +786,9 @@
     this->noteVersion(frame.configVersion);
     const bool hasLoad = carriesLoad(frame.kind);
     const Load load = frame.load;
+    // A draining upstream is idle, so without this it would stay the first choice for every further flow.
+    if (frame.reason == Reason::Draining)
+        this->placement.onDraining(from);
     if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
     else
--- a/tests/Processes.cpp
+++ b/tests/Processes.cpp
@@ -52,6 +52,8 @@
             _exit(startFailed);
         redirect(outputFile, STDOUT_FILENO);
         redirect(logFile, STDERR_FILENO);
+        // Sockets of the test's stand-ins would otherwise stay open in the child after the test closed them.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(program.c_str(), arguments);
         _exit(startFailed);
     }
