Send replies of session flows from the listener that the caller used

Cause: the entry chose the listener of a reply by class. Change: the reply address carries the listener's name; the client no longer spends frames on silent entries but sends copies every 500 ms.

--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -696,7 +696,7 @@
 
 void EntryServer::forwardToOwner(Listener& listener, const Endpoint& caller, Frame& frame)
 {
-    frame.replyAddress = toString(caller);
+    frame.replyAddress = toString(caller) + ' ' + listener.name;
     frame.trafficClass = listener.trafficClass;
     if (frame.token.owner == placedByCarriage && frame.kind == FrameKind::Open
         && !this->placeBlankOpen(caller, frame)) {
@@ -744,12 +744,19 @@
 
 void EntryServer::forwardToCaller(UpstreamId from, Frame& frame)
 {
-    const Result<Endpoint> caller = parseEndpoint(frame.replyAddress);
+    const size_t separator = std::min(frame.replyAddress.find(' '), frame.replyAddress.size());
+    const Result<Endpoint> caller = parseEndpoint(std::string_view(frame.replyAddress).substr(0, separator));
+    const std::string listenerName
+        = separator < frame.replyAddress.size() ? frame.replyAddress.substr(separator + 1) : std::string();
     const auto upstream = this->upstreams.find(from);
     const bool isMember = upstream != this->upstreams.end() && upstream->second.services.contains(frame.service);
+    // The reply leaves from the address that the caller sent to. Several listeners may have the same class, and a
+    // configuration change may have changed the class since.
     std::shared_ptr<Listener> listener;
     for (const auto& [key, candidate] : this->listeners) {
-        if (candidate->service == frame.service && (!listener || candidate->trafficClass == frame.trafficClass))
+        if (candidate->service != frame.service || (listener && listener->name == listenerName))
+            continue;
+        if (!listener || candidate->name == listenerName || candidate->trafficClass == frame.trafficClass)
             listener = candidate;
     }
     if (!caller || caller.value().port == 0 || !isMember || !listener) {
--- a/backends/SessionClient.cpp
+++ b/backends/SessionClient.cpp
@@ -18,8 +18,7 @@
     constexpr size_t datagramsPerWakeup = 64;
     constexpr size_t datagramPayloadBytes = 1100; // fits a frame into the usual path MTU of 1,500 bytes
     constexpr int socketBufferBytes = 4 * 1024 * 1024;
-    // Share of the frames that still go to silent entries, so that a recovered one is noticed.
-    constexpr unsigned silentEntryOneIn = 16;
+    constexpr Milliseconds silentEntryProbe { 500 }; // between copies of frames to a silent entry
 
 } // namespace
 
@@ -125,7 +124,7 @@
             return;
         std::vector<Entry> next;
         for (const Endpoint& endpoint : endpoints) {
-            Entry entry { toUdp(endpoint), std::nullopt };
+            Entry entry { toUdp(endpoint), std::nullopt, {} };
             for (const Entry& known : this->entries)
                 if (known.endpoint == entry.endpoint)
                     entry = known;
@@ -162,6 +161,7 @@
     struct Entry {
         asio::ip::udp::endpoint endpoint;
         std::optional<TimePoint> unansweredSince; // first frame sent after the last one received
+        TimePoint lastProbe; // last copy of a frame sent while silent
     };
 
     InitiatorOptions initiatorOptions(SessionRequest request) const
@@ -255,7 +255,7 @@
         for (size_t index = 0; index < this->entries.size(); ++index)
             if (!this->isSilent(this->entries[index]))
                 answering.push_back(index);
-        const bool useAny = answering.empty() || this->random() % silentEntryOneIn == 0;
+        const bool useAny = answering.empty();
         const size_t count = useAny ? this->entries.size() : answering.size();
         const size_t drawn = this->random() % count;
         return this->entries[useAny ? drawn : answering[drawn]];
@@ -263,9 +263,25 @@
 
     void send(const Frame& frame)
     {
-        Entry& entry = this->chooseEntry();
+        const std::string bytes = encodeFrame(frame);
+        Entry& chosen = this->chooseEntry();
+        this->sendThrough(chosen, frame, bytes);
+        // Copies find out whether a silent entry is back. The owner drops repeated bytes; a copy of an Open is avoided,
+        // because it would take a second reservation.
+        const TimePoint now = this->clock.now();
+        for (Entry& entry : this->entries) {
+            const bool mayProbe = frame.kind == FrameKind::Data || frame.kind == FrameKind::Ping;
+            if (!mayProbe || &entry == &chosen || !this->isSilent(entry) || now - entry.lastProbe < silentEntryProbe)
+                continue;
+            entry.lastProbe = now;
+            this->sendThrough(entry, frame, bytes);
+        }
+    }
+
+    void sendThrough(Entry& entry, const Frame& frame, const std::string& bytes)
+    {
         error_code ignored; // a datagram that is not sent is lost like any other and sent again
-        this->socket.send_to(asio::buffer(encodeFrame(frame)), entry.endpoint, 0, ignored);
+        this->socket.send_to(asio::buffer(bytes), entry.endpoint, 0, ignored);
         const bool expectsReply = frame.kind == FrameKind::Open || frame.kind == FrameKind::Ping
             || frame.kind == FrameKind::Data || frame.kind == FrameKind::Query;
         if (expectsReply && !entry.unansweredSince)
--- a/tests/FailureProcessTest.cpp
+++ b/tests/FailureProcessTest.cpp
@@ -40,6 +40,12 @@
         for (const std::string& violation : brokenGuarantees(report, feedsMayBreak))
             ADD_FAILURE() << violation;
         std::cout << "== " << name << '\n' << fakes::reportTable(report);
+        for (size_t i = 0; i < fakes::loadKindCount; ++i) {
+            std::cout << fakes::loadKindNames.at(i) << " not answered, by second:";
+            for (const uint64_t count : report.kinds.at(i).refusedPerSecond)
+                std::cout << ' ' << count;
+            std::cout << '\n';
+        }
     }
 
     class FailureProcess : public testing::Test {
--- a/wasabicroft/Frame.h
+++ b/wasabicroft/Frame.h
@@ -85,7 +85,7 @@
     Milliseconds deadline { 0 }; // remaining time; 0 means none
     Milliseconds retryAfter { 0 };
     Load load;
-    std::string replyAddress; // "ip:port" of a session caller, set by the entry
+    std::string replyAddress; // "ip:port listener" of a session caller, set by the entry
     std::string key; // Fetch, Value: name of the value; Open: request id of the caller
     std::string payload;
 
