--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -291,7 +291,9 @@
     if (this->callers.size() >= maxCallers)
         return;
     if (this->callers
-            .try_emplace(open.flow, FlowCaller { isPlain ? open.key : open.replyAddress.substr(0, open.replyAddress.find(' ')), open.key, this->clock.now() })
+            .try_emplace(open.flow,
+                FlowCaller { isPlain ? open.key : open.replyAddress.substr(0, open.replyAddress.find(' ')), open.key,
+                    this->clock.now() })
             .second)
         this->callerOrder.emplace_back(this->clock.now(), open.flow);
 }
--- a/backends/SessionClient.cpp
+++ b/backends/SessionClient.cpp
@@ -97,9 +97,8 @@
 
     void consumed(FlowId id, size_t bytes)
     {
-        this->withOpenFlow(id, [&](const FlowPtr& flow, InitiatorCommands& commands) {
-            flow->initiator.onDelivered(bytes, commands);
-        });
+        this->withOpenFlow(id,
+            [&](const FlowPtr& flow, InitiatorCommands& commands) { flow->initiator.onDelivered(bytes, commands); });
     }
 
     void cancel(FlowId id)
@@ -297,20 +296,19 @@
 
     void receive()
     {
-        this->socket.async_wait(
-            asio::socket_base::wait_read, [self = this->shared_from_this()](error_code error) {
-                if (error == asio::error::operation_aborted || self->isStopped)
-                    return;
-                for (size_t i = 0; i < datagramsPerWakeup && !self->isStopped; ++i) {
-                    asio::ip::udp::endpoint from;
-                    const size_t size = self->socket.receive_from(asio::buffer(self->readBuffer), from, 0, error);
-                    if (error)
-                        break;
-                    self->onDatagram(from, { self->readBuffer.data(), size });
-                }
-                if (!self->isStopped)
-                    self->receive();
-            });
+        this->socket.async_wait(asio::socket_base::wait_read, [self = this->shared_from_this()](error_code error) {
+            if (error == asio::error::operation_aborted || self->isStopped)
+                return;
+            for (size_t i = 0; i < datagramsPerWakeup && !self->isStopped; ++i) {
+                asio::ip::udp::endpoint from;
+                const size_t size = self->socket.receive_from(asio::buffer(self->readBuffer), from, 0, error);
+                if (error)
+                    break;
+                self->onDatagram(from, { self->readBuffer.data(), size });
+            }
+            if (!self->isStopped)
+                self->receive();
+        });
     }
 
     void onDatagram(const asio::ip::udp::endpoint& from, std::string_view bytes)
@@ -522,9 +520,8 @@
 FlowId SessionClient::open(SessionRequest request, SessionHandlers handlers)
 {
     const FlowId id = randomFlowId();
-    this->post([id, request = std::move(request), handlers = std::move(handlers)](Engine& running) mutable {
-        running.open(id, std::move(request), std::move(handlers));
-    });
+    this->post([id, request = std::move(request), handlers = std::move(handlers)](
+                   Engine& running) mutable { running.open(id, std::move(request), std::move(handlers)); });
     return id;
 }
 
@@ -550,9 +547,8 @@
 
 void SessionClient::query(FlowId id, OwnerToken token, std::function<void(QueryOutcome)> answer)
 {
-    this->post([id, token, answer = std::move(answer)](Engine& running) mutable {
-        running.query(id, token, std::move(answer));
-    });
+    this->post([id, token, answer = std::move(answer)](
+                   Engine& running) mutable { running.query(id, token, std::move(answer)); });
 }
 
 void SessionClient::setEntries(std::vector<Endpoint> endpoints)
--- a/backends/SessionClient.h
+++ b/backends/SessionClient.h
@@ -77,7 +77,8 @@
 
 // Called on the client's thread; may call the client.
 struct SessionHandlers {
-    std::function<void(FlowId, std::string_view bytes)> onBytes; // in order, without repeats; see SessionClient::consumed
+    std::function<void(FlowId, std::string_view bytes)>
+        onBytes; // in order, without repeats; see SessionClient::consumed
     std::function<void(FlowId)> onFinished; // the upstream finished its direction
     std::function<void(FlowId)> onWritable; // all bytes given to write() are in the flow's buffer, which has room
     std::function<void(FlowId, const SessionEnd&)> onEnded; // once, as the last call
--- a/daemons/wasabi-connector.cpp
+++ b/daemons/wasabi-connector.cpp
@@ -95,8 +95,8 @@
             this->finishWriting();
             return;
         }
-        asio::async_write(this->socket, asio::buffer(this->writing),
-            [self = this->shared_from_this()](ErrorCode error, size_t) {
+        asio::async_write(
+            this->socket, asio::buffer(this->writing), [self = this->shared_from_this()](ErrorCode error, size_t) {
                 const size_t size = std::exchange(self->writing, {}).size();
                 if (error) {
                     self->client.cancel(self->flow);
--- a/tests/Chaos.h
+++ b/tests/Chaos.h
@@ -21,9 +21,9 @@
     OperatorRace, // two operators publish the same version
 };
 
-inline constexpr std::array<std::string_view, 10> chaosFaultNames = { "kill-entry", "kill-agent", "freeze-entry",
-    "freeze-agent", "cut-agent", "swallow-agent", "platform-down", "platform-stale", "drain-upstream",
-    "operator-race" };
+inline constexpr std::array<std::string_view, 10> chaosFaultNames
+    = { "kill-entry", "kill-agent", "freeze-entry", "freeze-agent", "cut-agent", "swallow-agent", "platform-down",
+          "platform-stale", "drain-upstream", "operator-race" };
 
 std::string_view nameOf(ChaosFault);
 
--- a/tests/FailureProcessTest.cpp
+++ b/tests/FailureProcessTest.cpp
@@ -82,8 +82,7 @@
     enum class Fault : uint8_t { Kill, Freeze, Cut };
     enum class Victim : uint8_t { Entry, Agent };
 
-    class RegistrationFailure : public FailureProcess,
-                                public testing::WithParamInterface<std::tuple<Fault, Victim>> {
+    class RegistrationFailure : public FailureProcess, public testing::WithParamInterface<std::tuple<Fault, Victim>> {
     protected:
         void cause(Fault fault, Victim victim)
         {
@@ -321,8 +320,7 @@
     }
 
     INSTANTIATE_TEST_SUITE_P(Causes, Drain,
-        testing::Values(
-            DrainCause::Health, DrainCause::List, DrainCause::Config, DrainCause::HealthWithoutPlatform),
+        testing::Values(DrainCause::Health, DrainCause::List, DrainCause::Config, DrainCause::HealthWithoutPlatform),
         drainName);
 
     //-------------------------------------------------------------------------
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -74,8 +74,7 @@
     relay.listen = freeEndpoint();
     relay.targets = { place.link };
     place.relay = std::make_unique<fakes::Relay>(relay);
-    this->services.at(service).upstreams.push_back(
-        { name, domain, relay.listen, upstreamOptions.listen, false });
+    this->services.at(service).upstreams.push_back({ name, domain, relay.listen, upstreamOptions.listen, false });
 }
 
 void Fleet::reuseAddress(const std::string& service, const std::string& name, const std::string& formerName)
@@ -141,8 +140,8 @@
     this->group.start(name, "wasabi-agent", arguments);
 }
 
-Endpoint Fleet::startConnector(const std::string& service, const std::string& listener, const std::string& name,
-    std::vector<Endpoint> addresses)
+Endpoint Fleet::startConnector(
+    const std::string& service, const std::string& listener, const std::string& name, std::vector<Endpoint> addresses)
 {
     if (addresses.empty())
         addresses = this->entryAddresses(service, listener);
@@ -191,8 +190,7 @@
     this->platform.setMembers(members);
 }
 
-Endpoint Fleet::entryAddress(
-    const std::string& entry, const std::string& service, const std::string& listener) const
+Endpoint Fleet::entryAddress(const std::string& entry, const std::string& service, const std::string& listener) const
 {
     for (const ListenerConfig& config : this->services.at(service).listeners)
         if (config.name == listener)
--- a/tests/Fleet.h
+++ b/tests/Fleet.h
@@ -2,8 +2,8 @@
 // between entries and agents in the test program.
 #pragma once
 
-#include "fakes/LoadReport.h"
 #include "fakes/Load.h"
+#include "fakes/LoadReport.h"
 #include "fakes/Platform.h"
 #include "fakes/Relay.h"
 #include "fakes/Upstream.h"
--- a/tests/FlowTest.cpp
+++ b/tests/FlowTest.cpp
@@ -349,8 +349,8 @@
         EXPECT_EQ(only<FlowEnded>(this->callerEvents).at(0).reason, Reason::Draining);
     }
 
-    // Guards against work that starts at a leaving upstream because its reservation is older than the drain, and against
-    // such a request that is refused although another upstream is free.
+    // Guards against work that starts at a leaving upstream because its reservation is older than the drain, and
+    // against such a request that is refused although another upstream is free.
     TEST_F(FlowFixture, ReservationGrantedBeforeADrainStartsNoWorkAfterIt)
     {
         Agent one(first, 11, this->clock);
@@ -377,6 +377,26 @@
         EXPECT_EQ(initiator.token().owner, second);
     }
 
+    // Shows that the previous test finds the fault: without the check the draining upstream starts the work.
+    TEST_F(FlowFixture, WithoutTheCheckAReservationStartsWorkAfterADrain)
+    {
+        Agent one(first, 11, this->clock);
+        OwnerOptions unchecked = ownerOptions(first, 11);
+        unchecked.ablations.startWhileDraining = true;
+        FlowOwner owner(unchecked, one.admission, this->clock);
+        FlowInitiator initiator = this->makeInitiator();
+        InitiatorCommands commands;
+        initiator.start({ first }, commands);
+        OwnerCommands granted;
+        owner.onFrame(only<SendToOwner>(commands).at(0).frame, one.route, granted);
+        one.admission.setDraining(true);
+        InitiatorCommands resumed;
+        this->answer(initiator, granted, resumed);
+        OwnerCommands started;
+        owner.onFrame(only<SendToOwner>(resumed).at(0).frame, one.route, started);
+        EXPECT_EQ(only<ConnectUpstream>(started).size(), 1U);
+    }
+
     // Guards against a drain that is not reported as the reason when there is no other upstream.
     TEST_F(FlowFixture, RequestOfADrainedOnlyUpstreamIsNotRun)
     {
--- a/tests/MisdeliveryTest.cpp
+++ b/tests/MisdeliveryTest.cpp
@@ -225,8 +225,8 @@
             request.deadline = 2000ms;
             const FlowId flow = this->client.open(request, handlers);
             this->client.write(flow,
-                "POST /register HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-Id: " + id + "\r\nX-Service: "
-                    + this->service + "\r\nX-Work-Ms: 20\r\nContent-Length: 0\r\n\r\n");
+                "POST /register HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-Id: " + id
+                    + "\r\nX-Service: " + this->service + "\r\nX-Work-Ms: 20\r\nContent-Length: 0\r\n\r\n");
             this->client.finish(flow);
         }
 
@@ -301,8 +301,7 @@
         const fakes::Relay relay(options);
         fakes::LoadOptions load = requestsOf("core", { options.listen }, 3);
         load.seconds = 2;
-        std::future<fakes::LoadReport> run
-            = std::async(std::launch::async, [&load] { return fakes::runLoad(load); });
+        std::future<fakes::LoadReport> run = std::async(std::launch::async, [&load] { return fakes::runLoad(load); });
         std::this_thread::sleep_for(500ms);
         this->replace(this->places[0], 1);
         run.get();
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -148,10 +148,13 @@
     if (pool == this->pools.end())
         return {};
     std::vector<UpstreamId> live;
+    std::vector<UpstreamId> draining; // by a reply that may be outdated
     for (const PlacementUpstream& upstream : pool->second) {
-        if (!upstream.leaving && !this->isDraining(upstream.id))
-            live.push_back(upstream.id);
+        if (!upstream.leaving)
+            (this->isDraining(upstream.id) ? draining : live).push_back(upstream.id);
     }
+    if (live.empty())
+        live = std::move(draining); // asking costs a round trip, not asking refuses work although a drain may be over
     const std::vector<UpstreamId> usable = this->suspects.usable(live);
     std::vector<Ranked> ranking;
     for (const PlacementUpstream& upstream : pool->second) {
