--- a/tests/FailureProcessTest.cpp
+++ b/tests/FailureProcessTest.cpp
@@ -232,24 +232,24 @@
         EXPECT_EQ(this->fleet.group["entry-1"].waitExit(10000ms), 0) << "the entry did not end after its flows";
     }
 
-    // Guards against a session flow that depends on one entry.
+    // Guards against a session flow that depends on one entry: first one entry is lost, then all others.
     TEST_F(FailureProcess, SessionFlowsSurviveTheKillOfAnyEntry)
     {
         ASSERT_NO_FATAL_FAILURE(this->startFleet(3, 3, 2));
         const auto connector = [&](const std::string& service, const char* listener) {
             return std::vector<Endpoint> { this->fleet.startConnector(service, listener) };
         };
-        LoadOptions session = mixedLoad(12, 3, this->fleet, connector("core", feedListener),
+        const LoadOptions session = mixedLoad(13, 3, this->fleet, connector("core", feedListener),
             connector("core", bulkListener), connector("labels", bulkListener));
         const TimePoint begin = std::chrono::steady_clock::now();
         LoadRun run(session);
-        for (int number = 1; number <= 3; ++number) {
-            const std::string entry = "entry-" + std::to_string(number);
-            sleepUntil(begin, Milliseconds(3000 * number - 1000));
-            this->fleet.group[entry].signal(SIGKILL);
-            sleepUntil(begin, Milliseconds(3000 * number));
-            this->fleet.startEntry(entry);
-        }
+        sleepUntil(begin, 1500ms);
+        this->fleet.group["entry-1"].signal(SIGKILL);
+        sleepUntil(begin, 8000ms); // longer than the limit of a silent feed
+        this->fleet.startEntry("entry-1");
+        sleepUntil(begin, 9500ms);
+        this->fleet.group["entry-2"].signal(SIGKILL);
+        this->fleet.group["entry-3"].signal(SIGKILL);
         const LoadReport& report = run.wait();
         expectSound("session", report, false);
         EXPECT_EQ(brokenFlows(report), 0U);
