--- a/backends/SessionClient.h
+++ b/backends/SessionClient.h
@@ -29,7 +29,7 @@
     Milliseconds openTimeout { 600 }; // per Open; several resends fit into it, because an entry may just have failed
     Milliseconds heartbeatInterval { 1000 }; // Ping after this silence
     Milliseconds endedMemory { 8000 }; // an ended flow acknowledges repeated bytes for this time
-    Milliseconds silentEntryAfter { 400 }; // an entry that returned nothing for this time gets few frames
+    Milliseconds silentEntryAfter { 400 }; // an entry that returned nothing for this time gets only copies
     Milliseconds queryTimeout { 3000 }; // for the answer to query()
     Milliseconds queryResend { 200 };
     size_t maxFlows = 100000; // open and remembered; open() refuses more
--- a/tests/Chaos.cpp
+++ b/tests/Chaos.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <sstream>
 #include <thread>
 
 namespace wasabicroft::tests {
@@ -239,11 +240,17 @@
             for (const std::string& name : agentNames) {
                 const Milliseconds last = this->fleet.upstream(name).ledger().lastWorkAfterDrain;
                 if (last > drainLimit)
-                    this->result.violations.push_back(
-                        name + ": new work " + std::to_string(last.count()) + " ms after a drain");
+                    this->addLateWork(name, last);
             }
         }
 
+        void addLateWork(const std::string& upstream, Milliseconds last)
+        {
+            std::ostringstream text;
+            text << upstream << ": new work " << last.count() << " ms after a drain";
+            this->result.violations.push_back(text.str());
+        }
+
         ChaosOptions options;
         Fleet fleet;
         ChaosResult result;
