--- a/tests/Chaos.cpp
+++ b/tests/Chaos.cpp
@@ -223,8 +223,11 @@
         void judge(const std::string& name, const LoadReport& report)
         {
             this->result.report += "== " + name + '\n' + fakes::reportTable(report);
-            for (const std::string& violation : brokenGuarantees(report, true))
-                this->result.violations.push_back(name + ": " + violation);
+            for (const std::string& violation : brokenGuarantees(report, true)) {
+                std::string line = name;
+                line.append(": ").append(violation);
+                this->result.violations.push_back(line);
+            }
             const std::vector<uint64_t>& answered = report.of(LoadKind::Registration).answeredPerSecond;
             const size_t lastSecond = static_cast<size_t>(this->options.duration / std::chrono::seconds(1)) - 1;
             if (answered.size() <= lastSecond || answered.at(lastSecond) == 0)
