--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -735,7 +735,7 @@
 
 void EntryServer::forwardToOwner(Listener& listener, const Endpoint& caller, Frame& frame)
 {
-    frame.replyAddress = toString(caller);
+    frame.replyAddress = toString(caller) + ' ' + listener.name;
     frame.trafficClass = listener.trafficClass;
     if (frame.token.owner == placedByCarriage && frame.kind == FrameKind::Open
         && !this->placeBlankOpen(caller, frame)) {
@@ -783,13 +783,20 @@
 
 void EntryServer::forwardToCaller(UpstreamId from, Frame& frame)
 {
-    const Result<Endpoint> caller = parseEndpoint(frame.replyAddress);
+    const size_t separator = std::min(frame.replyAddress.find(' '), frame.replyAddress.size());
+    const Result<Endpoint> caller = parseEndpoint(std::string_view(frame.replyAddress).substr(0, separator));
+    const std::string listenerName
+        = separator < frame.replyAddress.size() ? frame.replyAddress.substr(separator + 1) : std::string();
     const auto upstream = this->upstreams.find(from);
     const bool isMember = upstream != this->upstreams.end() && upstream->second.services.contains(frame.service);
+    // The reply leaves from the address that the caller sent to. Several listeners may have the same class, and a
+    // configuration change may have changed the class since.
     std::shared_ptr<Listener> listener;
     if (const auto found = this->listenersByService.find(frame.service); found != this->listenersByService.end()) {
         for (const std::shared_ptr<Listener>& candidate : found->second) {
-            if (!listener || candidate->trafficClass == frame.trafficClass)
+            if (listener && listener->name == listenerName)
+                break;
+            if (!listener || candidate->name == listenerName || candidate->trafficClass == frame.trafficClass)
                 listener = candidate;
         }
     }
@@ -833,13 +840,13 @@
     }
     this->noteVersion(from, trafficClass, frame.configVersion);
     const bool hasLoad = frame.load.slots > 0; // most frames of an owner carry it
-    const bool isDraining = frame.reason == Reason::Draining && frame.kind == FrameKind::Pass;
     const Load load = frame.load;
     // A flow that passed plans with this load; an Opened counts its flow as started first, which the load includes.
     const bool isDecline = frame.kind == FrameKind::Pass || frame.kind == FrameKind::Refused;
     if (hasLoad && isDecline)
         this->placement.onLoad(from, load);
-    if (isDraining)
+    // A draining upstream is idle, so without this it would stay the first choice for every further flow.
+    if (frame.reason == Reason::Draining)
         this->placement.onDraining(from);
     if (!frame.replyAddress.empty())
         this->forwardToCaller(from, frame);
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -147,18 +147,14 @@
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
         return {};
-    std::vector<UpstreamId> staying;
     std::vector<UpstreamId> live;
+    std::vector<UpstreamId> draining; // by a reply that may be outdated
     for (const PlacementUpstream& upstream : pool->second) {
-        if (upstream.leaving)
-            continue;
-        staying.push_back(upstream.id);
-        if (!this->isDraining(upstream.id))
-            live.push_back(upstream.id);
+        if (!upstream.leaving)
+            (this->isDraining(upstream.id) ? draining : live).push_back(upstream.id);
     }
-    // What an entry remembers of a drain is a hint. Without any other upstream it would refuse flows after the drain.
     if (live.empty())
-        live = staying;
+        live = std::move(draining); // asking costs a round trip, not asking refuses work although a drain may be over
     const std::vector<UpstreamId> usable = this->suspects.usable(live);
     std::vector<Ranked> ranking;
     auto next = usable.begin(); // usable has the order of the pool
