--- a/backends/SessionClient.cpp
+++ b/backends/SessionClient.cpp
@@ -510,6 +510,7 @@
         this->ownThread->thread.join();
     }
     this->engine->stop();
+    this->engine.reset(); // its timer and socket must end before the io_context of the own thread
 }
 
 template <typename Action> void SessionClient::post(Action action)
