--- /dev/null
+++ b/backends/HttpClient.cpp
@@ -0,0 +1,111 @@
+#include "backends/HttpClient.h"
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+    // The instance list of 6,400 processes is the largest answer, at about 150 bytes a row.
+    constexpr uint64_t maxAnswerBytes = 4 * 1024 * 1024;
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context& context)
+    : stream(context)
+{
+}
+
+void HttpClient::start(const Endpoint& server, const std::string& target, Milliseconds callTimeout, Done callDone)
+{
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(server.address), server.port);
+    if (this->isConnected && address != this->endpoint)
+        this->disconnect();
+    this->done = std::move(callDone);
+    this->endpoint = address;
+    this->timeout = callTimeout;
+    this->request = { http::verb::get, target, 11 };
+    this->request.set(http::field::host, toString(server));
+    this->request.keep_alive(true);
+    this->isReused = this->isConnected;
+    if (this->isConnected)
+        this->write();
+    else
+        this->connect();
+}
+
+void HttpClient::close()
+{
+    this->done = nullptr;
+    this->stream.close();
+}
+
+void HttpClient::connect()
+{
+    this->buffer.clear();
+    this->stream.expires_after(this->timeout);
+    this->stream.async_connect(this->endpoint, [self = this->shared_from_this()](beast::error_code error) {
+        if (!self->done)
+            return;
+        self->isConnected = !error;
+        if (error)
+            self->fail(error);
+        else
+            self->write();
+    });
+}
+
+void HttpClient::write()
+{
+    this->parser.emplace();
+    this->parser->body_limit(maxAnswerBytes);
+    this->stream.expires_after(this->timeout);
+    http::async_write(
+        this->stream, this->request, [self = this->shared_from_this()](beast::error_code error, size_t) {
+            if (!self->done)
+                return;
+            if (error)
+                self->fail(error);
+            else
+                self->read();
+        });
+}
+
+void HttpClient::read()
+{
+    http::async_read(
+        this->stream, this->buffer, *this->parser, [self = this->shared_from_this()](beast::error_code error, size_t) {
+            if (!self->done)
+                return;
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->stream.expires_never();
+            if (!self->parser->get().keep_alive())
+                self->disconnect();
+            self->finish(self->parser->release());
+        });
+}
+
+void HttpClient::disconnect()
+{
+    this->stream.close();
+    this->isConnected = false;
+}
+
+void HttpClient::fail(beast::error_code error)
+{
+    this->disconnect();
+    // The server may close a connection that was idle; that is no failure of the server.
+    if (std::exchange(this->isReused, false) && error != beast::error::timeout)
+        this->connect();
+    else
+        this->finish(Error { ErrorKind::Unreachable, error.message() + "; check the server and the path to it" });
+}
+
+void HttpClient::finish(HttpResult result) { std::exchange(this->done, nullptr)(std::move(result)); }
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/HttpClient.h
@@ -0,0 +1,50 @@
+// HTTP/1.1 client for reads of the platform and of peers: one call after the other on a connection that is kept open.
+#pragma once
+
+#include "wasabicroft/Config.h"
+#include "wasabicroft/Error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+
+namespace wasabicroft {
+
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+using HttpResult = Result<HttpResponse>;
+
+class HttpClient : public std::enable_shared_from_this<HttpClient> {
+public:
+    using Done = std::function<void(HttpResult)>;
+
+    explicit HttpClient(boost::asio::io_context&);
+
+    // Sends a GET request. timeout bounds the connection attempt and the call, each.
+    void start(const Endpoint& server, const std::string& target, Milliseconds timeout, Done);
+
+    // The outcome of a call in flight is not reported; the client can't be used again.
+    void close();
+
+    bool isBusy() const { return this->done != nullptr; }
+
+private:
+    void connect();
+    void write();
+    void read();
+    void disconnect();
+    void fail(boost::beast::error_code);
+    void finish(HttpResult);
+
+    boost::beast::tcp_stream stream;
+    Done done;
+    boost::asio::ip::tcp::endpoint endpoint;
+    Milliseconds timeout { 0 };
+    bool isConnected = false;
+    bool isReused = false; // the call was sent on a connection that had been idle
+    boost::beast::http::request<boost::beast::http::empty_body> request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    boost::beast::flat_buffer buffer;
+};
+
+} // namespace wasabicroft
--- a/backends/HttpServer.cpp
+++ b/backends/HttpServer.cpp
@@ -99,9 +99,8 @@
 };
 
 HttpServer::HttpServer(const Endpoint& address, const Metrics& counters)
-    : endpoint(address)
+    : endpoints { address }
     , metrics(counters)
-    , acceptor(this->context)
     , updates(
           updateRingCapacity, this->context, [this](OperatorStatusPtr& update) { this->status = std::move(update); })
     , status(std::make_shared<OperatorStatus>(OperatorStatus { false, "starting", "{}" }))
@@ -110,14 +109,18 @@
 
 HttpServer::~HttpServer() { this->stop(); }
 
+void HttpServer::listenAlso(const Endpoint& endpoint) { this->endpoints.push_back(endpoint); }
+
 Result<Endpoint> HttpServer::start()
 {
-    Result<asio::ip::tcp::acceptor> listener = openListener(this->context, this->endpoint);
-    if (!listener)
-        return listener.error();
-    this->acceptor = std::move(listener.value());
-    const Endpoint bound = fromTcp(this->acceptor.local_endpoint());
-    this->accept();
+    for (const Endpoint& endpoint : this->endpoints) {
+        Result<asio::ip::tcp::acceptor> listener = openListener(this->context, endpoint);
+        if (!listener)
+            return listener.error();
+        this->acceptors.push_back(std::move(listener.value()));
+        this->accept(this->acceptors.back());
+    }
+    const Endpoint bound = fromTcp(this->acceptors.front().local_endpoint());
     this->thread = std::thread([this] { this->context.run(); });
     return bound;
 }
@@ -132,14 +135,14 @@
 
 void HttpServer::publish(OperatorStatusPtr update) { this->updates.push(std::move(update)); }
 
-void HttpServer::accept()
+void HttpServer::accept(asio::ip::tcp::acceptor& acceptor)
 {
-    this->acceptor.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+    acceptor.async_accept([this, &acceptor](error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
         if (!error && this->connections < maxConnections)
             std::make_shared<Connection>(*this, std::move(socket))->read();
-        this->accept();
+        this->accept(acceptor);
     });
 }
 
--- a/backends/HttpServer.h
+++ b/backends/HttpServer.h
@@ -7,6 +7,7 @@
 #include "wasabicroft/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <list>
 #include <thread>
 
 namespace wasabicroft {
@@ -19,7 +20,8 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    Result<Endpoint> start(); // the address in use
+    void listenAlso(const Endpoint&); // before start
+    Result<Endpoint> start(); // the address in use; the first one if there are several
     void stop(); // returns after the thread has ended
 
     // Replaces the status that the endpoints report. Called by the traffic thread only.
@@ -28,13 +30,13 @@
 private:
     class Connection;
 
-    void accept();
+    void accept(boost::asio::ip::tcp::acceptor&);
 
-    Endpoint endpoint;
+    std::vector<Endpoint> endpoints;
     const Metrics& metrics;
     size_t connections = 0; // outlives the context, whose destructor ends them
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor;
+    std::list<boost::asio::ip::tcp::acceptor> acceptors;
     Ring<OperatorStatusPtr> updates;
     OperatorStatusPtr status; // of the operator thread
     std::thread thread;
--- /dev/null
+++ b/backends/PacketAgent.cpp
@@ -0,0 +1,134 @@
+#include "backends/PacketAgent.h"
+
+#include "platform/PacketLayout.h"
+
+#include <boost/json.hpp>
+
+namespace wasabicroft {
+
+namespace {
+
+    AgentGateOptions gateOptions(const PacketSettings& settings)
+    {
+        AgentGateOptions options;
+        options.service = serviceIdOf(settings.service);
+        options.incarnation = randomIncarnation();
+        return options;
+    }
+
+} // namespace
+
+PacketAgent::PacketAgent(boost::asio::io_context& loop, PacketSettings initial, const Clock& clock)
+    : settings(std::move(initial))
+    , entries(loop)
+    , upstream(loop)
+    , gate(
+          gateOptions(this->settings),
+          { [this](Bytes packet) { this->upstream.send(this->settings.upstream, packet); },
+              [this](PacketAddress client, Bytes packet) {
+                  this->entries.send({ client.address, this->settings.packets.port }, packet);
+              },
+              [this](PacketAddress entry, const HopMessage& message) {
+                  this->hopBuffer.clear();
+                  encodeHop(message, this->hopBuffer);
+                  this->entries.send(entry, this->hopBuffer);
+              } },
+          clock)
+{
+}
+
+Result<bool> PacketAgent::start()
+{
+    const Result<PacketAddress> packets = this->entries.open(this->settings.packets);
+    if (!packets)
+        return packets.error();
+    const Result<PacketAddress> outbound = this->upstream.open(this->settings.outbound);
+    if (!outbound)
+        return outbound.error();
+    this->entries.onBatch = [this] { this->flush(); };
+    this->upstream.onBatch = [this] { this->flush(); };
+    this->upstream.onRefused = [this] { this->gate.onUpstreamUnreachable(); };
+    this->entries.start(
+        [this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
+    this->upstream.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onUpstreamDatagram(bytes); });
+    return true;
+}
+
+void PacketAgent::onSettings(const PacketSettings& changed)
+{
+    this->settings.service = changed.service;
+    this->settings.upstream = changed.upstream;
+    this->gate.setService(serviceIdOf(changed.service));
+}
+
+void PacketAgent::onHopDatagram(PacketAddress entry, std::span<uint8_t> bytes)
+{
+    const Result<HopMessage> message = decodeHop(bytes);
+    const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
+    if (packet && !packet.value().bounced) {
+        this->gate.onHop(entry, message.value(), packet.value());
+        return;
+    }
+    ++this->invalidHops;
+    if (!std::exchange(this->loggedInvalid, true))
+        logEvent(Event::PacketInvalid,
+            { { "source", toString(entry) }, { "reason", packet ? "marked as a bounce" : packet.error().message } });
+}
+
+void PacketAgent::onUpstreamDatagram(std::span<uint8_t> bytes)
+{
+    const Result<Packet> packet = platform::decodePacket(bytes);
+    if (packet) {
+        if (packet.value().bounced)
+            platform::restorePacket(bytes);
+        this->gate.onUpstreamPacket(packet.value(), bytes);
+        return;
+    }
+    ++this->invalidPackets;
+    if (!std::exchange(this->loggedInvalid, true))
+        logEvent(Event::PacketInvalid, { { "source", "upstream" }, { "reason", packet.error().message } });
+}
+
+void PacketAgent::flush()
+{
+    this->upstream.flush();
+    this->entries.flush();
+}
+
+void PacketAgent::onTick()
+{
+    this->gate.onTick();
+    this->flush();
+}
+
+OperatorStatus PacketAgent::status() const
+{
+    OperatorStatus status;
+    status.ready = true;
+    status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
+        { "flows", this->gate.openFlows() }, { "busy", this->gate.busy() },
+        { "upstreamDown", this->gate.isUpstreamDown() } });
+    return status;
+}
+
+void PacketAgent::exportMetrics(Metrics& metrics) const
+{
+    const AgentGateCounters& counts = this->gate.counters();
+    const auto set = [&](const char* name, const char* labels, uint64_t value) {
+        metrics.set(name, labels, static_cast<double>(value));
+    };
+    set("wasabi_packets_total", "from=\"entries\"", counts.fromEntries);
+    set("wasabi_packets_total", "from=\"upstream\"", counts.fromUpstream);
+    set("wasabi_bounces_total", "", counts.bounces);
+    set("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
+    set("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
+    set("wasabi_flows_gone_total", "", counts.gone);
+    set("wasabi_dropped_total", "", counts.dropped);
+    set("wasabi_invalid_total", "source=\"entry\"", this->invalidHops);
+    set("wasabi_invalid_total", "source=\"upstream\"", this->invalidPackets);
+    set("wasabi_send_failures_total", "", this->entries.sendFailures() + this->upstream.sendFailures());
+    set("wasabi_flows", "", this->gate.openFlows());
+    set("wasabi_busy", "", this->gate.busy());
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/PacketAgent.h
@@ -0,0 +1,35 @@
+// The agent of the packet path: sockets and the wiring of AgentGate.
+#pragma once
+
+#include "backends/DatagramSocket.h"
+#include "backends/PacketDaemon.h"
+#include "wasabicroft/AgentGate.h"
+
+namespace wasabicroft {
+
+class PacketAgent {
+public:
+    PacketAgent(boost::asio::io_context&, PacketSettings, const Clock&);
+
+    Result<bool> start();
+    void onSettings(const PacketSettings&);
+    void onTick();
+    OperatorStatus status() const;
+    void exportMetrics(Metrics&) const;
+
+private:
+    void onHopDatagram(PacketAddress entry, std::span<uint8_t>);
+    void onUpstreamDatagram(std::span<uint8_t>);
+    void flush();
+
+    PacketSettings settings;
+    DatagramSocket entries; // hop messages, and packets to clients
+    DatagramSocket upstream;
+    AgentGate gate;
+    std::vector<uint8_t> hopBuffer;
+    uint64_t invalidPackets = 0;
+    uint64_t invalidHops = 0;
+    bool loggedInvalid = false; // since the last status
+};
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/PacketDaemon.cpp
@@ -0,0 +1,279 @@
+#include "backends/PacketDaemon.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <sys/stat.h>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr Milliseconds statusInterval { 500 }; // also bounds how late a change of the settings file is noticed
+    constexpr uint64_t defaultLogRate = 400; // lines a second
+    constexpr Milliseconds maxStopDelay { 60000 };
+
+    const std::string usage = R"(Options come from flags, environment variables and a settings file.
+
+Usage:
+  PROGRAM [options]
+
+Options:
+  --settings-file PATH     Lines "flag=value"; read again on SIGHUP and when it changes.
+  --name NAME              Name of this instance.
+  --failure-domain NAME    Failure domain of this instance.
+  --packets IP:PORT        Takes packets of clients (entry) or messages of entries (agent).
+  --hop IP:PORT            Entry: sends messages to agents and takes their answers.
+  --outbound IP:PORT       Agent: takes the packets of its upstream.
+  --upstream IP:PORT       Agent: where its upstream takes packets.
+  --service NAME           Agent: service of its upstream.
+  --ready IP:PORT          Serves /ready, /status, /health and /metrics.
+  --metrics IP:PORT        Serves the same; port 0: not served [0].
+  --peer IP:PORT           Entry: serves its state to other entries.
+  --seeds LIST             Addresses of entries that may be up, separated by commas.
+  --store IP:PORT          Entry: the platform's store.
+  --stop-delay MS          Entry: goes on for this long after SIGTERM [1500].
+  --log-level LEVEL        debug, info, warning or error [info].
+  --log-rate N             Most log lines a second; further ones are counted [400].
+  --check                  Checks the settings and exits.
+  --help                   Shows this text.
+  --version                Shows the version.
+
+Each setting may also come from an environment variable, for example PREFIX_PACKETS.
+)";
+
+    std::string usageOf(const std::string& program, const std::string& prefix)
+    {
+        std::string text = usage;
+        text.replace(text.find("PROGRAM"), std::string("PROGRAM").size(), program);
+        text.replace(text.find("PREFIX"), std::string("PREFIX").size(), prefix);
+        return text;
+    }
+
+    PacketAddress packetAddress(SettingsReader& reader, const std::string& flag)
+    {
+        const std::string text = reader.text(flag, "");
+        if (text.empty())
+            return {};
+        const std::optional<PacketAddress> address = packetAddressOf(text);
+        if (!address)
+            reader.reject(flag, text, "an IPv4 address with a port, for example 127.0.0.1:7000");
+        return address.value_or(PacketAddress());
+    }
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Settings
+//-----------------------------------------------------------------------------
+
+PacketSettingsSource::PacketSettingsSource(
+    int argc, char** argv, std::string programName, std::string environmentPrefix)
+    : program(std::move(programName))
+    , prefix(std::move(environmentPrefix))
+{
+    // Without arguments there is nothing to parse, and building the parser is the longest part of a start.
+    if (argc > 1)
+        this->flags = parseCommandLine(argc, argv, usageOf(this->program, this->prefix), this->program);
+    SettingsReader reader(this->flags, this->prefix);
+    this->path = reader.text("--settings-file", "");
+    this->fileChanged();
+}
+
+Result<Flags> PacketSettingsSource::readFile() const
+{
+    Flags values;
+    if (this->path.empty())
+        return values;
+    std::ifstream file(this->path);
+    if (!file)
+        return Error { ErrorKind::InvalidSetting, "can't read " + this->path + "; check --settings-file" };
+    std::string line;
+    while (std::getline(file, line)) {
+        const size_t equals = line.find('=');
+        if (line.empty() || line.front() == '#')
+            continue;
+        if (equals == std::string::npos)
+            return Error { ErrorKind::InvalidSetting, this->path + " has the line '" + line + "'; write flag=value" };
+        if (equals + 1 < line.size())
+            values["--" + line.substr(0, equals)] = line.substr(equals + 1);
+    }
+    return values;
+}
+
+std::vector<Error> PacketSettingsSource::read(PacketSettings& settings) const
+{
+    const Result<Flags> fromFile = this->readFile();
+    if (!fromFile)
+        return { fromFile.error() };
+    SettingsReader reader(this->flags, this->prefix, fromFile.value());
+    settings.name = reader.requiredText("--name");
+    settings.failureDomain = reader.text("--failure-domain", "");
+    settings.packets = packetAddress(reader, "--packets");
+    settings.hop = packetAddress(reader, "--hop");
+    settings.outbound = packetAddress(reader, "--outbound");
+    settings.upstream = packetAddress(reader, "--upstream");
+    settings.service = reader.text("--service", "");
+    settings.ready = reader.endpoint("--ready", {});
+    settings.metrics = reader.endpoint("--metrics", {});
+    settings.peer = reader.endpoint("--peer", {});
+    settings.seeds = reader.endpoints("--seeds");
+    settings.store = reader.endpoint("--store", {});
+    settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
+    settings.log.threshold = reader.severity("--log-level", Severity::Info);
+    settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
+    settings.log.process = settings.name;
+    settings.log.toStandardOutput = true;
+    settings.checkOnly = reader.boolean("--check", false);
+    if (settings.packets == PacketAddress())
+        reader.reject("--packets", "", "an IPv4 address with a port; it has no default");
+    return reader.errors();
+}
+
+std::optional<int> PacketSettingsSource::load(PacketSettings& settings) const
+{
+    const std::vector<Error> errors = this->read(settings);
+    if (!errors.empty()) {
+        printErrors(errors);
+        for (const Error& error : errors)
+            logEvent(Event::SettingsRejected, { { "reason", error.message } });
+        return exit_codes::refusedInput;
+    }
+    if (!settings.checkOnly)
+        return std::nullopt;
+    std::cout << this->program << ": settings are valid\n";
+    return exit_codes::success;
+}
+
+bool PacketSettingsSource::reload(PacketSettings& settings) const
+{
+    PacketSettings changed = settings;
+    const std::vector<Error> errors = this->read(changed);
+    for (const Error& error : errors)
+        logEvent(Event::SettingsRejected, { { "reason", error.message }, { "kept", "settings in force" } });
+    if (errors.empty())
+        settings = changed;
+    return errors.empty();
+}
+
+bool PacketSettingsSource::fileChanged()
+{
+    struct stat file { };
+    if (this->path.empty() || stat(this->path.c_str(), &file) != 0)
+        return false;
+    const int64_t change = file.st_mtim.tv_sec * 1000000000 + file.st_mtim.tv_nsec + file.st_size;
+    return std::exchange(this->lastChange, change) != change;
+}
+
+//-----------------------------------------------------------------------------
+// Process
+//-----------------------------------------------------------------------------
+
+PacketDaemon::PacketDaemon(asio::io_context& loop, PacketSettings initial, PacketSettingsSource& settingsSource,
+    Milliseconds tickInterval, PacketDaemonHandlers daemonHandlers)
+    : context(loop)
+    , settings(std::move(initial))
+    , source(settingsSource)
+    , tick(tickInterval)
+    , handlers(std::move(daemonHandlers))
+    , server(this->settings.ready, this->counters)
+    , signals(loop, SIGTERM, SIGINT, SIGHUP)
+    , tickTimer(loop)
+    , statusTimer(loop)
+    , stopTimer(loop)
+{
+}
+
+Result<bool> PacketDaemon::start()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (this->settings.metrics.port != 0)
+        this->server.listenAlso(this->settings.metrics);
+    if (this->settings.peer.port != 0)
+        this->server.listenAlso(this->settings.peer);
+    const Result<Endpoint> bound = this->server.start();
+    if (!bound)
+        return bound.error();
+    this->publishStatus();
+    this->awaitSignal();
+    this->scheduleTick();
+    this->scheduleStatus();
+    return true;
+}
+
+void PacketDaemon::run() { this->context.run(); }
+
+void PacketDaemon::publishStatus()
+{
+    this->handlers.exportMetrics(this->counters);
+    this->counters.set("wasabi_log_lines_dropped", "", static_cast<double>(droppedLogLines()));
+    OperatorStatus status = this->handlers.status();
+    if (this->stopping) {
+        status.ready = false;
+        status.notReadyCause = "stopping";
+    }
+    this->server.publish(std::make_shared<OperatorStatus>(std::move(status)));
+}
+
+void PacketDaemon::awaitSignal()
+{
+    this->signals.async_wait([this](error_code error, int number) {
+        if (error)
+            return;
+        if (number == SIGHUP) {
+            this->reload("SIGHUP");
+            this->awaitSignal();
+            return;
+        }
+        if (this->stopping) {
+            this->context.stop();
+            return;
+        }
+        this->stopping = true;
+        this->handlers.onStop();
+        this->publishStatus();
+        this->stopTimer.expires_after(this->settings.stopDelay);
+        this->stopTimer.async_wait([this](error_code) { this->context.stop(); });
+        this->awaitSignal();
+    });
+}
+
+void PacketDaemon::reload(std::string_view cause)
+{
+    this->source.fileChanged();
+    if (!this->source.reload(this->settings))
+        return;
+    logEvent(Event::SettingsReloaded, { { "cause", cause } });
+    this->handlers.onSettings(this->settings);
+}
+
+void PacketDaemon::scheduleTick()
+{
+    this->tickTimer.expires_after(this->tick);
+    this->tickTimer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        this->handlers.onTick();
+        this->scheduleTick();
+    });
+}
+
+void PacketDaemon::scheduleStatus()
+{
+    this->statusTimer.expires_after(statusInterval);
+    this->statusTimer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        if (this->source.fileChanged())
+            this->reload("file changed");
+        this->publishStatus();
+        this->scheduleStatus();
+    });
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/PacketDaemon.h
@@ -0,0 +1,94 @@
+// What the two programs of the packet path share: settings, log, signals, reload of the settings, operator endpoints.
+#pragma once
+
+#include "backends/HttpServer.h"
+#include "wasabicroft/Packet.h"
+#include "wasabicroft/Settings.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace wasabicroft {
+
+struct PacketSettings {
+    std::string name; // of this instance
+    std::string failureDomain;
+    PacketAddress packets; // takes packets of clients (entry) or hop messages (agent)
+    PacketAddress hop; // entry: sends hop messages and takes the answers
+    PacketAddress outbound; // agent: takes the packets of its upstream
+    PacketAddress upstream; // agent: where its upstream takes packets
+    std::string service; // agent: of its upstream
+    Endpoint ready; // /ready, /status, /health, /metrics
+    Endpoint metrics; // the same; port 0: not served
+    Endpoint peer; // entry: state for peers, over HTTP
+    std::vector<Endpoint> seeds; // entries that may be up; only the addresses are used
+    Endpoint store; // entry
+    Milliseconds stopDelay { 1500 }; // entry: goes on forwarding while routers notice that it is not ready
+    LogOptions log;
+    bool checkOnly = false;
+};
+
+// A flag wins over its environment variable, which wins over the settings file: lines "flag=value" without dashes.
+class PacketSettingsSource {
+public:
+    PacketSettingsSource(int argc, char** argv, std::string program, std::string environmentPrefix);
+
+    // All settings; prints the problems and returns an exit code if the process is not to start.
+    std::optional<int> load(PacketSettings&) const;
+
+    // Reads the file again. Problems are logged and leave the settings as they are.
+    bool reload(PacketSettings&) const;
+    bool fileChanged(); // since the last call
+
+private:
+    Result<Flags> readFile() const;
+    std::vector<Error> read(PacketSettings&) const;
+
+    std::string program;
+    std::string prefix;
+    Flags flags;
+    std::string path;
+    int64_t lastChange = 0; // modification time in ns and size, mixed
+};
+
+struct PacketDaemonHandlers {
+    std::function<void(const PacketSettings&)> onSettings; // the settings file changed
+    std::function<OperatorStatus()> status;
+    std::function<void(Metrics&)> exportMetrics; // before each status; sets the counters
+    std::function<void()> onTick;
+    std::function<void()> onStop; // SIGTERM; the process ends after the stop delay
+};
+
+class PacketDaemon {
+public:
+    PacketDaemon(boost::asio::io_context&, PacketSettings, PacketSettingsSource&, Milliseconds tick,
+        PacketDaemonHandlers);
+
+    Result<bool> start();
+    void run(); // returns when the process is to end
+    void publishStatus();
+    bool isStopping() const { return this->stopping; }
+    Metrics& metrics() { return this->counters; }
+    HttpServer& operators() { return this->server; }
+
+private:
+    void awaitSignal();
+    void scheduleTick();
+    void scheduleStatus();
+    void reload(std::string_view cause);
+
+    boost::asio::io_context& context;
+    PacketSettings settings;
+    PacketSettingsSource& source;
+    Milliseconds tick;
+    PacketDaemonHandlers handlers;
+    Metrics counters;
+    HttpServer server;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer statusTimer;
+    boost::asio::steady_timer stopTimer;
+    bool stopping = false;
+};
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/PacketEntry.cpp
@@ -0,0 +1,346 @@
+#include "backends/PacketEntry.h"
+
+#include "platform/PacketLayout.h"
+
+#include <boost/json.hpp>
+
+namespace wasabicroft {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+    EntryRouterOptions routerOptions(const PacketSettings& settings)
+    {
+        EntryRouterOptions options;
+        options.failureDomain = settings.failureDomain;
+        options.agentPort = settings.packets.port;
+        options.seed = hashName(settings.name);
+        return options;
+    }
+
+    StoreSyncOptions syncOptions(const PacketSettings& settings)
+    {
+        StoreSyncOptions options;
+        options.seed = hashName(settings.name);
+        return options;
+    }
+
+} // namespace
+
+PacketEntry::PacketEntry(asio::io_context& loop, PacketSettings initial, const Clock& timeSource)
+    : context(loop)
+    , settings(std::move(initial))
+    , clock(timeSource)
+    , clients(loop)
+    , agents(loop)
+    , sync(syncOptions(this->settings), timeSource)
+    , directory(DirectoryOptions(), timeSource)
+    , router(
+          routerOptions(this->settings),
+          { [this](PacketAddress agent, const HopMessage& message) {
+               this->hopBuffer.clear();
+               encodeHop(message, this->hopBuffer);
+               this->agents.send(agent, this->hopBuffer);
+           },
+              [this](const FlowKey& flow, uint32_t sequence) {
+                  this->clients.send({ flow.client.address, this->settings.packets.port },
+                      platform::makeReset(flow, sequence));
+              } },
+          timeSource)
+    , storeTimers { asio::steady_timer(loop), asio::steady_timer(loop) }
+{
+}
+
+Result<bool> PacketEntry::start()
+{
+    const Result<PacketAddress> packets = this->clients.open(this->settings.packets);
+    if (!packets)
+        return packets.error();
+    const Result<PacketAddress> hop = this->agents.open(this->settings.hop);
+    if (!hop)
+        return hop.error();
+    const auto flushBoth = [this] {
+        this->agents.flush();
+        this->clients.flush();
+    };
+    this->clients.onBatch = flushBoth;
+    this->agents.onBatch = flushBoth;
+    this->clients.start(
+        [this](PacketAddress source, std::span<uint8_t> bytes) { this->onClientDatagram(source, bytes); });
+    this->agents.start([this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
+    this->readStore();
+    return true;
+}
+
+void PacketEntry::onSettings(const PacketSettings& changed)
+{
+    this->settings.seeds = changed.seeds;
+    this->settings.store = changed.store;
+}
+
+//-----------------------------------------------------------------------------
+// Datagrams
+//-----------------------------------------------------------------------------
+
+void PacketEntry::onClientDatagram(PacketAddress source, std::span<uint8_t> bytes)
+{
+    const Result<Packet> packet = platform::decodePacket(bytes);
+    if (packet && !packet.value().bounced) {
+        this->router.onClientPacket(packet.value(), bytes);
+        return;
+    }
+    ++this->invalidPackets;
+    this->noteInvalid(source,
+        packet ? Error { ErrorKind::InvalidFrame, "a client's packet has the mark of a bounce; it is dropped" }
+               : packet.error());
+}
+
+void PacketEntry::onHopDatagram(PacketAddress source, std::span<uint8_t> bytes)
+{
+    const Result<HopMessage> message = decodeHop(bytes);
+    if (!message) {
+        ++this->invalidHops;
+        this->noteInvalid(source, message.error());
+        return;
+    }
+    if (message.value().packet.empty()) {
+        this->router.onHop(source, message.value(), nullptr);
+        return;
+    }
+    const Result<Packet> packet = platform::decodePacket(message.value().packet);
+    if (packet) {
+        this->router.onHop(source, message.value(), &packet.value());
+        return;
+    }
+    ++this->invalidHops;
+    this->noteInvalid(source, packet.error());
+}
+
+// Logs each source once per status interval.
+void PacketEntry::noteInvalid(PacketAddress source, const Error& error)
+{
+    constexpr size_t maxSources = 16;
+    if (this->invalidSources.size() >= maxSources
+        || std::find(this->invalidSources.begin(), this->invalidSources.end(), source) != this->invalidSources.end())
+        return;
+    this->invalidSources.push_back(source);
+    logEvent(Event::PacketInvalid, { { "source", toString(source) }, { "reason", error.message } });
+}
+
+//-----------------------------------------------------------------------------
+// Store
+//-----------------------------------------------------------------------------
+
+void PacketEntry::readStore()
+{
+    for (size_t i = 0; i < storeTopicCount; ++i) {
+        const StoreTopic topic = static_cast<StoreTopic>(i);
+        if (const std::optional<StoreRead> read = this->sync.nextRead(topic))
+            this->startRead(*read);
+        const TimePoint due = this->sync.nextReadTime(topic);
+        if (due == TimePoint::max())
+            continue;
+        this->storeTimers.at(i).expires_after(std::max(Duration::zero(), due - this->clock.now()));
+        this->storeTimers.at(i).async_wait([this](boost::system::error_code error) {
+            if (!error)
+                this->readStore();
+        });
+    }
+}
+
+void PacketEntry::startRead(const StoreRead& read)
+{
+    ++this->storeReads;
+    std::shared_ptr<HttpClient>& client = this->storeClients.at(static_cast<size_t>(read.topic));
+    if (client && client->isBusy())
+        std::exchange(client, nullptr)->close();
+    if (!client)
+        client = std::make_shared<HttpClient>(this->context);
+    client->start(this->settings.store, platform::targetOf(read), read.timeout, [this, read](HttpResult result) {
+        this->onAnswer(read, std::move(result));
+        this->agents.flush();
+        this->clients.flush();
+        this->readStore();
+    });
+}
+
+void PacketEntry::onAnswer(const StoreRead& read, HttpResult result)
+{
+    std::string failure;
+    if (!result) {
+        failure = result.error().message;
+    } else if (result.value().result() == http::status::gone) {
+        this->sync.onHistoryLost(read);
+        logEvent(Event::StoreReachable, { { "topic", nameOf(read.topic) }, { "history", "lost" } });
+        return;
+    } else if (result.value().result() != http::status::ok) {
+        failure = "HTTP status " + std::to_string(result.value().result_int());
+    } else {
+        Result<platform::StoreAnswer> answer = platform::decodeAnswer(read, result.value().body());
+        if (answer) {
+            this->logProblems(answer.value());
+            if (read.isWatch)
+                this->onChanges(read, std::move(answer.value()));
+            else
+                this->onList(read, std::move(answer.value()));
+            this->noteReachability();
+            return;
+        }
+        failure = answer.error().message;
+    }
+    ++this->failedReads;
+    this->sync.onFailure(read);
+    if (std::exchange(this->wasReachable, false))
+        logEvent(Event::StoreUnreachable, { { "topic", nameOf(read.topic) }, { "reason", failure } });
+}
+
+void PacketEntry::onList(const StoreRead& read, platform::StoreAnswer answer)
+{
+    if (!this->sync.onPage(read, answer.revision, answer.hasMore, answer.lastKey))
+        return;
+    if (this->sync.takeReturn())
+        this->directory.noteReturn();
+    if (read.topic == StoreTopic::Routes) {
+        if (answer.routes)
+            this->useRoutes(answer.routes, "store");
+        return;
+    }
+    if (read.pageAfter.empty())
+        this->listed.clear();
+    this->listed.insert(this->listed.end(), answer.upstreams.begin(), answer.upstreams.end());
+    if (answer.hasMore)
+        return;
+    this->directory.replace(std::exchange(this->listed, {}), this->sync.listRevision(read.topic));
+    this->router.setUpstreams(this->directory);
+}
+
+void PacketEntry::onChanges(const StoreRead& read, platform::StoreAnswer answer)
+{
+    if (!this->sync.onEvents(read, answer.revision))
+        return;
+    if (this->sync.takeReturn())
+        this->directory.noteReturn();
+    if (answer.routes)
+        this->useRoutes(answer.routes, "store");
+    if (this->mergeUpstreams(answer))
+        this->router.setUpstreams(this->directory);
+}
+
+bool PacketEntry::mergeUpstreams(const platform::StoreAnswer& answer)
+{
+    bool changed = false;
+    for (const UpstreamRecord& record : answer.upstreams) {
+        if (!this->directory.update(record))
+            continue;
+        changed = true;
+        logEvent(Event::UpstreamListed,
+            { { "upstream", record.name }, { "id", record.id() }, { "service", record.service },
+                { "address", toString(record.address) }, { "draining", record.draining },
+                { "revision", record.revision } });
+    }
+    for (const auto& [name, revision] : answer.withdrawn) {
+        if (!this->directory.remove(name, revision))
+            continue;
+        changed = true;
+        logEvent(Event::UpstreamUnlisted, { { "upstream", name }, { "revision", revision } });
+    }
+    return changed;
+}
+
+// A version is never replaced by an older one while the process runs.
+void PacketEntry::useRoutes(std::shared_ptr<const RoutingTable> table, std::string_view source)
+{
+    if (this->routes && table->version <= this->routes->version)
+        return;
+    this->routes = std::move(table);
+    logEvent(Event::RoutesInForce,
+        { { "version", this->routes->version }, { "routes", static_cast<uint64_t>(this->routes->routes.size()) },
+            { "source", source } });
+    this->router.setRoutes(this->routes);
+    this->router.setUpstreams(this->directory);
+}
+
+void PacketEntry::logProblems(const platform::StoreAnswer& answer)
+{
+    for (const std::string& problem : answer.problems)
+        logEvent(Event::StoreItemInvalid, { { "reason", problem }, { "revision", answer.revision } });
+}
+
+void PacketEntry::noteReachability()
+{
+    const bool isReachable
+        = this->sync.isReachable(StoreTopic::Routes) && this->sync.isReachable(StoreTopic::Upstreams);
+    if (isReachable && !std::exchange(this->wasReachable, true))
+        logEvent(Event::StoreReachable, { { "address", toString(this->settings.store) } });
+}
+
+//-----------------------------------------------------------------------------
+// Time and status
+//-----------------------------------------------------------------------------
+
+void PacketEntry::onTick()
+{
+    if (this->directory.onTick())
+        this->router.setUpstreams(this->directory);
+    this->router.onTick();
+    this->agents.flush();
+    this->clients.flush();
+}
+
+OperatorStatus PacketEntry::status() const
+{
+    OperatorStatus status;
+    status.ready = this->router.isServing();
+    if (!this->routes)
+        status.notReadyCause = "no routes were read from the store or a peer";
+    else if (!status.ready)
+        status.notReadyCause = "no upstream takes new flows";
+    boost::json::array upstreams;
+    for (const UpstreamRecord& record : this->directory.all())
+        upstreams.push_back({ { "name", record.name }, { "id", toString(record.id()) },
+            { "address", toString(record.address) }, { "draining", record.draining },
+            { "suspect", this->router.suspicion().isSuspect(record.id()) } });
+    boost::json::object json { { "routesVersion", this->router.routesVersion() },
+        { "directoryRevision", this->directory.revision() }, { "flows", this->router.openFlows() },
+        { "storeReachable", this->wasReachable }, { "upstreams", std::move(upstreams) } };
+    for (size_t i = 0; i < storeTopicCount; ++i) {
+        const StoreTopic topic = static_cast<StoreTopic>(i);
+        if (const std::optional<TimePoint> answered = this->sync.lastAnswer(topic))
+            json[std::string(nameOf(topic)) + "AgeMs"]
+                = std::chrono::duration_cast<Milliseconds>(this->clock.now() - *answered).count();
+    }
+    status.json = boost::json::serialize(json);
+    return status;
+}
+
+void PacketEntry::exportMetrics(Metrics& metrics) const
+{
+    const EntryRouterCounters& counts = this->router.counters();
+    const auto set = [&](const char* name, const char* labels, uint64_t value) {
+        metrics.set(name, labels, static_cast<double>(value));
+    };
+    set("wasabi_packets_total", "", counts.packets);
+    set("wasabi_offers_total", "", counts.offers);
+    set("wasabi_offers_failed_total", "cause=\"silent\"", counts.offerTimeouts);
+    set("wasabi_offers_failed_total", "cause=\"refused\"", counts.refusedOffers);
+    set("wasabi_forwarded_total", "", counts.forwarded);
+    set("wasabi_finds_total", "", counts.finds);
+    set("wasabi_find_copies_total", "", counts.findCopies);
+    set("wasabi_finds_limited_total", "", counts.findsLimited);
+    set("wasabi_not_held_total", "", counts.notHeld);
+    set("wasabi_resets_total", "", counts.resets);
+    set("wasabi_held_total", "", counts.held);
+    set("wasabi_dropped_total", "", counts.dropped);
+    set("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
+    set("wasabi_invalid_total", "source=\"agent\"", this->invalidHops);
+    set("wasabi_store_reads_total", "outcome=\"any\"", this->storeReads);
+    set("wasabi_store_reads_total", "outcome=\"failed\"", this->failedReads);
+    set("wasabi_send_failures_total", "", this->clients.sendFailures() + this->agents.sendFailures());
+    set("wasabi_flows", "", this->router.openFlows());
+    set("wasabi_flow_evictions_total", "", this->router.flowEvictions());
+    set("wasabi_routes_version", "", this->router.routesVersion());
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/backends/PacketEntry.h
@@ -0,0 +1,58 @@
+// The entry of the packet path: sockets, the store's client and the wiring of EntryRouter, StoreSync and the directory.
+#pragma once
+
+#include "backends/DatagramSocket.h"
+#include "backends/HttpClient.h"
+#include "backends/PacketDaemon.h"
+#include "platform/StoreWire.h"
+#include "wasabicroft/EntryRouter.h"
+
+namespace wasabicroft {
+
+class PacketEntry {
+public:
+    PacketEntry(boost::asio::io_context&, PacketSettings, const Clock&);
+
+    Result<bool> start();
+    void onSettings(const PacketSettings&);
+    void onTick();
+    OperatorStatus status() const;
+    void exportMetrics(Metrics&) const;
+
+private:
+    void onClientDatagram(PacketAddress source, std::span<uint8_t>);
+    void onHopDatagram(PacketAddress source, std::span<uint8_t>);
+    void noteInvalid(PacketAddress source, const Error&);
+
+    void readStore();
+    void startRead(const StoreRead&);
+    void onAnswer(const StoreRead&, HttpResult);
+    void onList(const StoreRead&, platform::StoreAnswer);
+    void onChanges(const StoreRead&, platform::StoreAnswer);
+    void useRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
+    void logProblems(const platform::StoreAnswer&);
+    void noteReachability();
+    bool mergeUpstreams(const platform::StoreAnswer&);
+
+    boost::asio::io_context& context;
+    PacketSettings settings;
+    const Clock& clock;
+    DatagramSocket clients;
+    DatagramSocket agents;
+    StoreSync sync;
+    UpstreamDirectory directory;
+    std::shared_ptr<const RoutingTable> routes;
+    EntryRouter router;
+    std::array<std::shared_ptr<HttpClient>, storeTopicCount> storeClients;
+    std::array<boost::asio::steady_timer, storeTopicCount> storeTimers;
+    std::vector<UpstreamRecord> listed; // pages of a list that is being read
+    std::vector<uint8_t> hopBuffer;
+    std::vector<PacketAddress> invalidSources; // logged since the last status
+    bool wasReachable = false;
+    uint64_t invalidPackets = 0;
+    uint64_t invalidHops = 0;
+    uint64_t storeReads = 0;
+    uint64_t failedReads = 0;
+};
+
+} // namespace wasabicroft
--- a/backends/PlatformReader.cpp
+++ b/backends/PlatformReader.cpp
@@ -1,5 +1,7 @@
 #include "backends/PlatformReader.h"
 
+#include "backends/HttpClient.h"
+
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,8 +21,6 @@
 
 namespace {
 
-    // The instance list of 6,400 processes is the largest answer, at about 150 bytes a row.
-    constexpr uint64_t maxAnswerBytes = 4 * 1024 * 1024;
     constexpr Milliseconds peerTickInterval { 50 };
     constexpr size_t maxWaitingPeerFrames = 1024; // handed over by other threads; further ones are dropped
 
@@ -41,7 +41,7 @@
         return target;
     }
 
-    std::optional<uint64_t> indexOf(const http::response<http::string_body>& response)
+    std::optional<uint64_t> indexOf(const HttpResponse& response)
     {
         const beast::string_view text = response["X-Index"];
         uint64_t index = 0;
@@ -51,8 +51,11 @@
         return index;
     }
 
-    CallResult resultOf(http::response<http::string_body>&& response)
+    CallResult resultOf(HttpResult&& answer)
     {
+        if (!answer)
+            return { CallResult::Kind::Failure, 0, std::nullopt, answer.error().message };
+        HttpResponse& response = answer.value();
         if (response.result() == http::status::not_modified)
             return { CallResult::Kind::NotModified, 0, std::nullopt, {} };
         const std::optional<uint64_t> index = indexOf(response);
@@ -65,117 +68,6 @@
                 + (index ? "" : " without an X-Index header") };
     }
 
-    // Calls one after the other on a connection that is kept open, because the first load reads a value per service.
-    class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
-    public:
-        using Done = std::function<void(const CallResult&)>;
-
-        explicit HttpConnection(asio::io_context& context)
-            : stream(context)
-        {
-        }
-
-        void start(const Endpoint& platform, const PlatformCall& call, Milliseconds callTimeout, Done callDone)
-        {
-            this->done = std::move(callDone);
-            this->endpoint = asio::ip::tcp::endpoint(asio::ip::make_address(platform.address), platform.port);
-            this->timeout = callTimeout + call.wait;
-            this->request = { http::verb::get, targetOf(call), 11 };
-            this->request.set(http::field::host, toString(platform));
-            this->request.keep_alive(true);
-            this->isReused = this->isConnected;
-            if (this->isConnected)
-                this->write();
-            else
-                this->connect();
-        }
-
-        // The outcome of a call in flight is not reported; the connection can't be used again.
-        void close()
-        {
-            this->done = nullptr;
-            this->stream.close();
-        }
-
-    private:
-        void connect()
-        {
-            this->buffer.clear();
-            this->stream.expires_after(this->timeout);
-            const std::shared_ptr<HttpConnection> self = this->shared_from_this();
-            this->stream.async_connect(this->endpoint, [self](beast::error_code error) {
-                if (!self->done)
-                    return;
-                self->isConnected = !error;
-                if (error)
-                    self->fail(error);
-                else
-                    self->write();
-            });
-        }
-
-        void write()
-        {
-            this->parser.emplace();
-            this->parser->body_limit(maxAnswerBytes);
-            this->stream.expires_after(this->timeout);
-            const std::shared_ptr<HttpConnection> self = this->shared_from_this();
-            http::async_write(this->stream, this->request, [self](beast::error_code error, size_t) {
-                if (!self->done)
-                    return;
-                if (error)
-                    self->fail(error);
-                else
-                    self->read();
-            });
-        }
-
-        void read()
-        {
-            const std::shared_ptr<HttpConnection> self = this->shared_from_this();
-            http::async_read(this->stream, this->buffer, *this->parser, [self](beast::error_code error, size_t) {
-                if (!self->done)
-                    return;
-                if (error) {
-                    self->fail(error);
-                    return;
-                }
-                self->stream.expires_never();
-                if (!self->parser->get().keep_alive())
-                    self->disconnect();
-                self->finish(resultOf(self->parser->release()));
-            });
-        }
-
-        void disconnect()
-        {
-            this->stream.close();
-            this->isConnected = false;
-        }
-
-        void fail(beast::error_code error)
-        {
-            this->disconnect();
-            // The platform may close a connection that was idle; that is no failure of the platform.
-            if (std::exchange(this->isReused, false) && error != beast::error::timeout)
-                this->connect();
-            else
-                this->finish({ CallResult::Kind::Failure, 0, std::nullopt, error.message() });
-        }
-
-        void finish(const CallResult& result) { std::exchange(this->done, nullptr)(result); }
-
-        beast::tcp_stream stream;
-        Done done;
-        asio::ip::tcp::endpoint endpoint;
-        Milliseconds timeout { 0 };
-        bool isConnected = false;
-        bool isReused = false; // the call was sent on a connection that had been idle
-        http::request<http::empty_body> request;
-        std::optional<http::response_parser<http::string_body>> parser;
-        beast::flat_buffer buffer;
-    };
-
     ConfigReaderOptions readerOptions(const PlatformReaderOptions& options)
     {
         ConfigReaderOptions timing = options.timing;
@@ -249,7 +141,7 @@
             this->isStopping = true;
             for (asio::steady_timer& timer : this->timers)
                 timer.cancel();
-            for (std::shared_ptr<HttpConnection>& connection : this->connections) {
+            for (std::shared_ptr<HttpClient>& connection : this->connections) {
                 if (connection)
                     connection->close();
                 connection.reset();
@@ -387,14 +279,14 @@
         const size_t i = static_cast<size_t>(which);
         const std::optional<PlatformCall> call = this->reader.nextCall(which);
         if (call) {
-            std::shared_ptr<HttpConnection>& connection = this->connections.at(i);
+            std::shared_ptr<HttpClient>& connection = this->connections.at(i);
             if (connection && this->isCalling.at(i))
                 std::exchange(connection, nullptr)->close();
             if (!connection)
-                connection = std::make_shared<HttpConnection>(this->context);
+                connection = std::make_shared<HttpClient>(this->context);
             this->isCalling.at(i) = true;
-            connection->start(this->options.platform, *call, this->options.callTimeout,
-                [this, call = *call](const CallResult& result) { this->report(call, result); });
+            connection->start(this->options.platform, targetOf(*call), this->options.callTimeout + call->wait,
+                [this, call = *call](HttpResult result) { this->report(call, resultOf(std::move(result))); });
         }
         const TimePoint due = this->reader.nextCallTime(which);
         asio::steady_timer& timer = this->timers.at(i);
@@ -439,7 +331,7 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::array<asio::steady_timer, platformStreamCount> timers;
-    std::array<std::shared_ptr<HttpConnection>, platformStreamCount> connections;
+    std::array<std::shared_ptr<HttpClient>, platformStreamCount> connections;
     std::array<bool, platformStreamCount> isCalling {};
     std::optional<Propagation> propagation;
     std::optional<PeerLinks> links;
--- a/schemas/generate.sh
+++ b/schemas/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates schemas/Frame_generated.h from schemas/Frame.fbs (needs flatc 2.0.8).
+# Regenerates the headers of the schemas (needs flatc 2.0.8).
 set -euo pipefail
 cd "$(dirname "$0")"
-flatc --cpp --cpp-std c++17 --scoped-enums Frame.fbs
+flatc --cpp --cpp-std c++17 --scoped-enums Frame.fbs Hop.fbs
--- /dev/null
+++ b/wasabicroft/AgentGate.h
@@ -0,0 +1,108 @@
+// Decisions of the agent beside an upstream about packets in both directions. No I/O.
+//
+// The upstream is the authority on its flows: it returns packets of flows that it does not hold. The agent watches the
+// packets go by, tells entries what it sees, and knows the upstream's load from requests that still lack an answer.
+// All of it may be lost at any time: a new agent learns the flows from the packets of the upstream.
+//
+// Index
+//   [SECTION] Options and counters
+//   [SECTION] AgentGate
+#pragma once
+
+#include "wasabicroft/Clock.h"
+#include "wasabicroft/Packet.h"
+
+#include <map>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options and counters
+//-----------------------------------------------------------------------------
+
+struct AgentGateOptions {
+    ServiceId service; // of the upstream
+    uint64_t incarnation = 0; // of this agent
+    size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is forgotten
+    Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
+    Milliseconds loadInterval { 100 }; // between two load reports to an entry, if the load changed
+    Milliseconds loadRefresh { 1000 }; // between two load reports to an entry, if it did not
+    Milliseconds reportLifetime { 5000 }; // an entry that offered no flow for this long gets no reports
+};
+
+struct AgentGateCounters {
+    uint64_t fromEntries = 0; // packets
+    uint64_t fromUpstream = 0;
+    uint64_t bounces = 0; // returned by the upstream
+    uint64_t accepted = 0; // SYNs that the upstream answered
+    uint64_t refused = 0;
+    uint64_t gone = 0; // flows that the upstream lost
+    uint64_t dropped = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] AgentGate
+//-----------------------------------------------------------------------------
+
+struct AgentGateHooks {
+    std::function<void(Bytes)> sendToUpstream;
+    std::function<void(PacketAddress client, Bytes)> sendToClient;
+    std::function<void(PacketAddress entry, const HopMessage&)> sendHop;
+};
+
+class AgentGate {
+public:
+    AgentGate(AgentGateOptions, AgentGateHooks, const Clock&);
+
+    void setService(ServiceId); // the settings changed: another service's upstream runs here now
+
+    void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
+    void onUpstreamPacket(const Packet&, Bytes); // bounce marks are already removed from the bytes
+    void onUpstreamUnreachable(); // nothing listens at the upstream's address
+    void onTick(); // every few milliseconds
+
+    uint16_t busy() const { return static_cast<uint16_t>(this->busyFlows); }
+    size_t openFlows() const { return this->flows.size(); }
+    bool isUpstreamDown() const { return this->upstreamDown; }
+    const AgentGateCounters& counters() const { return this->counts; }
+
+private:
+    struct Flow {
+        PacketAddress entry; // that sent the last packet
+        HopKind lastKind = HopKind::Forward; // of that packet
+        bool offered = false; // a SYN was delivered
+        bool isOpen = false; // the upstream sent more than the handshake
+        bool isHeld = false; // the upstream sent any packet of the flow
+        bool isBusy = false; // a request waits for its answer
+        bool hasSequence = false;
+        uint32_t nextSequence = 0; // end of the client's payload seen so far
+        uint32_t upstreamSequence = 0; // of the SYN+ACK
+    };
+
+    struct Subscriber {
+        TimePoint lastOffer;
+        TimePoint lastReport;
+        uint16_t busy = 0;
+        size_t flows = 0;
+    };
+
+    void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
+    void onBounce(const FlowKey&, const Packet&, Bytes);
+    void noteRequest(Flow&, const Packet&);
+    void setBusy(Flow&, bool);
+    void noteHeld(const FlowKey&, Flow&);
+    void forget(const FlowKey&);
+    void reply(PacketAddress entry, HopKind, const FlowKey&, HopRefusal, Bytes packet = {}, uint32_t sequence = 0);
+
+    AgentGateOptions options;
+    AgentGateHooks hooks;
+    const Clock& clock;
+    FlowTable<Flow> flows;
+    std::map<PacketAddress, Subscriber> subscribers;
+    size_t busyFlows = 0;
+    size_t heldCount = 0;
+    bool upstreamDown = false;
+    AgentGateCounters counts;
+};
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/EntryRouter.cpp
@@ -0,0 +1,507 @@
+#include "wasabicroft/EntryRouter.h"
+
+#include "wasabicroft/Log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wasabicroft {
+
+namespace {
+
+    // Candidates that a plan ranks; more than a flow is ever offered to.
+    constexpr size_t rankedCandidates = 8;
+
+    PlacementOptions placementOptions(const EntryRouterOptions& options, std::mt19937_64& random)
+    {
+        PlacementOptions placement;
+        placement.failureDomain = options.failureDomain;
+        placement.candidates = rankedCandidates;
+        placement.waitAt = 0;
+        placement.remotePenalty = options.remotePenalty;
+        placement.connectionCost = options.connectionCost;
+        placement.random = [&random] { return random(); };
+        return placement;
+    }
+
+    std::vector<uint8_t> copyOf(Bytes bytes) { return { bytes.begin(), bytes.end() }; }
+
+} // namespace
+
+EntryRouter::EntryRouter(EntryRouterOptions routerOptions, EntryRouterHooks routerHooks, const Clock& timeSource)
+    : options(std::move(routerOptions))
+    , hooks(std::move(routerHooks))
+    , clock(timeSource)
+    , random(this->options.seed)
+    , placement(placementOptions(this->options, this->random), timeSource)
+    , flows(this->options.maxFlows)
+    , findTokens(this->options.findRate)
+    , findTokensAt(timeSource.now())
+{
+}
+
+//-----------------------------------------------------------------------------
+// Beliefs
+//-----------------------------------------------------------------------------
+
+void EntryRouter::setRoutes(std::shared_ptr<const RoutingTable> table)
+{
+    this->routes = std::move(table);
+    this->releaseHeld();
+}
+
+void EntryRouter::setUpstreams(const UpstreamDirectory& directory)
+{
+    this->hasUpstreams = directory.isKnown();
+    this->directoryRevision = directory.revision();
+    std::set<ServiceId> services;
+    if (this->routes) {
+        for (const auto& [address, route] : this->routes->routes) {
+            for (const RouteShare& share : route.shares)
+                services.insert(share.service);
+        }
+    }
+    for (const UpstreamRecord& record : directory.all())
+        services.insert(record.service);
+    this->usable.clear();
+    this->holders.clear();
+    this->upstreamByAgent.clear();
+    this->agentByUpstream.clear();
+    const auto targetOf = [this](const UpstreamRecord& record) {
+        return Target { record.id(), { record.address.address, this->options.agentPort } };
+    };
+    for (const ServiceId service : services) {
+        std::vector<PlacementUpstream> pool;
+        for (const UpstreamRecord& record : directory.usable(service)) {
+            pool.push_back({ record.id(), record.failureDomain, record.slots, false });
+            this->usable[service].push_back(targetOf(record));
+        }
+        this->placement.setPool(service, std::move(pool));
+        for (const UpstreamRecord& record : directory.holders(service)) {
+            const Target target = targetOf(record);
+            this->holders[service].push_back(target);
+            this->agentByUpstream[target.upstream] = target.agent;
+            this->upstreamByAgent.emplace(target.agent, target.upstream);
+        }
+    }
+    for (const auto& [service, targets] : this->usable) {
+        for (const Target& target : targets)
+            this->upstreamByAgent[target.agent] = target.upstream;
+    }
+    this->releaseHeld();
+}
+
+bool EntryRouter::isServing() const { return this->routes && !this->usable.empty(); }
+
+//-----------------------------------------------------------------------------
+// Packets of clients
+//-----------------------------------------------------------------------------
+
+void EntryRouter::onClientPacket(const Packet& packet, Bytes bytes)
+{
+    ++this->counts.packets;
+    if (!this->routes || !this->hasUpstreams)
+        this->hold(packet, bytes);
+    else
+        this->route(packet, bytes);
+}
+
+void EntryRouter::hold(const Packet& packet, Bytes bytes)
+{
+    if (this->heldBytes + bytes.size() > this->options.maxHeldBytes) {
+        ++this->counts.dropped;
+        return;
+    }
+    ++this->counts.held;
+    this->heldBytes += bytes.size();
+    this->held.push_back({ packet, copyOf(bytes), this->clock.now() });
+}
+
+void EntryRouter::releaseHeld()
+{
+    if (!this->routes || !this->hasUpstreams)
+        return;
+    const std::deque<Held> released = std::exchange(this->held, {});
+    this->heldBytes = 0;
+    for (const Held& item : released)
+        this->route(item.packet, item.bytes);
+}
+
+void EntryRouter::route(const Packet& packet, Bytes bytes)
+{
+    if (packet.isSyn())
+        this->openFlow(packet.fromClient(), bytes);
+    else
+        this->continueFlow(packet.fromClient(), packet, bytes);
+}
+
+//-----------------------------------------------------------------------------
+// New flows
+//-----------------------------------------------------------------------------
+
+void EntryRouter::openFlow(const FlowKey& key, Bytes syn)
+{
+    const Route* route = this->routes->find(key.route);
+    if (!route) {
+        this->refuse(key, 0, "no-route");
+        return;
+    }
+    Flow& flow = this->flows.use(key, this->clock.now());
+    if (flow.holder) {
+        // A late copy of the SYN: the holder answers it as it did before.
+        this->sendPacket(*flow.holder, HopKind::Offer, flow.service, syn);
+        return;
+    }
+    if (flow.syn.empty()) {
+        flow.service = this->chooseService(*route);
+        flow.syn = copyOf(syn);
+    }
+    for (Offer& offer : flow.offers) {
+        if (offer.state == OfferState::Accepted) {
+            this->sendOffer(key, flow, offer);
+            return;
+        }
+    }
+    // A copy of the SYN starts a new round over the candidates.
+    std::erase_if(flow.offers, [](const Offer& offer) { return offer.state == OfferState::Refused; });
+    if (flow.offers.size() >= this->options.maxOffers)
+        flow.offers.clear();
+    if (!this->offerNext(key, flow, "open"))
+        this->refuse(key, 0, "no-upstream");
+}
+
+ServiceId EntryRouter::chooseService(const Route& route)
+{
+    uint64_t total = 0;
+    for (const RouteShare& share : route.shares)
+        total += share.weight;
+    uint64_t draw = total > 1 ? this->random() % total : 0;
+    for (const RouteShare& share : route.shares) {
+        if (draw < share.weight)
+            return share.service;
+        draw -= share.weight;
+    }
+    return route.shares.front().service;
+}
+
+// Offers the flow to the best upstream that it was not offered to yet. Returns false if there is none.
+bool EntryRouter::offerNext(const FlowKey& key, Flow& flow, std::string_view cause)
+{
+    if (flow.offers.size() >= this->options.maxOffers)
+        return false;
+    const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service);
+    for (const UpstreamId candidate : candidates) {
+        const auto agent = this->agentByUpstream.find(candidate);
+        const bool isTried = std::any_of(flow.offers.begin(), flow.offers.end(),
+            [&](const Offer& offer) { return offer.upstream == candidate; });
+        if (isTried || agent == this->agentByUpstream.end())
+            continue;
+        flow.offers.push_back({ candidate, agent->second, OfferState::Pending, this->clock.now(), 0 });
+        logEvent(Event::PacketFlowOffered,
+            { { "flow", toString(key) }, { "service", flow.service }, { "upstream", candidate },
+                { "agent", toString(agent->second) }, { "cause", cause },
+                { "attempt", static_cast<uint64_t>(flow.offers.size()) },
+                { "candidates", static_cast<uint64_t>(candidates.size()) },
+                { "occupied", this->placement.occupiedShare(flow.service, candidate) },
+                { "load-age-ms", this->placement.loadAge(candidate) }, { "routes", this->routes->version },
+                { "directory", this->directoryRevision } });
+        this->sendOffer(key, flow, flow.offers.back());
+        return true;
+    }
+    return false;
+}
+
+void EntryRouter::sendOffer(const FlowKey& key, Flow& flow, Offer& offer)
+{
+    ++this->counts.offers;
+    if (offer.state == OfferState::Pending) {
+        this->placement.onFlowStarted(offer.upstream);
+        this->pending.push_back({ key, offer.upstream, this->clock.now() + this->options.offerTimeout });
+    }
+    this->sendPacket(offer.agent, HopKind::Offer, flow.service, flow.syn);
+}
+
+void EntryRouter::sendPacket(PacketAddress agent, HopKind kind, ServiceId service, Bytes bytes)
+{
+    HopMessage message;
+    message.kind = kind;
+    message.service = service;
+    message.packet = bytes;
+    this->hooks.sendHop(agent, message);
+}
+
+EntryRouter::Offer* EntryRouter::findOffer(Flow& flow, PacketAddress agent)
+{
+    const auto found = std::find_if(
+        flow.offers.begin(), flow.offers.end(), [&](const Offer& offer) { return offer.agent == agent; });
+    return found == flow.offers.end() ? nullptr : &*found;
+}
+
+// Only for flows that are not open: nothing of the client's request has run.
+void EntryRouter::refuse(const FlowKey& key, uint32_t sequence, std::string_view cause)
+{
+    ++this->counts.resets;
+    logEvent(Event::PacketFlowRefused,
+        { { "flow", toString(key) }, { "cause", cause }, { "routes", this->routes->version },
+            { "directory", this->directoryRevision } });
+    this->flows.erase(key);
+    this->hooks.sendReset(key, sequence);
+}
+
+//-----------------------------------------------------------------------------
+// Open flows
+//-----------------------------------------------------------------------------
+
+void EntryRouter::continueFlow(const FlowKey& key, const Packet& packet, Bytes bytes)
+{
+    const bool isRouted = this->routes->find(key.route) != nullptr;
+    if (!isRouted && !this->flows.find(key)) {
+        ++this->counts.dropped;
+        return;
+    }
+    Flow& flow = this->flows.use(key, this->clock.now());
+    flow.lastAcknowledgement = packet.acknowledgement;
+    if (!flow.holder) {
+        if (const Offer* offer = this->acceptedOffer(flow, packet.acknowledgement))
+            this->setHolder(key, flow, offer->agent);
+    }
+    if (flow.holder)
+        this->forward(flow, bytes);
+    else
+        this->find(key, flow, bytes, std::nullopt);
+}
+
+// The offer whose upstream the client answered. The first packet after the handshake acknowledges the upstream's
+// sequence number; it decides between two upstreams that accepted copies of one SYN.
+const EntryRouter::Offer* EntryRouter::acceptedOffer(const Flow& flow, uint32_t acknowledgement) const
+{
+    const Offer* accepted = nullptr;
+    size_t acceptedCount = 0;
+    for (const Offer& offer : flow.offers) {
+        if (offer.state != OfferState::Accepted)
+            continue;
+        if (acknowledgement == offer.upstreamSequence + 1)
+            return &offer;
+        accepted = &offer;
+        ++acceptedCount;
+    }
+    return flow.offers.size() == 1 && acceptedCount == 1 ? accepted : nullptr;
+}
+
+void EntryRouter::setHolder(const FlowKey& key, Flow& flow, PacketAddress agent)
+{
+    flow.holder = agent;
+    flow.syn.clear();
+    flow.offers.clear();
+    logEvent(Event::PacketHolderKnown, { { "flow", toString(key) }, { "agent", toString(agent) } });
+    for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
+        this->forward(flow, bytes);
+}
+
+void EntryRouter::forward(const Flow& flow, Bytes bytes)
+{
+    ++this->counts.forwarded;
+    this->sendPacket(*flow.holder, HopKind::Forward, flow.service, bytes);
+}
+
+// Sends a packet to all upstreams that may hold the flow. An upstream that doesn't hold it returns the packet.
+void EntryRouter::find(const FlowKey& key, Flow& flow, Bytes bytes, std::optional<PacketAddress> except)
+{
+    const TimePoint now = this->clock.now();
+    if (now - flow.firstFind > this->options.findWindow) {
+        flow.firstFind = now;
+        flow.finds = 0;
+    }
+    if (flow.finds >= this->options.maxFinds) {
+        ++this->counts.findsLimited;
+        if (flow.waiting.size() < this->options.maxWaitingPackets) {
+            if (flow.waiting.empty())
+                this->waiters.push_back(key);
+            flow.waiting.push_back(copyOf(bytes));
+        }
+        return;
+    }
+    std::vector<PacketAddress> targets;
+    const auto add = [&](PacketAddress agent) {
+        if (agent != except && std::find(targets.begin(), targets.end(), agent) == targets.end())
+            targets.push_back(agent);
+    };
+    if (!flow.offers.empty()) {
+        for (const Offer& offer : flow.offers)
+            add(offer.agent);
+    } else if (const Route* route = this->routes->find(key.route)) {
+        for (const RouteShare& share : route->shares) {
+            flow.service = share.service;
+            for (const Target& target : this->holders[share.service])
+                add(target.agent);
+        }
+    }
+    if (targets.empty() || !this->takeFindTokens(targets.size())) {
+        ++(targets.empty() ? this->counts.dropped : this->counts.findsLimited);
+        return;
+    }
+    ++flow.finds;
+    ++this->counts.finds;
+    this->counts.findCopies += targets.size();
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(targets.size()) },
+            { "directory", this->directoryRevision } });
+    for (const PacketAddress agent : targets)
+        this->sendPacket(agent, HopKind::Find, flow.service, bytes);
+}
+
+bool EntryRouter::takeFindTokens(size_t copies)
+{
+    const TimePoint now = this->clock.now();
+    const double seconds = std::chrono::duration<double>(now - this->findTokensAt).count();
+    this->findTokensAt = now;
+    this->findTokens = std::min(this->options.findRate, this->findTokens + seconds * this->options.findRate);
+    if (this->findTokens < static_cast<double>(copies))
+        return false;
+    this->findTokens -= static_cast<double>(copies);
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// Messages of agents
+//-----------------------------------------------------------------------------
+
+void EntryRouter::onHop(PacketAddress agent, const HopMessage& message, const Packet* packet)
+{
+    const FlowKey key = packet ? packet->fromClient() : message.flow;
+    this->noteLoad(agent, message);
+    switch (message.kind) {
+    case HopKind::Accepted:
+        this->onAccepted(key, agent, message);
+        break;
+    case HopKind::Refused:
+        if (packet)
+            this->onRefused(key, agent, message);
+        break;
+    case HopKind::Holds:
+        if (Flow* flow = this->flows.find(key); flow && flow->holder != agent)
+            this->setHolder(key, *flow, agent);
+        break;
+    case HopKind::NotHeld:
+        if (packet)
+            this->onNotHeld(key, agent, message);
+        break;
+    case HopKind::Gone:
+        this->onGone(key, agent, message);
+        break;
+    case HopKind::Load:
+    case HopKind::Offer:
+    case HopKind::Forward:
+    case HopKind::Find:
+        break;
+    }
+}
+
+void EntryRouter::noteLoad(PacketAddress agent, const HopMessage& message)
+{
+    const auto upstream = this->upstreamByAgent.find(agent);
+    if (upstream == this->upstreamByAgent.end())
+        return;
+    this->placement.onReply(upstream->second);
+    this->placement.onLoad(upstream->second, { message.busy, 0, 0, message.flows });
+}
+
+void EntryRouter::onAccepted(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+{
+    Flow* flow = this->flows.find(key);
+    Offer* offer = flow ? this->findOffer(*flow, agent) : nullptr;
+    if (!offer)
+        return;
+    offer->state = OfferState::Accepted;
+    offer->upstreamSequence = message.upstreamSequence;
+    // Packets of the client may have arrived before this message.
+    if (flow->waiting.empty() || flow->lastAcknowledgement != offer->upstreamSequence + 1)
+        return;
+    this->setHolder(key, *flow, agent);
+}
+
+void EntryRouter::onRefused(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+{
+    ++this->counts.refusedOffers;
+    Flow* flow = this->flows.find(key);
+    Offer* offer = flow && !flow->holder ? this->findOffer(*flow, agent) : nullptr;
+    if (!offer)
+        return;
+    offer->state = OfferState::Refused;
+    if (this->offerNext(key, *flow, nameOf(message.refusal)))
+        return;
+    const bool allRefused = std::all_of(flow->offers.begin(), flow->offers.end(),
+        [](const Offer& item) { return item.state == OfferState::Refused; });
+    if (allRefused)
+        this->refuse(key, 0, nameOf(message.refusal));
+}
+
+void EntryRouter::onNotHeld(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+{
+    ++this->counts.notHeld;
+    Flow& flow = this->flows.use(key, this->clock.now());
+    if (flow.holder && flow.holder != agent) {
+        this->forward(flow, message.packet);
+        return;
+    }
+    logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
+    flow.holder.reset();
+    this->find(key, flow, message.packet, agent);
+}
+
+// The upstream lost the flow, which can't continue anywhere: the client learns it at once and may retry.
+void EntryRouter::onGone(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+{
+    Flow* flow = this->flows.find(key);
+    if (!flow || flow->holder != agent)
+        return;
+    ++this->counts.resets;
+    logEvent(Event::PacketFlowLost,
+        { { "flow", toString(key) }, { "agent", toString(agent) }, { "cause", nameOf(message.refusal) } });
+    const uint32_t sequence = flow->lastAcknowledgement;
+    this->flows.erase(key);
+    this->hooks.sendReset(key, sequence);
+}
+
+//-----------------------------------------------------------------------------
+// Time
+//-----------------------------------------------------------------------------
+
+void EntryRouter::onTick()
+{
+    const TimePoint now = this->clock.now();
+    this->placement.onTick();
+    while (!this->pending.empty() && this->pending.front().due <= now) {
+        const Pending item = this->pending.front();
+        this->pending.pop_front();
+        Flow* flow = this->flows.find(item.flow);
+        if (!flow || flow->holder)
+            continue;
+        const auto offer = std::find_if(flow->offers.begin(), flow->offers.end(),
+            [&](const Offer& candidate) { return candidate.upstream == item.upstream; });
+        if (offer == flow->offers.end() || offer->state != OfferState::Pending)
+            continue;
+        offer->state = OfferState::TimedOut;
+        ++this->counts.offerTimeouts;
+        this->placement.onSilence(item.upstream);
+        this->offerNext(item.flow, *flow, "silent");
+    }
+    while (!this->waiters.empty()) {
+        Flow* flow = this->flows.find(this->waiters.front());
+        if (flow && !flow->waiting.empty() && now - flow->firstFind < this->options.findTimeout)
+            break;
+        if (flow) {
+            this->counts.dropped += flow->waiting.size();
+            flow->waiting.clear();
+        }
+        this->waiters.pop_front();
+    }
+    while (!this->held.empty() && now - this->held.front().received > this->options.holdLimit) {
+        ++this->counts.dropped;
+        this->heldBytes -= this->held.front().bytes.size();
+        this->held.pop_front();
+    }
+    this->flows.expire(now - this->options.flowIdleLimit);
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/EntryRouter.h
@@ -0,0 +1,171 @@
+// Decisions of an entry about the packets of client flows: which upstream a new flow is offered to, which upstream
+// holds an open flow, and what is refused. No I/O.
+//
+// A new flow is offered to one upstream at a time until one accepts. The upstream is the authority on the flows that it
+// holds; the table here is a cache. When the cache has no entry, packets of the flow are offered to the upstreams that
+// may hold it, at most a few per flow, until the agent beside the holder answers.
+//
+// Index
+//   [SECTION] Options and counters
+//   [SECTION] EntryRouter
+#pragma once
+
+#include "wasabicroft/Placement.h"
+#include "wasabicroft/Published.h"
+
+#include <deque>
+#include <map>
+#include <random>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Options and counters
+//-----------------------------------------------------------------------------
+
+struct EntryRouterOptions {
+    std::string failureDomain; // of this entry
+    uint16_t agentPort = 0; // where agents take hop messages, at their upstream's IP address
+    size_t maxFlows = 131072; // remembered flows; the least recently used one is forgotten when full
+    size_t maxOffers = 4; // upstreams that one flow is offered to before its client's next copy of the SYN
+    Milliseconds offerTimeout { 60 }; // above a round trip between failure domains and an upstream's handshake
+    unsigned maxFinds = 2; // packets of one flow sent to all possible holders within findWindow
+    Milliseconds findWindow { 2000 };
+    Milliseconds findTimeout { 200 }; // packets of a flow wait this long for its holder; clients retransmit then
+    size_t maxWaitingPackets = 16; // of a flow: one client window
+    size_t maxHeldBytes = 1024 * 1024; // packets that wait for the first routes
+    Milliseconds holdLimit { 1400 }; // a client gives up opening a flow after this time
+    Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
+    double findRate = 4000; // packets a second to possible holders, over all flows
+    double connectionCost = 0.02; // expected share of a slot that an open flow uses
+    double remotePenalty = 0.25; // see PlacementOptions
+    uint64_t seed = 1;
+};
+
+struct EntryRouterCounters {
+    uint64_t packets = 0; // from clients
+    uint64_t offers = 0;
+    uint64_t forwarded = 0;
+    uint64_t finds = 0; // packets whose holder was unknown
+    uint64_t findCopies = 0; // datagrams sent for them
+    uint64_t findsLimited = 0; // not sent because of a limit
+    uint64_t offerTimeouts = 0;
+    uint64_t refusedOffers = 0;
+    uint64_t resets = 0;
+    uint64_t held = 0; // packets that waited for the first routes
+    uint64_t dropped = 0; // packets that could go nowhere
+    uint64_t notHeld = 0; // forwarded packets that came back
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] EntryRouter
+//-----------------------------------------------------------------------------
+
+struct EntryRouterHooks {
+    std::function<void(PacketAddress agent, const HopMessage&)> sendHop;
+    std::function<void(const FlowKey&, uint32_t sequence)> sendReset; // to the client
+};
+
+class EntryRouter {
+public:
+    EntryRouter(EntryRouterOptions, EntryRouterHooks, const Clock&);
+
+    void setRoutes(std::shared_ptr<const RoutingTable>);
+    void setUpstreams(const UpstreamDirectory&); // after each change of the directory
+
+    void onClientPacket(const Packet&, Bytes);
+    // packet is the decoded header of the message's packet, if it carries one.
+    void onHop(PacketAddress agent, const HopMessage&, const Packet* packet);
+    void onTick(); // every few milliseconds
+
+    bool isServing() const; // has routes and an upstream that takes new flows
+    uint64_t routesVersion() const { return this->routes ? this->routes->version : 0; }
+    size_t openFlows() const { return this->flows.size(); }
+    uint64_t flowEvictions() const { return this->flows.evictions(); }
+    const EntryRouterCounters& counters() const { return this->counts; }
+    const Suspicion& suspicion() const { return this->placement.suspicion(); }
+
+private:
+    enum class OfferState : uint8_t { Pending, Accepted, Refused, TimedOut };
+
+    struct Offer {
+        UpstreamId upstream;
+        PacketAddress agent;
+        OfferState state = OfferState::Pending;
+        TimePoint sent;
+        uint32_t upstreamSequence = 0; // once accepted
+    };
+
+    struct Flow {
+        ServiceId service;
+        std::vector<Offer> offers;
+        std::vector<uint8_t> syn; // until the flow is open
+        std::optional<PacketAddress> holder; // agent beside the upstream that holds the flow
+        std::vector<std::vector<uint8_t>> waiting; // packets that wait for the holder
+        TimePoint firstFind; // of the current window
+        unsigned finds = 0; // in the current window
+        uint32_t lastAcknowledgement = 0; // of the client
+    };
+
+    struct Pending {
+        FlowKey flow;
+        UpstreamId upstream;
+        TimePoint due;
+    };
+
+    struct Held {
+        Packet packet;
+        std::vector<uint8_t> bytes;
+        TimePoint received;
+    };
+
+    struct Target {
+        UpstreamId upstream;
+        PacketAddress agent;
+    };
+
+    void hold(const Packet&, Bytes);
+    void releaseHeld();
+    void route(const Packet&, Bytes);
+    void openFlow(const FlowKey&, Bytes syn);
+    ServiceId chooseService(const Route&);
+    bool offerNext(const FlowKey&, Flow&, std::string_view cause);
+    void sendOffer(const FlowKey&, Flow&, Offer&);
+    void sendPacket(PacketAddress agent, HopKind, ServiceId, Bytes);
+    Offer* findOffer(Flow&, PacketAddress agent);
+    void refuse(const FlowKey&, uint32_t sequence, std::string_view cause);
+    void continueFlow(const FlowKey&, const Packet&, Bytes);
+    const Offer* acceptedOffer(const Flow&, uint32_t acknowledgement) const;
+    void setHolder(const FlowKey&, Flow&, PacketAddress agent);
+    void forward(const Flow&, Bytes);
+    void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
+    bool takeFindTokens(size_t copies);
+    void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onGone(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void noteLoad(PacketAddress agent, const HopMessage&);
+
+    EntryRouterOptions options;
+    EntryRouterHooks hooks;
+    const Clock& clock;
+    std::mt19937_64 random;
+    Placement placement;
+    std::shared_ptr<const RoutingTable> routes;
+    bool hasUpstreams = false;
+    uint64_t directoryRevision = 0;
+    std::map<ServiceId, std::vector<Target>> usable;
+    std::map<ServiceId, std::vector<Target>> holders;
+    std::map<PacketAddress, UpstreamId> upstreamByAgent;
+    std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
+    FlowTable<Flow> flows;
+    std::deque<Pending> pending; // offers, ordered by due
+    std::deque<FlowKey> waiters; // flows that had waiting packets, ordered by the start of their wait
+    std::deque<Held> held;
+    size_t heldBytes = 0;
+    double findTokens = 0;
+    TimePoint findTokensAt;
+    EntryRouterCounters counts;
+};
+
+} // namespace wasabicroft
--- a/wasabicroft/Log.cpp
+++ b/wasabicroft/Log.cpp
@@ -31,6 +31,26 @@
     std::atomic<bool> started = false;
     std::atomic<Severity> threshold = Severity::Info;
     std::string processName;
+    std::atomic<uint64_t> lineLimit = 0; // a second; 0: none
+    std::atomic<uint64_t> linesInSecond = 0;
+    std::atomic<int64_t> countedSecond = 0; // of the steady clock
+
+    // Counts a line against the limit. Reports the lines that the second before left out.
+    bool takeLine()
+    {
+        const uint64_t limit = lineLimit;
+        if (limit == 0)
+            return true;
+        const int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::steady_clock::now().time_since_epoch())
+                                   .count();
+        if (countedSecond.exchange(second) != second) {
+            const uint64_t before = linesInSecond.exchange(0);
+            if (before > limit)
+                logEvent(Event::LogLinesSuppressed, { { "lines", before - limit }, { "limit", limit } });
+        }
+        return ++linesInSecond <= limit;
+    }
 
     // Counts a line that the full queue could not take.
     struct CountDropped {
@@ -165,10 +185,12 @@
 {
     processName = options.process;
     threshold = options.threshold;
+    lineLimit = options.maxLinesPerSecond;
     const boost::shared_ptr<logging::sinks::text_ostream_backend> backend
         = boost::make_shared<logging::sinks::text_ostream_backend>();
     if (options.file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(
+            options.toStandardOutput ? &std::cout : &std::clog, boost::null_deleter()));
     else
         backend->add_stream(boost::make_shared<std::ofstream>(options.file, std::ios::app));
     backend->auto_flush(true);
@@ -211,7 +233,7 @@
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
     const Severity severity = infoOf(event).severity;
-    if (severity < threshold)
+    if (severity < threshold || (severity < Severity::Warning && !takeLine()))
         return;
     if (!started) {
         if (severity >= Severity::Warning)
--- a/wasabicroft/Log.h
+++ b/wasabicroft/Log.h
@@ -35,6 +35,8 @@
     Severity threshold = Severity::Info;
     std::string file; // empty: standard error
     std::string process; // written into every line, for example "entry-1"
+    bool toStandardOutput = false; // instead of standard error
+    uint64_t maxLinesPerSecond = 0; // further lines below Warning are counted and reported; 0: no limit
 };
 
 // Starts the writer thread. Without it, lines at Warning and above go to standard error.
--- /dev/null
+++ b/wasabicroft/Packet.cpp
@@ -0,0 +1,114 @@
+#include "wasabicroft/Packet.h"
+
+#include "Hop_generated.h"
+
+#include <charconv>
+#include <cstring>
+
+namespace wasabicroft {
+
+namespace {
+
+    constexpr uint32_t hopMagic = 0x77631001; // version 1 of the hop messages
+
+    static_assert(sizeof(wire::Hop) == hopHeaderBytes);
+
+    // Finalizer of SplitMix64.
+    uint64_t mixed(uint64_t value)
+    {
+        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
+        value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
+        return value ^ (value >> 31);
+    }
+
+    uint64_t packed(PacketAddress address) { return (static_cast<uint64_t>(address.address) << 16) | address.port; }
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Packets
+//-----------------------------------------------------------------------------
+
+std::string toString(PacketAddress address)
+{
+    std::string text;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        text += std::to_string((address.address >> shift) & 0xffU) + (shift > 0 ? "." : ":");
+    return text + std::to_string(address.port);
+}
+
+std::optional<PacketAddress> packetAddressOf(std::string_view text)
+{
+    PacketAddress result;
+    const char* next = text.data();
+    const char* const end = text.data() + text.size();
+    for (int part = 0; part < 4; ++part) {
+        uint8_t value = 0;
+        const std::from_chars_result parsed = std::from_chars(next, end, value);
+        const char separator = part < 3 ? '.' : ':';
+        if (parsed.ec != std::errc() || parsed.ptr == end || *parsed.ptr != separator)
+            return std::nullopt;
+        result.address = (result.address << 8) | value;
+        next = parsed.ptr + 1;
+    }
+    const std::from_chars_result parsed = std::from_chars(next, end, result.port);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return result;
+}
+
+std::string toString(const FlowKey& flow) { return toString(flow.client) + '>' + toString(flow.route); }
+
+size_t FlowKeyHash::operator()(const FlowKey& flow) const noexcept
+{
+    return static_cast<size_t>(mixed(packed(flow.client) + 0x9e3779b97f4a7c15U * packed(flow.route)));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Hop messages
+//-----------------------------------------------------------------------------
+
+std::string_view nameOf(HopKind kind) { return hopKindNames.at(static_cast<size_t>(kind)); }
+
+std::string_view nameOf(HopRefusal refusal) { return hopRefusalNames.at(static_cast<size_t>(refusal)); }
+
+void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
+{
+    const wire::Hop header(message.incarnation, message.service.value, message.flow.client.address,
+        message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
+        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size()),
+        static_cast<uint8_t>(message.kind), static_cast<uint8_t>(message.refusal));
+    const size_t start = out.size();
+    out.resize(start + hopHeaderBytes + message.packet.size());
+    std::memcpy(out.data() + start, &header, hopHeaderBytes);
+    if (!message.packet.empty())
+        std::memcpy(out.data() + start + hopHeaderBytes, message.packet.data(), message.packet.size());
+}
+
+Result<HopMessage> decodeHop(Bytes bytes)
+{
+    if (bytes.size() < hopHeaderBytes)
+        return Error { ErrorKind::InvalidFrame, "the message is shorter than its header; check the sender's version" };
+    wire::Hop header;
+    std::memcpy(&header, bytes.data(), hopHeaderBytes);
+    if (header.magic() != hopMagic)
+        return Error { ErrorKind::InvalidFrame, "the message has an unknown version; run one version everywhere" };
+    if (header.kind() >= hopKindNames.size() || header.refusal() >= hopRefusalNames.size())
+        return Error { ErrorKind::InvalidFrame, "the message has an unknown kind; run one version everywhere" };
+    if (header.packet_bytes() != bytes.size() - hopHeaderBytes)
+        return Error { ErrorKind::InvalidFrame, "the message has a wrong length; check the network for truncation" };
+    HopMessage message;
+    message.kind = static_cast<HopKind>(header.kind());
+    message.refusal = static_cast<HopRefusal>(header.refusal());
+    message.service = { header.service() };
+    message.flow.client = { header.client_address(), header.client_port() };
+    message.flow.route = { header.route_address(), header.route_port() };
+    message.upstreamSequence = header.upstream_sequence();
+    message.busy = header.busy();
+    message.flows = header.flows();
+    message.incarnation = header.incarnation();
+    message.packet = bytes.subspan(hopHeaderBytes);
+    return message;
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/Packet.h
@@ -0,0 +1,206 @@
+// Packets of client flows, the messages that carry them between entries and agents, and a bounded table of flows.
+// No I/O.
+//
+// Index
+//   [SECTION] Packets
+//   [SECTION] Hop messages
+//   [SECTION] Flow table
+#pragma once
+
+#include "wasabicroft/Error.h"
+#include "wasabicroft/Types.h"
+
+#include <list>
+#include <span>
+#include <unordered_map>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Packets
+//-----------------------------------------------------------------------------
+
+using Bytes = std::span<const uint8_t>;
+
+// IPv4 address and port in host byte order.
+struct PacketAddress {
+    uint32_t address = 0;
+    uint16_t port = 0;
+
+    auto operator<=>(const PacketAddress&) const = default;
+};
+
+std::string toString(PacketAddress); // "127.0.0.1:80"
+std::optional<PacketAddress> packetAddressOf(std::string_view text); // "127.0.0.1:80"
+
+// Both ends of a flow. The route is the public address that the client sent to.
+struct FlowKey {
+    PacketAddress client;
+    PacketAddress route;
+
+    auto operator<=>(const FlowKey&) const = default;
+};
+
+std::string toString(const FlowKey&); // "client>route"
+
+struct FlowKeyHash {
+    size_t operator()(const FlowKey&) const noexcept;
+};
+
+// A decoded packet header. The bytes of the packet are forwarded as received and never rebuilt from it.
+struct Packet {
+    PacketAddress source;
+    PacketAddress destination;
+    bool opens = false; // SYN
+    bool acknowledges = false; // ACK
+    bool finishes = false; // FIN
+    bool resets = false; // RST
+    bool bounced = false; // returned by the upstream, which does not hold the flow or can't take it
+    uint32_t sequence = 0;
+    uint32_t acknowledgement = 0; // of a SYN: number of copies sent before
+    uint16_t payloadBytes = 0;
+
+    FlowKey fromClient() const { return { this->source, this->destination }; }
+    FlowKey fromUpstream() const { return { this->destination, this->source }; }
+    bool isSyn() const { return this->opens && !this->acknowledges; }
+    bool isSynAck() const { return this->opens && this->acknowledges; }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Hop messages
+//-----------------------------------------------------------------------------
+
+// Messages between entries and agents. Entry to agent: Offer, Forward, Find. Agent to entry: the others.
+enum class HopKind : uint8_t {
+    Offer, // a SYN for the upstream
+    Forward, // a packet of a flow that the upstream is believed to hold
+    Find, // a packet of a flow whose upstream is unknown; sent to several agents
+    Accepted, // the upstream answered the SYN; carries its sequence number
+    Refused, // the upstream or the agent does not take the SYN; carries the packet
+    Holds, // the upstream holds the flow of a Find
+    NotHeld, // the upstream does not hold the flow of a Forward; carries the packet
+    Gone, // the upstream held the flow and lost it; no other upstream holds it
+    Load, // load of the upstream
+};
+
+inline constexpr std::array<std::string_view, 9> hopKindNames
+    = { "offer", "forward", "find", "accepted", "refused", "holds", "not-held", "gone", "load" };
+
+std::string_view nameOf(HopKind);
+
+// Why an agent did not take a SYN.
+enum class HopRefusal : uint8_t { None, OtherService, UpstreamBusy, UpstreamDown };
+
+inline constexpr std::array<std::string_view, 4> hopRefusalNames
+    = { "none", "other-service", "upstream-busy", "upstream-down" };
+
+std::string_view nameOf(HopRefusal);
+
+struct HopMessage {
+    HopKind kind = HopKind::Forward;
+    HopRefusal refusal = HopRefusal::None;
+    ServiceId service; // that the route belongs to; of the agent's upstream in Load
+    FlowKey flow; // of messages without a packet
+    uint32_t upstreamSequence = 0; // of the SYN+ACK, in Accepted and Holds
+    uint16_t busy = 0; // requests at the upstream that wait for an answer
+    uint32_t flows = 0; // held by the upstream
+    uint64_t incarnation = 0; // of the agent
+    Bytes packet; // as received; empty if the message carries none
+};
+
+inline constexpr size_t hopHeaderBytes = 48;
+
+// Appends the encoded message to out.
+void encodeHop(const HopMessage&, std::vector<uint8_t>& out);
+Result<HopMessage> decodeHop(Bytes); // the result's packet points into the bytes
+
+//-----------------------------------------------------------------------------
+// [SECTION] Flow table
+//-----------------------------------------------------------------------------
+
+// Bounded table of flows. When it is full, the flow that was used least recently is dropped and counted.
+template <typename State> class FlowTable {
+public:
+    explicit FlowTable(size_t maxFlows)
+        : capacity(maxFlows)
+    {
+    }
+
+    State* find(const FlowKey& key)
+    {
+        const auto found = this->index.find(key);
+        return found == this->index.end() ? nullptr : &found->second->state;
+    }
+
+    // Finds or inserts, and marks as used now.
+    State& use(const FlowKey& key, TimePoint now)
+    {
+        const auto found = this->index.find(key);
+        if (found != this->index.end()) {
+            found->second->used = now;
+            this->order.splice(this->order.end(), this->order, found->second);
+            return found->second->state;
+        }
+        if (this->index.size() >= this->capacity) {
+            ++this->evictionCount;
+            this->drop(this->order.begin());
+        }
+        this->order.push_back({ key, now, {} });
+        this->index.emplace(key, std::prev(this->order.end()));
+        return this->order.back().state;
+    }
+
+    void erase(const FlowKey& key)
+    {
+        const auto found = this->index.find(key);
+        if (found == this->index.end())
+            return;
+        this->drop(found->second);
+    }
+
+    void clear()
+    {
+        while (!this->order.empty())
+            this->drop(this->order.begin());
+    }
+
+    // Drops flows that were not used since the given time.
+    void expire(TimePoint before)
+    {
+        while (!this->order.empty() && this->order.front().used < before)
+            this->drop(this->order.begin());
+    }
+
+    template <typename Function> void forEach(Function function)
+    {
+        for (Row& row : this->order)
+            function(row.key, row.state);
+    }
+
+    size_t size() const { return this->index.size(); }
+    uint64_t evictions() const { return this->evictionCount; }
+
+    std::function<void(const FlowKey&, State&)> onDrop; // before a flow is removed, for whatever reason; may be empty
+
+private:
+    struct Row {
+        FlowKey key;
+        TimePoint used;
+        State state;
+    };
+
+    void drop(typename std::list<Row>::iterator row)
+    {
+        if (this->onDrop)
+            this->onDrop(row->key, row->state);
+        this->index.erase(row->key);
+        this->order.erase(row);
+    }
+
+    size_t capacity;
+    std::list<Row> order; // least recently used first
+    std::unordered_map<FlowKey, typename std::list<Row>::iterator, FlowKeyHash> index;
+    uint64_t evictionCount = 0;
+};
+
+} // namespace wasabicroft
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -138,7 +138,8 @@
     const auto found = this->estimates.find(upstream.id);
     const Estimate estimate = found == this->estimates.end() ? Estimate() : found->second;
     const double slots = std::max<double>(1, estimate.load.slots > 0 ? estimate.load.slots : upstream.slots);
-    const double reported = estimate.load.busySlots + estimate.load.queueLength;
+    const double reported = estimate.load.busySlots + estimate.load.queueLength
+        + this->options.connectionCost * static_cast<double>(estimate.load.connections);
     return std::max(0.0, reported + static_cast<double>(estimate.ownChange)) / slots;
 }
 
@@ -217,6 +218,26 @@
 
 void Placement::onTick() { this->suspects.onTick(); }
 
+double Placement::occupiedShare(ServiceId service, UpstreamId upstream) const
+{
+    const auto pool = this->pools.find(service);
+    if (pool == this->pools.end())
+        return 0;
+    for (const PlacementUpstream& item : pool->second) {
+        if (item.id == upstream)
+            return this->occupied(item);
+    }
+    return 0;
+}
+
+Milliseconds Placement::loadAge(UpstreamId upstream) const
+{
+    const auto found = this->estimates.find(upstream);
+    if (found == this->estimates.end() || found->second.reported == TimePoint())
+        return Milliseconds(-1);
+    return std::chrono::duration_cast<Milliseconds>(this->clock.now() - found->second.reported);
+}
+
 RetryBudget& Placement::retryBudget(ServiceId service) { return this->budgets[service]; }
 
 const Suspicion& Placement::suspicion() const { return this->suspects; }
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -96,6 +96,7 @@
     size_t candidates = 2; // asked in turn before a flow queues
     size_t waitAt = 8; // most upstreams at which one flow waits
     double remotePenalty = 0.25; // added to the busy share of an upstream in another failure domain
+    double connectionCost = 0; // share of a slot that an open connection counts as
     Milliseconds drainingHold { 1000 }; // after a reply that the upstream drains
     SuspicionOptions suspicion;
     std::function<uint64_t()> random; // required
@@ -125,6 +126,10 @@
     void onSilence(UpstreamId); // no reply in time, or connection refused
     void onTick();
 
+    // For log lines: the believed busy share of an upstream, and the age of the report behind it (-1 ms: none).
+    double occupiedShare(ServiceId, UpstreamId) const;
+    Milliseconds loadAge(UpstreamId) const;
+
     RetryBudget& retryBudget(ServiceId);
     const Suspicion& suspicion() const;
 
--- /dev/null
+++ b/wasabicroft/Published.cpp
@@ -0,0 +1,146 @@
+#include "wasabicroft/Published.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Routing table
+//-----------------------------------------------------------------------------
+
+const Route* RoutingTable::find(PacketAddress address) const
+{
+    const auto found = this->routes.find(address);
+    return found == this->routes.end() ? nullptr : &found->second;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Upstream directory
+//-----------------------------------------------------------------------------
+
+UpstreamId UpstreamRecord::id() const { return upstreamIdOf(this->name + '@' + std::to_string(this->born)); }
+
+UpstreamDirectory::UpstreamDirectory(DirectoryOptions directoryOptions, const Clock& timeSource)
+    : options(directoryOptions)
+    , clock(timeSource)
+    , graceEnds(timeSource.now())
+{
+}
+
+bool UpstreamDirectory::update(UpstreamRecord record)
+{
+    const uint64_t revision = record.revision;
+    this->newest = std::max(this->newest, revision);
+    Row& row = this->rows[record.name];
+    if (revision <= std::max(row.record.revision, row.removedAt))
+        return false;
+    record.seen = this->clock.now();
+    row = Row { std::move(record), true, 0, {}, false };
+    return true;
+}
+
+bool UpstreamDirectory::remove(const std::string& name, uint64_t revision)
+{
+    this->newest = std::max(this->newest, revision);
+    const auto found = this->rows.find(name);
+    if (found == this->rows.end() || !found->second.listed || revision <= found->second.record.revision)
+        return false;
+    this->unlist(found->second, revision);
+    return true;
+}
+
+bool UpstreamDirectory::replace(std::vector<UpstreamRecord> records, uint64_t revision)
+{
+    bool changed = false;
+    std::set<std::string> present;
+    for (UpstreamRecord& record : records) {
+        present.insert(record.name);
+        changed = this->update(std::move(record)) || changed;
+    }
+    for (auto& [name, row] : this->rows) {
+        if (!row.listed || present.contains(name) || row.record.revision > revision)
+            continue;
+        this->unlist(row, revision);
+        changed = true;
+    }
+    this->newest = std::max(this->newest, revision);
+    return changed;
+}
+
+void UpstreamDirectory::unlist(Row& row, uint64_t revision)
+{
+    row.listed = false;
+    row.removedAt = revision;
+    row.unlisted = this->clock.now();
+    row.returning = !row.record.draining && this->clock.now() < this->graceEnds;
+}
+
+void UpstreamDirectory::noteReturn() { this->graceEnds = this->clock.now() + this->options.returnGrace; }
+
+bool UpstreamDirectory::onTick()
+{
+    const TimePoint now = this->clock.now();
+    bool changed = false;
+    for (auto& [name, row] : this->rows) {
+        if (row.returning && now >= this->graceEnds) {
+            row.returning = false;
+            changed = true;
+        }
+    }
+    std::erase_if(this->rows, [&](const auto& item) {
+        return !item.second.listed && now - item.second.unlisted > this->options.flowLifetime;
+    });
+    return changed;
+}
+
+bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
+{
+    const UpstreamRecord* current = this->listedAt(record.address);
+    return current && current->name != record.name;
+}
+
+const UpstreamRecord* UpstreamDirectory::listedAt(PacketAddress address) const
+{
+    const UpstreamRecord* newestRecord = nullptr;
+    for (const auto& [name, row] : this->rows) {
+        const UpstreamRecord& record = row.record;
+        if (row.listed && record.address == address && (!newestRecord || record.born > newestRecord->born))
+            newestRecord = &record;
+    }
+    return newestRecord;
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::usable(ServiceId service) const
+{
+    std::vector<UpstreamRecord> result;
+    for (const auto& [name, row] : this->rows) {
+        const UpstreamRecord& record = row.record;
+        if (record.service == service && !record.draining && (row.listed || row.returning)
+            && !this->isSuperseded(record))
+            result.push_back(record);
+    }
+    return result;
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::holders(ServiceId service) const
+{
+    std::vector<UpstreamRecord> result;
+    for (const auto& [name, row] : this->rows) {
+        if (row.record.service == service && !this->isSuperseded(row.record))
+            result.push_back(row.record);
+    }
+    return result;
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::all() const
+{
+    std::vector<UpstreamRecord> result;
+    for (const auto& [name, row] : this->rows) {
+        if (row.listed)
+            result.push_back(row.record);
+    }
+    return result;
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/Published.h
@@ -0,0 +1,112 @@
+// What the platform publishes, as one process believes it: routes, and the upstreams that announced themselves. No I/O.
+//
+// Index
+//   [SECTION] Routing table
+//   [SECTION] Upstream directory
+#pragma once
+
+#include "wasabicroft/Clock.h"
+#include "wasabicroft/Packet.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Routing table
+//-----------------------------------------------------------------------------
+
+struct RouteShare {
+    ServiceId service;
+    uint32_t weight = 1; // relative to the other shares of the route
+};
+
+// Where new flows to a public address go.
+struct Route {
+    std::string name;
+    PacketAddress address;
+    std::vector<RouteShare> shares; // at least one
+    Milliseconds objective { 0 }; // latency objective of the requests inside; 0: none
+    Milliseconds timeout { 0 }; // of the requests inside; 0: none
+    unsigned priority = 0; // 0 is highest
+};
+
+struct RoutingTable {
+    uint64_t version = 0;
+    std::map<PacketAddress, Route> routes;
+    Milliseconds idleTimeout { 15000 }; // flows without packets for longer may be forgotten
+
+    const Route* find(PacketAddress) const;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Upstream directory
+//-----------------------------------------------------------------------------
+
+// An upstream's own entry on the platform.
+struct UpstreamRecord {
+    std::string name;
+    int64_t born = 0; // start of this incarnation, Unix time in ms as the upstream states it
+    ServiceId service;
+    PacketAddress address;
+    std::string failureDomain;
+    uint16_t slots = 1;
+    bool draining = false;
+    Milliseconds coldLeft { 0 }; // it stays slow for this long after `seen`
+    uint64_t revision = 0; // of the platform's state in which the entry last changed
+    TimePoint seen; // when this process learnt of that change
+
+    UpstreamId id() const; // differs between incarnations
+};
+
+struct DirectoryOptions {
+    Milliseconds returnGrace { 2000 }; // entries that lapsed during an outage return within this time after it
+    Milliseconds flowLifetime { 60000 }; // a flow may outlive its upstream's entry for this long
+};
+
+// Merges entries by revision, so that answers and events may arrive in any order and more than once.
+class UpstreamDirectory {
+public:
+    UpstreamDirectory(DirectoryOptions, const Clock&);
+
+    // Changes of single entries; older revisions than the known one are ignored. All return whether something changed.
+    bool update(UpstreamRecord);
+    bool remove(const std::string& name, uint64_t revision);
+
+    // A complete list of the platform, read when its state had the given revision. Entries that it lacks are removed.
+    bool replace(std::vector<UpstreamRecord>, uint64_t revision);
+
+    // The platform answers again after an outage: entries that it lacks now may return shortly.
+    void noteReturn();
+    bool onTick(); // returns whether the time limit of lapsed entries ended for one
+
+    uint64_t revision() const { return this->newest; } // of the newest known state
+    bool isKnown() const { return this->newest > 0; }
+
+    std::vector<UpstreamRecord> usable(ServiceId) const; // take new flows
+    std::vector<UpstreamRecord> holders(ServiceId) const; // may hold open flows; includes draining and removed ones
+    std::vector<UpstreamRecord> all() const; // listed ones
+    const UpstreamRecord* listedAt(PacketAddress) const; // newest incarnation at an address; null if none
+
+private:
+    struct Row {
+        UpstreamRecord record;
+        bool listed = true;
+        uint64_t removedAt = 0; // revision of the removal
+        TimePoint unlisted; // since when
+        bool returning = false; // still used although the list lacks it
+    };
+
+    void unlist(Row&, uint64_t revision);
+    bool isSuperseded(const UpstreamRecord&) const;
+
+    DirectoryOptions options;
+    const Clock& clock;
+    std::map<std::string, Row> rows; // by name
+    uint64_t newest = 0;
+    TimePoint graceEnds;
+};
+
+} // namespace wasabicroft
--- a/wasabicroft/Settings.cpp
+++ b/wasabicroft/Settings.cpp
@@ -43,9 +43,10 @@
 
 } // namespace
 
-SettingsReader::SettingsReader(Flags parsedFlags, std::string environmentPrefix)
+SettingsReader::SettingsReader(Flags parsedFlags, std::string environmentPrefix, Flags fileValues)
     : flags(std::move(parsedFlags))
     , prefix(std::move(environmentPrefix))
+    , fromFile(std::move(fileValues))
 {
 }
 
@@ -65,6 +66,9 @@
     const char* value = std::getenv(this->environmentName(flag).c_str());
     if (value)
         return std::string(value);
+    const auto listed = this->fromFile.find(flag);
+    if (listed != this->fromFile.end())
+        return listed->second;
     return std::nullopt;
 }
 
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -26,7 +26,8 @@
 class SettingsReader {
 public:
     // prefix is the environment prefix: "WASABI_ENTRY" maps --listen-address to WASABI_ENTRY_LISTEN_ADDRESS.
-    SettingsReader(Flags, std::string prefix);
+    // fromFile holds values of a settings file, which flags and environment variables override.
+    SettingsReader(Flags, std::string prefix, Flags fromFile = {});
 
     std::string text(const std::string& flag, const std::string& defaultValue);
     std::string requiredText(const std::string& flag);
@@ -50,6 +51,7 @@
 
     Flags flags;
     std::string prefix;
+    Flags fromFile;
     std::vector<Error> problems;
 };
 
--- /dev/null
+++ b/wasabicroft/StoreSync.cpp
@@ -0,0 +1,141 @@
+#include "wasabicroft/StoreSync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabicroft {
+
+StoreSync::StoreSync(StoreSyncOptions syncOptions, const Clock& timeSource)
+    : options(syncOptions)
+    , clock(timeSource)
+    , random(syncOptions.seed)
+{
+    for (Topic& topic : this->topics)
+        topic.due = timeSource.now();
+}
+
+std::optional<StoreRead> StoreSync::nextRead(StoreTopic which)
+{
+    Topic& topic = this->at(which);
+    if (topic.inFlight || this->clock.now() < topic.due)
+        return std::nullopt;
+    StoreRead read;
+    read.number = ++this->readCount;
+    read.topic = which;
+    read.isWatch = topic.revision > 0;
+    read.afterRevision = topic.revision;
+    read.pageAfter = topic.pageAfter;
+    read.wait = read.isWatch ? this->options.watchWait : Milliseconds(0);
+    read.timeout = this->options.readTimeout + read.wait;
+    topic.inFlight = read;
+    return read;
+}
+
+TimePoint StoreSync::nextReadTime(StoreTopic which) const
+{
+    const Topic& topic = this->at(which);
+    return topic.inFlight ? TimePoint::max() : topic.due;
+}
+
+bool StoreSync::finish(const StoreRead& read)
+{
+    Topic& topic = this->at(read.topic);
+    if (!topic.inFlight || topic.inFlight->number != read.number)
+        return false;
+    topic.inFlight.reset();
+    return true;
+}
+
+void StoreSync::noteAnswer(Topic& topic)
+{
+    this->returned = this->returned || topic.failures > 0;
+    topic.failures = 0;
+    topic.answered = this->clock.now();
+}
+
+bool StoreSync::onPage(const StoreRead& read, uint64_t revision, bool hasMore, const std::string& lastKey)
+{
+    if (!this->finish(read))
+        return false;
+    Topic& topic = this->at(read.topic);
+    this->noteAnswer(topic);
+    topic.due = this->clock.now();
+    // Pages are read at different revisions: changes since the first one are seen by the watch.
+    if (read.pageAfter.empty())
+        topic.listRevision = revision;
+    topic.pageAfter = hasMore ? lastKey : "";
+    if (!hasMore)
+        topic.revision = topic.listRevision;
+    return true;
+}
+
+bool StoreSync::onEvents(const StoreRead& read, uint64_t revision)
+{
+    if (!this->finish(read))
+        return false;
+    Topic& topic = this->at(read.topic);
+    this->noteAnswer(topic);
+    topic.revision = std::max(topic.revision, revision);
+    topic.due = this->clock.now() + this->options.watchSpacing;
+    return true;
+}
+
+bool StoreSync::onHistoryLost(const StoreRead& read)
+{
+    if (!this->finish(read))
+        return false;
+    Topic& topic = this->at(read.topic);
+    this->noteAnswer(topic);
+    topic.revision = 0;
+    topic.pageAfter.clear();
+    topic.due = this->clock.now();
+    return true;
+}
+
+bool StoreSync::onFailure(const StoreRead& read)
+{
+    if (!this->finish(read))
+        return false;
+    Topic& topic = this->at(read.topic);
+    topic.pageAfter.clear();
+    topic.due = this->clock.now() + this->backOff(topic.failures++);
+    return true;
+}
+
+void StoreSync::hint(StoreTopic which, uint64_t revision)
+{
+    Topic& topic = this->at(which);
+    if (revision <= topic.revision || (topic.inFlight && !topic.inFlight->isWatch))
+        return;
+    topic.inFlight.reset();
+    topic.revision = 0;
+    topic.due = this->clock.now();
+}
+
+void StoreSync::onPeerState(StoreTopic which, uint64_t revision)
+{
+    Topic& topic = this->at(which);
+    if (topic.revision > 0)
+        topic.revision = std::max(topic.revision, revision);
+}
+
+bool StoreSync::isReachable(StoreTopic which) const
+{
+    const Topic& topic = this->at(which);
+    return topic.failures == 0 && topic.answered;
+}
+
+bool StoreSync::takeReturn() { return std::exchange(this->returned, false); }
+
+uint64_t StoreSync::listRevision(StoreTopic which) const { return this->at(which).listRevision; }
+
+std::optional<TimePoint> StoreSync::lastAnswer(StoreTopic which) const { return this->at(which).answered; }
+
+Milliseconds StoreSync::backOff(unsigned failures)
+{
+    const Milliseconds base = std::min(this->options.maxBackOff, this->options.minBackOff * (1 << std::min(failures, 8U)));
+    std::uniform_real_distribution<double> spread(1 - this->options.jitter, 1 + this->options.jitter);
+    return std::chrono::duration_cast<Milliseconds>(base * spread(this->random));
+}
+
+} // namespace wasabicroft
