Reset flows that every upstream has denied to hold

Cause: after a loss of all processes and upstreams, clients sent requests on flows that no upstream held any more. Ruled out: slow start (routes 23 to 55 ms after the start) and lost owners (the hosts had restarted too).

--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -161,8 +161,10 @@
     } else if (flow.isOpen) {
         ++this->counts.gone;
         this->reply(flow.entry, HopKind::Gone, key, HopRefusal::None);
-    } else if (flow.lastKind != HopKind::Find) {
-        this->reply(flow.entry, HopKind::NotHeld, key, HopRefusal::None, bytes);
+    } else {
+        // The entry still has the packet of a Find.
+        const bool returnsPacket = flow.lastKind != HopKind::Find;
+        this->reply(flow.entry, HopKind::NotHeld, key, HopRefusal::None, returnsPacket ? bytes : Bytes());
     }
 }
 
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -53,6 +53,7 @@
 void EntryRouter::setUpstreams(const UpstreamDirectory& directory)
 {
     this->hasUpstreams = directory.isKnown();
+    this->directoryIsComplete = directory.isComplete();
     this->directoryRevision = directory.revision();
     std::set<ServiceId> services;
     if (this->routes) {
@@ -67,8 +68,8 @@
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
-    const auto targetOf = [this](const UpstreamRecord& record) {
-        return Target { record.id(), { record.address.address, this->options.agentPort } };
+    const auto targetOf = [&](const UpstreamRecord& record) {
+        return Target { record.id(), { record.address.address, this->options.agentPort }, directory.isListed(record) };
     };
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
@@ -322,18 +323,22 @@
         return;
     }
     std::vector<PacketAddress> targets;
-    const auto add = [&](PacketAddress agent) {
-        if (agent != except && std::find(targets.begin(), targets.end(), agent) == targets.end())
-            targets.push_back(agent);
+    flow.unanswered.clear();
+    const auto add = [&](PacketAddress agent, bool listed) {
+        if (agent == except || std::find(targets.begin(), targets.end(), agent) != targets.end())
+            return;
+        targets.push_back(agent);
+        if (listed)
+            flow.unanswered.push_back(agent);
     };
     if (!flow.offers.empty()) {
         for (const Offer& offer : flow.offers)
-            add(offer.agent);
+            add(offer.agent, true);
     } else if (const Route* route = this->routes->find(key.route)) {
         for (const RouteShare& share : route->shares) {
             flow.service = share.service;
             for (const Target& target : this->holders[share.service])
-                add(target.agent);
+                add(target.agent, target.listed);
         }
     }
     if (targets.empty() || !this->takeFindTokens(targets.size())) {
@@ -383,8 +388,7 @@
             this->setHolder(key, *flow, agent);
         break;
     case HopKind::NotHeld:
-        if (packet)
-            this->onNotHeld(key, agent, message);
+        this->onNotHeld(key, agent, message);
         break;
     case HopKind::Gone:
         this->onGone(key, agent, message);
@@ -439,26 +443,45 @@
 void EntryRouter::onNotHeld(const FlowKey& key, PacketAddress agent, const HopMessage& message)
 {
     ++this->counts.notHeld;
-    Flow& flow = this->flows.use(key, this->clock.now());
-    if (flow.holder && flow.holder != agent) {
-        this->forward(flow, message.packet);
+    Flow* flow = this->flows.find(key);
+    if (!flow)
         return;
+    if (!flow->holder) {
+        this->onDenied(key, *flow, agent);
+    } else if (flow->holder != agent) {
+        if (!message.packet.empty())
+            this->forward(*flow, message.packet);
+    } else {
+        logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
+        flow->holder.reset();
+        this->find(key, *flow, message.packet, agent);
     }
-    logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
-    flow.holder.reset();
-    this->find(key, flow, message.packet, agent);
 }
 
-// The upstream lost the flow, which can't continue anywhere: the client learns it at once and may retry.
+// Once every upstream that may hold the flow has returned its packet, the flow is held nowhere.
+void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent)
+{
+    if (std::erase(flow.unanswered, agent) == 0 || !flow.unanswered.empty())
+        return;
+    if (this->directoryIsComplete && flow.offers.empty())
+        this->resetLost(key, flow, "held-nowhere");
+}
+
+// The upstream lost the flow.
 void EntryRouter::onGone(const FlowKey& key, PacketAddress agent, const HopMessage& message)
 {
     Flow* flow = this->flows.find(key);
-    if (!flow || flow->holder != agent)
-        return;
+    if (flow && (!flow->holder || flow->holder == agent))
+        this->resetLost(key, *flow, nameOf(message.refusal));
+}
+
+// The flow can't continue anywhere: the client learns it at once and may retry.
+void EntryRouter::resetLost(const FlowKey& key, const Flow& flow, std::string_view cause)
+{
     ++this->counts.resets;
     logEvent(Event::PacketFlowLost,
-        { { "flow", toString(key) }, { "agent", toString(agent) }, { "cause", nameOf(message.refusal) } });
-    const uint32_t sequence = flow->lastAcknowledgement;
+        { { "flow", toString(key) }, { "cause", cause }, { "directory", this->directoryRevision } });
+    const uint32_t sequence = flow.lastAcknowledgement;
     this->flows.erase(key);
     this->hooks.sendReset(key, sequence);
 }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -71,7 +71,7 @@
     EntryRouter(EntryRouterOptions, EntryRouterHooks, const Clock&);
 
     void setRoutes(std::shared_ptr<const RoutingTable>);
-    void setUpstreams(const UpstreamDirectory&); // after each change of the directory
+    void setUpstreams(const UpstreamDirectory&); // after each change of the directory, and of its completeness
 
     void onClientPacket(const Packet&, Bytes);
     // packet is the decoded header of the message's packet, if it carries one.
@@ -104,6 +104,7 @@
         std::vector<std::vector<uint8_t>> waiting; // packets that wait for the holder
         TimePoint firstFind; // of the current window
         unsigned finds = 0; // in the current window
+        std::vector<PacketAddress> unanswered; // listed holders asked by the last find that have not denied
         uint32_t lastAcknowledgement = 0; // of the client
     };
 
@@ -122,6 +123,7 @@
     struct Target {
         UpstreamId upstream;
         PacketAddress agent;
+        bool listed = true; // else its entry was removed; it may still hold flows
     };
 
     void hold(const Packet&, Bytes);
@@ -143,7 +145,9 @@
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onDenied(const FlowKey&, Flow&, PacketAddress agent);
     void onGone(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void resetLost(const FlowKey&, const Flow&, std::string_view cause);
     void noteLoad(PacketAddress agent, const HopMessage&);
 
     EntryRouterOptions options;
@@ -153,6 +157,7 @@
     Placement placement;
     std::shared_ptr<const RoutingTable> routes;
     bool hasUpstreams = false;
+    bool directoryIsComplete = false; // no entry is missing because of an outage of the store
     uint64_t directoryRevision = 0;
     std::map<ServiceId, std::vector<Target>> usable;
     std::map<ServiceId, std::vector<Target>> holders;
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -76,17 +76,28 @@
     row.returning = !row.record.draining && this->clock.now() < this->graceEnds;
 }
 
-void UpstreamDirectory::noteReturn() { this->graceEnds = this->clock.now() + this->options.returnGrace; }
+void UpstreamDirectory::noteReturn()
+{
+    this->graceEnds = this->clock.now() + this->options.returnGrace;
+    this->inGrace = true;
+}
+
+bool UpstreamDirectory::isComplete() const { return this->isKnown() && !this->inGrace; }
+
+bool UpstreamDirectory::isListed(const UpstreamRecord& record) const
+{
+    const auto found = this->rows.find(record.name);
+    return found != this->rows.end() && found->second.listed && found->second.record.born == record.born;
+}
 
 bool UpstreamDirectory::onTick()
 {
     const TimePoint now = this->clock.now();
-    bool changed = false;
-    for (auto& [name, row] : this->rows) {
-        if (row.returning && now >= this->graceEnds) {
+    const bool changed = this->inGrace && now >= this->graceEnds;
+    if (changed) {
+        this->inGrace = false;
+        for (auto& [name, row] : this->rows)
             row.returning = false;
-            changed = true;
-        }
     }
     std::erase_if(this->rows, [&](const auto& item) {
         return !item.second.listed && now - item.second.unlisted > this->options.flowLifetime;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -80,7 +80,10 @@
 
     // The platform answers again after an outage: entries that it lacks now may return shortly.
     void noteReturn();
-    bool onTick(); // returns whether the time limit of lapsed entries ended for one
+    bool onTick(); // returns whether the time limit of lapsed entries ended
+
+    // Every live upstream is listed: the state is known, and no outage ended shortly before.
+    bool isComplete() const;
 
     uint64_t revision() const { return this->newest; } // of the newest known state
     bool isKnown() const { return this->newest > 0; }
@@ -88,6 +91,7 @@
     std::vector<UpstreamRecord> usable(ServiceId) const; // take new flows
     std::vector<UpstreamRecord> holders(ServiceId) const; // may hold open flows; includes draining and removed ones
     std::vector<UpstreamRecord> all() const; // listed ones
+    bool isListed(const UpstreamRecord&) const;
     const UpstreamRecord* listedAt(PacketAddress) const; // newest incarnation at an address; null if none
 
 private:
@@ -107,6 +111,7 @@
     std::map<std::string, Row> rows; // by name
     uint64_t newest = 0;
     TimePoint graceEnds;
+    bool inGrace = false;
 };
 
 } // namespace wasabicroft
