--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -16,7 +16,9 @@
 
     constexpr Milliseconds statusInterval { 500 }; // also bounds how late a change of the settings file is noticed
     constexpr uint64_t defaultLogRate = 400; // lines a second
+    constexpr size_t logBatchBytes = 16 * 1024;
     constexpr Milliseconds maxStopDelay { 60000 };
+    constexpr uint64_t ticksPerLogFlush = 10;
 
     const std::string usage = R"(Options come from flags, environment variables and a settings file.
 
@@ -129,6 +131,7 @@
     settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
     settings.log.process = settings.name;
     settings.log.toStandardOutput = true;
+    settings.log.batchBytes = logBatchBytes;
     settings.checkOnly = reader.boolean("--check", false);
     if (settings.packets == PacketAddress())
         reader.reject("--packets", "", "an IPv4 address with a port; it has no default");
@@ -259,6 +262,8 @@
         if (error)
             return;
         this->handlers.onTick();
+        if (++this->ticks % ticksPerLogFlush == 0)
+            flushLog();
         this->scheduleTick();
     });
 }
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -88,6 +88,7 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer statusTimer;
     boost::asio::steady_timer stopTimer;
+    uint64_t ticks = 0;
     bool stopping = false;
 };
 
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -73,9 +73,9 @@
 
 const EventInfo& infoOf(Event event)
 {
-    const auto found
-        = std::find_if(events.begin(), events.end(), [event](const EventInfo& info) { return info.event == event; });
-    assert(found != events.end() && "every Event has a row in the table of Events.cpp");
+    const auto found = std::lower_bound(
+        events.begin(), events.end(), event, [](const EventInfo& info, Event number) { return info.event < number; });
+    assert(found != events.end() && found->event == event && "every Event has a row in the table of Events.cpp");
     return *found;
 }
 
--- a/wasabicroft/Log.cpp
+++ b/wasabicroft/Log.cpp
@@ -16,6 +16,7 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <mutex>
 
 namespace wasabicroft {
 
@@ -30,6 +31,11 @@
     std::atomic<bool> abortEnabled = false;
     std::atomic<bool> started = false;
     std::atomic<Severity> threshold = Severity::Info;
+    // Lines that wait for the next batch.
+    std::mutex batchMutex;
+    std::string batch;
+    size_t batchLimit = 0;
+
     std::string processName;
     std::atomic<uint64_t> lineLimit = 0; // a second; 0: none
     std::atomic<uint64_t> linesInSecond = 0;
@@ -97,18 +103,28 @@
         out += '"';
     }
 
-    std::string utcTime()
+    constexpr size_t utcSecondsLength = 19; // "2026-12-04T07:18:12"
+
+    void appendUtcTime(std::string& out)
     {
+        thread_local std::time_t formatted = -1;
+        thread_local std::array<char, utcSecondsLength + 1> text {};
         const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
         const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-        const long micros = static_cast<long>(
-            std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() % 1000000);
-        std::tm parts {};
-        gmtime_r(&seconds, &parts);
-        std::array<char, 40> text {};
-        const size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-        std::snprintf(text.data() + length, text.size() - length, ".%06ldZ", micros);
-        return text.data();
+        if (seconds != formatted) {
+            std::tm parts {};
+            gmtime_r(&seconds, &parts);
+            std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+            formatted = seconds;
+        }
+        const auto micros
+            = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() % 1000000;
+        out.append(text.data(), utcSecondsLength);
+        std::array<char, 8> fraction = { '.', '0', '0', '0', '0', '0', '0', 'Z' };
+        int64_t rest = micros;
+        for (size_t digit = 6; digit > 0; --digit, rest /= 10)
+            fraction.at(digit) = static_cast<char>('0' + rest % 10);
+        out.append(fraction.data(), fraction.size());
     }
 
     template <typename Number> std::string numberText(Number value) { return std::to_string(value); }
@@ -186,6 +202,7 @@
     processName = options.process;
     threshold = options.threshold;
     lineLimit = options.maxLinesPerSecond;
+    batchLimit = options.batchBytes;
     const boost::shared_ptr<logging::sinks::text_ostream_backend> backend
         = boost::make_shared<logging::sinks::text_ostream_backend>();
     if (options.file.empty())
@@ -201,6 +218,7 @@
 
 void stopLog()
 {
+    flushLog();
     if (!started.exchange(false))
         return;
     logging::core::get()->remove_sink(sink());
@@ -209,24 +227,43 @@
     sink().reset();
 }
 
+namespace {
+
+    void appendEvent(std::string& line, Event event, std::initializer_list<LogField> fields)
+    {
+        const EventInfo& info = infoOf(event);
+        line += nameOf(info.severity);
+        line += " event=";
+        line += std::to_string(static_cast<unsigned>(event));
+        line += " name=";
+        line += info.name;
+        if (!processName.empty()) {
+            line += " process=";
+            line += processName;
+        }
+        for (const LogField& field : fields) {
+            line += ' ';
+            line += field.key;
+            line += '=';
+            if (needsQuotes(field.value))
+                appendQuoted(line, field.value);
+            else
+                line += field.value;
+        }
+    }
+
+    void queueText(const std::string& text)
+    {
+        thread_local logging::sources::logger source;
+        BOOST_LOG(source) << text;
+    }
+
+} // namespace
+
 std::string formatEvent(Event event, std::initializer_list<LogField> fields)
 {
-    const EventInfo& info = infoOf(event);
-    std::string line(nameOf(info.severity));
-    line += " event=" + std::to_string(static_cast<unsigned>(event));
-    line += " name=";
-    line += info.name;
-    if (!processName.empty())
-        line += " process=" + processName;
-    for (const LogField& field : fields) {
-        line += ' ';
-        line += field.key;
-        line += '=';
-        if (needsQuotes(field.value))
-            appendQuoted(line, field.value);
-        else
-            line += field.value;
-    }
+    std::string line;
+    appendEvent(line, event, fields);
     return line;
 }
 
@@ -235,13 +272,32 @@
     const Severity severity = infoOf(event).severity;
     if (severity < threshold || (severity < Severity::Warning && !takeLine()))
         return;
+    std::string line;
+    line.reserve(256);
+    appendUtcTime(line);
+    line += ' ';
+    appendEvent(line, event, fields);
     if (!started) {
         if (severity >= Severity::Warning)
-            std::clog << utcTime() + ' ' + formatEvent(event, fields) + '\n';
+            std::clog << line + '\n';
         return;
     }
-    thread_local logging::sources::logger source;
-    BOOST_LOG(source) << utcTime() << ' ' << formatEvent(event, fields);
+    if (batchLimit == 0) {
+        queueText(line);
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(batchMutex);
+    batch += batch.empty() ? "" : "\n";
+    batch += line;
+    if (batch.size() >= batchLimit)
+        queueText(std::exchange(batch, {}));
+}
+
+void flushLog()
+{
+    const std::lock_guard<std::mutex> lock(batchMutex);
+    if (!batch.empty())
+        queueText(std::exchange(batch, {}));
 }
 
 uint64_t droppedLogLines() { return droppedLines; }
--- a/wasabicroft/Log.h
+++ b/wasabicroft/Log.h
@@ -1,6 +1,7 @@
 // Structured log: one line per event, "time severity event=NUMBER name=NAME key=value ...".
 //
-// Lines go through a bounded queue to a writer thread. When the queue is full, lines are dropped and counted.
+// Lines go through a bounded queue to a writer thread. When the queue is full, lines are dropped and counted. With a
+// batch size, lines are collected and queued together, which costs a fraction of the processor time of single lines.
 #pragma once
 
 #include "wasabicroft/Events.h"
@@ -36,12 +37,16 @@
     std::string file; // empty: standard error
     std::string process; // written into every line, for example "entry-1"
     bool toStandardOutput = false; // instead of standard error
+    size_t batchBytes = 0; // collects lines up to this size, or until flushLog; 0: queues each line
     uint64_t maxLinesPerSecond = 0; // further lines below Warning are counted and reported; 0: no limit
 };
 
 // Starts the writer thread. Without it, lines at Warning and above go to standard error.
 void startLog(const LogOptions&);
 
+// Queues the lines that were collected. A no-op without a batch size.
+void flushLog();
+
 // Writes what is queued and stops the writer thread.
 void stopLog();
 
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -31,10 +31,16 @@
 
 std::string toString(PacketAddress address)
 {
-    std::string text;
-    for (int shift = 24; shift >= 0; shift -= 8)
-        text += std::to_string((address.address >> shift) & 0xffU) + (shift > 0 ? "." : ":");
-    return text + std::to_string(address.port);
+    constexpr size_t longest = 21; // "255.255.255.255:65535"
+    std::array<char, longest> text {};
+    char* next = text.data();
+    char* const end = text.data() + text.size();
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        next = std::to_chars(next, end, (address.address >> shift) & 0xffU).ptr;
+        *next++ = shift > 0 ? '.' : ':';
+    }
+    next = std::to_chars(next, end, address.port).ptr;
+    return { text.data(), next };
 }
 
 std::optional<PacketAddress> packetAddressOf(std::string_view text)
