Search the holder of a flow at its homes first

A flow prefers 3 upstreams by rendezvous hash, at a cost of half a slot elsewhere. A search asks these first and the others only when they deny or stay silent, so that a restarted entry sends 3 copies in most cases instead of one to each upstream of the pool. Other packets of the flow wait for the answer. An agent confirms a flow whose packet its upstream has not returned while it was heard later.

--- a/backends/DatagramSocket.cpp
+++ b/backends/DatagramSocket.cpp
@@ -60,6 +60,8 @@
     this->wait();
 }
 
+void DatagramSocket::poll() { this->readBatches(); }
+
 void DatagramSocket::close()
 {
     error_code ignored; // the socket is not used any more
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -282,6 +282,7 @@
 
 void PacketEntry::onTick()
 {
+    this->agents.poll(); // answers that have arrived are no time-outs
     if (this->directory.onTick())
         this->router.setUpstreams(this->directory);
     this->router.onTick();
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -45,6 +45,8 @@
     flow.lastKind = message.kind;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
+    else if (message.kind == HopKind::Find)
+        this->delivered.emplace_back(key, this->clock.now());
     this->noteRequest(flow, packet);
     this->hooks.sendToUpstream(message.packet);
 }
@@ -104,6 +106,7 @@
 void AgentGate::onUpstreamPacket(const Packet& packet, Bytes bytes)
 {
     ++this->counts.fromUpstream;
+    this->lastUpstreamPacket = this->clock.now();
     if (this->upstreamDown) {
         this->upstreamDown = false;
         logEvent(Event::PacketUpstreamUp, { { "flows", static_cast<uint64_t>(this->heldCount) } });
@@ -145,6 +148,20 @@
     }
 }
 
+// An upstream that was heard since the delivery and has not returned the packet holds the flow.
+void AgentGate::confirmDelivered()
+{
+    while (!this->delivered.empty()) {
+        const auto [key, time] = this->delivered.front();
+        if (this->clock.now() - time < this->options.bounceTime)
+            return;
+        this->delivered.pop_front();
+        Flow* flow = this->flows.find(key);
+        if (flow && flow->lastKind == HopKind::Find && this->lastUpstreamPacket > time)
+            this->noteHeld(key, *flow);
+    }
+}
+
 void AgentGate::onBounce(const FlowKey& key, const Packet& packet, Bytes bytes)
 {
     ++this->counts.bounces;
@@ -201,6 +218,7 @@
 void AgentGate::onTick()
 {
     const TimePoint now = this->clock.now();
+    this->confirmDelivered();
     this->flows.expire(now - this->options.flowIdleLimit);
     std::erase_if(this->subscribers,
         [&](const auto& item) { return now - item.second.lastOffer > this->options.reportLifetime; });
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -12,6 +12,7 @@
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Packet.h"
 
+#include <deque>
 #include <map>
 
 namespace wasabicroft {
@@ -27,6 +28,7 @@
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
     Milliseconds loadInterval { 100 }; // between two load reports to an entry, if the load changed
     Milliseconds loadRefresh { 1000 }; // between two load reports to an entry, if it did not
+    Milliseconds bounceTime { 10 }; // an upstream that runs returns a packet of an unknown flow well within this time
     Milliseconds reportLifetime { 5000 }; // an entry that offered no flow for this long gets no reports
 };
 
@@ -91,6 +93,7 @@
     void noteRequest(Flow&, const Packet&);
     void setBusy(Flow&, bool);
     void noteHeld(const FlowKey&, Flow&);
+    void confirmDelivered();
     void forget(const FlowKey&);
     void reply(PacketAddress entry, HopKind, const FlowKey&, HopRefusal, Bytes packet = {}, uint32_t sequence = 0);
 
@@ -99,6 +102,8 @@
     const Clock& clock;
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
+    std::deque<std::pair<FlowKey, TimePoint>> delivered; // packets of Finds, ordered by delivery
+    TimePoint lastUpstreamPacket;
     size_t busyFlows = 0;
     size_t heldCount = 0;
     bool upstreamDown = false;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -20,6 +20,7 @@
         placement.waitAt = 0;
         placement.remotePenalty = options.remotePenalty;
         placement.connectionCost = options.connectionCost;
+    placement.homes = options.homes;
         placement.random = [&random] { return random(); };
         return placement;
     }
@@ -124,8 +125,11 @@
         return;
     const std::deque<Held> released = std::exchange(this->held, {});
     this->heldBytes = 0;
-    for (const Held& item : released)
-        this->route(item.packet, item.bytes);
+    std::set<FlowKey> opened; // of the copies of a SYN, one is enough
+    for (const Held& item : released) {
+        if (!item.packet.isSyn() || opened.insert(item.packet.fromClient()).second)
+            this->route(item.packet, item.bytes);
+    }
 }
 
 void EntryRouter::route(const Packet& packet, Bytes bytes)
@@ -190,7 +194,7 @@
 {
     if (flow.offers.size() >= this->options.maxOffers)
         return false;
-    const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service);
+    const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
     for (const UpstreamId candidate : candidates) {
         const auto agent = this->agentByUpstream.find(candidate);
         const bool isTried = std::any_of(flow.offers.begin(), flow.offers.end(),
@@ -294,6 +298,7 @@
     flow.holder = agent;
     flow.syn.clear();
     flow.offers.clear();
+    flow.search.reset();
     logEvent(Event::PacketHolderKnown, { { "flow", toString(key) }, { "agent", toString(agent) } });
     for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
         this->forward(flow, bytes);
@@ -305,7 +310,7 @@
     this->sendPacket(*flow.holder, HopKind::Forward, flow.service, bytes);
 }
 
-// Sends a packet to all upstreams that may hold the flow. An upstream that doesn't hold it returns the packet.
+// Searches the holder with the packet. An upstream that doesn't hold the flow returns it.
 void EntryRouter::find(const FlowKey& key, Flow& flow, Bytes bytes, std::optional<PacketAddress> except)
 {
     const TimePoint now = this->clock.now();
@@ -313,46 +318,87 @@
         flow.firstFind = now;
         flow.finds = 0;
     }
-    if (flow.finds >= this->options.maxFinds) {
-        ++this->counts.findsLimited;
-        if (flow.waiting.size() < this->options.maxWaitingPackets) {
-            if (flow.waiting.empty())
-                this->waiters.push_back(key);
-            flow.waiting.push_back(copyOf(bytes));
-        }
+    const bool isSearching = flow.search && now - flow.search->started < this->options.findTimeout;
+    if (isSearching || flow.finds >= this->options.maxFinds) {
+        this->waitForHolder(key, flow, bytes);
         return;
     }
-    std::vector<PacketAddress> targets;
-    flow.unanswered.clear();
-    const auto add = [&](PacketAddress agent, bool listed) {
-        if (agent == except || std::find(targets.begin(), targets.end(), agent) != targets.end())
-            return;
-        targets.push_back(agent);
-        if (listed)
-            flow.unanswered.push_back(agent);
-    };
-    if (!flow.offers.empty()) {
-        for (const Offer& offer : flow.offers)
-            add(offer.agent, true);
-    } else if (const Route* route = this->routes->find(key.route)) {
-        for (const RouteShare& share : route->shares) {
-            flow.service = share.service;
-            for (const Target& target : this->holders[share.service])
-                add(target.agent, target.listed);
-        }
-    }
+    const std::vector<Target> targets = this->possibleHolders(key, flow, except);
     if (targets.empty() || !this->takeFindTokens(targets.size())) {
         ++(targets.empty() ? this->counts.dropped : this->counts.findsLimited);
         return;
     }
     ++flow.finds;
     ++this->counts.finds;
-    this->counts.findCopies += targets.size();
+    flow.search.emplace();
+    flow.search->packet = copyOf(bytes);
+    flow.search->started = now;
+    const size_t homes = std::min(targets.size(), this->options.homes);
+    flow.search->later.assign(targets.begin() + static_cast<std::ptrdiff_t>(homes), targets.end());
+    this->searches.push_back({ key, {}, now + this->options.findStageTimeout });
+    this->askHolders(key, flow, *flow.search, std::span(targets).first(homes));
+}
+
+// Upstreams that may hold the flow, its homes first.
+std::vector<EntryRouter::Target> EntryRouter::possibleHolders(
+    const FlowKey& key, Flow& flow, std::optional<PacketAddress> except) const
+{
+    std::vector<Target> targets;
+    const auto add = [&](const Target& target) {
+        const bool isKnown = std::any_of(
+            targets.begin(), targets.end(), [&](const Target& other) { return other.agent == target.agent; });
+        if (target.agent != except && !isKnown)
+            targets.push_back(target);
+    };
+    for (const Offer& offer : flow.offers)
+        add({ offer.upstream, offer.agent, true });
+    const Route* route = this->routes->find(key.route);
+    if (!targets.empty() || !route)
+        return targets;
+    for (const RouteShare& share : route->shares) {
+        flow.service = share.service;
+        const auto known = this->holders.find(share.service);
+        if (known == this->holders.end())
+            continue;
+        for (const Target& target : known->second)
+            add(target);
+    }
+    const uint64_t hash = FlowKeyHash()(key);
+    std::sort(targets.begin(), targets.end(), [hash](const Target& a, const Target& b) {
+        return rendezvousRank(hash, a.upstream) > rendezvousRank(hash, b.upstream);
+    });
+    return targets;
+}
+
+void EntryRouter::askHolders(const FlowKey& key, const Flow& flow, Search& search, std::span<const Target> targets)
+{
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(targets.size()) },
-            { "directory", this->directoryRevision } });
-    for (const PacketAddress agent : targets)
-        this->sendPacket(agent, HopKind::Find, flow.service, bytes);
+            { "later", static_cast<uint64_t>(search.later.size()) }, { "directory", this->directoryRevision } });
+    this->counts.findCopies += targets.size();
+    for (const Target& target : targets) {
+        if (target.listed)
+            search.unanswered.push_back(target.agent);
+        this->sendPacket(target.agent, HopKind::Find, flow.service, search.packet);
+    }
+}
+
+void EntryRouter::askLater(const FlowKey& key, Flow& flow)
+{
+    const std::vector<Target> targets = std::exchange(flow.search->later, {});
+    this->askHolders(key, flow, *flow.search, targets);
+}
+
+void EntryRouter::waitForHolder(const FlowKey& key, Flow& flow, Bytes bytes)
+{
+    ++this->counts.findsLimited;
+    if (flow.waiting.size() >= this->options.maxWaitingPackets) {
+        ++this->counts.dropped;
+        return;
+    }
+    if (flow.waiting.empty() && !flow.search)
+        this->searches.push_back({ key, {}, this->clock.now() + this->options.findTimeout });
+    flow.waiting.push_back(copyOf(bytes));
 }
 
 bool EntryRouter::takeFindTokens(size_t copies)
@@ -461,9 +507,11 @@
 // Once every upstream that may hold the flow has returned its packet, the flow is held nowhere.
 void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent)
 {
-    if (std::erase(flow.unanswered, agent) == 0 || !flow.unanswered.empty())
+    if (!flow.search || std::erase(flow.search->unanswered, agent) == 0 || !flow.search->unanswered.empty())
         return;
-    if (this->directoryIsComplete && flow.offers.empty())
+    if (!flow.search->later.empty())
+        this->askLater(key, flow);
+    else if (this->directoryIsComplete && flow.offers.empty())
         this->resetLost(key, flow, "held-nowhere");
 }
 
@@ -494,6 +542,20 @@
 {
     const TimePoint now = this->clock.now();
     this->placement.onTick();
+    this->expirePending();
+    this->expireSearches();
+    while (!this->held.empty() && now - this->held.front().received > this->options.holdLimit) {
+        ++this->counts.dropped;
+        this->heldBytes -= this->held.front().bytes.size();
+        this->held.pop_front();
+    }
+    this->flows.expire(now - this->options.flowIdleLimit);
+}
+
+// Offers a flow elsewhere if the upstream that was asked stays silent.
+void EntryRouter::expirePending()
+{
+    const TimePoint now = this->clock.now();
     while (!this->pending.empty() && this->pending.front().due <= now) {
         const Pending item = this->pending.front();
         this->pending.pop_front();
@@ -509,22 +571,26 @@
         this->placement.onSilence(item.upstream);
         this->offerNext(item.flow, *flow, "silent");
     }
-    while (!this->waiters.empty()) {
-        Flow* flow = this->flows.find(this->waiters.front());
-        if (flow && !flow->waiting.empty() && now - flow->firstFind < this->options.findTimeout)
-            break;
-        if (flow) {
-            this->counts.dropped += flow->waiting.size();
-            flow->waiting.clear();
+}
+
+// Asks the other possible holders when homes stay silent, and drops packets that waited too long.
+void EntryRouter::expireSearches()
+{
+    const TimePoint now = this->clock.now();
+    while (!this->searches.empty() && this->searches.front().due <= now) {
+        const Pending item = this->searches.front();
+        this->searches.pop_front();
+        Flow* flow = this->flows.find(item.flow);
+        if (!flow || flow->holder)
+            continue;
+        if (flow->search && !flow->search->later.empty()) {
+            this->askLater(item.flow, *flow);
+            this->searches.push_back({ item.flow, {}, now + this->options.findStageTimeout });
+            continue;
         }
-        this->waiters.pop_front();
+        this->counts.dropped += flow->waiting.size();
+        flow->waiting.clear();
     }
-    while (!this->held.empty() && now - this->held.front().received > this->options.holdLimit) {
-        ++this->counts.dropped;
-        this->heldBytes -= this->held.front().bytes.size();
-        this->held.pop_front();
-    }
-    this->flows.expire(now - this->options.flowIdleLimit);
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -2,8 +2,9 @@
 // holds an open flow, and what is refused. No I/O.
 //
 // A new flow is offered to one upstream at a time until one accepts. The upstream is the authority on the flows that it
-// holds; the table here is a cache. When the cache has no entry, packets of the flow are offered to the upstreams that
-// may hold it, at most a few per flow, until the agent beside the holder answers.
+// holds; the table here is a cache. When the cache has no entry, a packet of the flow is sent first to the homes of the
+// flow, which its hash selects, and then to all other upstreams that may hold it, until the agent beside the holder
+// answers. Further packets of the flow wait for the answer.
 //
 // Index
 //   [SECTION] Options and counters
@@ -29,8 +30,10 @@
     size_t maxFlows = 131072; // remembered flows; the least recently used one is forgotten when full
     size_t maxOffers = 4; // upstreams that one flow is offered to before its client's next copy of the SYN
     Milliseconds offerTimeout { 60 }; // above a round trip between failure domains and an upstream's handshake
-    unsigned maxFinds = 2; // packets of one flow sent to all possible holders within findWindow
+    size_t homes = 3; // upstreams that a flow prefers by its hash
+    unsigned maxFinds = 2; // searches for the holder of one flow within findWindow
     Milliseconds findWindow { 2000 };
+    Milliseconds findStageTimeout { 60 }; // for the answers of the homes, before the others are asked
     Milliseconds findTimeout { 200 }; // packets of a flow wait this long for its holder; clients retransmit then
     size_t maxWaitingPackets = 16; // of a flow: one client window
     size_t maxHeldBytes = 1024 * 1024; // packets that wait for the first routes
@@ -96,6 +99,20 @@
         uint32_t upstreamSequence = 0; // once accepted
     };
 
+    struct Target {
+        UpstreamId upstream;
+        PacketAddress agent;
+        bool listed = true; // else its entry was removed; it may still hold flows
+    };
+
+    // A search for the holder of a flow.
+    struct Search {
+        std::vector<uint8_t> packet;
+        std::vector<Target> later; // asked once the homes have denied or not answered
+        std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
+        TimePoint started;
+    };
+
     struct Flow {
         ServiceId service;
         std::vector<Offer> offers;
@@ -104,13 +121,14 @@
         std::vector<std::vector<uint8_t>> waiting; // packets that wait for the holder
         TimePoint firstFind; // of the current window
         unsigned finds = 0; // in the current window
-        std::vector<PacketAddress> unanswered; // listed holders asked by the last find that have not denied
+        std::optional<Search> search; // in progress
         uint32_t lastAcknowledgement = 0; // of the client
     };
 
+    // An offer, or a search, that times out.
     struct Pending {
         FlowKey flow;
-        UpstreamId upstream;
+        UpstreamId upstream; // of an offer
         TimePoint due;
     };
 
@@ -120,12 +138,6 @@
         TimePoint received;
     };
 
-    struct Target {
-        UpstreamId upstream;
-        PacketAddress agent;
-        bool listed = true; // else its entry was removed; it may still hold flows
-    };
-
     void hold(const Packet&, Bytes);
     void releaseHeld();
     void route(const Packet&, Bytes);
@@ -141,6 +153,12 @@
     void setHolder(const FlowKey&, Flow&, PacketAddress agent);
     void forward(const Flow&, Bytes);
     void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
+    std::vector<Target> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
+    void askHolders(const FlowKey&, const Flow&, Search&, std::span<const Target>);
+    void askLater(const FlowKey&, Flow&);
+    void waitForHolder(const FlowKey&, Flow&, Bytes);
+    void expireSearches();
+    void expirePending();
     bool takeFindTokens(size_t copies);
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
@@ -165,7 +183,7 @@
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     FlowTable<Flow> flows;
     std::deque<Pending> pending; // offers, ordered by due
-    std::deque<FlowKey> waiters; // flows that had waiting packets, ordered by the start of their wait
+    std::deque<Pending> searches; // ordered by due
     std::deque<Held> held;
     size_t heldBytes = 0;
     double findTokens = 0;
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -114,6 +114,14 @@
 // [SECTION] Placement
 //-----------------------------------------------------------------------------
 
+uint64_t rendezvousRank(uint64_t flowHash, UpstreamId upstream)
+{
+    uint64_t value = flowHash ^ (upstream.value * 0x9e3779b97f4a7c15U);
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31);
+}
+
 Placement::Placement(PlacementOptions initialOptions, const Clock& timeSource)
     : options(std::move(initialOptions))
     , clock(timeSource)
@@ -143,7 +151,7 @@
     return std::max(0.0, reported + static_cast<double>(estimate.ownChange)) / slots;
 }
 
-std::vector<Placement::Ranked> Placement::ranked(ServiceId service)
+std::vector<Placement::Ranked> Placement::ranked(ServiceId service, uint64_t flowHash)
 {
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
@@ -167,6 +175,14 @@
         const double share = this->occupied(upstream);
         ranking.push_back({ upstream.id, share + (isLocal ? 0 : this->options.remotePenalty), share });
     }
+    if (this->options.homes > 0 && ranking.size() > this->options.homes) {
+        std::nth_element(ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(this->options.homes),
+            ranking.end(), [flowHash](const Ranked& a, const Ranked& b) {
+                return rendezvousRank(flowHash, a.id) > rendezvousRank(flowHash, b.id);
+            });
+        for (size_t i = this->options.homes; i < ranking.size(); ++i)
+            ranking[i].cost += this->options.awayCost;
+    }
     for (size_t i = ranking.size(); i > 1; --i)
         std::swap(ranking[i - 1], ranking[this->options.random() % i]);
     std::stable_sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) { return a.cost < b.cost; });
@@ -178,12 +194,15 @@
     return ranking;
 }
 
-std::vector<UpstreamId> Placement::candidates(ServiceId service) { return this->plan(service).asks; }
+std::vector<UpstreamId> Placement::candidates(ServiceId service, uint64_t flowHash)
+{
+    return this->plan(service, flowHash).asks;
+}
 
-PlacementPlan Placement::plan(ServiceId service)
+PlacementPlan Placement::plan(ServiceId service, uint64_t flowHash)
 {
     PlacementPlan plan;
-    const std::vector<Ranked> ranking = this->ranked(service);
+    const std::vector<Ranked> ranking = this->ranked(service, flowHash);
     plan.saturated = !ranking.empty();
     for (const Ranked& item : ranking) {
         if (plan.asks.size() < this->options.candidates)
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -84,6 +84,10 @@
 // [SECTION] Placement
 //-----------------------------------------------------------------------------
 
+// Rendezvous hash of a flow and an upstream. Every process ranks the upstreams of a flow in the same order, and a
+// change of the pool moves only the flows of the changed upstreams.
+uint64_t rendezvousRank(uint64_t flowHash, UpstreamId);
+
 struct PlacementUpstream {
     UpstreamId id;
     std::string failureDomain;
@@ -97,6 +101,8 @@
     size_t waitAt = 8; // most upstreams at which one flow waits
     double remotePenalty = 0.25; // added to the busy share of an upstream in another failure domain
     double connectionCost = 0; // share of a slot that an open connection counts as
+    size_t homes = 0; // upstreams that a flow prefers by its hash, so that others can guess where it is; 0: none
+    double awayCost = 0.5; // added to the busy share of an upstream that is no home of the flow
     Milliseconds drainingHold { 1000 }; // after a reply that the upstream drains
     SuspicionOptions suspicion;
     std::function<uint64_t()> random; // required
@@ -115,8 +121,9 @@
     void setPool(ServiceId, std::vector<PlacementUpstream>);
 
     // Candidates in the order in which they are to be asked; empty if the service has no usable upstream.
-    std::vector<UpstreamId> candidates(ServiceId);
-    PlacementPlan plan(ServiceId);
+    // flowHash selects the homes of the flow.
+    std::vector<UpstreamId> candidates(ServiceId, uint64_t flowHash = 0);
+    PlacementPlan plan(ServiceId, uint64_t flowHash = 0);
 
     void onLoad(UpstreamId, const Load&); // piggybacked on any reply
     void onFlowStarted(UpstreamId); // before the onLoad of the same reply, which already counts the flow
@@ -149,7 +156,7 @@
 
     bool isDraining(UpstreamId) const;
     double occupied(const PlacementUpstream&) const;
-    std::vector<Ranked> ranked(ServiceId);
+    std::vector<Ranked> ranked(ServiceId, uint64_t flowHash);
 
     PlacementOptions options;
     const Clock& clock;
