Queue requests at the agent by objective; notice a silent upstream

RequestQueue keeps an upstream just busy and starts requests first that can still meet their objective; UpstreamLiveness tells within 0.1 s that an upstream does not answer.

--- a/backends/DatagramSocket.cpp
+++ b/backends/DatagramSocket.cpp
@@ -103,11 +103,8 @@
         messages[i].msg_hdr.msg_iovlen = 1;
     }
     const int count = recvmmsg(this->socket.native_handle(), messages.data(), batchSize, 0, nullptr);
-    if (count < 0) {
-        if (errno == ECONNREFUSED && this->onRefused)
-            this->onRefused();
-        return 0;
-    }
+    if (count < 0)
+        return 0; // nothing to read, or the report that a peer's port had no listener
     for (size_t i = 0; i < static_cast<size_t>(count); ++i)
         this->handler(fromSystem(sources[i]), std::span<uint8_t>(this->buffers[i].data(), messages[i].msg_len));
     return static_cast<size_t>(count);
@@ -143,8 +140,6 @@
             sent += static_cast<size_t>(count);
             continue;
         }
-        if (errno == ECONNREFUSED && this->onRefused)
-            this->onRefused();
         ++this->failures;
         ++sent; // the first datagram of the rest failed
     }
--- a/backends/DatagramSocket.h
+++ b/backends/DatagramSocket.h
@@ -27,7 +27,6 @@
     void flush();
 
     std::function<void()> onBatch; // after the handler was called for all datagrams of a batch; may be empty
-    std::function<void()> onRefused; // a peer's port has no listener; may be empty
     uint64_t sendFailures() const { return this->failures; } // datagrams that the kernel did not take
 
 private:
--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -47,7 +47,6 @@
         return outbound.error();
     this->entries.onBatch = [this] { this->flush(); };
     this->upstream.onBatch = [this] { this->flush(); };
-    this->upstream.onRefused = [this] { this->gate.onUpstreamUnreachable(); };
     this->entries.start(
         [this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
     this->upstream.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onUpstreamDatagram(bytes); });
@@ -107,7 +106,7 @@
     status.ready = true;
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
         { "flows", this->gate.openFlows() }, { "busy", this->gate.busy() },
-        { "upstreamDown", this->gate.isUpstreamDown() } });
+        { "waiting", this->gate.waiting() }, { "upstream", nameOf(this->gate.upstreamState()) } });
     return status;
 }
 
@@ -129,6 +128,9 @@
     set("wasabi_send_failures_total", "", this->entries.sendFailures() + this->upstream.sendFailures());
     set("wasabi_flows", "", this->gate.openFlows());
     set("wasabi_busy", "", this->gate.busy());
+    set("wasabi_waiting", "", this->gate.waiting());
+    set("wasabi_requests_waited_total", "", counts.waited);
+    set("wasabi_requests_expired_total", "", counts.expired);
 }
 
 } // namespace wasabicroft
--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -31,9 +31,14 @@
   uint16_t route_port_;
   uint16_t busy_;
   uint16_t packet_bytes_;
+  uint16_t objective_ms_;
+  uint16_t timeout_ms_;
+  uint16_t slots_;
+  uint16_t waiting_;
+  uint8_t priority_;
   uint8_t kind_;
   uint8_t refusal_;
-  int16_t padding0__;
+  int8_t padding0__;
 
  public:
   struct Traits;
@@ -49,12 +54,17 @@
         route_port_(0),
         busy_(0),
         packet_bytes_(0),
+        objective_ms_(0),
+        timeout_ms_(0),
+        slots_(0),
+        waiting_(0),
+        priority_(0),
         kind_(0),
         refusal_(0),
         padding0__(0) {
     (void)padding0__;
   }
-  Hop(uint64_t _incarnation, uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint8_t _kind, uint8_t _refusal)
+  Hop(uint64_t _incarnation, uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint16_t _objective_ms, uint16_t _timeout_ms, uint16_t _slots, uint16_t _waiting, uint8_t _priority, uint8_t _kind, uint8_t _refusal)
       : incarnation_(flatbuffers::EndianScalar(_incarnation)),
         service_(flatbuffers::EndianScalar(_service)),
         client_address_(flatbuffers::EndianScalar(_client_address)),
@@ -66,6 +76,11 @@
         route_port_(flatbuffers::EndianScalar(_route_port)),
         busy_(flatbuffers::EndianScalar(_busy)),
         packet_bytes_(flatbuffers::EndianScalar(_packet_bytes)),
+        objective_ms_(flatbuffers::EndianScalar(_objective_ms)),
+        timeout_ms_(flatbuffers::EndianScalar(_timeout_ms)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        priority_(flatbuffers::EndianScalar(_priority)),
         kind_(flatbuffers::EndianScalar(_kind)),
         refusal_(flatbuffers::EndianScalar(_refusal)),
         padding0__(0) {
@@ -104,6 +119,21 @@
   uint16_t packet_bytes() const {
     return flatbuffers::EndianScalar(packet_bytes_);
   }
+  uint16_t objective_ms() const {
+    return flatbuffers::EndianScalar(objective_ms_);
+  }
+  uint16_t timeout_ms() const {
+    return flatbuffers::EndianScalar(timeout_ms_);
+  }
+  uint16_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint8_t priority() const {
+    return flatbuffers::EndianScalar(priority_);
+  }
   uint8_t kind() const {
     return flatbuffers::EndianScalar(kind_);
   }
@@ -111,7 +141,7 @@
     return flatbuffers::EndianScalar(refusal_);
   }
 };
-FLATBUFFERS_STRUCT_END(Hop, 48);
+FLATBUFFERS_STRUCT_END(Hop, 56);
 
 struct Hop::Traits {
   using type = Hop;
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -2,6 +2,8 @@
 
 #include "wasabicroft/Log.h"
 
+#include <algorithm>
+
 namespace wasabicroft {
 
 AgentGate::AgentGate(AgentGateOptions gateOptions, AgentGateHooks gateHooks, const Clock& timeSource)
@@ -9,9 +11,13 @@
     , hooks(std::move(gateHooks))
     , clock(timeSource)
     , flows(this->options.maxFlows)
+    , requests(this->options.requests, timeSource)
+    , liveness(this->options.liveness, timeSource)
 {
-    this->flows.onDrop = [this](const FlowKey&, Flow& flow) {
-        this->setBusy(flow, false);
+    this->requests.setPaused(true);
+    this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
+        if (flow.request != RequestState::None)
+            this->requests.remove(key);
         this->heldCount -= flow.isHeld ? 1 : 0;
     };
 }
@@ -40,15 +46,28 @@
         return;
     }
     const FlowKey key = packet.fromClient();
+    if (this->liveness.state() == UpstreamState::Down) {
+        this->denyFlow(key, entry);
+        return;
+    }
     Flow& flow = this->flows.use(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = message.kind;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
-    else if (message.kind == HopKind::Find)
-        this->delivered.emplace_back(key, this->clock.now());
-    this->noteRequest(flow, packet);
-    this->hooks.sendToUpstream(message.packet);
+    if (message.slots > 0)
+        this->requests.setSlots(message.slots);
+    this->deliver(key, flow, message, packet);
+}
+
+// An upstream that is down has lost its flows.
+void AgentGate::denyFlow(const FlowKey& key, PacketAddress entry)
+{
+    const Flow* flow = this->flows.find(key);
+    const bool wasOpen = flow && flow->isOpen;
+    this->counts.gone += wasOpen ? 1 : 0;
+    this->flows.erase(key);
+    this->reply(entry, wasOpen ? HopKind::Gone : HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
 
 void AgentGate::onOffer(PacketAddress entry, const HopMessage& message, const Packet& packet)
@@ -59,13 +78,13 @@
     HopRefusal refusal = HopRefusal::None;
     if (message.service != this->options.service)
         refusal = HopRefusal::OtherService;
-    else if (this->upstreamDown)
+    else if (this->liveness.state() == UpstreamState::Down)
         refusal = HopRefusal::UpstreamDown;
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
-            { "busy", static_cast<uint64_t>(this->busyFlows) }, { "flows", static_cast<uint64_t>(this->heldCount) } });
-    if (refusal == HopRefusal::UpstreamDown)
-        this->hooks.sendToUpstream(message.packet); // notices when the upstream is back
+            { "busy", this->busy() }, { "waiting", this->waiting() }, { "flows", static_cast<uint64_t>(this->heldCount) } });
+    if (refusal == HopRefusal::UpstreamDown && this->liveness.mayProbe())
+        this->hooks.sendToUpstream(message.packet);
     if (refusal != HopRefusal::None) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
@@ -75,28 +94,106 @@
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
+    this->liveness.onSynDelivered(message.packet);
+    this->hooks.sendToUpstream(message.packet);
+}
+
+// Hands a packet to the upstream, or stores it while its request waits.
+void AgentGate::deliver(const FlowKey& key, Flow& flow, const HopMessage& message, const Packet& packet)
+{
+    if (packet.resets) {
+        if (flow.request == RequestState::Waiting) {
+            this->requests.remove(key);
+            flow.request = RequestState::None;
+            flow.stored.clear();
+        }
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
+    const bool isProbe = message.kind == HopKind::Find && !flow.isHeld;
+    if (this->startsRequest(flow, packet) && flow.request == RequestState::None) {
+        const RequestQueue::Decision decision = this->requests.request(
+            { key, this->clock.now(), message.objective, message.timeout, message.priority, isProbe });
+        if (decision == RequestQueue::Decision::Drop) {
+            ++this->counts.dropped;
+            return;
+        }
+        const bool starts = decision == RequestQueue::Decision::Start;
+        flow.request = starts ? RequestState::Running : RequestState::Waiting;
+        this->counts.waited += starts ? 0 : 1;
+    }
+    const bool closesAfterRequest = packet.finishes && packet.payloadBytes == 0 && flow.request != RequestState::None;
+    if (closesAfterRequest) {
+        this->requests.onClientClosed(key);
+        if (flow.request == RequestState::Running)
+            flow.request = RequestState::None;
+    }
+    if (flow.request == RequestState::Waiting && (packet.payloadBytes > 0 || packet.finishes)) {
+        this->store(flow, packet, message.packet);
+        // Until the upstream is heard, a copy makes it answer or return the packet.
+        if (this->liveness.state() == UpstreamState::Unknown && this->liveness.mayProbe())
+            this->hooks.sendToUpstream(message.packet);
+        return;
+    }
+    if (isProbe)
+        this->delivered.emplace_back(key, this->clock.now());
     this->hooks.sendToUpstream(message.packet);
+    if (closesAfterRequest)
+        this->startWaiting();
 }
 
 // A packet with payload beyond what was seen starts or continues a request.
-void AgentGate::noteRequest(Flow& flow, const Packet& packet)
+bool AgentGate::startsRequest(Flow& flow, const Packet& packet)
 {
     if (packet.payloadBytes == 0)
-        return;
+        return false;
     const uint32_t end = packet.sequence + packet.payloadBytes;
     if (flow.hasSequence && static_cast<int32_t>(end - flow.nextSequence) <= 0)
-        return;
+        return false;
     flow.hasSequence = true;
     flow.nextSequence = end;
-    this->setBusy(flow, true);
+    return true;
 }
 
-void AgentGate::setBusy(Flow& flow, bool isBusy)
+void AgentGate::store(Flow& flow, const Packet& packet, Bytes bytes)
 {
-    if (flow.isBusy == isBusy)
-        return;
-    flow.isBusy = isBusy;
-    this->busyFlows += isBusy ? 1 : static_cast<size_t>(-1);
+    const auto position = std::lower_bound(flow.stored.begin(), flow.stored.end(), packet.sequence,
+        [](const StoredPacket& stored, uint32_t sequence) {
+            return static_cast<int32_t>(stored.sequence - sequence) < 0;
+        });
+    if (position != flow.stored.end() && position->sequence == packet.sequence)
+        position->bytes.assign(bytes.begin(), bytes.end()); // a retransmission
+    else
+        flow.stored.insert(position, { packet.sequence, { bytes.begin(), bytes.end() } });
+}
+
+void AgentGate::startWaiting()
+{
+    for (const FlowKey& key : this->requests.takeStarts()) {
+        Flow* flow = this->flows.find(key);
+        if (!flow)
+            continue;
+        flow->request = RequestState::Running;
+        if (flow->lastKind == HopKind::Find && !flow->isHeld)
+            this->delivered.emplace_back(key, this->clock.now());
+        for (const StoredPacket& stored : std::exchange(flow->stored, {}))
+            this->hooks.sendToUpstream(stored.bytes);
+    }
+}
+
+void AgentGate::expireRequests()
+{
+    for (const FlowKey& key : this->requests.takeExpired()) {
+        ++this->counts.expired;
+        Flow* flow = this->flows.find(key);
+        if (!flow)
+            continue;
+        logEvent(Event::PacketRequestExpired,
+            { { "flow", toString(key) }, { "state", flow->request == RequestState::Waiting ? "waiting" : "running" },
+                { "busy", this->busy() }, { "waiting", this->waiting() } });
+        flow->request = RequestState::None;
+        flow->stored.clear();
+    }
 }
 
 //-----------------------------------------------------------------------------
@@ -107,10 +204,8 @@
 {
     ++this->counts.fromUpstream;
     this->lastUpstreamPacket = this->clock.now();
-    if (this->upstreamDown) {
-        this->upstreamDown = false;
-        logEvent(Event::PacketUpstreamUp, { { "flows", static_cast<uint64_t>(this->heldCount) } });
-    }
+    this->liveness.onHeard();
+    this->updateState();
     if (packet.bounced) {
         this->onBounce(packet.fromClient(), packet, bytes);
         return;
@@ -132,8 +227,11 @@
     }
     this->noteHeld(key, flow);
     flow.isOpen = true;
-    if (packet.payloadBytes > 0)
-        this->setBusy(flow, false);
+    if (packet.payloadBytes > 0 && flow.request == RequestState::Running) {
+        flow.request = RequestState::None;
+        this->requests.onAnswered(key);
+        this->startWaiting();
+    }
 }
 
 void AgentGate::noteHeld(const FlowKey& key, Flow& flow)
@@ -141,6 +239,7 @@
     if (!flow.isHeld) {
         flow.isHeld = true;
         ++this->heldCount;
+        this->requests.onHeld(key);
     }
     if (flow.lastKind == HopKind::Find && flow.entry != PacketAddress()) {
         flow.lastKind = HopKind::Forward;
@@ -185,15 +284,34 @@
     }
 }
 
-void AgentGate::onUpstreamUnreachable()
+// Acts on a change of the upstream's state.
+void AgentGate::updateState()
 {
-    if (this->upstreamDown)
+    const UpstreamState state = this->liveness.state();
+    if (state == this->loggedState)
+        return;
+    this->loggedState = state;
+    logEvent(state == UpstreamState::Down ? Event::PacketUpstreamDown : Event::PacketUpstreamUp,
+        { { "flows", static_cast<uint64_t>(this->heldCount) }, { "waiting", this->waiting() } });
+    this->requests.setPaused(state != UpstreamState::Up);
+    if (state == UpstreamState::Up) {
+        this->startWaiting();
         return;
-    this->upstreamDown = true;
-    logEvent(Event::PacketUpstreamDown, { { "flows", static_cast<uint64_t>(this->heldCount) } });
+    }
+    std::vector<std::pair<FlowKey, PacketAddress>> lost;
+    this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
+        if (flow.request != RequestState::None)
+            lost.emplace_back(key, flow.entry);
+    });
+    for (const auto& [key, entry] : lost)
+        this->denyFlow(key, entry);
 }
 
-void AgentGate::forget(const FlowKey& key) { this->flows.erase(key); }
+void AgentGate::forget(const FlowKey& key)
+{
+    this->flows.erase(key);
+    this->startWaiting();
+}
 
 void AgentGate::reply(
     PacketAddress entry, HopKind kind, const FlowKey& key, HopRefusal refusal, Bytes packet, uint32_t sequence)
@@ -205,6 +323,7 @@
     message.flow = key;
     message.upstreamSequence = sequence;
     message.busy = this->busy();
+    message.waiting = this->waiting();
     message.flows = static_cast<uint32_t>(this->heldCount);
     message.incarnation = this->options.incarnation;
     message.packet = packet;
@@ -218,16 +337,23 @@
 void AgentGate::onTick()
 {
     const TimePoint now = this->clock.now();
+    if (const std::vector<uint8_t>* probe = this->liveness.takeProbe())
+        this->hooks.sendToUpstream(*probe);
+    this->liveness.onTick();
+    this->updateState();
     this->confirmDelivered();
+    this->expireRequests();
+    this->startWaiting();
     this->flows.expire(now - this->options.flowIdleLimit);
     std::erase_if(this->subscribers,
         [&](const auto& item) { return now - item.second.lastOffer > this->options.reportLifetime; });
+    const size_t occupied = this->requests.running() + this->requests.waiting();
     for (auto& [entry, subscriber] : this->subscribers) {
-        const bool changed = subscriber.busy != this->busy() || subscriber.flows != this->heldCount;
+        const bool changed = subscriber.busy != occupied || subscriber.flows != this->heldCount;
         if (now - subscriber.lastReport < (changed ? this->options.loadInterval : this->options.loadRefresh))
             continue;
         subscriber.lastReport = now;
-        subscriber.busy = this->busy();
+        subscriber.busy = occupied;
         subscriber.flows = this->heldCount;
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
     }
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -10,7 +10,8 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
-#include "wasabicroft/Packet.h"
+#include "wasabicroft/RequestQueue.h"
+#include "wasabicroft/UpstreamLiveness.h"
 
 #include <deque>
 #include <map>
@@ -28,6 +29,8 @@
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
     Milliseconds loadInterval { 100 }; // between two load reports to an entry, if the load changed
     Milliseconds loadRefresh { 1000 }; // between two load reports to an entry, if it did not
+    RequestQueueOptions requests;
+    LivenessOptions liveness;
     Milliseconds bounceTime { 10 }; // an upstream that runs returns a packet of an unknown flow well within this time
     Milliseconds reportLifetime { 5000 }; // an entry that offered no flow for this long gets no reports
 };
@@ -39,6 +42,8 @@
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0;
     uint64_t gone = 0; // flows that the upstream lost
+    uint64_t waited = 0; // requests that did not start at once
+    uint64_t expired = 0; // requests that timed out here
     uint64_t dropped = 0;
 };
 
@@ -60,22 +65,30 @@
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
     void onUpstreamPacket(const Packet&, Bytes); // bounce marks are already removed from the bytes
-    void onUpstreamUnreachable(); // nothing listens at the upstream's address
     void onTick(); // every few milliseconds
 
-    uint16_t busy() const { return static_cast<uint16_t>(this->busyFlows); }
+    uint16_t busy() const { return static_cast<uint16_t>(this->requests.running()); }
+    uint16_t waiting() const { return static_cast<uint16_t>(this->requests.waiting()); }
     size_t openFlows() const { return this->flows.size(); }
-    bool isUpstreamDown() const { return this->upstreamDown; }
+    UpstreamState upstreamState() const { return this->liveness.state(); }
     const AgentGateCounters& counters() const { return this->counts; }
 
 private:
+    enum class RequestState : uint8_t { None, Waiting, Running };
+
+    struct StoredPacket {
+        uint32_t sequence = 0;
+        std::vector<uint8_t> bytes;
+    };
+
     struct Flow {
         PacketAddress entry; // that sent the last packet
         HopKind lastKind = HopKind::Forward; // of that packet
         bool offered = false; // a SYN was delivered
         bool isOpen = false; // the upstream sent more than the handshake
         bool isHeld = false; // the upstream sent any packet of the flow
-        bool isBusy = false; // a request waits for its answer
+        RequestState request = RequestState::None;
+        std::vector<StoredPacket> stored; // of a request that waits
         bool hasSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
         uint32_t upstreamSequence = 0; // of the SYN+ACK
@@ -84,14 +97,19 @@
     struct Subscriber {
         TimePoint lastOffer;
         TimePoint lastReport;
-        uint16_t busy = 0;
+        size_t busy = 0; // running and waiting requests, as reported
         size_t flows = 0;
     };
 
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
-    void noteRequest(Flow&, const Packet&);
-    void setBusy(Flow&, bool);
+    void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
+    bool startsRequest(Flow&, const Packet&);
+    void store(Flow&, const Packet&, Bytes);
+    void startWaiting();
+    void expireRequests();
+    void updateState();
+    void denyFlow(const FlowKey&, PacketAddress entry);
     void noteHeld(const FlowKey&, Flow&);
     void confirmDelivered();
     void forget(const FlowKey&);
@@ -104,9 +122,10 @@
     std::map<PacketAddress, Subscriber> subscribers;
     std::deque<std::pair<FlowKey, TimePoint>> delivered; // packets of Finds, ordered by delivery
     TimePoint lastUpstreamPacket;
-    size_t busyFlows = 0;
+    RequestQueue requests;
+    UpstreamLiveness liveness;
+    UpstreamState loggedState = UpstreamState::Unknown;
     size_t heldCount = 0;
-    bool upstreamDown = false;
     AgentGateCounters counts;
 };
 
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -21,6 +21,7 @@
         placement.remotePenalty = options.remotePenalty;
         placement.connectionCost = options.connectionCost;
     placement.homes = options.homes;
+    placement.drainingHold = options.downHold;
         placement.random = [&random] { return random(); };
         return placement;
     }
@@ -69,6 +70,7 @@
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
+    this->slotsByAgent.clear();
     const auto targetOf = [&](const UpstreamRecord& record) {
         return Target { record.id(), { record.address.address, this->options.agentPort }, directory.isListed(record) };
     };
@@ -76,6 +78,7 @@
         std::vector<PlacementUpstream> pool;
         for (const UpstreamRecord& record : directory.usable(service)) {
             pool.push_back({ record.id(), record.failureDomain, record.slots, false });
+            this->slotsByAgent[{ record.address.address, this->options.agentPort }] = record.slots;
             this->usable[service].push_back(targetOf(record));
         }
         this->placement.setPool(service, std::move(pool));
@@ -154,7 +157,7 @@
     Flow& flow = this->flows.use(key, this->clock.now());
     if (flow.holder) {
         // A late copy of the SYN: the holder answers it as it did before.
-        this->sendPacket(*flow.holder, HopKind::Offer, flow.service, syn);
+        this->sendPacket(*flow.holder, HopKind::Offer, key, flow.service, syn);
         return;
     }
     if (flow.syn.empty()) {
@@ -223,15 +226,22 @@
         this->placement.onFlowStarted(offer.upstream);
         this->pending.push_back({ key, offer.upstream, this->clock.now() + this->options.offerTimeout });
     }
-    this->sendPacket(offer.agent, HopKind::Offer, flow.service, flow.syn);
+    this->sendPacket(offer.agent, HopKind::Offer, key, flow.service, flow.syn);
 }
 
-void EntryRouter::sendPacket(PacketAddress agent, HopKind kind, ServiceId service, Bytes bytes)
+void EntryRouter::sendPacket(PacketAddress agent, HopKind kind, const FlowKey& key, ServiceId service, Bytes bytes)
 {
     HopMessage message;
     message.kind = kind;
     message.service = service;
     message.packet = bytes;
+    if (const Route* route = this->routes->find(key.route)) {
+        message.objective = route->objective;
+        message.timeout = route->timeout;
+        message.priority = static_cast<uint8_t>(std::min(route->priority, 255U));
+    }
+    const auto slots = this->slotsByAgent.find(agent);
+    message.slots = slots == this->slotsByAgent.end() ? 0 : slots->second;
     this->hooks.sendHop(agent, message);
 }
 
@@ -271,7 +281,7 @@
             this->setHolder(key, flow, offer->agent);
     }
     if (flow.holder)
-        this->forward(flow, bytes);
+        this->forward(key, flow, bytes);
     else
         this->find(key, flow, bytes, std::nullopt);
 }
@@ -301,13 +311,13 @@
     flow.search.reset();
     logEvent(Event::PacketHolderKnown, { { "flow", toString(key) }, { "agent", toString(agent) } });
     for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
-        this->forward(flow, bytes);
+        this->forward(key, flow, bytes);
 }
 
-void EntryRouter::forward(const Flow& flow, Bytes bytes)
+void EntryRouter::forward(const FlowKey& key, const Flow& flow, Bytes bytes)
 {
     ++this->counts.forwarded;
-    this->sendPacket(*flow.holder, HopKind::Forward, flow.service, bytes);
+    this->sendPacket(*flow.holder, HopKind::Forward, key, flow.service, bytes);
 }
 
 // Searches the holder with the packet. An upstream that doesn't hold the flow returns it.
@@ -379,7 +389,7 @@
     for (const Target& target : targets) {
         if (target.listed)
             search.unanswered.push_back(target.agent);
-        this->sendPacket(target.agent, HopKind::Find, flow.service, search.packet);
+        this->sendPacket(target.agent, HopKind::Find, key, flow.service, search.packet);
     }
 }
 
@@ -453,7 +463,7 @@
     if (upstream == this->upstreamByAgent.end())
         return;
     this->placement.onReply(upstream->second);
-    this->placement.onLoad(upstream->second, { message.busy, 0, 0, message.flows });
+    this->placement.onLoad(upstream->second, { message.busy, 0, message.waiting, message.flows });
 }
 
 void EntryRouter::onAccepted(const FlowKey& key, PacketAddress agent, const HopMessage& message)
@@ -478,6 +488,8 @@
     if (!offer)
         return;
     offer->state = OfferState::Refused;
+    if (message.refusal != HopRefusal::UpstreamBusy)
+        this->placement.onDraining(offer->upstream); // not asked again for a while
     if (this->offerNext(key, *flow, nameOf(message.refusal)))
         return;
     const bool allRefused = std::all_of(flow->offers.begin(), flow->offers.end(),
@@ -496,7 +508,7 @@
         this->onDenied(key, *flow, agent);
     } else if (flow->holder != agent) {
         if (!message.packet.empty())
-            this->forward(*flow, message.packet);
+            this->forward(key, *flow, message.packet);
     } else {
         logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
         flow->holder.reset();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -30,6 +30,7 @@
     size_t maxFlows = 131072; // remembered flows; the least recently used one is forgotten when full
     size_t maxOffers = 4; // upstreams that one flow is offered to before its client's next copy of the SYN
     Milliseconds offerTimeout { 60 }; // above a round trip between failure domains and an upstream's handshake
+    Milliseconds downHold { 300 }; // before an upstream that its agent reported as down is asked again
     size_t homes = 3; // upstreams that a flow prefers by its hash
     unsigned maxFinds = 2; // searches for the holder of one flow within findWindow
     Milliseconds findWindow { 2000 };
@@ -145,13 +146,13 @@
     ServiceId chooseService(const Route&);
     bool offerNext(const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
-    void sendPacket(PacketAddress agent, HopKind, ServiceId, Bytes);
+    void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
     void refuse(const FlowKey&, uint32_t sequence, std::string_view cause);
     void continueFlow(const FlowKey&, const Packet&, Bytes);
     const Offer* acceptedOffer(const Flow&, uint32_t acknowledgement) const;
     void setHolder(const FlowKey&, Flow&, PacketAddress agent);
-    void forward(const Flow&, Bytes);
+    void forward(const FlowKey&, const Flow&, Bytes);
     void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
     std::vector<Target> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
     void askHolders(const FlowKey&, const Flow&, Search&, std::span<const Target>);
@@ -181,6 +182,7 @@
     std::map<ServiceId, std::vector<Target>> holders;
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
+    std::map<PacketAddress, uint16_t> slotsByAgent;
     FlowTable<Flow> flows;
     std::deque<Pending> pending; // offers, ordered by due
     std::deque<Pending> searches; // ordered by due
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -61,6 +61,7 @@
         EventInfo { Event::PacketUpstreamDown, Severity::Warning, "packet-upstream-down" },
         EventInfo { Event::PacketUpstreamUp, Severity::Info, "packet-upstream-up" },
         EventInfo { Event::PacketInvalid, Severity::Warning, "packet-invalid" },
+        EventInfo { Event::PacketRequestExpired, Severity::Info, "packet-request-expired" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -65,6 +65,7 @@
     PacketUpstreamDown = 4208,
     PacketUpstreamUp = 4209,
     PacketInvalid = 4210,
+    PacketRequestExpired = 4211,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -2,6 +2,7 @@
 
 #include "Hop_generated.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-    constexpr uint32_t hopMagic = 0x77631001; // version 1 of the hop messages
+    constexpr uint32_t hopMagic = 0x77631002; // version 2 of the hop messages
 
     static_assert(sizeof(wire::Hop) == hopHeaderBytes);
 
@@ -80,9 +81,13 @@
 
 void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
 {
+    const auto shortMs = [](Milliseconds time) {
+        return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX));
+    };
     const wire::Hop header(message.incarnation, message.service.value, message.flow.client.address,
         message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
         message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size()),
+        shortMs(message.objective), shortMs(message.timeout), message.slots, message.waiting, message.priority,
         static_cast<uint8_t>(message.kind), static_cast<uint8_t>(message.refusal));
     const size_t start = out.size();
     out.resize(start + hopHeaderBytes + message.packet.size());
@@ -112,6 +117,11 @@
     message.upstreamSequence = header.upstream_sequence();
     message.busy = header.busy();
     message.flows = header.flows();
+    message.waiting = header.waiting();
+    message.slots = header.slots();
+    message.objective = Milliseconds(header.objective_ms());
+    message.timeout = Milliseconds(header.timeout_ms());
+    message.priority = header.priority();
     message.incarnation = header.incarnation();
     message.packet = bytes.subspan(hopHeaderBytes);
     return message;
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -102,13 +102,18 @@
     ServiceId service; // that the route belongs to; of the agent's upstream in Load
     FlowKey flow; // of messages without a packet
     uint32_t upstreamSequence = 0; // of the SYN+ACK, in Accepted and Holds
-    uint16_t busy = 0; // requests at the upstream that wait for an answer
+    uint16_t busy = 0; // from agents: requests at the upstream that lack an answer
+    uint16_t waiting = 0; // from agents: requests that wait for the upstream
+    uint16_t slots = 0; // from entries: requests that the upstream runs at a time, as it states; 0: not known
+    Milliseconds objective { 0 }; // from entries: latency objective of the route's requests; 0: none
+    Milliseconds timeout { 0 }; // from entries: of the route's requests; 0: none
+    uint8_t priority = 0; // from entries: of the route; 0 is highest
     uint32_t flows = 0; // held by the upstream
     uint64_t incarnation = 0; // of the agent
     Bytes packet; // as received; empty if the message carries none
 };
 
-inline constexpr size_t hopHeaderBytes = 48;
+inline constexpr size_t hopHeaderBytes = 56;
 
 // Appends the encoded message to out.
 void encodeHop(const HopMessage&, std::vector<uint8_t>& out);
