Free the slot of a cancelled request; drop held SYNs of clients that gave up

A FIN of the upstream now ends a request, a request whose client has closed goes last, and an entry that gets its first routes drops SYNs whose client's time limit has passed and offers the newest first. A topic that was never read is retried every 80 ms.

--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -112,8 +112,8 @@
     }
     const bool isProbe = message.kind == HopKind::Find && !flow.isHeld;
     if (this->startsRequest(flow, packet) && flow.request == RequestState::None) {
-        const RequestQueue::Decision decision = this->requests.request(
-            { key, this->clock.now(), message.objective, message.timeout, message.priority, isProbe });
+        const RequestQueue::Decision decision = this->requests.request({ key, this->clock.now(), message.objective,
+            message.timeout, message.priority, isProbe, flow.clientClosed });
         if (decision == RequestQueue::Decision::Drop) {
             ++this->counts.dropped;
             return;
@@ -122,7 +122,9 @@
         flow.request = starts ? RequestState::Running : RequestState::Waiting;
         this->counts.waited += starts ? 0 : 1;
     }
-    const bool closesAfterRequest = packet.finishes && packet.payloadBytes == 0 && flow.request != RequestState::None;
+    const bool closes = packet.finishes && packet.payloadBytes == 0;
+    flow.clientClosed = flow.clientClosed || closes; // may overtake the request
+    const bool closesAfterRequest = closes && flow.request != RequestState::None;
     if (closesAfterRequest) {
         this->requests.onClientClosed(key);
         if (flow.request == RequestState::Running)
@@ -227,7 +229,7 @@
     }
     this->noteHeld(key, flow);
     flow.isOpen = true;
-    if (packet.payloadBytes > 0 && flow.request == RequestState::Running) {
+    if ((packet.payloadBytes > 0 || packet.finishes) && flow.request == RequestState::Running) {
         flow.request = RequestState::None;
         this->requests.onAnswered(key);
         this->startWaiting();
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -87,6 +87,7 @@
         bool offered = false; // a SYN was delivered
         bool isOpen = false; // the upstream sent more than the handshake
         bool isHeld = false; // the upstream sent any packet of the flow
+        bool clientClosed = false; // the client sent a FIN without payload
         RequestState request = RequestState::None;
         std::vector<StoredPacket> stored; // of a request that waits
         bool hasSequence = false;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -26,6 +26,15 @@
         return placement;
     }
 
+    // Clients send copies of a SYN at these times after the first one.
+    constexpr std::array<Milliseconds, 3> synTimes { Milliseconds(0), Milliseconds(200), Milliseconds(600) };
+
+    // The time since the client sent the first copy of a SYN, without the time on the way.
+    Milliseconds synAge(const Packet& packet)
+    {
+        return synTimes.at(std::min<size_t>(packet.acknowledgement, synTimes.size() - 1));
+    }
+
     std::vector<uint8_t> copyOf(Bytes bytes) { return { bytes.begin(), bytes.end() }; }
 
 } // namespace
@@ -128,11 +137,23 @@
         return;
     const std::deque<Held> released = std::exchange(this->held, {});
     this->heldBytes = 0;
-    std::set<FlowKey> opened; // of the copies of a SYN, one is enough
     for (const Held& item : released) {
-        if (!item.packet.isSyn() || opened.insert(item.packet.fromClient()).second)
+        if (!item.packet.isSyn())
             this->route(item.packet, item.bytes);
     }
+    // Newest first: their clients wait longest. Of the copies of a SYN, one is enough.
+    std::set<FlowKey> opened;
+    for (auto item = released.rbegin(); item != released.rend(); ++item) {
+        if (!item->packet.isSyn() || !opened.insert(item->packet.fromClient()).second)
+            continue;
+        const Route* route = this->routes->find(item->packet.destination);
+        const Milliseconds age = synAge(item->packet)
+            + std::chrono::duration_cast<Milliseconds>(this->clock.now() - item->received);
+        if (route && route->timeout > Milliseconds(0) && age >= route->timeout)
+            ++this->counts.dropped; // the client has given up
+        else
+            this->route(item->packet, item->bytes);
+    }
 }
 
 void EntryRouter::route(const Packet& packet, Bytes bytes)
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -33,7 +33,7 @@
 
 RequestQueue::Decision RequestQueue::request(const QueuedRequest& request)
 {
-    if (this->hasRoom(request.isProbe) && this->queue.empty()) {
+    if (this->hasRoom(request.isProbe) && this->queue.empty() && !request.isAbandoned) {
         this->start(request);
         return Decision::Start;
     }
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -98,7 +98,8 @@
         return false;
     Topic& topic = this->at(read.topic);
     topic.pageAfter.clear();
-    topic.due = this->clock.now() + this->backOff(topic.failures++);
+    topic.due = this->clock.now() + this->backOff(topic);
+    ++topic.failures;
     return true;
 }
 
@@ -131,9 +132,10 @@
 
 std::optional<TimePoint> StoreSync::lastAnswer(StoreTopic which) const { return this->at(which).answered; }
 
-Milliseconds StoreSync::backOff(unsigned failures)
+Milliseconds StoreSync::backOff(const Topic& topic)
 {
-    const Milliseconds base = std::min(this->options.maxBackOff, this->options.minBackOff * (1 << std::min(failures, 8U)));
+    const Milliseconds limit = topic.answered ? this->options.maxBackOff : this->options.maxStartBackOff;
+    const Milliseconds base = std::min(limit, this->options.minBackOff * (1 << std::min(topic.failures, 8U)));
     std::uniform_real_distribution<double> spread(1 - this->options.jitter, 1 + this->options.jitter);
     return std::chrono::duration_cast<Milliseconds>(base * spread(this->random));
 }
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -37,6 +37,7 @@
     Milliseconds readTimeout { 1000 }; // above the answer time of a slow store
     Milliseconds minBackOff { 50 };
     Milliseconds maxBackOff { 400 };
+    Milliseconds maxStartBackOff { 80 }; // of a topic that was never read: nothing can be served without it
     double jitter = 0.2; // part of a back-off by which it varies in both directions
     uint64_t seed = 1; // of the jitter
 };
@@ -81,7 +82,7 @@
     const Topic& at(StoreTopic topic) const { return this->topics.at(static_cast<size_t>(topic)); }
     bool finish(const StoreRead&);
     void noteAnswer(Topic&);
-    Milliseconds backOff(unsigned failures);
+    Milliseconds backOff(const Topic&);
 
     StoreSyncOptions options;
     const Clock& clock;
