Serve from agents' presence while the store is away

Agents announce themselves, their service and the addresses on which their upstream answers open flows to the seeds; entries pass this on. An entry started without store finds open flows and places new ones from it, and is not ready until the store answers.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -22,6 +22,10 @@
     : settings(std::move(initial))
     , entries(loop)
     , upstream(loop)
+    , announcer(AnnouncerOptions(),
+          { this->settings.packets, serviceIdOf(this->settings.service), this->settings.failureDomain,
+              this->settings.upstream, {} },
+          clock)
     , gate(
           gateOptions(this->settings),
           { [this](Bytes packet) { this->upstream.send(this->settings.upstream, packet); },
@@ -32,7 +36,8 @@
                   this->hopBuffer.clear();
                   encodeHop(message, this->hopBuffer);
                   this->entries.send(entry, this->hopBuffer);
-              } },
+              },
+              [this](PacketAddress route) { this->announcer.onAnswered(route); } },
           clock)
 {
 }
@@ -57,7 +62,10 @@
 {
     this->settings.service = changed.service;
     this->settings.upstream = changed.upstream;
+    this->settings.seeds = changed.seeds;
+    this->settings.entryHopPort = changed.entryHopPort;
     this->gate.setService(serviceIdOf(changed.service));
+    this->announcer.setService(serviceIdOf(changed.service));
 }
 
 void PacketAgent::onHopDatagram(PacketAddress entry, std::span<uint8_t> bytes)
@@ -94,9 +102,25 @@
     this->entries.flush();
 }
 
+void PacketAgent::announce()
+{
+    const std::optional<PresenceMessage> message = this->announcer.takeMessage();
+    if (!message)
+        return;
+    // The address may have gone to another service's upstream, whose routes must not be announced for this one.
+    if (this->settingsChanged && this->settingsChanged())
+        return;
+    const std::vector<uint8_t> bytes = encodePresence(*message);
+    for (const Endpoint& seed : this->settings.seeds) {
+        if (const std::optional<PacketAddress> address = packetAddressOf(toString(seed)))
+            this->entries.send({ address->address, this->settings.entryHopPort }, bytes);
+    }
+}
+
 void PacketAgent::onTick()
 {
     this->gate.onTick();
+    this->announce();
     this->flush();
 }
 
--- a/backends/PacketAgent.h
+++ b/backends/PacketAgent.h
@@ -4,6 +4,7 @@
 #include "backends/DatagramSocket.h"
 #include "backends/PacketDaemon.h"
 #include "wasabicroft/AgentGate.h"
+#include "wasabicroft/Presence.h"
 
 namespace wasabicroft {
 
@@ -15,16 +16,19 @@
     void onSettings(const PacketSettings&);
     void onTick();
     OperatorStatus status() const;
+    std::function<bool()> settingsChanged; // reads the settings again if they changed; may be empty
     void exportMetrics(Metrics&) const;
 
 private:
     void onHopDatagram(PacketAddress entry, std::span<uint8_t>);
     void onUpstreamDatagram(std::span<uint8_t>);
     void flush();
+    void announce();
 
     PacketSettings settings;
     DatagramSocket entries; // hop messages, and packets to clients
     DatagramSocket upstream;
+    AgentAnnouncer announcer;
     AgentGate gate;
     std::vector<uint8_t> hopBuffer;
     uint64_t invalidPackets = 0;
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -31,6 +31,7 @@
   --failure-domain NAME    Failure domain of this instance.
   --packets IP:PORT        Takes packets of clients (entry) or messages of entries (agent).
   --hop IP:PORT            Entry: sends messages to agents and takes their answers.
+  --entry-hop-port N       Agent: port of the hop address of every entry [0].
   --outbound IP:PORT       Agent: takes the packets of its upstream.
   --upstream IP:PORT       Agent: where its upstream takes packets.
   --service NAME           Agent: service of its upstream.
@@ -118,6 +119,7 @@
     settings.failureDomain = reader.text("--failure-domain", "");
     settings.packets = packetAddress(reader, "--packets");
     settings.hop = packetAddress(reader, "--hop");
+    settings.entryHopPort = static_cast<uint16_t>(reader.number("--entry-hop-port", 0, 0, UINT16_MAX));
     settings.outbound = packetAddress(reader, "--outbound");
     settings.upstream = packetAddress(reader, "--upstream");
     settings.service = reader.text("--service", "");
@@ -255,6 +257,14 @@
     this->handlers.onSettings(this->settings);
 }
 
+bool PacketDaemon::reloadIfChanged()
+{
+    if (!this->source.fileChanged())
+        return false;
+    this->reload("file changed");
+    return true;
+}
+
 void PacketDaemon::scheduleTick()
 {
     this->tickTimer.expires_after(this->tick);
@@ -274,8 +284,7 @@
     this->statusTimer.async_wait([this](error_code error) {
         if (error)
             return;
-        if (this->source.fileChanged())
-            this->reload("file changed");
+        this->reloadIfChanged();
         this->publishStatus();
         this->scheduleStatus();
     });
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -15,6 +15,7 @@
     std::string failureDomain;
     PacketAddress packets; // takes packets of clients (entry) or hop messages (agent)
     PacketAddress hop; // entry: sends hop messages and takes the answers
+    uint16_t entryHopPort = 0; // agent: port of the hop address of every entry
     PacketAddress outbound; // agent: takes the packets of its upstream
     PacketAddress upstream; // agent: where its upstream takes packets
     std::string service; // agent: of its upstream
@@ -67,6 +68,7 @@
     Result<bool> start();
     void run(); // returns when the process is to end
     void publishStatus();
+    bool reloadIfChanged(); // reads the settings file again if it changed; returns whether it did
     bool isStopping() const { return this->stopping; }
     Metrics& metrics() { return this->counters; }
     HttpServer& operators() { return this->server; }
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -27,6 +27,13 @@
         return options;
     }
 
+    FleetOptions fleetOptions(const PacketSettings& settings)
+    {
+        FleetOptions options;
+        options.self = settings.hop.address;
+        return options;
+    }
+
 } // namespace
 
 PacketEntry::PacketEntry(asio::io_context& loop, PacketSettings initial, const Clock& timeSource)
@@ -37,6 +44,7 @@
     , agents(loop)
     , sync(syncOptions(this->settings), timeSource)
     , directory(DirectoryOptions(), timeSource)
+    , fleet(fleetOptions(this->settings), timeSource)
     , router(
           routerOptions(this->settings),
           { [this](PacketAddress agent, const HopMessage& message) {
@@ -70,6 +78,7 @@
     this->clients.start(
         [this](PacketAddress source, std::span<uint8_t> bytes) { this->onClientDatagram(source, bytes); });
     this->agents.start([this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
+    this->setSeeds();
     this->readStore();
     return true;
 }
@@ -78,6 +87,7 @@
 {
     this->settings.seeds = changed.seeds;
     this->settings.store = changed.store;
+    this->setSeeds();
 }
 
 //-----------------------------------------------------------------------------
@@ -99,6 +109,10 @@
 
 void PacketEntry::onHopDatagram(PacketAddress source, std::span<uint8_t> bytes)
 {
+    if (isPresence(bytes)) {
+        this->onPresence(source, bytes);
+        return;
+    }
     const Result<HopMessage> message = decodeHop(bytes);
     if (!message) {
         ++this->invalidHops;
@@ -213,7 +227,7 @@
     if (answer.hasMore)
         return;
     this->directory.replace(std::exchange(this->listed, {}), this->sync.listRevision(read.topic));
-    this->router.setUpstreams(this->directory);
+    this->useStoreState();
 }
 
 void PacketEntry::onChanges(const StoreRead& read, platform::StoreAnswer answer)
@@ -225,7 +239,7 @@
     if (answer.routes)
         this->useRoutes(answer.routes, "store");
     if (this->mergeUpstreams(answer))
-        this->router.setUpstreams(this->directory);
+        this->useStoreState();
 }
 
 bool PacketEntry::mergeUpstreams(const platform::StoreAnswer& answer)
@@ -258,6 +272,14 @@
     logEvent(Event::RoutesInForce,
         { { "version", this->routes->version }, { "routes", static_cast<uint64_t>(this->routes->routes.size()) },
             { "source", source } });
+    this->useStoreState();
+}
+
+// The store's state replaces what agents showed as soon as it is whole.
+void PacketEntry::useStoreState()
+{
+    if (!this->hasStoreState())
+        return;
     this->router.setRoutes(this->routes);
     this->router.setUpstreams(this->directory);
 }
@@ -276,6 +298,62 @@
         logEvent(Event::StoreReachable, { { "address", toString(this->settings.store) } });
 }
 
+//-----------------------------------------------------------------------------
+// Other processes
+//-----------------------------------------------------------------------------
+
+void PacketEntry::setSeeds()
+{
+    std::vector<uint32_t> addresses;
+    for (const Endpoint& seed : this->settings.seeds) {
+        if (const std::optional<PacketAddress> address = packetAddressOf(toString(seed)))
+            addresses.push_back(address->address);
+    }
+    this->fleet.setSeeds(std::move(addresses));
+}
+
+void PacketEntry::onPresence(PacketAddress source, Bytes bytes)
+{
+    const Result<PresenceMessage> message = decodePresence(bytes);
+    if (!message) {
+        ++this->invalidHops;
+        this->noteInvalid(source, message.error());
+        return;
+    }
+    this->fleet.onMessage(source.address, message.value());
+    if (!this->hasStoreState())
+        return;
+    // Versions of the routes and revisions of the store are different counters; a newer version calls for a full read.
+    if (this->fleet.newestRoutes() > this->routes->version)
+        this->sync.hint(StoreTopic::Routes, UINT64_MAX);
+    this->sync.hint(StoreTopic::Upstreams, this->fleet.newestDirectory());
+}
+
+void PacketEntry::sendPresence()
+{
+    const auto [message, targets] = this->fleet.takeMessage(
+        this->routes ? this->routes->version : 0, this->directory.lastChange(), this->hasStoreState());
+    if (targets.empty())
+        return;
+    const std::vector<uint8_t> bytes = encodePresence(message);
+    for (const uint32_t target : targets)
+        this->agents.send({ target, this->settings.hop.port }, bytes);
+}
+
+// Open flows are found at the agents, and new ones go where agents answer flows of the same address.
+void PacketEntry::useProvisional()
+{
+    const std::shared_ptr<const RoutingTable> table = this->fleet.provisionalRoutes();
+    this->provisional.emplace(DirectoryOptions(), this->clock);
+    this->provisional->replace(this->fleet.provisionalUpstreams(), 1);
+    logEvent(Event::ProvisionalState,
+        { { "routes", static_cast<uint64_t>(table->routes.size()) },
+            { "agents", static_cast<uint64_t>(this->fleet.agentCount()) },
+            { "entries", static_cast<uint64_t>(this->fleet.entryCount()) } });
+    this->router.setRoutes(table, true);
+    this->router.setUpstreams(*this->provisional);
+}
+
 //-----------------------------------------------------------------------------
 // Time and status
 //-----------------------------------------------------------------------------
@@ -284,7 +362,10 @@
 {
     this->agents.poll(); // answers that have arrived are no time-outs
     if (this->directory.onTick())
-        this->router.setUpstreams(this->directory);
+        this->useStoreState();
+    if (!this->hasStoreState() && this->fleet.takeChange())
+        this->useProvisional();
+    this->sendPresence();
     this->router.onTick();
     this->agents.flush();
     this->clients.flush();
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -6,6 +6,7 @@
 #include "backends/PacketDaemon.h"
 #include "platform/StoreWire.h"
 #include "wasabicroft/EntryRouter.h"
+#include "wasabicroft/Presence.h"
 
 namespace wasabicroft {
 
@@ -29,11 +30,18 @@
     void onAnswer(const StoreRead&, HttpResult);
     void onList(const StoreRead&, platform::StoreAnswer);
     void onChanges(const StoreRead&, platform::StoreAnswer);
+    void useStoreState();
     void useRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
     void logProblems(const platform::StoreAnswer&);
     void noteReachability();
     bool mergeUpstreams(const platform::StoreAnswer&);
 
+    void onPresence(PacketAddress source, Bytes);
+    void setSeeds();
+    void sendPresence();
+    void useProvisional();
+    bool hasStoreState() const { return this->routes && this->directory.isKnown(); }
+
     boost::asio::io_context& context;
     PacketSettings settings;
     const Clock& clock;
@@ -42,6 +50,8 @@
     StoreSync sync;
     UpstreamDirectory directory;
     std::shared_ptr<const RoutingTable> routes;
+    FleetView fleet;
+    std::optional<UpstreamDirectory> provisional; // from agents, while the store has not answered
     EntryRouter router;
     std::array<std::shared_ptr<HttpClient>, storeTopicCount> storeClients;
     std::array<boost::asio::steady_timer, storeTopicCount> storeTimers;
--- a/daemons/wasabi-packet-agent.cpp
+++ b/daemons/wasabi-packet-agent.cpp
@@ -26,6 +26,7 @@
     handlers.onTick = [&] { agent.onTick(); };
     handlers.onStop = [&] { logEvent(Event::AgentStopping, { { "delay-ms", settings.stopDelay } }); };
     PacketDaemon daemon(context, settings, source, tickInterval, handlers);
+    agent.settingsChanged = [&] { return daemon.reloadIfChanged(); };
     Result<bool> started = agent.start();
     if (started)
         started = daemon.start();
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -229,6 +229,7 @@
     }
     this->noteHeld(key, flow);
     flow.isOpen = true;
+    this->hooks.onAnswered(key.route);
     if ((packet.payloadBytes > 0 || packet.finishes) && flow.request == RequestState::Running) {
         flow.request = RequestState::None;
         this->requests.onAnswered(key);
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -55,6 +55,7 @@
     std::function<void(Bytes)> sendToUpstream;
     std::function<void(PacketAddress client, Bytes)> sendToClient;
     std::function<void(PacketAddress entry, const HopMessage&)> sendHop;
+    std::function<void(PacketAddress route)> onAnswered; // the upstream sent a packet of an open flow
 };
 
 class AgentGate {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -55,9 +55,10 @@
 // Beliefs
 //-----------------------------------------------------------------------------
 
-void EntryRouter::setRoutes(std::shared_ptr<const RoutingTable> table)
+void EntryRouter::setRoutes(std::shared_ptr<const RoutingTable> table, bool provisional)
 {
     this->routes = std::move(table);
+    this->isProvisional = provisional;
     this->releaseHeld();
 }
 
@@ -105,7 +106,7 @@
     this->releaseHeld();
 }
 
-bool EntryRouter::isServing() const { return this->routes && !this->usable.empty(); }
+bool EntryRouter::isServing() const { return this->routes && !this->isProvisional && !this->usable.empty(); }
 
 //-----------------------------------------------------------------------------
 // Packets of clients
@@ -114,13 +115,10 @@
 void EntryRouter::onClientPacket(const Packet& packet, Bytes bytes)
 {
     ++this->counts.packets;
-    if (!this->routes || !this->hasUpstreams)
-        this->hold(packet, bytes);
-    else
-        this->route(packet, bytes);
+    this->route(packet, bytes, this->clock.now());
 }
 
-void EntryRouter::hold(const Packet& packet, Bytes bytes)
+void EntryRouter::hold(const Packet& packet, Bytes bytes, TimePoint received)
 {
     if (this->heldBytes + bytes.size() > this->options.maxHeldBytes) {
         ++this->counts.dropped;
@@ -128,7 +126,7 @@
     }
     ++this->counts.held;
     this->heldBytes += bytes.size();
-    this->held.push_back({ packet, copyOf(bytes), this->clock.now() });
+    this->held.push_back({ packet, copyOf(bytes), received });
 }
 
 void EntryRouter::releaseHeld()
@@ -139,9 +137,14 @@
     this->heldBytes = 0;
     for (const Held& item : released) {
         if (!item.packet.isSyn())
-            this->route(item.packet, item.bytes);
+            this->route(item.packet, item.bytes, item.received);
     }
-    // Newest first: their clients wait longest. Of the copies of a SYN, one is enough.
+    this->releaseHeldSyns(released);
+}
+
+// Newest first: their clients wait longest. Of the copies of a SYN, one is enough.
+void EntryRouter::releaseHeldSyns(const std::deque<Held>& released)
+{
     std::set<FlowKey> opened;
     for (auto item = released.rbegin(); item != released.rend(); ++item) {
         if (!item->packet.isSyn() || !opened.insert(item->packet.fromClient()).second)
@@ -152,13 +155,17 @@
         if (route && route->timeout > Milliseconds(0) && age >= route->timeout)
             ++this->counts.dropped; // the client has given up
         else
-            this->route(item->packet, item->bytes);
+            this->route(item->packet, item->bytes, item->received);
     }
 }
 
-void EntryRouter::route(const Packet& packet, Bytes bytes)
+void EntryRouter::route(const Packet& packet, Bytes bytes, TimePoint received)
 {
-    if (packet.isSyn())
+    const bool hasBeliefs = this->routes && this->hasUpstreams;
+    const bool waitsForRoute = this->isProvisional && packet.isSyn() && !this->routes->find(packet.destination);
+    if (!hasBeliefs || waitsForRoute)
+        this->hold(packet, bytes, received);
+    else if (packet.isSyn())
         this->openFlow(packet.fromClient(), bytes);
     else
         this->continueFlow(packet.fromClient(), packet, bytes);
@@ -195,7 +202,7 @@
     std::erase_if(flow.offers, [](const Offer& offer) { return offer.state == OfferState::Refused; });
     if (flow.offers.size() >= this->options.maxOffers)
         flow.offers.clear();
-    if (!this->offerNext(key, flow, "open"))
+    if (!this->offerNext(key, flow, "open") && !this->isProvisional)
         this->refuse(key, 0, "no-upstream");
 }
 
@@ -290,7 +297,7 @@
 
 void EntryRouter::continueFlow(const FlowKey& key, const Packet& packet, Bytes bytes)
 {
-    const bool isRouted = this->routes->find(key.route) != nullptr;
+    const bool isRouted = this->isProvisional || this->routes->find(key.route) != nullptr;
     if (!isRouted && !this->flows.find(key)) {
         ++this->counts.dropped;
         return;
@@ -383,15 +390,18 @@
     };
     for (const Offer& offer : flow.offers)
         add({ offer.upstream, offer.agent, true });
-    const Route* route = this->routes->find(key.route);
-    if (!targets.empty() || !route)
+    if (!targets.empty())
         return targets;
-    for (const RouteShare& share : route->shares) {
-        flow.service = share.service;
-        const auto known = this->holders.find(share.service);
-        if (known == this->holders.end())
+    const Route* route = this->routes->find(key.route);
+    for (const auto& [service, known] : this->holders) {
+        const ServiceId candidate = service;
+        const bool isRouted = route
+            && std::any_of(route->shares.begin(), route->shares.end(),
+                [&](const RouteShare& share) { return share.service == candidate; });
+        if (!isRouted && (route || !this->isProvisional))
             continue;
-        for (const Target& target : known->second)
+        flow.service = service;
+        for (const Target& target : known)
             add(target);
     }
     const uint64_t hash = FlowKeyHash()(key);
@@ -515,7 +525,7 @@
         return;
     const bool allRefused = std::all_of(flow->offers.begin(), flow->offers.end(),
         [](const Offer& item) { return item.state == OfferState::Refused; });
-    if (allRefused)
+    if (allRefused && !this->isProvisional)
         this->refuse(key, 0, nameOf(message.refusal));
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -74,7 +74,9 @@
 public:
     EntryRouter(EntryRouterOptions, EntryRouterHooks, const Clock&);
 
-    void setRoutes(std::shared_ptr<const RoutingTable>);
+    // Provisional routes come from agents while the store is away: what they lack waits for the store and is not
+    // refused.
+    void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // after each change of the directory, and of its completeness
 
     void onClientPacket(const Packet&, Bytes);
@@ -82,7 +84,7 @@
     void onHop(PacketAddress agent, const HopMessage&, const Packet* packet);
     void onTick(); // every few milliseconds
 
-    bool isServing() const; // has routes and an upstream that takes new flows
+    bool isServing() const; // has routes of the store and an upstream that takes new flows
     uint64_t routesVersion() const { return this->routes ? this->routes->version : 0; }
     size_t openFlows() const { return this->flows.size(); }
     uint64_t flowEvictions() const { return this->flows.evictions(); }
@@ -139,9 +141,10 @@
         TimePoint received;
     };
 
-    void hold(const Packet&, Bytes);
+    void hold(const Packet&, Bytes, TimePoint received);
     void releaseHeld();
-    void route(const Packet&, Bytes);
+    void releaseHeldSyns(const std::deque<Held>&);
+    void route(const Packet&, Bytes, TimePoint received);
     void openFlow(const FlowKey&, Bytes syn);
     ServiceId chooseService(const Route&);
     bool offerNext(const FlowKey&, Flow&, std::string_view cause);
@@ -175,6 +178,7 @@
     std::mt19937_64 random;
     Placement placement;
     std::shared_ptr<const RoutingTable> routes;
+    bool isProvisional = false;
     bool hasUpstreams = false;
     bool directoryIsComplete = false; // no entry is missing because of an outage of the store
     uint64_t directoryRevision = 0;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -42,7 +42,7 @@
         EventInfo { Event::StoreUnreachable, Severity::Warning, "store-unreachable" },
         EventInfo { Event::StoreReachable, Severity::Info, "store-reachable" },
         EventInfo { Event::StoreItemInvalid, Severity::Warning, "store-item-invalid" },
-        EventInfo { Event::PeerStateTaken, Severity::Info, "peer-state-taken" },
+        EventInfo { Event::ProvisionalState, Severity::Info, "provisional-state" },
         EventInfo { Event::InvalidFrame, Severity::Warning, "invalid-frame" },
         EventInfo { Event::LinkLost, Severity::Warning, "link-lost" },
         EventInfo { Event::FlowPlaced, Severity::Info, "flow-placed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -46,7 +46,7 @@
     StoreUnreachable = 3023,
     StoreReachable = 3024,
     StoreItemInvalid = 3025,
-    PeerStateTaken = 3026,
+    ProvisionalState = 3026,
     InvalidFrame = 4001,
     LinkLost = 4101,
     FlowPlaced = 4102,
--- /dev/null
+++ b/wasabicroft/Presence.cpp
@@ -0,0 +1,247 @@
+#include "wasabicroft/Presence.h"
+
+#include "Presence_generated.h"
+
+#include <algorithm>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+namespace {
+
+    wire::Address toWire(PacketAddress address) { return { address.address, address.port }; }
+
+    PacketAddress fromWire(const wire::Address* address)
+    {
+        return address ? PacketAddress { address->address(), address->port() } : PacketAddress();
+    }
+
+    AgentPresence fromWire(const wire::AgentPresence& agent)
+    {
+        AgentPresence presence;
+        presence.agent = fromWire(agent.agent());
+        presence.service = { agent.service() };
+        presence.failureDomain = agent.failure_domain() ? agent.failure_domain()->str() : "";
+        presence.upstream = fromWire(agent.upstream());
+        if (agent.routes()) {
+            for (const wire::Address* route : *agent.routes())
+                presence.routes.push_back(fromWire(route));
+        }
+        return presence;
+    }
+
+} // namespace
+
+std::vector<uint8_t> encodePresence(const PresenceMessage& message)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<wire::AgentPresence>> agents;
+    for (const AgentPresence& agent : message.agents) {
+        std::vector<wire::Address> routes;
+        for (const PacketAddress route : agent.routes)
+            routes.push_back(toWire(route));
+        const wire::Address self = toWire(agent.agent);
+        const wire::Address upstream = toWire(agent.upstream);
+        agents.push_back(wire::CreateAgentPresenceDirect(
+            builder, &self, agent.service.value, agent.failureDomain.c_str(), &upstream, &routes));
+    }
+    wire::FinishPresenceBuffer(builder,
+        wire::CreatePresenceDirect(builder, message.fromEntry, message.routesVersion, message.directoryRevision,
+            &message.entries, &agents));
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+bool isPresence(Bytes bytes)
+{
+    constexpr size_t leastBytes = 8; // offset of the root and the identifier
+    return bytes.size() >= leastBytes && wire::PresenceBufferHasIdentifier(bytes.data());
+}
+
+Result<PresenceMessage> decodePresence(Bytes bytes)
+{
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    if (!isPresence(bytes) || !wire::VerifyPresenceBuffer(verifier))
+        return Error { ErrorKind::InvalidFrame, "the presence message is damaged; run one version everywhere" };
+    const wire::Presence& wireMessage = *wire::GetPresence(bytes.data());
+    PresenceMessage message;
+    message.fromEntry = wireMessage.from_entry();
+    message.routesVersion = wireMessage.routes_version();
+    message.directoryRevision = wireMessage.directory_revision();
+    if (wireMessage.entries())
+        message.entries.assign(wireMessage.entries()->begin(), wireMessage.entries()->end());
+    if (wireMessage.agents()) {
+        for (const wire::AgentPresence* agent : *wireMessage.agents())
+            message.agents.push_back(fromWire(*agent));
+    }
+    return message;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] AgentAnnouncer
+//-----------------------------------------------------------------------------
+
+AgentAnnouncer::AgentAnnouncer(AnnouncerOptions announcerOptions, AgentPresence presence, const Clock& timeSource)
+    : options(announcerOptions)
+    , self(std::move(presence))
+    , clock(timeSource)
+    , started(timeSource.now())
+    , due(timeSource.now())
+{
+}
+
+void AgentAnnouncer::setService(ServiceId service)
+{
+    if (service == this->self.service)
+        return;
+    this->self.service = service;
+    this->self.routes.clear();
+    this->due = this->clock.now();
+}
+
+void AgentAnnouncer::onAnswered(PacketAddress route)
+{
+    std::vector<PacketAddress>& routes = this->self.routes;
+    if (routes.size() >= this->options.maxRoutes || std::find(routes.begin(), routes.end(), route) != routes.end())
+        return;
+    routes.push_back(route);
+    this->due = this->clock.now(); // entries that were started without routes wait for it
+}
+
+std::optional<PresenceMessage> AgentAnnouncer::takeMessage()
+{
+    const TimePoint now = this->clock.now();
+    if (now < this->due)
+        return std::nullopt;
+    const bool isStarting = now - this->started < this->options.startDuration;
+    this->due = now + (isStarting ? this->options.startInterval : this->options.interval);
+    PresenceMessage message;
+    message.agents.push_back(this->self);
+    return message;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] FleetView
+//-----------------------------------------------------------------------------
+
+FleetView::FleetView(FleetOptions fleetOptions, const Clock& timeSource)
+    : options(fleetOptions)
+    , clock(timeSource)
+    , due(timeSource.now())
+{
+}
+
+void FleetView::setSeeds(std::vector<uint32_t> addresses)
+{
+    this->seeds = std::move(addresses);
+    std::erase(this->seeds, this->options.self);
+}
+
+void FleetView::onMessage(uint32_t sender, const PresenceMessage& message)
+{
+    const TimePoint now = this->clock.now();
+    if (message.fromEntry) {
+        this->entries[sender] = now;
+        this->routesVersion = std::max(this->routesVersion, message.routesVersion);
+        this->directoryRevision = std::max(this->directoryRevision, message.directoryRevision);
+    }
+    for (const uint32_t entry : message.entries) {
+        // Hearsay names an entry to talk to, but does not keep it alive.
+        if (entry != this->options.self)
+            this->entries.emplace(entry, now);
+    }
+    for (const AgentPresence& presence : message.agents) {
+        HeardAgent& known = this->agents[presence.agent];
+        this->changed = this->changed || known.heard == TimePoint() || known.presence.service != presence.service
+            || known.presence.routes != presence.routes;
+        // An agent's own words go before what another entry heard of it.
+        const bool isOwn = !message.fromEntry;
+        if (isOwn || known.heard == TimePoint() || presence.routes.size() > known.presence.routes.size())
+            known.presence = presence;
+        if (isOwn || known.heard == TimePoint())
+            known.heard = now;
+    }
+}
+
+void FleetView::forgetSilent()
+{
+    const TimePoint oldest = this->clock.now() - this->options.lifetime;
+    std::erase_if(this->entries, [&](const auto& item) { return item.second < oldest; });
+    const size_t forgotten
+        = std::erase_if(this->agents, [&](const auto& item) { return item.second.heard < oldest; });
+    this->changed = this->changed || forgotten > 0;
+}
+
+std::pair<PresenceMessage, std::vector<uint32_t>> FleetView::takeMessage(
+    uint64_t ownRoutes, uint64_t ownDirectory, bool hasStore)
+{
+    std::pair<PresenceMessage, std::vector<uint32_t>> result;
+    const TimePoint now = this->clock.now();
+    if (now < this->due)
+        return result;
+    this->due = now + (hasStore ? this->options.interval : this->options.startInterval);
+    this->forgetSilent();
+    std::vector<uint32_t> others = this->seeds;
+    for (const auto& [entry, heard] : this->entries) {
+        if (std::find(others.begin(), others.end(), entry) == others.end())
+            others.push_back(entry);
+    }
+    for (size_t i = 0; i < std::min(this->options.fanOut, others.size()); ++i)
+        result.second.push_back(others[(this->nextTarget + i) % others.size()]);
+    this->nextTarget += this->options.fanOut;
+    PresenceMessage& message = result.first;
+    message.fromEntry = true;
+    message.routesVersion = ownRoutes;
+    message.directoryRevision = ownDirectory;
+    for (const auto& [entry, heard] : this->entries) {
+        if (message.entries.size() < this->options.maxEntries)
+            message.entries.push_back(entry);
+    }
+    // Entries with a store know the agents from it.
+    if (hasStore)
+        return result;
+    std::vector<const AgentPresence*> known;
+    for (const auto& [address, agent] : this->agents)
+        known.push_back(&agent.presence);
+    for (size_t i = 0; i < std::min(this->options.maxAgents, known.size()); ++i)
+        message.agents.push_back(*known[(this->nextAgent + i) % known.size()]);
+    this->nextAgent += this->options.maxAgents;
+    return result;
+}
+
+bool FleetView::takeChange() { return std::exchange(this->changed, false); }
+
+std::shared_ptr<const RoutingTable> FleetView::provisionalRoutes() const
+{
+    const std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
+    for (const auto& [address, agent] : this->agents) {
+        for (const PacketAddress routeAddress : agent.presence.routes) {
+            Route& route = table->routes[routeAddress];
+            route.address = routeAddress;
+            const bool isKnown = std::any_of(route.shares.begin(), route.shares.end(),
+                [&](const RouteShare& share) { return share.service == agent.presence.service; });
+            if (!isKnown)
+                route.shares.push_back({ agent.presence.service, 1 });
+        }
+    }
+    return table;
+}
+
+std::vector<UpstreamRecord> FleetView::provisionalUpstreams() const
+{
+    std::vector<UpstreamRecord> records;
+    for (const auto& [address, agent] : this->agents) {
+        UpstreamRecord record;
+        record.name = toString(address);
+        record.service = agent.presence.service;
+        record.address = { address.address, agent.presence.upstream.port };
+        record.failureDomain = agent.presence.failureDomain;
+        record.revision = 1;
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/Presence.h
@@ -0,0 +1,131 @@
+// How entries and agents find each other without the platform's store, and what an entry may serve from that. No I/O.
+//
+// Agents tell some entries that they are there, which service their upstream belongs to, and on which public addresses
+// it answers open flows. Entries pass this on to each other. An entry that was started while the store is away serves
+// open flows and new ones on those addresses from it, until the store answers. It never contradicts a configuration:
+// an upstream answers an open flow only on an address that was routed to its service.
+//
+// Index
+//   [SECTION] Messages
+//   [SECTION] AgentAnnouncer
+//   [SECTION] FleetView
+#pragma once
+
+#include "wasabicroft/Published.h"
+
+#include <set>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+struct AgentPresence {
+    PacketAddress agent; // where it takes hop messages
+    ServiceId service; // of its upstream
+    std::string failureDomain;
+    PacketAddress upstream;
+    std::vector<PacketAddress> routes; // public addresses on which the upstream answers open flows
+};
+
+struct PresenceMessage {
+    bool fromEntry = false;
+    uint64_t routesVersion = 0; // newest that the sender knows; of entries
+    uint64_t directoryRevision = 0;
+    std::vector<uint32_t> entries; // IP addresses of entries that the sender heard lately
+    std::vector<AgentPresence> agents; // the sender itself, or agents that an entry heard lately
+};
+
+std::vector<uint8_t> encodePresence(const PresenceMessage&);
+bool isPresence(Bytes);
+Result<PresenceMessage> decodePresence(Bytes);
+
+//-----------------------------------------------------------------------------
+// [SECTION] AgentAnnouncer
+//-----------------------------------------------------------------------------
+
+struct AnnouncerOptions {
+    Milliseconds startInterval { 100 }; // entries that start with the agent learn of it quickly
+    Milliseconds startDuration { 5000 };
+    Milliseconds interval { 1000 };
+    size_t maxRoutes = 32; // addresses announced
+};
+
+// An agent's own presence.
+class AgentAnnouncer {
+public:
+    AgentAnnouncer(AnnouncerOptions, AgentPresence self, const Clock&);
+
+    void setService(ServiceId); // another service's upstream runs here now: nothing of before holds
+    void onAnswered(PacketAddress route); // the upstream sent a packet of an open flow
+
+    std::optional<PresenceMessage> takeMessage(); // what is due for the seeds
+    const AgentPresence& presence() const { return this->self; }
+
+private:
+    AnnouncerOptions options;
+    AgentPresence self;
+    const Clock& clock;
+    TimePoint started;
+    TimePoint due;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] FleetView
+//-----------------------------------------------------------------------------
+
+struct FleetOptions {
+    uint32_t self = 0; // IP address of this entry
+    Milliseconds interval { 1000 }; // between messages to other entries
+    Milliseconds startInterval { 100 }; // the same while this entry has no routes from the store
+    Milliseconds lifetime { 5000 }; // agents and entries that were not heard for longer are forgotten
+    size_t fanOut = 6; // entries told in one interval, in turn
+    size_t maxAgents = 16; // agents in one message, in turn; keeps it in one datagram
+    size_t maxEntries = 32; // entries in one message
+};
+
+// What an entry heard of others.
+class FleetView {
+public:
+    FleetView(FleetOptions, const Clock&);
+
+    void setSeeds(std::vector<uint32_t>); // may be stale
+    void onMessage(uint32_t sender, const PresenceMessage&);
+
+    // The message that is due and the entries that are to get it; empty targets if none is due.
+    std::pair<PresenceMessage, std::vector<uint32_t>> takeMessage(
+        uint64_t routesVersion, uint64_t directoryRevision, bool hasStore);
+
+    uint64_t newestRoutes() const { return this->routesVersion; } // that any entry showed
+    uint64_t newestDirectory() const { return this->directoryRevision; }
+    bool takeChange(); // whether the agents or their routes changed since the last call
+
+    // Routes and upstreams as far as agents showed them.
+    std::shared_ptr<const RoutingTable> provisionalRoutes() const;
+    std::vector<UpstreamRecord> provisionalUpstreams() const;
+    size_t agentCount() const { return this->agents.size(); }
+    size_t entryCount() const { return this->entries.size(); }
+
+private:
+    struct HeardAgent {
+        AgentPresence presence;
+        TimePoint heard;
+    };
+
+    void forgetSilent();
+
+    FleetOptions options;
+    const Clock& clock;
+    std::vector<uint32_t> seeds;
+    std::map<PacketAddress, HeardAgent> agents;
+    std::map<uint32_t, TimePoint> entries;
+    uint64_t routesVersion = 0;
+    uint64_t directoryRevision = 0;
+    size_t nextTarget = 0;
+    size_t nextAgent = 0;
+    TimePoint due;
+    bool changed = false;
+};
+
+} // namespace wasabicroft
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -32,6 +32,7 @@
 {
     const uint64_t revision = record.revision;
     this->newest = std::max(this->newest, revision);
+    this->changed = std::max(this->changed, revision);
     Row& row = this->rows[record.name];
     if (revision <= std::max(row.record.revision, row.removedAt))
         return false;
@@ -43,6 +44,7 @@
 bool UpstreamDirectory::remove(const std::string& name, uint64_t revision)
 {
     this->newest = std::max(this->newest, revision);
+    this->changed = std::max(this->changed, revision);
     const auto found = this->rows.find(name);
     if (found == this->rows.end() || !found->second.listed || revision <= found->second.record.revision)
         return false;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -86,6 +86,7 @@
     bool isComplete() const;
 
     uint64_t revision() const { return this->newest; } // of the newest known state
+    uint64_t lastChange() const { return this->changed; } // revision of the newest known change of an entry
     bool isKnown() const { return this->newest > 0; }
 
     std::vector<UpstreamRecord> usable(ServiceId) const; // take new flows
@@ -110,6 +111,7 @@
     const Clock& clock;
     std::map<std::string, Row> rows; // by name
     uint64_t newest = 0;
+    uint64_t changed = 0;
     TimePoint graceEnds;
     bool inGrace = false;
 };
