--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -371,6 +371,7 @@
     flow.search.emplace();
     flow.search->packet = copyOf(bytes);
     flow.search->started = now;
+    flow.search->asksAll = this->directoryIsComplete && !this->isProvisional && flow.offers.empty() && !except;
     const size_t homes = std::min(targets.size(), this->options.homes);
     flow.search->later.assign(targets.begin() + static_cast<std::ptrdiff_t>(homes), targets.end());
     this->searches.push_back({ key, {}, now + this->options.findStageTimeout });
@@ -552,10 +553,17 @@
 {
     if (!flow.search || std::erase(flow.search->unanswered, agent) == 0 || !flow.search->unanswered.empty())
         return;
-    if (!flow.search->later.empty())
+    if (!flow.search->later.empty()) {
         this->askLater(key, flow);
-    else if (this->directoryIsComplete && flow.offers.empty())
+    } else if (flow.search->asksAll) {
         this->resetLost(key, flow, "held-nowhere");
+    } else {
+        // Began with a part of the upstreams: the next search asks all that are known by now.
+        const std::vector<uint8_t> packet = std::move(flow.search->packet);
+        flow.search.reset();
+        flow.offers.clear();
+        this->find(key, flow, packet, std::nullopt);
+    }
 }
 
 // The upstream lost the flow.
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -114,6 +114,7 @@
         std::vector<Target> later; // asked once the homes have denied or not answered
         std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
         TimePoint started;
+        bool asksAll = false; // every upstream that may hold the flow was known when it began
     };
 
     struct Flow {
