--- a/backends/DatagramSocket.cpp
+++ b/backends/DatagramSocket.cpp
@@ -44,7 +44,8 @@
         this->socket.bind(endpoint, error);
     if (error)
         return Error { ErrorKind::SystemCall,
-            "can't bind UDP " + toString(address) + ": " + error.message() + "; free the address or change the setting" };
+            "can't bind UDP " + toString(address) + ": " + error.message()
+                + "; free the address or change the setting" };
     error_code ignored; // a smaller receive buffer is no reason to stop
     this->socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
     this->socket.non_blocking(true, error);
@@ -134,8 +135,8 @@
     }
     size_t sent = 0;
     while (sent < this->outgoingCount) {
-        const int count = sendmmsg(this->socket.native_handle(), messages.data() + sent,
-            static_cast<unsigned>(this->outgoingCount - sent), 0);
+        const int count = sendmmsg(
+            this->socket.native_handle(), messages.data() + sent, static_cast<unsigned>(this->outgoingCount - sent), 0);
         if (count > 0) {
             sent += static_cast<size_t>(count);
             continue;
--- a/backends/HttpClient.cpp
+++ b/backends/HttpClient.cpp
@@ -62,15 +62,14 @@
     this->parser.emplace();
     this->parser->body_limit(maxAnswerBytes);
     this->stream.expires_after(this->timeout);
-    http::async_write(
-        this->stream, this->request, [self = this->shared_from_this()](beast::error_code error, size_t) {
-            if (!self->done)
-                return;
-            if (error)
-                self->fail(error);
-            else
-                self->read();
-        });
+    http::async_write(this->stream, this->request, [self = this->shared_from_this()](beast::error_code error, size_t) {
+        if (!self->done)
+            return;
+        if (error)
+            self->fail(error);
+        else
+            self->read();
+    });
 }
 
 void HttpClient::read()
--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -26,8 +26,7 @@
           { this->settings.packets, serviceIdOf(this->settings.service), this->settings.failureDomain,
               this->settings.upstream, {} },
           clock)
-    , gate(
-          gateOptions(this->settings),
+    , gate(gateOptions(this->settings),
           { [this](Bytes packet) { this->upstream.send(this->settings.upstream, packet); },
               [this](PacketAddress client, Bytes packet) {
                   this->entries.send({ client.address, this->settings.packets.port }, packet);
@@ -52,8 +51,7 @@
         return outbound.error();
     this->entries.onBatch = [this] { this->flush(); };
     this->upstream.onBatch = [this] { this->flush(); };
-    this->entries.start(
-        [this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
+    this->entries.start([this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
     this->upstream.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onUpstreamDatagram(bytes); });
     return true;
 }
@@ -129,8 +127,8 @@
     OperatorStatus status;
     status.ready = true;
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
-        { "flows", this->gate.openFlows() }, { "busy", this->gate.busy() },
-        { "waiting", this->gate.waiting() }, { "upstream", nameOf(this->gate.upstreamState()) } });
+        { "flows", this->gate.openFlows() }, { "busy", this->gate.busy() }, { "waiting", this->gate.waiting() },
+        { "upstream", nameOf(this->gate.upstreamState()) } });
     return status;
 }
 
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -62,8 +62,8 @@
 
 class PacketDaemon {
 public:
-    PacketDaemon(boost::asio::io_context&, PacketSettings, PacketSettingsSource&, Milliseconds tick,
-        PacketDaemonHandlers);
+    PacketDaemon(
+        boost::asio::io_context&, PacketSettings, PacketSettingsSource&, Milliseconds tick, PacketDaemonHandlers);
 
     Result<bool> start();
     void run(); // returns when the process is to end
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -45,16 +45,15 @@
     , sync(syncOptions(this->settings), timeSource)
     , directory(DirectoryOptions(), timeSource)
     , fleet(fleetOptions(this->settings), timeSource)
-    , router(
-          routerOptions(this->settings),
+    , router(routerOptions(this->settings),
           { [this](PacketAddress agent, const HopMessage& message) {
                this->hopBuffer.clear();
                encodeHop(message, this->hopBuffer);
                this->agents.send(agent, this->hopBuffer);
            },
               [this](const FlowKey& flow, uint32_t sequence) {
-                  this->clients.send({ flow.client.address, this->settings.packets.port },
-                      platform::makeReset(flow, sequence));
+                  this->clients.send(
+                      { flow.client.address, this->settings.packets.port }, platform::makeReset(flow, sequence));
               } },
           timeSource)
     , storeTimers { asio::steady_timer(loop), asio::steady_timer(loop) }
@@ -381,9 +380,9 @@
         status.notReadyCause = "no upstream takes new flows";
     boost::json::array upstreams;
     for (const UpstreamRecord& record : this->directory.all())
-        upstreams.push_back({ { "name", record.name }, { "id", toString(record.id()) },
-            { "address", toString(record.address) }, { "draining", record.draining },
-            { "suspect", this->router.suspicion().isSuspect(record.id()) } });
+        upstreams.push_back(
+            { { "name", record.name }, { "id", toString(record.id()) }, { "address", toString(record.address) },
+                { "draining", record.draining }, { "suspect", this->router.suspicion().isSuspect(record.id()) } });
     boost::json::object json { { "routesVersion", this->router.routesVersion() },
         { "directoryRevision", this->directory.revision() }, { "flows", this->router.openFlows() },
         { "storeReachable", this->wasReachable }, { "upstreams", std::move(upstreams) } };
--- /dev/null
+++ b/tests/AgentGateTest.cpp
@@ -0,0 +1,257 @@
+// Guards the agent: other services' flows, upstreams that fall silent, flows that the upstream lost, requests that
+// wait.
+#include "PacketWorld.h"
+#include "wasabicroft/Presence.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabicroft::tests {
+namespace {
+
+    constexpr PacketAddress client { 0x64400007, 40001 };
+    constexpr PacketAddress routeAddress { 0xc6120001, 443 };
+    constexpr std::array<uint16_t, 3> threePorts = { 1, 2, 3 };
+    constexpr PacketAddress entry { 0x0a010000, 7700 };
+
+    struct GateFixture : ::testing::Test {
+        GateFixture()
+            : gate(options(), hooks(), this->clock)
+        {
+        }
+
+        static AgentGateOptions options()
+        {
+            AgentGateOptions gateOptions;
+            gateOptions.service = { 1 };
+            return gateOptions;
+        }
+
+        AgentGateHooks hooks()
+        {
+            AgentGateHooks result;
+            result.sendToUpstream = [this](Bytes bytes) { this->toUpstream.emplace_back(bytes.begin(), bytes.end()); };
+            result.sendToClient
+                = [this](PacketAddress, Bytes bytes) { this->toClient.emplace_back(bytes.begin(), bytes.end()); };
+            result.sendHop = [this](PacketAddress, const HopMessage& message) {
+                this->kinds.push_back(message.kind);
+                this->refusals.push_back(message.refusal);
+            };
+            result.onAnswered = [this](PacketAddress route) { this->answered.push_back(route); };
+            return result;
+        }
+
+        std::vector<uint8_t> fromEntry(HopKind kind, uint8_t flags, uint16_t clientPort, uint32_t sequence = 1001,
+            uint16_t payload = 0, uint64_t service = 1)
+        {
+            const std::vector<uint8_t> bytes
+                = makePacket({ client.address, clientPort }, routeAddress, flags, sequence, 77, payload);
+            HopMessage message;
+            message.kind = kind;
+            message.service = { service };
+            message.slots = 1;
+            message.objective = Milliseconds(100);
+            message.timeout = Milliseconds(1000);
+            message.packet = bytes;
+            this->gate.onHop(entry, message, platform::decodePacket(bytes).value());
+            return bytes;
+        }
+
+        void fromUpstream(uint8_t flags, uint16_t clientPort, uint16_t payload = 0)
+        {
+            const std::vector<uint8_t> bytes
+                = makePacket(routeAddress, { client.address, clientPort }, flags, 500, 1002, payload);
+            this->gate.onUpstreamPacket(platform::decodePacket(bytes).value(), bytes);
+        }
+
+        void bounce(std::vector<uint8_t> bytes)
+        {
+            bytes[0] |= bouncedFlag;
+            const Packet packet = platform::decodePacket(bytes).value();
+            platform::restorePacket(bytes);
+            this->gate.onUpstreamPacket(packet, bytes);
+        }
+
+        void openFlow(uint16_t clientPort)
+        {
+            this->fromEntry(HopKind::Offer, synFlag, clientPort);
+            this->fromUpstream(synFlag | ackFlag, clientPort);
+            this->fromEntry(HopKind::Forward, ackFlag, clientPort);
+            this->fromUpstream(ackFlag, clientPort);
+        }
+
+        ManualClock clock;
+        std::vector<std::vector<uint8_t>> toUpstream;
+        std::vector<std::vector<uint8_t>> toClient;
+        std::vector<HopKind> kinds;
+        std::vector<HopRefusal> refusals;
+        std::vector<PacketAddress> answered;
+        AgentGate gate;
+    };
+
+    // Guards against new flows at an upstream of another service: addresses are used again.
+    TEST_F(GateFixture, FlowsOfAnotherServiceAreRefused)
+    {
+        this->fromEntry(HopKind::Offer, synFlag, 1, 1001, 0, 2);
+        EXPECT_TRUE(this->toUpstream.empty());
+        ASSERT_EQ(this->refusals.size(), 1U);
+        EXPECT_EQ(this->refusals[0], HopRefusal::OtherService);
+    }
+
+    TEST_F(GateFixture, PacketsReachTheUpstreamUnchanged)
+    {
+        const std::vector<uint8_t> syn = this->fromEntry(HopKind::Offer, synFlag, 1);
+        ASSERT_EQ(this->toUpstream.size(), 1U);
+        EXPECT_EQ(this->toUpstream[0], syn);
+    }
+
+    // Guards against clients that wait on a flow that its upstream has lost.
+    TEST_F(GateFixture, ABouncedPacketOfAnOpenFlowMeansThatItIsGone)
+    {
+        this->openFlow(1);
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Gone });
+    }
+
+    // Guards against a half-open flow that is taken for a lost one: it may be open at another upstream.
+    TEST_F(GateFixture, ABouncedPacketOfAHalfOpenFlowIsNotHeld)
+    {
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->fromUpstream(synFlag | ackFlag, 1);
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+    }
+
+    // Guards against new flows that wait at a silent upstream, and against taking one lost datagram for silence.
+    TEST_F(GateFixture, AnUpstreamThatAnswersNoSynIsDown)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        for (int i = 0; i < 4; ++i) {
+            EXPECT_EQ(this->gate.upstreamState(), UpstreamState::Up);
+            this->clock.advance(Milliseconds(30));
+            this->gate.onTick();
+        }
+        EXPECT_EQ(this->gate.upstreamState(), UpstreamState::Down);
+        this->refusals.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 3);
+        EXPECT_EQ(this->refusals, std::vector<HopRefusal> { HopRefusal::UpstreamDown });
+        this->kinds.clear();
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Gone });
+        this->fromUpstream(synFlag | ackFlag, 3);
+        EXPECT_EQ(this->gate.upstreamState(), UpstreamState::Up);
+    }
+
+    // Guards against rejections by the upstream: requests beyond its slots wait at the agent.
+    TEST_F(GateFixture, RequestsBeyondTheSlotsWaitUntilOneIsAnswered)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        this->toUpstream.clear();
+        for (const uint16_t port : threePorts)
+            this->fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        EXPECT_EQ(this->toUpstream.size(), 2U) << "one slot and one request ahead";
+        EXPECT_EQ(this->gate.waiting(), 1U);
+        this->fromUpstream(ackFlag, 1, 500);
+        EXPECT_EQ(this->toUpstream.size(), 3U);
+        EXPECT_EQ(this->gate.waiting(), 0U);
+    }
+
+    // Guards against a request that is sent twice because its client retransmits while it waits.
+    TEST_F(GateFixture, RetransmissionsOfAWaitingRequestAreStoredOnce)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        this->toUpstream.clear();
+        for (const uint16_t port : std::array<uint16_t, 4> { 1, 2, 3, 3 })
+            this->fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        this->fromUpstream(ackFlag, 1, 500);
+        EXPECT_EQ(this->toUpstream.size(), 3U);
+    }
+
+    // Guards against a FIN of the upstream that is not taken for the end of a request.
+    TEST_F(GateFixture, AFinOfTheUpstreamEndsARequest)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        EXPECT_EQ(this->gate.busy(), 1U);
+        this->fromUpstream(ackFlag | finFlag, 1);
+        EXPECT_EQ(this->gate.busy(), 0U);
+    }
+
+    // Guards against packets that are lost because the upstream starts after the agent.
+    TEST_F(GateFixture, RequestsWaitUntilTheUpstreamIsHeard)
+    {
+        this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100);
+        this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 100);
+        EXPECT_EQ(this->gate.waiting(), 2U);
+        this->toUpstream.clear();
+        this->fromUpstream(ackFlag, 9);
+        EXPECT_EQ(this->toUpstream.size(), 2U);
+    }
+
+    TEST_F(GateFixture, OnlyOpenFlowsShowARoute)
+    {
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->fromUpstream(synFlag | ackFlag, 1);
+        EXPECT_TRUE(this->answered.empty());
+        this->fromUpstream(ackFlag, 1);
+        EXPECT_EQ(this->answered, std::vector<PacketAddress> { routeAddress });
+    }
+
+    TEST(Presence, MessagesSurviveTheirEncoding)
+    {
+        PresenceMessage message;
+        message.fromEntry = true;
+        message.routesVersion = 7;
+        message.directoryRevision = 99;
+        message.entries = { 1, 2 };
+        message.agents.push_back({ { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, { routeAddress } });
+        const std::vector<uint8_t> bytes = encodePresence(message);
+        ASSERT_TRUE(isPresence(bytes));
+        const PresenceMessage decoded = decodePresence(bytes).value();
+        EXPECT_EQ(decoded.routesVersion, 7U);
+        EXPECT_EQ(decoded.entries, message.entries);
+        ASSERT_EQ(decoded.agents.size(), 1U);
+        EXPECT_EQ(decoded.agents[0].routes, message.agents[0].routes);
+        EXPECT_EQ(decoded.agents[0].failureDomain, "zone-a");
+    }
+
+    // Guards against routes of a former service at an address that is used again.
+    TEST(Presence, AnotherServiceForgetsTheRoutes)
+    {
+        const ManualClock clock;
+        AgentAnnouncer announcer({}, { { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, {} }, clock);
+        announcer.onAnswered(routeAddress);
+        EXPECT_EQ(announcer.presence().routes.size(), 1U);
+        announcer.setService({ 6 });
+        EXPECT_TRUE(announcer.presence().routes.empty());
+    }
+
+    // Guards against entries that stay alone: what one entry heard reaches the others, within a bounded fan-out.
+    TEST(Presence, EntriesPassAgentsOnWhileTheStoreIsAway)
+    {
+        ManualClock clock;
+        FleetView seed({ .self = 1 }, clock);
+        FleetView other({ .self = 2 }, clock);
+        other.setSeeds({ 1 });
+        PresenceMessage fromAgent;
+        fromAgent.agents.push_back({ { 30, 4 }, { 5 }, "zone-a", { 30, 9 }, { routeAddress } });
+        seed.onMessage(30, fromAgent);
+        const auto [hello, seeds] = other.takeMessage(0, 0, false);
+        ASSERT_EQ(seeds, std::vector<uint32_t> { 1 });
+        seed.onMessage(2, hello);
+        const auto [reply, targets] = seed.takeMessage(0, 0, false);
+        ASSERT_EQ(targets, std::vector<uint32_t> { 2 });
+        other.onMessage(1, reply);
+        EXPECT_EQ(other.provisionalUpstreams().size(), 1U);
+        EXPECT_NE(other.provisionalRoutes()->find(routeAddress), nullptr);
+        clock.advance(Milliseconds(6000));
+        other.takeMessage(0, 0, false);
+        EXPECT_EQ(other.agentCount(), 0U) << "agents that fell silent are forgotten";
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- /dev/null
+++ b/tests/EntryRouterTest.cpp
@@ -0,0 +1,277 @@
+// Guards the entry's decisions about single flows: offers, searches for holders, resets and waiting for routes.
+#include "PacketWorld.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabicroft::tests {
+namespace {
+
+    constexpr PacketAddress client { 0x64400007, 40001 };
+    constexpr PacketAddress routeAddress { 0xc6120001, 443 };
+    constexpr FlowKey flow { client, routeAddress };
+    constexpr ServiceId service { 1 };
+    constexpr uint16_t agentPort = 8000;
+
+    struct SentHop {
+        PacketAddress agent;
+        HopKind kind = HopKind::Forward;
+        std::vector<uint8_t> packet;
+    };
+
+    // A router with four upstreams and what it sends.
+    struct RouterFixture : ::testing::Test {
+        RouterFixture()
+            : directory(DirectoryOptions(), this->clock)
+            , router(options(),
+                  { [this](PacketAddress agent, const HopMessage& message) {
+                       this->hops.push_back({ agent, message.kind, { message.packet.begin(), message.packet.end() } });
+                   },
+                      [this](const FlowKey& key, uint32_t) { this->resets.push_back(key); } },
+                  this->clock)
+        {
+        }
+
+        static EntryRouterOptions options()
+        {
+            EntryRouterOptions routerOptions;
+            routerOptions.agentPort = agentPort;
+            return routerOptions;
+        }
+
+        static PacketAddress agent(uint32_t number) { return { 0x0a020000 + number, agentPort }; }
+
+        static UpstreamRecord upstream(uint32_t number, uint64_t revision = 5)
+        {
+            UpstreamRecord record;
+            record.name = "host-" + std::to_string(number);
+            record.born = 1;
+            record.service = service;
+            record.address = { 0x0a020000 + number, 9000 };
+            record.slots = 2;
+            record.revision = revision;
+            return record;
+        }
+
+        void useRoutes()
+        {
+            const std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
+            table->version = 1;
+            Route& route = table->routes[routeAddress];
+            route.address = routeAddress;
+            route.shares = { { service, 1 } };
+            route.timeout = Milliseconds(1000);
+            this->router.setRoutes(table);
+        }
+
+        void useUpstreams(uint32_t count)
+        {
+            std::vector<UpstreamRecord> records;
+            for (uint32_t i = 0; i < count; ++i)
+                records.push_back(upstream(i));
+            this->directory.replace(records, 5);
+            this->router.setUpstreams(this->directory);
+        }
+
+        void fromClient(uint8_t flags, uint32_t acknowledgement = 0, uint16_t payload = 0)
+        {
+            const std::vector<uint8_t> bytes = makePacket(client, routeAddress, flags, 1001, acknowledgement, payload);
+            this->router.onClientPacket(platform::decodePacket(bytes).value(), bytes);
+        }
+
+        void fromAgent(
+            PacketAddress sender, HopKind kind, uint32_t sequence = 0, const std::vector<uint8_t>& packet = {})
+        {
+            HopMessage message;
+            message.kind = kind;
+            message.flow = flow;
+            message.upstreamSequence = sequence;
+            message.packet = packet;
+            const Result<Packet> decoded = packet.empty() ? Result<Packet>(Packet()) : platform::decodePacket(packet);
+            this->router.onHop(sender, message, packet.empty() ? nullptr : &decoded.value());
+        }
+
+        std::vector<SentHop> takeHops() { return std::exchange(this->hops, {}); }
+
+        ManualClock clock;
+        UpstreamDirectory directory;
+        EntryRouter router;
+        std::vector<SentHop> hops;
+        std::vector<FlowKey> resets;
+    };
+
+    TEST_F(RouterFixture, ASynGoesToOneUpstream)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(synFlag);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Offer);
+    }
+
+    // Guards against new flows that wait for a silent agent until their client's next copy.
+    TEST_F(RouterFixture, ASilentAgentIsReplacedAfterTheOfferTimeout)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(synFlag);
+        const PacketAddress first = this->takeHops().at(0).agent;
+        this->clock.advance(Milliseconds(61));
+        this->router.onTick();
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_NE(this->hops[0].agent, first);
+    }
+
+    // Guards against a flow that is sent to the wrong one of two upstreams that accepted copies of its SYN.
+    TEST_F(RouterFixture, TheClientsAcknowledgementSelectsBetweenTwoUpstreams)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(synFlag);
+        const PacketAddress first = this->takeHops().at(0).agent;
+        this->clock.advance(Milliseconds(61));
+        this->router.onTick();
+        const PacketAddress second = this->takeHops().at(0).agent;
+        this->fromAgent(first, HopKind::Accepted, 500);
+        this->fromAgent(second, HopKind::Accepted, 900);
+        this->fromClient(ackFlag, 501, 100);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Forward);
+        EXPECT_EQ(this->hops[0].agent, first);
+    }
+
+    TEST_F(RouterFixture, UnknownRoutesAreRefusedAtOnce)
+    {
+        this->useUpstreams(4);
+        this->router.setRoutes(std::make_shared<RoutingTable>());
+        this->fromClient(synFlag);
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Guards against the reset of an open flow: a new entry knows two of four upstreams, both deny, then the list
+    // arrives.
+    TEST_F(RouterFixture, ASearchThatBeganWithAPartOfTheUpstreamsDoesNotReset)
+    {
+        const std::shared_ptr<RoutingTable> provisional = std::make_shared<RoutingTable>();
+        Route& route = provisional->routes[routeAddress];
+        route.address = routeAddress;
+        route.shares = { { service, 1 } };
+        this->router.setRoutes(provisional, true);
+        this->useUpstreams(2);
+        this->fromClient(ackFlag, 7, 100);
+        const std::vector<SentHop> asked = this->takeHops();
+        ASSERT_EQ(asked.size(), 2U);
+        this->useRoutes();
+        std::vector<UpstreamRecord> records;
+        for (uint32_t i = 0; i < 4; ++i)
+            records.push_back(upstream(i, 6));
+        this->directory.replace(records, 6);
+        this->router.setUpstreams(this->directory);
+        for (const SentHop& hop : asked)
+            this->fromAgent(hop.agent, HopKind::NotHeld);
+        EXPECT_TRUE(this->resets.empty());
+        EXPECT_FALSE(this->hops.empty()) << "the search goes on at the upstreams that are known by now";
+    }
+
+    TEST_F(RouterFixture, AFlowThatEveryUpstreamDeniesIsReset)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(ackFlag, 7, 100);
+        while (!this->hops.empty()) {
+            for (const SentHop& hop : this->takeHops())
+                this->fromAgent(hop.agent, HopKind::NotHeld);
+        }
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Guards against resets while an outage hides the entry of the upstream that holds the flow.
+    TEST_F(RouterFixture, NoFlowIsResetShortlyAfterAnOutageOfTheStore)
+    {
+        this->useRoutes();
+        this->directory.noteReturn();
+        this->useUpstreams(4);
+        this->fromClient(ackFlag, 7, 100);
+        for (int round = 0; round < 4 && !this->hops.empty(); ++round) {
+            for (const SentHop& hop : this->takeHops())
+                this->fromAgent(hop.agent, HopKind::NotHeld);
+        }
+        EXPECT_TRUE(this->resets.empty());
+    }
+
+    // Guards against an empty packet that is sent to all upstreams: a late denial carries none.
+    TEST_F(RouterFixture, ADenialWithoutPacketStartsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(ackFlag, 7, 100);
+        const PacketAddress holder = this->takeHops().at(0).agent;
+        this->fromAgent(holder, HopKind::Holds);
+        this->takeHops();
+        this->fromAgent(holder, HopKind::NotHeld);
+        EXPECT_TRUE(this->hops.empty());
+    }
+
+    // Guards against searches that grow with the pool: the homes are asked first.
+    TEST_F(RouterFixture, ASearchAsksTheHomesFirst)
+    {
+        this->useRoutes();
+        this->useUpstreams(40);
+        this->fromClient(ackFlag, 7, 100);
+        EXPECT_EQ(this->takeHops().size(), 3U);
+        this->clock.advance(Milliseconds(61));
+        this->router.onTick();
+        EXPECT_EQ(this->takeHops().size(), 37U);
+    }
+
+    // Guards against work for clients that gave up: a start without store delays SYNs beyond their time limit.
+    TEST_F(RouterFixture, HeldSynsOfClientsThatGaveUpAreDropped)
+    {
+        this->fromClient(synFlag);
+        this->fromClient(synFlag, 1);
+        this->clock.advance(Milliseconds(900));
+        this->useUpstreams(4);
+        this->useRoutes();
+        EXPECT_TRUE(this->hops.empty()) << "200 ms before the second copy and 900 ms since exceed the limit of 1 s";
+    }
+
+    TEST_F(RouterFixture, OfTheHeldCopiesOfASynOneIsOffered)
+    {
+        this->fromClient(synFlag);
+        this->fromClient(synFlag, 1);
+        this->clock.advance(Milliseconds(100));
+        this->useUpstreams(4);
+        this->useRoutes();
+        EXPECT_EQ(this->hops.size(), 1U);
+    }
+
+    // Guards against refusals while the store is away: an unknown route may exist.
+    TEST_F(RouterFixture, ProvisionalRoutesRefuseNothing)
+    {
+        this->router.setRoutes(std::make_shared<RoutingTable>(), true);
+        this->useUpstreams(4);
+        this->fromClient(synFlag);
+        EXPECT_TRUE(this->resets.empty());
+        EXPECT_FALSE(this->router.isServing());
+        this->useRoutes();
+        EXPECT_EQ(this->hops.size(), 1U);
+        EXPECT_TRUE(this->router.isServing());
+    }
+
+    // Guards against a table that grows without bound under a flood of flows.
+    TEST(FlowTable, ForgetsTheLeastRecentlyUsedFlowWhenFull)
+    {
+        FlowTable<int> table(2);
+        const TimePoint now = ManualClock().now();
+        const auto key = [](uint16_t port) { return FlowKey { { 1, port }, { 2, 443 } }; };
+        table.use(key(1), now) = 1;
+        table.use(key(2), now) = 2;
+        table.use(key(1), now);
+        table.use(key(3), now) = 3;
+        EXPECT_EQ(table.size(), 2U);
+        EXPECT_EQ(table.evictions(), 1U);
+        EXPECT_EQ(table.find(key(2)), nullptr);
+        EXPECT_NE(table.find(key(1)), nullptr);
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- /dev/null
+++ b/tests/PacketWorld.h
@@ -0,0 +1,484 @@
+// A small world for the packet path: entries, agents, upstreams and clients with a simulated clock and a network that
+// loses, duplicates and delays messages. Packets are typed values whose bytes name the sender's choice, so that a
+// changed packet is seen.
+#pragma once
+
+#include "platform/PacketLayout.h"
+#include "wasabicroft/AgentGate.h"
+#include "wasabicroft/EntryRouter.h"
+
+#include <cstring>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace wasabicroft::tests {
+
+inline std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags,
+    uint32_t sequence, uint32_t acknowledgement, uint16_t payload)
+{
+    std::vector<uint8_t> bytes(platform::packetHeaderBytes + payload, 0);
+    const auto put = [&](size_t at, uint64_t value, size_t size) {
+        for (size_t i = 0; i < size; ++i)
+            bytes[at + i] = static_cast<uint8_t>(value >> (8 * (size - 1 - i)));
+    };
+    put(0, flags, 1);
+    put(6, destination.address, 4);
+    put(10, source.address, 4);
+    put(14, source.port, 2);
+    put(16, destination.port, 2);
+    put(18, sequence, 4);
+    put(22, acknowledgement, 4);
+    put(34, payload, 2);
+    return bytes;
+}
+
+inline constexpr uint8_t synFlag = 16;
+inline constexpr uint8_t ackFlag = 64;
+inline constexpr uint8_t finFlag = 128;
+inline constexpr uint8_t rstFlag = 32;
+inline constexpr uint8_t bouncedFlag = 1;
+
+struct WorldOptions {
+    size_t entries = 3;
+    size_t upstreams = 5; // per service; two services
+    double loss = 0;
+    double duplication = 0;
+    Milliseconds maxDelay { 5 };
+    Milliseconds work { 10 };
+    uint16_t slots = 2;
+    uint64_t seed = 1;
+};
+
+class PacketWorld {
+public:
+    explicit PacketWorld(WorldOptions worldOptions)
+        : options(worldOptions)
+        , random(worldOptions.seed)
+        , directory(DirectoryOptions(), this->clock)
+    {
+        for (size_t service = 0; service < 2; ++service) {
+            Route route;
+            route.address = routeAddress(service);
+            route.shares = { { serviceOf(service), 1 } };
+            route.objective = Milliseconds(150);
+            route.timeout = Milliseconds(2000);
+            this->table->routes[route.address] = route;
+            for (size_t i = 0; i < worldOptions.upstreams; ++i)
+                this->addUpstream(service);
+        }
+        this->table->version = 1;
+        this->publish();
+        for (size_t i = 0; i < worldOptions.entries; ++i) {
+            this->entries.push_back(std::make_unique<Entry>());
+            this->startEntry(i);
+        }
+    }
+
+    static ServiceId serviceOf(size_t service) { return { service + 1 }; }
+    static PacketAddress routeAddress(size_t service) { return { 0xc6120001U, static_cast<uint16_t>(443 + service) }; }
+
+    // Outcome of a request as its client sees it.
+    struct Request {
+        FlowKey flow;
+        size_t service = 0;
+        bool answered = false;
+        bool reset = false;
+        std::optional<uint32_t> hostSequence; // of the first SYN+ACK
+        std::vector<uint8_t> data; // sent again until it is answered
+        TimePoint started;
+        bool keepsFlow = false;
+    };
+
+    // Opens a flow and sends a request on it.
+    size_t open(size_t service, size_t entry)
+    {
+        Request request;
+        request.flow = { { 0x64400000U + static_cast<uint32_t>(this->requests.size() / 60000), nextPort() },
+            routeAddress(service) };
+        request.service = service;
+        request.started = this->clock.now();
+        this->requests.push_back(request);
+        this->byFlow[request.flow] = this->requests.size() - 1;
+        this->routerChoice[request.flow] = entry;
+        this->sendSyn(this->requests.size() - 1, 0);
+        return this->requests.size() - 1;
+    }
+
+    // A further request on an open flow.
+    void requestAgain(size_t index)
+    {
+        Request& request = this->requests.at(index);
+        request.answered = false;
+        request.reset = false;
+        request.started = this->clock.now();
+        this->clientSequence[request.flow] += 100;
+        this->sendData(index, 0);
+    }
+
+    void run(Milliseconds duration)
+    {
+        const TimePoint end = this->clock.now() + duration;
+        while (!this->events.empty() && this->events.top().due <= end) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->clock.set(std::max(this->clock.now(), event.due));
+            event.action();
+        }
+        this->clock.set(end);
+    }
+
+    void startTicks()
+    {
+        this->after(Milliseconds(10), [this] {
+            for (const std::unique_ptr<Entry>& entry : this->entries) {
+                if (entry->isUp)
+                    entry->router->onTick();
+            }
+            for (const std::unique_ptr<Upstream>& upstream : this->upstreams) {
+                if (upstream->agentIsUp)
+                    upstream->gate->onTick();
+            }
+            this->startTicks();
+        });
+    }
+
+    // Faults
+    void killEntry(size_t index) { this->entries.at(index)->isUp = false; }
+
+    void startEntry(size_t index)
+    {
+        Entry& entry = *this->entries.at(index);
+        EntryRouterOptions routerOptions;
+        routerOptions.agentPort = agentPort;
+        routerOptions.seed = this->random();
+        const PacketAddress self { entryNetwork + static_cast<uint32_t>(index), hopPort };
+        entry.router = std::make_unique<EntryRouter>(routerOptions,
+            EntryRouterHooks {
+                [this, self](PacketAddress agent, const HopMessage& message) { this->sendHop(self, agent, message); },
+                [this](const FlowKey& flow, uint32_t) { this->send([this, flow] { this->onReset(flow); }); } },
+            this->clock);
+        entry.router->setRoutes(this->table);
+        entry.router->setUpstreams(this->directory);
+        entry.isUp = true;
+    }
+
+    void restartAgent(size_t index)
+    {
+        Upstream& upstream = *this->upstreams.at(index);
+        this->startAgent(upstream);
+    }
+
+    void crashUpstream(size_t index)
+    {
+        Upstream& upstream = *this->upstreams.at(index);
+        upstream.isUp = false;
+        upstream.flows.clear();
+        ++upstream.boot;
+    }
+
+    void startUpstream(size_t index) { this->upstreams.at(index)->isUp = true; }
+
+    void setDraining(size_t index)
+    {
+        this->upstreams.at(index)->record.draining = true;
+        this->publish();
+    }
+
+    void publish()
+    {
+        std::vector<UpstreamRecord> records;
+        ++this->revision;
+        for (const std::unique_ptr<Upstream>& upstream : this->upstreams) {
+            upstream->record.revision = this->revision;
+            records.push_back(upstream->record);
+        }
+        this->directory.replace(records, this->revision);
+        for (const std::unique_ptr<Entry>& entry : this->entries) {
+            if (entry->isUp)
+                entry->router->setUpstreams(this->directory);
+        }
+    }
+
+    struct HostFlow {
+        uint32_t sequence = 0;
+        bool isOpen = false;
+        uint32_t highest = 0; // end of the requests seen
+    };
+
+    struct Upstream {
+        UpstreamRecord record;
+        size_t service = 0;
+        PacketAddress agent;
+        std::unique_ptr<AgentGate> gate;
+        bool agentIsUp = true;
+        bool isUp = true;
+        uint64_t boot = 0;
+        std::map<FlowKey, HostFlow> flows;
+        std::deque<std::function<void()>> queue;
+        size_t working = 0;
+        size_t ran = 0;
+        size_t opened = 0;
+    };
+
+    struct Entry {
+        std::unique_ptr<EntryRouter> router;
+        bool isUp = false;
+    };
+
+    WorldOptions options;
+    ManualClock clock;
+    std::mt19937_64 random;
+    UpstreamDirectory directory;
+    std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
+    std::vector<std::unique_ptr<Entry>> entries;
+    std::vector<std::unique_ptr<Upstream>> upstreams;
+    std::vector<Request> requests;
+    std::map<FlowKey, size_t> routerChoice; // entry that the platform's routers select
+    std::vector<std::string> violations;
+    uint64_t hopMessages = 0;
+
+private:
+    static constexpr uint32_t entryNetwork = 0x0a010000U;
+    static constexpr uint32_t hostNetwork = 0x0a020000U;
+    static constexpr uint16_t agentPort = 8000;
+    static constexpr uint16_t hopPort = 7700;
+
+    struct Event {
+        TimePoint due;
+        uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const Event& other) const
+        {
+            return this->due != other.due ? this->due > other.due : this->order > other.order;
+        }
+    };
+
+    uint16_t nextPort() const { return static_cast<uint16_t>(1024 + this->requests.size() % 60000); }
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        this->events.push({ this->clock.now() + delay, ++this->eventCount, std::move(action) });
+    }
+
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(this->random) < probability; }
+
+    // One datagram through the network.
+    void send(const std::function<void()>& arrive)
+    {
+        const auto delay = [this] {
+            return std::chrono::microseconds(100 + this->random() % (1000U * this->options.maxDelay.count()));
+        };
+        if (!this->chance(this->options.loss))
+            this->after(delay(), arrive);
+        if (this->chance(this->options.duplication))
+            this->after(delay(), arrive);
+    }
+
+    void addUpstream(size_t service)
+    {
+        const uint32_t address = hostNetwork + static_cast<uint32_t>(this->upstreams.size());
+        this->upstreams.push_back(std::make_unique<Upstream>());
+        Upstream& upstream = *this->upstreams.back();
+        upstream.service = service;
+        upstream.record.name = "host-" + std::to_string(this->upstreams.size());
+        upstream.record.born = 1;
+        upstream.record.service = serviceOf(service);
+        upstream.record.address = { address, 9000 };
+        upstream.record.slots = this->options.slots;
+        upstream.agent = { address, agentPort };
+        this->startAgent(upstream);
+    }
+
+    void startAgent(Upstream& upstream)
+    {
+        AgentGateOptions gateOptions;
+        gateOptions.service = upstream.record.service;
+        gateOptions.incarnation = this->random();
+        Upstream* self = &upstream;
+        AgentGateHooks hooks;
+        hooks.sendToUpstream = [this, self](Bytes packet) {
+            const std::vector<uint8_t> bytes(packet.begin(), packet.end());
+            this->after(std::chrono::microseconds(100), [this, self, bytes] { this->onHostPacket(*self, bytes); });
+        };
+        hooks.sendToClient = [this](PacketAddress, Bytes packet) {
+            const std::vector<uint8_t> bytes(packet.begin(), packet.end());
+            this->send([this, bytes] { this->onClientPacket(bytes); });
+        };
+        hooks.sendHop = [this, self](PacketAddress entry, const HopMessage& message) {
+            this->sendHop(self->agent, entry, message);
+        };
+        hooks.onAnswered = [](PacketAddress) {};
+        upstream.gate = std::make_unique<AgentGate>(gateOptions, hooks, this->clock);
+    }
+
+    void sendHop(PacketAddress from, PacketAddress to, const HopMessage& message)
+    {
+        std::vector<uint8_t> bytes;
+        encodeHop(message, bytes);
+        ++this->hopMessages;
+        this->send([this, from, to, bytes] {
+            const Result<HopMessage> decoded = decodeHop(bytes);
+            if (!decoded) {
+                this->violations.push_back("hop message does not survive its encoding");
+                return;
+            }
+            const bool hasPacket = !decoded.value().packet.empty();
+            const Result<Packet> packet
+                = hasPacket ? platform::decodePacket(decoded.value().packet) : Result<Packet>(Packet());
+            if (to.address >= hostNetwork) {
+                Upstream& upstream = *this->upstreams.at(to.address - hostNetwork);
+                if (upstream.agentIsUp)
+                    upstream.gate->onHop(from, decoded.value(), packet.value());
+            } else {
+                Entry& entry = *this->entries.at(to.address - entryNetwork);
+                if (entry.isUp)
+                    entry.router->onHop(from, decoded.value(), hasPacket ? &packet.value() : nullptr);
+            }
+        });
+    }
+
+    // The upstream, as the platform describes it.
+    void onHostPacket(Upstream& host, const std::vector<uint8_t>& bytes)
+    {
+        if (!host.isUp)
+            return;
+        const Packet packet = platform::decodePacket(bytes).value();
+        const FlowKey key = packet.fromClient();
+        if (key.route != routeAddress(host.service) && packet.isSyn())
+            this->violations.push_back("a SYN reached an upstream of another service");
+        if (packet.isSyn()) {
+            HostFlow& flow = host.flows[key];
+            if (flow.sequence == 0)
+                flow.sequence = static_cast<uint32_t>(this->random() % 1000000) + 1;
+            this->fromHost(
+                host, makePacket(key.route, key.client, synFlag | ackFlag, flow.sequence, packet.sequence + 1, 0));
+            return;
+        }
+        const auto found = host.flows.find(key);
+        const bool holds = found != host.flows.end()
+            && (found->second.isOpen || packet.acknowledgement == found->second.sequence + 1);
+        if (!holds) {
+            std::vector<uint8_t> bounced = bytes;
+            bounced[0] |= bouncedFlag;
+            this->fromHost(host, bounced);
+            return;
+        }
+        HostFlow& flow = found->second;
+        host.opened += flow.isOpen ? 0 : 1;
+        flow.isOpen = true;
+        if (packet.payloadBytes == 0 || packet.sequence + packet.payloadBytes <= flow.highest)
+            return;
+        flow.highest = packet.sequence + packet.payloadBytes;
+        const uint64_t boot = host.boot;
+        this->enqueue(host, [this, &host, key, boot] {
+            if (host.boot != boot)
+                return;
+            ++host.ran;
+            this->fromHost(host, makePacket(key.route, key.client, ackFlag, 1, 1, 500));
+        });
+    }
+
+    void enqueue(Upstream& host, std::function<void()> work)
+    {
+        host.queue.push_back(std::move(work));
+        this->startWork(host);
+    }
+
+    void startWork(Upstream& host)
+    {
+        while (host.working < this->options.slots && !host.queue.empty()) {
+            const std::function<void()> work = host.queue.front();
+            host.queue.pop_front();
+            ++host.working;
+            this->after(this->options.work, [this, &host, work] {
+                --host.working;
+                work();
+                this->startWork(host);
+            });
+        }
+    }
+
+    void fromHost(Upstream& host, const std::vector<uint8_t>& bytes)
+    {
+        this->after(std::chrono::microseconds(100), [this, &host, bytes] {
+            if (!host.agentIsUp)
+                return;
+            std::vector<uint8_t> restored = bytes;
+            const Packet packet = platform::decodePacket(restored).value();
+            if (packet.bounced)
+                platform::restorePacket(restored);
+            host.gate->onUpstreamPacket(packet, restored);
+        });
+    }
+
+    // The client.
+    void toEntry(const FlowKey& flow, const std::vector<uint8_t>& bytes)
+    {
+        this->send([this, flow, bytes] {
+            size_t choice = this->routerChoice[flow];
+            for (size_t i = 0; i < this->entries.size() && !this->entries[choice]->isUp; ++i)
+                choice = (choice + 1) % this->entries.size();
+            if (this->entries[choice]->isUp)
+                this->entries[choice]->router->onClientPacket(platform::decodePacket(bytes).value(), bytes);
+        });
+    }
+
+    void sendSyn(size_t index, uint32_t copy)
+    {
+        const Request& request = this->requests.at(index);
+        if (request.hostSequence || request.reset || copy > 2)
+            return;
+        this->toEntry(request.flow, makePacket(request.flow.client, request.flow.route, synFlag, 1000, copy, 0));
+        this->after(Milliseconds(copy == 0 ? 200 : 400), [this, index, copy] { this->sendSyn(index, copy + 1); });
+    }
+
+    void sendData(size_t index, unsigned attempt)
+    {
+        Request& request = this->requests.at(index);
+        if (request.answered || request.reset || attempt > 6 || !request.hostSequence)
+            return;
+        this->toEntry(request.flow,
+            makePacket(request.flow.client, request.flow.route, ackFlag, 1001 + this->clientSequence[request.flow],
+                *request.hostSequence + 1, 100));
+        this->after(Milliseconds(200), [this, index, attempt] { this->sendData(index, attempt + 1); });
+    }
+
+    void onClientPacket(const std::vector<uint8_t>& bytes)
+    {
+        const Packet packet = platform::decodePacket(bytes).value();
+        const auto found = this->byFlow.find(packet.fromUpstream());
+        if (found == this->byFlow.end()) {
+            this->violations.push_back("a client got a packet of a flow that it did not open");
+            return;
+        }
+        Request& request = this->requests[found->second];
+        if (packet.isSynAck() && !request.hostSequence && !request.reset) {
+            request.hostSequence = packet.sequence;
+            this->sendData(found->second, 0);
+        } else if (packet.payloadBytes > 0) {
+            request.answered = true;
+        }
+    }
+
+    void onReset(const FlowKey& flow)
+    {
+        Request& request = this->requests[this->byFlow.at(flow)];
+        for (const std::unique_ptr<Upstream>& upstream : this->upstreams) {
+            const auto held = upstream->flows.find(flow);
+            if (upstream->isUp && held != upstream->flows.end() && held->second.isOpen)
+                this->violations.push_back("an open flow was reset while " + upstream->record.name + " held it");
+        }
+        request.reset = true;
+    }
+
+    uint64_t revision = 1;
+    uint64_t eventCount = 0;
+    std::priority_queue<Event> events;
+    std::map<FlowKey, size_t> byFlow;
+    std::map<FlowKey, uint32_t> clientSequence;
+};
+
+} // namespace wasabicroft::tests
--- /dev/null
+++ b/tests/PlatformWireTest.cpp
@@ -0,0 +1,172 @@
+// Guards the adapter to the users' platform: malformed packets and entries are refused, never used and never fatal.
+#include "platform/PacketLayout.h"
+#include "platform/StoreWire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wasabicroft::platform {
+namespace {
+
+    // The example of the platform's page.
+    const std::vector<uint8_t> exampleSyn = { 0x10, 0, 0, 0, 0, 0, 0xc6, 0x12, 0, 1, 0x64, 0x40, 0, 7, 0x9c, 0x41, 1,
+        0xbb, 0x11, 0x22, 0x33, 0x44, 0, 0, 0, 0, 0xa1, 0xb2, 0xc3, 0xd5, 0, 0, 0, 0, 0, 0 };
+
+    TEST(PacketLayout, DecodesTheExample)
+    {
+        const Packet packet = decodePacket(exampleSyn).value();
+        EXPECT_TRUE(packet.isSyn());
+        EXPECT_EQ(toString(packet.source), "100.64.0.7:40001");
+        EXPECT_EQ(toString(packet.destination), "198.18.0.1:443");
+        EXPECT_EQ(packet.sequence, 0x11223344U);
+        EXPECT_EQ(packet.payloadBytes, 0U);
+    }
+
+    TEST(PacketLayout, BuildsTheExampleOfAReset)
+    {
+        const std::vector<uint8_t> expected = { 0x20, 0, 0, 0, 0, 0, 0x64, 0x40, 0, 7, 0xc6, 0x12, 0, 1, 1, 0xbb, 0x9c,
+            0x41, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 };
+        EXPECT_EQ(makeReset(decodePacket(exampleSyn).value().fromClient(), 0), expected);
+    }
+
+    TEST(PacketLayout, RestoresABouncedPacket)
+    {
+        std::vector<uint8_t> bounced = exampleSyn;
+        bounced[0] |= 1;
+        bounced[3] = 9;
+        bounced[31] = 7;
+        restorePacket(bounced);
+        EXPECT_EQ(bounced, exampleSyn);
+    }
+
+    TEST(PacketLayout, RefusesWrongLengthsAndFlags)
+    {
+        for (size_t length = 0; length < exampleSyn.size(); ++length)
+            EXPECT_FALSE(decodePacket(Bytes(exampleSyn).first(length)));
+        std::vector<uint8_t> longer = exampleSyn;
+        longer.push_back(0);
+        EXPECT_FALSE(decodePacket(longer));
+        std::vector<uint8_t> flags = exampleSyn;
+        flags[0] = 0x12;
+        EXPECT_FALSE(decodePacket(flags));
+        flags[0] = 0x10 | 0x80;
+        EXPECT_FALSE(decodePacket(flags));
+    }
+
+    // Guards against bytes from the network that crash a process or pass as a packet of another length.
+    RC_GTEST_PROP(PacketLayout, RandomBytesAreRefusedOrDecoded, (const std::vector<uint8_t>& bytes))
+    {
+        const Result<Packet> packet = decodePacket(bytes);
+        RC_ASSERT((!packet || packet.value().payloadBytes + packetHeaderBytes == bytes.size()));
+        const Result<HopMessage> message = decodeHop(bytes);
+        RC_ASSERT((!message || message.value().packet.size() + hopHeaderBytes == bytes.size()));
+    }
+
+    RC_GTEST_PROP(PacketLayout, DamagedHopMessagesAreRefusedOrDecoded, ())
+    {
+        HopMessage message;
+        message.packet = exampleSyn;
+        std::vector<uint8_t> bytes;
+        encodeHop(message, bytes);
+        bytes[*rc::gen::inRange<size_t>(0, bytes.size())] ^= *rc::gen::inRange<uint8_t>(1, 255);
+        const Result<HopMessage> decoded = decodeHop(bytes);
+        RC_ASSERT((!decoded || decoded.value().packet.size() == exampleSyn.size()));
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Store
+    //-----------------------------------------------------------------------------
+
+    constexpr std::string_view upstreamValue // base64 of a complete entry with born 123
+        = "eyJzZXJ2aWNlIjoiYXBpIiwiYWRkcmVzcyI6IjEwLjAuMC45OjgwODAiLCJ6b25lIjoieiIsInZlcnNpb24iOiJ2MSIsInNsb3RzIjoyLCJz"
+          "dGF0ZSI6InJlYWR5IiwiY29sZF9sZWZ0X21zIjowLCJzZXFfbm8iOjQsImJvcm4iOjEyM30=";
+
+    StoreRead listOf(StoreTopic topic)
+    {
+        StoreRead read;
+        read.topic = topic;
+        return read;
+    }
+
+    std::string itemOf(std::string_view key, std::string_view value)
+    {
+        return R"({"key":")" + std::string(key) + R"(","value":")" + std::string(value) + R"(","rev":7})";
+    }
+
+    TEST(StoreWire, DecodesUpstreamEntries)
+    {
+        const std::string body
+            = R"({"items":[)" + itemOf("servers/i-1", upstreamValue) + R"(],"has_more":true,"store_revision":530})";
+        const StoreAnswer answer = decodeAnswer(listOf(StoreTopic::Upstreams), body).value();
+        ASSERT_EQ(answer.upstreams.size(), 1U);
+        const UpstreamRecord& record = answer.upstreams[0];
+        EXPECT_EQ(record.name, "i-1");
+        EXPECT_EQ(record.born, 123);
+        EXPECT_EQ(record.service, serviceIdOf("api"));
+        EXPECT_EQ(toString(record.address), "10.0.0.9:8080");
+        EXPECT_EQ(record.slots, 2U);
+        EXPECT_EQ(record.revision, 7U);
+        EXPECT_TRUE(answer.hasMore);
+        EXPECT_EQ(answer.lastKey, "servers/i-1");
+        EXPECT_EQ(answer.revision, 530U);
+    }
+
+    // Guards against one entry of another writer that hides the others or is used.
+    TEST(StoreWire, AnEntryThatCannotBeReadHidesNoOther)
+    {
+        for (const std::string_view value : { "", "!!!!", "e30=", "eyJzZXJ2aWNlIjo1fQ==", "AAAA" }) {
+            const std::string body = R"({"items":[)" + itemOf("servers/bad", value) + ','
+                + itemOf("servers/i-1", upstreamValue) + R"(],"has_more":false,"store_revision":9})";
+            const StoreAnswer answer = decodeAnswer(listOf(StoreTopic::Upstreams), body).value();
+            EXPECT_EQ(answer.upstreams.size(), 1U);
+            ASSERT_EQ(answer.withdrawn.size(), 1U);
+            EXPECT_EQ(answer.withdrawn[0].first, "bad");
+            EXPECT_EQ(answer.problems.size(), 1U);
+        }
+    }
+
+    TEST(StoreWire, DecodesRoutes)
+    {
+        // {"version":7,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","service":"api","slo_ms":120,
+        //  "timeout_ms":1500,"priority":2}],"limits":{"idle_timeout_ms":15000}}
+        const std::string value
+            = "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Im5hbWUiOiJyIiwiaG9zdCI6IjE5OC4xOC4wLjEiLCJwcmVmaXgiO"
+              "iIvODQ0My8iLCJzZXJ2aWNlIjoiYXBpIiwic2xvX21zIjoxMjAsInRpbWVvdXRfbXMiOjE1MDAsInByaW9yaXR5Ijoy"
+              "fV0sImxpbWl0cyI6eyJpZGxlX3RpbWVvdXRfbXMiOjE1MDAwfX0=";
+        const std::string body = R"({"key":"op/config","value":")" + value + R"(","rev":3,"store_revision":9})";
+        const StoreAnswer answer = decodeAnswer(listOf(StoreTopic::Routes), body).value();
+        ASSERT_TRUE(answer.routes);
+        EXPECT_EQ(answer.routes->version, 7U);
+        EXPECT_EQ(answer.routes->idleTimeout, Milliseconds(15000));
+        const Route* route = answer.routes->find(*packetAddressOf("198.18.0.1:8443"));
+        ASSERT_NE(route, nullptr);
+        EXPECT_EQ(route->objective, Milliseconds(120));
+        EXPECT_EQ(route->timeout, Milliseconds(1500));
+        EXPECT_EQ(route->shares.at(0).service, serviceIdOf("api"));
+    }
+
+    TEST(StoreWire, RemovalsNameTheirRevision)
+    {
+        StoreRead watch = listOf(StoreTopic::Upstreams);
+        watch.isWatch = true;
+        const StoreAnswer answer
+            = decodeAnswer(watch, R"({"events":[{"key":"servers/i-1","rev":8,"removed":true}],"store_revision":8})")
+                  .value();
+        ASSERT_EQ(answer.withdrawn.size(), 1U);
+        EXPECT_EQ(answer.withdrawn[0].second, 8U);
+    }
+
+    RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
+    {
+        std::string body
+            = R"({"items":[)" + itemOf("servers/i-1", upstreamValue) + R"(],"has_more":true,"store_revision":530})";
+        for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
+            body[*rc::gen::inRange<size_t>(0, body.size())] = *rc::gen::inRange<char>(32, 126);
+        for (const StoreTopic topic : { StoreTopic::Upstreams, StoreTopic::Routes }) {
+            const Result<StoreAnswer> answer = decodeAnswer(listOf(topic), body);
+            RC_ASSERT((!answer || answer.value().upstreams.size() <= 1));
+        }
+    }
+
+} // namespace
+} // namespace wasabicroft::platform
--- /dev/null
+++ b/tests/PublishedTest.cpp
@@ -0,0 +1,204 @@
+// Guards beliefs about what the platform publishes: merging by revision, outages, and when the store is read.
+#include "wasabicroft/Published.h"
+#include "wasabicroft/StoreSync.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wasabicroft {
+namespace {
+
+    constexpr ServiceId service { 1 };
+
+    UpstreamRecord recordOf(const std::string& name, uint64_t revision, bool draining = false, int64_t born = 1)
+    {
+        UpstreamRecord record;
+        record.name = name;
+        record.born = born;
+        record.service = service;
+        record.address = { 0x0a000000 + static_cast<uint32_t>(name.back()), 9000 };
+        record.draining = draining;
+        record.revision = revision;
+        return record;
+    }
+
+    TEST(UpstreamDirectory, DrainingUpstreamsHoldFlowsButTakeNone)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.update(recordOf("a", 3, true));
+        ASSERT_EQ(directory.usable(service).size(), 1U);
+        EXPECT_EQ(directory.usable(service)[0].name, "b");
+        EXPECT_EQ(directory.holders(service).size(), 2U);
+    }
+
+    // Guards against older answers that overtake newer ones.
+    TEST(UpstreamDirectory, OlderRevisionsChangeNothing)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.update(recordOf("a", 5, true));
+        EXPECT_FALSE(directory.update(recordOf("a", 4)));
+        EXPECT_FALSE(directory.remove("a", 4));
+        EXPECT_TRUE(directory.usable(service).empty());
+        directory.remove("a", 6);
+        EXPECT_FALSE(directory.update(recordOf("a", 5)));
+        EXPECT_TRUE(directory.all().empty());
+    }
+
+    // Guards against flows that are lost because the entry of their upstream was removed before it ended.
+    TEST(UpstreamDirectory, RemovedUpstreamsMayHoldFlowsForTheirLifetime)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.update(recordOf("a", 1));
+        directory.remove("a", 2);
+        EXPECT_TRUE(directory.usable(service).empty());
+        EXPECT_EQ(directory.holders(service).size(), 1U);
+        clock.advance(std::chrono::seconds(61));
+        directory.onTick();
+        EXPECT_TRUE(directory.holders(service).empty());
+    }
+
+    // Guards against an empty pool right after an outage of the store, in which entries lapsed.
+    TEST(UpstreamDirectory, EntriesThatLapsedInAnOutageStayUsableForTheGrace)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.noteReturn();
+        directory.replace({ recordOf("b", 2) }, 10);
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+        EXPECT_FALSE(directory.isComplete());
+        clock.advance(Milliseconds(2001));
+        EXPECT_TRUE(directory.onTick());
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+        EXPECT_TRUE(directory.isComplete());
+    }
+
+    // Guards against flows to a former upstream at an address that is used again.
+    TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        UpstreamRecord successor = recordOf("b", 2, false, 9);
+        successor.address = recordOf("a", 1).address;
+        successor.service = { 2 };
+        directory.update(recordOf("a", 1));
+        directory.update(successor);
+        EXPECT_TRUE(directory.usable(service).empty());
+        EXPECT_EQ(directory.usable({ 2 }).size(), 1U);
+    }
+
+    // Guards against beliefs that depend on the order in which changes arrive.
+    RC_GTEST_PROP(UpstreamDirectory, AnyOrderOfChangesLeadsToTheNewestState, ())
+    {
+        struct Change {
+            std::string name;
+            uint64_t revision = 0;
+            int kind = 0;
+        };
+        std::vector<Change> changes;
+        const size_t count = *rc::gen::inRange<size_t>(1, 30);
+        for (uint64_t revision = 1; revision <= count; ++revision)
+            changes.push_back({ std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))), revision,
+                *rc::gen::inRange(0, 3) });
+        const auto apply = [](UpstreamDirectory& directory, const Change& change) {
+            if (change.kind == 2)
+                directory.remove(change.name, change.revision);
+            else
+                directory.update(recordOf(change.name, change.revision, change.kind == 1));
+        };
+        ManualClock clock;
+        UpstreamDirectory inOrder({}, clock);
+        for (const Change& change : changes)
+            apply(inOrder, change);
+        // A removal of an entry that is not known yet carries nothing to merge with; it comes again with a full list.
+        UpstreamDirectory repeated({}, clock);
+        for (const Change& change : changes) {
+            apply(repeated, change);
+            apply(repeated, changes[*rc::gen::inRange<size_t>(0, changes.size())]);
+        }
+        for (const Change& change : changes)
+            apply(repeated, change);
+        const auto names = [](const std::vector<UpstreamRecord>& records) {
+            std::vector<std::string> result;
+            for (const UpstreamRecord& record : records)
+                result.push_back(record.name + (record.draining ? "-" : "+"));
+            return result;
+        };
+        RC_ASSERT(names(inOrder.all()) == names(repeated.all()));
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Reads
+    //-----------------------------------------------------------------------------
+
+    TEST(StoreSync, ReadsInFullOnceAndWatchesFromTheFirstPage)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        const std::optional<StoreRead> first = sync.nextRead(StoreTopic::Upstreams);
+        ASSERT_TRUE(first);
+        EXPECT_FALSE(first->isWatch);
+        EXPECT_FALSE(sync.nextRead(StoreTopic::Upstreams)) << "one read in flight";
+        sync.onPage(*first, 40, true, "servers/m");
+        const std::optional<StoreRead> second = sync.nextRead(StoreTopic::Upstreams);
+        ASSERT_TRUE(second);
+        EXPECT_EQ(second->pageAfter, "servers/m");
+        sync.onPage(*second, 44, false, "servers/z");
+        const std::optional<StoreRead> watch = sync.nextRead(StoreTopic::Upstreams);
+        ASSERT_TRUE(watch);
+        EXPECT_TRUE(watch->isWatch);
+        EXPECT_EQ(watch->afterRevision, 40U) << "changes between the pages are seen";
+    }
+
+    // Guards against a hot loop while the store is away, and against a slow start when it comes back.
+    TEST(StoreSync, FailuresBackOffAndAStartRetriesFast)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        for (int i = 0; i < 10; ++i) {
+            const std::optional<StoreRead> read = sync.nextRead(StoreTopic::Routes);
+            ASSERT_TRUE(read);
+            sync.onFailure(*read);
+            const Duration wait = sync.nextReadTime(StoreTopic::Routes) - clock.now();
+            EXPECT_GE(wait, Milliseconds(30));
+            EXPECT_LE(wait, Milliseconds(100)) << "nothing can be served before the first answer";
+            clock.advance(wait + Milliseconds(1));
+        }
+        const std::optional<StoreRead> read = sync.nextRead(StoreTopic::Routes);
+        sync.onPage(*read, 1, false, "");
+        EXPECT_TRUE(sync.takeReturn());
+        EXPECT_FALSE(sync.takeReturn());
+    }
+
+    TEST(StoreSync, LostHistoryLeadsToAFullRead)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.onPage(*sync.nextRead(StoreTopic::Routes), 40, false, "");
+        sync.onHistoryLost(*sync.nextRead(StoreTopic::Routes));
+        EXPECT_FALSE(sync.nextRead(StoreTopic::Routes)->isWatch);
+    }
+
+    // Guards against a watch on a connection that went silent: a peer's hint replaces it.
+    TEST(StoreSync, AHintReplacesAWatchInFlight)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.onPage(*sync.nextRead(StoreTopic::Upstreams), 40, false, "");
+        const StoreRead watch = *sync.nextRead(StoreTopic::Upstreams);
+        sync.hint(StoreTopic::Upstreams, 39);
+        EXPECT_FALSE(sync.nextRead(StoreTopic::Upstreams)) << "nothing new";
+        sync.hint(StoreTopic::Upstreams, 41);
+        const std::optional<StoreRead> read = sync.nextRead(StoreTopic::Upstreams);
+        ASSERT_TRUE(read);
+        EXPECT_FALSE(read->isWatch);
+        EXPECT_FALSE(sync.onEvents(watch, 41)) << "the answer of the replaced watch is ignored";
+    }
+
+} // namespace
+} // namespace wasabicroft
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -82,7 +82,8 @@
         refusal = HopRefusal::UpstreamDown;
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
-            { "busy", this->busy() }, { "waiting", this->waiting() }, { "flows", static_cast<uint64_t>(this->heldCount) } });
+            { "busy", this->busy() }, { "waiting", this->waiting() },
+            { "flows", static_cast<uint64_t>(this->heldCount) } });
     if (refusal == HopRefusal::UpstreamDown && this->liveness.mayProbe())
         this->hooks.sendToUpstream(message.packet);
     if (refusal != HopRefusal::None) {
@@ -159,8 +160,8 @@
 
 void AgentGate::store(Flow& flow, const Packet& packet, Bytes bytes)
 {
-    const auto position = std::lower_bound(flow.stored.begin(), flow.stored.end(), packet.sequence,
-        [](const StoredPacket& stored, uint32_t sequence) {
+    const auto position = std::lower_bound(
+        flow.stored.begin(), flow.stored.end(), packet.sequence, [](const StoredPacket& stored, uint32_t sequence) {
             return static_cast<int32_t>(stored.sequence - sequence) < 0;
         });
     if (position != flow.stored.end() && position->sequence == packet.sequence)
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -20,8 +20,8 @@
         placement.waitAt = 0;
         placement.remotePenalty = options.remotePenalty;
         placement.connectionCost = options.connectionCost;
-    placement.homes = options.homes;
-    placement.drainingHold = options.downHold;
+        placement.homes = options.homes;
+        placement.drainingHold = options.downHold;
         placement.random = [&random] { return random(); };
         return placement;
     }
@@ -150,8 +150,8 @@
         if (!item->packet.isSyn() || !opened.insert(item->packet.fromClient()).second)
             continue;
         const Route* route = this->routes->find(item->packet.destination);
-        const Milliseconds age = synAge(item->packet)
-            + std::chrono::duration_cast<Milliseconds>(this->clock.now() - item->received);
+        const Milliseconds age
+            = synAge(item->packet) + std::chrono::duration_cast<Milliseconds>(this->clock.now() - item->received);
         if (route && route->timeout > Milliseconds(0) && age >= route->timeout)
             ++this->counts.dropped; // the client has given up
         else
@@ -228,8 +228,8 @@
     const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
     for (const UpstreamId candidate : candidates) {
         const auto agent = this->agentByUpstream.find(candidate);
-        const bool isTried = std::any_of(flow.offers.begin(), flow.offers.end(),
-            [&](const Offer& offer) { return offer.upstream == candidate; });
+        const bool isTried = std::any_of(
+            flow.offers.begin(), flow.offers.end(), [&](const Offer& offer) { return offer.upstream == candidate; });
         if (isTried || agent == this->agentByUpstream.end())
             continue;
         flow.offers.push_back({ candidate, agent->second, OfferState::Pending, this->clock.now(), 0 });
@@ -524,8 +524,8 @@
         this->placement.onDraining(offer->upstream); // not asked again for a while
     if (this->offerNext(key, *flow, nameOf(message.refusal)))
         return;
-    const bool allRefused = std::all_of(flow->offers.begin(), flow->offers.end(),
-        [](const Offer& item) { return item.state == OfferState::Refused; });
+    const bool allRefused = std::all_of(
+        flow->offers.begin(), flow->offers.end(), [](const Offer& item) { return item.state == OfferState::Refused; });
     if (allRefused && !this->isProvisional)
         this->refuse(key, 0, nameOf(message.refusal));
 }
@@ -544,7 +544,9 @@
     } else {
         logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
         flow->holder.reset();
-        this->find(key, *flow, message.packet, agent);
+        // A denial without its packet came late or from an upstream that is down: the client's next copy is searched.
+        if (!message.packet.empty())
+            this->find(key, *flow, message.packet, agent);
     }
 }
 
--- a/wasabicroft/Log.cpp
+++ b/wasabicroft/Log.cpp
@@ -47,9 +47,9 @@
         const uint64_t limit = lineLimit;
         if (limit == 0)
             return true;
-        const int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
-            std::chrono::steady_clock::now().time_since_epoch())
-                                   .count();
+        const int64_t second
+            = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch())
+                  .count();
         if (countedSecond.exchange(second) != second) {
             const uint64_t before = linesInSecond.exchange(0);
             if (before > limit)
@@ -206,8 +206,8 @@
     const boost::shared_ptr<logging::sinks::text_ostream_backend> backend
         = boost::make_shared<logging::sinks::text_ostream_backend>();
     if (options.file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(
-            options.toStandardOutput ? &std::cout : &std::clog, boost::null_deleter()));
+        backend->add_stream(
+            boost::shared_ptr<std::ostream>(options.toStandardOutput ? &std::cout : &std::clog, boost::null_deleter()));
     else
         backend->add_stream(boost::make_shared<std::ofstream>(options.file, std::ios::app));
     backend->auto_flush(true);
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -81,14 +81,13 @@
 
 void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
 {
-    const auto shortMs = [](Milliseconds time) {
-        return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX));
-    };
+    const auto shortMs
+        = [](Milliseconds time) { return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX)); };
     const wire::Hop header(message.incarnation, message.service.value, message.flow.client.address,
         message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
-        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size()),
-        shortMs(message.objective), shortMs(message.timeout), message.slots, message.waiting, message.priority,
-        static_cast<uint8_t>(message.kind), static_cast<uint8_t>(message.refusal));
+        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size()), shortMs(message.objective),
+        shortMs(message.timeout), message.slots, message.waiting, message.priority, static_cast<uint8_t>(message.kind),
+        static_cast<uint8_t>(message.refusal));
     const size_t start = out.size();
     out.resize(start + hopHeaderBytes + message.packet.size());
     std::memcpy(out.data() + start, &header, hopHeaderBytes);
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -49,8 +49,8 @@
             builder, &self, agent.service.value, agent.failureDomain.c_str(), &upstream, &routes));
     }
     wire::FinishPresenceBuffer(builder,
-        wire::CreatePresenceDirect(builder, message.fromEntry, message.routesVersion, message.directoryRevision,
-            &message.entries, &agents));
+        wire::CreatePresenceDirect(
+            builder, message.fromEntry, message.routesVersion, message.directoryRevision, &message.entries, &agents));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -169,8 +169,7 @@
 {
     const TimePoint oldest = this->clock.now() - this->options.lifetime;
     std::erase_if(this->entries, [&](const auto& item) { return item.second < oldest; });
-    const size_t forgotten
-        = std::erase_if(this->agents, [&](const auto& item) { return item.second.heard < oldest; });
+    const size_t forgotten = std::erase_if(this->agents, [&](const auto& item) { return item.second.heard < oldest; });
     this->changed = this->changed || forgotten > 0;
 }
 
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -43,10 +43,7 @@
     return Decision::Wait;
 }
 
-void RequestQueue::start(const QueuedRequest& request)
-{
-    this->active[request.flow] = { request, this->clock.now() };
-}
+void RequestQueue::start(const QueuedRequest& request) { this->active[request.flow] = { request, this->clock.now() }; }
 
 void RequestQueue::onAnswered(const FlowKey& flow)
 {
@@ -132,8 +129,7 @@
             expired.push_back(request.flow);
     }
     const std::chrono::duration<double> usual(this->options.stuckFactor * this->meanService);
-    const Duration stuck
-        = std::max<Duration>(this->options.minStuck, std::chrono::duration_cast<Duration>(usual));
+    const Duration stuck = std::max<Duration>(this->options.minStuck, std::chrono::duration_cast<Duration>(usual));
     for (const auto& [flow, item] : this->active) {
         if (now - item.started > stuck)
             expired.push_back(flow);
