Run the packet path as processes in the tests; drop log lines of a stalled reader

Stand-ins for the store, a host and a client of the platform; eight process tests, among them loss of entries, restart of all with and without the store, signals, settings, and a reader of standard output that stalls. The last one failed on SIGTERM before: the writer thread was blocked in write.

--- /dev/null
+++ b/fakes/PacketPlatform.cpp
@@ -0,0 +1,247 @@
+#include "fakes/PacketPlatform.h"
+
+#include "platform/PacketLayout.h"
+
+#include <algorithm>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace wasabicroft::fakes {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr uint16_t maxPayload = 1200;
+    constexpr size_t window = 16; // packets in flight of one end
+
+    void put(std::vector<uint8_t>& bytes, size_t at, uint64_t value, size_t size)
+    {
+        for (size_t i = 0; i < size; ++i)
+            bytes[at + i] = static_cast<uint8_t>(value >> (8 * (size - 1 - i)));
+    }
+
+    std::string base64(const std::string& text)
+    {
+        namespace codec = boost::beast::detail::base64;
+        std::string encoded(codec::encoded_size(text.size()), '\0');
+        encoded.resize(codec::encode(encoded.data(), text.data(), text.size()));
+        return encoded;
+    }
+
+} // namespace
+
+std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags, uint32_t sequence,
+    uint32_t acknowledgement, uint16_t payloadBytes)
+{
+    std::vector<uint8_t> bytes(platform::packetHeaderBytes + payloadBytes, 0);
+    put(bytes, 0, flags, 1);
+    put(bytes, 6, destination.address, 4);
+    put(bytes, 10, source.address, 4);
+    put(bytes, 14, source.port, 2);
+    put(bytes, 16, destination.port, 2);
+    put(bytes, 18, sequence, 4);
+    put(bytes, 22, acknowledgement, 4);
+    put(bytes, 34, payloadBytes, 2);
+    return bytes;
+}
+
+//-----------------------------------------------------------------------------
+// Store
+//-----------------------------------------------------------------------------
+
+PacketStore::PacketStore(boost::asio::io_context& context, const Endpoint& listen)
+    : service(context, listen, [this](const HttpRequest& request) { return this->answer(request); })
+{
+}
+
+void PacketStore::put(const std::string& key, const std::string& value)
+{
+    this->items[key] = { value, ++this->revision, false };
+}
+
+void PacketStore::remove(const std::string& key) { this->items[key] = { "", ++this->revision, true }; }
+
+void PacketStore::setDown(bool down) { this->isDown = down; }
+
+HttpReply PacketStore::answer(const HttpRequest& request)
+{
+    ++this->callCount;
+    if (this->isDown)
+        return { 503, "{}", {} };
+    const auto describe = [](const std::string& key, const Item& item) {
+        json::object described { { "key", key }, { "rev", item.revision } };
+        if (item.removed)
+            described["removed"] = true;
+        else
+            described["value"] = base64(item.value);
+        return described;
+    };
+    if (request.path == "/-/kv-key") {
+        const std::string key = request.text("key");
+        const auto found = this->items.find(key);
+        if (found == this->items.end() || found->second.removed)
+            return { 404, "{}", {} };
+        json::object body = describe(key, found->second);
+        body["store_revision"] = this->revision;
+        return { 200, json::serialize(body), {} };
+    }
+    const bool isWatch = request.path == "/-/kv-watch";
+    const uint64_t after = isWatch ? static_cast<uint64_t>(request.number("after", 0)) : 0;
+    const std::string prefix = request.text("prefix");
+    json::array listed;
+    for (const auto& [key, item] : this->items) {
+        if (key.starts_with(prefix) && item.revision > after && (isWatch || !item.removed))
+            listed.push_back(describe(key, item));
+    }
+    json::object body { { isWatch ? "events" : "items", std::move(listed) }, { "store_revision", this->revision } };
+    if (!isWatch)
+        body["has_more"] = false;
+    return { 200, json::serialize(body), {} };
+}
+
+//-----------------------------------------------------------------------------
+// Host
+//-----------------------------------------------------------------------------
+
+PacketHost::PacketHost(boost::asio::io_context& context, PacketAddress listen, PacketAddress outbound)
+    : socket(context)
+    , agent(outbound)
+{
+    if (!this->socket.open(listen))
+        throw std::runtime_error("can't bind " + toString(listen));
+    this->socket.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onPacket(bytes); });
+}
+
+void PacketHost::crash() { this->flows.clear(); }
+
+void PacketHost::onPacket(std::span<uint8_t> bytes)
+{
+    const Result<Packet> decoded = platform::decodePacket(bytes);
+    if (!decoded)
+        return;
+    const Packet& packet = decoded.value();
+    const FlowKey key = packet.fromClient();
+    if (packet.isSyn()) {
+        Flow& flow = this->flows[key];
+        if (flow.sequence == 0) {
+            this->nextSequence += 100000;
+            flow.sequence = this->nextSequence;
+            flow.expected = packet.sequence + 1;
+        }
+        this->socket.send(this->agent,
+            makePacket(key.route, key.client, packet_flags::syn | packet_flags::ack, flow.sequence, flow.expected, 0));
+        return;
+    }
+    const auto found = this->flows.find(key);
+    const bool isHeld
+        = found != this->flows.end() && (found->second.isOpen || packet.acknowledgement == found->second.sequence + 1);
+    if (!isHeld) {
+        bytes[0] |= packet_flags::bounced;
+        this->socket.send(this->agent, bytes);
+        return;
+    }
+    Flow& flow = found->second;
+    flow.sequence += flow.isOpen ? 0 : 1;
+    flow.isOpen = true;
+    if (packet.payloadBytes >= 4 && packet.sequence == flow.expected) {
+        const auto payload = bytes.subspan(platform::packetHeaderBytes);
+        flow.expected += packet.payloadBytes;
+        flow.left = (static_cast<size_t>(payload[0]) << 24) | (static_cast<size_t>(payload[1]) << 16)
+            | (static_cast<size_t>(payload[2]) << 8) | payload[3];
+        ++this->requestCount;
+        this->sendAnswer(key, flow, window);
+    } else if (packet.payloadBytes == 0) {
+        this->sendAnswer(key, flow, 2); // an ACK stands for two packets
+    }
+}
+
+void PacketHost::sendAnswer(const FlowKey& key, Flow& flow, size_t packets)
+{
+    for (; packets > 0 && flow.left > 0; --packets) {
+        const uint16_t size = static_cast<uint16_t>(std::min<size_t>(flow.left, maxPayload));
+        this->socket.send(
+            this->agent, makePacket(key.route, key.client, packet_flags::ack, flow.sequence, flow.expected, size));
+        flow.sequence += size;
+        flow.left -= size;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Client
+//-----------------------------------------------------------------------------
+
+PacketClient::PacketClient(boost::asio::io_context& context, PacketAddress listen)
+    : socket(context)
+{
+    if (!this->socket.open(listen))
+        throw std::runtime_error("can't bind " + toString(listen));
+    this->flow.client.address = listen.address;
+    this->socket.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onPacket(bytes); });
+}
+
+void PacketClient::open(uint16_t port, PacketAddress route)
+{
+    this->flow.client.port = port;
+    this->flow.route = route;
+    this->sequence = 5000;
+    this->hostSequence = 0;
+    this->copies = 0;
+    this->resetSeen = false;
+    this->repeatSyn();
+}
+
+void PacketClient::repeatSyn()
+{
+    this->socket.send(this->entry,
+        makePacket(this->flow.client, this->flow.route, packet_flags::syn, this->sequence, this->copies++, 0));
+    this->socket.flush();
+}
+
+void PacketClient::send(uint8_t flags, uint32_t at, const std::vector<uint8_t>& payload)
+{
+    std::vector<uint8_t> bytes = makePacket(
+        this->flow.client, this->flow.route, flags, at, this->hostSequence, static_cast<uint16_t>(payload.size()));
+    std::copy(payload.begin(), payload.end(), bytes.begin() + platform::packetHeaderBytes);
+    this->socket.send(this->entry, bytes);
+    this->socket.flush();
+}
+
+void PacketClient::request(uint32_t answerBytes)
+{
+    this->sequence += static_cast<uint32_t>(this->lastRequest.size());
+    this->lastRequest.assign(64, 0);
+    put(this->lastRequest, 0, answerBytes, 4);
+    this->receivedBytes = 0;
+    this->repeatRequest();
+}
+
+void PacketClient::repeatRequest() { this->send(packet_flags::ack, this->sequence, this->lastRequest); }
+
+void PacketClient::onPacket(std::span<uint8_t> bytes)
+{
+    const Result<Packet> decoded = platform::decodePacket(bytes);
+    if (!decoded || decoded.value().fromUpstream() != this->flow)
+        return;
+    const Packet& packet = decoded.value();
+    if (packet.resets) {
+        this->resetSeen = true;
+    } else if (packet.isSynAck()) {
+        if (this->hostSequence == 0) {
+            this->hostSequence = packet.sequence + 1;
+            ++this->sequence;
+            this->lastRequest.clear();
+        }
+        this->send(packet_flags::ack, this->sequence);
+    } else if (packet.payloadBytes > 0) {
+        this->early.insert(packet.sequence);
+        while (this->early.erase(this->hostSequence) > 0) {
+            const uint32_t size = packet.payloadBytes;
+            this->hostSequence += size;
+            this->receivedBytes += size;
+        }
+        this->send(packet_flags::ack, this->sequence + static_cast<uint32_t>(this->lastRequest.size()));
+    }
+}
+
+} // namespace wasabicroft::fakes
--- /dev/null
+++ b/fakes/PacketPlatform.h
@@ -0,0 +1,110 @@
+// Stand-ins for the users' packet platform on loopback: its store, an upstream host and a client. Written from the
+// platform's pages; each runs on the thread that runs the io_context.
+#pragma once
+
+#include "backends/DatagramSocket.h"
+#include "fakes/Http.h"
+
+#include <map>
+#include <set>
+
+namespace wasabicroft::fakes {
+
+// Packets with the platform's layout.
+std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags, uint32_t sequence,
+    uint32_t acknowledgement, uint16_t payloadBytes);
+
+namespace packet_flags {
+    inline constexpr uint8_t syn = 16;
+    inline constexpr uint8_t ack = 64;
+    inline constexpr uint8_t fin = 128;
+    inline constexpr uint8_t reset = 32;
+    inline constexpr uint8_t bounced = 1;
+} // namespace packet_flags
+
+// The store: items by key, in one revision order. Watches are answered at once. An item of the routes' topic has the
+// key op/config, those of upstreams begin with servers/.
+class PacketStore {
+public:
+    PacketStore(boost::asio::io_context&, const Endpoint&);
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    void setDown(bool); // answers 503
+    uint64_t calls() const { return this->callCount; }
+
+private:
+    struct Item {
+        std::string value;
+        uint64_t revision = 0;
+        bool removed = false;
+    };
+
+    HttpReply answer(const HttpRequest&);
+
+    std::map<std::string, Item> items;
+    uint64_t revision = 1;
+    uint64_t callCount = 0;
+    bool isDown = false;
+    HttpService service;
+};
+
+// An upstream host: answers a request of `payload` bytes with the number of bytes that the first payload asks for.
+class PacketHost {
+public:
+    PacketHost(boost::asio::io_context&, PacketAddress listen, PacketAddress outbound);
+
+    void crash(); // loses its flows
+    size_t openFlows() const { return this->flows.size(); }
+    size_t requests() const { return this->requestCount; }
+
+private:
+    struct Flow {
+        uint32_t sequence = 0; // of the next byte to the client
+        uint32_t expected = 0; // next byte of the client
+        size_t left = 0; // bytes of the answer that were not sent yet
+        bool isOpen = false;
+    };
+
+    void onPacket(std::span<uint8_t>);
+    void sendAnswer(const FlowKey&, Flow&, size_t packets);
+
+    DatagramSocket socket;
+    PacketAddress agent;
+    std::map<FlowKey, Flow> flows;
+    uint32_t nextSequence = 1000;
+    size_t requestCount = 0;
+};
+
+// A client of one flow.
+class PacketClient {
+public:
+    PacketClient(boost::asio::io_context&, PacketAddress listen);
+
+    void useEntry(PacketAddress address) { this->entry = address; }
+    void open(uint16_t port, PacketAddress route); // a new flow; sends the SYN
+    void repeatSyn();
+    void request(uint32_t answerBytes); // on the open flow
+    void repeatRequest();
+
+    bool isOpen() const { return this->hostSequence > 0; }
+    bool wasReset() const { return this->resetSeen; }
+    size_t received() const { return this->receivedBytes; } // of the answer to the last request
+
+private:
+    void onPacket(std::span<uint8_t>);
+    void send(uint8_t flags, uint32_t sequence, const std::vector<uint8_t>& payload = {});
+
+    DatagramSocket socket;
+    PacketAddress entry;
+    FlowKey flow;
+    uint32_t sequence = 0;
+    uint32_t hostSequence = 0; // next byte of the host
+    std::set<uint32_t> early; // packets beyond a gap
+    std::vector<uint8_t> lastRequest;
+    uint32_t copies = 0;
+    size_t receivedBytes = 0;
+    bool resetSeen = false;
+};
+
+} // namespace wasabicroft::fakes
--- /dev/null
+++ b/tests/PacketPathProcessTest.cpp
@@ -0,0 +1,305 @@
+// Guards the two programs of the packet path as processes over loopback: a request, a long flow and a download, restart
+// and loss of entries, signals, the settings file, and a reader of standard output that stalls.
+#include "fakes/PacketPlatform.h"
+#include "tests/Processes.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <future>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <thread>
+
+namespace wasabicroft::tests {
+namespace {
+
+    constexpr Milliseconds patience { 5000 };
+    constexpr uint16_t packetsPort = 8172;
+    constexpr uint16_t readyPort = 8167;
+    constexpr uint16_t hopPort = 7720;
+    constexpr uint16_t outboundPort = 8162;
+    constexpr uint16_t upstreamPort = 8165;
+    constexpr PacketAddress route { 0xc6120001, 443 };
+    constexpr size_t upstreamCount = 3;
+
+    PacketAddress addressOf(const std::string& ip, uint16_t port)
+    {
+        return packetAddressOf(ip + ':' + std::to_string(port)).value();
+    }
+
+    // Two entries, three agents with hosts, a client and the store on addresses of their own.
+    struct PacketFleet : ::testing::Test {
+        PacketFleet()
+            : group(PROGRAM_DIRECTORY)
+            , network("127." + std::to_string(17 + (getpid() >> 8) % 200) + '.' + std::to_string(getpid() % 250) + '.')
+            , storeEndpoint { this->ip(2), 8169 }
+            , work(boost::asio::make_work_guard(this->context))
+            , store(this->context, this->storeEndpoint)
+            , client(this->context, addressOf(this->ip(3), packetsPort))
+        {
+            this->store.put("op/config",
+                R"({"version":1,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","service":"api",)"
+                R"("slo_ms":200,"timeout_ms":2000,"priority":1}],"services":[],"limits":{"idle_timeout_ms":15000}})");
+            for (size_t i = 0; i < upstreamCount; ++i) {
+                const std::string host = this->ip(20 + i);
+                this->hosts.push_back(std::make_unique<fakes::PacketHost>(
+                    this->context, addressOf(host, upstreamPort), addressOf(host, outboundPort)));
+                this->store.put("servers/i-" + std::to_string(i),
+                    R"({"service":"api","address":")" + host + ":" + std::to_string(upstreamPort)
+                        + R"(","zone":"z","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"born":1})");
+            }
+            this->thread = std::thread([this] { this->context.run(); });
+        }
+
+        ~PacketFleet() override
+        {
+            this->context.stop();
+            this->thread.join();
+        }
+
+        std::string ip(size_t number) const { return this->network + std::to_string(number); }
+
+        std::vector<std::string> flags(const std::string& name, const std::string& address) const
+        {
+            const auto with = [&](uint16_t port) { return address + ':' + std::to_string(port); };
+            return { "--name=" + name, "--failure-domain=z", "--packets=" + with(packetsPort),
+                "--ready=" + with(readyPort), "--seeds=" + this->ip(10) + ":8166" };
+        }
+
+        void startEntry(size_t number)
+        {
+            const std::string address = this->ip(10 + number);
+            std::vector<std::string> arguments = this->flags("entry-" + std::to_string(number), address);
+            arguments.push_back("--hop=" + address + ':' + std::to_string(hopPort));
+            arguments.push_back("--store=" + toString(this->storeEndpoint));
+            arguments.push_back("--stop-delay=200");
+            this->group.start("entry-" + std::to_string(number), "wasabi-packet-entry", arguments);
+        }
+
+        void startAgent(size_t number)
+        {
+            const std::string address = this->ip(20 + number);
+            std::vector<std::string> arguments = this->flags("agent-" + std::to_string(number), address);
+            arguments.push_back("--outbound=" + address + ':' + std::to_string(outboundPort));
+            arguments.push_back("--upstream=" + address + ':' + std::to_string(upstreamPort));
+            arguments.push_back("--entry-hop-port=" + std::to_string(hopPort));
+            arguments.push_back("--service=api");
+            this->group.start("agent-" + std::to_string(number), "wasabi-packet-agent", arguments);
+        }
+
+        void startAll()
+        {
+            for (size_t i = 0; i < upstreamCount; ++i)
+                this->startAgent(i);
+            this->startEntry(0);
+            this->startEntry(1);
+        }
+
+        bool isReady(size_t entry) const
+        {
+            return waitForStatus({ this->ip(10 + entry), readyPort }, "/ready", 200, patience);
+        }
+
+        // Runs on the thread of the stand-ins.
+        template <typename Function> auto onPlatform(Function function)
+        {
+            std::promise<decltype(function())> promise;
+            boost::asio::post(this->context, [&] { promise.set_value(function()); });
+            return promise.get_future().get();
+        }
+
+        bool openThrough(size_t entry, uint16_t port)
+        {
+            this->onPlatform([&] {
+                this->client.useEntry(addressOf(this->ip(10 + entry), packetsPort));
+                this->client.open(port, route);
+                return 0;
+            });
+            return waitUntil(
+                [&] {
+                    return this->onPlatform([&] {
+                        if (!this->client.isOpen())
+                            this->client.repeatSyn();
+                        return this->client.isOpen();
+                    });
+                },
+                patience);
+        }
+
+        bool answers(uint32_t bytes)
+        {
+            this->onPlatform([&] {
+                this->client.request(bytes);
+                return 0;
+            });
+            TimePoint next = std::chrono::steady_clock::now() + Milliseconds(300);
+            return waitUntil(
+                [&] {
+                    return this->onPlatform([&] {
+                        if (this->client.received() == 0 && std::chrono::steady_clock::now() > next) {
+                            this->client.repeatRequest();
+                            next += Milliseconds(300);
+                        }
+                        return this->client.received() >= bytes;
+                    });
+                },
+                patience);
+        }
+
+        ProcessGroup group;
+        std::string network;
+        Endpoint storeEndpoint;
+        boost::asio::io_context context;
+        boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+        fakes::PacketStore store;
+        fakes::PacketClient client;
+        std::vector<std::unique_ptr<fakes::PacketHost>> hosts;
+        std::thread thread;
+    };
+
+    TEST_F(PacketFleet, ServesARequestALongFlowAndADownload)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0) && this->isReady(1)) << this->group.allLogs();
+        ASSERT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
+        EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
+        for (int i = 0; i < 20; ++i)
+            EXPECT_TRUE(this->answers(4000)) << this->group.allLogs();
+        ASSERT_TRUE(this->openThrough(1, 4002)) << this->group.allLogs();
+        EXPECT_TRUE(this->answers(80000)) << this->group.allLogs();
+    }
+
+    // Guards against open flows that are lost with an entry, and with all processes of the system.
+    TEST_F(PacketFleet, AnOpenFlowSurvivesTheLossOfProcesses)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0) && this->isReady(1)) << this->group.allLogs();
+        ASSERT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
+        ASSERT_TRUE(this->answers(600));
+        this->group["entry-0"].signal(SIGKILL);
+        this->onPlatform([&] {
+            this->client.useEntry(addressOf(this->ip(11), packetsPort));
+            return 0;
+        });
+        EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
+        for (const char* name : { "entry-0", "entry-1", "agent-0", "agent-1", "agent-2" })
+            this->group.remove(name);
+        this->startAll();
+        EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
+        EXPECT_FALSE(this->onPlatform([&] { return this->client.wasReset(); }));
+    }
+
+    // Guards against an outage that lasts as long as that of the store: entries that start meanwhile serve open flows
+    // and new ones, and say that they are not ready.
+    TEST_F(PacketFleet, ARestartOfAllWhileTheStoreIsAwayServesOn)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0)) << this->group.allLogs();
+        ASSERT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
+        ASSERT_TRUE(this->answers(600));
+        this->onPlatform([&] {
+            this->store.setDown(true);
+            return 0;
+        });
+        for (const char* name : { "entry-0", "entry-1", "agent-0", "agent-1", "agent-2" })
+            this->group.remove(name);
+        this->startAll();
+        EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
+        EXPECT_TRUE(this->openThrough(1, 4002)) << this->group.allLogs();
+        EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
+        EXPECT_TRUE(waitForStatus({ this->ip(10), readyPort }, "/ready", 503, patience));
+        this->onPlatform([&] {
+            this->store.setDown(false);
+            return 0;
+        });
+        EXPECT_TRUE(this->isReady(0)) << this->group.allLogs();
+    }
+
+    // Guards against clients that wait for their time limit on a flow that its host has lost.
+    TEST_F(PacketFleet, AFlowThatItsHostLostIsReset)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0)) << this->group.allLogs();
+        ASSERT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
+        ASSERT_TRUE(this->answers(600));
+        this->onPlatform([&] {
+            for (const std::unique_ptr<fakes::PacketHost>& host : this->hosts)
+                host->crash();
+            this->client.request(600);
+            return 0;
+        });
+        EXPECT_TRUE(waitUntil([&] { return this->onPlatform([&] { return this->client.wasReset(); }); }, patience))
+            << this->group.allLogs();
+    }
+
+    TEST_F(PacketFleet, SignalsStopAndReload)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0)) << this->group.allLogs();
+        this->group["entry-0"].signal(SIGHUP);
+        this->group["agent-0"].signal(SIGHUP);
+        EXPECT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
+        this->group["entry-0"].signal(SIGTERM);
+        EXPECT_TRUE(waitForStatus({ this->ip(10), readyPort }, "/ready", 503, patience));
+        EXPECT_EQ(this->group["entry-0"].waitExit(patience), 0) << this->group.allLogs();
+        this->group["agent-0"].signal(SIGTERM);
+        EXPECT_EQ(this->group["agent-0"].waitExit(patience), 0) << this->group.allLogs();
+    }
+
+    TEST(PacketSettings, WrongSettingsAreNamedAndRefused)
+    {
+        ProcessGroup group(PROGRAM_DIRECTORY);
+        Process& entry = group.start("entry", "wasabi-packet-entry", { "--name=x", "--packets=nowhere" });
+        EXPECT_EQ(entry.waitExit(patience), 1);
+        EXPECT_NE(entry.log().find("--packets"), std::string::npos) << entry.log();
+    }
+
+    TEST(PacketSettings, TheSettingsFileIsReadBehindFlags)
+    {
+        ProcessGroup group(PROGRAM_DIRECTORY);
+        const std::string path = group.logDirectory() / "settings";
+        std::ofstream(path) << "name=from-file\npackets=127.0.0.1:1\n# comment\nservice=\n";
+        Process& good
+            = group.start("good", "wasabi-packet-agent", { "--settings-file=" + path, "--check", "--name=y" });
+        EXPECT_EQ(good.waitExit(patience), 0) << good.log();
+        std::ofstream(path) << "name=from-file\nnonsense\n";
+        Process& bad = group.start("bad", "wasabi-packet-agent", { "--settings-file=" + path, "--check" });
+        EXPECT_EQ(bad.waitExit(patience), 1) << bad.log();
+    }
+
+    // Guards against a process that stops because nobody reads its log.
+    TEST_F(PacketFleet, AStalledReaderOfTheLogStopsNothing)
+    {
+        const std::string pipe = this->group.logDirectory() / "entry-9.out";
+        ASSERT_EQ(mkfifo(pipe.c_str(), 0600), 0);
+        const int reader = open(pipe.c_str(), O_RDONLY | O_NONBLOCK); // never read
+        ASSERT_GE(reader, 0);
+        for (size_t i = 0; i < upstreamCount; ++i)
+            this->startAgent(i);
+        const std::string address = this->ip(19);
+        std::vector<std::string> arguments = this->flags("entry-9", address);
+        arguments.push_back("--hop=" + address + ':' + std::to_string(hopPort));
+        arguments.push_back("--store=" + toString(this->storeEndpoint));
+        arguments.push_back("--log-rate=100000");
+        arguments.push_back("--stop-delay=200");
+        this->group.start("entry-9", "wasabi-packet-entry", arguments);
+        ASSERT_TRUE(this->isReady(9));
+        for (uint16_t port = 0; port < 800; ++port) {
+            this->onPlatform([&] {
+                this->client.useEntry(addressOf(this->ip(19), packetsPort));
+                this->client.open(static_cast<uint16_t>(10000 + port), route);
+                return 0;
+            });
+        }
+        EXPECT_TRUE(this->openThrough(9, 4001));
+        EXPECT_TRUE(this->answers(600));
+        this->group["entry-9"].signal(SIGTERM);
+        EXPECT_EQ(this->group["entry-9"].waitExit(patience), 0) << "the log must not hold up the end";
+        close(reader);
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- a/wasabicroft/Log.cpp
+++ b/wasabicroft/Log.cpp
@@ -17,6 +17,8 @@
 #include <fstream>
 #include <iostream>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace wasabicroft {
 
@@ -70,6 +72,62 @@
         static void interrupt() { }
     };
 
+    // Writes to a file descriptor and drops what a reader that stalls does not take, so that the writer thread can
+    // always be stopped.
+    class DroppingBuffer final : public std::streambuf {
+    public:
+        explicit DroppingBuffer(int fileDescriptor)
+            : descriptor(fileDescriptor)
+        {
+        }
+
+    protected:
+        int_type overflow(int_type character) override
+        {
+            if (character != traits_type::eof())
+                this->pending += static_cast<char>(character);
+            return character;
+        }
+
+        std::streamsize xsputn(const char* text, std::streamsize length) override
+        {
+            this->pending.append(text, static_cast<size_t>(length));
+            return length;
+        }
+
+        int sync() override
+        {
+            std::string_view rest = this->pending;
+            while (!rest.empty()) {
+                const std::string_view chunk = rest.substr(0, pipeChunkBytes);
+                pollfd waiting { this->descriptor, POLLOUT, 0 };
+                if (poll(&waiting, 1, stalledReaderMs) <= 0)
+                    break;
+                const ssize_t written = write(this->descriptor, chunk.data(), chunk.size());
+                if (written <= 0)
+                    break;
+                rest.remove_prefix(static_cast<size_t>(written));
+            }
+            droppedLines += static_cast<uint64_t>(std::count(rest.begin(), rest.end(), '\n'));
+            this->pending.clear();
+            return 0;
+        }
+
+    private:
+        static constexpr size_t pipeChunkBytes = 4096; // PIPE_BUF: a pipe that is ready takes this much
+        static constexpr int stalledReaderMs = 50;
+
+        int descriptor;
+        std::string pending;
+    };
+
+    std::ostream& standardOutput()
+    {
+        static DroppingBuffer buffer(STDOUT_FILENO);
+        static std::ostream stream(&buffer);
+        return stream;
+    }
+
     using Sink = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
         logging::sinks::bounded_fifo_queue<logQueueLines, CountDropped>>;
 
@@ -206,8 +264,8 @@
     const boost::shared_ptr<logging::sinks::text_ostream_backend> backend
         = boost::make_shared<logging::sinks::text_ostream_backend>();
     if (options.file.empty())
-        backend->add_stream(
-            boost::shared_ptr<std::ostream>(options.toStandardOutput ? &std::cout : &std::clog, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(
+            options.toStandardOutput ? &standardOutput() : &std::clog, boost::null_deleter()));
     else
         backend->add_stream(boost::make_shared<std::ofstream>(options.file, std::ios::app));
     backend->auto_flush(true);
