Read the store less: few sentinels with short watches, watches spaced by 250 ms

Only the two entries with the lowest addresses that reach the store watch with 4 s, the others with 20 s; an entry that another one leaves behind for 1 s reads in full.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+    // How long the store may hold a watch, which bounds how long a silent connection hides a change.
+    constexpr Milliseconds sentinelWait { 4000 };
+    constexpr Milliseconds watchWait { 20000 };
+    constexpr Milliseconds behindLimit { 1000 }; // above the spacing of watches
+
     EntryRouterOptions routerOptions(const PacketSettings& settings)
     {
         EntryRouterOptions options;
@@ -191,13 +196,13 @@
     } else if (result.value().result() != http::status::ok) {
         failure = "HTTP status " + std::to_string(result.value().result_int());
     } else {
-        Result<platform::StoreAnswer> answer = platform::decodeAnswer(read, result.value().body());
+        const Result<platform::StoreAnswer> answer = platform::decodeAnswer(read, result.value().body());
         if (answer) {
             this->logProblems(answer.value());
             if (read.isWatch)
-                this->onChanges(read, std::move(answer.value()));
+                this->onChanges(read, answer.value());
             else
-                this->onList(read, std::move(answer.value()));
+                this->onList(read, answer.value());
             this->noteReachability();
             return;
         }
@@ -209,7 +214,7 @@
         logEvent(Event::StoreUnreachable, { { "topic", nameOf(read.topic) }, { "reason", failure } });
 }
 
-void PacketEntry::onList(const StoreRead& read, platform::StoreAnswer answer)
+void PacketEntry::onList(const StoreRead& read, const platform::StoreAnswer& answer)
 {
     if (!this->sync.onPage(read, answer.revision, answer.hasMore, answer.lastKey))
         return;
@@ -229,7 +234,7 @@
     this->useStoreState();
 }
 
-void PacketEntry::onChanges(const StoreRead& read, platform::StoreAnswer answer)
+void PacketEntry::onChanges(const StoreRead& read, const platform::StoreAnswer& answer)
 {
     if (!this->sync.onEvents(read, answer.revision))
         return;
@@ -320,18 +325,34 @@
         return;
     }
     this->fleet.onMessage(source.address, message.value());
+}
+
+// Reads in full what other entries know longer than a watch takes: its connection may be silent.
+void PacketEntry::followOtherEntries()
+{
+    this->sync.setWatchWait(this->fleet.isSentinel() ? sentinelWait : watchWait);
     if (!this->hasStoreState())
         return;
-    // Versions of the routes and revisions of the store are different counters; a newer version calls for a full read.
-    if (this->fleet.newestRoutes() > this->routes->version)
-        this->sync.hint(StoreTopic::Routes, UINT64_MAX);
-    this->sync.hint(StoreTopic::Upstreams, this->fleet.newestDirectory());
+    const std::array<bool, storeTopicCount> isBehind = { this->fleet.newestRoutes() > this->routes->version,
+        this->fleet.newestDirectory() > this->directory.revision() };
+    for (size_t i = 0; i < storeTopicCount; ++i) {
+        std::optional<TimePoint>& since = this->behindSince.at(i);
+        if (!isBehind.at(i)) {
+            since.reset();
+        } else if (!since) {
+            since = this->clock.now();
+        } else if (this->clock.now() - *since > behindLimit) {
+            since.reset();
+            this->sync.hint(static_cast<StoreTopic>(i), UINT64_MAX);
+            this->readStore();
+        }
+    }
 }
 
 void PacketEntry::sendPresence()
 {
-    const auto [message, targets] = this->fleet.takeMessage(
-        this->routes ? this->routes->version : 0, this->directory.lastChange(), this->hasStoreState());
+    const auto [message, targets] = this->fleet.takeMessage(this->routes ? this->routes->version : 0,
+        this->directory.lastChange(), this->hasStoreState(), this->wasReachable);
     if (targets.empty())
         return;
     const std::vector<uint8_t> bytes = encodePresence(message);
@@ -364,6 +385,7 @@
         this->useStoreState();
     if (!this->hasStoreState() && this->fleet.takeChange())
         this->useProvisional();
+    this->followOtherEntries();
     this->sendPresence();
     this->router.onTick();
     this->agents.flush();
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -28,8 +28,8 @@
     void readStore();
     void startRead(const StoreRead&);
     void onAnswer(const StoreRead&, HttpResult);
-    void onList(const StoreRead&, platform::StoreAnswer);
-    void onChanges(const StoreRead&, platform::StoreAnswer);
+    void onList(const StoreRead&, const platform::StoreAnswer&);
+    void onChanges(const StoreRead&, const platform::StoreAnswer&);
     void useStoreState();
     void useRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
     void logProblems(const platform::StoreAnswer&);
@@ -39,6 +39,7 @@
     void onPresence(PacketAddress source, Bytes);
     void setSeeds();
     void sendPresence();
+    void followOtherEntries();
     void useProvisional();
     bool hasStoreState() const { return this->routes && this->directory.isKnown(); }
 
@@ -59,6 +60,7 @@
     std::vector<uint8_t> hopBuffer;
     std::vector<PacketAddress> invalidSources; // logged since the last status
     bool wasReachable = false;
+    std::array<std::optional<TimePoint>, storeTopicCount> behindSince; // an entry shows a newer state than this one
     uint64_t invalidPackets = 0;
     uint64_t invalidHops = 0;
     uint64_t storeReads = 0;
--- a/schemas/Presence_generated.h
+++ b/schemas/Presence_generated.h
@@ -169,14 +169,18 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM_ENTRY = 4,
-    VT_ROUTES_VERSION = 6,
-    VT_DIRECTORY_REVISION = 8,
-    VT_ENTRIES = 10,
-    VT_AGENTS = 12
+    VT_REACHES_STORE = 6,
+    VT_ROUTES_VERSION = 8,
+    VT_DIRECTORY_REVISION = 10,
+    VT_ENTRIES = 12,
+    VT_AGENTS = 14
   };
   bool from_entry() const {
     return GetField<uint8_t>(VT_FROM_ENTRY, 0) != 0;
   }
+  bool reaches_store() const {
+    return GetField<uint8_t>(VT_REACHES_STORE, 0) != 0;
+  }
   uint64_t routes_version() const {
     return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
   }
@@ -192,6 +196,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FROM_ENTRY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REACHES_STORE, 1) &&
            VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_DIRECTORY_REVISION, 8) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
@@ -210,6 +215,9 @@
   void add_from_entry(bool from_entry) {
     fbb_.AddElement<uint8_t>(Presence::VT_FROM_ENTRY, static_cast<uint8_t>(from_entry), 0);
   }
+  void add_reaches_store(bool reaches_store) {
+    fbb_.AddElement<uint8_t>(Presence::VT_REACHES_STORE, static_cast<uint8_t>(reaches_store), 0);
+  }
   void add_routes_version(uint64_t routes_version) {
     fbb_.AddElement<uint64_t>(Presence::VT_ROUTES_VERSION, routes_version, 0);
   }
@@ -236,6 +244,7 @@
 inline flatbuffers::Offset<Presence> CreatePresence(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool from_entry = false,
+    bool reaches_store = false,
     uint64_t routes_version = 0,
     uint64_t directory_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
@@ -245,6 +254,7 @@
   builder_.add_routes_version(routes_version);
   builder_.add_agents(agents);
   builder_.add_entries(entries);
+  builder_.add_reaches_store(reaches_store);
   builder_.add_from_entry(from_entry);
   return builder_.Finish();
 }
@@ -257,6 +267,7 @@
 inline flatbuffers::Offset<Presence> CreatePresenceDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool from_entry = false,
+    bool reaches_store = false,
     uint64_t routes_version = 0,
     uint64_t directory_revision = 0,
     const std::vector<uint32_t> *entries = nullptr,
@@ -266,6 +277,7 @@
   return wasabicroft::wire::CreatePresence(
       _fbb,
       from_entry,
+      reaches_store,
       routes_version,
       directory_revision,
       entries__,
--- a/tests/AgentGateTest.cpp
+++ b/tests/AgentGateTest.cpp
@@ -230,6 +230,26 @@
         EXPECT_TRUE(announcer.presence().routes.empty());
     }
 
+    // Guards against calls to the store that grow with the fleet, and against a fleet in which nobody checks its
+    // watches.
+    TEST(Presence, AFewEntriesThatReachTheStoreAreSentinels)
+    {
+        ManualClock clock;
+        size_t sentinels = 0;
+        for (uint32_t self = 1; self <= 20; ++self) {
+            FleetView view({ .self = self }, clock);
+            PresenceMessage message;
+            message.fromEntry = true;
+            for (uint32_t other = 1; other <= 20; ++other) {
+                message.reachesStore = other != 1;
+                if (other != self)
+                    view.onMessage(other, message);
+            }
+            sentinels += view.isSentinel() ? 1 : 0;
+        }
+        EXPECT_EQ(sentinels, 3U) << "two that reach the store, and the one that does not know that it is cut off";
+    }
+
     // Guards against entries that stay alone: what one entry heard reaches the others, within a bounded fan-out.
     TEST(Presence, EntriesPassAgentsOnWhileTheStoreIsAway)
     {
@@ -240,16 +260,16 @@
         PresenceMessage fromAgent;
         fromAgent.agents.push_back({ { 30, 4 }, { 5 }, "zone-a", { 30, 9 }, { routeAddress } });
         seed.onMessage(30, fromAgent);
-        const auto [hello, seeds] = other.takeMessage(0, 0, false);
+        const auto [hello, seeds] = other.takeMessage(0, 0, false, false);
         ASSERT_EQ(seeds, std::vector<uint32_t> { 1 });
         seed.onMessage(2, hello);
-        const auto [reply, targets] = seed.takeMessage(0, 0, false);
+        const auto [reply, targets] = seed.takeMessage(0, 0, false, false);
         ASSERT_EQ(targets, std::vector<uint32_t> { 2 });
         other.onMessage(1, reply);
         EXPECT_EQ(other.provisionalUpstreams().size(), 1U);
         EXPECT_NE(other.provisionalRoutes()->find(routeAddress), nullptr);
         clock.advance(Milliseconds(6000));
-        other.takeMessage(0, 0, false);
+        other.takeMessage(0, 0, false, false);
         EXPECT_EQ(other.agentCount(), 0U) << "agents that fell silent are forgotten";
     }
 
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -269,7 +269,8 @@
     void send(const std::function<void()>& arrive)
     {
         const auto delay = [this] {
-            return std::chrono::microseconds(100 + this->random() % (1000U * this->options.maxDelay.count()));
+            return std::chrono::microseconds(
+                100 + this->random() % (1000 * static_cast<uint64_t>(this->options.maxDelay.count())));
         };
         if (!this->chance(this->options.loss))
             this->after(delay(), arrive);
@@ -403,7 +404,7 @@
 
     void fromHost(Upstream& host, const std::vector<uint8_t>& bytes)
     {
-        this->after(std::chrono::microseconds(100), [this, &host, bytes] {
+        this->after(std::chrono::microseconds(100), [&host, bytes] {
             if (!host.agentIsUp)
                 return;
             std::vector<uint8_t> restored = bytes;
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -102,6 +102,7 @@
         };
         std::vector<Change> changes;
         const size_t count = *rc::gen::inRange<size_t>(1, 30);
+        changes.reserve(count);
         for (uint64_t revision = 1; revision <= count; ++revision)
             changes.push_back({ std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))), revision,
                 *rc::gen::inRange(0, 3) });
@@ -125,6 +126,7 @@
             apply(repeated, change);
         const auto names = [](const std::vector<UpstreamRecord>& records) {
             std::vector<std::string> result;
+            result.reserve(records.size());
             for (const UpstreamRecord& record : records)
                 result.push_back(record.name + (record.draining ? "-" : "+"));
             return result;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -82,7 +82,8 @@
     this->agentByUpstream.clear();
     this->slotsByAgent.clear();
     const auto targetOf = [&](const UpstreamRecord& record) {
-        return Target { record.id(), { record.address.address, this->options.agentPort }, directory.isListed(record) };
+        return HolderCandidate { record.id(), { record.address.address, this->options.agentPort },
+            directory.isListed(record) };
     };
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
@@ -93,14 +94,14 @@
         }
         this->placement.setPool(service, std::move(pool));
         for (const UpstreamRecord& record : directory.holders(service)) {
-            const Target target = targetOf(record);
+            const HolderCandidate target = targetOf(record);
             this->holders[service].push_back(target);
             this->agentByUpstream[target.upstream] = target.agent;
             this->upstreamByAgent.emplace(target.agent, target.upstream);
         }
     }
     for (const auto& [service, targets] : this->usable) {
-        for (const Target& target : targets)
+        for (const HolderCandidate& target : targets)
             this->upstreamByAgent[target.agent] = target.upstream;
     }
     this->releaseHeld();
@@ -361,7 +362,7 @@
         this->waitForHolder(key, flow, bytes);
         return;
     }
-    const std::vector<Target> targets = this->possibleHolders(key, flow, except);
+    const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, except);
     if (targets.empty() || !this->takeFindTokens(targets.size())) {
         ++(targets.empty() ? this->counts.dropped : this->counts.findsLimited);
         return;
@@ -379,13 +380,13 @@
 }
 
 // Upstreams that may hold the flow, its homes first.
-std::vector<EntryRouter::Target> EntryRouter::possibleHolders(
+std::vector<HolderCandidate> EntryRouter::possibleHolders(
     const FlowKey& key, Flow& flow, std::optional<PacketAddress> except) const
 {
-    std::vector<Target> targets;
-    const auto add = [&](const Target& target) {
+    std::vector<HolderCandidate> targets;
+    const auto add = [&](const HolderCandidate& target) {
         const bool isKnown = std::any_of(
-            targets.begin(), targets.end(), [&](const Target& other) { return other.agent == target.agent; });
+            targets.begin(), targets.end(), [&](const HolderCandidate& other) { return other.agent == target.agent; });
         if (target.agent != except && !isKnown)
             targets.push_back(target);
     };
@@ -402,23 +403,24 @@
         if (!isRouted && (route || !this->isProvisional))
             continue;
         flow.service = service;
-        for (const Target& target : known)
+        for (const HolderCandidate& target : known)
             add(target);
     }
     const uint64_t hash = FlowKeyHash()(key);
-    std::sort(targets.begin(), targets.end(), [hash](const Target& a, const Target& b) {
+    std::sort(targets.begin(), targets.end(), [hash](const HolderCandidate& a, const HolderCandidate& b) {
         return rendezvousRank(hash, a.upstream) > rendezvousRank(hash, b.upstream);
     });
     return targets;
 }
 
-void EntryRouter::askHolders(const FlowKey& key, const Flow& flow, Search& search, std::span<const Target> targets)
+void EntryRouter::askHolders(
+    const FlowKey& key, const Flow& flow, HolderSearch& search, std::span<const HolderCandidate> targets)
 {
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(targets.size()) },
             { "later", static_cast<uint64_t>(search.later.size()) }, { "directory", this->directoryRevision } });
     this->counts.findCopies += targets.size();
-    for (const Target& target : targets) {
+    for (const HolderCandidate& target : targets) {
         if (target.listed)
             search.unanswered.push_back(target.agent);
         this->sendPacket(target.agent, HopKind::Find, key, flow.service, search.packet);
@@ -427,7 +429,7 @@
 
 void EntryRouter::askLater(const FlowKey& key, Flow& flow)
 {
-    const std::vector<Target> targets = std::exchange(flow.search->later, {});
+    const std::vector<HolderCandidate> targets = std::exchange(flow.search->later, {});
     this->askHolders(key, flow, *flow.search, targets);
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -70,6 +70,22 @@
     std::function<void(const FlowKey&, uint32_t sequence)> sendReset; // to the client
 };
 
+// An upstream that may hold a flow.
+struct HolderCandidate {
+    UpstreamId upstream;
+    PacketAddress agent;
+    bool listed = true; // else its entry was removed; it may still hold flows
+};
+
+// A search for the holder of a flow.
+struct HolderSearch {
+    std::vector<uint8_t> packet;
+    std::vector<HolderCandidate> later; // asked once the homes have denied or not answered
+    std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
+    TimePoint started;
+    bool asksAll = false; // every upstream that may hold the flow was known when it began
+};
+
 class EntryRouter {
 public:
     EntryRouter(EntryRouterOptions, EntryRouterHooks, const Clock&);
@@ -102,21 +118,6 @@
         uint32_t upstreamSequence = 0; // once accepted
     };
 
-    struct Target {
-        UpstreamId upstream;
-        PacketAddress agent;
-        bool listed = true; // else its entry was removed; it may still hold flows
-    };
-
-    // A search for the holder of a flow.
-    struct Search {
-        std::vector<uint8_t> packet;
-        std::vector<Target> later; // asked once the homes have denied or not answered
-        std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
-        TimePoint started;
-        bool asksAll = false; // every upstream that may hold the flow was known when it began
-    };
-
     struct Flow {
         ServiceId service;
         std::vector<Offer> offers;
@@ -125,7 +126,7 @@
         std::vector<std::vector<uint8_t>> waiting; // packets that wait for the holder
         TimePoint firstFind; // of the current window
         unsigned finds = 0; // in the current window
-        std::optional<Search> search; // in progress
+        std::optional<HolderSearch> search; // in progress
         uint32_t lastAcknowledgement = 0; // of the client
     };
 
@@ -158,8 +159,8 @@
     void setHolder(const FlowKey&, Flow&, PacketAddress agent);
     void forward(const FlowKey&, const Flow&, Bytes);
     void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
-    std::vector<Target> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
-    void askHolders(const FlowKey&, const Flow&, Search&, std::span<const Target>);
+    std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
+    void askHolders(const FlowKey&, const Flow&, HolderSearch&, std::span<const HolderCandidate>);
     void askLater(const FlowKey&, Flow&);
     void waitForHolder(const FlowKey&, Flow&, Bytes);
     void expireSearches();
@@ -183,8 +184,8 @@
     bool hasUpstreams = false;
     bool directoryIsComplete = false; // no entry is missing because of an outage of the store
     uint64_t directoryRevision = 0;
-    std::map<ServiceId, std::vector<Target>> usable;
-    std::map<ServiceId, std::vector<Target>> holders;
+    std::map<ServiceId, std::vector<HolderCandidate>> usable;
+    std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     std::map<PacketAddress, uint16_t> slotsByAgent;
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -50,7 +50,7 @@
     }
     wire::FinishPresenceBuffer(builder,
         wire::CreatePresenceDirect(
-            builder, message.fromEntry, message.routesVersion, message.directoryRevision, &message.entries, &agents));
+            builder, message.fromEntry, message.reachesStore, message.routesVersion, message.directoryRevision, &message.entries, &agents));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -68,6 +68,7 @@
     const wire::Presence& wireMessage = *wire::GetPresence(bytes.data());
     PresenceMessage message;
     message.fromEntry = wireMessage.from_entry();
+    message.reachesStore = wireMessage.reaches_store();
     message.routesVersion = wireMessage.routes_version();
     message.directoryRevision = wireMessage.directory_revision();
     if (wireMessage.entries())
@@ -143,14 +144,14 @@
 {
     const TimePoint now = this->clock.now();
     if (message.fromEntry) {
-        this->entries[sender] = now;
+        this->entries[sender] = { now, message.reachesStore };
         this->routesVersion = std::max(this->routesVersion, message.routesVersion);
         this->directoryRevision = std::max(this->directoryRevision, message.directoryRevision);
     }
     for (const uint32_t entry : message.entries) {
         // Hearsay names an entry to talk to, but does not keep it alive.
         if (entry != this->options.self)
-            this->entries.emplace(entry, now);
+            this->entries.emplace(entry, HeardEntry { now, false });
     }
     for (const AgentPresence& presence : message.agents) {
         HeardAgent& known = this->agents[presence.agent];
@@ -168,19 +169,19 @@
 void FleetView::forgetSilent()
 {
     const TimePoint oldest = this->clock.now() - this->options.lifetime;
-    std::erase_if(this->entries, [&](const auto& item) { return item.second < oldest; });
+    std::erase_if(this->entries, [&](const auto& item) { return item.second.heard < oldest; });
     const size_t forgotten = std::erase_if(this->agents, [&](const auto& item) { return item.second.heard < oldest; });
     this->changed = this->changed || forgotten > 0;
 }
 
 std::pair<PresenceMessage, std::vector<uint32_t>> FleetView::takeMessage(
-    uint64_t ownRoutes, uint64_t ownDirectory, bool hasStore)
+    uint64_t ownRoutes, uint64_t ownDirectory, bool hasState, bool reachesStore)
 {
     std::pair<PresenceMessage, std::vector<uint32_t>> result;
     const TimePoint now = this->clock.now();
     if (now < this->due)
         return result;
-    this->due = now + (hasStore ? this->options.interval : this->options.startInterval);
+    this->due = now + (hasState ? this->options.interval : this->options.startInterval);
     this->forgetSilent();
     std::vector<uint32_t> others = this->seeds;
     for (const auto& [entry, heard] : this->entries) {
@@ -192,14 +193,15 @@
     this->nextTarget += this->options.fanOut;
     PresenceMessage& message = result.first;
     message.fromEntry = true;
+    message.reachesStore = reachesStore;
     message.routesVersion = ownRoutes;
     message.directoryRevision = ownDirectory;
     for (const auto& [entry, heard] : this->entries) {
         if (message.entries.size() < this->options.maxEntries)
             message.entries.push_back(entry);
     }
-    // Entries with a store know the agents from it.
-    if (hasStore)
+    // Entries that have the store's state know the agents from it.
+    if (hasState)
         return result;
     std::vector<const AgentPresence*> known;
     for (const auto& [address, agent] : this->agents)
@@ -210,19 +212,27 @@
     return result;
 }
 
+bool FleetView::isSentinel() const
+{
+    const auto lower = std::count_if(this->entries.begin(), this->entries.end(),
+        [&](const auto& item) { return item.second.reachesStore && item.first < this->options.self; });
+    return static_cast<size_t>(lower) < this->options.sentinels;
+}
+
 bool FleetView::takeChange() { return std::exchange(this->changed, false); }
 
 std::shared_ptr<const RoutingTable> FleetView::provisionalRoutes() const
 {
     const std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
     for (const auto& [address, agent] : this->agents) {
+        const ServiceId service = agent.presence.service;
         for (const PacketAddress routeAddress : agent.presence.routes) {
             Route& route = table->routes[routeAddress];
             route.address = routeAddress;
             const bool isKnown = std::any_of(route.shares.begin(), route.shares.end(),
-                [&](const RouteShare& share) { return share.service == agent.presence.service; });
+                [&](const RouteShare& share) { return share.service == service; });
             if (!isKnown)
-                route.shares.push_back({ agent.presence.service, 1 });
+                route.shares.push_back({ service, 1 });
         }
     }
     return table;
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -31,6 +31,7 @@
 
 struct PresenceMessage {
     bool fromEntry = false;
+    bool reachesStore = false; // of entries: the last reads were answered
     uint64_t routesVersion = 0; // newest that the sender knows; of entries
     uint64_t directoryRevision = 0;
     std::vector<uint32_t> entries; // IP addresses of entries that the sender heard lately
@@ -83,6 +84,7 @@
     size_t fanOut = 6; // entries told in one interval, in turn
     size_t maxAgents = 16; // agents in one message, in turn; keeps it in one datagram
     size_t maxEntries = 32; // entries in one message
+    size_t sentinels = 2; // of the entries that reach the store, those with the lowest addresses
 };
 
 // What an entry heard of others.
@@ -93,9 +95,14 @@
     void setSeeds(std::vector<uint32_t>); // may be stale
     void onMessage(uint32_t sender, const PresenceMessage&);
 
-    // The message that is due and the entries that are to get it; empty targets if none is due.
+    // The message that is due and the entries that are to get it; empty targets if none is due. hasState: this entry
+    // has routes and upstreams of the store.
     std::pair<PresenceMessage, std::vector<uint32_t>> takeMessage(
-        uint64_t routesVersion, uint64_t directoryRevision, bool hasStore);
+        uint64_t routesVersion, uint64_t directoryRevision, bool hasState, bool reachesStore);
+
+    // Whether this entry is one of the few that check often that their watches still live; the others learn of a
+    // change that a silent connection hides from them.
+    bool isSentinel() const;
 
     uint64_t newestRoutes() const { return this->routesVersion; } // that any entry showed
     uint64_t newestDirectory() const { return this->directoryRevision; }
@@ -119,7 +126,12 @@
     const Clock& clock;
     std::vector<uint32_t> seeds;
     std::map<PacketAddress, HeardAgent> agents;
-    std::map<uint32_t, TimePoint> entries;
+    struct HeardEntry {
+        TimePoint heard;
+        bool reachesStore = false;
+    };
+
+    std::map<uint32_t, HeardEntry> entries;
     uint64_t routesVersion = 0;
     uint64_t directoryRevision = 0;
     size_t nextTarget = 0;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -14,6 +14,8 @@
         topic.due = timeSource.now();
 }
 
+void StoreSync::setWatchWait(Milliseconds wait) { this->options.watchWait = wait; }
+
 std::optional<StoreRead> StoreSync::nextRead(StoreTopic which)
 {
     Topic& topic = this->at(which);
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -33,7 +33,7 @@
 
 struct StoreSyncOptions {
     Milliseconds watchWait { 4000 }; // bounds how long a connection that went silent hides a change
-    Milliseconds watchSpacing { 20 }; // between two watches; collects changes that come together
+    Milliseconds watchSpacing { 250 }; // between two watches; collects changes that come together
     Milliseconds readTimeout { 1000 }; // above the answer time of a slow store
     Milliseconds minBackOff { 50 };
     Milliseconds maxBackOff { 400 };
@@ -46,6 +46,8 @@
 public:
     StoreSync(StoreSyncOptions, const Clock&);
 
+    void setWatchWait(Milliseconds); // of watches from now on
+
     // The next read of a topic that is due, if any.
     std::optional<StoreRead> nextRead(StoreTopic);
     TimePoint nextReadTime(StoreTopic) const; // far in the future while a read is in flight
