--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -254,8 +254,8 @@
             continue;
         changed = true;
         logEvent(Event::UpstreamListed,
-            { { "upstream", record.name }, { "id", record.id() }, { "service", record.service },
-                { "address", toString(record.address) }, { "draining", record.draining },
+            { { "upstream", record.name }, { "id", record.id() }, { "born", record.born },
+                { "service", record.service }, { "address", toString(record.address) }, { "draining", record.draining },
                 { "revision", record.revision } });
     }
     for (const auto& [name, revision] : answer.withdrawn) {
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -49,8 +49,8 @@
             builder, &self, agent.service.value, agent.failureDomain.c_str(), &upstream, &routes));
     }
     wire::FinishPresenceBuffer(builder,
-        wire::CreatePresenceDirect(
-            builder, message.fromEntry, message.reachesStore, message.routesVersion, message.directoryRevision, &message.entries, &agents));
+        wire::CreatePresenceDirect(builder, message.fromEntry, message.reachesStore, message.routesVersion,
+            message.directoryRevision, &message.entries, &agents));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
