Tell other entries of a change at once; short watches replace long ones

Entries now tell a change at once, act on it after 0.35 s, watch with 2 s as sentinels, and an entry that becomes a sentinel gives up a longer watch. Both new tests failed before.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -12,9 +12,9 @@
 namespace {
 
     // How long the store may hold a watch, which bounds how long a silent connection hides a change.
-    constexpr Milliseconds sentinelWait { 4000 };
+    constexpr Milliseconds sentinelWait { 2000 };
     constexpr Milliseconds watchWait { 20000 };
-    constexpr Milliseconds behindLimit { 1000 }; // above the spacing of watches
+    constexpr Milliseconds behindLimit { 350 }; // above the spacing of watches
 
     EntryRouterOptions routerOptions(const PacketSettings& settings)
     {
@@ -330,7 +330,8 @@
 // Reads in full what other entries know longer than a watch takes: its connection may be silent.
 void PacketEntry::followOtherEntries()
 {
-    this->sync.setWatchWait(this->fleet.isSentinel() ? sentinelWait : watchWait);
+    if (this->sync.setWatchWait(this->fleet.isSentinel() ? sentinelWait : watchWait))
+        this->readStore();
     if (!this->hasStoreState())
         return;
     const std::array<bool, storeTopicCount> isBehind = { this->fleet.newestRoutes() > this->routes->version,
--- a/tests/AgentGateTest.cpp
+++ b/tests/AgentGateTest.cpp
@@ -250,6 +250,20 @@
         EXPECT_EQ(sentinels, 3U) << "two that reach the store, and the one that does not know that it is cut off";
     }
 
+    // Guards against a change that stays hidden from entries whose watches are silent (CONFIG on strazca-lb scale-1,
+    // seed 837290583826: the store dropped its history, and two entries took 5 s and more to tell the others).
+    TEST(Presence, AChangeIsToldAtOnce)
+    {
+        ManualClock clock;
+        FleetView view({ .self = 1 }, clock);
+        view.setSeeds({ 2 });
+        EXPECT_FALSE(view.takeMessage(1, 10, true, true).second.empty());
+        clock.advance(Milliseconds(20));
+        EXPECT_TRUE(view.takeMessage(1, 10, true, true).second.empty());
+        EXPECT_FALSE(view.takeMessage(2, 10, true, true).second.empty());
+        EXPECT_FALSE(view.takeMessage(2, 11, true, true).second.empty());
+    }
+
     // Guards against entries that stay alone: what one entry heard reaches the others, within a bounded fan-out.
     TEST(Presence, EntriesPassAgentsOnWhileTheStoreIsAway)
     {
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -186,6 +186,23 @@
         EXPECT_FALSE(sync.nextRead(StoreTopic::Routes)->isWatch);
     }
 
+    // Guards against a fleet without short watches: an entry takes over while it holds a long one.
+    TEST(StoreSync, AShorterWaitReplacesAWatchInFlight)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.setWatchWait(Milliseconds(20000));
+        sync.onPage(*sync.nextRead(StoreTopic::Routes), 40, false, "");
+        EXPECT_EQ(sync.nextRead(StoreTopic::Routes)->wait, Milliseconds(20000));
+        sync.setWatchWait(Milliseconds(2000));
+        const std::optional<StoreRead> watch = sync.nextRead(StoreTopic::Routes);
+        ASSERT_TRUE(watch);
+        EXPECT_EQ(watch->wait, Milliseconds(2000));
+        EXPECT_EQ(watch->afterRevision, 40U);
+        sync.setWatchWait(Milliseconds(20000));
+        EXPECT_FALSE(sync.nextRead(StoreTopic::Routes)) << "a longer wait can begin with the next watch";
+    }
+
     // Guards against a watch on a connection that went silent: a peer's hint replaces it.
     TEST(StoreSync, AHintReplacesAWatchInFlight)
     {
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -179,8 +179,11 @@
 {
     std::pair<PresenceMessage, std::vector<uint32_t>> result;
     const TimePoint now = this->clock.now();
-    if (now < this->due)
+    const bool hasNews = ownRoutes > this->toldRoutes || ownDirectory > this->toldDirectory;
+    if (now < this->due && !hasNews)
         return result;
+    this->toldRoutes = ownRoutes;
+    this->toldDirectory = ownDirectory;
     this->due = now + (hasState ? this->options.interval : this->options.startInterval);
     this->forgetSilent();
     std::vector<uint32_t> others = this->seeds;
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -95,8 +95,8 @@
     void setSeeds(std::vector<uint32_t>); // may be stale
     void onMessage(uint32_t sender, const PresenceMessage&);
 
-    // The message that is due and the entries that are to get it; empty targets if none is due. hasState: this entry
-    // has routes and upstreams of the store.
+    // The message that is due, at the latest when something changed, and the entries that are to get it; empty targets
+    // if none is due. hasState: this entry has routes and upstreams of the store.
     std::pair<PresenceMessage, std::vector<uint32_t>> takeMessage(
         uint64_t routesVersion, uint64_t directoryRevision, bool hasState, bool reachesStore);
 
@@ -134,6 +134,8 @@
     std::map<uint32_t, HeardEntry> entries;
     uint64_t routesVersion = 0;
     uint64_t directoryRevision = 0;
+    uint64_t toldRoutes = 0;
+    uint64_t toldDirectory = 0;
     size_t nextTarget = 0;
     size_t nextAgent = 0;
     TimePoint due;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -14,7 +14,19 @@
         topic.due = timeSource.now();
 }
 
-void StoreSync::setWatchWait(Milliseconds wait) { this->options.watchWait = wait; }
+bool StoreSync::setWatchWait(Milliseconds wait)
+{
+    bool replaced = false;
+    this->options.watchWait = wait;
+    for (Topic& topic : this->topics) {
+        if (!topic.inFlight || !topic.inFlight->isWatch || topic.inFlight->wait <= wait)
+            continue;
+        topic.inFlight.reset();
+        topic.due = this->clock.now();
+        replaced = true;
+    }
+    return replaced;
+}
 
 std::optional<StoreRead> StoreSync::nextRead(StoreTopic which)
 {
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -46,7 +46,8 @@
 public:
     StoreSync(StoreSyncOptions, const Clock&);
 
-    void setWatchWait(Milliseconds); // of watches from now on
+    // Wait of watches from now on. Returns whether a watch in flight waits longer and is replaced.
+    bool setWatchWait(Milliseconds);
 
     // The next read of a topic that is due, if any.
     std::optional<StoreRead> nextRead(StoreTopic);
