Give the hosts of the packet stand-in sequence numbers of their own

The platform's hosts differ there. Ruled out: the entry's choice, which went by the acknowledgement.

--- a/fakes/PacketPlatform.cpp
+++ b/fakes/PacketPlatform.cpp
@@ -14,6 +14,7 @@
 
     constexpr uint16_t maxPayload = 1200;
     constexpr size_t window = 16; // packets in flight of one end
+    constexpr uint32_t hostSequenceSpacing = 10000000; // a client's acknowledgement must fit one host only
 
     void put(std::vector<uint8_t>& bytes, size_t at, uint64_t value, size_t size)
     {
@@ -107,6 +108,7 @@
 PacketHost::PacketHost(boost::asio::io_context& context, PacketAddress listen, PacketAddress outbound)
     : socket(context)
     , agent(outbound)
+    , nextSequence((listen.address & 0xffU) * hostSequenceSpacing)
 {
     if (!this->socket.open(listen))
         throw std::runtime_error("can't bind " + toString(listen));
--- a/fakes/PacketPlatform.h
+++ b/fakes/PacketPlatform.h
@@ -71,8 +71,8 @@
 
     DatagramSocket socket;
     PacketAddress agent;
+    uint32_t nextSequence = 0; // differs between hosts
     std::map<FlowKey, Flow> flows;
-    uint32_t nextSequence = 1000;
     size_t requestCount = 0;
 };
 
