Confirm the version in StatusReportsAVersionThatNobodyConfirms as often as by default

The fleet's list named 30 processes of which the test starts 10, and the confirmation limit was 2 announcement intervals (default: 20). A process that no watcher reaches at its start was confirmed by chance, so unconfirmed() == 0 held only if the start took less than the limit.

Ruled out: processor time (40 runs eight at a time, 6 runs on one core beside six busy loops: all pass); port conflicts (endpoints are below the ephemeral range and one per process).

The assertions are unchanged.

Conclusion: inferred, not traced in the failed run itself, whose log is gone.

--- a/tests/PropagationProcessTest.cpp
+++ b/tests/PropagationProcessTest.cpp
@@ -44,15 +44,21 @@
                 this->daemons.push_back({ (isEntry ? "entry-" : "agent-") + std::to_string(i), isEntry,
                     "domain-" + std::to_string(i % domainCount), freeEndpoint(), freeEndpoint() });
             }
-            std::vector<Member> members;
-            for (const Daemon& daemon : this->daemons)
-                members.push_back({ daemon.name, daemon.isEntry ? MemberRole::Entry : MemberRole::Agent, daemon.domain,
-                    daemon.link, false });
+            const std::vector<Member> members = membersOf(this->daemons);
             this->listener = freeEndpoint();
             this->platform.setMembers(members);
             this->otherPlatform.setMembers(members);
         }
 
+        static std::vector<Member> membersOf(const std::vector<Daemon>& daemons)
+        {
+            std::vector<Member> members;
+            for (const Daemon& daemon : daemons)
+                members.push_back({ daemon.name, daemon.isEntry ? MemberRole::Entry : MemberRole::Agent, daemon.domain,
+                    daemon.link, false });
+            return members;
+        }
+
         // A configuration of one service with all agents; slots tell versions apart.
         PublishedConfig makeConfig(uint64_t version, uint16_t slots) const
         {
@@ -84,7 +90,7 @@
         {
             std::vector<std::string> arguments = { "--name", daemon.name, "--failure-domain", daemon.domain,
                 "--platform", toString(source), "--link-endpoint", toString(daemon.link), "--admin-endpoint",
-                toString(daemon.admin), "--announce-interval", "2000" };
+                toString(daemon.admin), "--announce-interval", this->announceInterval };
             arguments.insert(arguments.end(), more.begin(), more.end());
             if (!disabled.empty())
                 arguments.insert(arguments.end(), { "--disable", disabled });
@@ -135,6 +141,7 @@
         FakePlatform otherPlatform;
         std::vector<Daemon> daemons;
         Endpoint listener;
+        std::string announceInterval = "2000"; // ms
         ProcessGroup processes { PROGRAM_DIRECTORY };
     };
 
@@ -208,6 +215,8 @@
         const PublishedConfig first = this->makeConfig(1, 4);
         this->platform.publish(first);
         this->daemons.resize(10);
+        this->platform.setMembers(membersOf(this->daemons));
+        this->announceInterval = "200"; // the limit is 20 of these, as it is by default
         for (const Daemon& daemon : this->daemons)
             this->start(daemon, "", "", { "--confirmation-limit", "4000" });
         ASSERT_TRUE(this->allReach(versionOf(first), startLimit)) << this->countInForce(versionOf(first));
