Ask agents for flows in batches before packets are copied to all upstreams; confirm holders by order

An agent claimed a flow when 10 ms had passed since it gave the upstream the packet and any packet of the upstream was read since. Tests GateFixture.ALateReturn..., ASecondSearch... and AHeldFlowIsConfirmed... fail before.

Now agents are asked for the flow, many flows in one message, and only those that hold one answer; copies go out if none does. The timers of searches are kept in order of their time: one of 200 ms delayed those of 60 ms behind it.

Ruled out: two upstreams that accepted one SYN (one agent per flow in the log).

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -69,6 +69,10 @@
 void PacketAgent::onHopDatagram(PacketAddress entry, std::span<uint8_t> bytes)
 {
     const Result<HopMessage> message = decodeHop(bytes);
+    if (message && message.value().kind == HopKind::Ask) {
+        this->gate.onAsk(entry, message.value().flowKeys);
+        return;
+    }
     const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
     if (packet && !packet.value().bounced) {
         this->gate.onHop(entry, message.value(), packet.value());
@@ -140,6 +144,7 @@
     };
     set("wasabi_packets_total", "from=\"entries\"", counts.fromEntries);
     set("wasabi_packets_total", "from=\"upstream\"", counts.fromUpstream);
+    set("wasabi_asked_flows_total", "", counts.asked);
     set("wasabi_bounces_total", "", counts.bounces);
     set("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     set("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -74,6 +74,7 @@
     if (!hop)
         return hop.error();
     const auto flushBoth = [this] {
+        this->router.sendAsks();
         this->agents.flush();
         this->clients.flush();
     };
@@ -432,6 +433,7 @@
     set("wasabi_forwarded_total", "", counts.forwarded);
     set("wasabi_finds_total", "", counts.finds);
     set("wasabi_find_copies_total", "", counts.findCopies);
+    set("wasabi_asks_total", "", counts.asks);
     set("wasabi_finds_limited_total", "", counts.findsLimited);
     set("wasabi_not_held_total", "", counts.notHeld);
     set("wasabi_resets_total", "", counts.resets);
--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -18,6 +18,8 @@
 
 struct Hop;
 
+struct FlowEnds;
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Hop FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t incarnation_;
@@ -147,6 +149,46 @@
   using type = Hop;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) FlowEnds FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t client_address_;
+  uint32_t route_address_;
+  uint16_t client_port_;
+  uint16_t route_port_;
+
+ public:
+  struct Traits;
+  FlowEnds()
+      : client_address_(0),
+        route_address_(0),
+        client_port_(0),
+        route_port_(0) {
+  }
+  FlowEnds(uint32_t _client_address, uint32_t _route_address, uint16_t _client_port, uint16_t _route_port)
+      : client_address_(flatbuffers::EndianScalar(_client_address)),
+        route_address_(flatbuffers::EndianScalar(_route_address)),
+        client_port_(flatbuffers::EndianScalar(_client_port)),
+        route_port_(flatbuffers::EndianScalar(_route_port)) {
+  }
+  uint32_t client_address() const {
+    return flatbuffers::EndianScalar(client_address_);
+  }
+  uint32_t route_address() const {
+    return flatbuffers::EndianScalar(route_address_);
+  }
+  uint16_t client_port() const {
+    return flatbuffers::EndianScalar(client_port_);
+  }
+  uint16_t route_port() const {
+    return flatbuffers::EndianScalar(route_port_);
+  }
+};
+FLATBUFFERS_STRUCT_END(FlowEnds, 12);
+
+struct FlowEnds::Traits {
+  using type = FlowEnds;
+};
+
 }  // namespace wire
 }  // namespace wasabicroft
 
--- a/tests/AgentGateTest.cpp
+++ b/tests/AgentGateTest.cpp
@@ -33,6 +33,7 @@
             result.sendToClient
                 = [this](PacketAddress, Bytes bytes) { this->toClient.emplace_back(bytes.begin(), bytes.end()); };
             result.sendHop = [this](PacketAddress, const HopMessage& message) {
+                this->lastHop = message;
                 this->kinds.push_back(message.kind);
                 this->refusals.push_back(message.refusal);
             };
@@ -79,10 +80,19 @@
             this->fromUpstream(ackFlag, clientPort);
         }
 
+        std::vector<HopKind> repliesToSearches() const
+        {
+            std::vector<HopKind> replies;
+            std::copy_if(this->kinds.begin(), this->kinds.end(), std::back_inserter(replies),
+                [](HopKind kind) { return kind != HopKind::Load; });
+            return replies;
+        }
+
         ManualClock clock;
         std::vector<std::vector<uint8_t>> toUpstream;
         std::vector<std::vector<uint8_t>> toClient;
         std::vector<HopKind> kinds;
+        HopMessage lastHop;
         std::vector<HopRefusal> refusals;
         std::vector<PacketAddress> answered;
         AgentGate gate;
@@ -123,6 +133,67 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
     }
 
+    // Guards against a claim on a flow that the upstream has not yet returned: under load its packets wait in the
+    // agent's socket for longer than an upstream takes to return one.
+    TEST_F(GateFixture, ALateReturnIsNotTakenForAHeldFlow)
+    {
+        this->openFlow(1);
+        this->kinds.clear();
+        const std::vector<uint8_t> packet = this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 100);
+        this->clock.advance(Milliseconds(50));
+        this->fromUpstream(ackFlag, 1, 100); // sent before the packet reached the upstream
+        this->gate.onTick();
+        EXPECT_TRUE(this->repliesToSearches().empty());
+        this->bounce(packet);
+        EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::NotHeld });
+    }
+
+    // Guards against a claim on a flow whose earlier packet was returned: searches follow each other closely after a
+    // restart of entries.
+    TEST_F(GateFixture, ASecondSearchIsNotConfirmedByTheFirst)
+    {
+        this->openFlow(1);
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 100));
+        this->clock.advance(Milliseconds(9));
+        const std::vector<uint8_t> second = this->fromEntry(HopKind::Find, ackFlag, 2, 1102, 100);
+        this->clock.advance(Milliseconds(2));
+        this->fromUpstream(ackFlag, 1, 100);
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 3, 1002, 100));
+        this->kinds.clear();
+        this->gate.onTick();
+        EXPECT_TRUE(this->repliesToSearches().empty());
+        this->bounce(second);
+        EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::NotHeld });
+    }
+
+    // Guards against searches that go on although the upstream returned a later packet and not this one.
+    TEST_F(GateFixture, AHeldFlowIsConfirmedByTheReturnOfALaterPacket)
+    {
+        this->openFlow(1);
+        this->kinds.clear();
+        this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 0);
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 3, 1002, 0));
+        this->clock.advance(Milliseconds(11));
+        this->gate.onTick();
+        EXPECT_EQ(this->repliesToSearches(), (std::vector<HopKind> { HopKind::NotHeld, HopKind::Holds }));
+    }
+
+    // Guards against claims on flows that the upstream did not open, and against answers that only deny.
+    TEST_F(GateFixture, AnEntryThatAsksLearnsTheHeldFlowsOnly)
+    {
+        const auto key = [](uint16_t port) { return FlowKey { { client.address, port }, routeAddress }; };
+        this->openFlow(1);
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->fromUpstream(synFlag | ackFlag, 2); // half open
+        this->kinds.clear();
+        this->gate.onAsk(entry, std::array { key(1), key(2), key(3) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { key(1) });
+        this->gate.onAsk(entry, std::array { key(2), key(3) });
+        EXPECT_EQ(this->kinds.size(), 1U);
+    }
+
     // Guards against new flows that wait at a silent upstream, and against taking one lost datagram for silence.
     TEST_F(GateFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -60,6 +60,24 @@
     this->deliver(key, flow, message, packet);
 }
 
+// Answers for flows that the upstream was seen to hold; of the others nothing is known.
+void AgentGate::onAsk(PacketAddress entry, std::span<const FlowKey> keys)
+{
+    this->counts.asked += keys.size();
+    if (this->liveness.state() == UpstreamState::Down)
+        return;
+    HopMessage message = this->makeReply(HopKind::Known);
+    for (const FlowKey& key : keys) {
+        Flow* flow = this->flows.find(key);
+        if (!flow || !flow->isHeld)
+            continue;
+        flow->entry = entry;
+        message.flowKeys.push_back(key);
+    }
+    if (!message.flowKeys.empty())
+        this->hooks.sendHop(entry, message);
+}
+
 // An upstream that is down has lost its flows.
 void AgentGate::denyFlow(const FlowKey& key, PacketAddress entry)
 {
@@ -95,6 +113,7 @@
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
+    this->numberDelivery(flow);
     this->liveness.onSynDelivered(message.packet);
     this->hooks.sendToUpstream(message.packet);
 }
@@ -139,7 +158,7 @@
         return;
     }
     if (isProbe)
-        this->delivered.emplace_back(key, this->clock.now());
+        this->expectReturn(key, flow);
     this->hooks.sendToUpstream(message.packet);
     if (closesAfterRequest)
         this->startWaiting();
@@ -178,7 +197,7 @@
             continue;
         flow->request = RequestState::Running;
         if (flow->lastKind == HopKind::Find && !flow->isHeld)
-            this->delivered.emplace_back(key, this->clock.now());
+            this->expectReturn(key, *flow);
         for (const StoredPacket& stored : std::exchange(flow->stored, {}))
             this->hooks.sendToUpstream(stored.bytes);
     }
@@ -206,7 +225,6 @@
 void AgentGate::onUpstreamPacket(const Packet& packet, Bytes bytes)
 {
     ++this->counts.fromUpstream;
-    this->lastUpstreamPacket = this->clock.now();
     this->liveness.onHeard();
     this->updateState();
     if (packet.bounced) {
@@ -217,6 +235,7 @@
     const FlowKey key = packet.fromUpstream();
     Flow& flow = this->flows.use(key, this->clock.now());
     if (packet.isSynAck()) {
+        this->noteReached(flow);
         flow.upstreamSequence = packet.sequence;
         if (flow.offered) {
             ++this->counts.accepted;
@@ -251,17 +270,39 @@
     }
 }
 
-// An upstream that was heard since the delivery and has not returned the packet holds the flow.
+// Numbers a packet whose answer shows that the upstream has received all packets before it. Of several copies only the
+// first counts: the answer may be to that one.
+void AgentGate::numberDelivery(Flow& flow)
+{
+    ++this->lastDelivery;
+    if (flow.delivery == 0)
+        flow.delivery = this->lastDelivery;
+}
+
+void AgentGate::noteReached(Flow& flow)
+{
+    this->reached = std::max(this->reached, std::exchange(flow.delivery, 0));
+}
+
+void AgentGate::expectReturn(const FlowKey& key, Flow& flow)
+{
+    this->numberDelivery(flow);
+    this->delivered.push_back({ key, this->lastDelivery, this->clock.now() });
+}
+
+// An upstream that accepted or returned a later packet, but not this one, holds the flow. Time alone shows nothing: the
+// packets that it returns may wait for this process.
 void AgentGate::confirmDelivered()
 {
     while (!this->delivered.empty()) {
-        const auto [key, time] = this->delivered.front();
-        if (this->clock.now() - time < this->options.bounceTime)
+        const Delivery delivery = this->delivered.front();
+        if (delivery.number >= this->reached || this->clock.now() - delivery.time < this->options.bounceTime)
             return;
         this->delivered.pop_front();
-        Flow* flow = this->flows.find(key);
-        if (flow && flow->lastKind == HopKind::Find && this->lastUpstreamPacket > time)
-            this->noteHeld(key, *flow);
+        Flow* flow = this->flows.find(delivery.flow);
+        // A flow that the upstream has returned is forgotten; a later packet of it has another number.
+        if (flow && flow->lastKind == HopKind::Find && flow->delivery != 0 && flow->delivery <= delivery.number)
+            this->noteHeld(delivery.flow, *flow);
     }
 }
 
@@ -273,7 +314,8 @@
         ++this->counts.dropped;
         return;
     }
-    const Flow flow = *known;
+    Flow flow = *known;
+    this->noteReached(flow);
     this->forget(key);
     if (packet.isSyn()) {
         ++this->counts.refused;
@@ -320,18 +362,24 @@
 void AgentGate::reply(
     PacketAddress entry, HopKind kind, const FlowKey& key, HopRefusal refusal, Bytes packet, uint32_t sequence)
 {
-    HopMessage message;
-    message.kind = kind;
+    HopMessage message = this->makeReply(kind);
     message.refusal = refusal;
-    message.service = this->options.service;
     message.flow = key;
     message.upstreamSequence = sequence;
+    message.packet = packet;
+    this->hooks.sendHop(entry, message);
+}
+
+HopMessage AgentGate::makeReply(HopKind kind) const
+{
+    HopMessage message;
+    message.kind = kind;
+    message.service = this->options.service;
     message.busy = this->busy();
     message.waiting = this->waiting();
     message.flows = static_cast<uint32_t>(this->heldCount);
     message.incarnation = this->options.incarnation;
-    message.packet = packet;
-    this->hooks.sendHop(entry, message);
+    return message;
 }
 
 //-----------------------------------------------------------------------------
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -31,13 +31,14 @@
     Milliseconds loadRefresh { 1000 }; // between two load reports to an entry, if it did not
     RequestQueueOptions requests;
     LivenessOptions liveness;
-    Milliseconds bounceTime { 10 }; // an upstream that runs returns a packet of an unknown flow well within this time
+    Milliseconds bounceTime { 10 }; // longer than packets of the upstream overtake each other
     Milliseconds reportLifetime { 5000 }; // an entry that offered no flow for this long gets no reports
 };
 
 struct AgentGateCounters {
     uint64_t fromEntries = 0; // packets
     uint64_t fromUpstream = 0;
+    uint64_t asked = 0; // flows that entries asked for
     uint64_t bounces = 0; // returned by the upstream
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0;
@@ -65,6 +66,7 @@
     void setService(ServiceId); // the settings changed: another service's upstream runs here now
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
+    void onAsk(PacketAddress entry, std::span<const FlowKey>); // which of the flows does the upstream hold?
     void onUpstreamPacket(const Packet&, Bytes); // bounce marks are already removed from the bytes
     void onTick(); // every few milliseconds
 
@@ -94,6 +96,14 @@
         bool hasSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
         uint32_t upstreamSequence = 0; // of the SYN+ACK
+        uint64_t delivery = 0; // number of the first packet that the upstream has yet to answer or return, or 0
+    };
+
+    // A packet of a Find, given to the upstream.
+    struct Delivery {
+        FlowKey flow;
+        uint64_t number = 0;
+        TimePoint time;
     };
 
     struct Subscriber {
@@ -113,8 +123,12 @@
     void updateState();
     void denyFlow(const FlowKey&, PacketAddress entry);
     void noteHeld(const FlowKey&, Flow&);
+    void numberDelivery(Flow&);
+    void noteReached(Flow&);
+    void expectReturn(const FlowKey&, Flow&);
     void confirmDelivered();
     void forget(const FlowKey&);
+    HopMessage makeReply(HopKind) const;
     void reply(PacketAddress entry, HopKind, const FlowKey&, HopRefusal, Bytes packet = {}, uint32_t sequence = 0);
 
     AgentGateOptions options;
@@ -122,8 +136,9 @@
     const Clock& clock;
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
-    std::deque<std::pair<FlowKey, TimePoint>> delivered; // packets of Finds, ordered by delivery
-    TimePoint lastUpstreamPacket;
+    std::deque<Delivery> delivered; // ordered by number
+    uint64_t lastDelivery = 0; // number
+    uint64_t reached = 0; // the upstream has received all deliveries up to this number
     RequestQueue requests;
     UpstreamLiveness liveness;
     UpstreamState loggedState = UpstreamState::Unknown;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -363,7 +363,8 @@
         return;
     }
     const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, except);
-    if (targets.empty() || !this->takeFindTokens(targets.size())) {
+    const size_t homes = std::min(targets.size(), this->options.homes);
+    if (targets.empty() || !this->takeFindTokens(homes)) {
         ++(targets.empty() ? this->counts.dropped : this->counts.findsLimited);
         return;
     }
@@ -373,10 +374,9 @@
     flow.search->packet = copyOf(bytes);
     flow.search->started = now;
     flow.search->asksAll = this->directoryIsComplete && !this->isProvisional && flow.offers.empty() && !except;
-    const size_t homes = std::min(targets.size(), this->options.homes);
     flow.search->later.assign(targets.begin() + static_cast<std::ptrdiff_t>(homes), targets.end());
-    this->searches.push_back({ key, {}, now + this->options.findStageTimeout });
-    this->askHolders(key, flow, *flow.search, std::span(targets).first(homes));
+    this->searches.emplace(now + this->options.findStageTimeout, key);
+    this->sendFinds(key, flow, *flow.search, std::span(targets).first(homes));
 }
 
 // Upstreams that may hold the flow, its homes first.
@@ -413,12 +413,13 @@
     return targets;
 }
 
-void EntryRouter::askHolders(
+void EntryRouter::sendFinds(
     const FlowKey& key, const Flow& flow, HolderSearch& search, std::span<const HolderCandidate> targets)
 {
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(targets.size()) },
-            { "later", static_cast<uint64_t>(search.later.size()) }, { "directory", this->directoryRevision } });
+            { "later", static_cast<uint64_t>(search.later.size()) }, { "with", "packet" },
+            { "directory", this->directoryRevision } });
     this->counts.findCopies += targets.size();
     for (const HolderCandidate& target : targets) {
         if (target.listed)
@@ -427,10 +428,62 @@
     }
 }
 
-void EntryRouter::askLater(const FlowKey& key, Flow& flow)
+// The homes don't hold the flow, or are silent. The agents of the others are asked for it; if none knows the flow, as
+// after a restart of agents, their upstreams get the packet.
+void EntryRouter::continueSearch(const FlowKey& key, Flow& flow)
 {
+    if (!flow.search->asked) {
+        this->askLater(key, *flow.search);
+        return;
+    }
     const std::vector<HolderCandidate> targets = std::exchange(flow.search->later, {});
-    this->askHolders(key, flow, *flow.search, targets);
+    if (this->takeFindTokens(targets.size())) {
+        this->sendFinds(key, flow, *flow.search, targets);
+        this->searches.emplace(this->clock.now() + this->options.findStageTimeout, key);
+    } else {
+        ++this->counts.findsLimited;
+        flow.search.reset(); // the client's next copy starts another one
+    }
+}
+
+void EntryRouter::askLater(const FlowKey& key, HolderSearch& search)
+{
+    const TimePoint now = this->clock.now();
+    search.asked = now;
+    this->searches.emplace(now + this->options.findStageTimeout, key);
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(search.later.size()) }, { "with", "flow" },
+            { "directory", this->directoryRevision } });
+    for (const HolderCandidate& target : search.later)
+        this->asks[target.agent].push_back(key);
+}
+
+void EntryRouter::sendAsks()
+{
+    for (const auto& [agent, keys] : std::exchange(this->asks, {})) {
+        for (size_t first = 0; first < keys.size(); first += maxFlowKeys) {
+            HopMessage message;
+            message.kind = HopKind::Ask;
+            message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
+                keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeys)));
+            ++this->counts.asks;
+            this->hooks.sendHop(agent, message);
+        }
+    }
+}
+
+void EntryRouter::onKnown(PacketAddress agent, std::span<const FlowKey> keys)
+{
+    for (const FlowKey& key : keys) {
+        Flow* flow = this->flows.find(key);
+        if (!flow || flow->holder)
+            continue;
+        // Until the last step its packet went to the homes only.
+        if (flow->search && !flow->search->later.empty()
+            && flow->waiting.size() < this->options.maxWaitingPackets)
+            flow->waiting.insert(flow->waiting.begin(), std::move(flow->search->packet));
+        this->setHolder(key, *flow, agent);
+    }
 }
 
 void EntryRouter::waitForHolder(const FlowKey& key, Flow& flow, Bytes bytes)
@@ -441,7 +494,7 @@
         return;
     }
     if (flow.waiting.empty() && !flow.search)
-        this->searches.push_back({ key, {}, this->clock.now() + this->options.findTimeout });
+        this->searches.emplace(this->clock.now() + this->options.findTimeout, key);
     flow.waiting.push_back(copyOf(bytes));
 }
 
@@ -483,10 +536,14 @@
     case HopKind::Gone:
         this->onGone(key, agent, message);
         break;
+    case HopKind::Known:
+        this->onKnown(agent, message.flowKeys);
+        break;
     case HopKind::Load:
     case HopKind::Offer:
     case HopKind::Forward:
     case HopKind::Find:
+    case HopKind::Ask:
         break;
     }
 }
@@ -558,7 +615,8 @@
     if (!flow.search || std::erase(flow.search->unanswered, agent) == 0 || !flow.search->unanswered.empty())
         return;
     if (!flow.search->later.empty()) {
-        this->askLater(key, flow);
+        if (!flow.search->asked)
+            this->askLater(key, *flow.search);
     } else if (flow.search->asksAll) {
         this->resetLost(key, flow, "held-nowhere");
     } else {
@@ -599,6 +657,7 @@
     this->placement.onTick();
     this->expirePending();
     this->expireSearches();
+    this->sendAsks();
     while (!this->held.empty() && now - this->held.front().received > this->options.holdLimit) {
         ++this->counts.dropped;
         this->heldBytes -= this->held.front().bytes.size();
@@ -628,20 +687,23 @@
     }
 }
 
-// Asks the other possible holders when homes stay silent, and drops packets that waited too long.
+// Continues searches whose answers stay out, and drops packets that waited too long.
 void EntryRouter::expireSearches()
 {
     const TimePoint now = this->clock.now();
-    while (!this->searches.empty() && this->searches.front().due <= now) {
-        const Pending item = this->searches.front();
-        this->searches.pop_front();
-        Flow* flow = this->flows.find(item.flow);
+    while (!this->searches.empty() && this->searches.begin()->first <= now) {
+        const FlowKey key = this->searches.begin()->second;
+        this->searches.erase(this->searches.begin());
+        Flow* flow = this->flows.find(key);
         if (!flow || flow->holder)
             continue;
         if (flow->search && !flow->search->later.empty()) {
-            this->askLater(item.flow, *flow);
-            this->searches.push_back({ item.flow, {}, now + this->options.findStageTimeout });
-            continue;
+            // Agents asked by a denial have a timer of their own.
+            if (flow->search->asked && now - *flow->search->asked < this->options.findStageTimeout)
+                continue;
+            this->continueSearch(key, *flow);
+            if (flow->search)
+                continue;
         }
         this->counts.dropped += flow->waiting.size();
         flow->waiting.clear();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -34,7 +34,7 @@
     size_t homes = 3; // upstreams that a flow prefers by its hash
     unsigned maxFinds = 2; // searches for the holder of one flow within findWindow
     Milliseconds findWindow { 2000 };
-    Milliseconds findStageTimeout { 60 }; // for the answers of the homes, before the others are asked
+    Milliseconds findStageTimeout { 60 }; // for the answers of the homes, and of agents that are asked for a flow
     Milliseconds findTimeout { 200 }; // packets of a flow wait this long for its holder; clients retransmit then
     size_t maxWaitingPackets = 16; // of a flow: one client window
     size_t maxHeldBytes = 1024 * 1024; // packets that wait for the first routes
@@ -52,6 +52,7 @@
     uint64_t forwarded = 0;
     uint64_t finds = 0; // packets whose holder was unknown
     uint64_t findCopies = 0; // datagrams sent for them
+    uint64_t asks = 0; // messages that ask agents for flows
     uint64_t findsLimited = 0; // not sent because of a limit
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
@@ -80,7 +81,8 @@
 // A search for the holder of a flow.
 struct HolderSearch {
     std::vector<uint8_t> packet;
-    std::vector<HolderCandidate> later; // asked once the homes have denied or not answered
+    std::vector<HolderCandidate> later; // get the packet once nobody else is known to hold the flow
+    std::optional<TimePoint> asked; // when their agents were asked for the flow, without the packet
     std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
     TimePoint started;
     bool asksAll = false; // every upstream that may hold the flow was known when it began
@@ -98,6 +100,7 @@
     void onClientPacket(const Packet&, Bytes);
     // packet is the decoded header of the message's packet, if it carries one.
     void onHop(PacketAddress agent, const HopMessage&, const Packet* packet);
+    void sendAsks(); // after each batch of datagrams: searches of one batch share their messages
     void onTick(); // every few milliseconds
 
     bool isServing() const; // has routes of the store and an upstream that takes new flows
@@ -130,10 +133,10 @@
         uint32_t lastAcknowledgement = 0; // of the client
     };
 
-    // An offer, or a search, that times out.
+    // An offer that times out.
     struct Pending {
         FlowKey flow;
-        UpstreamId upstream; // of an offer
+        UpstreamId upstream;
         TimePoint due;
     };
 
@@ -160,8 +163,10 @@
     void forward(const FlowKey&, const Flow&, Bytes);
     void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
     std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
-    void askHolders(const FlowKey&, const Flow&, HolderSearch&, std::span<const HolderCandidate>);
-    void askLater(const FlowKey&, Flow&);
+    void sendFinds(const FlowKey&, const Flow&, HolderSearch&, std::span<const HolderCandidate>);
+    void continueSearch(const FlowKey&, Flow&);
+    void askLater(const FlowKey&, HolderSearch&);
+    void onKnown(PacketAddress agent, std::span<const FlowKey>);
     void waitForHolder(const FlowKey&, Flow&, Bytes);
     void expireSearches();
     void expirePending();
@@ -190,8 +195,9 @@
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     std::map<PacketAddress, uint16_t> slotsByAgent;
     FlowTable<Flow> flows;
-    std::deque<Pending> pending; // offers, ordered by due
-    std::deque<Pending> searches; // ordered by due
+    std::deque<Pending> pending; // ordered by due
+    std::multimap<TimePoint, FlowKey> searches; // by due
+    std::map<PacketAddress, std::vector<FlowKey>> asks; // to be sent, by agent
     std::deque<Held> held;
     size_t heldBytes = 0;
     double findTokens = 0;
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -83,18 +83,27 @@
 {
     const auto shortMs
         = [](Milliseconds time) { return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX)); };
+    const size_t flowBytes = message.flowKeys.size() * sizeof(wire::FlowEnds);
     const wire::Hop header(message.incarnation, message.service.value, message.flow.client.address,
         message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
-        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size()), shortMs(message.objective),
+        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size() + flowBytes), shortMs(message.objective),
         shortMs(message.timeout), message.slots, message.waiting, message.priority, static_cast<uint8_t>(message.kind),
         static_cast<uint8_t>(message.refusal));
     const size_t start = out.size();
-    out.resize(start + hopHeaderBytes + message.packet.size());
+    out.resize(start + hopHeaderBytes + message.packet.size() + flowBytes);
     std::memcpy(out.data() + start, &header, hopHeaderBytes);
+    uint8_t* rest = out.data() + start + hopHeaderBytes;
     if (!message.packet.empty())
-        std::memcpy(out.data() + start + hopHeaderBytes, message.packet.data(), message.packet.size());
+        std::memcpy(rest, message.packet.data(), message.packet.size());
+    for (const FlowKey& key : message.flowKeys) {
+        const wire::FlowEnds ends(key.client.address, key.route.address, key.client.port, key.route.port);
+        std::memcpy(rest, &ends, sizeof(ends));
+        rest += sizeof(ends);
+    }
 }
 
+bool carriesFlowKeys(HopKind kind) { return kind == HopKind::Ask || kind == HopKind::Known; }
+
 Result<HopMessage> decodeHop(Bytes bytes)
 {
     if (bytes.size() < hopHeaderBytes)
@@ -122,7 +131,18 @@
     message.timeout = Milliseconds(header.timeout_ms());
     message.priority = header.priority();
     message.incarnation = header.incarnation();
-    message.packet = bytes.subspan(hopHeaderBytes);
+    const Bytes rest = bytes.subspan(hopHeaderBytes);
+    if (!carriesFlowKeys(message.kind)) {
+        message.packet = rest;
+        return message;
+    }
+    if (rest.size() % sizeof(wire::FlowEnds) != 0 || rest.size() / sizeof(wire::FlowEnds) > maxFlowKeys)
+        return Error { ErrorKind::InvalidFrame, "the message has a wrong length; check the network for truncation" };
+    for (size_t offset = 0; offset < rest.size(); offset += sizeof(wire::FlowEnds)) {
+        wire::FlowEnds ends;
+        std::memcpy(&ends, rest.data() + offset, sizeof(ends));
+        message.flowKeys.push_back({ { ends.client_address(), ends.client_port() }, { ends.route_address(), ends.route_port() } });
+    }
     return message;
 }
 
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -70,7 +70,7 @@
 // [SECTION] Hop messages
 //-----------------------------------------------------------------------------
 
-// Messages between entries and agents. Entry to agent: Offer, Forward, Find. Agent to entry: the others.
+// Messages between entries and agents. Entry to agent: Offer, Forward, Find, Ask. Agent to entry: the others.
 enum class HopKind : uint8_t {
     Offer, // a SYN for the upstream
     Forward, // a packet of a flow that the upstream is believed to hold
@@ -81,10 +81,12 @@
     NotHeld, // the upstream does not hold the flow of a Forward; carries the packet
     Gone, // the upstream held the flow and lost it; no other upstream holds it
     Load, // load of the upstream
+    Ask, // which of the flows does the upstream hold, by what the agent has seen?
+    Known, // the flows of an Ask that the upstream holds; not sent if there are none
 };
 
-inline constexpr std::array<std::string_view, 9> hopKindNames
-    = { "offer", "forward", "find", "accepted", "refused", "holds", "not-held", "gone", "load" };
+inline constexpr std::array<std::string_view, 11> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
+    "holds", "not-held", "gone", "load", "ask", "known" };
 
 std::string_view nameOf(HopKind);
 
@@ -111,9 +113,13 @@
     uint32_t flows = 0; // held by the upstream
     uint64_t incarnation = 0; // of the agent
     Bytes packet; // as received; empty if the message carries none
+    std::vector<FlowKey> flowKeys; // of Ask and Known
 };
 
 inline constexpr size_t hopHeaderBytes = 56;
+inline constexpr size_t maxFlowKeys = 100; // in one message: it stays below the smallest usual MTU
+
+bool carriesFlowKeys(HopKind); // instead of a packet
 
 // Appends the encoded message to out.
 void encodeHop(const HopMessage&, std::vector<uint8_t>& out);
