Ask agents before any upstream gets a packet of a flow without known holder (trial)

Agents now deny flows once they have run for longer than a flow may be idle, and say so when they are unsure.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -70,7 +70,7 @@
 {
     const Result<HopMessage> message = decodeHop(bytes);
     if (message && message.value().kind == HopKind::Ask) {
-        this->gate.onAsk(entry, message.value().flowKeys);
+        this->gate.onAsk(entry, message.value());
         return;
     }
     const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -10,6 +10,7 @@
     : options(gateOptions)
     , hooks(std::move(gateHooks))
     , clock(timeSource)
+    , started(timeSource.now())
     , flows(this->options.maxFlows)
     , requests(this->options.requests, timeSource)
     , liveness(this->options.liveness, timeSource)
@@ -60,22 +61,33 @@
     this->deliver(key, flow, message, packet);
 }
 
-// Answers for flows that the upstream was seen to hold; of the others nothing is known.
-void AgentGate::onAsk(PacketAddress entry, std::span<const FlowKey> keys)
+// An agent that has run for longer than a flow may be idle has seen a packet of every flow of its upstream.
+void AgentGate::onAsk(PacketAddress entry, const HopMessage& message)
 {
-    this->counts.asked += keys.size();
-    if (this->liveness.state() == UpstreamState::Down)
+    this->counts.asked += message.flowKeys.size();
+    if (this->liveness.state() == UpstreamState::Down) {
+        for (const FlowKey& key : message.flowKeys)
+            this->denyFlow(key, entry);
         return;
-    HopMessage message = this->makeReply(HopKind::Known);
-    for (const FlowKey& key : keys) {
+    }
+    const bool hasSeenAll
+        = this->clock.now() - this->started > message.timeout && this->flows.evictions() == 0 && message.timeout.count() > 0;
+    HopMessage known = this->makeReply(HopKind::Known);
+    HopMessage unsure = this->makeReply(HopKind::Unsure);
+    HopMessage denied = this->makeReply(HopKind::Denied);
+    for (const FlowKey& key : message.flowKeys) {
         Flow* flow = this->flows.find(key);
-        if (!flow || !flow->isHeld)
-            continue;
-        flow->entry = entry;
-        message.flowKeys.push_back(key);
+        if (flow && flow->isHeld) {
+            flow->entry = entry;
+            known.flowKeys.push_back(key);
+        } else {
+            (hasSeenAll && !flow ? denied : unsure).flowKeys.push_back(key);
+        }
+    }
+    for (const HopMessage* reply : { &known, &unsure, &denied }) {
+        if (!reply->flowKeys.empty())
+            this->hooks.sendHop(entry, *reply);
     }
-    if (!message.flowKeys.empty())
-        this->hooks.sendHop(entry, message);
 }
 
 // An upstream that is down has lost its flows.
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -66,7 +66,7 @@
     void setService(ServiceId); // the settings changed: another service's upstream runs here now
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
-    void onAsk(PacketAddress entry, std::span<const FlowKey>); // which of the flows does the upstream hold?
+    void onAsk(PacketAddress entry, const HopMessage&); // which of the flows does the upstream hold?
     void onUpstreamPacket(const Packet&, Bytes); // bounce marks are already removed from the bytes
     void onTick(); // every few milliseconds
 
@@ -134,6 +134,7 @@
     AgentGateOptions options;
     AgentGateHooks hooks;
     const Clock& clock;
+    TimePoint started;
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
     std::deque<Delivery> delivered; // ordered by number
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -39,6 +39,37 @@
 
 } // namespace
 
+HolderSearch::Target* HolderSearch::find(PacketAddress agent)
+{
+    const auto found = std::find_if(
+        this->targets.begin(), this->targets.end(), [&](const Target& target) { return target.agent == agent; });
+    return found == this->targets.end() ? nullptr : &*found;
+}
+
+bool HolderSearch::hasPackets() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.hasPacket || target.denied; });
+}
+
+bool HolderSearch::isAnsweredByAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.answered || target.denied || !target.listed; });
+}
+
+bool HolderSearch::awaitsUpstream() const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.hasPacket && !target.denied && target.listed; });
+}
+
+bool HolderSearch::isDeniedByAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.denied || !target.listed; });
+}
+
 EntryRouter::EntryRouter(EntryRouterOptions routerOptions, EntryRouterHooks routerHooks, const Clock& timeSource)
     : options(std::move(routerOptions))
     , hooks(std::move(routerHooks))
@@ -363,23 +394,24 @@
         return;
     }
     const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, except);
-    const size_t homes = std::min(targets.size(), this->options.homes);
-    if (targets.empty() || !this->takeFindTokens(homes)) {
-        ++(targets.empty() ? this->counts.dropped : this->counts.findsLimited);
+    if (targets.empty()) {
+        ++this->counts.dropped;
         return;
     }
     ++flow.finds;
     ++this->counts.finds;
-    flow.search.emplace();
-    flow.search->packet = copyOf(bytes);
-    flow.search->started = now;
-    flow.search->asksAll = this->directoryIsComplete && !this->isProvisional && flow.offers.empty() && !except;
-    flow.search->later.assign(targets.begin() + static_cast<std::ptrdiff_t>(homes), targets.end());
-    this->searches.emplace(now + this->options.findStageTimeout, key);
-    this->sendFinds(key, flow, *flow.search, std::span(targets).first(homes));
-}
-
-// Upstreams that may hold the flow, its homes first.
+    HolderSearch& search = flow.search.emplace();
+    search.packet = copyOf(bytes);
+    search.started = now;
+    search.asksAll = this->directoryIsComplete && !this->isProvisional && flow.offers.empty() && !except;
+    for (const HolderCandidate& target : targets)
+        search.targets.push_back({ target.agent, target.listed });
+    // An upstream that accepted the SYN a moment ago counts as holder only from the client's packet on.
+    search.asks = flow.offers.empty() ? 0 : this->options.maxAsks;
+    this->continueSearch(key, flow);
+}
+
+// Upstreams that may hold the flow: those that were offered it, or all of its services.
 std::vector<HolderCandidate> EntryRouter::possibleHolders(
     const FlowKey& key, Flow& flow, std::optional<PacketAddress> except) const
 {
@@ -413,49 +445,50 @@
     return targets;
 }
 
-void EntryRouter::sendFinds(
-    const FlowKey& key, const Flow& flow, HolderSearch& search, std::span<const HolderCandidate> targets)
+// Agents know most flows, and many questions fit into one message. Only upstreams whose agents are silent or unsure get
+// the packet: one that doesn't hold the flow returns it.
+void EntryRouter::continueSearch(const FlowKey& key, Flow& flow)
+{
+    if (flow.search->asks < this->options.maxAsks && !flow.search->isAnsweredByAll())
+        this->askAgents(key, *flow.search);
+    else
+        this->sendFinds(key, flow);
+    this->searches.emplace(this->clock.now() + this->options.findStageTimeout, key);
+}
+
+void EntryRouter::askAgents(const FlowKey& key, HolderSearch& search)
 {
+    ++search.asks;
     logEvent(Event::PacketHolderSought,
-        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(targets.size()) },
-            { "later", static_cast<uint64_t>(search.later.size()) }, { "with", "packet" },
+        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(search.targets.size()) }, { "with", "question" },
             { "directory", this->directoryRevision } });
-    this->counts.findCopies += targets.size();
-    for (const HolderCandidate& target : targets) {
-        if (target.listed)
-            search.unanswered.push_back(target.agent);
-        this->sendPacket(target.agent, HopKind::Find, key, flow.service, search.packet);
-    }
+    for (const HolderSearch::Target& target : search.targets)
+        this->asks[target.agent].push_back(key);
 }
 
-// The homes don't hold the flow, or are silent. The agents of the others are asked for it; if none knows the flow, as
-// after a restart of agents, their upstreams get the packet.
-void EntryRouter::continueSearch(const FlowKey& key, Flow& flow)
+// The homes first, then all others or, at the limit of such packets, none: a part of them proves nothing.
+void EntryRouter::sendFinds(const FlowKey& key, Flow& flow)
 {
-    if (!flow.search->asked) {
-        this->askLater(key, *flow.search);
-        return;
+    HolderSearch& search = *flow.search;
+    const bool isFirst = std::none_of(search.targets.begin(), search.targets.end(),
+        [](const HolderSearch::Target& target) { return target.hasPacket; });
+    std::vector<HolderSearch::Target*> receivers;
+    for (HolderSearch::Target& target : search.targets) {
+        if (!target.hasPacket && !target.denied && (!isFirst || receivers.size() < this->options.homes))
+            receivers.push_back(&target);
     }
-    const std::vector<HolderCandidate> targets = std::exchange(flow.search->later, {});
-    if (this->takeFindTokens(targets.size())) {
-        this->sendFinds(key, flow, *flow.search, targets);
-        this->searches.emplace(this->clock.now() + this->options.findStageTimeout, key);
-    } else {
+    if (!this->takeFindTokens(receivers.size() * (hopHeaderBytes + search.packet.size()))) {
         ++this->counts.findsLimited;
-        flow.search.reset(); // the client's next copy starts another one
+        return;
     }
-}
-
-void EntryRouter::askLater(const FlowKey& key, HolderSearch& search)
-{
-    const TimePoint now = this->clock.now();
-    search.asked = now;
-    this->searches.emplace(now + this->options.findStageTimeout, key);
     logEvent(Event::PacketHolderSought,
-        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(search.later.size()) }, { "with", "flow" },
+        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(receivers.size()) }, { "with", "packet" },
             { "directory", this->directoryRevision } });
-    for (const HolderCandidate& target : search.later)
-        this->asks[target.agent].push_back(key);
+    this->counts.findCopies += receivers.size();
+    for (HolderSearch::Target* target : receivers) {
+        target->hasPacket = true;
+        this->sendPacket(target->agent, HopKind::Find, key, flow.service, search.packet);
+    }
 }
 
 void EntryRouter::sendAsks()
@@ -464,6 +497,7 @@
         for (size_t first = 0; first < keys.size(); first += maxFlowKeys) {
             HopMessage message;
             message.kind = HopKind::Ask;
+            message.timeout = this->routes ? this->routes->idleTimeout : Milliseconds(0);
             message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
                 keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeys)));
             ++this->counts.asks;
@@ -478,14 +512,22 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder)
             continue;
-        // Until the last step its packet went to the homes only.
-        if (flow->search && !flow->search->later.empty()
-            && flow->waiting.size() < this->options.maxWaitingPackets)
+        if (flow->search && flow->waiting.size() < this->options.maxWaitingPackets)
             flow->waiting.insert(flow->waiting.begin(), std::move(flow->search->packet));
         this->setHolder(key, *flow, agent);
     }
 }
 
+void EntryRouter::onUnsure(PacketAddress agent, std::span<const FlowKey> keys)
+{
+    for (const FlowKey& key : keys) {
+        Flow* flow = this->flows.find(key);
+        HolderSearch::Target* target = flow && !flow->holder && flow->search ? flow->search->find(agent) : nullptr;
+        if (target && !std::exchange(target->answered, true))
+            this->onSearchAnswer(key, *flow);
+    }
+}
+
 void EntryRouter::waitForHolder(const FlowKey& key, Flow& flow, Bytes bytes)
 {
     ++this->counts.findsLimited;
@@ -498,15 +540,15 @@
     flow.waiting.push_back(copyOf(bytes));
 }
 
-bool EntryRouter::takeFindTokens(size_t copies)
+bool EntryRouter::takeFindTokens(size_t bytes)
 {
     const TimePoint now = this->clock.now();
     const double seconds = std::chrono::duration<double>(now - this->findTokensAt).count();
     this->findTokensAt = now;
     this->findTokens = std::min(this->options.findRate, this->findTokens + seconds * this->options.findRate);
-    if (this->findTokens < static_cast<double>(copies))
+    if (this->findTokens < static_cast<double>(bytes))
         return false;
-    this->findTokens -= static_cast<double>(copies);
+    this->findTokens -= static_cast<double>(bytes);
     return true;
 }
 
@@ -539,6 +581,15 @@
     case HopKind::Known:
         this->onKnown(agent, message.flowKeys);
         break;
+    case HopKind::Unsure:
+        this->onUnsure(agent, message.flowKeys);
+        break;
+    case HopKind::Denied:
+        for (const FlowKey& denied : message.flowKeys) {
+            if (Flow* flow = this->flows.find(denied); flow && !flow->holder)
+                this->onDenied(denied, *flow, agent);
+        }
+        break;
     case HopKind::Load:
     case HopKind::Offer:
     case HopKind::Forward:
@@ -609,14 +660,19 @@
     }
 }
 
-// Once every upstream that may hold the flow has returned its packet, the flow is held nowhere.
+// Once every upstream that may hold the flow has denied it, the flow is held nowhere.
 void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent)
 {
-    if (!flow.search || std::erase(flow.search->unanswered, agent) == 0 || !flow.search->unanswered.empty())
-        return;
-    if (!flow.search->later.empty()) {
-        if (!flow.search->asked)
-            this->askLater(key, *flow.search);
+    HolderSearch::Target* target = flow.search ? flow.search->find(agent) : nullptr;
+    if (target && !std::exchange(target->denied, true))
+        this->onSearchAnswer(key, flow);
+}
+
+void EntryRouter::onSearchAnswer(const FlowKey& key, Flow& flow)
+{
+    if (!flow.search->isDeniedByAll()) {
+        if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstream() && !flow.search->hasPackets())
+            this->sendFinds(key, flow);
     } else if (flow.search->asksAll) {
         this->resetLost(key, flow, "held-nowhere");
     } else {
@@ -697,13 +753,10 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder)
             continue;
-        if (flow->search && !flow->search->later.empty()) {
-            // Agents asked by a denial have a timer of their own.
-            if (flow->search->asked && now - *flow->search->asked < this->options.findStageTimeout)
-                continue;
+        const bool lacksAnswers = flow->search && now - flow->search->started < this->options.findTimeout;
+        if (lacksAnswers && !flow->search->hasPackets()) {
             this->continueSearch(key, *flow);
-            if (flow->search)
-                continue;
+            continue;
         }
         this->counts.dropped += flow->waiting.size();
         flow->waiting.clear();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -32,15 +32,16 @@
     Milliseconds offerTimeout { 60 }; // above a round trip between failure domains and an upstream's handshake
     Milliseconds downHold { 300 }; // before an upstream that its agent reported as down is asked again
     size_t homes = 3; // upstreams that a flow prefers by its hash
-    unsigned maxFinds = 2; // searches for the holder of one flow within findWindow
+    unsigned maxAsks = 2; // of a search, before the upstreams get the packet: questions may be lost
+    unsigned maxFinds = 4; // searches for the holder of one flow within findWindow
     Milliseconds findWindow { 2000 };
-    Milliseconds findStageTimeout { 60 }; // for the answers of the homes, and of agents that are asked for a flow
-    Milliseconds findTimeout { 200 }; // packets of a flow wait this long for its holder; clients retransmit then
+    Milliseconds findStageTimeout { 60 }; // for the answers of agents in another failure domain
+    Milliseconds findTimeout { 300 }; // packets of a flow wait this long for its holder; clients retransmit then
     size_t maxWaitingPackets = 16; // of a flow: one client window
     size_t maxHeldBytes = 1024 * 1024; // packets that wait for the first routes
     Milliseconds holdLimit { 1400 }; // a client gives up opening a flow after this time
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
-    double findRate = 4000; // packets a second to possible holders, over all flows
+    double findRate = 1000000; // bytes a second of packets to possible holders: two thirds of a small machine's link
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
     uint64_t seed = 1;
@@ -80,12 +81,25 @@
 
 // A search for the holder of a flow.
 struct HolderSearch {
+    struct Target {
+        PacketAddress agent;
+        bool listed = true; // see HolderCandidate
+        bool answered = false; // the agent
+        bool hasPacket = false; // it got the packet
+        bool denied = false; // its upstream doesn't hold the flow
+    };
+
     std::vector<uint8_t> packet;
-    std::vector<HolderCandidate> later; // get the packet once nobody else is known to hold the flow
-    std::optional<TimePoint> asked; // when their agents were asked for the flow, without the packet
-    std::vector<PacketAddress> unanswered; // listed holders that were asked and have not denied
+    std::vector<Target> targets; // homes of the flow first
+    unsigned asks = 0; // times that the agents were asked for the flow, without the packet
     TimePoint started;
     bool asksAll = false; // every upstream that may hold the flow was known when it began
+
+    Target* find(PacketAddress agent);
+    bool hasPackets() const; // every target has the packet or has denied
+    bool isAnsweredByAll() const; // by the agent of every listed target
+    bool isDeniedByAll() const; // by every listed target
+    bool awaitsUpstream() const; // one that got the packet
 };
 
 class EntryRouter {
@@ -163,14 +177,16 @@
     void forward(const FlowKey&, const Flow&, Bytes);
     void find(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> except);
     std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> except) const;
-    void sendFinds(const FlowKey&, const Flow&, HolderSearch&, std::span<const HolderCandidate>);
     void continueSearch(const FlowKey&, Flow&);
-    void askLater(const FlowKey&, HolderSearch&);
+    void askAgents(const FlowKey&, HolderSearch&);
+    void sendFinds(const FlowKey&, Flow&);
     void onKnown(PacketAddress agent, std::span<const FlowKey>);
+    void onUnsure(PacketAddress agent, std::span<const FlowKey>);
+    void onSearchAnswer(const FlowKey&, Flow&);
     void waitForHolder(const FlowKey&, Flow&, Bytes);
     void expireSearches();
     void expirePending();
-    bool takeFindTokens(size_t copies);
+    bool takeFindTokens(size_t bytes);
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -102,7 +102,10 @@
     }
 }
 
-bool carriesFlowKeys(HopKind kind) { return kind == HopKind::Ask || kind == HopKind::Known; }
+bool carriesFlowKeys(HopKind kind)
+{
+    return kind == HopKind::Ask || kind == HopKind::Known || kind == HopKind::Unsure || kind == HopKind::Denied;
+}
 
 Result<HopMessage> decodeHop(Bytes bytes)
 {
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -82,11 +82,13 @@
     Gone, // the upstream held the flow and lost it; no other upstream holds it
     Load, // load of the upstream
     Ask, // which of the flows does the upstream hold, by what the agent has seen?
-    Known, // the flows of an Ask that the upstream holds; not sent if there are none
+    Known, // the flows of an Ask that the upstream holds
+    Unsure, // the flows of an Ask that the upstream may hold: the agent has not run for long enough
+    Denied, // the flows of an Ask that the upstream does not hold
 };
 
-inline constexpr std::array<std::string_view, 11> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
-    "holds", "not-held", "gone", "load", "ask", "known" };
+inline constexpr std::array<std::string_view, 13> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
+    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied" };
 
 std::string_view nameOf(HopKind);
 
@@ -108,12 +110,12 @@
     uint16_t waiting = 0; // from agents: requests that wait for the upstream
     uint16_t slots = 0; // from entries: requests that the upstream runs at a time, as it states; 0: not known
     Milliseconds objective { 0 }; // from entries: latency objective of the route's requests; 0: none
-    Milliseconds timeout { 0 }; // from entries: of the route's requests; 0: none
+    Milliseconds timeout { 0 }; // from entries: of the route's requests, in Ask of idle flows; 0: none
     uint8_t priority = 0; // from entries: of the route; 0 is highest
     uint32_t flows = 0; // held by the upstream
     uint64_t incarnation = 0; // of the agent
     Bytes packet; // as received; empty if the message carries none
-    std::vector<FlowKey> flowKeys; // of Ask and Known
+    std::vector<FlowKey> flowKeys; // of Ask and its answers
 };
 
 inline constexpr size_t hopHeaderBytes = 56;
