--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -12,20 +12,20 @@
     {
         AgentGateOptions options;
         options.service = serviceIdOf(settings.service);
-        options.incarnation = randomIncarnation();
         return options;
     }
 
 } // namespace
 
-PacketAgent::PacketAgent(boost::asio::io_context& loop, PacketSettings initial, const Clock& clock)
-    : settings(std::move(initial))
+PacketAgent::PacketAgent(boost::asio::io_context& loop, PacketSettings initial, const Clock& timeSource)
+    : clock(timeSource)
+    , settings(std::move(initial))
     , entries(loop)
     , upstream(loop)
     , announcer(AnnouncerOptions(),
           { this->settings.packets, serviceIdOf(this->settings.service), this->settings.failureDomain,
               this->settings.upstream, {} },
-          clock)
+          timeSource)
     , gate(gateOptions(this->settings),
           { [this](Bytes packet) { this->upstream.send(this->settings.upstream, packet); },
               [this](PacketAddress client, Bytes packet) {
@@ -37,7 +37,7 @@
                   this->entries.send(entry, this->hopBuffer);
               },
               [this](PacketAddress route) { this->announcer.onAnswered(route); } },
-          clock)
+          timeSource)
 {
 }
 
@@ -79,7 +79,7 @@
         return;
     }
     ++this->invalidHops;
-    if (!std::exchange(this->loggedInvalid, true))
+    if (this->invalidSources.mayLog(entry, this->clock.now()))
         logEvent(Event::PacketInvalid,
             { { "source", toString(entry) }, { "reason", packet ? "marked as a bounce" : packet.error().message } });
 }
@@ -94,7 +94,7 @@
         return;
     }
     ++this->invalidPackets;
-    if (!std::exchange(this->loggedInvalid, true))
+    if (this->invalidSources.mayLog(PacketAddress(), this->clock.now()))
         logEvent(Event::PacketInvalid, { { "source", "upstream" }, { "reason", packet.error().message } });
 }
 
--- a/backends/PacketAgent.h
+++ b/backends/PacketAgent.h
@@ -25,6 +25,7 @@
     void flush();
     void announce();
 
+    const Clock& clock;
     PacketSettings settings;
     DatagramSocket entries; // hop messages, and packets to clients
     DatagramSocket upstream;
@@ -33,7 +34,7 @@
     std::vector<uint8_t> hopBuffer;
     uint64_t invalidPackets = 0;
     uint64_t invalidHops = 0;
-    bool loggedInvalid = false; // since the last status
+    InvalidSources invalidSources;
 };
 
 } // namespace wasabicroft
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -37,7 +37,7 @@
   --service NAME           Agent: service of its upstream.
   --ready IP:PORT          Serves /ready, /status, /health and /metrics.
   --metrics IP:PORT        Serves the same; port 0: not served [0].
-  --peer IP:PORT           Entry: serves its state to other entries.
+  --peer IP:PORT           Also serves the endpoints for operators.
   --seeds LIST             Addresses of entries that may be up, separated by commas.
   --store IP:PORT          Entry: the platform's store.
   --stop-delay MS          Entry: goes on for this long after SIGTERM [1500].
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -69,9 +69,6 @@
     void run(); // returns when the process is to end
     void publishStatus();
     bool reloadIfChanged(); // reads the settings file again if it changed; returns whether it did
-    bool isStopping() const { return this->stopping; }
-    Metrics& metrics() { return this->counters; }
-    HttpServer& operators() { return this->server; }
 
 private:
     void awaitSignal();
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -137,15 +137,10 @@
     this->noteInvalid(source, packet.error());
 }
 
-// Logs each source once per status interval.
 void PacketEntry::noteInvalid(PacketAddress source, const Error& error)
 {
-    constexpr size_t maxSources = 16;
-    if (this->invalidSources.size() >= maxSources
-        || std::find(this->invalidSources.begin(), this->invalidSources.end(), source) != this->invalidSources.end())
-        return;
-    this->invalidSources.push_back(source);
-    logEvent(Event::PacketInvalid, { { "source", toString(source) }, { "reason", error.message } });
+    if (this->invalidSources.mayLog(source, this->clock.now()))
+        logEvent(Event::PacketInvalid, { { "source", toString(source) }, { "reason", error.message } });
 }
 
 //-----------------------------------------------------------------------------
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -58,7 +58,7 @@
     std::array<boost::asio::steady_timer, storeTopicCount> storeTimers;
     std::vector<UpstreamRecord> listed; // pages of a list that is being read
     std::vector<uint8_t> hopBuffer;
-    std::vector<PacketAddress> invalidSources; // logged since the last status
+    InvalidSources invalidSources;
     bool wasReachable = false;
     std::array<std::optional<TimePoint>, storeTopicCount> behindSince; // an entry shows a newer state than this one
     uint64_t invalidPackets = 0;
--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -22,7 +22,6 @@
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Hop FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t incarnation_;
   uint64_t service_;
   uint32_t client_address_;
   uint32_t route_address_;
@@ -45,8 +44,7 @@
  public:
   struct Traits;
   Hop()
-      : incarnation_(0),
-        service_(0),
+      : service_(0),
         client_address_(0),
         route_address_(0),
         upstream_sequence_(0),
@@ -66,9 +64,8 @@
         padding0__(0) {
     (void)padding0__;
   }
-  Hop(uint64_t _incarnation, uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint16_t _objective_ms, uint16_t _timeout_ms, uint16_t _slots, uint16_t _waiting, uint8_t _priority, uint8_t _kind, uint8_t _refusal)
-      : incarnation_(flatbuffers::EndianScalar(_incarnation)),
-        service_(flatbuffers::EndianScalar(_service)),
+  Hop(uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint16_t _objective_ms, uint16_t _timeout_ms, uint16_t _slots, uint16_t _waiting, uint8_t _priority, uint8_t _kind, uint8_t _refusal)
+      : service_(flatbuffers::EndianScalar(_service)),
         client_address_(flatbuffers::EndianScalar(_client_address)),
         route_address_(flatbuffers::EndianScalar(_route_address)),
         upstream_sequence_(flatbuffers::EndianScalar(_upstream_sequence)),
@@ -88,9 +85,6 @@
         padding0__(0) {
     (void)padding0__;
   }
-  uint64_t incarnation() const {
-    return flatbuffers::EndianScalar(incarnation_);
-  }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
   }
@@ -143,7 +137,7 @@
     return flatbuffers::EndianScalar(refusal_);
   }
 };
-FLATBUFFERS_STRUCT_END(Hop, 56);
+FLATBUFFERS_STRUCT_END(Hop, 48);
 
 struct Hop::Traits {
   using type = Hop;
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -369,6 +369,18 @@
         EXPECT_TRUE(this->router.isServing());
     }
 
+    // Guards against a flood of log lines by damaged packets, and against one line in the life of a process.
+    TEST(InvalidSources, AreLoggedOnceInEachHalfSecond)
+    {
+        ManualClock clock;
+        InvalidSources sources;
+        EXPECT_TRUE(sources.mayLog(client, clock.now()));
+        EXPECT_FALSE(sources.mayLog(client, clock.now()));
+        EXPECT_TRUE(sources.mayLog(routeAddress, clock.now()));
+        clock.advance(Milliseconds(500));
+        EXPECT_TRUE(sources.mayLog(client, clock.now()));
+    }
+
     // Guards against a table that grows without bound under a flood of flows.
     TEST(FlowTable, ForgetsTheLeastRecentlyUsedFlowWhenFull)
     {
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -297,7 +297,6 @@
     {
         AgentGateOptions gateOptions;
         gateOptions.service = upstream.record.service;
-        gateOptions.incarnation = this->random();
         Upstream* self = &upstream;
         AgentGateHooks hooks;
         hooks.sendToUpstream = [this, self](Bytes packet) {
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -390,7 +390,6 @@
     message.busy = this->busy();
     message.waiting = this->waiting();
     message.flows = static_cast<uint32_t>(this->heldCount);
-    message.incarnation = this->options.incarnation;
     return message;
 }
 
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -24,7 +24,6 @@
 
 struct AgentGateOptions {
     ServiceId service; // of the upstream
-    uint64_t incarnation = 0; // of this agent
     size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is forgotten
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
     Milliseconds loadInterval { 100 }; // between two load reports to an entry, if the load changed
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -84,7 +84,7 @@
     const auto shortMs
         = [](Milliseconds time) { return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX)); };
     const size_t flowBytes = message.flowKeys.size() * sizeof(wire::FlowEnds);
-    const wire::Hop header(message.incarnation, message.service.value, message.flow.client.address,
+    const wire::Hop header(message.service.value, message.flow.client.address,
         message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
         message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size() + flowBytes), shortMs(message.objective),
         shortMs(message.timeout), message.slots, message.waiting, message.priority, static_cast<uint8_t>(message.kind),
@@ -133,7 +133,6 @@
     message.objective = Milliseconds(header.objective_ms());
     message.timeout = Milliseconds(header.timeout_ms());
     message.priority = header.priority();
-    message.incarnation = header.incarnation();
     const Bytes rest = bytes.subspan(hopHeaderBytes);
     if (!carriesFlowKeys(message.kind)) {
         message.packet = rest;
@@ -149,4 +148,17 @@
     return message;
 }
 
+bool InvalidSources::mayLog(PacketAddress sender, TimePoint now)
+{
+    if (now - this->since >= interval) {
+        this->logged.clear();
+        this->since = now;
+    }
+    const bool isKnown = std::find(this->logged.begin(), this->logged.end(), sender) != this->logged.end();
+    if (isKnown || this->logged.size() >= maxSources)
+        return false;
+    this->logged.push_back(sender);
+    return true;
+}
+
 } // namespace wasabicroft
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -4,6 +4,7 @@
 // Index
 //   [SECTION] Packets
 //   [SECTION] Hop messages
+//   [SECTION] Invalid packets
 //   [SECTION] Flow table
 #pragma once
 
@@ -113,12 +114,11 @@
     Milliseconds timeout { 0 }; // from entries: of the route's requests, in Ask of idle flows; 0: none
     uint8_t priority = 0; // from entries: of the route; 0 is highest
     uint32_t flows = 0; // held by the upstream
-    uint64_t incarnation = 0; // of the agent
     Bytes packet; // as received; empty if the message carries none
     std::vector<FlowKey> flowKeys; // of Ask and its answers
 };
 
-inline constexpr size_t hopHeaderBytes = 56;
+inline constexpr size_t hopHeaderBytes = 48;
 inline constexpr size_t maxFlowKeys = 100; // in one message: it stays below the smallest usual MTU
 
 bool carriesFlowKeys(HopKind); // instead of a packet
@@ -127,6 +127,23 @@
 void encodeHop(const HopMessage&, std::vector<uint8_t>& out);
 Result<HopMessage> decodeHop(Bytes); // the result's packet points into the bytes
 
+//-----------------------------------------------------------------------------
+// [SECTION] Invalid packets
+//-----------------------------------------------------------------------------
+
+// Bounds the log lines about senders of invalid bytes: one for a sender in each interval, of the first senders only.
+class InvalidSources {
+public:
+    bool mayLog(PacketAddress sender, TimePoint now);
+
+private:
+    static constexpr Milliseconds interval { 500 };
+    static constexpr size_t maxSources = 16;
+
+    std::vector<PacketAddress> logged; // in this interval
+    TimePoint since;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Flow table
 //-----------------------------------------------------------------------------
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -127,13 +127,6 @@
     topic.due = this->clock.now();
 }
 
-void StoreSync::onPeerState(StoreTopic which, uint64_t revision)
-{
-    Topic& topic = this->at(which);
-    if (topic.revision > 0)
-        topic.revision = std::max(topic.revision, revision);
-}
-
 bool StoreSync::isReachable(StoreTopic which) const
 {
     const Topic& topic = this->at(which);
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -62,9 +62,6 @@
     // A peer knows a newer state: reads the topic in full now, unless it is at that revision already.
     void hint(StoreTopic, uint64_t revision);
 
-    // A peer's state of a topic was taken over.
-    void onPeerState(StoreTopic, uint64_t revision);
-
     bool isReachable(StoreTopic) const; // the last read was answered
     bool takeReturn(); // whether the store answered for the first time after failures, since the last call
     uint64_t listRevision(StoreTopic) const; // store's revision at the first page of the last full read
