--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -270,7 +270,8 @@
             EXPECT_TRUE(hop.agent == agent(7) && hop.kind == HopKind::Forward && !hop.packet.empty());
     }
 
-    // Guards against flows that stay lost after a restart of agents: they know none of the flows that they are asked for.
+    // Guards against flows that stay lost after a restart of agents: they know none of the flows that they are asked
+    // for.
     TEST_F(RouterFixture, AFlowThatNoAgentKnowsIsSearchedWithItsPacket)
     {
         this->useRoutes();
@@ -317,7 +318,8 @@
         EXPECT_EQ(next[0].kind, HopKind::Find);
     }
 
-    // Guards against copies of packets for flows that ended with their upstream: agents that have run for long deny them.
+    // Guards against copies of packets for flows that ended with their upstream: agents that have run for long deny
+    // them.
     TEST_F(RouterFixture, AFlowThatAllAgentsDenyIsResetWithoutAPacketToAnyUpstream)
     {
         this->useRoutes();
--- a/tests/PropagationProcessTest.cpp
+++ b/tests/PropagationProcessTest.cpp
@@ -53,6 +53,7 @@
         static std::vector<Member> membersOf(const std::vector<Daemon>& daemons)
         {
             std::vector<Member> members;
+            members.reserve(daemons.size());
             for (const Daemon& daemon : daemons)
                 members.push_back({ daemon.name, daemon.isEntry ? MemberRole::Entry : MemberRole::Agent, daemon.domain,
                     daemon.link, false });
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -70,8 +70,8 @@
             this->denyFlow(key, entry);
         return;
     }
-    const bool hasSeenAll
-        = this->clock.now() - this->started > message.timeout && this->flows.evictions() == 0 && message.timeout.count() > 0;
+    const bool hasSeenAll = this->clock.now() - this->started > message.timeout && this->flows.evictions() == 0
+        && message.timeout.count() > 0;
     HopMessage known = this->makeReply(HopKind::Known);
     HopMessage unsure = this->makeReply(HopKind::Unsure);
     HopMessage denied = this->makeReply(HopKind::Denied);
@@ -291,10 +291,7 @@
         flow.delivery = this->lastDelivery;
 }
 
-void AgentGate::noteReached(Flow& flow)
-{
-    this->reached = std::max(this->reached, std::exchange(flow.delivery, 0));
-}
+void AgentGate::noteReached(Flow& flow) { this->reached = std::max(this->reached, std::exchange(flow.delivery, 0)); }
 
 void AgentGate::expectReturn(const FlowKey& key, Flow& flow)
 {
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -84,9 +84,9 @@
     const auto shortMs
         = [](Milliseconds time) { return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX)); };
     const size_t flowBytes = message.flowKeys.size() * sizeof(wire::FlowEnds);
-    const wire::Hop header(message.service.value, message.flow.client.address,
-        message.flow.route.address, message.upstreamSequence, message.flows, hopMagic, message.flow.client.port,
-        message.flow.route.port, message.busy, static_cast<uint16_t>(message.packet.size() + flowBytes), shortMs(message.objective),
+    const wire::Hop header(message.service.value, message.flow.client.address, message.flow.route.address,
+        message.upstreamSequence, message.flows, hopMagic, message.flow.client.port, message.flow.route.port,
+        message.busy, static_cast<uint16_t>(message.packet.size() + flowBytes), shortMs(message.objective),
         shortMs(message.timeout), message.slots, message.waiting, message.priority, static_cast<uint8_t>(message.kind),
         static_cast<uint8_t>(message.refusal));
     const size_t start = out.size();
@@ -143,7 +143,8 @@
     for (size_t offset = 0; offset < rest.size(); offset += sizeof(wire::FlowEnds)) {
         wire::FlowEnds ends;
         std::memcpy(&ends, rest.data() + offset, sizeof(ends));
-        message.flowKeys.push_back({ { ends.client_address(), ends.client_port() }, { ends.route_address(), ends.route_port() } });
+        message.flowKeys.push_back(
+            { { ends.client_address(), ends.client_port() }, { ends.route_address(), ends.route_port() } });
     }
     return message;
 }
