Place new flows at a new upstream once every entry knows it

An entry listed a new upstream at 33.632 (log time) and placed a flow there; its next packet passed an entry that listed it at 33.894. That entry asked all upstreams that it knew, all denied, and it reset the flow at about 33.87. Its list was complete, but 260 ms old.

Ruled out: a false denial of the agent (the flow's agent was not asked); the confirmation of claims.

Now an upstream at an address that the entry did not know takes new flows after 750 ms, above the time in which a change reaches every entry; it is asked for flows at once. The first list is not delayed, nor a pool without another upstream. UpstreamDirectory.AnUpstreamAtANewAddress... fails with 0 ms.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -79,6 +79,35 @@
     }
 
     // Guards against flows to a former upstream at an address that is used again.
+    // Guards against the reset of an open flow: one entry places it at an upstream that was listed a moment ago, and
+    // the next packet passes an entry that does not know the upstream yet (rolling restart while upstreams are added).
+    TEST(UpstreamDirectory, AnUpstreamAtANewAddressTakesNewFlowsOnceEveryEntryKnowsIt)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 1);
+        EXPECT_EQ(directory.usable(service).size(), 1U) << "the first list is not delayed";
+        directory.update(recordOf("b", 2));
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+        EXPECT_EQ(directory.holders(service).size(), 2U) << "it is asked for flows at once";
+        clock.advance(Milliseconds(400));
+        directory.update(recordOf("b", 3));
+        EXPECT_FALSE(directory.onTick());
+        clock.advance(Milliseconds(350));
+        EXPECT_TRUE(directory.onTick()) << "the pool changes";
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+    }
+
+    // Guards against refusals while new upstreams are the only ones.
+    TEST(UpstreamDirectory, NewUpstreamsTakeFlowsAtOnceIfThereIsNoOther)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({}, 1);
+        directory.update(recordOf("b", 2));
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+    }
+
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
         ManualClock clock;
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -1,7 +1,6 @@
 #include "wasabicroft/Published.h"
 
 #include <algorithm>
-#include <set>
 
 namespace wasabicroft {
 
@@ -33,11 +32,16 @@
     const uint64_t revision = record.revision;
     this->newest = std::max(this->newest, revision);
     this->changed = std::max(this->changed, revision);
+    const bool isNew = this->hasList && !this->inGrace && !this->knowsAddress(record.address);
     Row& row = this->rows[record.name];
     if (revision <= std::max(row.record.revision, row.removedAt))
         return false;
-    record.seen = this->clock.now();
-    row = Row { std::move(record), true, 0, {}, false };
+    const TimePoint now = this->clock.now();
+    record.seen = now;
+    const TimePoint usableFrom = isNew ? now + this->options.spreadTime : row.usableFrom;
+    if (isNew)
+        this->becomingUsable.insert(usableFrom);
+    row = Row { std::move(record), true, 0, {}, false, usableFrom };
     return true;
 }
 
@@ -67,6 +71,7 @@
         changed = true;
     }
     this->newest = std::max(this->newest, revision);
+    this->hasList = true;
     return changed;
 }
 
@@ -95,8 +100,8 @@
 bool UpstreamDirectory::onTick()
 {
     const TimePoint now = this->clock.now();
-    const bool changed = this->inGrace && now >= this->graceEnds;
-    if (changed) {
+    const bool graceEnded = this->inGrace && now >= this->graceEnds;
+    if (graceEnded) {
         this->inGrace = false;
         for (auto& [name, row] : this->rows)
             row.returning = false;
@@ -104,7 +109,16 @@
     std::erase_if(this->rows, [&](const auto& item) {
         return !item.second.listed && now - item.second.unlisted > this->options.flowLifetime;
     });
-    return changed;
+    const auto due = this->becomingUsable.upper_bound(now);
+    const bool becameUsable = due != this->becomingUsable.begin();
+    this->becomingUsable.erase(this->becomingUsable.begin(), due);
+    return graceEnded || becameUsable;
+}
+
+bool UpstreamDirectory::knowsAddress(PacketAddress address) const
+{
+    return std::any_of(
+        this->rows.begin(), this->rows.end(), [&](const auto& item) { return item.second.record.address == address; });
 }
 
 bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
@@ -127,13 +141,14 @@
 std::vector<UpstreamRecord> UpstreamDirectory::usable(ServiceId service) const
 {
     std::vector<UpstreamRecord> result;
+    std::vector<UpstreamRecord> newcomers;
     for (const auto& [name, row] : this->rows) {
         const UpstreamRecord& record = row.record;
         if (record.service == service && !record.draining && (row.listed || row.returning)
             && !this->isSuperseded(record))
-            result.push_back(record);
+            (row.usableFrom <= this->clock.now() ? result : newcomers).push_back(record);
     }
-    return result;
+    return result.empty() ? newcomers : result;
 }
 
 std::vector<UpstreamRecord> UpstreamDirectory::holders(ServiceId service) const
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace wasabicroft {
@@ -63,6 +64,7 @@
 
 struct DirectoryOptions {
     Milliseconds returnGrace { 2000 }; // entries that lapsed during an outage return within this time after it
+    Milliseconds spreadTime { 750 }; // a change reaches every entry: spacing of watches and hints of peers
     Milliseconds flowLifetime { 60000 }; // a flow may outlive its upstream's entry for this long
 };
 
@@ -80,7 +82,7 @@
 
     // The platform answers again after an outage: entries that it lacks now may return shortly.
     void noteReturn();
-    bool onTick(); // returns whether the time limit of lapsed entries ended
+    bool onTick(); // returns whether a time limit ended that changes what is usable
 
     // Every live upstream is listed: the state is known, and no outage ended shortly before.
     bool isComplete() const;
@@ -89,7 +91,9 @@
     uint64_t lastChange() const { return this->changed; } // revision of the newest known change of an entry
     bool isKnown() const { return this->newest > 0; }
 
-    std::vector<UpstreamRecord> usable(ServiceId) const; // take new flows
+    // Take new flows. An upstream at a new address does so once every entry knows it, or an entry without it would take
+    // its flows for lost; if there is no other, at once.
+    std::vector<UpstreamRecord> usable(ServiceId) const;
     std::vector<UpstreamRecord> holders(ServiceId) const; // may hold open flows; includes draining and removed ones
     std::vector<UpstreamRecord> all() const; // listed ones
     bool isListed(const UpstreamRecord&) const;
@@ -102,16 +106,20 @@
         uint64_t removedAt = 0; // revision of the removal
         TimePoint unlisted; // since when
         bool returning = false; // still used although the list lacks it
+        TimePoint usableFrom; // every entry knows it
     };
 
     void unlist(Row&, uint64_t revision);
     bool isSuperseded(const UpstreamRecord&) const;
+    bool knowsAddress(PacketAddress) const;
 
     DirectoryOptions options;
     const Clock& clock;
     std::map<std::string, Row> rows; // by name
     uint64_t newest = 0;
     uint64_t changed = 0;
+    bool hasList = false; // a complete list was read
+    std::multiset<TimePoint> becomingUsable; // times of upstreams at new addresses
     TimePoint graceEnds;
     bool inGrace = false;
 };
