Give the path test an address of its own process

Ruled out: the sanitizer (the same binary alone passes in 0.8 s).

Before: of two runs at the same time both hang (1 of 1 pair, release). The checks are unchanged.

--- a/tests/PathProcessTest.cpp
+++ b/tests/PathProcessTest.cpp
@@ -1,5 +1,6 @@
 // Runs wasabi-entry and wasabi-agent as processes against the platform's test double and a plain TCP upstream.
 #include "fakes/Platform.h"
+#include "tests/Processes.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -131,9 +132,9 @@
             return received;
         }
 
-        const std::string address = "127.41.0.1"; // of this test file only
+        const std::string address = tests::freeEndpoint().address; // of this test process only
         asio::io_context context;
-        tcp::acceptor upstream { this->context, { asio::ip::make_address("127.41.0.1"), 0 } };
+        tcp::acceptor upstream { this->context, { asio::ip::make_address(this->address), 0 } };
         FakePlatform platform;
         ServiceConfig service;
     };
