Join what stands twice: main() of the packet programs, packet bytes, bit mixing, counters, test steps

runPacketProgram replaces two copies of main(); fakes::makePacket replaces the copy in tests/PacketWorld.h; mixBits replaces the SplitMix64 finalizer of Packet, Placement, Membership and fakes/Pattern; Metrics::setCount replaces two lambdas and five casts; PacketEntry::flush replaces three copies of it. Two tests of the router and three of the world share their opening steps. No behaviour changes, but that an entry sends questions that an answer of the store releases at once instead of with the next tick (20 ms).

--- a/backends/AgentServer.cpp
+++ b/backends/AgentServer.cpp
@@ -651,7 +651,7 @@
     this->missedVersion = 0;
     this->decideWaitingOpens();
     const ConfigVersion version = this->store.version();
-    this->metrics.set("wasabi_config_version", "", static_cast<double>(version.version));
+    this->metrics.setCount("wasabi_config_version", "", version.version);
     logEvent(Event::AgentConfigInForce,
         { { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest },
             { "services", static_cast<uint64_t>(services.size()) }, { "leaving", isLeaving },
--- a/backends/Daemon.cpp
+++ b/backends/Daemon.cpp
@@ -258,9 +258,9 @@
 
 void Daemon::publishStatus()
 {
-    this->metrics.set("wasabi_log_lines_dropped", "", static_cast<double>(droppedLogLines()));
-    this->metrics.set("wasabi_invariant_violations", "", static_cast<double>(violationCount()));
-    this->metrics.set("wasabi_ring_overflows", "ring=\"config\"", static_cast<double>(this->updates.overflows()));
+    this->metrics.setCount("wasabi_log_lines_dropped", "", droppedLogLines());
+    this->metrics.setCount("wasabi_invariant_violations", "", violationCount());
+    this->metrics.setCount("wasabi_ring_overflows", "ring=\"config\"", this->updates.overflows());
     const PropagationStatus propagation = this->reader.status().propagation;
     this->metrics.set("wasabi_config_confirmed", "", propagation.isConfirmed ? 1 : 0);
     OperatorStatus status = this->handlers.status();
--- a/backends/EntryServer.cpp
+++ b/backends/EntryServer.cpp
@@ -114,7 +114,7 @@
     this->updatePools();
     this->openListeners();
     const ConfigVersion version = this->store.version();
-    this->metrics.set("wasabi_config_version", "", static_cast<double>(version.version));
+    this->metrics.setCount("wasabi_config_version", "", version.version);
     logEvent(Event::EntryConfigInForce,
         { { "epoch", version.epoch }, { "version", version.version }, { "digest", version.digest },
             { "listeners", static_cast<uint64_t>(this->listeners.size()) },
--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -139,25 +139,22 @@
 void PacketAgent::exportMetrics(Metrics& metrics) const
 {
     const AgentGateCounters& counts = this->gate.counters();
-    const auto set = [&](const char* name, const char* labels, uint64_t value) {
-        metrics.set(name, labels, static_cast<double>(value));
-    };
-    set("wasabi_packets_total", "from=\"entries\"", counts.fromEntries);
-    set("wasabi_packets_total", "from=\"upstream\"", counts.fromUpstream);
-    set("wasabi_asked_flows_total", "", counts.asked);
-    set("wasabi_bounces_total", "", counts.bounces);
-    set("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
-    set("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
-    set("wasabi_flows_gone_total", "", counts.gone);
-    set("wasabi_dropped_total", "", counts.dropped);
-    set("wasabi_invalid_total", "source=\"entry\"", this->invalidHops);
-    set("wasabi_invalid_total", "source=\"upstream\"", this->invalidPackets);
-    set("wasabi_send_failures_total", "", this->entries.sendFailures() + this->upstream.sendFailures());
-    set("wasabi_flows", "", this->gate.openFlows());
-    set("wasabi_busy", "", this->gate.busy());
-    set("wasabi_waiting", "", this->gate.waiting());
-    set("wasabi_requests_waited_total", "", counts.waited);
-    set("wasabi_requests_expired_total", "", counts.expired);
+    metrics.setCount("wasabi_packets_total", "from=\"entries\"", counts.fromEntries);
+    metrics.setCount("wasabi_packets_total", "from=\"upstream\"", counts.fromUpstream);
+    metrics.setCount("wasabi_asked_flows_total", "", counts.asked);
+    metrics.setCount("wasabi_bounces_total", "", counts.bounces);
+    metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
+    metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
+    metrics.setCount("wasabi_flows_gone_total", "", counts.gone);
+    metrics.setCount("wasabi_dropped_total", "", counts.dropped);
+    metrics.setCount("wasabi_invalid_total", "source=\"entry\"", this->invalidHops);
+    metrics.setCount("wasabi_invalid_total", "source=\"upstream\"", this->invalidPackets);
+    metrics.setCount("wasabi_send_failures_total", "", this->entries.sendFailures() + this->upstream.sendFailures());
+    metrics.setCount("wasabi_flows", "", this->gate.openFlows());
+    metrics.setCount("wasabi_busy", "", this->gate.busy());
+    metrics.setCount("wasabi_waiting", "", this->gate.waiting());
+    metrics.setCount("wasabi_requests_waited_total", "", counts.waited);
+    metrics.setCount("wasabi_requests_expired_total", "", counts.expired);
 }
 
 } // namespace wasabicroft
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -216,7 +216,7 @@
 void PacketDaemon::publishStatus()
 {
     this->handlers.exportMetrics(this->counters);
-    this->counters.set("wasabi_log_lines_dropped", "", static_cast<double>(droppedLogLines()));
+    this->counters.setCount("wasabi_log_lines_dropped", "", droppedLogLines());
     OperatorStatus status = this->handlers.status();
     if (this->stopping) {
         status.ready = false;
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "backends/HttpServer.h"
+#include "wasabicroft/Clock.h"
+#include "wasabicroft/Log.h"
 #include "wasabicroft/Packet.h"
 #include "wasabicroft/Settings.h"
 
@@ -21,7 +23,7 @@
     std::string service; // agent: of its upstream
     Endpoint ready; // /ready, /status, /health, /metrics
     Endpoint metrics; // the same; port 0: not served
-    Endpoint peer; // entry: state for peers, over HTTP
+    Endpoint peer; // the same
     std::vector<Endpoint> seeds; // entries that may be up; only the addresses are used
     Endpoint store; // entry
     Milliseconds stopDelay { 1500 }; // entry: goes on forwarding while routers notice that it is not ready
@@ -67,10 +69,10 @@
 
     Result<bool> start();
     void run(); // returns when the process is to end
-    void publishStatus();
     bool reloadIfChanged(); // reads the settings file again if it changed; returns whether it did
 
 private:
+    void publishStatus();
     void awaitSignal();
     void scheduleTick();
     void scheduleStatus();
@@ -91,4 +93,57 @@
     bool stopping = false;
 };
 
+//-----------------------------------------------------------------------------
+// Program
+//-----------------------------------------------------------------------------
+
+struct PacketProgram {
+    std::string name;
+    std::string environmentPrefix;
+    Event started;
+    Event stopping;
+    Event stopped;
+};
+
+inline constexpr Milliseconds packetTickInterval { 20 };
+
+// The whole of main(). Node is PacketEntry or PacketAgent; connect may wire it to its daemon before the start.
+template <typename Node>
+int runPacketProgram(
+    int argc, char** argv, const PacketProgram& program, const std::function<void(Node&, PacketDaemon&)>& connect = {})
+{
+    PacketSettingsSource source(argc, argv, program.name, program.environmentPrefix);
+    PacketSettings settings;
+    if (const std::optional<int> code = source.load(settings))
+        return *code;
+    startLog(settings.log);
+    const SystemClock clock;
+    boost::asio::io_context context(1);
+    Node node(context, settings, clock);
+    PacketDaemonHandlers handlers;
+    handlers.onSettings = [&](const PacketSettings& changed) { node.onSettings(changed); };
+    handlers.status = [&] { return node.status(); };
+    handlers.exportMetrics = [&](Metrics& metrics) { node.exportMetrics(metrics); };
+    handlers.onTick = [&] { node.onTick(); };
+    handlers.onStop = [&] { logEvent(program.stopping, { { "delay-ms", settings.stopDelay } }); };
+    PacketDaemon daemon(context, settings, source, packetTickInterval, handlers);
+    if (connect)
+        connect(node, daemon);
+    Result<bool> started = node.start();
+    if (started)
+        started = daemon.start();
+    if (!started) {
+        printErrors({ started.error() });
+        stopLog();
+        return exit_codes::refusedInput;
+    }
+    logEvent(program.started,
+        { { "version", WASABICROFT_VERSION }, { "packets", toString(settings.packets) },
+            { "failure-domain", settings.failureDomain } });
+    daemon.run();
+    logEvent(program.stopped, {});
+    stopLog();
+    return exit_codes::success;
+}
+
 } // namespace wasabicroft
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -73,13 +73,8 @@
     const Result<PacketAddress> hop = this->agents.open(this->settings.hop);
     if (!hop)
         return hop.error();
-    const auto flushBoth = [this] {
-        this->router.sendAsks();
-        this->agents.flush();
-        this->clients.flush();
-    };
-    this->clients.onBatch = flushBoth;
-    this->agents.onBatch = flushBoth;
+    this->clients.onBatch = [this] { this->flush(); };
+    this->agents.onBatch = [this] { this->flush(); };
     this->clients.start(
         [this](PacketAddress source, std::span<uint8_t> bytes) { this->onClientDatagram(source, bytes); });
     this->agents.start([this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
@@ -143,6 +138,13 @@
         logEvent(Event::PacketInvalid, { { "source", toString(source) }, { "reason", error.message } });
 }
 
+void PacketEntry::flush()
+{
+    this->router.sendAsks();
+    this->agents.flush();
+    this->clients.flush();
+}
+
 //-----------------------------------------------------------------------------
 // Store
 //-----------------------------------------------------------------------------
@@ -174,8 +176,7 @@
         client = std::make_shared<HttpClient>(this->context);
     client->start(this->settings.store, platform::targetOf(read), read.timeout, [this, read](HttpResult result) {
         this->onAnswer(read, std::move(result));
-        this->agents.flush();
-        this->clients.flush();
+        this->flush();
         this->readStore();
     });
 }
@@ -385,8 +386,7 @@
     this->followOtherEntries();
     this->sendPresence();
     this->router.onTick();
-    this->agents.flush();
-    this->clients.flush();
+    this->flush();
 }
 
 OperatorStatus PacketEntry::status() const
@@ -418,30 +418,27 @@
 void PacketEntry::exportMetrics(Metrics& metrics) const
 {
     const EntryRouterCounters& counts = this->router.counters();
-    const auto set = [&](const char* name, const char* labels, uint64_t value) {
-        metrics.set(name, labels, static_cast<double>(value));
-    };
-    set("wasabi_packets_total", "", counts.packets);
-    set("wasabi_offers_total", "", counts.offers);
-    set("wasabi_offers_failed_total", "cause=\"silent\"", counts.offerTimeouts);
-    set("wasabi_offers_failed_total", "cause=\"refused\"", counts.refusedOffers);
-    set("wasabi_forwarded_total", "", counts.forwarded);
-    set("wasabi_finds_total", "", counts.finds);
-    set("wasabi_find_copies_total", "", counts.findCopies);
-    set("wasabi_asks_total", "", counts.asks);
-    set("wasabi_finds_limited_total", "", counts.findsLimited);
-    set("wasabi_not_held_total", "", counts.notHeld);
-    set("wasabi_resets_total", "", counts.resets);
-    set("wasabi_held_total", "", counts.held);
-    set("wasabi_dropped_total", "", counts.dropped);
-    set("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
-    set("wasabi_invalid_total", "source=\"agent\"", this->invalidHops);
-    set("wasabi_store_reads_total", "outcome=\"any\"", this->storeReads);
-    set("wasabi_store_reads_total", "outcome=\"failed\"", this->failedReads);
-    set("wasabi_send_failures_total", "", this->clients.sendFailures() + this->agents.sendFailures());
-    set("wasabi_flows", "", this->router.openFlows());
-    set("wasabi_flow_evictions_total", "", this->router.flowEvictions());
-    set("wasabi_routes_version", "", this->router.routesVersion());
+    metrics.setCount("wasabi_packets_total", "", counts.packets);
+    metrics.setCount("wasabi_offers_total", "", counts.offers);
+    metrics.setCount("wasabi_offers_failed_total", "cause=\"silent\"", counts.offerTimeouts);
+    metrics.setCount("wasabi_offers_failed_total", "cause=\"refused\"", counts.refusedOffers);
+    metrics.setCount("wasabi_forwarded_total", "", counts.forwarded);
+    metrics.setCount("wasabi_finds_total", "", counts.finds);
+    metrics.setCount("wasabi_find_copies_total", "", counts.findCopies);
+    metrics.setCount("wasabi_asks_total", "", counts.asks);
+    metrics.setCount("wasabi_finds_limited_total", "", counts.findsLimited);
+    metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
+    metrics.setCount("wasabi_resets_total", "", counts.resets);
+    metrics.setCount("wasabi_held_total", "", counts.held);
+    metrics.setCount("wasabi_dropped_total", "", counts.dropped);
+    metrics.setCount("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
+    metrics.setCount("wasabi_invalid_total", "source=\"agent\"", this->invalidHops);
+    metrics.setCount("wasabi_store_reads_total", "outcome=\"any\"", this->storeReads);
+    metrics.setCount("wasabi_store_reads_total", "outcome=\"failed\"", this->failedReads);
+    metrics.setCount("wasabi_send_failures_total", "", this->clients.sendFailures() + this->agents.sendFailures());
+    metrics.setCount("wasabi_flows", "", this->router.openFlows());
+    metrics.setCount("wasabi_flow_evictions_total", "", this->router.flowEvictions());
+    metrics.setCount("wasabi_routes_version", "", this->router.routesVersion());
 }
 
 } // namespace wasabicroft
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -24,6 +24,7 @@
     void onClientDatagram(PacketAddress source, std::span<uint8_t>);
     void onHopDatagram(PacketAddress source, std::span<uint8_t>);
     void noteInvalid(PacketAddress source, const Error&);
+    void flush();
 
     void readStore();
     void startRead(const StoreRead&);
--- a/fakes/PacketPlatform.cpp
+++ b/fakes/PacketPlatform.cpp
@@ -16,12 +16,6 @@
     constexpr size_t window = 16; // packets in flight of one end
     constexpr uint32_t hostSequenceSpacing = 10000000; // a client's acknowledgement must fit one host only
 
-    void put(std::vector<uint8_t>& bytes, size_t at, uint64_t value, size_t size)
-    {
-        for (size_t i = 0; i < size; ++i)
-            bytes[at + i] = static_cast<uint8_t>(value >> (8 * (size - 1 - i)));
-    }
-
     std::string base64(const std::string& text)
     {
         namespace codec = boost::beast::detail::base64;
@@ -32,21 +26,6 @@
 
 } // namespace
 
-std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags, uint32_t sequence,
-    uint32_t acknowledgement, uint16_t payloadBytes)
-{
-    std::vector<uint8_t> bytes(platform::packetHeaderBytes + payloadBytes, 0);
-    put(bytes, 0, flags, 1);
-    put(bytes, 6, destination.address, 4);
-    put(bytes, 10, source.address, 4);
-    put(bytes, 14, source.port, 2);
-    put(bytes, 16, destination.port, 2);
-    put(bytes, 18, sequence, 4);
-    put(bytes, 22, acknowledgement, 4);
-    put(bytes, 34, payloadBytes, 2);
-    return bytes;
-}
-
 //-----------------------------------------------------------------------------
 // Store
 //-----------------------------------------------------------------------------
@@ -213,7 +192,7 @@
 {
     this->sequence += static_cast<uint32_t>(this->lastRequest.size());
     this->lastRequest.assign(64, 0);
-    put(this->lastRequest, 0, answerBytes, 4);
+    putNumber(this->lastRequest, 0, answerBytes, 4);
     this->receivedBytes = 0;
     this->repeatRequest();
 }
--- a/fakes/PacketPlatform.h
+++ b/fakes/PacketPlatform.h
@@ -4,24 +4,13 @@
 
 #include "backends/DatagramSocket.h"
 #include "fakes/Http.h"
+#include "fakes/PacketBytes.h"
 
 #include <map>
 #include <set>
 
 namespace wasabicroft::fakes {
 
-// Packets with the platform's layout.
-std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags, uint32_t sequence,
-    uint32_t acknowledgement, uint16_t payloadBytes);
-
-namespace packet_flags {
-    inline constexpr uint8_t syn = 16;
-    inline constexpr uint8_t ack = 64;
-    inline constexpr uint8_t fin = 128;
-    inline constexpr uint8_t reset = 32;
-    inline constexpr uint8_t bounced = 1;
-} // namespace packet_flags
-
 // The store: items by key, in one revision order. Watches are answered at once. An item of the routes' topic has the
 // key op/config, those of upstreams begin with servers/.
 class PacketStore {
--- a/fakes/Pattern.cpp
+++ b/fakes/Pattern.cpp
@@ -16,14 +16,8 @@
     constexpr size_t chunkBytes = 64 * 1024;
     constexpr size_t maxLineBytes = 4096;
 
-    // SplitMix64 finaliser: neighbouring positions give unrelated words.
-    uint64_t patternWord(uint64_t position)
-    {
-        uint64_t word = position + 0x9e3779b97f4a7c15ULL;
-        word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
-        word = (word ^ (word >> 27)) * 0x94d049bb133111ebULL;
-        return word ^ (word >> 31);
-    }
+    // Neighbouring positions give unrelated words.
+    uint64_t patternWord(uint64_t position) { return mixBits(position + mixStep); }
 
     std::string hexadecimal(uint64_t value)
     {
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -92,6 +92,18 @@
             this->router.sendAsks();
         }
 
+        // Offers a flow to an upstream that stays silent until its offer times out; returns that upstream's agent.
+        PacketAddress openAtSilentUpstream()
+        {
+            this->useRoutes();
+            this->useUpstreams(4);
+            this->fromClient(synFlag);
+            const PacketAddress first = this->takeHops().at(0).agent;
+            this->clock.advance(Milliseconds(61));
+            this->router.onTick();
+            return first;
+        }
+
         std::vector<SentHop> takeHops() { return std::exchange(this->hops, {}); }
 
         ManualClock clock;
@@ -113,12 +125,7 @@
     // Guards against new flows that wait for a silent agent until their client's next copy.
     TEST_F(RouterFixture, ASilentAgentIsReplacedAfterTheOfferTimeout)
     {
-        this->useRoutes();
-        this->useUpstreams(4);
-        this->fromClient(synFlag);
-        const PacketAddress first = this->takeHops().at(0).agent;
-        this->clock.advance(Milliseconds(61));
-        this->router.onTick();
+        const PacketAddress first = this->openAtSilentUpstream();
         ASSERT_EQ(this->hops.size(), 1U);
         EXPECT_NE(this->hops[0].agent, first);
     }
@@ -126,12 +133,7 @@
     // Guards against a flow that is sent to the wrong one of two upstreams that accepted copies of its SYN.
     TEST_F(RouterFixture, TheClientsAcknowledgementSelectsBetweenTwoUpstreams)
     {
-        this->useRoutes();
-        this->useUpstreams(4);
-        this->fromClient(synFlag);
-        const PacketAddress first = this->takeHops().at(0).agent;
-        this->clock.advance(Milliseconds(61));
-        this->router.onTick();
+        const PacketAddress first = this->openAtSilentUpstream();
         const PacketAddress second = this->takeHops().at(0).agent;
         this->fromAgent(first, HopKind::Accepted, 500);
         this->fromAgent(second, HopKind::Accepted, 900);
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -3,6 +3,7 @@
 // changed packet is seen.
 #pragma once
 
+#include "fakes/PacketBytes.h"
 #include "platform/PacketLayout.h"
 #include "wasabicroft/AgentGate.h"
 #include "wasabicroft/EntryRouter.h"
@@ -16,30 +17,13 @@
 
 namespace wasabicroft::tests {
 
-inline std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags,
-    uint32_t sequence, uint32_t acknowledgement, uint16_t payload)
-{
-    std::vector<uint8_t> bytes(platform::packetHeaderBytes + payload, 0);
-    const auto put = [&](size_t at, uint64_t value, size_t size) {
-        for (size_t i = 0; i < size; ++i)
-            bytes[at + i] = static_cast<uint8_t>(value >> (8 * (size - 1 - i)));
-    };
-    put(0, flags, 1);
-    put(6, destination.address, 4);
-    put(10, source.address, 4);
-    put(14, source.port, 2);
-    put(16, destination.port, 2);
-    put(18, sequence, 4);
-    put(22, acknowledgement, 4);
-    put(34, payload, 2);
-    return bytes;
-}
-
-inline constexpr uint8_t synFlag = 16;
-inline constexpr uint8_t ackFlag = 64;
-inline constexpr uint8_t finFlag = 128;
-inline constexpr uint8_t rstFlag = 32;
-inline constexpr uint8_t bouncedFlag = 1;
+using fakes::makePacket;
+
+inline constexpr uint8_t synFlag = fakes::packet_flags::syn;
+inline constexpr uint8_t ackFlag = fakes::packet_flags::ack;
+inline constexpr uint8_t finFlag = fakes::packet_flags::fin;
+inline constexpr uint8_t rstFlag = fakes::packet_flags::reset;
+inline constexpr uint8_t bouncedFlag = fakes::packet_flags::bounced;
 
 struct WorldOptions {
     size_t entries = 3;
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -18,6 +18,13 @@
 
     std::string firstOf(const std::vector<std::string>& lines) { return lines.empty() ? "" : lines.front(); }
 
+    void requestAllAgain(PacketWorld& world)
+    {
+        const size_t count = world.requests.size();
+        for (size_t i = 0; i < count; ++i)
+            world.requestAgain(i);
+    }
+
     // Guards against a path that does not work at all.
     TEST(PacketWorld, QuietRequestsAreAllAnswered)
     {
@@ -42,8 +49,7 @@
         world.run(Milliseconds(2000));
         ASSERT_EQ(answered(world), 60U);
         world.killEntry(0);
-        for (size_t i = 0; i < 60; ++i)
-            world.requestAgain(i);
+        requestAllAgain(world);
         world.run(Milliseconds(2000));
         EXPECT_EQ(answered(world), 60U);
         EXPECT_EQ(firstOf(world.violations), "");
@@ -61,8 +67,7 @@
             world.startEntry(i);
         for (size_t i = 0; i < world.upstreams.size(); ++i)
             world.restartAgent(i);
-        for (size_t i = 0; i < 60; ++i)
-            world.requestAgain(i);
+        requestAllAgain(world);
         world.run(Milliseconds(2500));
         EXPECT_EQ(answered(world), 60U);
         EXPECT_EQ(firstOf(world.violations), "");
@@ -83,8 +88,7 @@
         }
         for (size_t i = 0; i < world.entries.size(); ++i)
             world.startEntry(i);
-        for (size_t i = 0; i < 40; ++i)
-            world.requestAgain(i);
+        requestAllAgain(world);
         world.run(Milliseconds(400));
         for (const PacketWorld::Request& request : world.requests)
             EXPECT_TRUE(request.reset);
--- a/wasabicroft/Membership.cpp
+++ b/wasabicroft/Membership.cpp
@@ -7,14 +7,8 @@
 
 namespace {
 
-    // Finalizer of SplitMix64: orders of different rings are independent of each other.
-    uint64_t positionInRing(uint64_t hash, size_t ring)
-    {
-        uint64_t value = hash + 0x9e3779b97f4a7c15U * (ring + 1);
-        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
-        value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
-        return value ^ (value >> 31);
-    }
+    // Orders of different rings are independent of each other.
+    uint64_t positionInRing(uint64_t hash, size_t ring) { return mixBits(hash + mixStep * (ring + 1)); }
 
     struct Ranked {
         uint64_t hash = 0;
--- a/wasabicroft/Metrics.cpp
+++ b/wasabicroft/Metrics.cpp
@@ -70,6 +70,11 @@
     this->tables->gauges[{ gauge, labels }] = value;
 }
 
+void Metrics::setCount(const std::string& gauge, const std::string& labels, uint64_t value)
+{
+    this->set(gauge, labels, static_cast<double>(value));
+}
+
 void Metrics::observe(const std::string& name, const std::string& labels, Duration value)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/wasabicroft/Metrics.h
+++ b/wasabicroft/Metrics.h
@@ -20,6 +20,7 @@
     // labels is the inner part of a Prometheus label set, for example: service="label-print",reason="draining"
     void add(const std::string& counter, const std::string& labels = "", uint64_t amount = 1);
     void set(const std::string& gauge, const std::string& labels, double value);
+    void setCount(const std::string& gauge, const std::string& labels, uint64_t value);
     void observe(const std::string& histogram, const std::string& labels, Duration value); // buckets in seconds
 
     uint64_t counter(const std::string& name, const std::string& labels = "") const;
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -14,14 +14,6 @@
 
     static_assert(sizeof(wire::Hop) == hopHeaderBytes);
 
-    // Finalizer of SplitMix64.
-    uint64_t mixed(uint64_t value)
-    {
-        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
-        value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
-        return value ^ (value >> 31);
-    }
-
     uint64_t packed(PacketAddress address) { return (static_cast<uint64_t>(address.address) << 16) | address.port; }
 
 } // namespace
@@ -68,7 +60,7 @@
 
 size_t FlowKeyHash::operator()(const FlowKey& flow) const noexcept
 {
-    return static_cast<size_t>(mixed(packed(flow.client) + 0x9e3779b97f4a7c15U * packed(flow.route)));
+    return static_cast<size_t>(mixBits(packed(flow.client) + mixStep * packed(flow.route)));
 }
 
 //-----------------------------------------------------------------------------
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -116,10 +116,7 @@
 
 uint64_t rendezvousRank(uint64_t flowHash, UpstreamId upstream)
 {
-    uint64_t value = flowHash ^ (upstream.value * 0x9e3779b97f4a7c15U);
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31);
+    return mixBits(flowHash ^ (upstream.value * mixStep));
 }
 
 Placement::Placement(PlacementOptions initialOptions, const Clock& timeSource)
--- a/wasabicroft/Types.h
+++ b/wasabicroft/Types.h
@@ -58,6 +58,15 @@
 
 // Stable 64-bit hash of a configured name. Configuration validation rejects names that collide.
 uint64_t hashName(std::string_view name);
+
+// Finalizer of SplitMix64: similar values give unrelated ones.
+constexpr uint64_t mixBits(uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31);
+}
+inline constexpr uint64_t mixStep = 0x9e3779b97f4a7c15U; // of SplitMix64; spreads consecutive numbers before mixBits
 ServiceId serviceIdOf(std::string_view name);
 UpstreamId upstreamIdOf(std::string_view name);
 
