Look upstreams up by address; keep no copies and no members that nobody reads

UpstreamDirectory compared every row with every other one to find the newest upstream at an address: at 5,900 upstreams about 35 million comparisons for each change of one entry, and as many for a full list. It keeps the names at each address now. A returned packet no longer copies its flow with the stored packets. The router's table of usable upstreams served only to tell whether there is one.

The router's header describes the search as it is.

--- a/backends/DatagramSocket.cpp
+++ b/backends/DatagramSocket.cpp
@@ -63,12 +63,6 @@
 
 void DatagramSocket::poll() { this->readBatches(); }
 
-void DatagramSocket::close()
-{
-    error_code ignored; // the socket is not used any more
-    this->socket.close(ignored);
-}
-
 void DatagramSocket::wait()
 {
     this->socket.async_wait(asio::socket_base::wait_read, [this](error_code error) {
--- a/backends/DatagramSocket.h
+++ b/backends/DatagramSocket.h
@@ -20,7 +20,6 @@
     Result<PacketAddress> open(PacketAddress); // the address in use
     void start(Handler); // calls the handler for each datagram
     void poll(); // handles what has arrived without waiting
-    void close();
 
     // Queues a datagram for the next flush; flushes by itself when the batch is full.
     void send(PacketAddress destination, Bytes);
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -318,24 +318,24 @@
 void AgentGate::onBounce(const FlowKey& key, const Packet& packet, Bytes bytes)
 {
     ++this->counts.bounces;
-    const Flow* known = this->flows.find(key);
-    if (!known || known->entry == PacketAddress()) {
+    Flow* flow = this->flows.find(key);
+    if (!flow || flow->entry == PacketAddress()) {
         ++this->counts.dropped;
         return;
     }
-    Flow flow = *known;
-    this->noteReached(flow);
+    this->noteReached(*flow);
+    const PacketAddress entry = flow->entry;
+    const bool wasOpen = flow->isOpen;
+    const bool returnsPacket = flow->lastKind != HopKind::Find; // else the entry still has it
     this->forget(key);
     if (packet.isSyn()) {
         ++this->counts.refused;
-        this->reply(flow.entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
-    } else if (flow.isOpen) {
+        this->reply(entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
+    } else if (wasOpen) {
         ++this->counts.gone;
-        this->reply(flow.entry, HopKind::Gone, key, HopRefusal::None);
+        this->reply(entry, HopKind::Gone, key, HopRefusal::None);
     } else {
-        // The entry still has the packet of a Find.
-        const bool returnsPacket = flow.lastKind != HopKind::Find;
-        this->reply(flow.entry, HopKind::NotHeld, key, HopRefusal::None, returnsPacket ? bytes : Bytes());
+        this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, returnsPacket ? bytes : Bytes());
     }
 }
 
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -107,7 +107,7 @@
     }
     for (const UpstreamRecord& record : directory.all())
         services.insert(record.service);
-    this->usable.clear();
+    this->takesFlows = false;
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
@@ -119,10 +119,12 @@
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
         for (const UpstreamRecord& record : directory.usable(service)) {
-            pool.push_back({ record.id(), record.failureDomain, record.slots, false });
-            this->slotsByAgent[{ record.address.address, this->options.agentPort }] = record.slots;
-            this->usable[service].push_back(targetOf(record));
+            const HolderCandidate target = targetOf(record);
+            pool.push_back({ target.upstream, record.failureDomain, record.slots, false });
+            this->slotsByAgent[target.agent] = record.slots;
+            this->upstreamByAgent[target.agent] = target.upstream; // goes before those that only hold flows
         }
+        this->takesFlows = this->takesFlows || !pool.empty();
         this->placement.setPool(service, std::move(pool));
         for (const UpstreamRecord& record : directory.holders(service)) {
             const HolderCandidate target = targetOf(record);
@@ -131,14 +133,10 @@
             this->upstreamByAgent.emplace(target.agent, target.upstream);
         }
     }
-    for (const auto& [service, targets] : this->usable) {
-        for (const HolderCandidate& target : targets)
-            this->upstreamByAgent[target.agent] = target.upstream;
-    }
     this->releaseHeld();
 }
 
-bool EntryRouter::isServing() const { return this->routes && !this->isProvisional && !this->usable.empty(); }
+bool EntryRouter::isServing() const { return this->routes && !this->isProvisional && this->takesFlows; }
 
 //-----------------------------------------------------------------------------
 // Packets of clients
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -2,9 +2,9 @@
 // holds an open flow, and what is refused. No I/O.
 //
 // A new flow is offered to one upstream at a time until one accepts. The upstream is the authority on the flows that it
-// holds; the table here is a cache. When the cache has no entry, a packet of the flow is sent first to the homes of the
-// flow, which its hash selects, and then to all other upstreams that may hold it, until the agent beside the holder
-// answers. Further packets of the flow wait for the answer.
+// holds; the table here is a cache. When the cache has no entry, the agents beside all upstreams that may hold the flow
+// are asked. Upstreams whose agents are unsure or silent get a packet of the flow: first its homes, which its hash
+// selects, then the others. Further packets of the flow wait for the answer.
 //
 // Index
 //   [SECTION] Options and counters
@@ -206,7 +206,7 @@
     bool hasUpstreams = false;
     bool directoryIsComplete = false; // no entry is missing because of an outage of the store
     uint64_t directoryRevision = 0;
-    std::map<ServiceId, std::vector<HolderCandidate>> usable;
+    bool takesFlows = false; // an upstream takes new flows
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -32,15 +32,16 @@
     const uint64_t revision = record.revision;
     this->newest = std::max(this->newest, revision);
     this->changed = std::max(this->changed, revision);
-    const bool isNew = this->hasList && !this->inGrace && !this->knowsAddress(record.address);
+    const bool isNew = this->hasList && !this->inGrace && !this->namesAt.contains(record.address);
     Row& row = this->rows[record.name];
     if (revision <= std::max(row.record.revision, row.removedAt))
         return false;
     const TimePoint now = this->clock.now();
-    record.seen = now;
     const TimePoint usableFrom = isNew ? now + this->options.spreadTime : row.usableFrom;
     if (isNew)
         this->becomingUsable.insert(usableFrom);
+    this->forgetAddress(row.record);
+    this->namesAt[record.address].insert(record.name);
     row = Row { std::move(record), true, 0, {}, false, usableFrom };
     return true;
 }
@@ -107,7 +108,10 @@
             row.returning = false;
     }
     std::erase_if(this->rows, [&](const auto& item) {
-        return !item.second.listed && now - item.second.unlisted > this->options.flowLifetime;
+        const bool isOver = !item.second.listed && now - item.second.unlisted > this->options.flowLifetime;
+        if (isOver)
+            this->forgetAddress(item.second.record);
+        return isOver;
     });
     const auto due = this->becomingUsable.upper_bound(now);
     const bool becameUsable = due != this->becomingUsable.begin();
@@ -115,10 +119,11 @@
     return graceEnded || becameUsable;
 }
 
-bool UpstreamDirectory::knowsAddress(PacketAddress address) const
+void UpstreamDirectory::forgetAddress(const UpstreamRecord& record)
 {
-    return std::any_of(
-        this->rows.begin(), this->rows.end(), [&](const auto& item) { return item.second.record.address == address; });
+    const auto names = this->namesAt.find(record.address);
+    if (names != this->namesAt.end() && names->second.erase(record.name) > 0 && names->second.empty())
+        this->namesAt.erase(names);
 }
 
 bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
@@ -130,10 +135,13 @@
 const UpstreamRecord* UpstreamDirectory::listedAt(PacketAddress address) const
 {
     const UpstreamRecord* newestRecord = nullptr;
-    for (const auto& [name, row] : this->rows) {
-        const UpstreamRecord& record = row.record;
-        if (row.listed && record.address == address && (!newestRecord || record.born > newestRecord->born))
-            newestRecord = &record;
+    const auto names = this->namesAt.find(address);
+    if (names == this->namesAt.end())
+        return nullptr;
+    for (const std::string& name : names->second) {
+        const Row& row = this->rows.at(name);
+        if (row.listed && (!newestRecord || row.record.born > newestRecord->born))
+            newestRecord = &row.record;
     }
     return newestRecord;
 }
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -55,9 +55,7 @@
     std::string failureDomain;
     uint16_t slots = 1;
     bool draining = false;
-    Milliseconds coldLeft { 0 }; // it stays slow for this long after `seen`
     uint64_t revision = 0; // of the platform's state in which the entry last changed
-    TimePoint seen; // when this process learnt of that change
 
     UpstreamId id() const; // differs between incarnations
 };
@@ -111,11 +109,12 @@
 
     void unlist(Row&, uint64_t revision);
     bool isSuperseded(const UpstreamRecord&) const;
-    bool knowsAddress(PacketAddress) const;
+    void forgetAddress(const UpstreamRecord&);
 
     DirectoryOptions options;
     const Clock& clock;
     std::map<std::string, Row> rows; // by name
+    std::map<PacketAddress, std::set<std::string>> namesAt; // of rows, by address
     uint64_t newest = 0;
     uint64_t changed = 0;
     bool hasList = false; // a complete list was read
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -139,14 +139,4 @@
     return expired;
 }
 
-Milliseconds RequestQueue::expectedWait() const
-{
-    if (this->hasRoom(false) || this->options.slots == 0)
-        return Milliseconds(0);
-    const auto inTime = std::count_if(this->queue.begin(), this->queue.end(),
-        [this](const QueuedRequest& request) { return this->rankOf(request) == Rank::MeetsObjective; });
-    const double seconds = static_cast<double>(inTime + 1) * this->meanService / this->options.slots;
-    return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace wasabicroft
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -57,7 +57,6 @@
 
     size_t running() const { return this->active.size(); }
     size_t waiting() const { return this->queue.size(); }
-    Milliseconds expectedWait() const; // of a request that arrives now and can still meet its objective
 
 private:
     struct Running {
