Keep load reports within the control budget; log what an upstream does to a flow

Cause: every agent reported its load up to 10 times a second to every entry that had offered it a flow within 5 s. At the design size that is over 100 KB/s at an entry (budget 6 KB/s of control).

Now an offer states the interval between two reports that keeps all reports to this entry within 4 KB/s. The field uses the padding of the hop header (48 bytes as before, version 3). Events 4212 packet-upstream-reset and 4213 packet-flow-gone, counter wasabi_upstream_resets_total.

Ruled out: a limit at the agent (it does not know how many agents report to an entry); fewer reports for everybody (small pools need them at the crest).

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -146,6 +146,7 @@
     metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
     metrics.setCount("wasabi_flows_gone_total", "", counts.gone);
+    metrics.setCount("wasabi_upstream_resets_total", "", counts.upstreamResets);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
     metrics.setCount("wasabi_invalid_total", "source=\"entry\"", this->invalidHops);
     metrics.setCount("wasabi_invalid_total", "source=\"upstream\"", this->invalidPackets);
--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -39,7 +39,7 @@
   uint8_t priority_;
   uint8_t kind_;
   uint8_t refusal_;
-  int8_t padding0__;
+  uint8_t load_interval_;
 
  public:
   struct Traits;
@@ -61,10 +61,9 @@
         priority_(0),
         kind_(0),
         refusal_(0),
-        padding0__(0) {
-    (void)padding0__;
+        load_interval_(0) {
   }
-  Hop(uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint16_t _objective_ms, uint16_t _timeout_ms, uint16_t _slots, uint16_t _waiting, uint8_t _priority, uint8_t _kind, uint8_t _refusal)
+  Hop(uint64_t _service, uint32_t _client_address, uint32_t _route_address, uint32_t _upstream_sequence, uint32_t _flows, uint32_t _magic, uint16_t _client_port, uint16_t _route_port, uint16_t _busy, uint16_t _packet_bytes, uint16_t _objective_ms, uint16_t _timeout_ms, uint16_t _slots, uint16_t _waiting, uint8_t _priority, uint8_t _kind, uint8_t _refusal, uint8_t _load_interval)
       : service_(flatbuffers::EndianScalar(_service)),
         client_address_(flatbuffers::EndianScalar(_client_address)),
         route_address_(flatbuffers::EndianScalar(_route_address)),
@@ -82,8 +81,7 @@
         priority_(flatbuffers::EndianScalar(_priority)),
         kind_(flatbuffers::EndianScalar(_kind)),
         refusal_(flatbuffers::EndianScalar(_refusal)),
-        padding0__(0) {
-    (void)padding0__;
+        load_interval_(flatbuffers::EndianScalar(_load_interval)) {
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
@@ -136,6 +134,9 @@
   uint8_t refusal() const {
     return flatbuffers::EndianScalar(refusal_);
   }
+  uint8_t load_interval() const {
+    return flatbuffers::EndianScalar(load_interval_);
+  }
 };
 FLATBUFFERS_STRUCT_END(Hop, 48);
 
--- a/tests/AgentGateTest.cpp
+++ b/tests/AgentGateTest.cpp
@@ -347,6 +347,40 @@
         EXPECT_FALSE(view.takeMessage(2, 11, true, true).second.empty());
     }
 
+    TEST_F(GateFixture, LoadReportsKeepTheIntervalThatTheEntryAsksFor)
+    {
+        const std::vector<uint8_t> syn = makePacket(client, routeAddress, synFlag, 1001, 0, 0);
+        HopMessage offer;
+        offer.kind = HopKind::Offer;
+        offer.service = { 1 };
+        offer.loadInterval = Milliseconds(600);
+        offer.packet = syn;
+        this->gate.onHop(entry, offer, platform::decodePacket(syn).value());
+        size_t reports = 0;
+        for (uint16_t tick = 0; tick < 300; ++tick) {
+            this->clock.advance(Milliseconds(10));
+            if (tick % 5 == 0)
+                this->openFlow(static_cast<uint16_t>(100 + tick)); // the load changes all the time
+            this->gate.onHop(entry, offer, platform::decodePacket(syn).value());
+            this->kinds.clear();
+            this->gate.onTick();
+            reports += static_cast<size_t>(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Load));
+        }
+        EXPECT_GE(reports, 4U);
+        EXPECT_LE(reports, 6U) << "one in 600 ms for 3 s";
+    }
+
+    // Guards against resets that nobody can explain afterwards.
+    TEST_F(GateFixture, AResetOfTheUpstreamReachesTheClientAndIsCounted)
+    {
+        this->openFlow(1);
+        this->toClient.clear();
+        this->fromUpstream(fakes::packet_flags::reset, 1);
+        EXPECT_EQ(this->toClient.size(), 1U);
+        EXPECT_EQ(this->gate.counters().upstreamResets, 1U);
+        EXPECT_EQ(this->gate.openFlows(), 0U);
+    }
+
     // Guards against entries that stay alone: what one entry heard reaches the others, within a bounded fan-out.
     TEST(Presence, EntriesPassAgentsOnWhileTheStoreIsAway)
     {
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -16,6 +16,7 @@
         PacketAddress agent;
         HopKind kind = HopKind::Forward;
         std::vector<uint8_t> packet;
+        Milliseconds loadInterval { 0 };
     };
 
     // A router with four upstreams and what it sends.
@@ -24,7 +25,8 @@
             : directory(DirectoryOptions(), this->clock)
             , router(options(),
                   { [this](PacketAddress agent, const HopMessage& message) {
-                       this->hops.push_back({ agent, message.kind, { message.packet.begin(), message.packet.end() } });
+                       this->hops.push_back({ agent, message.kind, { message.packet.begin(), message.packet.end() },
+                           message.loadInterval });
                    },
                       [this](const FlowKey& key, uint32_t) { this->resets.push_back(key); } },
                   this->clock)
@@ -373,6 +375,34 @@
         EXPECT_TRUE(this->router.isServing());
     }
 
+    // Guards against load reports whose cost grows with the fleet: at the design size an entry offers 56 flows a second
+    // to 5,900 upstreams, and control has 6 KB/s of its traffic.
+    TEST_F(RouterFixture, LoadReportsKeepWithinTheControlBudgetAtTheDesignSize)
+    {
+        constexpr size_t reportBytes = hopHeaderBytes + 28; // with IP and UDP headers
+        constexpr double budget = 6000; // bytes a second
+        constexpr Milliseconds lifetime(5000); // of the reports after an offer
+        this->useRoutes();
+        this->useUpstreams(5900);
+        std::map<PacketAddress, std::pair<TimePoint, Milliseconds>> reporters;
+        for (uint16_t i = 0; i < 56 * 8; ++i) {
+            this->clock.advance(Milliseconds(1000 / 56));
+            this->router.onTick();
+            const std::vector<uint8_t> syn
+                = makePacket({ client.address + i, client.port }, routeAddress, synFlag, 1, 0, 0);
+            this->router.onClientPacket(platform::decodePacket(syn).value(), syn);
+            for (const SentHop& hop : this->takeHops())
+                reporters[hop.agent] = { this->clock.now(), hop.loadInterval };
+        }
+        double rate = 0;
+        for (const auto& [agent, offer] : reporters) {
+            const double interval = std::max<double>(100, static_cast<double>(offer.second.count()));
+            rate += this->clock.now() - offer.first < lifetime ? reportBytes * 1000 / interval : 0;
+        }
+        EXPECT_GT(rate, 0);
+        EXPECT_LT(rate, budget);
+    }
+
     // Guards against a flood of log lines by damaged packets, and against one line in the life of a process.
     TEST(InvalidSources, AreLoggedOnceInEachHalfSecond)
     {
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -233,6 +233,10 @@
         });
         EXPECT_TRUE(waitUntil([&] { return this->onPlatform([&] { return this->client.wasReset(); }); }, patience))
             << this->group.allLogs();
+        // The cause must be in the log of the agent too: an operator who starts there has no other trace.
+        EXPECT_TRUE(waitUntil(
+            [&] { return this->group.allLogs().find("name=packet-flow-gone") != std::string::npos; }, patience))
+            << this->group.allLogs();
     }
 
     TEST_F(PacketFleet, SignalsStopAndReload)
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -95,15 +95,28 @@
 {
     const Flow* flow = this->flows.find(key);
     const bool wasOpen = flow && flow->isOpen;
-    this->counts.gone += wasOpen ? 1 : 0;
     this->flows.erase(key);
-    this->reply(entry, wasOpen ? HopKind::Gone : HopKind::NotHeld, key, HopRefusal::UpstreamDown);
+    if (wasOpen)
+        this->reportGone(key, entry, HopRefusal::UpstreamDown, "upstream-down");
+    else
+        this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
+}
+
+void AgentGate::reportGone(const FlowKey& key, PacketAddress entry, HopRefusal refusal, std::string_view cause)
+{
+    ++this->counts.gone;
+    logEvent(Event::PacketFlowGone,
+        { { "flow", toString(key) }, { "entry", toString(entry) }, { "cause", cause }, { "busy", this->busy() },
+            { "flows", static_cast<uint64_t>(this->heldCount) } });
+    this->reply(entry, HopKind::Gone, key, refusal);
 }
 
 void AgentGate::onOffer(PacketAddress entry, const HopMessage& message, const Packet& packet)
 {
     const FlowKey key = packet.fromClient();
-    this->subscribers[entry].lastOffer = this->clock.now();
+    Subscriber& subscriber = this->subscribers[entry];
+    subscriber.lastOffer = this->clock.now();
+    subscriber.interval = std::max(this->options.loadInterval, message.loadInterval);
     // An address may be used again by another service before every entry knows.
     HopRefusal refusal = HopRefusal::None;
     if (message.service != this->options.service)
@@ -256,6 +269,10 @@
         return;
     }
     if (packet.resets) {
+        ++this->counts.upstreamResets;
+        logEvent(Event::PacketUpstreamReset,
+            { { "flow", toString(key) }, { "open", flow.isOpen }, { "busy", this->busy() },
+                { "waiting", this->waiting() } });
         this->forget(key);
         return;
     }
@@ -332,8 +349,7 @@
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
     } else if (wasOpen) {
-        ++this->counts.gone;
-        this->reply(entry, HopKind::Gone, key, HopRefusal::None);
+        this->reportGone(key, entry, HopRefusal::None, "returned-packet");
     } else {
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, returnsPacket ? bytes : Bytes());
     }
@@ -410,7 +426,8 @@
     const size_t occupied = this->requests.running() + this->requests.waiting();
     for (auto& [entry, subscriber] : this->subscribers) {
         const bool changed = subscriber.busy != occupied || subscriber.flows != this->heldCount;
-        if (now - subscriber.lastReport < (changed ? this->options.loadInterval : this->options.loadRefresh))
+        if (now - subscriber.lastReport
+            < (changed ? subscriber.interval : std::max(subscriber.interval, this->options.loadRefresh)))
             continue;
         subscriber.lastReport = now;
         subscriber.busy = occupied;
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -26,7 +26,7 @@
     ServiceId service; // of the upstream
     size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is forgotten
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
-    Milliseconds loadInterval { 100 }; // between two load reports to an entry, if the load changed
+    Milliseconds loadInterval { 100 }; // least time between two load reports to an entry, which may ask for more
     Milliseconds loadRefresh { 1000 }; // between two load reports to an entry, if it did not
     RequestQueueOptions requests;
     LivenessOptions liveness;
@@ -42,6 +42,7 @@
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0;
     uint64_t gone = 0; // flows that the upstream lost
+    uint64_t upstreamResets = 0; // flows that the upstream reset
     uint64_t waited = 0; // requests that did not start at once
     uint64_t expired = 0; // requests that timed out here
     uint64_t dropped = 0;
@@ -108,6 +109,7 @@
     struct Subscriber {
         TimePoint lastOffer;
         TimePoint lastReport;
+        Milliseconds interval { 0 }; // between two reports, as the entry asked
         size_t busy = 0; // running and waiting requests, as reported
         size_t flows = 0;
     };
@@ -121,6 +123,7 @@
     void expireRequests();
     void updateState();
     void denyFlow(const FlowKey&, PacketAddress entry);
+    void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause);
     void noteHeld(const FlowKey&, Flow&);
     void numberDelivery(Flow&);
     void noteReached(Flow&);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -3,6 +3,7 @@
 #include "wasabicroft/Log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace wasabicroft {
@@ -300,9 +301,20 @@
     }
     const auto slots = this->slotsByAgent.find(agent);
     message.slots = slots == this->slotsByAgent.end() ? 0 : slots->second;
+    if (kind == HopKind::Offer)
+        message.loadInterval = this->noteReporter(agent);
     this->hooks.sendHop(agent, message);
 }
 
+// Returns the time between two load reports of an agent with which the reports of all agents keep within their rate.
+Milliseconds EntryRouter::noteReporter(PacketAddress agent)
+{
+    this->reporters[agent] = this->clock.now();
+    constexpr double millisecondsPerSecond = 1000;
+    const size_t bytes = this->reporters.size() * this->options.loadReportBytes;
+    return Milliseconds(std::lround(millisecondsPerSecond * static_cast<double>(bytes) / this->options.loadReportRate));
+}
+
 EntryRouter::Offer* EntryRouter::findOffer(Flow& flow, PacketAddress agent)
 {
     const auto found = std::find_if(
@@ -729,6 +741,8 @@
         this->held.pop_front();
     }
     this->flows.expire(now - this->options.flowIdleLimit);
+    std::erase_if(
+        this->reporters, [&](const auto& item) { return now - item.second > this->options.loadReportLifetime; });
     std::erase_if(this->unsureUntil, [now](const auto& item) { return item.second <= now; });
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -43,6 +43,9 @@
     Milliseconds holdLimit { 1400 }; // a client gives up opening a flow after this time
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
     double findRate = 1000000; // bytes a second of packets to possible holders: two thirds of a small machine's link
+    double loadReportRate = 4000; // bytes a second of load reports from all agents: two thirds of the control budget
+    size_t loadReportBytes = 76; // with IP and UDP headers
+    Milliseconds loadReportLifetime { 5000 }; // agents report this long after an offer
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
     uint64_t seed = 1;
@@ -169,6 +172,7 @@
     ServiceId chooseService(const Route&);
     bool offerNext(const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
+    Milliseconds noteReporter(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
     void refuse(const FlowKey&, uint32_t sequence, std::string_view cause);
@@ -216,6 +220,7 @@
     std::multimap<TimePoint, FlowKey> searches; // by due
     std::map<PacketAddress, std::vector<FlowKey>> asks; // to be sent, by agent
     std::map<PacketAddress, TimePoint> unsureUntil; // by agent
+    std::map<PacketAddress, TimePoint> reporters; // agents that send load reports, with the time of the last offer
     std::deque<Held> held;
     size_t heldBytes = 0;
     double findTokens = 0;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -62,6 +62,8 @@
         EventInfo { Event::PacketUpstreamUp, Severity::Info, "packet-upstream-up" },
         EventInfo { Event::PacketInvalid, Severity::Warning, "packet-invalid" },
         EventInfo { Event::PacketRequestExpired, Severity::Info, "packet-request-expired" },
+        EventInfo { Event::PacketUpstreamReset, Severity::Info, "packet-upstream-reset" },
+        EventInfo { Event::PacketFlowGone, Severity::Info, "packet-flow-gone" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -66,6 +66,8 @@
     PacketUpstreamUp = 4209,
     PacketInvalid = 4210,
     PacketRequestExpired = 4211,
+    PacketUpstreamReset = 4212,
+    PacketFlowGone = 4213,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-    constexpr uint32_t hopMagic = 0x77631002; // version 2 of the hop messages
+    constexpr uint32_t hopMagic = 0x77631003; // version 3 of the hop messages
+
+    constexpr Milliseconds loadIntervalStep(20);
 
     static_assert(sizeof(wire::Hop) == hopHeaderBytes);
 
@@ -80,7 +82,8 @@
         message.upstreamSequence, message.flows, hopMagic, message.flow.client.port, message.flow.route.port,
         message.busy, static_cast<uint16_t>(message.packet.size() + flowBytes), shortMs(message.objective),
         shortMs(message.timeout), message.slots, message.waiting, message.priority, static_cast<uint8_t>(message.kind),
-        static_cast<uint8_t>(message.refusal));
+        static_cast<uint8_t>(message.refusal),
+        static_cast<uint8_t>(std::clamp<int64_t>(message.loadInterval / loadIntervalStep, 0, UINT8_MAX)));
     const size_t start = out.size();
     out.resize(start + hopHeaderBytes + message.packet.size() + flowBytes);
     std::memcpy(out.data() + start, &header, hopHeaderBytes);
@@ -125,6 +128,7 @@
     message.objective = Milliseconds(header.objective_ms());
     message.timeout = Milliseconds(header.timeout_ms());
     message.priority = header.priority();
+    message.loadInterval = header.load_interval() * loadIntervalStep;
     const Bytes rest = bytes.subspan(hopHeaderBytes);
     if (!carriesFlowKeys(message.kind)) {
         message.packet = rest;
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -114,6 +114,7 @@
     Milliseconds timeout { 0 }; // from entries: of the route's requests, in Ask of idle flows; 0: none
     uint8_t priority = 0; // from entries: of the route; 0 is highest
     uint32_t flows = 0; // held by the upstream
+    Milliseconds loadInterval { 0 }; // in Offer: wanted between two load reports; in steps of 20 ms up to 5.1 s
     Bytes packet; // as received; empty if the message carries none
     std::vector<FlowKey> flowKeys; // of Ask and its answers
 };
