Add a fault soak of the packet programs; handle signals that arrive during a start

tests/PacketSoak, tests/PacketSoakWorld, bench/packet-soak: the real programs as separate processes on loopback. A UDP network between entries, agents and callers delays, loses, copies and cuts one way; a TCP relay for each entry slows, cuts and swallows its connections to the store. Programs are killed, stopped, paused and reloaded by signals, alone and all at once; hosts crash, drain, and addresses go to hosts of the other service; the store fails, with entries that lapse, and holds invalid items; routes change. Faults come in series and overlap. Callers and hosts check each packet: no flow is reset that its host holds, no request runs twice, changed or at another service, no answer is mixed up, no program ends by itself, SIGTERM ends it with code 0. After the faults every request must be answered, and routes and drains must be in force within 3 s. PacketHost keeps a work time, repeats its answers and tells what it ran.

Cause: SIGHUP came between the start of the process and the installation of its handler. Ruled out: an exit of the program (no line, no core), the kills of the schedule. The programs now block the signals until they can handle them; PacketFleet.ASignalDuringTheStartIsHandledAfterIt fails before (a blocked SIGHUP was never handled) and passes after. Trace: the soak restarted the agent on a frozen machine, whose host was silent; the agent took its flows for lost, as it should. An agent now stops with its machine.

--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -290,4 +290,18 @@
     });
 }
 
+//-----------------------------------------------------------------------------
+// StartSignals
+//-----------------------------------------------------------------------------
+
+StartSignals::StartSignals()
+{
+    sigemptyset(&this->signals);
+    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&this->signals, number);
+    pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
+}
+
+void StartSignals::release() { pthread_sigmask(SIG_UNBLOCK, &this->signals, nullptr); }
+
 } // namespace wasabicroft
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 
 namespace wasabicroft {
 
@@ -97,6 +98,20 @@
 // Program
 //-----------------------------------------------------------------------------
 
+// Blocks the signals that the program handles until it can handle them: one that arrives during the start would end it.
+class StartSignals {
+public:
+    StartSignals();
+    ~StartSignals() { this->release(); }
+    StartSignals(const StartSignals&) = delete;
+    StartSignals& operator=(const StartSignals&) = delete;
+
+    void release(); // delivers what arrived, also if the parent process had blocked it
+
+private:
+    sigset_t signals;
+};
+
 struct PacketProgram {
     std::string name;
     std::string environmentPrefix;
@@ -112,6 +127,7 @@
 int runPacketProgram(
     int argc, char** argv, const PacketProgram& program, const std::function<void(Node&, PacketDaemon&)>& connect = {})
 {
+    StartSignals startSignals;
     PacketSettingsSource source(argc, argv, program.name, program.environmentPrefix);
     PacketSettings settings;
     if (const std::optional<int> code = source.load(settings))
@@ -132,6 +148,7 @@
     Result<bool> started = node.start();
     if (started)
         started = daemon.start();
+    startSignals.release();
     if (!started) {
         printErrors({ started.error() });
         stopLog();
--- /dev/null
+++ b/bench/packet-soak.cpp
@@ -0,0 +1,68 @@
+// Fault soak of the packet programs on loopback; see tests/PacketSoak.h.
+#include "tests/PacketSoak.h"
+#include "wasabicroft/Settings.h"
+
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+const char* const usage = R"(Random faults against the packet programs under load; checks every promise.
+
+Usage:
+  packet-soak [options]
+
+Options:
+  --seed=N          First seed [default: 1].
+  --runs=N          Runs, each with the next seed [default: 1].
+  --seconds=N       Duration of the faults of a run [default: 20].
+  --entries=N       Entries [default: 3].
+  --hosts=N         Upstream hosts, each with its agent [default: 5].
+  --callers=N       Callers, each with one flow at a time [default: 24].
+  --list            Prints the schedule of the first seed and exits.
+  -h --help         Show this text.
+  --version         Show the version.
+
+Exit code 1 if a promise is broken; the logs of that run are kept.
+)";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace wasabicroft; // NOLINT(google-build-using-namespace)
+    SettingsReader settings(parseCommandLine(argc, argv, usage, "packet-soak"), "WASABI_PACKET_SOAK");
+    constexpr uint64_t mostRuns = 1000;
+    constexpr uint64_t longestSeconds = 3600;
+    constexpr uint64_t mostEntries = 100;
+    constexpr uint64_t mostHosts = 200;
+    constexpr uint64_t mostCallers = 10000;
+    tests::SoakOptions options;
+    options.seed = settings.number("--seed", 1, 0, UINT64_MAX);
+    const uint64_t runs = settings.number("--runs", 1, 1, mostRuns);
+    options.duration = std::chrono::seconds(settings.number("--seconds", 20, 6, longestSeconds));
+    options.size.entries = settings.number("--entries", 3, 1, mostEntries);
+    options.size.hosts = settings.number("--hosts", 5, 2, mostHosts);
+    options.size.callers.callers = settings.number("--callers", 24, 1, mostCallers);
+    const bool listOnly = settings.boolean("--list", false);
+    if (!settings.errors().empty()) {
+        printErrors(settings.errors());
+        return exit_codes::wrongUsage;
+    }
+    if (listOnly) {
+        tests::printSchedule(tests::soakSchedule(options), std::cout);
+        return exit_codes::success;
+    }
+    options.programs = std::filesystem::path(argv[0]).parent_path();
+    uint64_t failed = 0;
+    for (uint64_t run = 0; run < runs; ++run, ++options.seed) {
+        const tests::SoakResult result = tests::runSoak(options, std::cout);
+        std::cout << result.report;
+        for (const std::string& violation : result.ledger.violations)
+            std::cout << "VIOLATION: seed " << options.seed << ": " << violation << '\n';
+        failed += result.ledger.violations.empty() ? 0 : 1;
+        std::cout << std::flush;
+    }
+    std::cout << runs << " runs, " << failed << " with a broken promise\n";
+    return failed == 0 ? exit_codes::success : exit_codes::refusedInput;
+}
--- a/fakes/PacketBytes.cpp
+++ b/fakes/PacketBytes.cpp
@@ -10,6 +10,14 @@
         bytes[at + i] = static_cast<uint8_t>(value >> (8 * (size - 1 - i)));
 }
 
+uint64_t getNumber(Bytes bytes, size_t at, size_t size)
+{
+    uint64_t value = 0;
+    for (size_t i = 0; i < size; ++i)
+        value = (value << 8) | bytes[at + i];
+    return value;
+}
+
 std::vector<uint8_t> makePacket(PacketAddress source, PacketAddress destination, uint8_t flags, uint32_t sequence,
     uint32_t acknowledgement, uint16_t payloadBytes)
 {
--- a/fakes/PacketPlatform.cpp
+++ b/fakes/PacketPlatform.cpp
@@ -84,9 +84,29 @@
 // Host
 //-----------------------------------------------------------------------------
 
-PacketHost::PacketHost(boost::asio::io_context& context, PacketAddress listen, PacketAddress outbound)
+void PacketRequest::write(std::vector<uint8_t>& bytes, size_t at) const
+{
+    putNumber(bytes, at, this->answerBytes, sizeof(this->answerBytes));
+    putNumber(bytes, at + sizeof(this->answerBytes), this->id, sizeof(this->id));
+}
+
+PacketRequest PacketRequest::read(Bytes payload)
+{
+    return { static_cast<uint32_t>(getNumber(payload, 0, sizeof(uint32_t))),
+        getNumber(payload, sizeof(uint32_t), sizeof(uint64_t)) };
+}
+
+PacketAnswer PacketAnswer::read(Bytes payload)
+{
+    return { getNumber(payload, 0, sizeof(uint64_t)),
+        static_cast<uint32_t>(getNumber(payload, sizeof(uint64_t), sizeof(uint32_t))) };
+}
+
+PacketHost::PacketHost(
+    boost::asio::io_context& context, PacketAddress listen, PacketAddress outbound, PacketHostHooks hostHooks)
     : socket(context)
     , agent(outbound)
+    , hooks(std::move(hostHooks))
     , nextSequence((listen.address & 0xffU) * hostSequenceSpacing)
 {
     if (!this->socket.open(listen))
@@ -96,19 +116,29 @@
 
 void PacketHost::crash() { this->flows.clear(); }
 
+bool PacketHost::holds(const FlowKey& key) const
+{
+    const auto found = this->flows.find(key);
+    return found != this->flows.end() && found->second.isOpen;
+}
+
 void PacketHost::onPacket(std::span<uint8_t> bytes)
 {
     const Result<Packet> decoded = platform::decodePacket(bytes);
-    if (!decoded)
+    if (!decoded || this->isFrozen)
         return;
     const Packet& packet = decoded.value();
     const FlowKey key = packet.fromClient();
+    if ((packet.resets || packet.isSynAck() || packet.bounced) && this->hooks.onForged)
+        this->hooks.onForged(key);
     if (packet.isSyn()) {
         Flow& flow = this->flows[key];
         if (flow.sequence == 0) {
             this->nextSequence += 100000;
             flow.sequence = this->nextSequence;
             flow.expected = packet.sequence + 1;
+            if (this->hooks.onSyn)
+                this->hooks.onSyn(key);
         }
         this->socket.send(this->agent,
             makePacket(key.route, key.client, packet_flags::syn | packet_flags::ack, flow.sequence, flow.expected, 0));
@@ -125,24 +155,63 @@
     Flow& flow = found->second;
     flow.sequence += flow.isOpen ? 0 : 1;
     flow.isOpen = true;
-    if (packet.payloadBytes >= 4 && packet.sequence == flow.expected) {
-        const auto payload = bytes.subspan(platform::packetHeaderBytes);
+    this->onData(key, flow, packet, bytes.subspan(platform::packetHeaderBytes));
+    if (packet.finishes) {
+        this->socket.send(this->agent,
+            makePacket(key.route, key.client, packet_flags::fin | packet_flags::ack, flow.sequence, flow.expected, 0));
+        this->flows.erase(found);
+    }
+}
+
+void PacketHost::onData(const FlowKey& key, Flow& flow, const Packet& packet, Bytes payload)
+{
+    if (packet.payloadBytes >= PacketRequest::size && packet.sequence == flow.expected) {
         flow.expected += packet.payloadBytes;
-        flow.left = (static_cast<size_t>(payload[0]) << 24) | (static_cast<size_t>(payload[1]) << 16)
-            | (static_cast<size_t>(payload[2]) << 8) | payload[3];
+        flow.sequence = packet.acknowledgement; // the client has the whole answer before
+        flow.request = PacketRequest::read(payload);
+        flow.left = flow.request.answerBytes;
+        flow.due = std::chrono::steady_clock::now() + this->workTime;
         ++this->requestCount;
+        if (this->hooks.onRequest)
+            this->hooks.onRequest(key, payload);
+        if (this->workTime.count() == 0)
+            this->sendAnswer(key, flow, window);
+    } else if (packet.payloadBytes > 0 && flow.due == TimePoint()) {
+        const uint32_t unacknowledged = flow.sequence - packet.acknowledgement;
+        if (unacknowledged > flow.request.answerBytes - flow.left)
+            return; // a copy that an answered request has overtaken
+        flow.sequence = packet.acknowledgement;
+        flow.left += unacknowledged;
         this->sendAnswer(key, flow, window);
-    } else if (packet.payloadBytes == 0) {
+    } else if (packet.payloadBytes == 0 && flow.due == TimePoint()) {
         this->sendAnswer(key, flow, 2); // an ACK stands for two packets
     }
 }
 
+void PacketHost::onTick(TimePoint now)
+{
+    if (this->isFrozen)
+        return;
+    for (auto& [key, flow] : this->flows) {
+        if (flow.due != TimePoint() && flow.due <= now)
+            this->sendAnswer(key, flow, window);
+    }
+    this->socket.flush();
+}
+
 void PacketHost::sendAnswer(const FlowKey& key, Flow& flow, size_t packets)
 {
+    flow.due = TimePoint();
     for (; packets > 0 && flow.left > 0; --packets) {
         const uint16_t size = static_cast<uint16_t>(std::min<size_t>(flow.left, maxPayload));
-        this->socket.send(
-            this->agent, makePacket(key.route, key.client, packet_flags::ack, flow.sequence, flow.expected, size));
+        std::vector<uint8_t> bytes
+            = makePacket(key.route, key.client, packet_flags::ack, flow.sequence, flow.expected, size);
+        if (size >= PacketAnswer::size) {
+            putNumber(bytes, platform::packetHeaderBytes, flow.request.id, sizeof(uint64_t));
+            putNumber(bytes, platform::packetHeaderBytes + sizeof(uint64_t), flow.request.answerBytes - flow.left,
+                sizeof(uint32_t));
+        }
+        this->socket.send(this->agent, bytes);
         flow.sequence += size;
         flow.left -= size;
     }
@@ -192,7 +261,7 @@
 {
     this->sequence += static_cast<uint32_t>(this->lastRequest.size());
     this->lastRequest.assign(64, 0);
-    putNumber(this->lastRequest, 0, answerBytes, 4);
+    PacketRequest { answerBytes, 0 }.write(this->lastRequest, 0);
     this->receivedBytes = 0;
     this->repeatRequest();
 }
--- a/fakes/PacketPlatform.h
+++ b/fakes/PacketPlatform.h
@@ -38,12 +38,42 @@
     HttpService service;
 };
 
-// An upstream host: answers a request of `payload` bytes with the number of bytes that the first payload asks for.
+// The start of the payload of a request to PacketHost; each packet of its answer starts with id and offset.
+struct PacketRequest {
+    uint32_t answerBytes = 0;
+    uint64_t id = 0;
+
+    static constexpr size_t size = 12; // bytes
+    void write(std::vector<uint8_t>& bytes, size_t at) const;
+    static PacketRequest read(Bytes payload);
+};
+
+// The start of the payload of each packet of an answer.
+struct PacketAnswer {
+    uint64_t id = 0; // of the request
+    uint32_t offset = 0; // in the answer
+
+    static constexpr size_t size = 12; // bytes
+    static PacketAnswer read(Bytes payload);
+};
+
+struct PacketHostHooks {
+    std::function<void(const FlowKey&)> onSyn; // a new flow was accepted
+    std::function<void(const FlowKey&, Bytes payload)> onRequest; // a request runs
+    std::function<void(const FlowKey&)> onForged; // a packet that no client sends
+};
+
+// An upstream host: answers a request with the number of bytes that it asks for. A repeated request makes it send again
+// what the client has not acknowledged.
 class PacketHost {
 public:
-    PacketHost(boost::asio::io_context&, PacketAddress listen, PacketAddress outbound);
+    PacketHost(boost::asio::io_context&, PacketAddress listen, PacketAddress outbound, PacketHostHooks = {});
 
     void crash(); // loses its flows
+    void setFrozen(bool isNowFrozen) { this->isFrozen = isNowFrozen; } // drops what arrives
+    void setWorkTime(Milliseconds time) { this->workTime = time; } // before an answer; needs onTick
+    void onTick(TimePoint now); // answers what is due
+    bool holds(const FlowKey&) const; // the flow is open here
     size_t openFlows() const { return this->flows.size(); }
     size_t requests() const { return this->requestCount; }
 
@@ -53,13 +83,19 @@
         uint32_t expected = 0; // next byte of the client
         size_t left = 0; // bytes of the answer that were not sent yet
         bool isOpen = false;
+        PacketRequest request; // the last one
+        TimePoint due; // of its answer
     };
 
     void onPacket(std::span<uint8_t>);
+    void onData(const FlowKey&, Flow&, const Packet&, Bytes payload);
     void sendAnswer(const FlowKey&, Flow&, size_t packets);
 
     DatagramSocket socket;
     PacketAddress agent;
+    PacketHostHooks hooks;
+    Milliseconds workTime { 0 };
+    bool isFrozen = false;
     uint32_t nextSequence = 0; // differs between hosts
     std::map<FlowKey, Flow> flows;
     size_t requestCount = 0;
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -253,6 +253,23 @@
         EXPECT_EQ(this->group["agent-0"].waitExit(patience), 0) << this->group.allLogs();
     }
 
+    // Guards against a program that ends, or never reloads, because a signal arrives before it can handle it. The
+    // signal is blocked in the new process from its first instruction, so that the test does not depend on timing.
+    TEST_F(PacketFleet, ASignalDuringTheStartIsHandledAfterIt)
+    {
+        sigset_t reload;
+        sigemptyset(&reload);
+        sigaddset(&reload, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &reload, nullptr);
+        this->startAgent(0);
+        this->group["agent-0"].signal(SIGHUP);
+        pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
+        EXPECT_TRUE(waitUntil(
+            [&] { return this->group.allLogs().find("name=settings-reloaded") != std::string::npos; }, patience))
+            << this->group.allLogs();
+        EXPECT_TRUE(this->group.isRunning("agent-0"));
+    }
+
     TEST(PacketSettings, WrongSettingsAreNamedAndRefused)
     {
         ProcessGroup group(PROGRAM_DIRECTORY);
--- /dev/null
+++ b/tests/PacketSoakWorld.h
@@ -0,0 +1,240 @@
+// What surrounds the packet programs in the fault soak, on one thread: the network between them, upstream hosts,
+// callers, and the ledger that checks every packet and request while faults go on.
+//
+// Index
+//   [SECTION] Ledger
+//   [SECTION] SoakNetwork
+//   [SECTION] SoakCallers
+//   [SECTION] SoakWorld
+#pragma once
+
+#include "fakes/PacketPlatform.h"
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+
+namespace wasabicroft::tests {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ledger
+//-----------------------------------------------------------------------------
+
+std::string ipText(uint32_t address);
+
+struct SoakLedger {
+    uint64_t opened = 0; // flows
+    uint64_t refused = 0; // flows reset before they were open
+    uint64_t unopened = 0; // flows whose SYNs had no answer
+    uint64_t lost = 0; // open flows that were reset after their host lost them
+    uint64_t requests = 0;
+    uint64_t answered = 0;
+    uint64_t timedOut = 0;
+    uint64_t delayedDatagrams = 0;
+    uint64_t droppedDatagrams = 0;
+    std::vector<std::string> violations; // the first ones
+
+    void violate(const std::string& text);
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] SoakNetwork
+//-----------------------------------------------------------------------------
+
+// A fault of the datagrams from one IP address to another; 0 stands for any address.
+struct SoakPathFault {
+    uint32_t from = 0;
+    uint32_t to = 0;
+    Milliseconds delay { 0 }; // up to this much, drawn for each datagram, so that datagrams overtake each other
+    double loss = 0; // share
+    double copies = 0; // share of datagrams that arrive twice
+};
+
+// Carries datagrams between entries, agents and callers. Programs listen on a port of their own; the network listens on
+// the port that the others know, at the same IP address.
+class SoakNetwork {
+public:
+    SoakNetwork(boost::asio::io_context&, SoakLedger&, uint64_t seed);
+
+    // Datagrams of other programs to the public address go to the process, with the sender's public address as source.
+    void addNode(PacketAddress publicAddress, PacketAddress process);
+
+    size_t addFault(const SoakPathFault&); // returns its number
+    void removeFault(size_t number);
+
+    // Calls the hook now, later, twice or never.
+    void carry(uint32_t from, uint32_t to, std::span<const uint8_t>, const std::function<void(Bytes)>& arrive);
+    void onTick(TimePoint now);
+
+private:
+    struct Node {
+        PacketAddress process;
+        std::unique_ptr<DatagramSocket> socket;
+    };
+
+    struct Delayed {
+        std::vector<uint8_t> bytes;
+        std::function<void(Bytes)> arrive;
+    };
+
+    double drawShare(); // 0 to 1
+
+    boost::asio::io_context& context;
+    SoakLedger& ledger;
+    std::mt19937_64 random;
+    std::map<PacketAddress, Node> nodes; // by the address of the process
+    std::map<size_t, SoakPathFault> faults;
+    size_t lastFault = 0;
+    std::multimap<TimePoint, Delayed> delayed;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] SoakCallers
+//-----------------------------------------------------------------------------
+
+struct SoakCallerOptions {
+    size_t callers = 24;
+    Milliseconds timeLimit { 4000 }; // of a request
+    Milliseconds longestPause { 1500 }; // between two requests of a flow
+    unsigned longestFlow = 30; // requests
+    uint32_t largestAnswer = 24000; // bytes
+};
+
+struct SoakCallerHooks {
+    std::function<PacketAddress(const FlowKey&)> entryOf; // that the router selects now
+    std::function<std::optional<size_t>(const FlowKey&)> holderOf; // host that holds the flow
+    std::function<std::vector<PacketAddress>()> routes; // that callers may use
+};
+
+// Callers with one flow each: open, a few requests with pauses, close, again. They follow the platform's times.
+class SoakCallers {
+public:
+    SoakCallers(boost::asio::io_context&, uint32_t address, SoakNetwork&, SoakLedger&, SoakCallerOptions,
+        SoakCallerHooks, uint64_t seed);
+
+    void onTick(TimePoint now);
+    void setCalm(bool isNowCalm) { this->isCalm = isNowCalm; } // every request that starts now must be answered
+    void setStopped() { this->isStopped = true; } // no new flows and requests
+    bool isIdle() const;
+
+private:
+    enum class State : uint8_t { Closed, Opening, Thinking, Waiting };
+
+    struct Caller {
+        State state = State::Closed;
+        TimePoint due; // next action
+        TimePoint began; // the flow or the request
+        bool beganCalm = false;
+        FlowKey flow;
+        uint32_t sequence = 0;
+        uint32_t hostSequence = 0; // next byte of the host
+        unsigned copies = 0;
+        unsigned requestsLeft = 0;
+        fakes::PacketRequest request;
+        std::vector<uint8_t> payload;
+        size_t received = 0;
+    };
+
+    void open(Caller&, TimePoint now);
+    void sendSyn(Caller&, TimePoint now);
+    void startRequest(Caller&, TimePoint now);
+    void close(Caller&, TimePoint now);
+    void send(const Caller&, uint8_t flags, uint32_t sequence, Bytes payload = {});
+    void listen(DatagramSocket&, uint16_t port);
+    void onPacket(std::span<uint8_t>);
+    void onReset(Caller&, const Packet&);
+    void onAnswer(Caller&, const Packet&, Bytes payload);
+    Milliseconds drawTime(Milliseconds longest);
+
+    SoakNetwork& network;
+    SoakLedger& ledger;
+    SoakCallerOptions options;
+    SoakCallerHooks hooks;
+    std::mt19937_64 random;
+    DatagramSocket socket; // to entries, and from agents
+    DatagramSocket resets; // of entries
+    uint32_t address;
+    std::vector<Caller> callers;
+    std::map<uint16_t, size_t> callerByPort;
+    uint16_t lastPort = 1024;
+    uint64_t lastRequest = 0;
+    bool isCalm = false;
+    bool isStopped = false;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] SoakWorld
+//-----------------------------------------------------------------------------
+
+struct SoakSize {
+    size_t entries = 3;
+    size_t hosts = 5;
+    SoakCallerOptions callers;
+};
+
+// Store, hosts, network and callers. Every call must come from the thread of the io_context.
+class SoakWorld {
+public:
+    SoakWorld(boost::asio::io_context&, uint32_t firstAddress, const SoakSize&, uint64_t seed);
+
+    static constexpr uint16_t packetsPort = 8172; // of entries; entries reach agents at it
+    static constexpr uint16_t agentPort = 18172; // of agents, behind the network; they reach callers at it
+    static constexpr uint16_t hopPort = 7720; // agents reach entries at it
+    static constexpr uint16_t entryHopPort = 17720; // of entries, behind the network
+    static constexpr uint16_t readyPort = 8167;
+    static constexpr uint16_t outboundPort = 8162;
+    static constexpr uint16_t upstreamPort = 8165;
+    static constexpr uint16_t storePort = 8169;
+
+    static PacketAddress route(size_t number) { return { 0xc6120001, static_cast<uint16_t>(443 + number) }; }
+
+    uint32_t storeAddress() const { return this->firstAddress + 2; }
+    uint32_t callerAddress() const { return this->firstAddress + 3; }
+    uint32_t entryAddress(size_t entry) const { return this->firstAddress + 8 + static_cast<uint32_t>(entry); }
+    uint32_t hostAddress(size_t host) const { return this->firstAddress + 128 + static_cast<uint32_t>(host); }
+    std::string serviceOf(size_t host) const { return this->hosts[host].service; }
+
+    void publishRoutes(
+        const std::set<size_t>& numbers); // as a new version; route 1 belongs to service img, others to api
+    void list(size_t host, bool isDraining = false); // in the store
+    void unlist(size_t host);
+    void crash(size_t host); // loses its flows and is a new incarnation
+    void changeService(size_t host); // its address is used by a host of the other service from now on
+    void moveCallers() { ++this->routerSalt; } // to other entries
+    bool mayChangeService(size_t host) const; // another host of its service stays
+    void setInRotation(size_t entry, bool inRotation) { this->rotation[entry] = inRotation; }
+    uint64_t acceptedSyns(size_t host) const { return this->hosts[host].syns; }
+    void setFrozen(size_t host, bool isFrozen) { this->hosts[host].machine->setFrozen(isFrozen); }
+    std::string hostStates() const; // for the report
+
+    SoakLedger ledger;
+    fakes::PacketStore store;
+    SoakNetwork network;
+    SoakCallers callers;
+
+private:
+    struct Host {
+        std::unique_ptr<fakes::PacketHost> machine;
+        std::string service;
+        uint64_t incarnation = 1;
+        uint64_t syns = 0; // new flows that it accepted
+    };
+
+    void tick();
+    PacketAddress entryOf(const FlowKey&) const;
+    std::optional<size_t> holderOf(const FlowKey&) const;
+    fakes::PacketHostHooks hostHooks(size_t host);
+    std::string itemOf(size_t host) const; // key in the store
+
+    uint32_t firstAddress;
+    std::vector<Host> hosts;
+    std::vector<bool> rotation;
+    size_t routerSalt = 0;
+    std::map<uint64_t, size_t> ranAt; // host, by request
+    std::set<size_t> routes;
+    std::map<PacketAddress, TimePoint> dropped; // routes, with the time of the last configuration without them
+    uint64_t version = 0;
+    boost::asio::steady_timer timer;
+};
+
+} // namespace wasabicroft::tests
