Let upstreams that left the list answer before a reset; take removals after a pause as lapsed

Causes: (1) topics are read apart; the routes' watch failed during the outage, the upstreams' did not, so their removals were news. (2) An entry that was frozen during the outage saw removals and no failure. (3) With every candidate unlisted, the first denial ended the search: "denied by every listed upstream" was true of none. Ruled out: wrong denials of agents (the agent of the holder was paused, or was not waited for).

Now a failure of one topic makes the next answer of each a return; a directory without a tick for 1 s begins the same grace; a search ends as soon as all candidates denied, and without the unlisted ones after 120 ms.

Left: a machine that is suspended does not count the time on its steady clock, so that (2) stays hidden there.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -94,6 +94,15 @@
             this->router.sendAsks();
         }
 
+        void agentDenies(PacketAddress sender)
+        {
+            HopMessage message;
+            message.kind = HopKind::Denied;
+            message.flowKeys = { flow };
+            this->router.onHop(sender, message, nullptr);
+            this->router.sendAsks();
+        }
+
         // Offers a flow to an upstream that stays silent until its offer times out; returns that upstream's agent.
         PacketAddress openAtSilentUpstream()
         {
@@ -212,6 +221,41 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of a flow whose upstream left the list, but lives: its agent must have time to answer.
+    TEST_F(RouterFixture, UpstreamsThatLeftTheListAreHeardBeforeAReset)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->useUpstreams(1);
+        this->fromClient(ackFlag, 7, 100);
+        const std::vector<SentHop> asked = this->takeHops();
+        ASSERT_EQ(asked.size(), 4U);
+        this->agentDenies(agent(0));
+        EXPECT_TRUE(this->resets.empty());
+        this->takeHops();
+        this->fromAgent(agent(2), HopKind::Holds);
+        this->clock.advance(Milliseconds(200));
+        this->router.onTick();
+        EXPECT_TRUE(this->resets.empty());
+        this->fromClient(ackFlag, 7, 100);
+        EXPECT_EQ(this->takeHops().at(0).agent, agent(2));
+    }
+
+    // Guards against clients that wait for the machine of an upstream that is gone.
+    TEST_F(RouterFixture, SilenceOfUpstreamsThatLeftTheListDelaysAResetShortly)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->useUpstreams(1);
+        this->fromClient(ackFlag, 7, 100);
+        this->agentDenies(agent(0));
+        for (int round = 0; round < 10; ++round) {
+            this->clock.advance(Milliseconds(20));
+            this->router.onTick();
+        }
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
     // Guards against an empty packet that is sent to all upstreams: a late denial carries none.
     TEST_F(RouterFixture, ADenialWithoutPacketStartsNoSearch)
     {
@@ -330,12 +374,9 @@
         this->useUpstreams(40);
         this->fromClient(ackFlag, 7, 100);
         this->takeHops();
-        HopMessage denied;
-        denied.kind = HopKind::Denied;
-        denied.flowKeys = { flow };
         for (uint32_t number = 0; number < 40; ++number) {
             EXPECT_TRUE(this->resets.empty());
-            this->router.onHop(agent(number), denied, nullptr);
+            this->agentDenies(agent(number));
         }
         EXPECT_EQ(this->resets.size(), 1U);
         EXPECT_TRUE(this->takeHops().empty());
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -78,6 +78,27 @@
         EXPECT_TRUE(directory.isComplete());
     }
 
+    // Guards against resets by a process that was frozen while the store was away: it sees removals, but no outage.
+    TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsLapsed)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.onTick();
+        clock.advance(Milliseconds(3000));
+        directory.remove("a", 3);
+        EXPECT_FALSE(directory.isComplete());
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+        directory.onTick();
+        EXPECT_FALSE(directory.isComplete());
+        for (int i = 0; i < 110; ++i) {
+            clock.advance(Milliseconds(20));
+            directory.onTick();
+        }
+        EXPECT_TRUE(directory.isComplete());
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+    }
+
     // Guards against flows to a former upstream at an address that is used again.
     // Guards against the reset of an open flow: one entry places it at an upstream that was listed a moment ago, and
     // the next packet passes an entry that does not know the upstream yet (rolling restart while upstreams are added).
@@ -206,6 +227,24 @@
         EXPECT_FALSE(sync.takeReturn());
     }
 
+    // Guards against removals that count as news because only the other topic was read during the outage.
+    TEST(StoreSync, AFailureOfOneTopicMakesTheNextAnswerOfTheOtherAReturn)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.onPage(*sync.nextRead(StoreTopic::Routes), 1, false, "");
+        sync.onPage(*sync.nextRead(StoreTopic::Upstreams), 1, false, "");
+        EXPECT_FALSE(sync.takeReturn());
+        clock.advance(Milliseconds(500));
+        sync.onFailure(*sync.nextRead(StoreTopic::Routes));
+        clock.advance(Milliseconds(10));
+        sync.onEvents(*sync.nextRead(StoreTopic::Upstreams), 2);
+        EXPECT_TRUE(sync.takeReturn());
+        clock.advance(Milliseconds(500));
+        sync.onEvents(*sync.nextRead(StoreTopic::Upstreams), 3);
+        EXPECT_FALSE(sync.takeReturn()) << "one outage is one return for each topic";
+    }
+
     TEST(StoreSync, LostHistoryLeadsToAFullRead)
     {
         ManualClock clock;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -65,12 +65,17 @@
         [](const Target& target) { return target.hasPacket && !target.denied && target.listed; });
 }
 
-bool HolderSearch::isDeniedByAll() const
+bool HolderSearch::isDeniedByListed() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
         [](const Target& target) { return target.denied || !target.listed; });
 }
 
+bool HolderSearch::isDeniedByAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(), [](const Target& target) { return target.denied; });
+}
+
 EntryRouter::EntryRouter(EntryRouterOptions routerOptions, EntryRouterHooks routerHooks, const Clock& timeSource)
     : options(std::move(routerOptions))
     , hooks(std::move(routerHooks))
@@ -691,10 +696,15 @@
 
 void EntryRouter::onSearchAnswer(const FlowKey& key, Flow& flow)
 {
-    if (!flow.search->isDeniedByAll()) {
-        if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstream() && !flow.search->hasPackets())
-            this->sendFinds(key, flow);
-    } else if (flow.search->asksAll) {
+    if (flow.search->isDeniedByAll())
+        this->endFailedSearch(key, flow);
+    else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstream() && !flow.search->hasPackets())
+        this->sendFinds(key, flow);
+}
+
+void EntryRouter::endFailedSearch(const FlowKey& key, Flow& flow)
+{
+    if (flow.search->asksAll) {
         this->resetLost(key, flow, "held-nowhere");
     } else {
         // Began with a part of the upstreams: the next search asks all that are known by now.
@@ -777,6 +787,18 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder)
             continue;
+        // Upstreams that left the list may be gone with their agents: their silence counts after a while.
+        if (flow->search && flow->search->isDeniedByListed()) {
+            const TimePoint end = flow->search->started + this->options.unlistedTimeout;
+            if (now >= end) {
+                this->endFailedSearch(key, *flow);
+                continue;
+            }
+            if (flow->search->hasPackets()) {
+                this->searches.emplace(end, key);
+                continue;
+            }
+        }
         const bool lacksAnswers = flow->search && now - flow->search->started < this->options.findTimeout;
         if (lacksAnswers && !flow->search->hasPackets()) {
             this->continueSearch(key, *flow);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -37,6 +37,7 @@
     unsigned maxFinds = 2; // searches for the holder of one flow within findWindow
     Milliseconds findWindow { 2000 };
     Milliseconds findStageTimeout { 60 }; // for the answers of agents in another failure domain
+    Milliseconds unlistedTimeout { 120 }; // for the answers of agents that left the list: two stages
     Milliseconds findTimeout { 300 }; // packets of a flow wait this long for its holder; clients retransmit then
     size_t maxWaitingPackets = 16; // of a flow: one client window
     size_t maxHeldBytes = 1024 * 1024; // packets that wait for the first routes
@@ -102,7 +103,8 @@
     Target* find(PacketAddress agent);
     bool hasPackets() const; // every target has the packet or has denied
     bool isAnsweredByAll() const; // by the agent of every listed target
-    bool isDeniedByAll() const; // by every listed target
+    bool isDeniedByListed() const; // by every listed target
+    bool isDeniedByAll() const;
     bool awaitsUpstream() const; // one that got the packet
 };
 
@@ -188,6 +190,7 @@
     void onKnown(PacketAddress agent, std::span<const FlowKey>);
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
+    void endFailedSearch(const FlowKey&, Flow&);
     void waitForHolder(const FlowKey&, Flow&, Bytes);
     void expireSearches();
     void expirePending();
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -76,8 +76,19 @@
     return changed;
 }
 
+// A process that was frozen may have missed an outage of the store.
+void UpstreamDirectory::notePause()
+{
+    const TimePoint now = this->clock.now();
+    if (this->lastTick && now - *this->lastTick > this->options.pauseLimit) {
+        this->lastTick = now;
+        this->noteReturn();
+    }
+}
+
 void UpstreamDirectory::unlist(Row& row, uint64_t revision)
 {
+    this->notePause();
     row.listed = false;
     row.removedAt = revision;
     row.unlisted = this->clock.now();
@@ -101,6 +112,8 @@
 bool UpstreamDirectory::onTick()
 {
     const TimePoint now = this->clock.now();
+    this->notePause();
+    this->lastTick = now;
     const bool graceEnded = this->inGrace && now >= this->graceEnds;
     if (graceEnded) {
         this->inGrace = false;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -64,6 +64,7 @@
     Milliseconds returnGrace { 2000 }; // entries that lapsed during an outage return within this time after it
     Milliseconds spreadTime { 750 }; // a change reaches every entry: spacing of watches and hints of peers
     Milliseconds flowLifetime { 60000 }; // a flow may outlive its upstream's entry for this long
+    Milliseconds pauseLimit { 1000 }; // a process without a tick for longer was frozen and may have missed an outage
 };
 
 // Merges entries by revision, so that answers and events may arrive in any order and more than once.
@@ -80,7 +81,7 @@
 
     // The platform answers again after an outage: entries that it lacks now may return shortly.
     void noteReturn();
-    bool onTick(); // returns whether a time limit ended that changes what is usable
+    bool onTick(); // every few milliseconds; returns whether a time limit ended that changes what is usable
 
     // Every live upstream is listed: the state is known, and no outage ended shortly before.
     bool isComplete() const;
@@ -107,6 +108,7 @@
         TimePoint usableFrom; // every entry knows it
     };
 
+    void notePause();
     void unlist(Row&, uint64_t revision);
     bool isSuperseded(const UpstreamRecord&) const;
     void forgetAddress(const UpstreamRecord&);
@@ -119,6 +121,7 @@
     uint64_t changed = 0;
     bool hasList = false; // a complete list was read
     std::multiset<TimePoint> becomingUsable; // times of upstreams at new addresses
+    std::optional<TimePoint> lastTick;
     TimePoint graceEnds;
     bool inGrace = false;
 };
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -62,7 +62,8 @@
 
 void StoreSync::noteAnswer(Topic& topic)
 {
-    this->returned = this->returned || topic.failures > 0;
+    const bool failedSince = this->lastFailure && (!topic.answered || *this->lastFailure >= *topic.answered);
+    this->returned = this->returned || topic.failures > 0 || failedSince;
     topic.failures = 0;
     topic.answered = this->clock.now();
 }
@@ -114,6 +115,7 @@
     topic.pageAfter.clear();
     topic.due = this->clock.now() + this->backOff(topic);
     ++topic.failures;
+    this->lastFailure = this->clock.now();
     return true;
 }
 
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -63,7 +63,9 @@
     void hint(StoreTopic, uint64_t revision);
 
     bool isReachable(StoreTopic) const; // the last read was answered
-    bool takeReturn(); // whether the store answered for the first time after failures, since the last call
+    // Whether the store answered for the first time after a failure, since the last call. A failure of one topic counts
+    // for the next answer of each: the other may not have been read during the outage.
+    bool takeReturn();
     uint64_t listRevision(StoreTopic) const; // store's revision at the first page of the last full read
     std::optional<TimePoint> lastAnswer(StoreTopic) const;
 
@@ -89,6 +91,7 @@
     std::mt19937_64 random;
     std::array<Topic, storeTopicCount> topics;
     uint64_t readCount = 0;
+    std::optional<TimePoint> lastFailure; // of any topic
     bool returned = false;
 };
 
