--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -48,7 +48,7 @@
     , clients(loop)
     , agents(loop)
     , sync(syncOptions(this->settings), timeSource)
-    , directory(DirectoryOptions(), timeSource)
+    , directory(DirectoryOptions(), timeSource, this->bootClock)
     , fleet(fleetOptions(this->settings), timeSource)
     , router(routerOptions(this->settings),
           { [this](PacketAddress agent, const HopMessage& message) {
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -47,6 +47,7 @@
     boost::asio::io_context& context;
     PacketSettings settings;
     const Clock& clock;
+    BootClock bootClock;
     DatagramSocket clients;
     DatagramSocket agents;
     StoreSync sync;
--- /dev/null
+++ b/daemons/wasabi-report.cpp
@@ -0,0 +1,65 @@
+// Reads the logs of the packet programs: summary, report page, path of a flow.
+#include "wasabicroft/LogReport.h"
+#include "wasabicroft/Settings.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+const char* const usage
+    = R"(Tells from the logs of the packet programs what happened: counts of events, starts and losses
+in the order of time, the path of one flow, and a page with plots of flows, refusals, waiting requests and ages of beliefs.
+
+Usage:
+  wasabi-report [options] <log>...
+
+Options:
+  --page=FILE       Writes a self-contained HTML page.
+  --title=TEXT      Title of the page [default: Packet path].
+  --flow=ID         Prints the lines of a flow, for example 100.64.0.7:40001>198.18.0.1:443, instead of the summary.
+  -h --help         Show this text.
+  --version         Show the version.
+
+Exit code 1 if a file can't be read, or holds no log line.
+)";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace wasabicroft; // NOLINT(google-build-using-namespace)
+    const Flags arguments = parseCommandLine(argc, argv, usage, "wasabi-report");
+    SettingsReader settings(arguments, "WASABI_REPORT");
+    const std::string page = settings.text("--page", "");
+    const std::string title = settings.text("--title", "Packet path");
+    const std::string flow = settings.text("--flow", "");
+    LogReport report;
+    std::istringstream paths(arguments.at("<log>"));
+    for (std::string path; std::getline(paths, path);) {
+        std::ifstream file(path);
+        size_t lines = 0;
+        for (std::string line; std::getline(file, line);)
+            lines += report.add(line) ? 1 : 0;
+        if (lines == 0) {
+            std::cerr << path << ": no log lines; name a file with the standard output of a packet program\n";
+            return exit_codes::refusedInput;
+        }
+    }
+    if (flow.empty()) {
+        std::cout << report.summary();
+    } else {
+        for (const std::string& line : report.pathOf(flow))
+            std::cout << line << '\n';
+    }
+    if (page.empty())
+        return exit_codes::success;
+    std::ofstream out(page);
+    out << toHtml(report.page(title));
+    if (!out) {
+        std::cerr << page << ": can't be written; check the directory\n";
+        return exit_codes::refusedInput;
+    }
+    return exit_codes::success;
+}
--- a/fakes/Load.cpp
+++ b/fakes/Load.cpp
@@ -502,7 +502,7 @@
 
         // Valid after stop().
         std::vector<BusySample> busy;
-        std::vector<FaultMark> marks;
+        std::vector<PlotMark> marks;
 
     private:
         double elapsed() const { return secondsOf(SteadyClock::now() - this->begin); }
--- a/fakes/LoadReport.cpp
+++ b/fakes/LoadReport.cpp
@@ -251,7 +251,7 @@
         windows.push_back(boost::json::object { { "service", window.service }, { "begin_s", window.begin },
             { "end_s", window.end }, { "largest_over_mean", window.largestOverMean } });
     boost::json::array marks;
-    for (const FaultMark& mark : report.marks)
+    for (const PlotMark& mark : report.marks)
         marks.push_back(boost::json::object { { "at_s", mark.at }, { "text", mark.text } });
     return boost::json::serialize(boost::json::object { { "seconds", report.seconds }, { "seed", report.seed },
                { "kinds", std::move(kinds) }, { "feeds", feedJson(report.feeds) },
--- a/fakes/LoadReport.h
+++ b/fakes/LoadReport.h
@@ -3,6 +3,7 @@
 
 #include "fakes/Pattern.h"
 #include "fakes/Upstream.h"
+#include "wasabicroft/PlotPage.h"
 
 #include <array>
 #include <map>
@@ -97,11 +98,6 @@
     double largestOverMean = 0;
 };
 
-struct FaultMark {
-    double at = 0; // seconds since the begin
-    std::string text;
-};
-
 struct LoadReport {
     double seconds = 0;
     uint64_t seed = 0;
@@ -110,7 +106,7 @@
     LedgerReport ledger;
     std::vector<BusySample> busy;
     std::vector<ImbalanceWindow> imbalance;
-    std::vector<FaultMark> marks;
+    std::vector<PlotMark> marks;
 
     KindReport& of(LoadKind kind) { return this->kinds.at(static_cast<size_t>(kind)); }
     const KindReport& of(LoadKind kind) const { return this->kinds.at(static_cast<size_t>(kind)); }
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -99,7 +99,20 @@
         EXPECT_EQ(directory.usable(service).size(), 1U);
     }
 
-    // Guards against flows to a former upstream at an address that is used again.
+    // Guards against the same on a suspended machine, whose steady clock stands still.
+    TEST(UpstreamDirectory, RemovalsAfterASuspensionAreTakenAsLapsed)
+    {
+        ManualClock clock;
+        ManualClock bootClock;
+        UpstreamDirectory directory({}, clock, bootClock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.onTick();
+        bootClock.advance(Milliseconds(3000));
+        directory.remove("a", 3);
+        EXPECT_FALSE(directory.isComplete());
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+    }
+
     // Guards against the reset of an open flow: one entry places it at an upstream that was listed a moment ago, and
     // the next packet passes an entry that does not know the upstream yet (rolling restart while upstreams are added).
     TEST(UpstreamDirectory, AnUpstreamAtANewAddressTakesNewFlowsOnceEveryEntryKnowsIt)
@@ -129,6 +142,7 @@
         EXPECT_EQ(directory.usable(service).size(), 1U);
     }
 
+    // Guards against flows to a former upstream at an address that is used again.
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
         ManualClock clock;
--- a/wasabicroft/Clock.h
+++ b/wasabicroft/Clock.h
@@ -3,6 +3,8 @@
 
 #include "wasabicroft/Types.h"
 
+#include <ctime>
+
 namespace wasabicroft {
 
 class Clock {
@@ -16,6 +18,17 @@
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+// Also counts the time during which the machine was suspended, which the steady clock leaves out.
+class BootClock final : public Clock {
+public:
+    TimePoint now() const override
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 // A clock that moves only when told to.
 class ManualClock final : public Clock {
 public:
--- /dev/null
+++ b/wasabicroft/PlotPage.h
@@ -0,0 +1,42 @@
+// Self-contained HTML pages with SVG plots over the time of a run. No I/O.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabicroft {
+
+struct PlotPoint {
+    double x = 0; // seconds since the begin
+    double y = 0;
+};
+
+struct PlotLine {
+    std::string name;
+    std::vector<PlotPoint> points;
+};
+
+struct Plot {
+    std::string title;
+    std::string unit;
+    std::vector<PlotLine> lines;
+};
+
+// An event that is drawn into every plot.
+struct PlotMark {
+    double at = 0; // seconds since the begin
+    std::string text;
+};
+
+struct PlotPage {
+    std::string title;
+    std::string text; // preformatted, above the plots
+    double seconds = 0; // of the run
+    std::vector<Plot> plots;
+    std::vector<PlotMark> marks;
+};
+
+std::string toHtml(const PlotPage&);
+
+} // namespace wasabicroft
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -21,8 +21,15 @@
 UpstreamId UpstreamRecord::id() const { return upstreamIdOf(this->name + '@' + std::to_string(this->born)); }
 
 UpstreamDirectory::UpstreamDirectory(DirectoryOptions directoryOptions, const Clock& timeSource)
+    : UpstreamDirectory(directoryOptions, timeSource, timeSource)
+{
+}
+
+UpstreamDirectory::UpstreamDirectory(
+    DirectoryOptions directoryOptions, const Clock& timeSource, const Clock& pauseTimeSource)
     : options(directoryOptions)
     , clock(timeSource)
+    , pauseClock(pauseTimeSource)
     , graceEnds(timeSource.now())
 {
 }
@@ -76,10 +83,10 @@
     return changed;
 }
 
-// A process that was frozen may have missed an outage of the store.
+// A process that was frozen, or whose machine was suspended, may have missed an outage of the store.
 void UpstreamDirectory::notePause()
 {
-    const TimePoint now = this->clock.now();
+    const TimePoint now = this->pauseClock.now();
     if (this->lastTick && now - *this->lastTick > this->options.pauseLimit) {
         this->lastTick = now;
         this->noteReturn();
@@ -113,7 +120,7 @@
 {
     const TimePoint now = this->clock.now();
     this->notePause();
-    this->lastTick = now;
+    this->lastTick = this->pauseClock.now();
     const bool graceEnded = this->inGrace && now >= this->graceEnds;
     if (graceEnded) {
         this->inGrace = false;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -71,6 +71,7 @@
 class UpstreamDirectory {
 public:
     UpstreamDirectory(DirectoryOptions, const Clock&);
+    UpstreamDirectory(DirectoryOptions, const Clock&, const Clock& pauseClock); // see BootClock
 
     // Changes of single entries; older revisions than the known one are ignored. All return whether something changed.
     bool update(UpstreamRecord);
@@ -115,13 +116,14 @@
 
     DirectoryOptions options;
     const Clock& clock;
+    const Clock& pauseClock; // shows how long the process stood still
     std::map<std::string, Row> rows; // by name
     std::map<PacketAddress, std::set<std::string>> namesAt; // of rows, by address
     uint64_t newest = 0;
     uint64_t changed = 0;
     bool hasList = false; // a complete list was read
     std::multiset<TimePoint> becomingUsable; // times of upstreams at new addresses
-    std::optional<TimePoint> lastTick;
+    std::optional<TimePoint> lastTick; // of the pause clock
     TimePoint graceEnds;
     bool inGrace = false;
 };
