--- a/tests/PacketSoak.cpp
+++ b/tests/PacketSoak.cpp
@@ -470,11 +470,15 @@
                 { "servers/x-2", R"({"service":7,"address":"10.0.0.1:80"})" },
                 { "servers/x-3", R"({"service":"api","address":"nowhere","slots":1,"state":"ready","born":1})" },
                 { "servers/x-4", R"({"service":"api","address":"10.0.0.1:80","slots":1,"state":"odd","born":1})" } };
-            for (const auto& [key, value] : items)
-                this->onWorld([&] { this->world.store.put(key, value); });
-            this->later(length, [this, items] {
+            this->onWorld([&] {
                 for (const auto& [key, value] : items)
-                    this->onWorld([&] { this->world.store.remove(key); });
+                    this->world.store.put(key, value);
+            });
+            this->later(length, [this, items] {
+                this->onWorld([&] {
+                    for (const auto& [key, value] : items)
+                        this->world.store.remove(key);
+                });
             });
         }
 
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -41,8 +41,8 @@
 class PacketWorld {
 public:
     explicit PacketWorld(WorldOptions worldOptions)
-        : options(worldOptions)
-        , random(worldOptions.seed)
+        : options(std::move(worldOptions))
+        , random(this->options.seed)
         , directory(this->options.directory, this->clock)
     {
         for (size_t service = 0; service < 2; ++service) {
@@ -52,12 +52,12 @@
             route.objective = Milliseconds(150);
             route.timeout = Milliseconds(2000);
             this->table->routes[route.address] = route;
-            for (size_t i = 0; i < worldOptions.upstreams; ++i)
+            for (size_t i = 0; i < this->options.upstreams; ++i)
                 this->addUpstream(service);
         }
         this->table->version = 1;
         this->publish();
-        for (size_t i = 0; i < worldOptions.entries; ++i) {
+        for (size_t i = 0; i < this->options.entries; ++i) {
             this->entries.push_back(std::make_unique<Entry>());
             this->startEntry(i);
         }
--- a/wasabicroft/LogReport.cpp
+++ b/wasabicroft/LogReport.cpp
@@ -233,6 +233,7 @@
     std::stable_sort(
         found.begin(), found.end(), [](const LogLine* one, const LogLine* other) { return one->time < other->time; });
     std::vector<std::string> result;
+    result.reserve(found.size());
     for (const LogLine* line : found)
         result.push_back(formatSeconds(this->secondsOf(*line)) + "  " + line->text);
     return result;
