Take an entry that hardly an agent answers out of the rotation

Cause: readiness looked at what an entry believes (routes, upstreams), not at whom it reaches, so its clients waited there.

Now silent agents (asked, no message for 0.25 s) are compared with heard ones; three silent for each heard one, also to probes, for 0.25 s more make the entry not ready. An agent answers a question without flows with its load.

RouterFixture.AnEntryThatHardlyAnAgentAnswersIsNotReady fails before.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -395,6 +395,8 @@
     status.ready = this->router.isServing();
     if (!this->routes)
         status.notReadyCause = "no routes were read from the store or a peer";
+    else if (this->router.isIsolated())
+        status.notReadyCause = "hardly an agent answers; check the network of this entry";
     else if (!status.ready)
         status.notReadyCause = "no upstream takes new flows";
     boost::json::array upstreams;
--- a/tests/AgentGateTest.cpp
+++ b/tests/AgentGateTest.cpp
@@ -370,6 +370,15 @@
         EXPECT_LE(reports, 6U) << "one in 600 ms for 3 s";
     }
 
+    // Guards against an entry that can't tell that it is reached again.
+    TEST_F(GateFixture, AQuestionWithoutFlowsIsAnswered)
+    {
+        HopMessage probe;
+        probe.kind = HopKind::Ask;
+        this->gate.onAsk(entry, probe);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Load });
+    }
+
     // Guards against resets that nobody can explain afterwards.
     TEST_F(GateFixture, AResetOfTheUpstreamReachesTheClientAndIsCounted)
     {
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -416,6 +416,52 @@
         EXPECT_TRUE(this->router.isServing());
     }
 
+    // Guards against clients that keep being sent to an entry that is cut off from all agents.
+    TEST_F(RouterFixture, AnEntryThatHardlyAnAgentAnswersIsNotReady)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->fromClient(synFlag);
+        for (int tick = 0; tick < 30 && this->router.isServing(); ++tick) {
+            this->clock.advance(Milliseconds(20));
+            this->router.onTick();
+        }
+        EXPECT_FALSE(this->router.isServing());
+        this->takeHops();
+        this->clock.advance(Milliseconds(200));
+        this->router.onTick();
+        const std::vector<SentHop> probes = this->takeHops();
+        EXPECT_TRUE(std::any_of(probes.begin(), probes.end(), [](const SentHop& hop) {
+            return hop.kind == HopKind::Ask;
+        })) << "without clients nothing else shows that agents can be reached again";
+        this->fromAgent(agent(3), HopKind::Load);
+        this->router.onTick();
+        EXPECT_FALSE(this->router.isServing()) << "one agent of four can't serve the clients of an entry";
+        this->fromAgent(agent(2), HopKind::Load);
+        this->router.onTick();
+        EXPECT_TRUE(this->router.isServing());
+    }
+
+    // Guards against an entry that leaves the rotation because upstreams fail, or because nobody asks it anything.
+    TEST_F(RouterFixture, AnEntryStaysReadyWhileHalfOfTheAgentsAnswerOrNoneIsAsked)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->clock.advance(Milliseconds(5000));
+        this->router.onTick();
+        EXPECT_TRUE(this->router.isServing());
+        this->fromClient(synFlag);
+        for (int tick = 0; tick < 50; ++tick) {
+            this->clock.advance(Milliseconds(20));
+            for (const SentHop& hop : this->takeHops()) {
+                if (hop.agent == agent(2) || hop.agent == agent(3))
+                    this->fromAgent(hop.agent, HopKind::Load);
+            }
+            this->router.onTick();
+            EXPECT_TRUE(this->router.isServing());
+        }
+    }
+
     // Guards against load reports whose cost grows with the fleet: at the design size an entry offers 56 flows a second
     // to 5,900 upstreams, and control has 6 KB/s of its traffic.
     TEST_F(RouterFixture, LoadReportsKeepWithinTheControlBudgetAtTheDesignSize)
@@ -432,8 +478,10 @@
             const std::vector<uint8_t> syn
                 = makePacket({ client.address + i, client.port }, routeAddress, synFlag, 1, 0, 0);
             this->router.onClientPacket(platform::decodePacket(syn).value(), syn);
-            for (const SentHop& hop : this->takeHops())
-                reporters[hop.agent] = { this->clock.now(), hop.loadInterval };
+            for (const SentHop& hop : this->takeHops()) {
+                if (hop.kind == HopKind::Offer) // other messages ask for no reports
+                    reporters[hop.agent] = { this->clock.now(), hop.loadInterval };
+            }
         }
         double rate = 0;
         for (const auto& [agent, offer] : reporters) {
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -65,6 +65,10 @@
 void AgentGate::onAsk(PacketAddress entry, const HopMessage& message)
 {
     this->counts.asked += message.flowKeys.size();
+    if (message.flowKeys.empty()) { // the entry asks whether it is heard
+        this->reply(entry, HopKind::Load, {}, HopRefusal::None);
+        return;
+    }
     if (this->liveness.state() == UpstreamState::Down) {
         for (const FlowKey& key : message.flowKeys)
             this->denyFlow(key, entry);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -139,10 +139,14 @@
             this->upstreamByAgent.emplace(target.agent, target.upstream);
         }
     }
+    std::erase_if(this->askedSince, [this](const auto& item) { return !this->slotsByAgent.contains(item.first); });
     this->releaseHeld();
 }
 
-bool EntryRouter::isServing() const { return this->routes && !this->isProvisional && this->takesFlows; }
+bool EntryRouter::isServing() const
+{
+    return this->routes && !this->isProvisional && this->takesFlows && !this->isolated;
+}
 
 //-----------------------------------------------------------------------------
 // Packets of clients
@@ -306,11 +310,58 @@
     }
     const auto slots = this->slotsByAgent.find(agent);
     message.slots = slots == this->slotsByAgent.end() ? 0 : slots->second;
+    if (kind == HopKind::Offer || kind == HopKind::Find)
+        this->noteAsked(agent);
     if (kind == HopKind::Offer)
         message.loadInterval = this->noteReporter(agent);
     this->hooks.sendHop(agent, message);
 }
 
+void EntryRouter::noteAsked(PacketAddress agent) { this->askedSince.emplace(agent, this->clock.now()); }
+
+// An entry that reaches hardly an agent takes itself out of the rotation: clients are served through others.
+void EntryRouter::checkIsolation()
+{
+    const TimePoint now = this->clock.now();
+    std::erase_if(this->heardAt, [&](const auto& item) { return now - item.second > this->options.agentSilence; });
+    const size_t silent = static_cast<size_t>(std::count_if(this->askedSince.begin(), this->askedSince.end(),
+        [&](const auto& item) { return now - item.second > this->options.agentSilence; }));
+    const size_t enough = std::min<size_t>(2, this->upstreamByAgent.size()); // one agent may be down
+    const bool mostAreSilent
+        = enough > 0 && silent >= enough && silent >= this->options.isolationShare * this->heardAt.size();
+    if (!mostAreSilent)
+        this->mostSilentSince.reset();
+    else if (!this->mostSilentSince)
+        this->mostSilentSince = now;
+    const bool isNowIsolated = mostAreSilent && now - *this->mostSilentSince >= this->options.isolationDelay;
+    if (isNowIsolated != this->isolated) {
+        this->isolated = isNowIsolated;
+        logEvent(isNowIsolated ? Event::PacketAgentsSilent : Event::PacketAgentsHeard,
+            { { "silent", static_cast<uint64_t>(silent) }, { "heard", static_cast<uint64_t>(this->heardAt.size()) },
+                { "known", static_cast<uint64_t>(this->upstreamByAgent.size()) },
+                { "directory", this->directoryRevision } });
+    }
+    if (mostAreSilent && now >= this->nextProbe) {
+        this->nextProbe = now + this->options.isolationProbeInterval;
+        this->probeAgents();
+    }
+}
+
+// Shows whether agents can be reached when few clients or none do.
+void EntryRouter::probeAgents()
+{
+    HopMessage probe;
+    probe.kind = HopKind::Ask;
+    auto agent = this->upstreamByAgent.begin();
+    std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->upstreamByAgent.size()));
+    for (size_t i = 0; i < std::min(this->options.isolationProbes, this->upstreamByAgent.size()); ++i) {
+        this->noteAsked(agent->first);
+        this->hooks.sendHop(agent->first, probe);
+        if (++agent == this->upstreamByAgent.end())
+            agent = this->upstreamByAgent.begin();
+    }
+}
+
 // Returns the time between two load reports of an agent with which the reports of all agents keep within their rate.
 Milliseconds EntryRouter::noteReporter(PacketAddress agent)
 {
@@ -526,6 +577,7 @@
             message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
                 keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeys)));
             ++this->counts.asks;
+            this->noteAsked(agent);
             this->hooks.sendHop(agent, message);
         }
     }
@@ -585,6 +637,8 @@
 void EntryRouter::onHop(PacketAddress agent, const HopMessage& message, const Packet* packet)
 {
     const FlowKey key = packet ? packet->fromClient() : message.flow;
+    this->askedSince.erase(agent);
+    this->heardAt[agent] = this->clock.now();
     this->noteLoad(agent, message);
     switch (message.kind) {
     case HopKind::Accepted:
@@ -745,6 +799,7 @@
     this->expirePending();
     this->expireSearches();
     this->sendAsks();
+    this->checkIsolation();
     while (!this->held.empty() && now - this->held.front().received > this->options.holdLimit) {
         ++this->counts.dropped;
         this->heldBytes -= this->held.front().bytes.size();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -44,6 +44,11 @@
     Milliseconds holdLimit { 1400 }; // a client gives up opening a flow after this time
     Milliseconds flowIdleLimit { 60000 }; // flows without packets are forgotten
     double findRate = 1000000; // bytes a second of packets to possible holders: two thirds of a small machine's link
+    Milliseconds agentSilence { 250 }; // an agent that was asked and stays silent for this long; above round trips
+    Milliseconds isolationDelay { 250 }; // most agents are silent, also to probes, for this long
+    Milliseconds isolationProbeInterval { 100 };
+    size_t isolationProbes = 6; // agents asked in one interval
+    size_t isolationShare = 3; // silent agents for each that answers; a failure domain of three may be cut off
     double loadReportRate = 4000; // bytes a second of load reports from all agents: two thirds of the control budget
     size_t loadReportBytes = 76; // with IP and UDP headers
     Milliseconds loadReportLifetime { 5000 }; // agents report this long after an offer
@@ -123,7 +128,8 @@
     void sendAsks(); // after each batch of datagrams: searches of one batch share their messages
     void onTick(); // every few milliseconds
 
-    bool isServing() const; // has routes of the store and an upstream that takes new flows
+    bool isServing() const; // has routes of the store, an upstream that takes new flows, and answers of agents
+    bool isIsolated() const { return this->isolated; } // hardly an agent that was asked answers
     uint64_t routesVersion() const { return this->routes ? this->routes->version : 0; }
     size_t openFlows() const { return this->flows.size(); }
     uint64_t flowEvictions() const { return this->flows.evictions(); }
@@ -174,6 +180,9 @@
     ServiceId chooseService(const Route&);
     bool offerNext(const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
+    void noteAsked(PacketAddress agent);
+    void checkIsolation();
+    void probeAgents();
     Milliseconds noteReporter(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
@@ -224,6 +233,11 @@
     std::map<PacketAddress, std::vector<FlowKey>> asks; // to be sent, by agent
     std::map<PacketAddress, TimePoint> unsureUntil; // by agent
     std::map<PacketAddress, TimePoint> reporters; // agents that send load reports, with the time of the last offer
+    std::map<PacketAddress, TimePoint> askedSince; // agents that have not answered since
+    std::map<PacketAddress, TimePoint> heardAt; // agents, within the agent silence
+    std::optional<TimePoint> mostSilentSince; // most agents that were asked
+    TimePoint nextProbe;
+    bool isolated = false;
     std::deque<Held> held;
     size_t heldBytes = 0;
     double findTokens = 0;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -64,6 +64,8 @@
         EventInfo { Event::PacketRequestExpired, Severity::Info, "packet-request-expired" },
         EventInfo { Event::PacketUpstreamReset, Severity::Info, "packet-upstream-reset" },
         EventInfo { Event::PacketFlowGone, Severity::Info, "packet-flow-gone" },
+        EventInfo { Event::PacketAgentsSilent, Severity::Warning, "packet-agents-silent" },
+        EventInfo { Event::PacketAgentsHeard, Severity::Info, "packet-agents-heard" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -68,6 +68,8 @@
     PacketRequestExpired = 4211,
     PacketUpstreamReset = 4212,
     PacketFlowGone = 4213,
+    PacketAgentsSilent = 4214,
+    PacketAgentsHeard = 4215,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
