Show a change of readiness at once

Readiness was published with the status, every 500 ms, so that an entry that was started, isolated or whole again was used, or left, up to 500 ms late. It is compared in each tick (20 ms) now. PacketDaemonReadiness.AChangeIsShownAtOnce: 505 ms and failed before, passes after (limit 250 ms).

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -129,7 +129,7 @@
 OperatorStatus PacketAgent::status() const
 {
     OperatorStatus status;
-    status.ready = true;
+    status.ready = this->isReady();
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
         { "flows", this->gate.openFlows() }, { "busy", this->gate.busy() }, { "waiting", this->gate.waiting() },
         { "upstream", nameOf(this->gate.upstreamState()) } });
--- a/backends/PacketAgent.h
+++ b/backends/PacketAgent.h
@@ -15,6 +15,7 @@
     Result<bool> start();
     void onSettings(const PacketSettings&);
     void onTick();
+    bool isReady() const { return true; }
     OperatorStatus status() const;
     std::function<bool()> settingsChanged; // reads the settings again if they changed; may be empty
     void exportMetrics(Metrics&) const;
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -218,6 +218,7 @@
     this->handlers.exportMetrics(this->counters);
     this->counters.setCount("wasabi_log_lines_dropped", "", droppedLogLines());
     OperatorStatus status = this->handlers.status();
+    this->wasReady = status.ready;
     if (this->stopping) {
         status.ready = false;
         status.notReadyCause = "stopping";
@@ -272,6 +273,8 @@
         if (error)
             return;
         this->handlers.onTick();
+        if (this->handlers.isReady() != this->wasReady)
+            this->publishStatus();
         if (++this->ticks % ticksPerLogFlush == 0)
             flushLog();
         this->scheduleTick();
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -58,6 +58,7 @@
 struct PacketDaemonHandlers {
     std::function<void(const PacketSettings&)> onSettings; // the settings file changed
     std::function<OperatorStatus()> status;
+    std::function<bool()> isReady; // called in each tick: a change is shown at once
     std::function<void(Metrics&)> exportMetrics; // before each status; sets the counters
     std::function<void()> onTick;
     std::function<void()> onStop; // SIGTERM; the process ends after the stop delay
@@ -92,6 +93,7 @@
     boost::asio::steady_timer stopTimer;
     uint64_t ticks = 0;
     bool stopping = false;
+    bool wasReady = false; // as last published
 };
 
 //-----------------------------------------------------------------------------
@@ -139,6 +141,7 @@
     PacketDaemonHandlers handlers;
     handlers.onSettings = [&](const PacketSettings& changed) { node.onSettings(changed); };
     handlers.status = [&] { return node.status(); };
+    handlers.isReady = [&] { return node.isReady(); };
     handlers.exportMetrics = [&](Metrics& metrics) { node.exportMetrics(metrics); };
     handlers.onTick = [&] { node.onTick(); };
     handlers.onStop = [&] { logEvent(program.stopping, { { "delay-ms", settings.stopDelay } }); };
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -392,7 +392,7 @@
 OperatorStatus PacketEntry::status() const
 {
     OperatorStatus status;
-    status.ready = this->router.isServing();
+    status.ready = this->isReady();
     if (!this->routes)
         status.notReadyCause = "no routes were read from the store or a peer";
     else if (this->router.isIsolated())
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -17,6 +17,7 @@
     Result<bool> start();
     void onSettings(const PacketSettings&);
     void onTick();
+    bool isReady() const { return this->router.isServing(); }
     OperatorStatus status() const;
     void exportMetrics(Metrics&) const;
 
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -1,8 +1,10 @@
 // Guards the two programs of the packet path as processes over loopback: a request, a long flow and a download, restart
 // and loss of entries, signals, the settings file, and a reader of standard output that stalls.
+#include "backends/PacketDaemon.h"
 #include "fakes/PacketPlatform.h"
 #include "tests/Processes.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -270,6 +272,40 @@
         EXPECT_TRUE(this->group.isRunning("agent-0"));
     }
 
+    // Guards against clients that wait for an entry that serves already, or go on to one that does not any more:
+    // readiness must not wait for the next status.
+    TEST(PacketDaemonReadiness, AChangeIsShownAtOnce)
+    {
+        const Endpoint ready = freeEndpoint();
+        std::string address = "--ready=" + toString(ready);
+        std::string name = "--name=daemon";
+        std::array<char*, 3> arguments { name.data(), name.data(), address.data() };
+        PacketSettingsSource source(static_cast<int>(arguments.size()), arguments.data(), "daemon", "WASABI_TEST");
+        PacketSettings settings;
+        settings.ready = ready;
+        boost::asio::io_context context;
+        std::atomic<bool> isReady = false;
+        PacketDaemonHandlers handlers;
+        handlers.onTick = [] {};
+        handlers.isReady = [&] { return isReady.load(); };
+        handlers.exportMetrics = [](Metrics&) {};
+        handlers.status = [&] {
+            OperatorStatus status;
+            status.ready = isReady;
+            return status;
+        };
+        PacketDaemon daemon(context, settings, source, packetTickInterval, handlers);
+        ASSERT_TRUE(daemon.start());
+        std::thread thread([&] { daemon.run(); });
+        constexpr Milliseconds promptly { 250 }; // half of the interval between two statuses
+        for (const bool next : { true, false, true }) {
+            isReady = next;
+            EXPECT_TRUE(waitForStatus(ready, "/ready", next ? 200 : 503, promptly));
+        }
+        context.stop();
+        thread.join();
+    }
+
     TEST(PacketSettings, WrongSettingsAreNamedAndRefused)
     {
         ProcessGroup group(PROGRAM_DIRECTORY);
