--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -462,6 +462,24 @@
         }
     }
 
+    // Guards against an entry that leaves the rotation because searches ask agents of upstreams that are gone.
+    TEST_F(RouterFixture, AgentsOfUpstreamsThatLeftTheListDoNotIsolateAnEntry)
+    {
+        this->useRoutes();
+        this->useUpstreams(12);
+        this->useUpstreams(1);
+        this->fromClient(ackFlag, 7, 100);
+        for (int tick = 0; tick < 50; ++tick) {
+            this->clock.advance(Milliseconds(20));
+            for (const SentHop& hop : this->takeHops()) {
+                if (hop.agent == agent(0))
+                    this->fromAgent(agent(0), HopKind::Load);
+            }
+            this->router.onTick();
+            EXPECT_TRUE(this->router.isServing());
+        }
+    }
+
     // Guards against load reports whose cost grows with the fleet: at the design size an entry offers 56 flows a second
     // to 5,900 upstreams, and control has 6 KB/s of its traffic.
     TEST_F(RouterFixture, LoadReportsKeepWithinTheControlBudgetAtTheDesignSize)
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -317,7 +317,12 @@
     this->hooks.sendHop(agent, message);
 }
 
-void EntryRouter::noteAsked(PacketAddress agent) { this->askedSince.emplace(agent, this->clock.now()); }
+// Only upstreams that take new flows count: those that left the list may be gone with their agents.
+void EntryRouter::noteAsked(PacketAddress agent)
+{
+    if (this->slotsByAgent.contains(agent))
+        this->askedSince.emplace(agent, this->clock.now());
+}
 
 // An entry that reaches hardly an agent takes itself out of the rotation: clients are served through others.
 void EntryRouter::checkIsolation()
@@ -326,7 +331,7 @@
     std::erase_if(this->heardAt, [&](const auto& item) { return now - item.second > this->options.agentSilence; });
     const size_t silent = static_cast<size_t>(std::count_if(this->askedSince.begin(), this->askedSince.end(),
         [&](const auto& item) { return now - item.second > this->options.agentSilence; }));
-    const size_t enough = std::min<size_t>(2, this->upstreamByAgent.size()); // one agent may be down
+    const size_t enough = std::min<size_t>(2, this->slotsByAgent.size()); // one agent may be down
     const bool mostAreSilent
         = enough > 0 && silent >= enough && silent >= this->options.isolationShare * this->heardAt.size();
     if (!mostAreSilent)
@@ -338,7 +343,7 @@
         this->isolated = isNowIsolated;
         logEvent(isNowIsolated ? Event::PacketAgentsSilent : Event::PacketAgentsHeard,
             { { "silent", static_cast<uint64_t>(silent) }, { "heard", static_cast<uint64_t>(this->heardAt.size()) },
-                { "known", static_cast<uint64_t>(this->upstreamByAgent.size()) },
+                { "known", static_cast<uint64_t>(this->slotsByAgent.size()) },
                 { "directory", this->directoryRevision } });
     }
     if (mostAreSilent && now >= this->nextProbe) {
@@ -352,13 +357,13 @@
 {
     HopMessage probe;
     probe.kind = HopKind::Ask;
-    auto agent = this->upstreamByAgent.begin();
-    std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->upstreamByAgent.size()));
-    for (size_t i = 0; i < std::min(this->options.isolationProbes, this->upstreamByAgent.size()); ++i) {
+    auto agent = this->slotsByAgent.begin();
+    std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->slotsByAgent.size()));
+    for (size_t i = 0; i < std::min(this->options.isolationProbes, this->slotsByAgent.size()); ++i) {
         this->noteAsked(agent->first);
         this->hooks.sendHop(agent->first, probe);
-        if (++agent == this->upstreamByAgent.end())
-            agent = this->upstreamByAgent.begin();
+        if (++agent == this->slotsByAgent.end())
+            agent = this->slotsByAgent.begin();
     }
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -226,14 +226,14 @@
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
-    std::map<PacketAddress, uint16_t> slotsByAgent;
+    std::map<PacketAddress, uint16_t> slotsByAgent; // of upstreams that take new flows
     FlowTable<Flow> flows;
     std::deque<Pending> pending; // ordered by due
     std::multimap<TimePoint, FlowKey> searches; // by due
     std::map<PacketAddress, std::vector<FlowKey>> asks; // to be sent, by agent
     std::map<PacketAddress, TimePoint> unsureUntil; // by agent
     std::map<PacketAddress, TimePoint> reporters; // agents that send load reports, with the time of the last offer
-    std::map<PacketAddress, TimePoint> askedSince; // agents that have not answered since
+    std::map<PacketAddress, TimePoint> askedSince; // agents of such upstreams that have not answered since
     std::map<PacketAddress, TimePoint> heardAt; // agents, within the agent silence
     std::optional<TimePoint> mostSilentSince; // most agents that were asked
     TimePoint nextProbe;
