--- a/tests/PacketSoak.cpp
+++ b/tests/PacketSoak.cpp
@@ -52,6 +52,27 @@
     std::string entryName(size_t number) { return "entry-" + std::to_string(number); }
     std::string agentName(size_t number) { return "agent-" + std::to_string(number); }
 
+    // Blocks the signals that the soak sends, in this thread. A program that is started meanwhile has them pending
+    // until it can handle them: none can before main().
+    class HeldSignals {
+    public:
+        HeldSignals()
+        {
+            sigset_t held;
+            sigemptyset(&held);
+            sigaddset(&held, SIGHUP);
+            sigaddset(&held, SIGTERM);
+            pthread_sigmask(SIG_BLOCK, &held, &this->before);
+        }
+
+        ~HeldSignals() { pthread_sigmask(SIG_SETMASK, &this->before, nullptr); }
+        HeldSignals(const HeldSignals&) = delete;
+        HeldSignals& operator=(const HeldSignals&) = delete;
+
+    private:
+        sigset_t before {};
+    };
+
     enum class ProgramState : uint8_t { Down, Running, Stopping };
 
     class SoakRun {
@@ -72,11 +93,6 @@
                 relay.targets = { { ipText(this->world.storeAddress()), SoakWorld::storePort } };
                 this->relays.push_back(std::make_unique<fakes::Relay>(relay));
             }
-            // A new program has the signal blocked until it can handle it: no program can handle it before main().
-            sigset_t reload;
-            sigemptyset(&reload);
-            sigaddset(&reload, SIGHUP);
-            pthread_sigmask(SIG_BLOCK, &reload, nullptr);
             this->thread = std::thread([this] { this->context.run(); });
         }
 
@@ -155,6 +171,14 @@
                 "--ready=" + ip + ':' + std::to_string(SoakWorld::readyPort), "--seeds=" + seeds };
         }
 
+        void startProgram(
+            const std::string& name, const std::string& program, const std::vector<std::string>& arguments)
+        {
+            const HeldSignals inheritedByTheProgram;
+            this->group.start(name, program, arguments);
+            this->states[name] = ProgramState::Running;
+        }
+
         void startEntry(size_t number)
         {
             const std::string name = entryName(number);
@@ -165,8 +189,7 @@
                 = this->flags(name, this->world.entryAddress(number), SoakWorld::packetsPort);
             arguments.push_back("--hop=" + ip + ':' + std::to_string(SoakWorld::entryHopPort));
             arguments.push_back("--store=" + toString(this->relays[number]->endpoint()));
-            this->group.start(name, "wasabi-packet-entry", arguments);
-            this->states[name] = ProgramState::Running;
+            this->startProgram(name, "wasabi-packet-entry", arguments);
         }
 
         void startAgent(size_t number)
@@ -181,8 +204,7 @@
             arguments.push_back("--upstream=" + ip + ':' + std::to_string(SoakWorld::upstreamPort));
             arguments.push_back("--entry-hop-port=" + std::to_string(SoakWorld::hopPort));
             arguments.push_back("--service=" + this->onWorld([&] { return this->world.serviceOf(number); }));
-            this->group.start(name, "wasabi-packet-agent", arguments);
-            this->states[name] = ProgramState::Running;
+            this->startProgram(name, "wasabi-packet-agent", arguments);
             if (this->hosts[number].paused > 0)
                 this->signal(name, SIGSTOP);
         }
