Join what the last changes wrote twice

Blocked signals of both: BlockedSignals in tests/Processes. - The lifetime of load reports stood in two options that had to agree: one constant of the hop messages; the size of a report follows from its header. - The soak repeated the start of all programs, the endpoint of readiness, the check of all programs and the way of a packet to its entry. PacketWorldTest drew the same options twice. - LogReport reads times with Boost.DateTime instead of sscanf, and collects the marks of a page once, in one pass instead of ten. Read and left: exportMetrics of entry and agent (lists of different counters); the soak's callers and PacketClient (one flow, steered by a test) are two clients of the same protocol.

--- a/fakes/Relay.cpp
+++ b/fakes/Relay.cpp
@@ -1,6 +1,7 @@
 #include "fakes/Relay.h"
 
 #include "fakes/Http.h"
+#include "fakes/OnThread.h"
 
 #include <algorithm>
 #include <array>
@@ -10,7 +11,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <deque>
-#include <future>
 #include <map>
 #include <random>
 #include <set>
@@ -625,13 +625,7 @@
     }
 
     // Runs a function on the thread of the relay and returns its result.
-    template <typename Function> auto onThread(Function function)
-    {
-        std::packaged_task<decltype(function())()> task(std::move(function));
-        std::future<decltype(function())> result = task.get_future();
-        asio::post(this->io, [&task] { task(); });
-        return result.get();
-    }
+    template <typename Function> auto onThread(Function function) { return runOnThread(this->io, std::move(function)); }
 
     // Declared before the io_context: connections that its handlers still hold refer to the network when they end.
     Network network;
--- a/fakes/Upstream.cpp
+++ b/fakes/Upstream.cpp
@@ -1,6 +1,7 @@
 #include "fakes/Upstream.h"
 
 #include "fakes/Http.h"
+#include "fakes/OnThread.h"
 #include "fakes/Pattern.h"
 
 #include <algorithm>
@@ -11,7 +12,6 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <deque>
-#include <future>
 #include <random>
 #include <thread>
 
@@ -680,13 +680,7 @@
     }
 
     // Runs a function on the thread of the service and returns its result.
-    template <typename Function> auto onThread(Function function)
-    {
-        std::packaged_task<decltype(function())()> task(std::move(function));
-        std::future<decltype(function())> result = task.get_future();
-        asio::post(this->io, [&task] { task(); });
-        return result.get();
-    }
+    template <typename Function> auto onThread(Function function) { return runOnThread(this->io, std::move(function)); }
 
     // Declared before the io_context: connections that its handlers still hold refer to the service when they end.
     Service service;
--- a/tests/Chaos.cpp
+++ b/tests/Chaos.cpp
@@ -1,8 +1,9 @@
 #include "tests/Chaos.h"
 
+#include "tests/Draw.h"
+
 #include <algorithm>
 #include <csignal>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -26,17 +27,6 @@
     constexpr int pairOneIn = 3;
     constexpr Milliseconds drainLimit { 2200 }; // R6, and the interval at which agents poll the health
 
-    struct Draw {
-        std::mt19937_64 random;
-
-        // Modulo, because the standard distributions differ between libraries and a seed must not.
-        uint64_t below(uint64_t bound) { return this->random() % bound; }
-        Milliseconds between(Milliseconds low, Milliseconds high)
-        {
-            return low + Milliseconds(static_cast<int64_t>(this->below(static_cast<uint64_t>((high - low).count()))));
-        }
-    };
-
     std::string drawVictim(ChaosFault fault, Draw& draw)
     {
         switch (fault) {
--- /dev/null
+++ b/tests/Draw.h
@@ -0,0 +1,27 @@
+// Random numbers that a seed fixes everywhere: the standard distributions differ between libraries.
+#pragma once
+
+#include "wasabicroft/Types.h"
+
+#include <random>
+
+namespace wasabicroft::tests {
+
+struct Draw {
+    std::mt19937_64 random;
+
+    uint64_t below(uint64_t bound) { return this->random() % bound; }
+
+    Milliseconds between(Milliseconds low, Milliseconds high)
+    {
+        return low + Milliseconds(static_cast<int64_t>(this->below(static_cast<uint64_t>((high - low).count()))));
+    }
+
+    double share() // 0 to 1
+    {
+        constexpr uint64_t steps = 1U << 20U;
+        return static_cast<double>(this->below(steps)) / static_cast<double>(steps);
+    }
+};
+
+} // namespace wasabicroft::tests
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -1,16 +1,16 @@
 // Guards the two programs of the packet path as processes over loopback: a request, a long flow and a download, restart
 // and loss of entries, signals, the settings file, and a reader of standard output that stalls.
 #include "backends/PacketDaemon.h"
+#include "fakes/OnThread.h"
 #include "fakes/PacketPlatform.h"
+#include "tests/PacketPrograms.h"
 #include "tests/Processes.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
-#include <future>
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 #include <thread>
@@ -19,11 +19,6 @@
 namespace {
 
     constexpr Milliseconds patience { 5000 };
-    constexpr uint16_t packetsPort = 8172;
-    constexpr uint16_t readyPort = 8167;
-    constexpr uint16_t hopPort = 7720;
-    constexpr uint16_t outboundPort = 8162;
-    constexpr uint16_t upstreamPort = 8165;
     constexpr PacketAddress route { 0xc6120001, 443 };
     constexpr size_t upstreamCount = 3;
 
@@ -37,10 +32,10 @@
         PacketFleet()
             : group(PROGRAM_DIRECTORY)
             , network("127." + std::to_string(17 + (getpid() >> 8) % 200) + '.' + std::to_string(getpid() % 250) + '.')
-            , storeEndpoint { this->ip(2), 8169 }
+            , storeEndpoint { this->ip(2), packet_ports::store }
             , work(boost::asio::make_work_guard(this->context))
             , store(this->context, this->storeEndpoint)
-            , client(this->context, addressOf(this->ip(3), packetsPort))
+            , client(this->context, addressOf(this->ip(3), packet_ports::packets))
         {
             this->store.put("op/config",
                 R"({"version":1,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","service":"api",)"
@@ -48,9 +43,9 @@
             for (size_t i = 0; i < upstreamCount; ++i) {
                 const std::string host = this->ip(20 + i);
                 this->hosts.push_back(std::make_unique<fakes::PacketHost>(
-                    this->context, addressOf(host, upstreamPort), addressOf(host, outboundPort)));
+                    this->context, addressOf(host, packet_ports::upstream), addressOf(host, packet_ports::outbound)));
                 this->store.put("servers/i-" + std::to_string(i),
-                    R"({"service":"api","address":")" + host + ":" + std::to_string(upstreamPort)
+                    R"({"service":"api","address":")" + host + ":" + std::to_string(packet_ports::upstream)
                         + R"(","zone":"z","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"born":1})");
             }
             this->thread = std::thread([this] { this->context.run(); });
@@ -64,32 +59,29 @@
 
         std::string ip(size_t number) const { return this->network + std::to_string(number); }
 
-        std::vector<std::string> flags(const std::string& name, const std::string& address) const
+        PacketProgramPlace place(const std::string& name, const std::string& address) const
         {
-            const auto with = [&](uint16_t port) { return address + ':' + std::to_string(port); };
-            return { "--name=" + name, "--failure-domain=z", "--packets=" + with(packetsPort),
-                "--ready=" + with(readyPort), "--seeds=" + this->ip(10) + ":8166" };
+            return { name, address, this->ip(10) + ':' + std::to_string(packet_ports::control) };
         }
 
-        void startEntry(size_t number)
+        std::vector<std::string> entryArguments(size_t number) const
         {
-            const std::string address = this->ip(10 + number);
-            std::vector<std::string> arguments = this->flags("entry-" + std::to_string(number), address);
-            arguments.push_back("--hop=" + address + ':' + std::to_string(hopPort));
-            arguments.push_back("--store=" + toString(this->storeEndpoint));
+            std::vector<std::string> arguments = this->place("entry-" + std::to_string(number), this->ip(10 + number))
+                                                     .entryArguments(packet_ports::hop, toString(this->storeEndpoint));
             arguments.push_back("--stop-delay=200");
-            this->group.start("entry-" + std::to_string(number), "wasabi-packet-entry", arguments);
+            return arguments;
+        }
+
+        void startEntry(size_t number)
+        {
+            this->group.start("entry-" + std::to_string(number), "wasabi-packet-entry", this->entryArguments(number));
         }
 
         void startAgent(size_t number)
         {
-            const std::string address = this->ip(20 + number);
-            std::vector<std::string> arguments = this->flags("agent-" + std::to_string(number), address);
-            arguments.push_back("--outbound=" + address + ':' + std::to_string(outboundPort));
-            arguments.push_back("--upstream=" + address + ':' + std::to_string(upstreamPort));
-            arguments.push_back("--entry-hop-port=" + std::to_string(hopPort));
-            arguments.push_back("--service=api");
-            this->group.start("agent-" + std::to_string(number), "wasabi-packet-agent", arguments);
+            const std::string name = "agent-" + std::to_string(number);
+            this->group.start(
+                name, "wasabi-packet-agent", this->place(name, this->ip(20 + number)).agentArguments("api"));
         }
 
         void startAll()
@@ -102,21 +94,19 @@
 
         bool isReady(size_t entry) const
         {
-            return waitForStatus({ this->ip(10 + entry), readyPort }, "/ready", 200, patience);
+            return waitForStatus({ this->ip(10 + entry), packet_ports::ready }, "/ready", 200, patience);
         }
 
         // Runs on the thread of the stand-ins.
         template <typename Function> auto onPlatform(Function function)
         {
-            std::promise<decltype(function())> promise;
-            boost::asio::post(this->context, [&] { promise.set_value(function()); });
-            return promise.get_future().get();
+            return fakes::runOnThread(this->context, std::move(function));
         }
 
         bool openThrough(size_t entry, uint16_t port)
         {
             this->onPlatform([&] {
-                this->client.useEntry(addressOf(this->ip(10 + entry), packetsPort));
+                this->client.useEntry(addressOf(this->ip(10 + entry), packet_ports::packets));
                 this->client.open(port, route);
                 return 0;
             });
@@ -183,7 +173,7 @@
         ASSERT_TRUE(this->answers(600));
         this->group["entry-0"].signal(SIGKILL);
         this->onPlatform([&] {
-            this->client.useEntry(addressOf(this->ip(11), packetsPort));
+            this->client.useEntry(addressOf(this->ip(11), packet_ports::packets));
             return 0;
         });
         EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
@@ -212,7 +202,7 @@
         EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
         EXPECT_TRUE(this->openThrough(1, 4002)) << this->group.allLogs();
         EXPECT_TRUE(this->answers(600)) << this->group.allLogs();
-        EXPECT_TRUE(waitForStatus({ this->ip(10), readyPort }, "/ready", 503, patience));
+        EXPECT_TRUE(waitForStatus({ this->ip(10), packet_ports::ready }, "/ready", 503, patience));
         this->onPlatform([&] {
             this->store.setDown(false);
             return 0;
@@ -249,7 +239,7 @@
         this->group["agent-0"].signal(SIGHUP);
         EXPECT_TRUE(this->openThrough(0, 4001)) << this->group.allLogs();
         this->group["entry-0"].signal(SIGTERM);
-        EXPECT_TRUE(waitForStatus({ this->ip(10), readyPort }, "/ready", 503, patience));
+        EXPECT_TRUE(waitForStatus({ this->ip(10), packet_ports::ready }, "/ready", 503, patience));
         EXPECT_EQ(this->group["entry-0"].waitExit(patience), 0) << this->group.allLogs();
         this->group["agent-0"].signal(SIGTERM);
         EXPECT_EQ(this->group["agent-0"].waitExit(patience), 0) << this->group.allLogs();
@@ -259,13 +249,11 @@
     // signal is blocked in the new process from its first instruction, so that the test does not depend on timing.
     TEST_F(PacketFleet, ASignalDuringTheStartIsHandledAfterIt)
     {
-        sigset_t reload;
-        sigemptyset(&reload);
-        sigaddset(&reload, SIGHUP);
-        pthread_sigmask(SIG_BLOCK, &reload, nullptr);
-        this->startAgent(0);
-        this->group["agent-0"].signal(SIGHUP);
-        pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
+        {
+            const BlockedSignals inheritedByTheProgram({ SIGHUP });
+            this->startAgent(0);
+            this->group["agent-0"].signal(SIGHUP);
+        }
         EXPECT_TRUE(waitUntil(
             [&] { return this->group.allLogs().find("name=settings-reloaded") != std::string::npos; }, patience))
             << this->group.allLogs();
@@ -336,17 +324,13 @@
         ASSERT_GE(reader, 0);
         for (size_t i = 0; i < upstreamCount; ++i)
             this->startAgent(i);
-        const std::string address = this->ip(19);
-        std::vector<std::string> arguments = this->flags("entry-9", address);
-        arguments.push_back("--hop=" + address + ':' + std::to_string(hopPort));
-        arguments.push_back("--store=" + toString(this->storeEndpoint));
+        std::vector<std::string> arguments = this->entryArguments(9);
         arguments.push_back("--log-rate=100000");
-        arguments.push_back("--stop-delay=200");
         this->group.start("entry-9", "wasabi-packet-entry", arguments);
         ASSERT_TRUE(this->isReady(9));
         for (uint16_t port = 0; port < 800; ++port) {
             this->onPlatform([&] {
-                this->client.useEntry(addressOf(this->ip(19), packetsPort));
+                this->client.useEntry(addressOf(this->ip(19), packet_ports::packets));
                 this->client.open(static_cast<uint16_t>(10000 + port), route);
                 return 0;
             });
--- /dev/null
+++ b/tests/PacketPrograms.h
@@ -0,0 +1,54 @@
+// Command lines of the packet programs in process tests.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wasabicroft::tests {
+
+namespace packet_ports {
+    inline constexpr uint16_t packets = 8172;
+    inline constexpr uint16_t ready = 8167;
+    inline constexpr uint16_t control = 8166;
+    inline constexpr uint16_t hop = 7720;
+    inline constexpr uint16_t outbound = 8162;
+    inline constexpr uint16_t upstream = 8165;
+    inline constexpr uint16_t store = 8169;
+} // namespace packet_ports
+
+struct PacketProgramPlace {
+    std::string name;
+    std::string ip;
+    std::string seeds; // addresses, separated by commas
+    uint16_t packets = packet_ports::packets;
+
+    std::string at(uint16_t port) const { return this->ip + ':' + std::to_string(port); }
+
+    std::vector<std::string> entryArguments(uint16_t hop, const std::string& store) const
+    {
+        std::vector<std::string> arguments = this->commonArguments();
+        arguments.push_back("--hop=" + this->at(hop));
+        arguments.push_back("--store=" + store);
+        return arguments;
+    }
+
+    std::vector<std::string> agentArguments(const std::string& service) const
+    {
+        std::vector<std::string> arguments = this->commonArguments();
+        arguments.push_back("--outbound=" + this->at(packet_ports::outbound));
+        arguments.push_back("--upstream=" + this->at(packet_ports::upstream));
+        arguments.push_back("--entry-hop-port=" + std::to_string(packet_ports::hop));
+        arguments.push_back("--service=" + service);
+        return arguments;
+    }
+
+private:
+    std::vector<std::string> commonArguments() const
+    {
+        return { "--name=" + this->name, "--failure-domain=z", "--packets=" + this->at(this->packets),
+            "--ready=" + this->at(packet_ports::ready), "--seeds=" + this->seeds };
+    }
+};
+
+} // namespace wasabicroft::tests
--- a/tests/PacketSoak.cpp
+++ b/tests/PacketSoak.cpp
@@ -1,14 +1,15 @@
 #include "tests/PacketSoak.h"
 
+#include "fakes/OnThread.h"
 #include "fakes/Relay.h"
+#include "tests/Draw.h"
+#include "tests/PacketPrograms.h"
 #include "tests/Processes.h"
 
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <csignal>
-#include <future>
 #include <sstream>
 #include <thread>
 
@@ -52,27 +53,6 @@
     std::string entryName(size_t number) { return "entry-" + std::to_string(number); }
     std::string agentName(size_t number) { return "agent-" + std::to_string(number); }
 
-    // Blocks the signals that the soak sends, in this thread. A program that is started meanwhile has them pending
-    // until it can handle them: none can before main().
-    class HeldSignals {
-    public:
-        HeldSignals()
-        {
-            sigset_t held;
-            sigemptyset(&held);
-            sigaddset(&held, SIGHUP);
-            sigaddset(&held, SIGTERM);
-            pthread_sigmask(SIG_BLOCK, &held, &this->before);
-        }
-
-        ~HeldSignals() { pthread_sigmask(SIG_SETMASK, &this->before, nullptr); }
-        HeldSignals(const HeldSignals&) = delete;
-        HeldSignals& operator=(const HeldSignals&) = delete;
-
-    private:
-        sigset_t before {};
-    };
-
     enum class ProgramState : uint8_t { Down, Running, Stopping };
 
     class SoakRun {
@@ -89,8 +69,8 @@
         {
             for (size_t i = 0; i < soakOptions.size.entries; ++i) {
                 fakes::RelayOptions relay;
-                relay.listen = { ipText(this->world.entryAddress(i)), SoakWorld::storePort };
-                relay.targets = { { ipText(this->world.storeAddress()), SoakWorld::storePort } };
+                relay.listen = { ipText(this->world.entryAddress(i)), packet_ports::store };
+                relay.targets = { { ipText(this->world.storeAddress()), packet_ports::store } };
                 this->relays.push_back(std::make_unique<fakes::Relay>(relay));
             }
             this->thread = std::thread([this] { this->context.run(); });
@@ -113,10 +93,7 @@
             const std::vector<SoakStep> schedule = soakSchedule(this->options);
             this->log << "seed " << this->options.seed << ", logs in " << this->group.logDirectory().string() << '\n';
             printSchedule(schedule, this->log);
-            for (size_t i = 0; i < this->options.size.hosts; ++i)
-                this->startAgent(i);
-            for (size_t i = 0; i < this->options.size.entries; ++i)
-                this->startEntry(i);
+            this->startAll();
             this->checkReady(startTime);
             this->router = std::thread([this] { this->pollEntries(); });
             this->perform(schedule);
@@ -140,16 +117,7 @@
         // Runs on the thread of the world.
         template <typename Function> auto onWorld(Function function)
         {
-            std::promise<decltype(function())> promise;
-            boost::asio::post(this->context, [&] {
-                if constexpr (std::is_void_v<decltype(function())>) {
-                    function();
-                    promise.set_value();
-                } else {
-                    promise.set_value(function());
-                }
-            });
-            return promise.get_future().get();
+            return fakes::runOnThread(this->context, std::move(function));
         }
 
         void violate(const std::string& text)
@@ -161,20 +129,27 @@
         // Programs
         //---------------------------------------------------------------------
 
-        std::vector<std::string> flags(const std::string& name, uint32_t address, uint16_t packets) const
+        PacketProgramPlace place(const std::string& name, uint32_t address, uint16_t packets) const
         {
-            const std::string ip = ipText(address);
             std::string seeds;
             for (size_t i = 0; i < std::min<size_t>(3, this->options.size.entries); ++i)
-                seeds += (i > 0 ? "," : "") + ipText(this->world.entryAddress(i)) + ":8166";
-            return { "--name=" + name, "--failure-domain=z", "--packets=" + ip + ':' + std::to_string(packets),
-                "--ready=" + ip + ':' + std::to_string(SoakWorld::readyPort), "--seeds=" + seeds };
+                seeds += (i > 0 ? "," : "") + ipText(this->world.entryAddress(i)) + ':'
+                    + std::to_string(packet_ports::control);
+            return { name, ipText(address), seeds, packets };
+        }
+
+        Endpoint readyOf(size_t entry) const
+        {
+            return { ipText(this->world.entryAddress(entry)), packet_ports::ready };
         }
 
+        // Unless it runs.
         void startProgram(
             const std::string& name, const std::string& program, const std::vector<std::string>& arguments)
         {
-            const HeldSignals inheritedByTheProgram;
+            if (this->states[name] != ProgramState::Down)
+                return;
+            const BlockedSignals inheritedByTheProgram({ SIGHUP, SIGTERM });
             this->group.start(name, program, arguments);
             this->states[name] = ProgramState::Running;
         }
@@ -182,33 +157,29 @@
         void startEntry(size_t number)
         {
             const std::string name = entryName(number);
-            if (this->states[name] != ProgramState::Down)
-                return;
-            const std::string ip = ipText(this->world.entryAddress(number));
-            std::vector<std::string> arguments
-                = this->flags(name, this->world.entryAddress(number), SoakWorld::packetsPort);
-            arguments.push_back("--hop=" + ip + ':' + std::to_string(SoakWorld::entryHopPort));
-            arguments.push_back("--store=" + toString(this->relays[number]->endpoint()));
-            this->startProgram(name, "wasabi-packet-entry", arguments);
+            this->startProgram(name, "wasabi-packet-entry",
+                this->place(name, this->world.entryAddress(number), packet_ports::packets)
+                    .entryArguments(SoakWorld::entryHopPort, toString(this->relays[number]->endpoint())));
         }
 
         void startAgent(size_t number)
         {
             const std::string name = agentName(number);
-            if (this->states[name] != ProgramState::Down)
-                return;
-            const std::string ip = ipText(this->world.hostAddress(number));
-            std::vector<std::string> arguments
-                = this->flags(name, this->world.hostAddress(number), SoakWorld::agentPort);
-            arguments.push_back("--outbound=" + ip + ':' + std::to_string(SoakWorld::outboundPort));
-            arguments.push_back("--upstream=" + ip + ':' + std::to_string(SoakWorld::upstreamPort));
-            arguments.push_back("--entry-hop-port=" + std::to_string(SoakWorld::hopPort));
-            arguments.push_back("--service=" + this->onWorld([&] { return this->world.serviceOf(number); }));
-            this->startProgram(name, "wasabi-packet-agent", arguments);
+            const std::string service = this->onWorld([&] { return this->world.serviceOf(number); });
+            this->startProgram(name, "wasabi-packet-agent",
+                this->place(name, this->world.hostAddress(number), SoakWorld::agentPort).agentArguments(service));
             if (this->hosts[number].paused > 0)
                 this->signal(name, SIGSTOP);
         }
 
+        void startAll()
+        {
+            for (size_t i = 0; i < this->options.size.hosts; ++i)
+                this->startAgent(i);
+            for (size_t i = 0; i < this->options.size.entries; ++i)
+                this->startEntry(i);
+        }
+
         void kill(const std::string& name)
         {
             this->checkRuns(name);
@@ -230,6 +201,12 @@
             }
         }
 
+        void checkAllRun()
+        {
+            for (const auto& [name, state] : this->states)
+                this->checkRuns(name);
+        }
+
         void checkExit(const std::string& name)
         {
             this->states[name] = ProgramState::Stopping;
@@ -247,8 +224,8 @@
             while (!this->isOver) {
                 const TimePoint next = std::chrono::steady_clock::now() + pollInterval;
                 for (size_t i = 0; i < misses.size() && !this->isOver; ++i) {
-                    const Endpoint ready { ipText(this->world.entryAddress(i)), SoakWorld::readyPort };
-                    const Result<fakes::HttpReply> reply = fakes::httpCall(ready, "GET", "/ready", pollTimeout);
+                    const Result<fakes::HttpReply> reply
+                        = fakes::httpCall(this->readyOf(i), "GET", "/ready", pollTimeout);
                     const bool isReady = reply && reply.value().status == 200;
                     misses[i] = isReady ? 0 : misses[i] + 1;
                     this->onWorld([&] { this->world.setInRotation(i, misses[i] < missesUntilOut); });
@@ -277,8 +254,7 @@
                 this->actions.erase(next);
                 action();
             }
-            for (const auto& [name, state] : this->states)
-                this->checkRuns(name);
+            this->checkAllRun();
         }
 
         void later(Milliseconds delay, std::function<void()> action)
@@ -341,12 +317,7 @@
                 this->kill(entryName(i));
             for (size_t i = 0; i < this->options.size.hosts; ++i)
                 this->kill(agentName(i));
-            this->later(length, [this] {
-                for (size_t i = 0; i < this->options.size.hosts; ++i)
-                    this->startAgent(i);
-                for (size_t i = 0; i < this->options.size.entries; ++i)
-                    this->startEntry(i);
-            });
+            this->later(length, [this] { this->startAll(); });
         }
 
         void stopEntry(const std::string& name, size_t number)
@@ -511,8 +482,7 @@
         void checkReady(Milliseconds patience)
         {
             for (size_t i = 0; i < this->options.size.entries; ++i) {
-                const Endpoint ready { ipText(this->world.entryAddress(i)), SoakWorld::readyPort };
-                if (!waitForStatus(ready, "/ready", 200, patience))
+                if (!waitForStatus(this->readyOf(i), "/ready", 200, patience))
                     this->violate(entryName(i) + " is not ready although no fault is active");
             }
         }
@@ -531,7 +501,7 @@
         bool opens(size_t entry, PacketAddress route, Milliseconds patience)
         {
             this->onWorld([&] {
-                this->probe.useEntry({ this->world.entryAddress(entry), SoakWorld::packetsPort });
+                this->probe.useEntry({ this->world.entryAddress(entry), packet_ports::packets });
                 this->probe.open(static_cast<uint16_t>(probePort + this->probes++), route);
             });
             return waitUntil([&] { return this->onWorld([&] { return this->probe.isOpen(); }); }, patience);
@@ -568,8 +538,7 @@
 
         void checkStop()
         {
-            for (const auto& [name, state] : this->states)
-                this->checkRuns(name);
+            this->checkAllRun();
             for (const auto& [name, state] : this->states)
                 this->signal(name, SIGTERM);
             for (const auto& [name, state] : std::map<std::string, ProgramState>(this->states)) {
@@ -641,18 +610,16 @@
 
 std::vector<SoakStep> soakSchedule(const SoakOptions& options)
 {
-    std::mt19937_64 random(options.seed);
-    const auto below = [&](Milliseconds bound) {
-        return Milliseconds(static_cast<int64_t>(random() % static_cast<uint64_t>(bound.count())));
-    };
+    Draw draw { std::mt19937_64(options.seed) };
     std::vector<SoakStep> steps;
-    for (Milliseconds at = firstFault; at < options.duration - longestFault; at += below(longestGap)) {
+    for (Milliseconds at = firstFault; at < options.duration - longestFault;
+         at += draw.between(Milliseconds(0), longestGap)) {
         SoakStep step;
         step.at = at;
-        step.fault = static_cast<SoakFault>(random() % soakFaultNames.size());
-        step.length = shortestFault + below(longestFault - shortestFault);
-        step.victim = random() % (hitsHost(step.fault) ? options.size.hosts : options.size.entries);
-        step.draw = random();
+        step.fault = static_cast<SoakFault>(draw.below(soakFaultNames.size()));
+        step.length = draw.between(shortestFault, longestFault);
+        step.victim = draw.below(hitsHost(step.fault) ? options.size.hosts : options.size.entries);
+        step.draw = draw.random();
         steps.push_back(step);
     }
     return steps;
--- a/tests/PacketSoakWorld.cpp
+++ b/tests/PacketSoakWorld.cpp
@@ -54,7 +54,7 @@
 SoakNetwork::SoakNetwork(boost::asio::io_context& loop, SoakLedger& soakLedger, uint64_t seed)
     : context(loop)
     , ledger(soakLedger)
-    , random(seed)
+    , draw { std::mt19937_64(seed) }
 {
 }
 
@@ -85,12 +85,6 @@
 
 void SoakNetwork::removeFault(size_t number) { this->faults.erase(number); }
 
-double SoakNetwork::drawShare()
-{
-    constexpr uint64_t steps = 1U << 20U;
-    return static_cast<double>(this->random() % steps) / static_cast<double>(steps);
-}
-
 void SoakNetwork::carry(
     uint32_t from, uint32_t to, std::span<const uint8_t> bytes, const std::function<void(Bytes)>& arrive)
 {
@@ -99,12 +93,12 @@
     for (const auto& [number, fault] : this->faults) {
         if ((fault.from != 0 && fault.from != from) || (fault.to != 0 && fault.to != to))
             continue;
-        if (this->drawShare() < fault.loss) {
+        if (this->draw.share() < fault.loss) {
             ++this->ledger.droppedDatagrams;
             return;
         }
-        delay += Milliseconds(static_cast<int64_t>(this->drawShare() * static_cast<double>(fault.delay.count())));
-        arrivesTwice = arrivesTwice || this->drawShare() < fault.copies;
+        delay += Milliseconds(static_cast<int64_t>(this->draw.share() * static_cast<double>(fault.delay.count())));
+        arrivesTwice = arrivesTwice || this->draw.share() < fault.copies;
     }
     if (delay.count() == 0) {
         arrive(bytes);
@@ -136,14 +130,14 @@
     , ledger(soakLedger)
     , options(callerOptions)
     , hooks(std::move(callerHooks))
-    , random(seed)
+    , draw { std::mt19937_64(seed) }
     , socket(context)
     , resets(context)
     , address(ownAddress)
     , callers(callerOptions.callers)
 {
     this->listen(this->socket, SoakWorld::agentPort);
-    this->listen(this->resets, SoakWorld::packetsPort);
+    this->listen(this->resets, packet_ports::packets);
 }
 
 void SoakCallers::listen(DatagramSocket& datagrams, uint16_t port)
@@ -164,11 +158,6 @@
         this->callers.begin(), this->callers.end(), [](const Caller& caller) { return caller.state == State::Closed; });
 }
 
-Milliseconds SoakCallers::drawTime(Milliseconds longest)
-{
-    return Milliseconds(static_cast<int64_t>(this->random() % static_cast<uint64_t>(longest.count())));
-}
-
 void SoakCallers::onTick(TimePoint now)
 {
     for (Caller& caller : this->callers) {
@@ -213,10 +202,10 @@
     while (this->lastPort < 1024 || this->callerByPort.contains(this->lastPort));
     caller = {};
     caller.state = State::Opening;
-    caller.flow = { { this->address, this->lastPort }, routes[this->random() % routes.size()] };
+    caller.flow = { { this->address, this->lastPort }, routes[this->draw.below(routes.size())] };
     this->callerByPort[this->lastPort] = static_cast<size_t>(&caller - this->callers.data());
-    caller.sequence = static_cast<uint32_t>(this->random());
-    caller.requestsLeft = 1 + static_cast<unsigned>(this->random() % this->options.longestFlow);
+    caller.sequence = static_cast<uint32_t>(this->draw.random());
+    caller.requestsLeft = 1 + static_cast<unsigned>(this->draw.below(this->options.longestFlow));
     caller.began = now;
     caller.beganCalm = this->isCalm;
     this->sendSyn(caller, now);
@@ -230,18 +219,24 @@
             this->ledger.violate(
                 "the SYN of flow " + toString(caller.flow) + " had no answer although no fault was active");
         caller.state = State::Closed;
-        caller.due = now + this->drawTime(retryPause);
+        caller.due = now + this->draw.between(Milliseconds(0), retryPause);
         return;
     }
     const std::vector<uint8_t> bytes
         = fakes::makePacket(caller.flow.client, caller.flow.route, flags::syn, caller.sequence, caller.copies, 0);
+    this->toEntry(caller, bytes);
+    caller.due = caller.began + (caller.copies < synCopies.size() ? synCopies.at(caller.copies) : openLimit);
+    ++caller.copies;
+}
+
+// Each packet goes to the entry that the router selects at that time.
+void SoakCallers::toEntry(const Caller& caller, Bytes packet)
+{
     const PacketAddress entry = this->hooks.entryOf(caller.flow);
-    this->network.carry(this->address, entry.address, bytes, [this, entry](Bytes datagram) {
+    this->network.carry(this->address, entry.address, packet, [this, entry](Bytes datagram) {
         this->socket.send(entry, datagram);
         this->socket.flush();
     });
-    caller.due = caller.began + (caller.copies < synCopies.size() ? synCopies.at(caller.copies) : openLimit);
-    ++caller.copies;
 }
 
 void SoakCallers::send(const Caller& caller, uint8_t packetFlags, uint32_t sequence, Bytes payload)
@@ -249,11 +244,7 @@
     std::vector<uint8_t> bytes = fakes::makePacket(caller.flow.client, caller.flow.route, packetFlags, sequence,
         caller.hostSequence, static_cast<uint16_t>(payload.size()));
     std::copy(payload.begin(), payload.end(), bytes.begin() + platform::packetHeaderBytes);
-    const PacketAddress entry = this->hooks.entryOf(caller.flow);
-    this->network.carry(this->address, entry.address, bytes, [this, entry](Bytes datagram) {
-        this->socket.send(entry, datagram);
-        this->socket.flush();
-    });
+    this->toEntry(caller, bytes);
 }
 
 void SoakCallers::startRequest(Caller& caller, TimePoint now)
@@ -263,7 +254,7 @@
     caller.state = State::Waiting;
     caller.began = now;
     caller.beganCalm = this->isCalm;
-    caller.request = { static_cast<uint32_t>(fakes::PacketAnswer::size + this->random() % this->options.largestAnswer),
+    caller.request = { static_cast<uint32_t>(fakes::PacketAnswer::size + this->draw.below(this->options.largestAnswer)),
         ++this->lastRequest };
     caller.payload.assign(requestBytes, padding);
     caller.request.write(caller.payload, 0);
@@ -277,7 +268,7 @@
 {
     this->send(caller, flags::fin | flags::ack, caller.sequence);
     caller.state = State::Closed;
-    caller.due = now + this->drawTime(retryPause);
+    caller.due = now + this->draw.between(Milliseconds(0), retryPause);
 }
 
 void SoakCallers::onPacket(std::span<uint8_t> bytes)
@@ -327,7 +318,7 @@
         ++this->ledger.lost;
     }
     caller.state = State::Closed;
-    caller.due = now + this->drawTime(retryPause);
+    caller.due = now + this->draw.between(Milliseconds(0), retryPause);
 }
 
 void SoakCallers::onAnswer(Caller& caller, const Packet& packet, Bytes payload)
@@ -344,7 +335,7 @@
     if (isWhole) {
         ++this->ledger.answered;
         caller.state = State::Thinking;
-        caller.due = std::chrono::steady_clock::now() + this->drawTime(this->options.longestPause);
+        caller.due = std::chrono::steady_clock::now() + this->draw.between(Milliseconds(0), this->options.longestPause);
     }
     const uint32_t sent = caller.sequence + static_cast<uint32_t>(caller.payload.size());
     caller.sequence = isWhole ? sent : caller.sequence;
@@ -356,7 +347,7 @@
 //-----------------------------------------------------------------------------
 
 SoakWorld::SoakWorld(boost::asio::io_context& context, uint32_t first, const SoakSize& size, uint64_t seed)
-    : store(context, { ipText(first + 2), storePort })
+    : store(context, { ipText(first + 2), packet_ports::store })
     , network(context, this->ledger, seed)
     , callers(context, first + 3, this->network, this->ledger, size.callers,
           { [this](const FlowKey& flow) { return this->entryOf(flow); },
@@ -376,15 +367,15 @@
     for (size_t i = 0; i < size.hosts; ++i) {
         Host& host = this->hosts[i];
         host.service = i % 2 == 0 ? firstService : secondService;
-        host.machine
-            = std::make_unique<fakes::PacketHost>(context, PacketAddress { this->hostAddress(i), upstreamPort },
-                PacketAddress { this->hostAddress(i), outboundPort }, this->hostHooks(i));
+        host.machine = std::make_unique<fakes::PacketHost>(context,
+            PacketAddress { this->hostAddress(i), packet_ports::upstream },
+            PacketAddress { this->hostAddress(i), packet_ports::outbound }, this->hostHooks(i));
         host.machine->setWorkTime(workTime);
-        this->network.addNode({ this->hostAddress(i), packetsPort }, { this->hostAddress(i), agentPort });
+        this->network.addNode({ this->hostAddress(i), packet_ports::packets }, { this->hostAddress(i), agentPort });
         this->list(i);
     }
     for (size_t i = 0; i < size.entries; ++i)
-        this->network.addNode({ this->entryAddress(i), hopPort }, { this->entryAddress(i), entryHopPort });
+        this->network.addNode({ this->entryAddress(i), packet_ports::hop }, { this->entryAddress(i), entryHopPort });
     this->publishRoutes({ 0, 1, 2 });
     this->tick();
 }
@@ -426,7 +417,7 @@
     }
     const size_t hash = FlowKeyHash()(flow) + this->routerSalt;
     return { this->entryAddress(usable.empty() ? hash % this->rotation.size() : usable[hash % usable.size()]),
-        packetsPort };
+        packet_ports::packets };
 }
 
 // A flow may be reset, although its host holds it, once a configuration dropped its route.
@@ -482,9 +473,9 @@
     const Host& host = this->hosts[number];
     this->store.put(this->itemOf(number),
         boost::json::serialize(boost::json::object { { "service", host.service },
-            { "address", toString(PacketAddress { this->hostAddress(number), upstreamPort }) }, { "zone", "z" },
-            { "version", "v1" }, { "slots", 4 }, { "state", isDraining ? "draining" : "ready" }, { "cold_left_ms", 0 },
-            { "born", host.incarnation } }));
+            { "address", toString(PacketAddress { this->hostAddress(number), packet_ports::upstream }) },
+            { "zone", "z" }, { "version", "v1" }, { "slots", 4 }, { "state", isDraining ? "draining" : "ready" },
+            { "cold_left_ms", 0 }, { "born", host.incarnation } }));
 }
 
 void SoakWorld::unlist(size_t number) { this->store.remove(this->itemOf(number)); }
--- a/tests/PacketSoakWorld.h
+++ b/tests/PacketSoakWorld.h
@@ -9,10 +9,11 @@
 #pragma once
 
 #include "fakes/PacketPlatform.h"
+#include "tests/Draw.h"
+#include "tests/PacketPrograms.h"
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
-#include <random>
 
 namespace wasabicroft::tests {
 
@@ -77,11 +78,9 @@
         std::function<void(Bytes)> arrive;
     };
 
-    double drawShare(); // 0 to 1
-
     boost::asio::io_context& context;
     SoakLedger& ledger;
-    std::mt19937_64 random;
+    Draw draw;
     std::map<PacketAddress, Node> nodes; // by the address of the process
     std::map<size_t, SoakPathFault> faults;
     size_t lastFault = 0;
@@ -139,18 +138,18 @@
     void sendSyn(Caller&, TimePoint now);
     void startRequest(Caller&, TimePoint now);
     void close(Caller&, TimePoint now);
+    void toEntry(const Caller&, Bytes packet);
     void send(const Caller&, uint8_t flags, uint32_t sequence, Bytes payload = {});
     void listen(DatagramSocket&, uint16_t port);
     void onPacket(std::span<uint8_t>);
     void onReset(Caller&, const Packet&);
     void onAnswer(Caller&, const Packet&, Bytes payload);
-    Milliseconds drawTime(Milliseconds longest);
 
     SoakNetwork& network;
     SoakLedger& ledger;
     SoakCallerOptions options;
     SoakCallerHooks hooks;
-    std::mt19937_64 random;
+    Draw draw;
     DatagramSocket socket; // to entries, and from agents
     DatagramSocket resets; // of entries
     uint32_t address;
@@ -177,14 +176,9 @@
 public:
     SoakWorld(boost::asio::io_context&, uint32_t firstAddress, const SoakSize&, uint64_t seed);
 
-    static constexpr uint16_t packetsPort = 8172; // of entries; entries reach agents at it
-    static constexpr uint16_t agentPort = 18172; // of agents, behind the network; they reach callers at it
-    static constexpr uint16_t hopPort = 7720; // agents reach entries at it
-    static constexpr uint16_t entryHopPort = 17720; // of entries, behind the network
-    static constexpr uint16_t readyPort = 8167;
-    static constexpr uint16_t outboundPort = 8162;
-    static constexpr uint16_t upstreamPort = 8165;
-    static constexpr uint16_t storePort = 8169;
+    // Programs behind the network; the others know them by the usual ports.
+    static constexpr uint16_t agentPort = 18172; // packets port of agents, which reach callers at it
+    static constexpr uint16_t entryHopPort = 17720;
 
     static PacketAddress route(size_t number) { return { 0xc6120001, static_cast<uint16_t>(443 + number) }; }
 
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -26,6 +26,15 @@
             world.requestAgain(i);
     }
 
+    WorldOptions anyNetwork()
+    {
+        WorldOptions options;
+        options.seed = *rc::gen::inRange<uint64_t>(1, 1000000);
+        options.loss = *rc::gen::element(0.0, 0.01, 0.05);
+        options.duplication = *rc::gen::element(0.0, 0.05);
+        return options;
+    }
+
     // Guards against a path that does not work at all.
     TEST(PacketWorld, QuietRequestsAreAllAnswered)
     {
@@ -128,11 +137,7 @@
     // Guards against flows that move, are reset or cross services under any mix of faults.
     RC_GTEST_PROP(PacketWorld, OpenFlowsStayWithTheirUpstreamUnderFaults, ())
     {
-        WorldOptions options;
-        options.seed = *rc::gen::inRange<uint64_t>(1, 1000000);
-        options.loss = *rc::gen::element(0.0, 0.01, 0.05);
-        options.duplication = *rc::gen::element(0.0, 0.05);
-        PacketWorld world(options);
+        PacketWorld world(anyNetwork());
         world.startTicks();
         for (int step = 0; step < 60; ++step) {
             for (size_t i = 0; i < 4; ++i)
@@ -244,11 +249,7 @@
     // Guards against the reset of a held flow in any history, with a network that loses and repeats.
     RC_GTEST_PROP(PacketWorld, SearchesNeverEndAFlowThatIsHeld, ())
     {
-        WorldOptions options;
-        options.seed = *rc::gen::inRange<uint64_t>(1, 1000000);
-        options.loss = *rc::gen::element(0.0, 0.01, 0.05);
-        options.duplication = *rc::gen::element(0.0, 0.05);
-        PacketWorld world(options);
+        PacketWorld world(anyNetwork());
         exploreSearches(world);
         RC_ASSERT(firstOf(world.violations) == std::string());
     }
--- a/tests/Processes.cpp
+++ b/tests/Processes.cpp
@@ -90,6 +90,17 @@
         std::filesystem::remove_all(this->path, ignored);
 }
 
+BlockedSignals::BlockedSignals(std::initializer_list<int> numbers)
+{
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    for (const int number : numbers)
+        sigaddset(&blocked, number);
+    pthread_sigmask(SIG_BLOCK, &blocked, &this->before);
+}
+
+BlockedSignals::~BlockedSignals() { pthread_sigmask(SIG_SETMASK, &this->before, nullptr); }
+
 Process::Process(std::string givenName, const std::filesystem::path& program, const std::vector<std::string>& arguments,
     const std::filesystem::path& logDirectory)
     : processName(std::move(givenName))
--- a/tests/Processes.h
+++ b/tests/Processes.h
@@ -4,7 +4,9 @@
 
 #include "fakes/Http.h"
 
+#include <csignal>
 #include <filesystem>
+#include <initializer_list>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -22,6 +24,19 @@
     std::filesystem::path path;
 };
 
+// Blocks signals in this thread. A program that is started meanwhile has them pending until it can handle them, which
+// no program can before main().
+class BlockedSignals {
+public:
+    explicit BlockedSignals(std::initializer_list<int> numbers);
+    ~BlockedSignals();
+    BlockedSignals(const BlockedSignals&) = delete;
+    BlockedSignals& operator=(const BlockedSignals&) = delete;
+
+private:
+    sigset_t before {};
+};
+
 // One running program. Standard output and standard error go to <name>.out and <name>.log in the log directory.
 class Process {
 public:
--- a/tests/SessionClientTest.cpp
+++ b/tests/SessionClientTest.cpp
@@ -2,6 +2,7 @@
 #include "backends/SessionClient.h"
 #include "backends/AgentServer.h"
 #include "backends/EntryServer.h"
+#include "fakes/OnThread.h"
 #include "fakes/Upstream.h"
 #include "wasabicroft/Log.h"
 
@@ -69,10 +70,7 @@
     protected:
         template <typename Function> auto onThread(Function function)
         {
-            std::packaged_task<decltype(function())()> task(std::move(function));
-            std::future<decltype(function())> result = task.get_future();
-            asio::post(this->context, [&task] { task(); });
-            return result.get();
+            return fakes::runOnThread(this->context, std::move(function));
         }
 
         SessionTest()
--- a/wasabicroft/AgentGate.cpp
+++ b/wasabicroft/AgentGate.cpp
@@ -425,8 +425,8 @@
     this->expireRequests();
     this->startWaiting();
     this->flows.expire(now - this->options.flowIdleLimit);
-    std::erase_if(this->subscribers,
-        [&](const auto& item) { return now - item.second.lastOffer > this->options.reportLifetime; });
+    std::erase_if(
+        this->subscribers, [&](const auto& item) { return now - item.second.lastOffer > loadReportLifetime; });
     const size_t occupied = this->requests.running() + this->requests.waiting();
     for (auto& [entry, subscriber] : this->subscribers) {
         const bool changed = subscriber.busy != occupied || subscriber.flows != this->heldCount;
--- a/wasabicroft/AgentGate.h
+++ b/wasabicroft/AgentGate.h
@@ -31,7 +31,6 @@
     RequestQueueOptions requests;
     LivenessOptions liveness;
     Milliseconds bounceTime { 10 }; // longer than packets of the upstream overtake each other
-    Milliseconds reportLifetime { 5000 }; // an entry that offered no flow for this long gets no reports
 };
 
 struct AgentGateCounters {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -372,7 +372,7 @@
 {
     this->reporters[agent] = this->clock.now();
     constexpr double millisecondsPerSecond = 1000;
-    const size_t bytes = this->reporters.size() * this->options.loadReportBytes;
+    const size_t bytes = this->reporters.size() * (hopHeaderBytes + datagramHeaderBytes);
     return Milliseconds(std::lround(millisecondsPerSecond * static_cast<double>(bytes) / this->options.loadReportRate));
 }
 
@@ -811,8 +811,7 @@
         this->held.pop_front();
     }
     this->flows.expire(now - this->options.flowIdleLimit);
-    std::erase_if(
-        this->reporters, [&](const auto& item) { return now - item.second > this->options.loadReportLifetime; });
+    std::erase_if(this->reporters, [&](const auto& item) { return now - item.second > loadReportLifetime; });
     std::erase_if(this->unsureUntil, [now](const auto& item) { return item.second <= now; });
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -50,8 +50,6 @@
     size_t isolationProbes = 6; // agents asked in one interval
     size_t isolationShare = 3; // silent agents for each that answers; a failure domain of three may be cut off
     double loadReportRate = 4000; // bytes a second of load reports from all agents: two thirds of the control budget
-    size_t loadReportBytes = 76; // with IP and UDP headers
-    Milliseconds loadReportLifetime { 5000 }; // agents report this long after an offer
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
     uint64_t seed = 1;
--- a/wasabicroft/LogReport.cpp
+++ b/wasabicroft/LogReport.cpp
@@ -4,10 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/date_time/posix_time/posix_time.hpp>
 #include <charconv>
 #include <cmath>
-#include <cstdint>
-#include <cstdio>
 #include <iomanip>
 #include <sstream>
 
@@ -39,33 +38,25 @@
         Event::AgentStopping, Event::StoreUnreachable, Event::StoreReachable, Event::ProvisionalState,
         Event::PacketUpstreamDown, Event::PacketUpstreamUp, Event::LogLinesSuppressed };
 
+    bool isFleetEvent(int event)
+    {
+        return std::find(fleetEvents.begin(), fleetEvents.end(), static_cast<Event>(event)) != fleetEvents.end();
+    }
+
     // "2026-12-04T11:08:55.512149Z"
     std::optional<Time> parseTime(std::string_view text)
     {
-        constexpr int fieldCount = 7;
-        constexpr size_t longest = 32;
-        std::array<char, longest> buffer {};
-        if (text.size() >= buffer.size())
-            return std::nullopt;
-        std::copy(text.begin(), text.end(), buffer.begin());
-        int year = 0;
-        unsigned month = 0;
-        unsigned day = 0;
-        int hour = 0;
-        int minute = 0;
-        int second = 0;
-        int microsecond = 0;
-        // NOLINTNEXTLINE(cert-err34-c): the count of fields is checked, and each has a bounded width
-        if (std::sscanf(buffer.data(), "%4d-%2u-%2uT%2d:%2d:%2d.%6dZ", &year, &month, &day, &hour, &minute, &second,
-                &microsecond)
-            != fieldCount)
-            return std::nullopt;
-        const std::chrono::year_month_day date { std::chrono::year(year), std::chrono::month(month),
-            std::chrono::day(day) };
-        if (!date.ok())
+        constexpr size_t dateLength = 10;
+        if (text.size() <= dateLength || text[dateLength] != 'T' || text.back() != 'Z')
             return std::nullopt;
-        return std::chrono::sys_days(date) + std::chrono::hours(hour) + std::chrono::minutes(minute)
-            + std::chrono::seconds(second) + std::chrono::microseconds(microsecond);
+        try {
+            const boost::posix_time::ptime time
+                = boost::posix_time::from_iso_extended_string(std::string(text.substr(0, text.size() - 1)));
+            const boost::posix_time::ptime epoch(boost::gregorian::date(1970, 1, 1));
+            return Time(std::chrono::microseconds((time - epoch).total_microseconds()));
+        } catch (const std::exception&) {
+            return std::nullopt; // another word
+        }
     }
 
     std::vector<std::string_view> splitWords(std::string_view text)
@@ -183,20 +174,21 @@
 
 std::vector<PlotMark> LogReport::marks() const
 {
+    std::map<int, std::vector<std::pair<double, std::string>>> byEvent;
+    for (const LogLine& line : this->collected) {
+        if (isFleetEvent(line.event))
+            byEvent[line.event].emplace_back(this->secondsOf(line), line.process);
+    }
     std::vector<PlotMark> result;
-    for (const Event event : fleetEvents) {
-        std::vector<std::pair<double, std::string>> times;
-        for (const LogLine& line : this->collected) {
-            if (line.event == static_cast<int>(event))
-                times.emplace_back(this->secondsOf(line), line.process);
-        }
+    for (auto& [event, times] : byEvent) {
+        const std::string prefix = std::string(infoOf(static_cast<Event>(event)).name) + ": ";
         std::sort(times.begin(), times.end());
         for (size_t first = 0; first < times.size();) {
             size_t end = first + 1;
             while (end < times.size() && times[end].first - times[end - 1].first < newGroupAfter)
                 ++end;
             const std::string who = end - first == 1 ? times[first].second : std::to_string(end - first) + " times";
-            result.push_back({ times[first].first, std::string(infoOf(event).name) + ": " + who });
+            result.push_back({ times[first].first, prefix + who });
             first = end;
         }
     }
@@ -205,7 +197,9 @@
     return result;
 }
 
-std::string LogReport::summary() const
+std::string LogReport::summary() const { return this->summaryWith(this->marks()); }
+
+std::string LogReport::summaryWith(const std::vector<PlotMark>& marks) const
 {
     std::ostringstream out;
     out << this->collected.size() << " lines; " << this->suppressed() << " left out by the log rate\n\n";
@@ -218,7 +212,7 @@
             out << found->first << ' ' << info.name << ": " << found->second << '\n';
     }
     out << "\nfirst second, event\n";
-    for (const PlotMark& mark : this->marks())
+    for (const PlotMark& mark : marks)
         out << formatSeconds(mark.at) << "  " << mark.text << '\n';
     return out.str();
 }
@@ -272,7 +266,8 @@
         { countsOf("waiting", waiting, lastSecond) } };
     const Plot ages { "Age of the load that new flows were placed by, p99", "ms",
         { countsOf("age", highAges, lastSecond) } };
-    return { title, this->summary(), last, { flows, failures, queues, ages }, this->marks() };
+    const std::vector<PlotMark> fleetMarks = this->marks();
+    return { title, this->summaryWith(fleetMarks), last, { flows, failures, queues, ages }, fleetMarks };
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/LogReport.h
+++ b/wasabicroft/LogReport.h
@@ -40,6 +40,7 @@
 private:
     double secondsOf(const LogLine&) const; // since the first line
     std::vector<PlotMark> marks() const;
+    std::string summaryWith(const std::vector<PlotMark>&) const;
 
     std::vector<LogLine> collected;
     std::optional<std::chrono::sys_time<std::chrono::microseconds>> begin;
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -122,6 +122,9 @@
 inline constexpr size_t hopHeaderBytes = 48;
 inline constexpr size_t maxFlowKeys = 100; // in one message: it stays below the smallest usual MTU
 
+inline constexpr size_t datagramHeaderBytes = 28; // IPv4 and UDP
+inline constexpr Milliseconds loadReportLifetime { 5000 }; // after an offer, an entry gets load reports for this long
+
 bool carriesFlowKeys(HopKind); // instead of a packet
 
 // Appends the encoded message to out.
