Log when entries change the wait of their watches and why they read again

Events 3027 and 3028; gauges wasabi_store_answer_age_ms, wasabi_store_short_watches, wasabi_routes_version_announced. No change of logic.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -46,6 +46,7 @@
     : context(loop)
     , settings(std::move(initial))
     , clock(timeSource)
+    , startTime(timeSource.now())
     , clientSocket(loop)
     , agentSocket(loop)
     , storeSync(syncOptions(this->settings), timeSource)
@@ -331,7 +332,14 @@
 // be dead.
 void PacketEntry::refreshIfBehindPeers()
 {
-    if (this->storeSync.setWatchWait(this->fleet.isSentinel() ? sentinelWait : watchWait))
+    const bool isNowSentinel = this->fleet.isSentinel();
+    if (isNowSentinel != std::exchange(this->isSentinel, isNowSentinel))
+        logEvent(Event::StoreWatchWaitChanged,
+            { { "wait-ms", isNowSentinel ? sentinelWait : watchWait },
+                { "routes-age-ms", this->answerAge(StoreTopic::Routes) },
+                { "upstreams-age-ms", this->answerAge(StoreTopic::Upstreams) },
+                { "entries", static_cast<uint64_t>(this->fleet.entryCount()) } });
+    if (this->storeSync.setWatchWait(isNowSentinel ? sentinelWait : watchWait))
         this->readStore();
     if (!this->hasStoreState())
         return;
@@ -345,6 +353,12 @@
             since = this->clock.now();
         } else if (this->clock.now() - *since > maxBehindTime) {
             since.reset();
+            logEvent(Event::StoreReadRepeated,
+                { { "topic", nameOf(static_cast<StoreTopic>(i)) },
+                    { "answer-age-ms", this->answerAge(static_cast<StoreTopic>(i)) },
+                    { "routes", this->routes->version }, { "announced-routes", this->fleet.newestRoutesVersion() },
+                    { "directory", this->directory.revision() },
+                    { "announced-directory", this->fleet.newestDirectoryRevision() } });
             this->storeSync.onNewerRevision(static_cast<StoreTopic>(i), UINT64_MAX);
             this->readStore();
         }
@@ -394,6 +408,12 @@
     this->flush();
 }
 
+Milliseconds PacketEntry::answerAge(StoreTopic topic) const
+{
+    const TimePoint lastAnswerTime = this->storeSync.lastAnswer(topic).value_or(this->startTime);
+    return std::chrono::duration_cast<Milliseconds>(this->clock.now() - lastAnswerTime);
+}
+
 OperatorStatus PacketEntry::status() const
 {
     OperatorStatus status;
@@ -414,9 +434,8 @@
         { "storeReachable", this->isStoreReachable }, { "upstreams", std::move(upstreams) } };
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
-        if (const std::optional<TimePoint> lastAnswerTime = this->storeSync.lastAnswer(topic))
-            json[std::string(nameOf(topic)) + "AgeMs"]
-                = std::chrono::duration_cast<Milliseconds>(this->clock.now() - *lastAnswerTime).count();
+        if (this->storeSync.lastAnswer(topic))
+            json[std::string(nameOf(topic)) + "AgeMs"] = this->answerAge(topic).count();
     }
     status.json = boost::json::serialize(json);
     return status;
@@ -447,6 +466,13 @@
     metrics.setCount("wasabi_flows", "", this->router.trackedFlows());
     metrics.setCount("wasabi_flow_evictions_total", "", this->router.flowEvictions());
     metrics.setCount("wasabi_routes_version", "", this->router.routesVersion());
+    metrics.setCount("wasabi_routes_version_announced", "", this->fleet.newestRoutesVersion());
+    metrics.setCount("wasabi_store_short_watches", "", this->isSentinel ? 1 : 0);
+    for (size_t i = 0; i < storeTopicCount; ++i) {
+        const StoreTopic topic = static_cast<StoreTopic>(i);
+        metrics.setCount("wasabi_store_answer_age_ms", "topic=\"" + std::string(nameOf(topic)) + '"',
+            static_cast<uint64_t>(this->answerAge(topic).count()));
+    }
 }
 
 } // namespace wasabicroft
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -43,11 +43,13 @@
     void sendPresence();
     void refreshIfBehindPeers();
     void applyProvisionalState();
+    Milliseconds answerAge(StoreTopic) const; // time since the store's last answer, or since the start
     bool hasStoreState() const { return this->routes && this->directory.isLoaded(); }
 
     boost::asio::io_context& context;
     PacketSettings settings;
     const Clock& clock;
+    TimePoint startTime;
     BootClock bootClock;
     DatagramSocket clientSocket;
     DatagramSocket agentSocket;
@@ -63,6 +65,7 @@
     std::vector<uint8_t> hopBuffer;
     InvalidSenderLogLimiter invalidSenderLogLimiter;
     bool isStoreReachable = false;
+    bool isSentinel = false; // the watches of this entry use the short wait
     // For each topic, when other entries were first seen to announce a newer revision than this one has read.
     std::array<std::optional<TimePoint>, storeTopicCount> behindSince;
     uint64_t invalidPackets = 0;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -43,6 +43,8 @@
         EventInfo { Event::StoreReachable, Severity::Info, "store-reachable" },
         EventInfo { Event::StoreItemInvalid, Severity::Warning, "store-item-invalid" },
         EventInfo { Event::ProvisionalState, Severity::Info, "provisional-state" },
+        EventInfo { Event::StoreWatchWaitChanged, Severity::Info, "store-watch-wait-changed" },
+        EventInfo { Event::StoreReadRepeated, Severity::Info, "store-read-repeated" },
         EventInfo { Event::InvalidFrame, Severity::Warning, "invalid-frame" },
         EventInfo { Event::LinkLost, Severity::Warning, "link-lost" },
         EventInfo { Event::FlowPlaced, Severity::Info, "flow-placed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -47,6 +47,8 @@
     StoreReachable = 3024,
     StoreItemInvalid = 3025,
     ProvisionalState = 3026,
+    StoreWatchWaitChanged = 3027,
+    StoreReadRepeated = 3028,
     InvalidFrame = 4001,
     LinkLost = 4101,
     FlowPlaced = 4102,
