Move the decision to read again from PacketEntry to StoreRefresh

When an entry uses short watches, and when it reads a topic because others announce a newer state, was decided beside the sockets of the packet entry and could not be tested without them. StoreRefresh has no I/O; no change of behaviour, except that event 3028 is only logged for a read that is made.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-    // Maximum time for which the store may delay its answer to a watch of a sentinel, and to one of another entry. It
-    // limits how long a dead connection can hide a change.
-    constexpr Milliseconds sentinelWait { 2000 };
-    constexpr Milliseconds watchWait { 20000 };
-    constexpr Milliseconds maxBehindTime { 350 }; // Longer than the interval between two watches.
-
     EntryRouterOptions routerOptions(const PacketSettings& settings)
     {
         EntryRouterOptions options;
@@ -46,12 +40,12 @@
     : context(loop)
     , settings(std::move(initial))
     , clock(timeSource)
-    , startTime(timeSource.now())
     , clientSocket(loop)
     , agentSocket(loop)
     , storeSync(syncOptions(this->settings), timeSource)
     , directory(DirectoryOptions(), timeSource, this->bootClock)
     , fleet(fleetOptions(this->settings), timeSource)
+    , storeRefresh({}, this->storeSync, this->fleet, timeSource)
     , router(routerOptions(this->settings),
           { [this](PacketAddress agent, const HopMessage& message) {
                this->hopBuffer.clear();
@@ -327,42 +321,11 @@
     this->fleet.onMessage(source.address, message.value());
 }
 
-// Sets the wait time of watches, which depends on whether this entry is a sentinel. Reads a topic in full if other
-// entries have announced a newer revision for longer than a watch takes to deliver it: the connection of the watch may
-// be dead.
-void PacketEntry::refreshIfBehindPeers()
+std::optional<StoreVersions> PacketEntry::storeVersions() const
 {
-    const bool isNowSentinel = this->fleet.isSentinel();
-    if (isNowSentinel != std::exchange(this->isSentinel, isNowSentinel))
-        logEvent(Event::StoreWatchWaitChanged,
-            { { "wait-ms", isNowSentinel ? sentinelWait : watchWait },
-                { "routes-age-ms", this->answerAge(StoreTopic::Routes) },
-                { "upstreams-age-ms", this->answerAge(StoreTopic::Upstreams) },
-                { "entries", static_cast<uint64_t>(this->fleet.entryCount()) } });
-    if (this->storeSync.setWatchWait(isNowSentinel ? sentinelWait : watchWait))
-        this->readStore();
     if (!this->hasStoreState())
-        return;
-    const std::array<bool, storeTopicCount> isBehind = { this->fleet.newestRoutesVersion() > this->routes->version,
-        this->fleet.newestDirectoryRevision() > this->directory.revision() };
-    for (size_t i = 0; i < storeTopicCount; ++i) {
-        std::optional<TimePoint>& since = this->behindSince.at(i);
-        if (!isBehind.at(i)) {
-            since.reset();
-        } else if (!since) {
-            since = this->clock.now();
-        } else if (this->clock.now() - *since > maxBehindTime) {
-            since.reset();
-            logEvent(Event::StoreReadRepeated,
-                { { "topic", nameOf(static_cast<StoreTopic>(i)) },
-                    { "answer-age-ms", this->answerAge(static_cast<StoreTopic>(i)) },
-                    { "routes", this->routes->version }, { "announced-routes", this->fleet.newestRoutesVersion() },
-                    { "directory", this->directory.revision() },
-                    { "announced-directory", this->fleet.newestDirectoryRevision() } });
-            this->storeSync.onNewerRevision(static_cast<StoreTopic>(i), UINT64_MAX);
-            this->readStore();
-        }
-    }
+        return std::nullopt;
+    return StoreVersions { this->routes->version, this->directory.revision() };
 }
 
 void PacketEntry::sendPresence()
@@ -402,18 +365,13 @@
         this->applyStoreState();
     if (!this->hasStoreState() && this->fleet.takeChange())
         this->applyProvisionalState();
-    this->refreshIfBehindPeers();
+    if (this->storeRefresh.onTick(this->storeVersions()))
+        this->readStore();
     this->sendPresence();
     this->router.onTick();
     this->flush();
 }
 
-Milliseconds PacketEntry::answerAge(StoreTopic topic) const
-{
-    const TimePoint lastAnswerTime = this->storeSync.lastAnswer(topic).value_or(this->startTime);
-    return std::chrono::duration_cast<Milliseconds>(this->clock.now() - lastAnswerTime);
-}
-
 OperatorStatus PacketEntry::status() const
 {
     OperatorStatus status;
@@ -435,7 +393,7 @@
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
         if (this->storeSync.lastAnswer(topic))
-            json[std::string(nameOf(topic)) + "AgeMs"] = this->answerAge(topic).count();
+            json[std::string(nameOf(topic)) + "AgeMs"] = this->storeRefresh.answerAge(topic).count();
     }
     status.json = boost::json::serialize(json);
     return status;
@@ -467,11 +425,11 @@
     metrics.setCount("wasabi_flow_evictions_total", "", this->router.flowEvictions());
     metrics.setCount("wasabi_routes_version", "", this->router.routesVersion());
     metrics.setCount("wasabi_routes_version_announced", "", this->fleet.newestRoutesVersion());
-    metrics.setCount("wasabi_store_short_watches", "", this->isSentinel ? 1 : 0);
+    metrics.setCount("wasabi_store_short_watches", "", this->storeRefresh.usesShortWatches() ? 1 : 0);
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
         metrics.setCount("wasabi_store_answer_age_ms", "topic=\"" + std::string(nameOf(topic)) + '"',
-            static_cast<uint64_t>(this->answerAge(topic).count()));
+            static_cast<uint64_t>(this->storeRefresh.answerAge(topic).count()));
     }
 }
 
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -6,7 +6,7 @@
 #include "backends/PacketDaemon.h"
 #include "platform/StoreWire.h"
 #include "wasabicroft/EntryRouter.h"
-#include "wasabicroft/Presence.h"
+#include "wasabicroft/StoreRefresh.h"
 
 namespace wasabicroft {
 
@@ -41,15 +41,13 @@
     void onPresence(PacketAddress source, Bytes);
     void applySeeds();
     void sendPresence();
-    void refreshIfBehindPeers();
+    std::optional<StoreVersions> storeVersions() const;
     void applyProvisionalState();
-    Milliseconds answerAge(StoreTopic) const; // time since the store's last answer, or since the start
     bool hasStoreState() const { return this->routes && this->directory.isLoaded(); }
 
     boost::asio::io_context& context;
     PacketSettings settings;
     const Clock& clock;
-    TimePoint startTime;
     BootClock bootClock;
     DatagramSocket clientSocket;
     DatagramSocket agentSocket;
@@ -57,6 +55,7 @@
     UpstreamDirectory directory;
     std::shared_ptr<const RoutingTable> routes;
     FleetView fleet;
+    StoreRefresh storeRefresh;
     std::optional<UpstreamDirectory> provisionalDirectory; // Upstreams learned from agents, until the store responds.
     EntryRouter router;
     std::array<std::shared_ptr<HttpClient>, storeTopicCount> storeClients;
@@ -65,9 +64,6 @@
     std::vector<uint8_t> hopBuffer;
     InvalidSenderLogLimiter invalidSenderLogLimiter;
     bool isStoreReachable = false;
-    bool isSentinel = false; // the watches of this entry use the short wait
-    // For each topic, when other entries were first seen to announce a newer revision than this one has read.
-    std::array<std::optional<TimePoint>, storeTopicCount> behindSince;
     uint64_t invalidPackets = 0;
     uint64_t invalidHopMessages = 0;
     uint64_t storeReads = 0;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -119,14 +119,15 @@
     return true;
 }
 
-void StoreSync::onNewerRevision(StoreTopic which, uint64_t revision)
+bool StoreSync::onNewerRevision(StoreTopic which, uint64_t revision)
 {
     TopicState& topic = this->at(which);
     if (revision <= topic.revision || (topic.inFlight && !topic.inFlight->isWatch))
-        return;
+        return false;
     topic.inFlight.reset();
     topic.revision = 0;
     topic.due = this->clock.now();
+    return true;
 }
 
 bool StoreSync::isReachable(StoreTopic which) const
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -60,7 +60,8 @@
     bool onFailure(const StoreRead&);
 
     // A peer reported a revision: reads the topic in full now, unless it is not newer or a full read is in flight.
-    void onNewerRevision(StoreTopic, uint64_t revision);
+    // Returns whether it is read.
+    bool onNewerRevision(StoreTopic, uint64_t revision);
 
     bool isReachable(StoreTopic) const; // the last read was answered
     // Whether the store answered again after a failure since the last call. A failure of one topic counts for the next
