--- /dev/null
+++ b/tests/StoreSimulation.h
@@ -0,0 +1,237 @@
+// Simulation of entries that read the platform's store and report its state to each other, with a simulated clock. The
+// store can hide a change from the watches in flight, and single entries can lose the store, the network or power.
+#pragma once
+
+#include "wasabicroft/StoreRefresh.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace wasabicroft::tests {
+
+struct StoreSimulationOptions {
+    size_t entries = 16;
+    uint64_t seed = 1;
+    Milliseconds step { 10 };
+    Milliseconds answerTime { 10 }; // of the store
+    Milliseconds transitTime { 10 }; // between entries
+};
+
+class StoreSimulation {
+public:
+    explicit StoreSimulation(StoreSimulationOptions simulationOptions)
+        : options(simulationOptions)
+        , random(simulationOptions.seed)
+    {
+        for (size_t i = 0; i < this->options.entries; ++i)
+            this->entries.push_back(std::make_unique<Entry>(static_cast<uint32_t>(i + 1), *this));
+    }
+
+    Milliseconds randomTime(Milliseconds max)
+    {
+        return Milliseconds(std::uniform_int_distribution<int64_t>(0, max.count())(this->random));
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (const TimePoint end = this->clock.now() + duration; this->clock.now() < end;) {
+            this->clock.advance(this->options.step);
+            for (const std::unique_ptr<Entry>& entry : this->entries)
+                this->runEntry(*entry);
+        }
+    }
+
+    // Faults of single entries
+    void turnAway(size_t index) { this->entries.at(index)->isTurnedAway = true; } // the store does not answer it
+    void cutOff(size_t index) { this->entries.at(index)->isCutOff = true; } // reaches neither the store nor entries
+    void powerOff(size_t index) { this->entries.at(index)->isDown = true; }
+    bool isImpaired(size_t index) const
+    {
+        const Entry& entry = *this->entries.at(index);
+        return entry.isTurnedAway || entry.isCutOff || entry.isDown;
+    }
+
+    // Until endHiding, watches in flight become silent for good. The changes meanwhile are dropped from the history.
+    void startHiding()
+    {
+        this->isHiding = true;
+        this->silenceWatches();
+    }
+    void endHiding()
+    {
+        this->silenceWatches();
+        this->isHiding = false;
+        this->historyStart = this->revision;
+    }
+    // Connections become silent for good without a reset; the history remains.
+    void silenceConnections() { this->silenceWatches(); }
+
+    void change(StoreTopic topic) { this->changedAt.at(static_cast<size_t>(topic)) = ++this->revision; }
+
+    // Number of unimpaired entries that have not read the last change of a topic.
+    size_t countBehind(StoreTopic topic) const
+    {
+        const size_t i = static_cast<size_t>(topic);
+        size_t behind = 0;
+        for (size_t index = 0; index < this->entries.size(); ++index)
+            behind += !this->isImpaired(index) && this->entries[index]->readRevisions.at(i) < this->changedAt.at(i);
+        return behind;
+    }
+
+    uint64_t calls() const { return this->callCount; }
+    uint64_t messages() const { return this->messageCount; }
+
+private:
+    struct Call {
+        StoreRead read;
+        TimePoint started;
+        bool isSilent = false; // the answer is lost
+    };
+
+    struct Message {
+        TimePoint due;
+        uint32_t sender = 0;
+        std::vector<uint8_t> bytes;
+    };
+
+    struct Entry {
+        Entry(uint32_t self, const StoreSimulation& simulation)
+            : address(self)
+            , sync(syncOptions(self), simulation.clock)
+            , fleet(fleetOptions(self), simulation.clock)
+            , refresh({}, this->sync, this->fleet, simulation.clock)
+        {
+            constexpr uint32_t seedCount = 3;
+            std::vector<uint32_t> seeds;
+            for (uint32_t seed = 1; seed <= seedCount; ++seed)
+                seeds.push_back(seed);
+            this->fleet.setSeeds(seeds);
+        }
+
+        static StoreSyncOptions syncOptions(uint32_t self)
+        {
+            StoreSyncOptions options;
+            options.seed = self;
+            return options;
+        }
+
+        static FleetOptions fleetOptions(uint32_t self)
+        {
+            FleetOptions options;
+            options.self = self;
+            return options;
+        }
+
+        bool hasState() const { return this->readRevisions[0] > 0 && this->readRevisions[1] > 0; }
+
+        uint32_t address = 0;
+        StoreSync sync;
+        FleetView fleet;
+        StoreRefresh refresh;
+        std::array<std::optional<Call>, storeTopicCount> calls;
+        std::array<uint64_t, storeTopicCount> readRevisions {}; // of the newest change that was read
+        std::deque<Message> inbox;
+        bool reachesStore = false;
+        bool isTurnedAway = false;
+        bool isCutOff = false;
+        bool isDown = false;
+    };
+
+    void silenceWatches()
+    {
+        for (const std::unique_ptr<Entry>& entry : this->entries) {
+            for (std::optional<Call>& call : entry->calls) {
+                if (call && call->read.isWatch)
+                    call->isSilent = true;
+            }
+        }
+    }
+
+    void runEntry(Entry& entry)
+    {
+        if (entry.isDown)
+            return;
+        this->deliverMessages(entry);
+        for (size_t i = 0; i < storeTopicCount; ++i) {
+            if (entry.calls.at(i))
+                this->continueCall(entry, static_cast<StoreTopic>(i));
+        }
+        std::optional<StoreVersions> versions;
+        if (entry.hasState())
+            versions = StoreVersions { entry.readRevisions[0], entry.readRevisions[1] };
+        entry.refresh.onTick(versions);
+        for (size_t i = 0; i < storeTopicCount; ++i) {
+            if (const std::optional<StoreRead> read = entry.sync.nextRead(static_cast<StoreTopic>(i))) {
+                ++this->callCount;
+                entry.calls.at(i) = Call { *read, this->clock.now(), this->isHiding && read->isWatch };
+            }
+        }
+        this->sendPresence(entry);
+    }
+
+    void continueCall(Entry& entry, StoreTopic topic)
+    {
+        const size_t i = static_cast<size_t>(topic);
+        const Call call = *entry.calls.at(i);
+        const Duration age = this->clock.now() - call.started;
+        const bool canAnswer
+            = !call.isSilent && !entry.isTurnedAway && !entry.isCutOff && age >= this->options.answerTime;
+        const bool hasChange = this->changedAt.at(i) > call.read.afterRevision;
+        const bool isHistoryLost = call.read.isWatch && call.read.afterRevision < this->historyStart;
+        if (canAnswer && isHistoryLost) {
+            entry.calls.at(i).reset();
+            entry.sync.onHistoryLost(call.read);
+        } else if (canAnswer && (!call.read.isWatch || hasChange || age >= call.read.wait)) {
+            entry.calls.at(i).reset();
+            const bool isUsed = call.read.isWatch ? entry.sync.onEvents(call.read, this->revision)
+                                                  : entry.sync.onPage(call.read, this->revision, false, "");
+            if (isUsed)
+                entry.readRevisions.at(i) = this->changedAt.at(i);
+            entry.reachesStore
+                = entry.sync.isReachable(StoreTopic::Routes) && entry.sync.isReachable(StoreTopic::Upstreams);
+        } else if (age >= call.read.timeout) {
+            entry.calls.at(i).reset();
+            entry.sync.onFailure(call.read);
+            entry.reachesStore = false;
+        }
+    }
+
+    void sendPresence(Entry& entry)
+    {
+        const auto [message, targets] = entry.fleet.takeMessage(
+            entry.readRevisions[0], entry.readRevisions[1], entry.hasState(), entry.reachesStore);
+        if (targets.empty())
+            return;
+        const std::vector<uint8_t> bytes = encodePresence(message);
+        for (const uint32_t target : targets) {
+            ++this->messageCount;
+            Entry& receiver = *this->entries.at(target - 1);
+            if (!entry.isCutOff && !receiver.isCutOff)
+                receiver.inbox.push_back({ this->clock.now() + this->options.transitTime, entry.address, bytes });
+        }
+    }
+
+    void deliverMessages(Entry& entry)
+    {
+        while (!entry.inbox.empty() && entry.inbox.front().due <= this->clock.now()) {
+            entry.fleet.onMessage(entry.inbox.front().sender, decodePresence(entry.inbox.front().bytes).value());
+            entry.inbox.pop_front();
+        }
+    }
+
+    StoreSimulationOptions options;
+    ManualClock clock;
+    std::mt19937_64 random;
+    std::vector<std::unique_ptr<Entry>> entries;
+    uint64_t revision = 2;
+    std::array<uint64_t, storeTopicCount> changedAt { 1, 2 }; // revision of the last change of each topic
+    uint64_t historyStart = 0;
+    bool isHiding = false;
+    uint64_t callCount = 0;
+    uint64_t messageCount = 0;
+};
+
+} // namespace wasabicroft::tests
