End the grace after an outage of the store with a read that began after it

The grace of 2 s counted from the first answer of the store; while a slow store still hid the upstreams that had returned, the empty list counted as complete afterwards, and a search ended without a single denial.

The records that an outage removed now stay usable, and no flow is reset, until the store answers a read or watch that began after the grace; an entry makes such a read when the grace has passed. The other tests of the grace now make that read: that its time alone ends it was the fault.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -225,6 +225,7 @@
     if (response.hasMore)
         return;
     this->directory.replace(std::exchange(this->listedUpstreams, {}), this->storeSync.listRevision(read.topic));
+    this->directory.onRead(this->storeSync.lastReadStart(read.topic));
     this->applyStoreState();
 }
 
@@ -236,7 +237,10 @@
         this->directory.onStoreRecovered();
     if (response.routes)
         this->applyRoutes(response.routes, "store");
-    if (this->mergeUpstreams(response))
+    const bool isChanged = this->mergeUpstreams(response);
+    if (read.topic == StoreTopic::Upstreams)
+        this->directory.onRead(this->storeSync.lastReadStart(read.topic));
+    if (isChanged)
         this->applyStoreState();
 }
 
@@ -366,6 +370,8 @@
     this->agentSocket.poll(); // Handles replies that have arrived before checking timeouts.
     if (this->directory.onTick())
         this->applyStoreState();
+    if (this->directory.takeReadRequest() && this->storeSync.onNewerRevision(StoreTopic::Upstreams, UINT64_MAX))
+        this->readStore();
     if (!this->hasStoreState() && this->fleet.takeChange())
         this->applyProvisionalState();
     if (this->storeRefresh.onTick(this->storeVersions()))
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -126,6 +126,8 @@
                 if (upstream->agentIsUp)
                     upstream->router->onTick();
             }
+            if (this->directory.takeReadRequest())
+                this->directory.onRead(this->clock.now());
             if (this->directory.onTick()) {
                 for (const std::unique_ptr<Entry>& entry : this->entries) {
                     if (entry->isUp)
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -73,11 +73,41 @@
         EXPECT_EQ(directory.usable(service).size(), 2U);
         EXPECT_FALSE(directory.isComplete());
         clock.advance(Milliseconds(2001));
+        directory.onRead(clock.now());
         EXPECT_TRUE(directory.onTick());
         EXPECT_EQ(directory.usable(service).size(), 1U);
         EXPECT_TRUE(directory.isComplete());
     }
 
+    // Guards against resets after an outage whose end a slow store shows late: the grace period has passed, but no read
+    // has shown the upstreams that returned. Seen by packet-soak with seed 65.
+    TEST(UpstreamDirectory, RecordsAreNotTakenAsGoneWithoutAReadAfterTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 2);
+        directory.onStoreRecovered();
+        directory.replace({}, 10);
+        const TimePoint duringGrace = clock.now() + Milliseconds(1900);
+        EXPECT_FALSE(directory.takeReadRequest());
+        clock.advance(Milliseconds(2001));
+        directory.onTick();
+        EXPECT_FALSE(directory.isComplete());
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+        EXPECT_TRUE(directory.takeReadRequest());
+        EXPECT_FALSE(directory.takeReadRequest());
+        directory.onRead(duringGrace);
+        directory.onTick();
+        EXPECT_FALSE(directory.isComplete()) << "the read began too early";
+        EXPECT_TRUE(directory.takeReadRequest());
+        directory.replace({}, 11);
+        directory.onRead(clock.now());
+        EXPECT_TRUE(directory.onTick());
+        EXPECT_TRUE(directory.isComplete());
+        EXPECT_TRUE(directory.usable(service).empty());
+        EXPECT_FALSE(directory.takeReadRequest());
+    }
+
     // Guards against resets by a process that was paused during a store outage: it sees removals, but no outage.
     TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsExpired)
     {
@@ -94,6 +124,8 @@
         for (int i = 0; i < 110; ++i) {
             clock.advance(Milliseconds(20));
             directory.onTick();
+            if (directory.takeReadRequest())
+                directory.onRead(clock.now());
         }
         EXPECT_TRUE(directory.isComplete());
         EXPECT_EQ(directory.usable(service).size(), 1U);
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -1,6 +1,7 @@
 #include "wasabicroft/Published.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabicroft {
 
@@ -106,6 +107,20 @@
 {
     this->graceEnd = this->clock.now() + this->options.recoveryGrace;
     this->inGrace = true;
+    this->isReadRequested = false;
+    this->hasReadAfterGrace = false;
+}
+
+bool UpstreamDirectory::takeReadRequest()
+{
+    const bool isReadMissing = this->inGrace && this->clock.now() >= this->graceEnd && !this->hasReadAfterGrace;
+    return isReadMissing && !std::exchange(this->isReadRequested, true);
+}
+
+void UpstreamDirectory::onRead(TimePoint started)
+{
+    this->hasReadAfterGrace = started >= this->graceEnd;
+    this->isReadRequested = this->isReadRequested && this->hasReadAfterGrace;
 }
 
 bool UpstreamDirectory::isComplete() const { return this->isLoaded() && !this->inGrace; }
@@ -121,7 +136,7 @@
     const TimePoint now = this->clock.now();
     this->checkForPause();
     this->lastTick = this->pauseClock.now();
-    const bool graceEnded = this->inGrace && now >= this->graceEnd;
+    const bool graceEnded = this->inGrace && this->hasReadAfterGrace;
     if (graceEnded) {
         this->inGrace = false;
         for (auto& [name, row] : this->rows)
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -82,11 +82,14 @@
     // whether anything changed.
     bool replace(std::vector<UpstreamRecord>, uint64_t revision);
 
-    // The store answers again after an outage: records that it lacks now may return shortly.
+    // The store answers again after an outage: records that it lacks now may return within recoveryGrace. They count as
+    // gone once a read that began after that time has shown the records.
     void onStoreRecovered();
+    bool takeReadRequest(); // whether the grace period has passed and such a read is missing; true once
+    void onRead(TimePoint started); // the store answered a read or watch of the records that began at this time
     bool onTick(); // call every few milliseconds; returns whether a time limit changed what is usable
 
-    // Whether every live upstream is listed: the store was read, and no grace period after an outage runs.
+    // Whether every live upstream is listed: the store was read, and again after the grace period of an outage.
     bool isComplete() const;
 
     uint64_t revision() const { return this->newestRevision; } // newest known revision of the store
@@ -128,6 +131,8 @@
     std::optional<TimePoint> lastTick; // time of pauseClock
     TimePoint graceEnd;
     bool inGrace = false;
+    bool isReadRequested = false; // for the current grace period
+    bool hasReadAfterGrace = false;
 };
 
 } // namespace wasabicroft
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -148,6 +148,8 @@
 
 std::optional<TimePoint> StoreSync::lastAnswer(StoreTopic which) const { return this->at(which).lastAnswer; }
 
+TimePoint StoreSync::lastReadStart(StoreTopic which) const { return this->at(which).confirmingReadStart; }
+
 std::optional<TimePoint> StoreSync::confirmedAt(StoreTopic which, TimePoint readAfter) const
 {
     const TopicState& topic = this->at(which);
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -70,6 +70,7 @@
     bool takeRecovery();
     uint64_t listRevision(StoreTopic) const; // revision of the store at the first page of the last full read
     std::optional<TimePoint> lastAnswer(StoreTopic) const;
+    TimePoint lastReadStart(StoreTopic) const; // of the last read of the whole topic, or watch, that was answered
     // When the store last confirmed that this copy of the topic is its newest state. Empty while the topic has to be
     // read in full, and if the answer is to a read that began before the given time.
     std::optional<TimePoint> confirmedAt(StoreTopic, TimePoint readAfter) const;
