Reset no lost flow while other entries list newer upstreams

An entry that relies on watches which hear nothing, or that the store turns away, lacks upstreams that others list and use. A packet of a flow there was searched at the listed upstreams only; all denied it, and the entry reset an open flow.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -376,6 +376,7 @@
         this->applyProvisionalState();
     if (this->storeRefresh.onTick(this->storeVersions()))
         this->readStore();
+    this->router.setBehindPeers(this->storeRefresh.isBehindPeers(StoreTopic::Upstreams));
     this->sendPresence();
     this->router.onTick();
     this->flush();
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -221,6 +221,25 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of a flow at an upstream that other entries list, while watches of this entry hear
+    // nothing.
+    TEST_F(RouterFixture, NoFlowIsResetWhileOtherEntriesHaveANewerList)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->router.setBehindPeers(true);
+        this->fromClient(ackFlag, 7, 100);
+        for (int round = 0; round < 4; ++round) {
+            for (const SentHop& hop : this->takeHops()) {
+                if (hop.kind == HopKind::Find)
+                    this->fromAgent(hop.agent, HopKind::NotHeld);
+            }
+            this->clock.advance(Milliseconds(61));
+            this->router.onTick();
+        }
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against the reset of a flow whose upstream was removed but still runs: its agent needs time to answer.
     TEST_F(RouterFixture, RemovedUpstreamsCanAnswerBeforeAReset)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -476,8 +476,8 @@
     HolderSearch& search = flow.search.emplace();
     search.packet = copyOf(bytes);
     search.started = now;
-    search.coversAllUpstreams
-        = this->directoryIsComplete && !this->hasProvisionalRoutes && flow.offers.empty() && !excluded;
+    search.coversAllUpstreams = this->directoryIsComplete && !this->isBehindPeers && !this->hasProvisionalRoutes
+        && flow.offers.empty() && !excluded;
     for (const HolderCandidate& target : targets)
         search.targets.push_back({ target.agent, target.listed });
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -119,6 +119,7 @@
     // the store and are not refused.
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
+    void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
 
     void onClientPacket(const Packet&, Bytes);
     // packet is the decoded header of the packet in the message; null if it carries none.
@@ -219,6 +220,7 @@
     bool hasProvisionalRoutes = false;
     bool hasUpstreamList = false;
     bool directoryIsComplete = false; // no record is missing because of an outage of the store
+    bool isBehindPeers = false; // a listed upstream may be missing here
     uint64_t directoryRevision = 0;
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -94,7 +94,8 @@
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
         std::optional<TimePoint>& since = this->behindSince.at(i);
-        if (versions.of(topic) >= this->announcedVersion(topic)) {
+        this->isBehind.at(i) = versions.of(topic) < this->announcedVersion(topic);
+        if (!this->isBehind.at(i)) {
             since.reset();
         } else if (!since) {
             since = this->clock.now();
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -43,6 +43,10 @@
     {
         return this->confirmations.at(static_cast<size_t>(topic));
     }
+    bool isBehindPeers(StoreTopic topic) const // other entries have a newer state; as of the last tick
+    {
+        return this->isBehind.at(static_cast<size_t>(topic));
+    }
     bool usesShortWatches() const { return this->isSentinel; }
     Milliseconds answerAge(StoreTopic) const; // time since the store's last answer, or since the start
 
@@ -65,6 +69,7 @@
     bool isSentinel = false;
     std::array<std::optional<TimePoint>, storeTopicCount> confirmations; // see confirmedAt()
     std::array<bool, storeTopicCount> wasUnconfirmed {};
+    std::array<bool, storeTopicCount> isBehind {}; // see isBehindPeers()
     // For each topic, when other entries were first seen to announce a newer state than this one has read.
     std::array<std::optional<TimePoint>, storeTopicCount> behindSince;
 };
