Let mentions of entries state how long these have been silent

Seen in the simulation while looking for claims that nobody checks: an entry that is gone stays listed for good, since the others add it again whenever one still mentions it (16 entries, two powered off: each listed by 14 of 14 after 60 s). In a fleet of 40 and more, running entries were removed and added again, as each is heard every 7 s.

A mention now carries the time since the entry last sent a message to anyone and keeps it listed only for the rest of the 5 s. At most 24 entries, in turn, are mentioned in a message (before: the 32 with the lowest addresses). Whether an entry reaches the store is only known from itself and counts for 5 s. EveryEntryListsTheRunningOnes fails before with 16 and 40 entries.

--- a/schemas/Presence_generated.h
+++ b/schemas/Presence_generated.h
@@ -175,7 +175,8 @@
     VT_ENTRIES = 12,
     VT_AGENTS = 14,
     VT_ROUTES_CONFIRMATION_AGE_MS = 16,
-    VT_DIRECTORY_CONFIRMATION_AGE_MS = 18
+    VT_DIRECTORY_CONFIRMATION_AGE_MS = 18,
+    VT_ENTRY_SILENCES = 20
   };
   bool from_entry() const {
     return GetField<uint8_t>(VT_FROM_ENTRY, 0) != 0;
@@ -201,6 +202,9 @@
   uint32_t directory_confirmation_age_ms() const {
     return GetField<uint32_t>(VT_DIRECTORY_CONFIRMATION_AGE_MS, 4294967295);
   }
+  const flatbuffers::Vector<uint8_t> *entry_silences() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ENTRY_SILENCES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FROM_ENTRY, 1) &&
@@ -214,6 +218,8 @@
            verifier.VerifyVectorOfTables(agents()) &&
            VerifyField<uint32_t>(verifier, VT_ROUTES_CONFIRMATION_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_DIRECTORY_CONFIRMATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_ENTRY_SILENCES) &&
+           verifier.VerifyVector(entry_silences()) &&
            verifier.EndTable();
   }
 };
@@ -246,6 +252,9 @@
   void add_directory_confirmation_age_ms(uint32_t directory_confirmation_age_ms) {
     fbb_.AddElement<uint32_t>(Presence::VT_DIRECTORY_CONFIRMATION_AGE_MS, directory_confirmation_age_ms, 4294967295);
   }
+  void add_entry_silences(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences) {
+    fbb_.AddOffset(Presence::VT_ENTRY_SILENCES, entry_silences);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -266,10 +275,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>>> agents = 0,
     uint32_t routes_confirmation_age_ms = 4294967295,
-    uint32_t directory_confirmation_age_ms = 4294967295) {
+    uint32_t directory_confirmation_age_ms = 4294967295,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences = 0) {
   PresenceBuilder builder_(_fbb);
   builder_.add_directory_revision(directory_revision);
   builder_.add_routes_version(routes_version);
+  builder_.add_entry_silences(entry_silences);
   builder_.add_directory_confirmation_age_ms(directory_confirmation_age_ms);
   builder_.add_routes_confirmation_age_ms(routes_confirmation_age_ms);
   builder_.add_agents(agents);
@@ -293,9 +304,11 @@
     const std::vector<uint32_t> *entries = nullptr,
     const std::vector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>> *agents = nullptr,
     uint32_t routes_confirmation_age_ms = 4294967295,
-    uint32_t directory_confirmation_age_ms = 4294967295) {
+    uint32_t directory_confirmation_age_ms = 4294967295,
+    const std::vector<uint8_t> *entry_silences = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>>(*agents) : 0;
+  auto entry_silences__ = entry_silences ? _fbb.CreateVector<uint8_t>(*entry_silences) : 0;
   return wasabicroft::wire::CreatePresence(
       _fbb,
       from_entry,
@@ -305,7 +318,8 @@
       entries__,
       agents__,
       routes_confirmation_age_ms,
-      directory_confirmation_age_ms);
+      directory_confirmation_age_ms,
+      entry_silences__);
 }
 
 inline const wasabicroft::wire::Presence *GetPresence(const void *buf) {
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -290,7 +290,7 @@
         message.fromEntry = true;
         message.routesVersion = 7;
         message.directoryRevision = 99;
-        message.entries = { 1, 2 };
+        message.entries = { { 1, Milliseconds(0) }, { 2, Milliseconds(150) } };
         message.agents.push_back({ { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, { routeAddress } });
         const std::vector<uint8_t> bytes = encodePresence(message);
         ASSERT_TRUE(isPresence(bytes));
--- a/tests/StoreRefreshTest.cpp
+++ b/tests/StoreRefreshTest.cpp
@@ -95,7 +95,7 @@
     // Guards against checks that multiply the reads of the store while its answers arrive as they should.
     TEST(StoreRefresh, AQuietFleetReadsNoMoreThanWithoutTheCheck)
     {
-        for (const size_t entries : { 4UL, 16UL, 40UL }) {
+        for (const size_t entries : { 4UL, 16UL, 40UL, 150UL }) {
             std::array<uint64_t, 2> calls {};
             for (const bool isChecked : { false, true }) {
                 StoreRefreshOptions refresh;
@@ -111,6 +111,21 @@
         }
     }
 
+    // Guards against entries that are gone but stay listed, since others mention them in turn, and against entries that
+    // run but are removed, since a large fleet's messages rarely come from the same one.
+    TEST(Presence, EveryEntryListsTheRunningOnes)
+    {
+        for (const size_t entries : { 4UL, 16UL, 40UL }) {
+            StoreSimulation simulation({ .entries = entries });
+            simulation.run(warmUp);
+            EXPECT_EQ(simulation.countListings(), entries * (entries - 1));
+            simulation.powerOff(entries - 1);
+            simulation.powerOff(entries - 2);
+            simulation.run(FleetOptions().silenceTimeout * 2);
+            EXPECT_EQ(simulation.countListings(), (entries - 2) * (entries - 3)) << entries << " entries";
+        }
+    }
+
     class StoreRefreshFixture : public testing::Test {
     protected:
         // Reads both topics in full and starts a watch of each.
--- a/tests/StoreSimulation.h
+++ b/tests/StoreSimulation.h
@@ -55,6 +55,15 @@
         return entry.isTurnedAway || entry.isCutOff || entry.isDown;
     }
 
+    // Number of running entries that another running entry lists, summed over all.
+    size_t countListings() const
+    {
+        size_t listings = 0;
+        for (const std::unique_ptr<Entry>& entry : this->entries)
+            listings += entry->isDown ? 0 : entry->fleet.entryCount();
+        return listings;
+    }
+
     // Until endHiding, watches in flight become silent for good. The changes meanwhile are dropped from the history.
     void startHiding()
     {
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -31,6 +31,24 @@
         return age == unknownAge ? std::nullopt : std::optional(Milliseconds(age));
     }
 
+    constexpr Milliseconds silenceUnit { 50 };
+
+    uint8_t toWire(const EntryMention& entry)
+    {
+        const int64_t units = (entry.silence + silenceUnit - Milliseconds(1)) / silenceUnit;
+        return static_cast<uint8_t>(std::min<int64_t>(units, UINT8_MAX));
+    }
+
+    std::vector<EntryMention> fromWire(
+        const flatbuffers::Vector<uint32_t>* addresses, const flatbuffers::Vector<uint8_t>* silences)
+    {
+        std::vector<EntryMention> entries;
+        for (flatbuffers::uoffset_t i = 0; addresses && silences && i < std::min(addresses->size(), silences->size());
+             ++i)
+            entries.push_back({ addresses->Get(i), silenceUnit * silences->Get(i) });
+        return entries;
+    }
+
     AgentPresence fromWire(const wire::AgentPresence& agent)
     {
         AgentPresence presence;
@@ -60,10 +78,16 @@
         agents.push_back(wire::CreateAgentPresenceDirect(
             builder, &self, agent.service.value, agent.failureDomain.c_str(), &upstream, &routes));
     }
+    std::vector<uint32_t> entries;
+    std::vector<uint8_t> silences;
+    for (const EntryMention& entry : message.entries) {
+        entries.push_back(entry.address);
+        silences.push_back(toWire(entry));
+    }
     wire::FinishPresenceBuffer(builder,
         wire::CreatePresenceDirect(builder, message.fromEntry, message.reachesStore, message.routesVersion,
-            message.directoryRevision, &message.entries, &agents, toWire(message.confirmationAges[0]),
-            toWire(message.confirmationAges[1])));
+            message.directoryRevision, &entries, &agents, toWire(message.confirmationAges[0]),
+            toWire(message.confirmationAges[1]), &silences));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -86,8 +110,7 @@
     message.directoryRevision = wireMessage.directory_revision();
     message.confirmationAges
         = { fromWire(wireMessage.routes_confirmation_age_ms()), fromWire(wireMessage.directory_confirmation_age_ms()) };
-    if (wireMessage.entries())
-        message.entries.assign(wireMessage.entries()->begin(), wireMessage.entries()->end());
+    message.entries = fromWire(wireMessage.entries(), wireMessage.entry_silences());
     if (wireMessage.agents()) {
         for (const wire::AgentPresence* agent : *wireMessage.agents())
             message.agents.push_back(fromWire(*agent));
@@ -161,17 +184,14 @@
 {
     const TimePoint now = this->clock.now();
     if (message.fromEntry) {
-        this->entries[sender] = { now, message.reachesStore };
+        this->entries[sender] = { now, now, message.reachesStore };
         this->recordConfirmation(
             StoreTopic::Routes, message.routesVersion, this->routesVersion, message.confirmationAges[0]);
         this->recordConfirmation(
             StoreTopic::Upstreams, message.directoryRevision, this->directoryRevision, message.confirmationAges[1]);
     }
-    for (const uint32_t entry : message.entries) {
-        // Messages are sent also to entries that only others mention, but a mention does not renew lastReceived.
-        if (entry != this->options.self)
-            this->entries.emplace(entry, KnownEntry { now, false });
-    }
+    for (const EntryMention& entry : message.entries)
+        this->recordMention(entry);
     for (const AgentPresence& presence : message.agents) {
         KnownAgent& known = this->agents[presence.agent];
         this->changed = this->changed || known.lastReceived == TimePoint() || known.presence.service != presence.service
@@ -185,6 +205,29 @@
     }
 }
 
+// A mention keeps an entry known for as long as the entry itself sends messages to anyone.
+void FleetView::recordMention(const EntryMention& mention)
+{
+    const TimePoint lastSent = this->lastPoll - mention.silence;
+    if (mention.address == this->options.self || this->clock.now() - lastSent > this->options.silenceTimeout)
+        return;
+    KnownEntry& entry = this->entries[mention.address];
+    entry.lastSent = std::max(entry.lastSent, lastSent);
+}
+
+std::vector<EntryMention> FleetView::mentions()
+{
+    std::vector<EntryMention> all;
+    for (const auto& [address, entry] : this->entries)
+        all.push_back({ address, std::chrono::ceil<Milliseconds>(this->clock.now() - entry.lastSent) });
+    const size_t count = std::min(this->options.maxEntriesPerMessage, all.size());
+    if (count > 0)
+        std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(this->nextMention % all.size()), all.end());
+    this->nextMention += count;
+    all.resize(count);
+    return all;
+}
+
 // A confirmation of an older state says nothing about the newest one.
 void FleetView::recordConfirmation(
     StoreTopic topic, uint64_t announced, uint64_t& newest, std::optional<Milliseconds> age)
@@ -203,7 +246,7 @@
 void FleetView::expireSilent()
 {
     const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
-    std::erase_if(this->entries, [&](const auto& item) { return item.second.lastReceived < oldest; });
+    std::erase_if(this->entries, [&](const auto& item) { return item.second.lastSent < oldest; });
     const size_t removed
         = std::erase_if(this->agents, [&](const auto& item) { return item.second.lastReceived < oldest; });
     this->changed = this->changed || removed > 0;
@@ -245,10 +288,8 @@
         if (copy.confirmedAt.at(i))
             message.confirmationAges.at(i) = std::chrono::ceil<Milliseconds>(now - *copy.confirmedAt.at(i));
     }
-    for (const auto& [entry, state] : this->entries) {
-        if (isFull && message.entries.size() < this->options.maxEntriesPerMessage)
-            message.entries.push_back(entry);
-    }
+    if (isFull)
+        message.entries = this->mentions();
     // An entry that has the state of the store gets the upstreams from there and passes no agents on.
     if (copy.isLoaded)
         return result;
@@ -263,8 +304,10 @@
 
 bool FleetView::isSentinel() const
 {
-    const auto lower = std::count_if(this->entries.begin(), this->entries.end(),
-        [&](const auto& item) { return item.second.reachesStore && item.first < this->options.self; });
+    const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
+    const auto lower = std::count_if(this->entries.begin(), this->entries.end(), [&](const auto& item) {
+        return item.second.reachesStore && item.second.lastReceived >= oldest && item.first < this->options.self;
+    });
     return static_cast<size_t>(lower) < this->options.sentinelCount;
 }
 
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -33,6 +33,14 @@
     std::vector<PacketAddress> routes; // public addresses on which the upstream answers open flows
 };
 
+// An entry that another one knows.
+struct EntryMention {
+    uint32_t address = 0; // IP address
+    Milliseconds silence { 0 }; // time since it sent a message to any entry
+
+    bool operator==(const EntryMention&) const = default;
+};
+
 struct PresenceMessage {
     bool fromEntry = false;
     bool reachesStore = false; // from entries: the store answered the last reads
@@ -40,7 +48,7 @@
     uint64_t directoryRevision = 0; // from entries: newest known revision
     // From entries: time since the store confirmed this version and revision; empty if it did not.
     std::array<std::optional<Milliseconds>, storeTopicCount> confirmationAges;
-    std::vector<uint32_t> entries; // IP addresses of entries that the sender learned of lately
+    std::vector<EntryMention> entries; // entries that the sender knows, or some of them
     std::vector<AgentPresence> agents; // the sending agent, or agents that the sending entry has learned of
 };
 
@@ -89,7 +97,7 @@
     Milliseconds silenceTimeout { 5000 }; // agents and entries without a message for longer are removed
     size_t targetsPerInterval = 6; // other entries that get a message in each interval, in turn
     size_t maxAgentsPerMessage = 16; // sent in turn; keeps a message in one datagram
-    size_t maxEntriesPerMessage = 32;
+    size_t maxEntriesPerMessage = 24; // mentioned in turn
     size_t sentinelCount = 2; // entries with the lowest addresses among those that reach the store
     Milliseconds confirmationInterval { 1500 }; // a confirmation that is newer by this much is sent at once
 };
@@ -149,10 +157,14 @@
     std::vector<uint32_t> seeds;
     std::map<PacketAddress, KnownAgent> agents;
     struct KnownEntry {
-        TimePoint lastReceived;
-        bool reachesStore = false;
+        TimePoint lastSent; // when it last sent a message to this entry or to another one
+        TimePoint lastReceived; // when this entry last received a message of it
+        bool reachesStore = false; // as of lastReceived
     };
 
+    void recordMention(const EntryMention&);
+    std::vector<EntryMention> mentions();
+
     std::map<uint32_t, KnownEntry> entries;
     uint64_t routesVersion = 0;
     uint64_t directoryRevision = 0;
@@ -162,6 +174,7 @@
     uint64_t sentDirectoryRevision = 0;
     std::optional<TimePoint> sentConfirmation; // older one of the two topics
     size_t nextTarget; // starts at another entry for each sender, so that the messages of all reach all
+    size_t nextMention = 0;
     size_t nextAgent = 0;
     TimePoint nextMessageTime;
     bool changed = false;
