Compare the complete revision of the upstreams with what other entries announce

Pages of a list are read at different revisions. The newest record of a later page counted as the revision of the whole directory, although a change of a record on an earlier page was still to come from the watch. With a watch that hears nothing, such an entry took the confirmations of others for its own incomplete copy. AListIsCompleteUpToItsFirstPage tests the revision that is compared now; the one that was compared before (the directory's) is 44 in its place of 40.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -329,7 +329,7 @@
 {
     if (!this->hasStoreState())
         return std::nullopt;
-    return StoreVersions { this->routes->version, this->directory.revision() };
+    return StoreVersions { this->routes->version, this->storeSync.completeRevision(StoreTopic::Upstreams) };
 }
 
 void PacketEntry::sendPresence()
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -253,6 +253,23 @@
         EXPECT_EQ(watch->afterRevision, 40U) << "changes between the pages are seen";
     }
 
+    // Guards against a list of several pages that is taken for complete at the revision of a record on its last page: a
+    // change of a record on the first page in between is only reported by the watch.
+    TEST(StoreSync, AListIsCompleteUpToItsFirstPage)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.onPage(*sync.nextRead(StoreTopic::Upstreams), 40, true, "servers/m");
+        EXPECT_EQ(sync.completeRevision(StoreTopic::Upstreams), 0U);
+        sync.onPage(*sync.nextRead(StoreTopic::Upstreams), 44, false, "servers/z");
+        EXPECT_EQ(sync.completeRevision(StoreTopic::Upstreams), 40U);
+        sync.onEvents(*sync.nextRead(StoreTopic::Upstreams), 45);
+        EXPECT_EQ(sync.completeRevision(StoreTopic::Upstreams), 45U);
+        clock.advance(StoreSyncOptions().watchSpacing);
+        sync.onHistoryLost(*sync.nextRead(StoreTopic::Upstreams));
+        EXPECT_EQ(sync.completeRevision(StoreTopic::Upstreams), 45U);
+    }
+
     // Guards against a busy loop while the store is unreachable, and against a slow start when it returns.
     TEST(StoreSync, FailuresBackOffAndAStartRetriesFast)
     {
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -22,7 +22,7 @@
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause; earlier confirmations don't count
 };
 
-// Versions of the routes and of the upstream directory that an entry has read.
+// Version of the routes that an entry has read, and revision up to which it has all changes of the upstreams.
 struct StoreVersions {
     uint64_t routes = 0;
     uint64_t directory = 0;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -83,6 +83,7 @@
     if (hasMore)
         return true;
     topic.revision = topic.listRevision;
+    topic.completeRevision = std::max(topic.completeRevision, topic.revision);
     topic.confirmedAt = topic.readStart;
     topic.confirmingReadStart = topic.readStart;
     return true;
@@ -95,6 +96,7 @@
     TopicState& topic = this->at(read.topic);
     this->recordAnswer(topic);
     topic.revision = std::max(topic.revision, revision);
+    topic.completeRevision = topic.revision;
     topic.confirmedAt = this->clock.now();
     topic.confirmingReadStart = topic.readStart;
     topic.due = this->clock.now() + this->options.watchSpacing;
@@ -148,6 +150,8 @@
 
 std::optional<TimePoint> StoreSync::lastAnswer(StoreTopic which) const { return this->at(which).lastAnswer; }
 
+uint64_t StoreSync::completeRevision(StoreTopic which) const { return this->at(which).completeRevision; }
+
 TimePoint StoreSync::lastReadStart(StoreTopic which) const { return this->at(which).confirmingReadStart; }
 
 std::optional<TimePoint> StoreSync::confirmedAt(StoreTopic which, TimePoint readAfter) const
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -70,6 +70,7 @@
     bool takeRecovery();
     uint64_t listRevision(StoreTopic) const; // revision of the store at the first page of the last full read
     std::optional<TimePoint> lastAnswer(StoreTopic) const;
+    uint64_t completeRevision(StoreTopic) const; // all changes up to this revision were reported
     TimePoint lastReadStart(StoreTopic) const; // of the last read of the whole topic, or watch, that was answered
     // When the store last confirmed that this copy of the topic is its newest state. Empty while the topic has to be
     // read in full, and if the answer is to a read that began before the given time.
@@ -80,6 +81,7 @@
         std::optional<StoreRead> inFlight;
         TimePoint due;
         uint64_t revision = 0; // revision to watch from; 0 requires a full read
+        uint64_t completeRevision = 0; // see completeRevision()
         uint64_t listRevision = 0;
         std::string pageAfter;
         unsigned failures = 0; // consecutive
