Report the short watches of each topic

wasabi_store_short_watches stated only whether an entry is one of the few that watch for all; it now includes entries that watch for themselves because nobody confirms their copy.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -435,13 +435,14 @@
     metrics.setCount("wasabi_flow_evictions_total", "", this->router.flowEvictions());
     metrics.setCount("wasabi_routes_version", "", this->router.routesVersion());
     metrics.setCount("wasabi_routes_version_announced", "", this->fleet.newestRoutesVersion());
-    metrics.setCount("wasabi_store_short_watches", "", this->storeRefresh.usesShortWatches() ? 1 : 0);
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
-        metrics.setCount("wasabi_store_answer_age_ms", "topic=\"" + std::string(nameOf(topic)) + '"',
-            static_cast<uint64_t>(this->storeRefresh.answerAge(topic).count()));
+        const std::string label = "topic=\"" + std::string(nameOf(topic)) + '"';
+        metrics.setCount("wasabi_store_short_watches", label, this->storeRefresh.usesShortWatches(topic) ? 1 : 0);
+        metrics.setCount(
+            "wasabi_store_answer_age_ms", label, static_cast<uint64_t>(this->storeRefresh.answerAge(topic).count()));
         if (const std::optional<TimePoint> confirmation = this->storeRefresh.confirmedAt(topic))
-            metrics.setCount("wasabi_store_confirmation_age_ms", "topic=\"" + std::string(nameOf(topic)) + '"',
+            metrics.setCount("wasabi_store_confirmation_age_ms", label,
                 static_cast<uint64_t>(
                     std::chrono::duration_cast<Milliseconds>(this->clock.now() - *confirmation).count()));
     }
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -47,7 +47,10 @@
     {
         return this->isBehind.at(static_cast<size_t>(topic));
     }
-    bool usesShortWatches() const { return this->isSentinel; }
+    bool usesShortWatches(StoreTopic topic) const
+    {
+        return this->isSentinel || this->wasUnconfirmed.at(static_cast<size_t>(topic));
+    }
     Milliseconds answerAge(StoreTopic) const; // time since the store's last answer, or since the start
 
 private:
