Stop at the second entry that precedes this one when choosing short watches

Cause: FleetView::isSentinel counted all entries with a lower address, in every tick of every entry. With 150 simulated entries that was most of the test's time, and at the design size each entry walked over 500 others every few milliseconds. It needs the first two entries that reach the store; the map is sorted by address.

The test and its bounds are unchanged.

--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -305,10 +305,14 @@
 bool FleetView::isSentinel() const
 {
     const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
-    const auto lower = std::count_if(this->entries.begin(), this->entries.end(), [&](const auto& item) {
-        return item.second.reachesStore && item.second.lastReceived >= oldest && item.first < this->options.self;
-    });
-    return static_cast<size_t>(lower) < this->options.sentinelCount;
+    size_t preceding = 0;
+    for (auto entry = this->entries.begin(); entry != this->entries.end() && entry->first < this->options.self;
+         ++entry) {
+        const bool reachesStore = entry->second.reachesStore && entry->second.lastReceived >= oldest;
+        if (reachesStore && ++preceding == this->options.sentinelCount)
+            return false;
+    }
+    return true;
 }
 
 bool FleetView::takeChange() { return std::exchange(this->changed, false); }
