Keep flows of a removed upstream until a read shows that it did not return

Cause: an entry took removals for expiries of an outage only if it noticed the outage itself, by a failed read or a pause. A watch that was silent during the outage answers afterwards with the removals as ordinary events. A removed upstream whose agent did not answer for 120 ms counted as gone, which an agent that restarts misses.

A removal is now final once a read that began 2 s later (the time in which expired records return) does not show the record, noticed outage or not. Until then silence of the agent ends no flow; its own denial still does. Watches provide that read; a search that fails for this reason requests one, so that a quiet entry needs no more calls. Event 4216 states why a search ended without result.

Evidence: RouterFixture.SilenceOfAnUpstreamThatMayReturnResetsNoFlow and PacketWorld.OpenFlowsSurviveAnOutageOfTheStoreThatNobodyNoticed fail on the sources before (the latter on its first case) and pass.

SilenceOfRemovedUpstreamsDelaysAResetShortly now makes the removal final first, with the same bound of 200 ms: a reset 120 ms after a removal that may be an expiry is the fault itself. PacketWorld.FlowsOfUpstreamsThatAreGoneAreReset is added, so that a final removal does lead to a reset.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -237,9 +237,9 @@
         this->directory.onStoreRecovered();
     if (response.routes)
         this->applyRoutes(response.routes, "store");
-    const bool isChanged = this->mergeUpstreams(response);
+    bool isChanged = this->mergeUpstreams(response);
     if (read.topic == StoreTopic::Upstreams)
-        this->directory.onRead(this->storeSync.lastReadStart(read.topic));
+        isChanged = this->directory.onRead(this->storeSync.lastReadStart(read.topic)) || isChanged;
     if (isChanged)
         this->applyStoreState();
 }
@@ -370,6 +370,8 @@
     this->agentSocket.poll(); // Handles replies that have arrived before checking timeouts.
     if (this->directory.onTick())
         this->applyStoreState();
+    if (this->router.takeUnresolvedRemoval())
+        this->directory.requestCheckOfRemovals();
     if (this->directory.takeReadRequest() && this->storeSync.onNewerRevision(StoreTopic::Upstreams, UINT64_MAX))
         this->readStore();
     if (!this->hasStoreState() && this->fleet.takeChange())
--- a/bench/packet-soak.cpp
+++ b/bench/packet-soak.cpp
@@ -14,7 +14,7 @@
 
 Options:
   --seed=N          First seed [default: 1].
-  --regressions     Runs the seeds that violated a guarantee in the past instead.
+  --regressions     Runs the schedules that violated a guarantee in the past instead.
   --runs=N          Number of runs, each with the next seed [default: 1].
   --seconds=N       Duration in seconds of the faults of one run [default: 20].
   --entries=N       Number of entries [default: 3].
@@ -56,24 +56,24 @@
         return exit_codes::success;
     }
     options.programs = std::filesystem::path(argv[0]).parent_path();
-    std::vector<uint64_t> seeds;
+    std::vector<tests::SoakRegression> schedules;
     if (regressionsOnly) {
-        for (const tests::SoakRegression& regression : tests::soakRegressions())
-            seeds.push_back(regression.seed);
+        schedules.assign(tests::soakRegressions().begin(), tests::soakRegressions().end());
     } else {
         for (uint64_t run = 0; run < runs; ++run)
-            seeds.push_back(options.seed + run);
+            schedules.push_back({ options.seed + run, options.duration, "" });
     }
     uint64_t failed = 0;
-    for (const uint64_t seed : seeds) {
-        options.seed = seed;
+    for (const tests::SoakRegression& schedule : schedules) {
+        options.seed = schedule.seed;
+        options.duration = schedule.duration;
         const tests::SoakResult result = tests::runSoak(options, std::cout);
         std::cout << result.report;
         for (const std::string& violation : result.statistics.violations)
-            std::cout << "VIOLATION: seed " << seed << ": " << violation << '\n';
+            std::cout << "VIOLATION: seed " << options.seed << ": " << violation << '\n';
         failed += result.statistics.violations.empty() ? 0 : 1;
         std::cout << std::flush;
     }
-    std::cout << seeds.size() << " runs, " << failed << " with violated guarantees\n";
+    std::cout << schedules.size() << " runs, " << failed << " with violated guarantees\n";
     return failed == 0 ? exit_codes::success : exit_codes::invalidInput;
 }
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -260,12 +260,32 @@
         EXPECT_EQ(this->takeHops().at(0).agent, agent(2));
     }
 
-    // Guards against clients that wait long for a removed upstream whose host is gone.
+    // Guards against the reset of a flow whose record expired in an outage of the store that this entry did not notice,
+    // while the agent beside its upstream restarts. Seen by packet-soak with seed 7029.
+    TEST_F(RouterFixture, SilenceOfAnUpstreamThatMayReturnResetsNoFlow)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        this->useUpstreams(1);
+        for (int round = 0; round < 100; ++round) {
+            this->fromClient(ackFlag, 7, 100);
+            this->agentDenies(agent(0));
+            this->clock.advance(Milliseconds(20));
+            this->router.onTick();
+        }
+        EXPECT_TRUE(this->resets.empty());
+    }
+
+    // Guards against clients that wait long for a removed upstream whose host is gone: once a read has shown that its
+    // record did not return, the silence of its agent delays a reset shortly.
     TEST_F(RouterFixture, SilenceOfRemovedUpstreamsDelaysAResetShortly)
     {
         this->useRoutes();
         this->useUpstreams(4);
         this->useUpstreams(1);
+        this->clock.advance(DirectoryOptions().recoveryGrace);
+        this->directory.onRead(this->clock.now());
+        this->router.setUpstreams(this->directory);
         this->fromClient(ackFlag, 7, 100);
         this->agentDenies(agent(0));
         for (int round = 0; round < 10; ++round) {
--- a/tests/PacketSoak.cpp
+++ b/tests/PacketSoak.cpp
@@ -610,10 +610,14 @@
 
 std::span<const SoakRegression> soakRegressions()
 {
-    static constexpr std::array<SoakRegression, 3> regressions { {
-        { 23, "SIGHUP during a start ended the program" },
-        { 65, "removals were applied after an outage of the store in which only reads of the other topic had failed" },
-        { 100, "removals were applied after an outage of the store during which the entry was paused" },
+    static constexpr std::array<SoakRegression, 5> regressions { {
+        { 23, Milliseconds(20000), "SIGHUP during a start ended the program" },
+        { 65, Milliseconds(20000),
+            "removals were applied after an outage of the store in which only reads of the other topic had failed" },
+        { 100, Milliseconds(20000),
+            "removals were applied after an outage of the store during which the entry was paused" },
+        { 65, Milliseconds(15000), "the grace after an outage ended before a slow store had shown the upstreams" },
+        { 7029, Milliseconds(12000), "removals were final although a silent watch had hidden an outage of the store" },
     } };
     return regressions;
 }
--- a/tests/PacketSoak.h
+++ b/tests/PacketSoak.h
@@ -61,9 +61,10 @@
     std::string report;
 };
 
-// A seed whose schedule once caused a violation.
+// A seed whose schedule once caused a violation; the other options have their defaults.
 struct SoakRegression {
-    uint64_t seed = 0; // With the default options.
+    uint64_t seed = 0;
+    Milliseconds duration { 0 }; // The schedule depends on it.
     std::string_view cause;
 };
 
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -126,9 +126,12 @@
                 if (upstream->agentIsUp)
                     upstream->router->onTick();
             }
-            if (this->directory.takeReadRequest())
-                this->directory.onRead(this->clock.now());
-            if (this->directory.onTick()) {
+            for (const std::unique_ptr<Entry>& entry : this->entries) {
+                if (entry->isUp && entry->router->takeUnresolvedRemoval())
+                    this->directory.requestCheckOfRemovals();
+            }
+            const bool isRemovalFinal = this->directory.takeReadRequest() && this->directory.onRead(this->clock.now());
+            if (this->directory.onTick() || isRemovalFinal) {
                 for (const std::unique_ptr<Entry>& entry : this->entries) {
                     if (entry->isUp)
                         entry->router->setUpstreams(this->directory);
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -106,6 +106,59 @@
         EXPECT_EQ(firstOrEmpty(world.violations), "");
     }
 
+    // Guards against the reset of flows whose upstreams' records expired in an outage of the store that the entries did
+    // not notice, while the agents beside the upstreams restart. Seen by packet-soak with seed 7029.
+    RC_GTEST_PROP(PacketWorld, OpenFlowsSurviveAnOutageOfTheStoreThatNobodyNoticed, ())
+    {
+        PacketWorld world(anyNetwork());
+        world.startTicks();
+        for (size_t i = 0; i < 60; ++i)
+            world.open(i % 2, i % 3);
+        world.run(Milliseconds(2500));
+        const size_t unlisted = *rc::gen::inRange<size_t>(1, world.upstreams.size() + 1);
+        for (size_t i = 0; i < unlisted; ++i) {
+            world.stopAgent(i);
+            world.setListed(i, false);
+        }
+        for (size_t i = 0; i < world.entries.size(); ++i)
+            world.startEntry(i);
+        for (int step = 0; step < 9; ++step) {
+            requestAllAgain(world);
+            world.run(Milliseconds(200));
+        }
+        for (size_t i = 0; i < unlisted; ++i) {
+            world.restartAgent(i);
+            world.setListed(i, true);
+        }
+        requestAllAgain(world);
+        world.run(Milliseconds(3000));
+        RC_ASSERT(firstOrEmpty(world.violations) == std::string());
+    }
+
+    // Guards against clients that wait for their timeout on flows of upstreams that left for good with their agents.
+    TEST(PacketWorld, FlowsOfUpstreamsThatAreGoneAreReset)
+    {
+        PacketWorld world({});
+        world.startTicks();
+        for (size_t i = 0; i < 40; ++i)
+            world.open(0, i % 3);
+        world.run(Milliseconds(1500));
+        for (size_t i = 0; i < world.options.upstreams; ++i) {
+            world.crashUpstream(i);
+            world.stopAgent(i);
+            world.setListed(i, false);
+        }
+        for (size_t i = 0; i < world.entries.size(); ++i)
+            world.startEntry(i);
+        for (int step = 0; step < 6; ++step) {
+            requestAllAgain(world);
+            world.run(Milliseconds(500));
+        }
+        for (const PacketWorld::Request& request : world.requests)
+            EXPECT_TRUE(request.reset);
+        EXPECT_EQ(firstOrEmpty(world.violations), "");
+    }
+
     // Guards against new flows at a draining upstream.
     TEST(PacketWorld, DrainingUpstreamsGetNoNewFlows)
     {
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -108,6 +108,31 @@
         EXPECT_FALSE(directory.takeReadRequest());
     }
 
+    // Guards against a removal that is taken as final although the record may have expired in an outage of the store
+    // that this process did not notice, and against one that never becomes final.
+    TEST(UpstreamDirectory, ARemovalIsFinalOnceALaterReadShowsThatTheRecordDidNotReturn)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.remove("a", 3);
+        const TimePoint tooEarly = clock.now() + Milliseconds(1999);
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn);
+        EXPECT_EQ(directory.listingOf(recordOf("b", 2)), Listing::Listed);
+        EXPECT_FALSE(directory.takeReadRequest());
+        directory.requestCheckOfRemovals();
+        EXPECT_FALSE(directory.takeReadRequest()) << "the record may still return";
+        clock.advance(Milliseconds(2000));
+        EXPECT_FALSE(directory.onRead(tooEarly));
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn);
+        EXPECT_TRUE(directory.takeReadRequest());
+        EXPECT_FALSE(directory.takeReadRequest());
+        EXPECT_TRUE(directory.onRead(clock.now()));
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::Removed);
+        directory.requestCheckOfRemovals();
+        EXPECT_FALSE(directory.takeReadRequest()) << "every removal is final";
+    }
+
     // Guards against resets by a process that was paused during a store outage: it sees removals, but no outage.
     TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsExpired)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -56,19 +56,25 @@
 bool HolderSearch::isAnsweredByAll() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
-        [](const Target& target) { return target.agentIsUnsure || target.denied || !target.listed; });
+        [](const Target& target) { return target.agentIsUnsure || target.denied || !target.isNeeded(); });
 }
 
 bool HolderSearch::awaitsUpstreamReply() const
 {
     return std::any_of(this->targets.begin(), this->targets.end(),
-        [](const Target& target) { return target.packetSent && !target.denied && target.listed; });
+        [](const Target& target) { return target.packetSent && !target.denied && target.isNeeded(); });
 }
 
-bool HolderSearch::isDeniedByAllListed() const
+bool HolderSearch::isDeniedByAllNeeded() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
-        [](const Target& target) { return target.denied || !target.listed; });
+        [](const Target& target) { return target.denied || !target.isNeeded(); });
+}
+
+size_t HolderSearch::countSilent(Listing listing) const
+{
+    return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(),
+        [listing](const Target& target) { return !target.denied && target.listing == listing; }));
 }
 
 bool HolderSearch::isDeniedByAll() const
@@ -120,7 +126,7 @@
     this->slotsByAgent.clear();
     const auto toCandidate = [&](const UpstreamRecord& record) {
         return HolderCandidate { record.id(), { record.address.address, this->options.agentPort },
-            directory.isListed(record) };
+            directory.listingOf(record) };
     };
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
@@ -479,7 +485,7 @@
     search.coversAllUpstreams = this->directoryIsComplete && !this->isBehindPeers && !this->hasProvisionalRoutes
         && flow.offers.empty() && !excluded;
     for (const HolderCandidate& target : targets)
-        search.targets.push_back({ target.agent, target.listed });
+        search.targets.push_back({ target.agent, target.listing });
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
     // before that is useless.
     search.askRounds = flow.offers.empty() ? 0 : this->options.maxAskRounds;
@@ -498,7 +504,7 @@
             targets.push_back(target);
     };
     for (const Offer& offer : flow.offers)
-        add({ offer.upstream, offer.agent, true });
+        add({ offer.upstream, offer.agent, Listing::Listed });
     if (!targets.empty())
         return targets;
     const Route* route = this->routes->find(key.route);
@@ -854,8 +860,9 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder)
             continue;
-        // Removed upstreams may be gone with their agents: after unlistedTimeout, their silence counts as a denial.
-        if (flow->search && flow->search->isDeniedByAllListed()) {
+        // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
+        // counts as a denial.
+        if (flow->search && flow->search->isDeniedByAllNeeded()) {
             const TimePoint end = flow->search->started + this->options.unlistedTimeout;
             if (now >= end) {
                 this->endFailedSearch(key, *flow);
@@ -871,9 +878,23 @@
             this->continueSearch(key, *flow);
             continue;
         }
-        this->counts.dropped += flow->waiting.size();
-        flow->waiting.clear();
+        this->abandonSearch(key, *flow);
+    }
+}
+
+// Some upstream that may hold the flow did not answer: the next packet of the client may start another search.
+void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
+{
+    if (flow.search && !std::exchange(flow.search->isAbandoned, true)) {
+        const size_t mayReturn = flow.search->countSilent(Listing::MayReturn);
+        this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
+        logEvent(Event::PacketHolderNotFound,
+            { { "flow", toString(key) }, { "silent", static_cast<uint64_t>(flow.search->countSilent(Listing::Listed)) },
+                { "silent-may-return", static_cast<uint64_t>(mayReturn) },
+                { "dropped", static_cast<uint64_t>(flow.waiting.size()) }, { "directory", this->directoryRevision } });
     }
+    this->counts.dropped += flow.waiting.size();
+    flow.waiting.clear();
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -84,17 +84,19 @@
 struct HolderCandidate {
     UpstreamId upstream;
     PacketAddress agent;
-    bool listed = true; // false: its record was removed, but it may still hold flows
+    Listing listing = Listing::Listed; // a removed one may still hold flows
 };
 
 // A search for the holder of a flow.
 struct HolderSearch {
     struct Target {
         PacketAddress agent;
-        bool listed = true; // see HolderCandidate
+        Listing listing = Listing::Listed;
         bool agentIsUnsure = false; // it replied Unsure for this flow, or lately for another
         bool packetSent = false; // the upstream got the packet
         bool denied = false; // the upstream doesn't hold the flow
+
+        bool isNeeded() const { return this->listing != Listing::Removed; } // its silence is not a denial
     };
 
     std::vector<uint8_t> packet;
@@ -102,13 +104,16 @@
     unsigned askRounds = 0; // times that the agents were asked, without the packet
     TimePoint started;
     bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
+    bool isAbandoned = false; // it took too long; late answers still count
 
     Target* find(PacketAddress agent);
     bool isPacketSentToAll() const; // every target got the packet or denied the flow
-    bool isAnsweredByAll() const; // each listed target denied the flow or has an unsure agent
-    bool isDeniedByAllListed() const;
+    // The agent of an upstream that was removed for good may be gone: its answer is not needed.
+    bool isAnsweredByAll() const; // each needed target denied the flow or has an unsure agent
+    bool isDeniedByAllNeeded() const;
     bool isDeniedByAll() const;
-    bool awaitsUpstreamReply() const; // a listed upstream got the packet and has not denied the flow
+    bool awaitsUpstreamReply() const; // a needed upstream got the packet and has not denied the flow
+    size_t countSilent(Listing) const; // targets in this state that have not denied the flow
 };
 
 class EntryRouter {
@@ -128,6 +133,9 @@
     void onTick(); // call every few milliseconds
 
     bool isServing() const; // has routes of the store, a usable upstream, and replies of agents
+    // Whether a search ended without result because an agent is silent whose upstream may return to the list; true
+    // once.
+    bool takeUnresolvedRemoval() { return std::exchange(this->hasUnresolvedRemoval, false); }
     bool isIsolated() const { return this->isolated; } // most agents are silent
     uint64_t routesVersion() const { return this->routes ? this->routes->version : 0; }
     size_t trackedFlows() const { return this->flows.size(); }
@@ -199,6 +207,7 @@
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
     void endFailedSearch(const FlowKey&, Flow&);
+    void abandonSearch(const FlowKey&, Flow&);
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
     void expirePendingOffers();
@@ -221,6 +230,7 @@
     bool hasUpstreamList = false;
     bool directoryIsComplete = false; // no record is missing because of an outage of the store
     bool isBehindPeers = false; // a listed upstream may be missing here
+    bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -68,6 +68,7 @@
         EventInfo { Event::PacketFlowGone, Severity::Info, "packet-flow-gone" },
         EventInfo { Event::PacketAgentsSilent, Severity::Warning, "packet-agents-silent" },
         EventInfo { Event::PacketAgentsHeard, Severity::Info, "packet-agents-heard" },
+        EventInfo { Event::PacketHolderNotFound, Severity::Info, "packet-holder-not-found" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -72,6 +72,7 @@
     PacketFlowGone = 4213,
     PacketAgentsSilent = 4214,
     PacketAgentsHeard = 4215,
+    PacketHolderNotFound = 4216,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -111,24 +111,61 @@
     this->hasReadAfterGrace = false;
 }
 
+void UpstreamDirectory::requestCheckOfRemovals()
+{
+    if (this->removalCheckTime)
+        return;
+    for (const auto& [name, row] : this->rows) {
+        if (this->mayReturn(row))
+            this->removalCheckTime
+                = std::max(this->removalCheckTime.value_or(TimePoint::min()), this->finalRemovalTime(row));
+    }
+}
+
 bool UpstreamDirectory::takeReadRequest()
 {
-    const bool isReadMissing = this->inGrace && this->clock.now() >= this->graceEnd && !this->hasReadAfterGrace;
-    return isReadMissing && !std::exchange(this->isReadRequested, true);
+    const TimePoint now = this->clock.now();
+    const bool isRemovalCheckDue = this->removalCheckTime && now >= *this->removalCheckTime;
+    if (isRemovalCheckDue)
+        this->removalCheckTime.reset();
+    const bool isReadMissing = this->inGrace && now >= this->graceEnd && !this->hasReadAfterGrace;
+    const bool isGraceReadDue = isReadMissing && !std::exchange(this->isReadRequested, true);
+    return isRemovalCheckDue || isGraceReadDue;
 }
 
-void UpstreamDirectory::onRead(TimePoint started)
+bool UpstreamDirectory::onRead(TimePoint started)
 {
     this->hasReadAfterGrace = started >= this->graceEnd;
     this->isReadRequested = this->isReadRequested && this->hasReadAfterGrace;
+    if (this->removalCheckTime && started >= *this->removalCheckTime)
+        this->removalCheckTime.reset();
+    const auto isUnconfirmed = [this](const auto& item) { return this->mayReturn(item.second); };
+    const auto before = std::count_if(this->rows.begin(), this->rows.end(), isUnconfirmed);
+    this->lastReadStart = std::max(this->lastReadStart, started);
+    return before != std::count_if(this->rows.begin(), this->rows.end(), isUnconfirmed);
+}
+
+// From this time on, the record of an upstream that runs and reaches the store has returned.
+TimePoint UpstreamDirectory::finalRemovalTime(const Row& row) const
+{
+    return row.unlistedAt + this->options.recoveryGrace;
+}
+
+bool UpstreamDirectory::mayReturn(const Row& row) const
+{
+    return !row.listed && this->lastReadStart < this->finalRemovalTime(row);
 }
 
 bool UpstreamDirectory::isComplete() const { return this->isLoaded() && !this->inGrace; }
 
-bool UpstreamDirectory::isListed(const UpstreamRecord& record) const
+Listing UpstreamDirectory::listingOf(const UpstreamRecord& record) const
 {
     const auto found = this->rows.find(record.name);
-    return found != this->rows.end() && found->second.listed && found->second.record.born == record.born;
+    if (found == this->rows.end() || found->second.record.born != record.born)
+        return Listing::Removed;
+    if (found->second.listed)
+        return Listing::Listed;
+    return this->mayReturn(found->second) ? Listing::MayReturn : Listing::Removed;
 }
 
 bool UpstreamDirectory::onTick()
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -61,6 +61,17 @@
     UpstreamId id() const; // differs between incarnations
 };
 
+// State of an upstream's record.
+enum class Listing : uint8_t {
+    Listed,
+    MayReturn, // removed lately: it may have expired in an outage of the store that this process did not notice
+    Removed,
+};
+
+inline constexpr std::array<std::string_view, 3> listingNames = { "listed", "may-return", "removed" };
+
+inline std::string_view nameOf(Listing listing) { return listingNames.at(static_cast<size_t>(listing)); }
+
 struct DirectoryOptions {
     Milliseconds recoveryGrace { 2000 }; // records that expired in a store outage return within this time after it
     Milliseconds propagationTime { 750 }; // for a change to reach every entry by its spaced watches or gossip of peers
@@ -85,8 +96,13 @@
     // The store answers again after an outage: records that it lacks now may return within recoveryGrace. They count as
     // gone once a read that began after that time has shown the records.
     void onStoreRecovered();
-    bool takeReadRequest(); // whether the grace period has passed and such a read is missing; true once
-    void onRead(TimePoint started); // the store answered a read or watch of the records that began at this time
+    // A removed record may return within recoveryGrace even if this process noticed no outage: its watch may have been
+    // silent. Requests a read that began after that time for the records that were removed lately.
+    void requestCheckOfRemovals();
+    bool takeReadRequest(); // whether a read is due that one of the functions above asks for; true once
+    // The store answered a read or watch of the records that began at this time. Returns whether it shows that removed
+    // records did not return.
+    bool onRead(TimePoint started);
     bool onTick(); // call every few milliseconds; returns whether a time limit changed what is usable
 
     // Whether every live upstream is listed: the store was read, and again after the grace period of an outage.
@@ -101,7 +117,7 @@
     std::vector<UpstreamRecord> usable(ServiceId) const;
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
     std::vector<UpstreamRecord> allListed() const;
-    bool isListed(const UpstreamRecord&) const;
+    Listing listingOf(const UpstreamRecord&) const;
     const UpstreamRecord* listedAt(PacketAddress) const; // newest listed upstream at an address; null if none
 
 private:
@@ -116,6 +132,8 @@
 
     void checkForPause();
     void unlist(Row&, uint64_t revision);
+    TimePoint finalRemovalTime(const Row&) const;
+    bool mayReturn(const Row&) const;
     bool isSuperseded(const UpstreamRecord&) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
@@ -133,6 +151,8 @@
     bool inGrace = false;
     bool isReadRequested = false; // for the current grace period
     bool hasReadAfterGrace = false;
+    TimePoint lastReadStart = TimePoint::min(); // of the reads that the store answered
+    std::optional<TimePoint> removalCheckTime; // when a read of removed records is due, if one was requested
 };
 
 } // namespace wasabicroft
