--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -103,6 +103,19 @@
             this->router.flushAsks();
         }
 
+        // Every upstream that gets the packet of the search returns it, until the flow is reset or all have.
+        void returnPacketsOfSearch()
+        {
+            for (int round = 0; round < 4 && this->resets.empty(); ++round) {
+                for (const SentHop& hop : this->takeHops()) {
+                    if (hop.kind == HopKind::Find)
+                        this->fromAgent(hop.agent, HopKind::NotHeld);
+                }
+                this->clock.advance(Milliseconds(61));
+                this->router.onTick();
+            }
+        }
+
         // Offers a flow to an upstream until the offer times out. Returns the agent of that upstream.
         PacketAddress openFlowAtSilentUpstream()
         {
@@ -192,14 +205,7 @@
         this->useRoutes();
         this->useUpstreams(4);
         this->fromClient(ackFlag, 7, 100);
-        for (int round = 0; round < 4 && this->resets.empty(); ++round) {
-            for (const SentHop& hop : this->takeHops()) {
-                if (hop.kind == HopKind::Find)
-                    this->fromAgent(hop.agent, HopKind::NotHeld);
-            }
-            this->clock.advance(Milliseconds(61));
-            this->router.onTick();
-        }
+        this->returnPacketsOfSearch();
         EXPECT_EQ(this->resets.size(), 1U);
     }
 
@@ -210,14 +216,7 @@
         this->directory.onStoreRecovered();
         this->useUpstreams(4);
         this->fromClient(ackFlag, 7, 100);
-        for (int round = 0; round < 4; ++round) {
-            for (const SentHop& hop : this->takeHops()) {
-                if (hop.kind == HopKind::Find)
-                    this->fromAgent(hop.agent, HopKind::NotHeld);
-            }
-            this->clock.advance(Milliseconds(61));
-            this->router.onTick();
-        }
+        this->returnPacketsOfSearch();
         EXPECT_TRUE(this->resets.empty());
     }
 
@@ -229,14 +228,7 @@
         this->useUpstreams(4);
         this->router.setBehindPeers(true);
         this->fromClient(ackFlag, 7, 100);
-        for (int round = 0; round < 4; ++round) {
-            for (const SentHop& hop : this->takeHops()) {
-                if (hop.kind == HopKind::Find)
-                    this->fromAgent(hop.agent, HopKind::NotHeld);
-            }
-            this->clock.advance(Milliseconds(61));
-            this->router.onTick();
-        }
+        this->returnPacketsOfSearch();
         EXPECT_TRUE(this->resets.empty());
     }
 
