Let entries that run state whether a starting one has a complete list

Cause: a process takes its first list of upstreams for complete. Right after an outage of the store it lacks upstreams whose records expired, and neither a failed read nor an earlier copy tells the new process so.

Each entry now states with its presence whether its own list is complete, and answers an entry that starts at once. The first list counts as complete when an entry that runs confirms it, or after 150 ms without an answer, as when all start together. If a list is incomplete, the starting entry has the grace after an outage. A search that all listed upstreams have denied waits for the statement. Event 3029 has the outcome.

Changed tests: RouterFixture.useUpstreams has its list confirmed, and AnUpstreamAtANewAddress* likewise, since the end of the wait is a change of the directory; no check or bound of theirs changed.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -338,6 +338,8 @@
         this->isStoreReachable, {} };
     for (size_t i = 0; i < storeTopicCount; ++i)
         copy.confirmedAt.at(i) = this->storeRefresh.confirmedAt(static_cast<StoreTopic>(i));
+    copy.listState = this->storeRefresh.listState(this->directory);
+    copy.awaitsPeers = this->directory.awaitsPeers();
     const auto [message, targets] = this->fleet.takeMessage(copy);
     if (targets.empty())
         return;
@@ -368,7 +370,12 @@
 void PacketEntry::onTick()
 {
     this->agentSocket.poll(); // Handles replies that have arrived before checking timeouts.
-    if (this->directory.onTick())
+    bool isDirectoryChanged = this->directory.onTick();
+    const std::optional<ListState> peerState
+        = this->directory.isLoaded() ? this->fleet.takePeerListState() : std::nullopt;
+    if (peerState)
+        isDirectoryChanged = this->directory.onPeerListState(*peerState) || isDirectoryChanged;
+    if (isDirectoryChanged)
         this->applyStoreState();
     if (this->router.takeUnresolvedRemoval())
         this->directory.requestCheckOfRemovals();
--- a/schemas/Presence_generated.h
+++ b/schemas/Presence_generated.h
@@ -176,7 +176,8 @@
     VT_AGENTS = 14,
     VT_ROUTES_CONFIRMATION_AGE_MS = 16,
     VT_DIRECTORY_CONFIRMATION_AGE_MS = 18,
-    VT_ENTRY_SILENCES = 20
+    VT_ENTRY_SILENCES = 20,
+    VT_LIST_STATE = 22
   };
   bool from_entry() const {
     return GetField<uint8_t>(VT_FROM_ENTRY, 0) != 0;
@@ -205,6 +206,9 @@
   const flatbuffers::Vector<uint8_t> *entry_silences() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ENTRY_SILENCES);
   }
+  uint8_t list_state() const {
+    return GetField<uint8_t>(VT_LIST_STATE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FROM_ENTRY, 1) &&
@@ -220,6 +224,7 @@
            VerifyField<uint32_t>(verifier, VT_DIRECTORY_CONFIRMATION_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_ENTRY_SILENCES) &&
            verifier.VerifyVector(entry_silences()) &&
+           VerifyField<uint8_t>(verifier, VT_LIST_STATE, 1) &&
            verifier.EndTable();
   }
 };
@@ -255,6 +260,9 @@
   void add_entry_silences(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences) {
     fbb_.AddOffset(Presence::VT_ENTRY_SILENCES, entry_silences);
   }
+  void add_list_state(uint8_t list_state) {
+    fbb_.AddElement<uint8_t>(Presence::VT_LIST_STATE, list_state, 0);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -276,7 +284,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>>> agents = 0,
     uint32_t routes_confirmation_age_ms = 4294967295,
     uint32_t directory_confirmation_age_ms = 4294967295,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences = 0,
+    uint8_t list_state = 0) {
   PresenceBuilder builder_(_fbb);
   builder_.add_directory_revision(directory_revision);
   builder_.add_routes_version(routes_version);
@@ -285,6 +294,7 @@
   builder_.add_routes_confirmation_age_ms(routes_confirmation_age_ms);
   builder_.add_agents(agents);
   builder_.add_entries(entries);
+  builder_.add_list_state(list_state);
   builder_.add_reaches_store(reaches_store);
   builder_.add_from_entry(from_entry);
   return builder_.Finish();
@@ -305,7 +315,8 @@
     const std::vector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>> *agents = nullptr,
     uint32_t routes_confirmation_age_ms = 4294967295,
     uint32_t directory_confirmation_age_ms = 4294967295,
-    const std::vector<uint8_t> *entry_silences = nullptr) {
+    const std::vector<uint8_t> *entry_silences = nullptr,
+    uint8_t list_state = 0) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>>(*agents) : 0;
   auto entry_silences__ = entry_silences ? _fbb.CreateVector<uint8_t>(*entry_silences) : 0;
@@ -319,7 +330,8 @@
       agents__,
       routes_confirmation_age_ms,
       directory_confirmation_age_ms,
-      entry_silences__);
+      entry_silences__,
+      list_state);
 }
 
 inline const wasabicroft::wire::Presence *GetPresence(const void *buf) {
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -332,6 +332,33 @@
         EXPECT_EQ(sentinels, 3U) << "two that reach the store, and entry 1: no entry checks this for itself";
     }
 
+    // Guards against an entry that starts right after an outage of the store and takes its list for complete, since
+    // those that know of the outage tell it too late.
+    TEST(Presence, AnEntryThatStartsIsToldTheStateOfTheListAtOnce)
+    {
+        ManualClock clock;
+        FleetView running({ .self = 1 }, clock);
+        FleetView starting({ .self = 2 }, clock);
+        starting.setSeeds({ 1 });
+        StoreCopy copy { 5, 100, true, true, {}, ListState::Incomplete, false };
+        running.takeMessage(copy);
+        clock.advance(Milliseconds(20));
+        EXPECT_TRUE(running.takeMessage(copy).second.empty());
+        const auto [question, asked] = starting.takeMessage({ 5, 100, true, true, {}, ListState::Starting, true });
+        EXPECT_EQ(asked, std::vector<uint32_t> { 1 });
+        running.onMessage(2, decodePresence(encodePresence(question)).value());
+        const auto [answer, targets] = running.takeMessage(copy);
+        EXPECT_EQ(targets, std::vector<uint32_t> { 2 });
+        EXPECT_TRUE(running.takeMessage(copy).second.empty()) << "answered once";
+        EXPECT_FALSE(running.takePeerListState()) << "an entry that starts states nothing";
+        starting.onMessage(1, decodePresence(encodePresence(answer)).value());
+        EXPECT_EQ(starting.takePeerListState(), ListState::Incomplete);
+        EXPECT_FALSE(starting.takePeerListState());
+        clock.advance(Milliseconds(100));
+        EXPECT_FALSE(starting.takeMessage({ 5, 100, true, true, {}, ListState::Starting, true }).second.empty())
+            << "it asks again while it waits";
+    }
+
     // Guards against a change that stays hidden from entries whose watches are silent. Seen in the CONFIG run on
     // strazca-lb scale-1 with seed 837290583826: the store dropped its history, and two entries took over 5 s to
     // report the change to the others.
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -71,6 +71,35 @@
             for (uint32_t i = 0; i < count; ++i)
                 records.push_back(upstream(i));
             this->directory.replace(records, 5);
+            this->directory.onPeerListState(ListState::Complete);
+            this->router.setUpstreams(this->directory);
+        }
+
+        // Reads the first list of a start, which lacks some upstreams. All that it has deny the flow.
+        void searchWithUnconfirmedList()
+        {
+            this->useRoutes();
+            this->directory.replace({ upstream(0), upstream(1) }, 5);
+            this->router.setUpstreams(this->directory);
+            this->fromClient(ackFlag, 7, 100);
+            this->agentDenies(agent(0));
+            this->agentDenies(agent(1));
+        }
+
+        void advance(Milliseconds duration)
+        {
+            constexpr Milliseconds step { 20 };
+            for (Milliseconds time(0); time < duration; time += step) {
+                this->clock.advance(step);
+                if (this->directory.onTick())
+                    this->router.setUpstreams(this->directory);
+                this->router.onTick();
+            }
+        }
+
+        void onPeerListState(ListState state)
+        {
+            this->directory.onPeerListState(state);
             this->router.setUpstreams(this->directory);
         }
 
@@ -220,6 +249,62 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of a held flow by an entry that starts right after an outage of the store: its first
+    // list lacks the upstream, but entries that run know of the outage. Own day start-after-outage.
+    TEST_F(RouterFixture, NoFlowIsResetIfOtherEntriesKnowThatTheFirstListIsIncomplete)
+    {
+        this->searchWithUnconfirmedList();
+        this->advance(Milliseconds(60));
+        EXPECT_TRUE(this->resets.empty());
+        this->takeHops();
+        this->onPeerListState(ListState::Incomplete);
+        this->advance(Milliseconds(400));
+        EXPECT_TRUE(this->resets.empty());
+        this->directory.update(upstream(2, 6));
+        this->router.setUpstreams(this->directory);
+        this->advance(Milliseconds(1800));
+        this->fromClient(ackFlag, 7, 100);
+        this->fromAgent(agent(2), HopKind::Holds);
+        EXPECT_TRUE(this->resets.empty());
+        this->takeHops();
+        this->fromClient(ackFlag, 7, 100);
+        EXPECT_EQ(this->takeHops().at(0).agent, agent(2));
+    }
+
+    // Guards against clients that wait for their timeout on lost flows whenever an entry starts.
+    TEST_F(RouterFixture, LostFlowsAreResetOnceOtherEntriesConfirmTheFirstList)
+    {
+        this->searchWithUnconfirmedList();
+        this->advance(Milliseconds(60));
+        EXPECT_TRUE(this->resets.empty());
+        this->onPeerListState(ListState::Complete);
+        this->advance(Milliseconds(20));
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // The same when all entries start at once, so that none can confirm the list.
+    TEST_F(RouterFixture, LostFlowsAreResetIfNoEntryCanConfirmTheFirstList)
+    {
+        this->searchWithUnconfirmedList();
+        this->onPeerListState(ListState::Starting);
+        this->advance(DirectoryOptions().peerStateTimeout - Milliseconds(10));
+        EXPECT_TRUE(this->resets.empty());
+        this->advance(Milliseconds(20));
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Guards against a reset by a search that did not ask an upstream which was listed while the entry waited.
+    TEST_F(RouterFixture, ASearchOfAnOlderFirstListIsRepeated)
+    {
+        this->searchWithUnconfirmedList();
+        this->takeHops();
+        this->directory.update(upstream(2, 6));
+        this->onPeerListState(ListState::Complete);
+        this->advance(Milliseconds(20));
+        EXPECT_TRUE(this->resets.empty());
+        EXPECT_EQ(this->takeHops().size(), 3U) << "the search continues with all upstreams that are listed by now";
+    }
+
     // Guards against the reset of a flow at an upstream that other entries list, while watches of this entry hear
     // nothing.
     TEST_F(RouterFixture, NoFlowIsResetWhileOtherEntriesHaveANewerList)
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -133,6 +133,53 @@
         EXPECT_FALSE(directory.takeReadRequest()) << "every removal is final";
     }
 
+    // Guards against a first list that is taken for complete right after an outage of the store, when upstreams that
+    // run have not returned yet, and against a start that waits for long although no entry runs.
+    TEST(UpstreamDirectory, EntriesThatRunStateWhetherTheFirstListIsComplete)
+    {
+        for (const ListState peerState : { ListState::Starting, ListState::Complete, ListState::Incomplete }) {
+            ManualClock clock;
+            UpstreamDirectory directory({}, clock);
+            EXPECT_FALSE(directory.awaitsPeers());
+            directory.replace({ recordOf("a", 1) }, 2);
+            EXPECT_TRUE(directory.awaitsPeers());
+            EXPECT_FALSE(directory.isComplete());
+            EXPECT_EQ(directory.listState(), ListState::Starting);
+            clock.advance(Milliseconds(20));
+            EXPECT_EQ(directory.onPeerListState(peerState), peerState != ListState::Starting);
+            EXPECT_EQ(directory.awaitsPeers(), peerState == ListState::Starting);
+            EXPECT_EQ(directory.isComplete(), peerState == ListState::Complete);
+            EXPECT_EQ(directory.listState(), peerState);
+            clock.advance(Milliseconds(130));
+            EXPECT_EQ(directory.onTick(), peerState == ListState::Starting);
+            EXPECT_EQ(directory.isComplete(), peerState != ListState::Incomplete);
+            for (int i = 0; i < 19; ++i) {
+                clock.advance(Milliseconds(100));
+                directory.onTick();
+            }
+            directory.onRead(clock.now());
+            directory.onTick();
+            EXPECT_TRUE(directory.isComplete());
+            EXPECT_EQ(directory.listState(), ListState::Complete);
+        }
+    }
+
+    // Guards against an entry that vouches for its list while an upstream that expired may return.
+    TEST(UpstreamDirectory, AListThatLostAnUpstreamLatelyMayBeIncomplete)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2, true) }, 2);
+        directory.onPeerListState(ListState::Complete);
+        directory.remove("b", 3);
+        EXPECT_EQ(directory.listState(), ListState::Complete) << "it drained and left";
+        directory.remove("a", 4);
+        EXPECT_EQ(directory.listState(), ListState::Incomplete);
+        clock.advance(Milliseconds(2000));
+        EXPECT_EQ(directory.listState(), ListState::Complete);
+        EXPECT_FALSE(directory.onPeerListState(ListState::Incomplete)) << "it knows of outages itself by now";
+    }
+
     // Guards against resets by a process that was paused during a store outage: it sees removals, but no outage.
     TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsExpired)
     {
@@ -177,6 +224,7 @@
         ManualClock clock;
         UpstreamDirectory directory({}, clock);
         directory.replace({ recordOf("a", 1) }, 1);
+        EXPECT_TRUE(directory.onPeerListState(ListState::Complete));
         EXPECT_EQ(directory.usable(service).size(), 1U) << "the first list is not delayed";
         directory.update(recordOf("b", 2));
         EXPECT_EQ(directory.usable(service).size(), 1U);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -109,6 +109,7 @@
 {
     this->hasUpstreamList = directory.isLoaded();
     this->directoryIsComplete = directory.isComplete();
+    this->directoryAwaitsPeers = directory.awaitsPeers();
     this->directoryRevision = directory.revision();
     std::set<ServiceId> services;
     if (this->routes) {
@@ -467,7 +468,8 @@
         flow.searchWindowStart = now;
         flow.searchCount = 0;
     }
-    const bool isSearching = flow.search && now - flow.search->started < this->options.searchTimeout;
+    const bool isSearching
+        = flow.search && (flow.search->isDenied || now - flow.search->started < this->options.searchTimeout);
     if (isSearching || flow.searchCount >= this->options.maxSearches) {
         this->queueForHolder(key, flow, bytes);
         return;
@@ -482,8 +484,10 @@
     HolderSearch& search = flow.search.emplace();
     search.packet = copyOf(bytes);
     search.started = now;
-    search.coversAllUpstreams = this->directoryIsComplete && !this->isBehindPeers && !this->hasProvisionalRoutes
-        && flow.offers.empty() && !excluded;
+    search.coversAllUpstreams = (this->directoryIsComplete || this->directoryAwaitsPeers) && !this->isBehindPeers
+        && !this->hasProvisionalRoutes && flow.offers.empty() && !excluded;
+    search.beganBeforeListCheck = this->directoryAwaitsPeers;
+    search.directoryRevision = this->directoryRevision;
     for (const HolderCandidate& target : targets)
         search.targets.push_back({ target.agent, target.listing });
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
@@ -777,7 +781,12 @@
 
 void EntryRouter::endFailedSearch(const FlowKey& key, Flow& flow)
 {
-    if (flow.search->coversAllUpstreams) {
+    if (flow.search->coversAllUpstreams && this->directoryAwaitsPeers) {
+        if (!std::exchange(flow.search->isDenied, true))
+            this->deniedSearches.push_back(key);
+        return;
+    }
+    if (this->isConclusive(*flow.search)) {
         this->resetLostFlow(key, flow, "held-nowhere");
     } else {
         // The search covered only some upstreams: the next one asks all that the directory has by now.
@@ -788,6 +797,22 @@
     }
 }
 
+// Whether the denials of all targets show that no upstream holds the flow.
+bool EntryRouter::isConclusive(const HolderSearch& search) const
+{
+    const bool usedConfirmedList = !search.beganBeforeListCheck || search.directoryRevision == this->directoryRevision;
+    return search.coversAllUpstreams && this->directoryIsComplete && usedConfirmedList;
+}
+
+void EntryRouter::endDeniedSearches()
+{
+    for (const FlowKey& key : std::exchange(this->deniedSearches, {})) {
+        Flow* flow = this->flows.find(key);
+        if (flow && !flow->holder && flow->search && flow->search->isDenied)
+            this->endFailedSearch(key, *flow);
+    }
+}
+
 // The upstream has lost the flow.
 void EntryRouter::onGone(const FlowKey& key, PacketAddress agent, const HopMessage& message)
 {
@@ -854,11 +879,13 @@
 void EntryRouter::processSearchTimers()
 {
     const TimePoint now = this->clock.now();
+    if (!this->directoryAwaitsPeers)
+        this->endDeniedSearches();
     while (!this->searchTimers.empty() && this->searchTimers.begin()->first <= now) {
         const FlowKey key = this->searchTimers.begin()->second;
         this->searchTimers.erase(this->searchTimers.begin());
         Flow* flow = this->flows.find(key);
-        if (!flow || flow->holder)
+        if (!flow || flow->holder || (flow->search && flow->search->isDenied))
             continue;
         // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
         // counts as a denial.
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -104,6 +104,9 @@
     unsigned askRounds = 0; // times that the agents were asked, without the packet
     TimePoint started;
     bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
+    bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
+    uint64_t directoryRevision = 0; // at the start
+    bool isDenied = false; // no listed upstream holds the flow; see EntryRouter::deniedSearches
     bool isAbandoned = false; // it took too long; late answers still count
 
     Target* find(PacketAddress agent);
@@ -207,6 +210,8 @@
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
     void endFailedSearch(const FlowKey&, Flow&);
+    bool isConclusive(const HolderSearch&) const;
+    void endDeniedSearches();
     void abandonSearch(const FlowKey&, Flow&);
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
@@ -229,6 +234,7 @@
     bool hasProvisionalRoutes = false;
     bool hasUpstreamList = false;
     bool directoryIsComplete = false; // no record is missing because of an outage of the store
+    bool directoryAwaitsPeers = false; // entries that run are about to state whether it is complete
     bool isBehindPeers = false; // a listed upstream may be missing here
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
@@ -240,6 +246,7 @@
     FlowTable<Flow> flows;
     std::deque<PendingOffer> pendingOffers; // ordered by due time
     std::multimap<TimePoint, FlowKey> searchTimers; // ordered by due time
+    std::vector<FlowKey> deniedSearches; // flows whose loss is certain only if entries that run confirm the list
     std::map<PacketAddress, std::vector<FlowKey>> queuedAsks; // flows to ask for, by agent
     std::map<PacketAddress, TimePoint> unsureUntil; // by agent
     std::map<PacketAddress, TimePoint> loadReporters; // last offer to each agent that sends load reports
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -45,6 +45,7 @@
         EventInfo { Event::ProvisionalState, Severity::Info, "provisional-state" },
         EventInfo { Event::StoreWatchWaitChanged, Severity::Info, "store-watch-wait-changed" },
         EventInfo { Event::StoreReadRepeated, Severity::Info, "store-read-repeated" },
+        EventInfo { Event::FirstListChecked, Severity::Info, "first-list-checked" },
         EventInfo { Event::InvalidFrame, Severity::Warning, "invalid-frame" },
         EventInfo { Event::LinkLost, Severity::Warning, "link-lost" },
         EventInfo { Event::FlowPlaced, Severity::Info, "flow-placed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -49,6 +49,7 @@
     ProvisionalState = 3026,
     StoreWatchWaitChanged = 3027,
     StoreReadRepeated = 3028,
+    FirstListChecked = 3029,
     InvalidFrame = 4001,
     LinkLost = 4101,
     FlowPlaced = 4102,
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -87,7 +87,7 @@
     wire::FinishPresenceBuffer(builder,
         wire::CreatePresenceDirect(builder, message.fromEntry, message.reachesStore, message.routesVersion,
             message.directoryRevision, &entries, &agents, toWire(message.confirmationAges[0]),
-            toWire(message.confirmationAges[1]), &silences));
+            toWire(message.confirmationAges[1]), &silences, static_cast<uint8_t>(message.listState)));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -110,6 +110,8 @@
     message.directoryRevision = wireMessage.directory_revision();
     message.confirmationAges
         = { fromWire(wireMessage.routes_confirmation_age_ms()), fromWire(wireMessage.directory_confirmation_age_ms()) };
+    message.listState = static_cast<ListState>(
+        std::min<uint8_t>(wireMessage.list_state(), static_cast<uint8_t>(ListState::Incomplete)));
     message.entries = fromWire(wireMessage.entries(), wireMessage.entry_silences());
     if (wireMessage.agents()) {
         for (const wire::AgentPresence* agent : *wireMessage.agents())
@@ -189,6 +191,7 @@
             StoreTopic::Routes, message.routesVersion, this->routesVersion, message.confirmationAges[0]);
         this->recordConfirmation(
             StoreTopic::Upstreams, message.directoryRevision, this->directoryRevision, message.confirmationAges[1]);
+        this->recordListState(sender, message.listState);
     }
     for (const EntryMention& entry : message.entries)
         this->recordMention(entry);
@@ -205,6 +208,14 @@
     }
 }
 
+void FleetView::recordListState(uint32_t sender, ListState state)
+{
+    if (state == ListState::Starting)
+        this->startingEntries.insert(sender);
+    else
+        this->peerListState = std::max(this->peerListState, std::optional(state));
+}
+
 // A mention keeps an entry known for as long as the entry itself sends messages to anyone.
 void FleetView::recordMention(const EntryMention& mention)
 {
@@ -252,6 +263,21 @@
     this->changed = this->changed || removed > 0;
 }
 
+// Entries that get a message in this interval: the seeds and the known entries in turn.
+std::vector<uint32_t> FleetView::nextTargets()
+{
+    std::vector<uint32_t> others = this->seeds;
+    for (const auto& [entry, state] : this->entries) {
+        if (std::find(others.begin(), others.end(), entry) == others.end())
+            others.push_back(entry);
+    }
+    std::vector<uint32_t> targets;
+    for (size_t i = 0; i < std::min(this->options.targetsPerInterval, others.size()); ++i)
+        targets.push_back(others[(this->nextTarget + i) % others.size()]);
+    this->nextTarget += this->options.targetsPerInterval;
+    return targets;
+}
+
 std::pair<PresenceMessage, std::vector<uint32_t>> FleetView::takeMessage(const StoreCopy& copy)
 {
     std::pair<PresenceMessage, std::vector<uint32_t>> result;
@@ -263,23 +289,25 @@
     const bool hasNewerConfirmation = confirmation
         && (!this->sentConfirmation || *confirmation - *this->sentConfirmation >= this->options.confirmationInterval);
     const bool isFull = now >= this->nextMessageTime || hasNewerState;
-    if (!isFull && !hasNewerConfirmation)
+    std::set<uint32_t> targets = std::exchange(this->startingEntries, {});
+    if (copy.listState == ListState::Starting)
+        targets.clear(); // this entry has nothing to state
+    if (!isFull && !hasNewerConfirmation && targets.empty())
         return result;
-    this->sentConfirmation = confirmation;
-    this->sentRoutesVersion = copy.routesVersion;
-    this->sentDirectoryRevision = copy.directoryRevision;
-    if (isFull)
-        this->nextMessageTime = now + (copy.isLoaded ? this->options.interval : this->options.startInterval);
-    this->expireSilent();
-    std::vector<uint32_t> others = this->seeds;
-    for (const auto& [entry, state] : this->entries) {
-        if (std::find(others.begin(), others.end(), entry) == others.end())
-            others.push_back(entry);
+    if (isFull || hasNewerConfirmation) {
+        this->sentConfirmation = confirmation;
+        this->sentRoutesVersion = copy.routesVersion;
+        this->sentDirectoryRevision = copy.directoryRevision;
+        this->expireSilent();
+        const std::vector<uint32_t> next = this->nextTargets();
+        targets.insert(next.begin(), next.end());
     }
-    for (size_t i = 0; i < std::min(this->options.targetsPerInterval, others.size()); ++i)
-        result.second.push_back(others[(this->nextTarget + i) % others.size()]);
-    this->nextTarget += this->options.targetsPerInterval;
+    const bool isSettled = copy.isLoaded && !copy.awaitsPeers;
+    if (isFull)
+        this->nextMessageTime = now + (isSettled ? this->options.interval : this->options.startInterval);
+    result.second.assign(targets.begin(), targets.end());
     PresenceMessage& message = result.first;
+    message.listState = copy.listState;
     message.fromEntry = true;
     message.reachesStore = copy.reachesStore;
     message.routesVersion = copy.routesVersion;
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -48,6 +48,7 @@
     uint64_t directoryRevision = 0; // from entries: newest known revision
     // From entries: time since the store confirmed this version and revision; empty if it did not.
     std::array<std::optional<Milliseconds>, storeTopicCount> confirmationAges;
+    ListState listState = ListState::Starting; // from entries: of its upstreams
     std::vector<EntryMention> entries; // entries that the sender knows, or some of them
     std::vector<AgentPresence> agents; // the sending agent, or agents that the sending entry has learned of
 };
@@ -109,6 +110,8 @@
     bool isLoaded = false; // routes and upstreams were read
     bool reachesStore = false;
     std::array<std::optional<TimePoint>, storeTopicCount> confirmedAt; // when the store confirmed each topic
+    ListState listState = ListState::Starting;
+    bool awaitsPeers = false; // for the state of their lists
 };
 
 // The other entries and the agents that an entry has learned of by gossip.
@@ -120,8 +123,8 @@
     void onMessage(uint32_t sender, const PresenceMessage&);
 
     // The message that is due and the entries that are to get it; no entries if none is due. A newer version, revision
-    // or confirmation than in the last message makes one due at once. Call every few milliseconds, after the messages
-    // that have arrived were passed to onMessage.
+    // or confirmation than in the last message makes one due at once, and so does an entry that starts. Call every few
+    // milliseconds, after the messages that have arrived were passed to onMessage.
     std::pair<PresenceMessage, std::vector<uint32_t>> takeMessage(const StoreCopy&);
 
     // Whether this entry is one of the few that use short watches of the store. From them the others learn of a change
@@ -135,6 +138,8 @@
     {
         return this->confirmations.at(static_cast<size_t>(topic));
     }
+    // Worst state that entries that run have stated of their lists since the last call.
+    std::optional<ListState> takePeerListState() { return std::exchange(this->peerListState, std::nullopt); }
     bool takeChange(); // whether the agents or their routes changed since the last call
 
     // Routes and upstreams as announced by agents; may be incomplete.
@@ -164,6 +169,8 @@
 
     void recordMention(const EntryMention&);
     std::vector<EntryMention> mentions();
+    void recordListState(uint32_t sender, ListState);
+    std::vector<uint32_t> nextTargets();
 
     std::map<uint32_t, KnownEntry> entries;
     uint64_t routesVersion = 0;
@@ -177,6 +184,8 @@
     size_t nextMention = 0;
     size_t nextAgent = 0;
     TimePoint nextMessageTime;
+    std::optional<ListState> peerListState; // see takePeerListState()
+    std::set<uint32_t> startingEntries; // entries that wait for the state of this entry's list
     bool changed = false;
 };
 
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -1,5 +1,7 @@
 #include "wasabicroft/Published.h"
 
+#include "wasabicroft/Log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -80,7 +82,10 @@
         changed = true;
     }
     this->newestRevision = std::max(this->newestRevision, revision);
-    this->hasFullList = true;
+    if (!std::exchange(this->hasFullList, true)) {
+        this->startEnd = this->clock.now() + this->options.recoveryGrace;
+        this->isAwaitingPeers = !this->inGrace;
+    }
     return changed;
 }
 
@@ -156,7 +161,41 @@
     return !row.listed && this->lastReadStart < this->finalRemovalTime(row);
 }
 
-bool UpstreamDirectory::isComplete() const { return this->isLoaded() && !this->inGrace; }
+bool UpstreamDirectory::isComplete() const { return this->isLoaded() && !this->inGrace && !this->isAwaitingPeers; }
+
+// Later, this process knows of outages itself.
+bool UpstreamDirectory::onPeerListState(ListState state)
+{
+    if (!this->hasFullList || this->inGrace || this->clock.now() >= this->startEnd || state == ListState::Starting)
+        return false;
+    const bool isChanged = this->isAwaitingPeers || state == ListState::Incomplete;
+    if (state == ListState::Incomplete)
+        this->onStoreRecovered();
+    else
+        this->isConfirmedByPeer = true;
+    this->endWaitForPeers(nameOf(state));
+    return isChanged;
+}
+
+void UpstreamDirectory::endWaitForPeers(std::string_view outcome)
+{
+    if (std::exchange(this->isAwaitingPeers, false))
+        logEvent(Event::FirstListChecked, { { "outcome", outcome }, { "directory", this->newestRevision } });
+}
+
+ListState UpstreamDirectory::listState() const
+{
+    const TimePoint now = this->clock.now();
+    if (this->inGrace)
+        return ListState::Incomplete;
+    if (!this->hasFullList || (now < this->startEnd && !this->isConfirmedByPeer))
+        return ListState::Starting;
+    const bool mayLackUpstream = std::any_of(this->rows.begin(), this->rows.end(), [&](const auto& item) {
+        const Row& row = item.second;
+        return !row.listed && !row.record.draining && now < this->finalRemovalTime(row);
+    });
+    return mayLackUpstream ? ListState::Incomplete : ListState::Complete;
+}
 
 Listing UpstreamDirectory::listingOf(const UpstreamRecord& record) const
 {
@@ -173,6 +212,10 @@
     const TimePoint now = this->clock.now();
     this->checkForPause();
     this->lastTick = this->pauseClock.now();
+    const bool isWaitOver
+        = this->isAwaitingPeers && now >= this->startEnd - this->options.recoveryGrace + this->options.peerStateTimeout;
+    if (isWaitOver)
+        this->endWaitForPeers("no-answer");
     const bool graceEnded = this->inGrace && this->hasReadAfterGrace;
     if (graceEnded) {
         this->inGrace = false;
@@ -189,7 +232,7 @@
     const auto due = this->pendingUsableTimes.upper_bound(now);
     const bool becameUsable = due != this->pendingUsableTimes.begin();
     this->pendingUsableTimes.erase(this->pendingUsableTimes.begin(), due);
-    return graceEnded || becameUsable;
+    return graceEnded || becameUsable || isWaitOver;
 }
 
 void UpstreamDirectory::removeFromAddressIndex(const UpstreamRecord& record)
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -72,8 +72,20 @@
 
 inline std::string_view nameOf(Listing listing) { return listingNames.at(static_cast<size_t>(listing)); }
 
+// Whether an entry's list of upstreams shows every one that runs, as far as the entry can tell.
+enum class ListState : uint8_t {
+    Starting, // it read its first list lately: an outage of the store may have ended just before
+    Complete,
+    Incomplete, // upstreams that run may be missing
+};
+
+inline constexpr std::array<std::string_view, 3> listStateNames = { "starting", "complete", "incomplete" };
+
+inline std::string_view nameOf(ListState state) { return listStateNames.at(static_cast<size_t>(state)); }
+
 struct DirectoryOptions {
     Milliseconds recoveryGrace { 2000 }; // records that expired in a store outage return within this time after it
+    Milliseconds peerStateTimeout { 150 }; // a starting process waits this long for the list state of entries that run
     Milliseconds propagationTime { 750 }; // for a change to reach every entry by its spaced watches or gossip of peers
     Milliseconds removedUpstreamLifetime { 60000 }; // a removed upstream may hold flows for this long
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which an outage may be missed
@@ -105,8 +117,14 @@
     bool onRead(TimePoint started);
     bool onTick(); // call every few milliseconds; returns whether a time limit changed what is usable
 
-    // Whether every live upstream is listed: the store was read, and again after the grace period of an outage.
+    // Whether every live upstream is listed: the store was read, and again after the grace period of an outage. After
+    // the first read, entries that run state whether it was; it counts as complete if none answers.
     bool isComplete() const;
+    bool awaitsPeers() const { return this->isAwaitingPeers; } // for the state of their lists, after the first read
+    // An entry that runs states this of its list. Used shortly after the first read only. Returns whether isComplete()
+    // or awaitsPeers() changed.
+    bool onPeerListState(ListState);
+    ListState listState() const;
 
     uint64_t revision() const { return this->newestRevision; } // newest known revision of the store
     uint64_t lastChange() const { return this->lastChangeRevision; } // revision of the newest known change of a record
@@ -130,6 +148,7 @@
         TimePoint usableFrom; // when every entry lists the upstream
     };
 
+    void endWaitForPeers(std::string_view outcome);
     void checkForPause();
     void unlist(Row&, uint64_t revision);
     TimePoint finalRemovalTime(const Row&) const;
@@ -144,7 +163,10 @@
     std::map<PacketAddress, std::set<std::string>> namesByAddress; // names of rows
     uint64_t newestRevision = 0;
     uint64_t lastChangeRevision = 0;
-    bool hasFullList = false; // a complete list was read
+    bool hasFullList = false; // a list was read
+    TimePoint startEnd; // recoveryGrace after the first list was read
+    bool isAwaitingPeers = false;
+    bool isConfirmedByPeer = false; // an entry that runs stated that its list is complete
     std::multiset<TimePoint> pendingUsableTimes; // when upstreams at new addresses become usable
     std::optional<TimePoint> lastTick; // time of pauseClock
     TimePoint graceEnd;
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -23,6 +23,13 @@
     return std::chrono::duration_cast<Milliseconds>(this->clock.now() - lastAnswer);
 }
 
+ListState StoreRefresh::listState(const UpstreamDirectory& directory) const
+{
+    const ListState state = directory.listState();
+    const bool isCurrent = this->sync.isReachable(StoreTopic::Upstreams) && !this->isUnconfirmed(StoreTopic::Upstreams);
+    return state == ListState::Complete && !isCurrent ? ListState::Incomplete : state;
+}
+
 bool StoreRefresh::onTick(const std::optional<StoreVersions>& versions)
 {
     this->checkForPause();
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -51,6 +51,8 @@
     {
         return this->isSentinel || this->wasUnconfirmed.at(static_cast<size_t>(topic));
     }
+    // What this entry may state of its list of upstreams: a copy that nobody has confirmed lately may lack some.
+    ListState listState(const UpstreamDirectory&) const;
     Milliseconds answerAge(StoreTopic) const; // time since the store's last answer, or since the start
 
 private:
