--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -24,7 +24,7 @@
     , upstreamSocket(loop)
     , announcer(AnnouncerOptions(),
           { this->settings.packets, serviceIdOf(this->settings.service), this->settings.failureDomain,
-              this->settings.upstream, {} },
+              this->settings.upstream, {}, {} },
           timeSource)
     , router(routerOptions(this->settings),
           { [this](Bytes packet) { this->upstreamSocket.send(this->settings.upstream, packet); },
@@ -36,7 +36,8 @@
                   encodeHop(message, this->hopBuffer);
                   this->entrySocket.send(entry, this->hopBuffer);
               },
-              [this](PacketAddress route) { this->announcer.onUpstreamAnswered(route); } },
+              [this](PacketAddress route) { this->announcer.onUpstreamAnswered(route); },
+              [this](const std::optional<UpstreamFigures>& figures) { this->announcer.setUpstreamFigures(figures); } },
           timeSource)
 {
 }
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -354,7 +354,7 @@
 {
     const std::shared_ptr<const RoutingTable> table = this->fleet.provisionalRoutes();
     this->provisionalDirectory.emplace(DirectoryOptions(), this->clock);
-    this->provisionalDirectory->replace(this->fleet.provisionalUpstreams(), 1);
+    this->provisionalDirectory->replace(this->fleet.provisionalUpstreams(), provisionalRevision);
     logEvent(Event::ProvisionalState,
         { { "routes", static_cast<uint64_t>(table->routes.size()) },
             { "agents", static_cast<uint64_t>(this->fleet.agentCount()) },
--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -86,57 +86,111 @@
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
   }
+  void mutate_service(uint64_t _service) {
+    flatbuffers::WriteScalar(&service_, _service);
+  }
   uint32_t client_address() const {
     return flatbuffers::EndianScalar(client_address_);
   }
+  void mutate_client_address(uint32_t _client_address) {
+    flatbuffers::WriteScalar(&client_address_, _client_address);
+  }
   uint32_t route_address() const {
     return flatbuffers::EndianScalar(route_address_);
   }
+  void mutate_route_address(uint32_t _route_address) {
+    flatbuffers::WriteScalar(&route_address_, _route_address);
+  }
   uint32_t upstream_sequence() const {
     return flatbuffers::EndianScalar(upstream_sequence_);
   }
+  void mutate_upstream_sequence(uint32_t _upstream_sequence) {
+    flatbuffers::WriteScalar(&upstream_sequence_, _upstream_sequence);
+  }
   uint32_t flows() const {
     return flatbuffers::EndianScalar(flows_);
   }
+  void mutate_flows(uint32_t _flows) {
+    flatbuffers::WriteScalar(&flows_, _flows);
+  }
   uint32_t magic() const {
     return flatbuffers::EndianScalar(magic_);
   }
+  void mutate_magic(uint32_t _magic) {
+    flatbuffers::WriteScalar(&magic_, _magic);
+  }
   uint16_t client_port() const {
     return flatbuffers::EndianScalar(client_port_);
   }
+  void mutate_client_port(uint16_t _client_port) {
+    flatbuffers::WriteScalar(&client_port_, _client_port);
+  }
   uint16_t route_port() const {
     return flatbuffers::EndianScalar(route_port_);
   }
+  void mutate_route_port(uint16_t _route_port) {
+    flatbuffers::WriteScalar(&route_port_, _route_port);
+  }
   uint16_t busy() const {
     return flatbuffers::EndianScalar(busy_);
   }
+  void mutate_busy(uint16_t _busy) {
+    flatbuffers::WriteScalar(&busy_, _busy);
+  }
   uint16_t packet_bytes() const {
     return flatbuffers::EndianScalar(packet_bytes_);
   }
+  void mutate_packet_bytes(uint16_t _packet_bytes) {
+    flatbuffers::WriteScalar(&packet_bytes_, _packet_bytes);
+  }
   uint16_t objective_ms() const {
     return flatbuffers::EndianScalar(objective_ms_);
   }
+  void mutate_objective_ms(uint16_t _objective_ms) {
+    flatbuffers::WriteScalar(&objective_ms_, _objective_ms);
+  }
   uint16_t timeout_ms() const {
     return flatbuffers::EndianScalar(timeout_ms_);
   }
+  void mutate_timeout_ms(uint16_t _timeout_ms) {
+    flatbuffers::WriteScalar(&timeout_ms_, _timeout_ms);
+  }
   uint16_t slots() const {
     return flatbuffers::EndianScalar(slots_);
   }
+  void mutate_slots(uint16_t _slots) {
+    flatbuffers::WriteScalar(&slots_, _slots);
+  }
   uint16_t waiting() const {
     return flatbuffers::EndianScalar(waiting_);
   }
+  void mutate_waiting(uint16_t _waiting) {
+    flatbuffers::WriteScalar(&waiting_, _waiting);
+  }
   uint8_t priority() const {
     return flatbuffers::EndianScalar(priority_);
   }
+  void mutate_priority(uint8_t _priority) {
+    flatbuffers::WriteScalar(&priority_, _priority);
+  }
   uint8_t kind() const {
     return flatbuffers::EndianScalar(kind_);
   }
+  void mutate_kind(uint8_t _kind) {
+    flatbuffers::WriteScalar(&kind_, _kind);
+  }
   uint8_t refusal() const {
     return flatbuffers::EndianScalar(refusal_);
   }
+  void mutate_refusal(uint8_t _refusal) {
+    flatbuffers::WriteScalar(&refusal_, _refusal);
+  }
   uint8_t load_interval() const {
     return flatbuffers::EndianScalar(load_interval_);
   }
+  void mutate_load_interval(uint8_t _load_interval) {
+    flatbuffers::WriteScalar(&load_interval_, _load_interval);
+  }
 };
 FLATBUFFERS_STRUCT_END(Hop, 48);
 
@@ -168,15 +222,27 @@
   uint32_t client_address() const {
     return flatbuffers::EndianScalar(client_address_);
   }
+  void mutate_client_address(uint32_t _client_address) {
+    flatbuffers::WriteScalar(&client_address_, _client_address);
+  }
   uint32_t route_address() const {
     return flatbuffers::EndianScalar(route_address_);
   }
+  void mutate_route_address(uint32_t _route_address) {
+    flatbuffers::WriteScalar(&route_address_, _route_address);
+  }
   uint16_t client_port() const {
     return flatbuffers::EndianScalar(client_port_);
   }
+  void mutate_client_port(uint16_t _client_port) {
+    flatbuffers::WriteScalar(&client_port_, _client_port);
+  }
   uint16_t route_port() const {
     return flatbuffers::EndianScalar(route_port_);
   }
+  void mutate_route_port(uint16_t _route_port) {
+    flatbuffers::WriteScalar(&route_port_, _route_port);
+  }
 };
 FLATBUFFERS_STRUCT_END(FlowEnds, 12);
 
--- a/schemas/Presence_generated.h
+++ b/schemas/Presence_generated.h
@@ -65,7 +65,10 @@
     VT_SERVICE = 6,
     VT_FAILURE_DOMAIN = 8,
     VT_UPSTREAM = 10,
-    VT_ROUTES = 12
+    VT_ROUTES = 12,
+    VT_UPSTREAM_REVISION = 14,
+    VT_SLOTS = 16,
+    VT_DRAINING = 18
   };
   const wasabicroft::wire::Address *agent() const {
     return GetStruct<const wasabicroft::wire::Address *>(VT_AGENT);
@@ -82,6 +85,15 @@
   const flatbuffers::Vector<const wasabicroft::wire::Address *> *routes() const {
     return GetPointer<const flatbuffers::Vector<const wasabicroft::wire::Address *> *>(VT_ROUTES);
   }
+  uint64_t upstream_revision() const {
+    return GetField<uint64_t>(VT_UPSTREAM_REVISION, 0);
+  }
+  uint16_t slots() const {
+    return GetField<uint16_t>(VT_SLOTS, 0);
+  }
+  bool draining() const {
+    return GetField<uint8_t>(VT_DRAINING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<wasabicroft::wire::Address>(verifier, VT_AGENT, 4) &&
@@ -91,6 +103,9 @@
            VerifyField<wasabicroft::wire::Address>(verifier, VT_UPSTREAM, 4) &&
            VerifyOffset(verifier, VT_ROUTES) &&
            verifier.VerifyVector(routes()) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM_REVISION, 8) &&
+           VerifyField<uint16_t>(verifier, VT_SLOTS, 2) &&
+           VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            verifier.EndTable();
   }
 };
@@ -114,6 +129,15 @@
   void add_routes(flatbuffers::Offset<flatbuffers::Vector<const wasabicroft::wire::Address *>> routes) {
     fbb_.AddOffset(AgentPresence::VT_ROUTES, routes);
   }
+  void add_upstream_revision(uint64_t upstream_revision) {
+    fbb_.AddElement<uint64_t>(AgentPresence::VT_UPSTREAM_REVISION, upstream_revision, 0);
+  }
+  void add_slots(uint16_t slots) {
+    fbb_.AddElement<uint16_t>(AgentPresence::VT_SLOTS, slots, 0);
+  }
+  void add_draining(bool draining) {
+    fbb_.AddElement<uint8_t>(AgentPresence::VT_DRAINING, static_cast<uint8_t>(draining), 0);
+  }
   explicit AgentPresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -131,13 +155,19 @@
     uint64_t service = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     const wasabicroft::wire::Address *upstream = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<const wasabicroft::wire::Address *>> routes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const wasabicroft::wire::Address *>> routes = 0,
+    uint64_t upstream_revision = 0,
+    uint16_t slots = 0,
+    bool draining = false) {
   AgentPresenceBuilder builder_(_fbb);
+  builder_.add_upstream_revision(upstream_revision);
   builder_.add_service(service);
   builder_.add_routes(routes);
   builder_.add_upstream(upstream);
   builder_.add_failure_domain(failure_domain);
   builder_.add_agent(agent);
+  builder_.add_slots(slots);
+  builder_.add_draining(draining);
   return builder_.Finish();
 }
 
@@ -152,7 +182,10 @@
     uint64_t service = 0,
     const char *failure_domain = nullptr,
     const wasabicroft::wire::Address *upstream = nullptr,
-    const std::vector<wasabicroft::wire::Address> *routes = nullptr) {
+    const std::vector<wasabicroft::wire::Address> *routes = nullptr,
+    uint64_t upstream_revision = 0,
+    uint16_t slots = 0,
+    bool draining = false) {
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto routes__ = routes ? _fbb.CreateVectorOfStructs<wasabicroft::wire::Address>(*routes) : 0;
   return wasabicroft::wire::CreateAgentPresence(
@@ -161,7 +194,10 @@
       service,
       failure_domain__,
       upstream,
-      routes__);
+      routes__,
+      upstream_revision,
+      slots,
+      draining);
 }
 
 struct Presence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -38,6 +38,8 @@
                 this->refusals.push_back(message.refusal);
             };
             result.onUpstreamAnswered = [this](PacketAddress route) { this->answered.push_back(route); };
+            result.onUpstreamFigures
+                = [this](const std::optional<UpstreamFigures>& figures) { this->announced.push_back(figures); };
             return result;
         }
 
@@ -49,9 +51,8 @@
             HopMessage message;
             message.kind = kind;
             message.service = { service };
-            message.slots = 1;
-            message.objective = Milliseconds(100);
-            message.timeout = Milliseconds(1000);
+            message.upstream = this->stated;
+            message.limits = this->statedLimits;
             message.packet = bytes;
             this->router.onHop(entry, message, platform::decodePacket(bytes).value());
             return bytes;
@@ -88,6 +89,20 @@
             return replies;
         }
 
+        // Three requests on open flows, of which the upstream gets as many as it has slots, and one more.
+        size_t deliveredOfThreeRequests()
+        {
+            for (const uint16_t port : threePorts)
+                this->openFlow(port);
+            this->toUpstream.clear();
+            for (const uint16_t port : threePorts)
+                this->fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+            return this->toUpstream.size();
+        }
+
+        // What the entry knows of the upstream and its route.
+        std::optional<UpstreamFigures> stated = UpstreamFigures { 5, 1, false };
+        std::optional<RequestLimits> statedLimits = RequestLimits { Milliseconds(100), Milliseconds(1000), 0 };
         ManualClock clock;
         std::vector<std::vector<uint8_t>> toUpstream;
         std::vector<std::vector<uint8_t>> toClient;
@@ -95,6 +110,7 @@
         HopMessage lastHop;
         std::vector<HopRefusal> refusals;
         std::vector<PacketAddress> answered;
+        std::vector<std::optional<UpstreamFigures>> announced;
         AgentRouter router;
     };
 
@@ -187,7 +203,7 @@
             this->kinds.clear();
             HopMessage message;
             message.kind = HopKind::Ask;
-            message.timeout = Milliseconds(15000);
+            message.idleTimeout = Milliseconds(15000);
             message.flowKeys = std::move(keys);
             this->router.onAsk(entry, message);
         };
@@ -242,6 +258,100 @@
         EXPECT_EQ(this->router.waitingRequests(), 0U);
     }
 
+    // Guards against upstreams that run two requests at a time for all entries that start while the store is away: such
+    // an entry does not know the slots.
+    TEST_F(AgentRouterFixture, AnEntryThatDoesNotKnowTheSlotsChangesNone)
+    {
+        this->stated = UpstreamFigures { 5, 7, false };
+        this->openFlow(9);
+        this->stated.reset();
+        EXPECT_EQ(this->deliveredOfThreeRequests(), 3U);
+        EXPECT_EQ(this->lastHop.slots, 7U) << "the entry learns the slots from the agent";
+    }
+
+    // Guards against entries cut off from the store that undo what others have read since.
+    TEST_F(AgentRouterFixture, FiguresOfAnOlderRecordAreIgnored)
+    {
+        this->stated = UpstreamFigures { 6, 7, false };
+        this->openFlow(9);
+        this->stated = UpstreamFigures { 5, 1, true };
+        EXPECT_EQ(this->deliveredOfThreeRequests(), 3U);
+        EXPECT_EQ(this->router.upstreamFigures(), (UpstreamFigures { 6, 7, false }));
+        EXPECT_EQ(this->announced.size(), 1U);
+    }
+
+    // Guards against new flows at an upstream that drains, from entries that start while the store is away or are cut
+    // off from it.
+    TEST_F(AgentRouterFixture, ADrainingUpstreamTakesNoFlowOfAnEntryThatDoesNotKnow)
+    {
+        HopMessage drain;
+        drain.kind = HopKind::Ask;
+        drain.service = { 1 };
+        drain.upstream = UpstreamFigures { 8, 1, true };
+        this->router.onAsk(entry, drain);
+        EXPECT_EQ(this->announced.back(), drain.upstream);
+        this->refusals.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->stated.reset();
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        EXPECT_EQ(this->refusals, std::vector<HopRefusal>(2, HopRefusal::UpstreamDraining));
+        EXPECT_TRUE(this->toUpstream.empty());
+        this->stated = UpstreamFigures { 9, 1, false }; // the next upstream at the same address
+        this->fromEntry(HopKind::Offer, synFlag, 3);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+    }
+
+    // Guards against figures of the former upstream at an address that another service reuses.
+    TEST_F(AgentRouterFixture, AChangeOfServiceClearsTheFigures)
+    {
+        this->openFlow(1);
+        this->router.setService({ 2 });
+        EXPECT_FALSE(this->router.upstreamFigures());
+        EXPECT_EQ(this->announced.back(), std::nullopt);
+        this->fromEntry(HopKind::Forward, ackFlag, 1);
+        EXPECT_FALSE(this->router.upstreamFigures()) << "the entry still lists the upstream of the former service";
+    }
+
+    // Guards against requests that pass urgent ones because an entry without the routes of the store stated priority 0.
+    TEST_F(AgentRouterFixture, RequestsOfAnEntryWithoutRoutesKeepTheLimitsOfTheirRoute)
+    {
+        this->statedLimits = RequestLimits { Milliseconds(100), Milliseconds(1000), 3 };
+        for (const uint16_t port : std::array<uint16_t, 5> { 1, 2, 3, 4, 5 })
+            this->openFlow(port);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->fromEntry(HopKind::Forward, ackFlag, 2, 1002, 100);
+        this->fromEntry(HopKind::Forward, ackFlag, 3, 1002, 100); // waits
+        this->clock.advance(Milliseconds(1));
+        this->statedLimits.reset();
+        const std::vector<uint8_t> later = this->fromEntry(HopKind::Forward, ackFlag, 4, 1002, 100);
+        this->clock.advance(Milliseconds(1));
+        this->statedLimits = RequestLimits { Milliseconds(100), Milliseconds(1000), 1 };
+        const std::vector<uint8_t> urgent = this->fromEntry(HopKind::Forward, ackFlag, 5, 1002, 100);
+        this->fromUpstream(ackFlag, 1, 500);
+        EXPECT_EQ(this->toUpstream.back(), urgent);
+        this->fromUpstream(ackFlag, 2, 500);
+        EXPECT_NE(this->toUpstream.back(), later) << "the older request of the same priority goes first";
+    }
+
+    // Guards against denials by agents that have run for shorter than flows may be idle: an entry without the routes
+    // of the store does not know that time.
+    TEST_F(AgentRouterFixture, AnAskWithoutTheIdleTimeoutIsAnsweredByTheKnownOne)
+    {
+        HopMessage message;
+        message.kind = HopKind::Ask;
+        message.flowKeys = { { { client.address, 3 }, routeAddress } };
+        this->clock.advance(Milliseconds(20000));
+        this->router.onAsk(entry, message);
+        EXPECT_EQ(this->kinds.back(), HopKind::Unsure);
+        message.idleTimeout = Milliseconds(30000);
+        this->router.onAsk(entry, message);
+        EXPECT_EQ(this->kinds.back(), HopKind::Unsure);
+        message.idleTimeout.reset();
+        this->clock.advance(Milliseconds(10001));
+        this->router.onAsk(entry, message);
+        EXPECT_EQ(this->kinds.back(), HopKind::Denied);
+    }
+
     // Guards against a request that is sent twice because its client retransmits it while it waits.
     TEST_F(AgentRouterFixture, RetransmissionsOfAWaitingRequestAreStoredOnce)
     {
@@ -291,14 +401,18 @@
         message.routesVersion = 7;
         message.directoryRevision = 99;
         message.entries = { { 1, Milliseconds(0) }, { 2, Milliseconds(150) } };
-        message.agents.push_back({ { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, { routeAddress } });
+        message.agents.push_back(
+            { { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, { routeAddress }, UpstreamFigures { 1ULL << 40, 7, true } });
+        message.agents.push_back({ { 4, 4 }, { 5 }, "zone-a", { 4, 9 }, {}, {} });
         const std::vector<uint8_t> bytes = encodePresence(message);
         ASSERT_TRUE(isPresence(bytes));
         const PresenceMessage decoded = decodePresence(bytes).value();
         EXPECT_EQ(decoded.routesVersion, 7U);
         EXPECT_EQ(decoded.entries, message.entries);
-        ASSERT_EQ(decoded.agents.size(), 1U);
+        ASSERT_EQ(decoded.agents.size(), 2U);
         EXPECT_EQ(decoded.agents[0].routes, message.agents[0].routes);
+        EXPECT_EQ(decoded.agents[0].figures, message.agents[0].figures);
+        EXPECT_FALSE(decoded.agents[1].figures);
         EXPECT_EQ(decoded.agents[0].failureDomain, "zone-a");
     }
 
@@ -306,7 +420,7 @@
     TEST(Presence, AChangeOfServiceClearsTheRoutes)
     {
         const ManualClock clock;
-        AgentAnnouncer announcer({}, { { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, {} }, clock);
+        AgentAnnouncer announcer({}, { { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, {}, {} }, clock);
         announcer.onUpstreamAnswered(routeAddress);
         EXPECT_EQ(announcer.presence().routes.size(), 1U);
         announcer.setService({ 6 });
@@ -443,7 +557,8 @@
         FleetView other({ .self = 2 }, clock);
         other.setSeeds({ 1 });
         PresenceMessage fromAgent;
-        fromAgent.agents.push_back({ { 30, 4 }, { 5 }, "zone-a", { 30, 9 }, { routeAddress } });
+        fromAgent.agents.push_back(
+            { { 30, 4 }, { 5 }, "zone-a", { 30, 9 }, { routeAddress }, UpstreamFigures { 12, 7, true } });
         seed.onMessage(30, fromAgent);
         const auto [firstMessage, seeds] = other.takeMessage({ 0, 0, false, false, {} });
         ASSERT_EQ(seeds, std::vector<uint32_t> { 1 });
@@ -451,7 +566,8 @@
         const auto [reply, targets] = seed.takeMessage({ 0, 0, false, false, {} });
         ASSERT_EQ(targets, std::vector<uint32_t> { 2 });
         other.onMessage(1, reply);
-        EXPECT_EQ(other.provisionalUpstreams().size(), 1U);
+        ASSERT_EQ(other.provisionalUpstreams().size(), 1U);
+        EXPECT_EQ(other.provisionalUpstreams()[0].figures(), (UpstreamFigures { 12, 7, true }));
         EXPECT_NE(other.provisionalRoutes()->find(routeAddress), nullptr);
         clock.advance(Milliseconds(6000));
         other.takeMessage({ 0, 0, false, false, {} });
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -17,6 +17,8 @@
         HopKind kind = HopKind::Forward;
         std::vector<uint8_t> packet;
         Milliseconds loadInterval { 0 };
+        std::optional<UpstreamFigures> upstream;
+        std::optional<RequestLimits> limits;
     };
 
     // An EntryRouter that records what it sends.
@@ -26,7 +28,7 @@
             , router(options(),
                   { [this](PacketAddress agent, const HopMessage& message) {
                        this->hops.push_back({ agent, message.kind, { message.packet.begin(), message.packet.end() },
-                           message.loadInterval });
+                           message.loadInterval, message.upstream, message.limits });
                    },
                       [this](const FlowKey& key, uint32_t) { this->resets.push_back(key); } },
                   this->clock)
@@ -61,7 +63,7 @@
             Route& route = table->routes[routeAddress];
             route.address = routeAddress;
             route.shares = { { service, 1 } };
-            route.timeout = Milliseconds(1000);
+            route.limits = RequestLimits { Milliseconds(0), Milliseconds(1000), 0 };
             this->router.setRoutes(table);
         }
 
@@ -532,6 +534,45 @@
         EXPECT_TRUE(this->router.isServing());
     }
 
+    // Guards against defaults that an agent takes for what its upstream and the configuration state.
+    TEST_F(RouterFixture, AnEntryStatesOnlyFiguresThatItKnows)
+    {
+        const std::shared_ptr<RoutingTable> provisional = std::make_shared<RoutingTable>();
+        provisional->routes[routeAddress] = { "", routeAddress, { { service, 1 } }, {} };
+        this->router.setRoutes(provisional, true);
+        UpstreamRecord record = upstream(0);
+        record.slots.reset();
+        this->directory.replace({ record }, 5);
+        this->router.setUpstreams(this->directory);
+        this->fromClient(synFlag);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_FALSE(this->hops[0].upstream);
+        EXPECT_FALSE(this->hops[0].limits);
+        this->useRoutes();
+        this->directory.update(upstream(0, 6));
+        this->router.setUpstreams(this->directory);
+        const FlowKey next { { client.address, 7 }, routeAddress };
+        const std::vector<uint8_t> syn = makePacket(next.client, next.route, synFlag, 1001, 0, 0);
+        this->router.onClientPacket(platform::decodePacket(syn).value(), syn);
+        EXPECT_EQ(this->hops.back().upstream, (UpstreamFigures { 6, 2, false }));
+        EXPECT_TRUE(this->hops.back().limits);
+    }
+
+    // Guards against agents that don't know that their upstreams drain when all entries start while the store is away.
+    TEST_F(RouterFixture, AnAgentIsToldAtOnceThatItsUpstreamDrains)
+    {
+        this->useRoutes();
+        this->useUpstreams(4);
+        UpstreamRecord draining = upstream(2, 6);
+        draining.draining = true;
+        this->directory.update(draining);
+        this->router.setUpstreams(this->directory);
+        this->router.setUpstreams(this->directory);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].agent, agent(2));
+        EXPECT_EQ(this->hops[0].upstream, (UpstreamFigures { 6, 2, true }));
+    }
+
     // Guards against an entry that stays ready although it can't reach any agent.
     TEST_F(RouterFixture, AnEntryThatHardlyAnyAgentAnswersIsNotReady)
     {
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -6,6 +6,7 @@
 #include "platform/PacketLayout.h"
 #include "wasabicroft/AgentRouter.h"
 #include "wasabicroft/EntryRouter.h"
+#include "wasabicroft/Presence.h"
 
 #include <cstring>
 #include <map>
@@ -43,13 +44,13 @@
         : options(std::move(worldOptions))
         , random(this->options.seed)
         , directory(this->options.directory, this->clock)
+        , provisionalDirectory(this->options.directory, this->clock)
     {
         for (size_t service = 0; service < 2; ++service) {
             Route route;
             route.address = routeAddress(service);
             route.shares = { { serviceOf(service), 1 } };
-            route.objective = Milliseconds(150);
-            route.timeout = Milliseconds(2000);
+            route.limits = RequestLimits { Milliseconds(150), Milliseconds(2000), 0 };
             this->table->routes[route.address] = route;
             for (size_t i = 0; i < this->options.upstreams; ++i)
                 this->addUpstream(service);
@@ -74,6 +75,7 @@
         std::optional<uint32_t> hostSequence; // sequence number of the first SYN+ACK
         std::vector<uint8_t> data; // sent again until it is answered
         TimePoint started;
+        std::optional<Duration> latency; // from its start until it was answered
         bool keepsFlow = false;
     };
 
@@ -161,6 +163,22 @@
         entry.isUp = true;
     }
 
+    // Starts an entry while the store is away: it knows what agents announce.
+    void startEntryWithoutStore(size_t index)
+    {
+        this->startEntry(index);
+        FleetView fleet({}, this->clock);
+        for (const std::unique_ptr<Upstream>& upstream : this->upstreams) {
+            PresenceMessage message;
+            message.agents.push_back({ upstream->agent, upstream->record.service, "", upstream->record.address,
+                { routeAddress(upstream->service) }, upstream->router->upstreamFigures() });
+            fleet.onMessage(upstream->agent.address, message);
+        }
+        this->provisionalDirectory.replace(fleet.provisionalUpstreams(), provisionalRevision);
+        this->entries.at(index)->router->setRoutes(fleet.provisionalRoutes(), true);
+        this->entries.at(index)->router->setUpstreams(this->provisionalDirectory);
+    }
+
     void stopAgent(size_t index) { this->upstreams.at(index)->agentIsUp = false; }
 
     void restartAgent(size_t index)
@@ -239,6 +257,7 @@
     ManualClock clock;
     std::mt19937_64 random;
     UpstreamDirectory directory;
+    UpstreamDirectory provisionalDirectory; // as agents announce it
     std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<Upstream>> upstreams;
@@ -472,7 +491,8 @@
             request.hostSequence = packet.sequence;
             this->sendData(found->second, 0);
         } else if (packet.payloadBytes > 0) {
-            request.answered = true;
+            if (!std::exchange(request.answered, true))
+                request.latency = this->clock.now() - request.started;
         }
     }
 
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -66,6 +66,59 @@
         EXPECT_EQ(firstOrEmpty(world.violations), "");
     }
 
+    // Pattern: all entries restart while the store is away, under steady load; agents and upstreams run on. Returns the
+    // share of requests that are answered within their latency objective from then on.
+    double shareInTimeAfterARestartWithoutStore(const std::function<void(HopMessage&)>& tamper)
+    {
+        constexpr double load = 0.6; // of the capacity of the service
+        constexpr Milliseconds objective(250);
+        PacketWorldOptions options;
+        options.slots = 7;
+        options.work = Milliseconds(55);
+        PacketWorld world(options);
+        world.startTicks();
+        const double perSecond = load * static_cast<double>(options.upstreams * options.slots) / 0.055;
+        const auto openFor = [&](Milliseconds duration) {
+            const size_t first = world.requests.size();
+            for (Milliseconds time(0); time < duration; time += Milliseconds(1)) {
+                while (static_cast<double>(world.requests.size() - first)
+                    < perSecond * std::chrono::duration<double>(time).count())
+                    world.open(0, world.requests.size() % world.entries.size());
+                world.run(Milliseconds(1));
+            }
+            return first;
+        };
+        openFor(Milliseconds(500));
+        world.options.tamper = tamper;
+        for (size_t i = 0; i < world.entries.size(); ++i)
+            world.startEntryWithoutStore(i);
+        const size_t first = openFor(Milliseconds(2000));
+        world.run(Milliseconds(3000));
+        size_t inTime = 0;
+        for (size_t i = first; i < world.requests.size(); ++i)
+            inTime += world.requests[i].latency && *world.requests[i].latency <= objective ? 1 : 0;
+        EXPECT_EQ(firstOrEmpty(world.violations), "");
+        return static_cast<double>(inTime) / static_cast<double>(world.requests.size() - first);
+    }
+
+    constexpr double targetShareInTime = 0.95;
+
+    // Guards against agents that let requests wait while most slots of their upstreams are idle.
+    TEST(PacketWorld, EntriesThatStartWithoutTheStoreUseAllSlots)
+    {
+        EXPECT_GE(shareInTimeAfterARestartWithoutStore({}), targetShareInTime);
+    }
+
+    // The same with entries that state one slot, as they did before slots could be unknown.
+    TEST(PacketWorldAblationWithoutStore, OneSlotByDefaultMakesRequestsLate)
+    {
+        EXPECT_LT(shareInTimeAfterARestartWithoutStore([](HopMessage& message) {
+            if (message.kind == HopKind::Offer || message.kind == HopKind::Forward)
+                message.upstream = UpstreamFigures { UINT64_MAX, 1, false };
+        }),
+            targetShareInTime);
+    }
+
     // Guards against flows that are lost when all entries and agents restart while the upstreams run on.
     TEST(PacketWorld, OpenFlowsSurviveTheRestartOfEveryProcess)
     {
@@ -340,7 +393,7 @@
                               [](PacketWorldOptions& options) {
                                   options.tamper = [](HopMessage& message) {
                                       if (message.kind == HopKind::Ask)
-                                          message.timeout
+                                          message.idleTimeout
                                               = Milliseconds(1); // every agent answers as if it had seen all flows
                                   };
                               } },
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -140,8 +140,7 @@
         EXPECT_EQ(answer.routes->idleTimeout, Milliseconds(15000));
         const Route* route = answer.routes->find(*parsePacketAddress("198.18.0.1:8443"));
         ASSERT_NE(route, nullptr);
-        EXPECT_EQ(route->objective, Milliseconds(120));
-        EXPECT_EQ(route->timeout, Milliseconds(1500));
+        EXPECT_EQ(route->limits, (RequestLimits { Milliseconds(120), Milliseconds(1500), 2 }));
         EXPECT_EQ(route->shares.at(0).service, serviceIdOf("api"));
     }
 
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -29,6 +29,48 @@
         return;
     this->options.service = service;
     this->flows.clear();
+    this->figures.reset();
+    this->limits.clear();
+    this->requestQueue.setSlots(0);
+    if (this->hooks.onUpstreamFigures)
+        this->hooks.onUpstreamFigures(this->figures);
+}
+
+//-----------------------------------------------------------------------------
+// Figures of the upstream and its routes
+//-----------------------------------------------------------------------------
+
+// Keeps figures of a newer record of the upstream. The entry may know an upstream of another service at this address.
+void AgentRouter::learn(PacketAddress entry, const HopMessage& message)
+{
+    if (!message.upstream || message.service != this->options.service)
+        return;
+    if (this->figures && message.upstream->revision <= this->figures->revision)
+        return;
+    const bool isChanged = !this->figures || message.upstream->slots != this->figures->slots
+        || message.upstream->draining != this->figures->draining;
+    this->figures = message.upstream;
+    this->requestQueue.setSlots(this->figures->slots);
+    if (!isChanged)
+        return;
+    logEvent(Event::PacketUpstreamFigures,
+        { { "entry", toString(entry) }, { "slots", this->figures->slots }, { "draining", this->figures->draining },
+            { "revision", this->figures->revision } });
+    if (this->hooks.onUpstreamFigures)
+        this->hooks.onUpstreamFigures(this->figures);
+}
+
+// The limits that the entry states, or else those that were stated last.
+RequestLimits AgentRouter::limitsOf(PacketAddress route, const HopMessage& message)
+{
+    const auto known = this->limits.find(route);
+    if (!message.limits)
+        return known == this->limits.end() ? RequestLimits() : known->second;
+    if (known != this->limits.end())
+        known->second = *message.limits;
+    else if (this->limits.size() < this->options.maxRoutes)
+        this->limits.emplace(route, *message.limits);
+    return *message.limits;
 }
 
 //-----------------------------------------------------------------------------
@@ -38,6 +80,7 @@
 void AgentRouter::onHop(PacketAddress entry, const HopMessage& message, const Packet& packet)
 {
     ++this->counts.fromEntries;
+    this->learn(entry, message);
     if (message.kind == HopKind::Offer) {
         this->onOffer(entry, message, packet);
         return;
@@ -56,8 +99,6 @@
     flow.lastKind = message.kind;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
-    if (message.slots > 0)
-        this->requestQueue.setSlots(message.slots);
     this->deliver(key, flow, message, packet);
 }
 
@@ -66,6 +107,9 @@
 void AgentRouter::onAsk(PacketAddress entry, const HopMessage& message)
 {
     this->counts.asked += message.flowKeys.size();
+    this->learn(entry, message);
+    if (message.idleTimeout)
+        this->idleTimeout = message.idleTimeout;
     if (message.flowKeys.empty()) { // a probe by which the entry checks whether it reaches the agent
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
         return;
@@ -75,8 +119,8 @@
             this->denyFlow(key, entry);
         return;
     }
-    const bool hasSeenAll = this->clock.now() - this->started > message.timeout && this->flows.evictions() == 0
-        && message.timeout.count() > 0;
+    const bool hasSeenAll
+        = this->idleTimeout && this->clock.now() - this->started > *this->idleTimeout && this->flows.evictions() == 0;
     HopMessage known = this->makeReply(HopKind::Known);
     HopMessage unsure = this->makeReply(HopKind::Unsure);
     HopMessage denied = this->makeReply(HopKind::Denied);
@@ -128,6 +172,8 @@
         refusal = HopRefusal::OtherService;
     else if (this->liveness.state() == UpstreamState::Down)
         refusal = HopRefusal::UpstreamDown;
+    else if (this->figures && this->figures->draining)
+        refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
@@ -162,8 +208,9 @@
     }
     const bool isProbe = message.kind == HopKind::Find && !flow.isHeld;
     if (this->startsRequest(flow, packet) && flow.request == RequestState::None) {
-        const RequestQueue::Decision decision = this->requestQueue.submit({ key, this->clock.now(), message.objective,
-            message.timeout, message.priority, isProbe, flow.clientClosed });
+        const RequestLimits limits = this->limitsOf(key.route, message);
+        const RequestQueue::Decision decision = this->requestQueue.submit(
+            { key, this->clock.now(), limits.objective, limits.timeout, limits.priority, isProbe, flow.clientClosed });
         if (decision == RequestQueue::Decision::Drop) {
             ++this->counts.dropped;
             return;
@@ -413,6 +460,7 @@
     message.runningRequests = this->runningRequests();
     message.waitingRequests = this->waitingRequests();
     message.heldFlows = static_cast<uint32_t>(this->heldFlows);
+    message.slots = this->figures ? this->figures->slots : 0;
     return message;
 }
 
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -24,6 +24,7 @@
 
 struct AgentRouterOptions {
     ServiceId service; // service of the upstream
+    size_t maxRoutes = 256; // whose limits are kept
     size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is evicted
     Milliseconds flowIdleTimeout { 60000 }; // flows without packets for longer are removed
     Milliseconds loadInterval { 100 }; // shortest time between load reports to an entry, which may request a longer one
@@ -56,6 +57,7 @@
     std::function<void(PacketAddress client, Bytes)> sendToClient;
     std::function<void(PacketAddress entry, const HopMessage&)> sendHop;
     std::function<void(PacketAddress route)> onUpstreamAnswered; // the upstream sent a packet of an open flow
+    std::function<void(const std::optional<UpstreamFigures>&)> onUpstreamFigures; // changed; may be empty
 };
 
 class AgentRouter {
@@ -73,6 +75,7 @@
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
+    const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
 
 private:
@@ -113,6 +116,8 @@
         size_t reportedFlows = 0; // held flows in the last report
     };
 
+    void learn(PacketAddress entry, const HopMessage&);
+    RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
@@ -136,6 +141,11 @@
     AgentRouterHooks hooks;
     const Clock& clock;
     TimePoint started;
+    // What entries stated last. An entry that does not know a figure, because it started while the store is away,
+    // changes none.
+    std::optional<UpstreamFigures> figures;
+    std::map<PacketAddress, RequestLimits> limits; // by route
+    std::optional<Milliseconds> idleTimeout;
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
     std::deque<Delivery> unconfirmedDeliveries; // ordered by number
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -38,6 +38,16 @@
 
     std::vector<uint8_t> copyOf(Bytes bytes) { return { bytes.begin(), bytes.end() }; }
 
+    // Upstreams whose slots are not known (0) are weighed as if they had as many as the largest known one.
+    void assumeSlots(std::vector<PlacementUpstream>& pool)
+    {
+        uint16_t largest = 0;
+        for (const PlacementUpstream& upstream : pool)
+            largest = std::max(largest, upstream.slots);
+        for (PlacementUpstream& upstream : pool)
+            upstream.slots = upstream.slots > 0 ? upstream.slots : std::max(largest, PlacementUpstream().slots);
+    }
+
 } // namespace
 
 HolderSearch::Target* HolderSearch::find(PacketAddress agent)
@@ -124,7 +134,9 @@
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
-    this->slotsByAgent.clear();
+    const std::map<PacketAddress, std::optional<UpstreamFigures>> figuresBefore
+        = std::exchange(this->figuresByAgent, {});
+    this->usableAgents.clear();
     const auto toCandidate = [&](const UpstreamRecord& record) {
         return HolderCandidate { record.id(), { record.address.address, this->options.agentPort },
             directory.listingOf(record) };
@@ -133,11 +145,12 @@
         std::vector<PlacementUpstream> pool;
         for (const UpstreamRecord& record : directory.usable(service)) {
             const HolderCandidate target = toCandidate(record);
-            pool.push_back({ target.upstream, record.failureDomain, record.slots, false });
-            this->slotsByAgent[target.agent] = record.slots;
+            pool.push_back({ target.upstream, record.failureDomain, record.slots.value_or(0), false });
+            this->usableAgents.insert(target.agent);
             this->upstreamByAgent[target.agent] = target.upstream; // takes precedence over those that only hold flows
         }
         this->hasUsableUpstream = this->hasUsableUpstream || !pool.empty();
+        assumeSlots(pool);
         this->placement.setPool(service, std::move(pool));
         for (const UpstreamRecord& record : directory.possibleHolders(service)) {
             const HolderCandidate target = toCandidate(record);
@@ -146,10 +159,35 @@
             this->upstreamByAgent.emplace(target.agent, target.upstream);
         }
     }
-    std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->slotsByAgent.contains(item.first); });
+    std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->usableAgents.contains(item.first); });
+    for (const UpstreamRecord& record : directory.allListed()) {
+        const UpstreamRecord* current = directory.listedAt(record.address);
+        if (current && current->name == record.name)
+            this->figuresByAgent[toCandidate(record).agent] = record.figures();
+    }
+    this->announceDrains(directory, figuresBefore);
     this->releaseBuffered();
 }
 
+// An agent keeps what its upstream publishes for entries that start while the store is away, but hears of a drain only
+// with the next packet for its upstream: it is told at once.
+void EntryRouter::announceDrains(
+    const UpstreamDirectory& directory, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before)
+{
+    for (const UpstreamRecord& record : directory.allListed()) {
+        const PacketAddress agent { record.address.address, this->options.agentPort };
+        const auto known = before.find(agent);
+        const bool wasReady = known != before.end() && known->second && !known->second->draining;
+        if (!wasReady || !record.draining || this->figuresByAgent.at(agent) != record.figures())
+            continue;
+        HopMessage message;
+        message.kind = HopKind::Ask;
+        message.service = record.service;
+        message.upstream = record.figures();
+        this->hooks.sendHop(agent, message);
+    }
+}
+
 bool EntryRouter::isServing() const
 {
     return this->routes && !this->hasProvisionalRoutes && this->hasUsableUpstream && !this->isolated;
@@ -197,9 +235,10 @@
         if (!item->packet.isSyn() || !releasedFlows.insert(item->packet.flowKeyFromClient()).second)
             continue;
         const Route* route = this->routes->find(item->packet.destination);
+        const Milliseconds timeout = route && route->limits ? route->limits->timeout : Milliseconds(0);
         const Milliseconds age
             = synAge(item->packet) + std::chrono::duration_cast<Milliseconds>(this->clock.now() - item->received);
-        if (route && route->timeout > Milliseconds(0) && age >= route->timeout)
+        if (timeout > Milliseconds(0) && age >= timeout)
             ++this->counts.dropped; // the client has given up
         else
             this->routePacket(item->packet, item->bytes, item->received);
@@ -310,13 +349,10 @@
     message.kind = kind;
     message.service = service;
     message.packet = bytes;
-    if (const Route* route = this->routes->find(key.route)) {
-        message.objective = route->objective;
-        message.timeout = route->timeout;
-        message.priority = static_cast<uint8_t>(std::min(route->priority, 255U));
-    }
-    const auto slots = this->slotsByAgent.find(agent);
-    message.slots = slots == this->slotsByAgent.end() ? 0 : slots->second;
+    if (const Route* route = this->routes->find(key.route))
+        message.limits = route->limits;
+    if (const auto figures = this->figuresByAgent.find(agent); figures != this->figuresByAgent.end())
+        message.upstream = figures->second;
     if (kind == HopKind::Offer || kind == HopKind::Find)
         this->expectReply(agent);
     if (kind == HopKind::Offer)
@@ -327,7 +363,7 @@
 // Only usable upstreams count: those that were removed may be gone with their agents.
 void EntryRouter::expectReply(PacketAddress agent)
 {
-    if (this->slotsByAgent.contains(agent))
+    if (this->usableAgents.contains(agent))
         this->unansweredSince.emplace(agent, this->clock.now());
 }
 
@@ -339,7 +375,7 @@
         this->lastReplies, [&](const auto& item) { return now - item.second > this->options.agentSilenceTimeout; });
     const size_t silent = static_cast<size_t>(std::count_if(this->unansweredSince.begin(), this->unansweredSince.end(),
         [&](const auto& item) { return now - item.second > this->options.agentSilenceTimeout; }));
-    const size_t minSilent = std::min<size_t>(2, this->slotsByAgent.size()); // one agent may be down
+    const size_t minSilent = std::min<size_t>(2, this->usableAgents.size()); // one agent may be down
     const bool mostAreSilent = minSilent > 0 && silent >= minSilent
         && silent >= this->options.isolationSilentRatio * this->lastReplies.size();
     if (!mostAreSilent)
@@ -351,7 +387,7 @@
         this->isolated = isNowIsolated;
         logEvent(isNowIsolated ? Event::PacketAgentsSilent : Event::PacketAgentsHeard,
             { { "silent", static_cast<uint64_t>(silent) }, { "heard", static_cast<uint64_t>(this->lastReplies.size()) },
-                { "known", static_cast<uint64_t>(this->slotsByAgent.size()) },
+                { "known", static_cast<uint64_t>(this->usableAgents.size()) },
                 { "directory", this->directoryRevision } });
     }
     if (mostAreSilent && now >= this->nextProbe) {
@@ -365,13 +401,13 @@
 {
     HopMessage probe;
     probe.kind = HopKind::Ask;
-    auto agent = this->slotsByAgent.begin();
-    std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->slotsByAgent.size()));
-    for (size_t i = 0; i < std::min(this->options.maxIsolationProbes, this->slotsByAgent.size()); ++i) {
-        this->expectReply(agent->first);
-        this->hooks.sendHop(agent->first, probe);
-        if (++agent == this->slotsByAgent.end())
-            agent = this->slotsByAgent.begin();
+    auto agent = this->usableAgents.begin();
+    std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->usableAgents.size()));
+    for (size_t i = 0; i < std::min(this->options.maxIsolationProbes, this->usableAgents.size()); ++i) {
+        this->expectReply(*agent);
+        this->hooks.sendHop(*agent, probe);
+        if (++agent == this->usableAgents.end())
+            agent = this->usableAgents.begin();
     }
 }
 
@@ -593,7 +629,8 @@
         for (size_t first = 0; first < keys.size(); first += maxFlowKeysPerMessage) {
             HopMessage message;
             message.kind = HopKind::Ask;
-            message.timeout = this->routes ? this->routes->idleTimeout : Milliseconds(0);
+            if (this->routes)
+                message.idleTimeout = this->routes->idleTimeout;
             message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
                 keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeysPerMessage)));
             ++this->counts.asks;
@@ -707,7 +744,7 @@
         return;
     this->placement.onReply(upstream->second);
     this->placement.onLoad(
-        upstream->second, { message.runningRequests, 0, message.waitingRequests, message.heldFlows });
+        upstream->second, { message.runningRequests, message.slots, message.waitingRequests, message.heldFlows });
 }
 
 void EntryRouter::onAccepted(const FlowKey& key, PacketAddress agent, const HopMessage& message)
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -194,6 +194,8 @@
     void updateIsolation();
     void probeAgents();
     Milliseconds addLoadReporter(PacketAddress agent);
+    void announceDrains(
+        const UpstreamDirectory&, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
@@ -242,7 +244,8 @@
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
-    std::map<PacketAddress, uint16_t> slotsByAgent; // of usable upstreams
+    std::set<PacketAddress> usableAgents; // agents of usable upstreams
+    std::map<PacketAddress, std::optional<UpstreamFigures>> figuresByAgent; // of listed upstreams
     FlowTable<Flow> flows;
     std::deque<PendingOffer> pendingOffers; // ordered by due time
     std::multimap<TimePoint, FlowKey> searchTimers; // ordered by due time
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -74,6 +74,7 @@
     PacketAgentsSilent = 4214,
     PacketAgentsHeard = 4215,
     PacketHolderNotFound = 4216,
+    PacketUpstreamFigures = 4217,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -73,17 +73,95 @@
 
 std::string_view nameOf(HopRefusal refusal) { return hopRefusalNames.at(static_cast<size_t>(refusal)); }
 
+namespace {
+
+    // What an entry states of the receiver's upstream. Older entries state NotStated with the slots of a ready one.
+    enum class HopUpstreamState : uint16_t { NotStated, Ready, Draining };
+
+    constexpr unsigned halfBits = 32;
+
+    bool isFromEntry(HopKind kind)
+    {
+        return kind == HopKind::Offer || kind == HopKind::Forward || kind == HopKind::Find || kind == HopKind::Ask;
+    }
+
+    uint16_t toUint16Ms(Milliseconds time)
+    {
+        return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX));
+    }
+
+    void encodeEntryFigures(const HopMessage& message, wire::Hop& header)
+    {
+        if (message.upstream) {
+            const HopUpstreamState state
+                = message.upstream->draining ? HopUpstreamState::Draining : HopUpstreamState::Ready;
+            header.mutate_upstream_sequence(static_cast<uint32_t>(message.upstream->revision >> halfBits));
+            header.mutate_flows(static_cast<uint32_t>(message.upstream->revision));
+            header.mutate_busy(static_cast<uint16_t>(state));
+            header.mutate_slots(message.upstream->slots);
+        }
+        const RequestLimits limits = message.limits.value_or(RequestLimits());
+        header.mutate_waiting(message.limits ? 0 : 1);
+        header.mutate_objective_ms(toUint16Ms(limits.objective));
+        header.mutate_timeout_ms(
+            toUint16Ms(message.kind == HopKind::Ask ? message.idleTimeout.value_or(Milliseconds(0)) : limits.timeout));
+        header.mutate_priority(static_cast<uint8_t>(std::min<unsigned>(limits.priority, UINT8_MAX)));
+        header.mutate_load_interval(
+            static_cast<uint8_t>(std::clamp<int64_t>(message.loadInterval / loadIntervalStep, 0, UINT8_MAX)));
+    }
+
+    void decodeEntryFigures(const wire::Hop& header, HopMessage& message)
+    {
+        const HopUpstreamState state = static_cast<HopUpstreamState>(header.busy());
+        if (header.slots() > 0) {
+            const uint64_t revision = static_cast<uint64_t>(header.upstream_sequence()) << halfBits | header.flows();
+            message.upstream = { revision, header.slots(), state == HopUpstreamState::Draining };
+        }
+        if (message.kind == HopKind::Ask) {
+            if (header.timeout_ms() > 0)
+                message.idleTimeout = Milliseconds(header.timeout_ms());
+        } else if (header.waiting() == 0) {
+            message.limits
+                = { Milliseconds(header.objective_ms()), Milliseconds(header.timeout_ms()), header.priority() };
+        }
+        message.loadInterval = header.load_interval() * loadIntervalStep;
+    }
+
+    void encodeAgentFigures(const HopMessage& message, wire::Hop& header)
+    {
+        header.mutate_upstream_sequence(message.upstreamSequence);
+        header.mutate_flows(message.heldFlows);
+        header.mutate_busy(message.runningRequests);
+        header.mutate_waiting(message.waitingRequests);
+        header.mutate_slots(message.slots);
+        header.mutate_refusal(static_cast<uint8_t>(message.refusal));
+    }
+
+    void decodeAgentFigures(const wire::Hop& header, HopMessage& message)
+    {
+        message.upstreamSequence = header.upstream_sequence();
+        message.heldFlows = header.flows();
+        message.runningRequests = header.busy();
+        message.waitingRequests = header.waiting();
+        message.slots = header.slots();
+        message.refusal = static_cast<HopRefusal>(header.refusal());
+    }
+
+} // namespace
+
 void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
 {
-    const auto toUint16Ms
-        = [](Milliseconds time) { return static_cast<uint16_t>(std::clamp<int64_t>(time.count(), 0, UINT16_MAX)); };
     const size_t flowBytes = message.flowKeys.size() * sizeof(wire::FlowEnds);
-    const wire::Hop header(message.service.value, message.flow.client.address, message.flow.route.address,
-        message.upstreamSequence, message.heldFlows, hopMagic, message.flow.client.port, message.flow.route.port,
-        message.runningRequests, static_cast<uint16_t>(message.packet.size() + flowBytes),
-        toUint16Ms(message.objective), toUint16Ms(message.timeout), message.slots, message.waitingRequests,
-        message.priority, static_cast<uint8_t>(message.kind), static_cast<uint8_t>(message.refusal),
-        static_cast<uint8_t>(std::clamp<int64_t>(message.loadInterval / loadIntervalStep, 0, UINT8_MAX)));
+    wire::Hop header;
+    header.mutate_service(message.service.value);
+    header.mutate_client_address(message.flow.client.address);
+    header.mutate_client_port(message.flow.client.port);
+    header.mutate_route_address(message.flow.route.address);
+    header.mutate_route_port(message.flow.route.port);
+    header.mutate_magic(hopMagic);
+    header.mutate_packet_bytes(static_cast<uint16_t>(message.packet.size() + flowBytes));
+    header.mutate_kind(static_cast<uint8_t>(message.kind));
+    isFromEntry(message.kind) ? encodeEntryFigures(message, header) : encodeAgentFigures(message, header);
     const size_t start = out.size();
     out.resize(start + hopHeaderBytes + message.packet.size() + flowBytes);
     std::memcpy(out.data() + start, &header, hopHeaderBytes);
@@ -116,19 +194,10 @@
         return Error { ErrorKind::InvalidFrame, "the message has a wrong length; check the network for truncation" };
     HopMessage message;
     message.kind = static_cast<HopKind>(header.kind());
-    message.refusal = static_cast<HopRefusal>(header.refusal());
     message.service = { header.service() };
     message.flow.client = { header.client_address(), header.client_port() };
     message.flow.route = { header.route_address(), header.route_port() };
-    message.upstreamSequence = header.upstream_sequence();
-    message.runningRequests = header.busy();
-    message.heldFlows = header.flows();
-    message.waitingRequests = header.waiting();
-    message.slots = header.slots();
-    message.objective = Milliseconds(header.objective_ms());
-    message.timeout = Milliseconds(header.timeout_ms());
-    message.priority = header.priority();
-    message.loadInterval = header.load_interval() * loadIntervalStep;
+    isFromEntry(message.kind) ? decodeEntryFigures(header, message) : decodeAgentFigures(header, message);
     const Bytes payload = bytes.subspan(hopHeaderBytes);
     if (!carriesFlowKeys(message.kind)) {
         message.packet = payload;
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -94,13 +94,32 @@
 std::string_view nameOf(HopKind);
 
 // Why an agent or its upstream refused a SYN; in NotHeld and Gone, whether the upstream is down.
-enum class HopRefusal : uint8_t { None, OtherService, UpstreamBusy, UpstreamDown };
+enum class HopRefusal : uint8_t { None, OtherService, UpstreamBusy, UpstreamDown, UpstreamDraining };
 
-inline constexpr std::array<std::string_view, 4> hopRefusalNames
-    = { "none", "other-service", "upstream-busy", "upstream-down" };
+inline constexpr std::array<std::string_view, 5> hopRefusalNames
+    = { "none", "other-service", "upstream-busy", "upstream-down", "upstream-draining" };
 
 std::string_view nameOf(HopRefusal);
 
+// What an upstream publishes of itself that decides how much work it gets. It travels with the revision of the record,
+// so that an agent tells newer figures from older ones.
+struct UpstreamFigures {
+    uint64_t revision = 0; // of the store, in which the record last changed
+    uint16_t slots = 0; // requests that the upstream runs at a time; at least 1
+    bool draining = false;
+
+    bool operator==(const UpstreamFigures&) const = default;
+};
+
+// What the operators' configuration states of the requests on a route.
+struct RequestLimits {
+    Milliseconds objective { 0 }; // latency objective; 0: none
+    Milliseconds timeout { 0 }; // 0: none
+    unsigned priority = 0; // 0 is highest
+
+    bool operator==(const RequestLimits&) const = default;
+};
+
 struct HopMessage {
     HopKind kind = HopKind::Forward;
     HopRefusal refusal = HopRefusal::None;
@@ -109,10 +128,10 @@
     uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK, in Accepted and Holds
     uint16_t runningRequests = 0; // from agents: requests at the upstream that it has not answered
     uint16_t waitingRequests = 0; // from agents: requests queued at the agent
-    uint16_t slots = 0; // from entries: requests that the upstream runs at a time, as published by it; 0: unknown
-    Milliseconds objective { 0 }; // from entries: latency objective of the route's requests; 0: none
-    Milliseconds timeout { 0 }; // from entries: timeout of the route's requests; in Ask, idle timeout of flows; 0: none
-    uint8_t priority = 0; // from entries: priority of the route; 0 is highest
+    uint16_t slots = 0; // from agents: requests that the upstream runs at a time; 0: not known
+    std::optional<UpstreamFigures> upstream; // from entries: of the receiver's upstream; empty: not known
+    std::optional<RequestLimits> limits; // from entries: of the packet's route; empty: not known
+    std::optional<Milliseconds> idleTimeout; // in Ask: of flows; empty: not known
     uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds
     Milliseconds loadInterval { 0 }; // in Offer: requested time between load reports; steps of 20 ms, at most 5.1 s
     Bytes packet; // packet as received; empty if the message carries none
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -60,6 +60,8 @@
             for (const wire::Address* route : *agent.routes())
                 presence.routes.push_back(fromWire(route));
         }
+        if (agent.slots() > 0)
+            presence.figures = { agent.upstream_revision(), agent.slots(), agent.draining() };
         return presence;
     }
 
@@ -75,8 +77,9 @@
             routes.push_back(toWire(route));
         const wire::Address self = toWire(agent.agent);
         const wire::Address upstream = toWire(agent.upstream);
-        agents.push_back(wire::CreateAgentPresenceDirect(
-            builder, &self, agent.service.value, agent.failureDomain.c_str(), &upstream, &routes));
+        const UpstreamFigures figures = agent.figures.value_or(UpstreamFigures()); // no slots: not known
+        agents.push_back(wire::CreateAgentPresenceDirect(builder, &self, agent.service.value,
+            agent.failureDomain.c_str(), &upstream, &routes, figures.revision, figures.slots, figures.draining));
     }
     std::vector<uint32_t> entries;
     std::vector<uint8_t> silences;
@@ -142,6 +145,12 @@
     this->nextMessageTime = this->clock.now();
 }
 
+void AgentAnnouncer::setUpstreamFigures(const std::optional<UpstreamFigures>& figures)
+{
+    this->self.figures = figures;
+    this->nextMessageTime = this->clock.now(); // entries that started without the store weigh upstreams by them
+}
+
 void AgentAnnouncer::onUpstreamAnswered(PacketAddress route)
 {
     std::vector<PacketAddress>& routes = this->self.routes;
@@ -198,7 +207,7 @@
     for (const AgentPresence& presence : message.agents) {
         KnownAgent& known = this->agents[presence.agent];
         this->changed = this->changed || known.lastReceived == TimePoint() || known.presence.service != presence.service
-            || known.presence.routes != presence.routes;
+            || known.presence.routes != presence.routes || known.presence.figures != presence.figures;
         // An agent's own message takes precedence over what entries pass on about the agent.
         const bool isFromAgent = !message.fromEntry;
         if (isFromAgent || known.lastReceived == TimePoint() || presence.routes.size() > known.presence.routes.size())
@@ -371,7 +380,12 @@
         record.service = agent.presence.service;
         record.address = { address.address, agent.presence.upstream.port };
         record.failureDomain = agent.presence.failureDomain;
-        record.revision = 1;
+        record.revision = provisionalRevision;
+        if (agent.presence.figures) {
+            record.slots = agent.presence.figures->slots;
+            record.draining = agent.presence.figures->draining;
+            record.revision = std::max(record.revision, agent.presence.figures->revision);
+        }
         records.push_back(std::move(record));
     }
     return records;
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -25,12 +25,15 @@
 // [SECTION] Messages
 //-----------------------------------------------------------------------------
 
+inline constexpr uint64_t provisionalRevision = 1; // of records learned from agents that state no revision
+
 struct AgentPresence {
     PacketAddress agent; // address for hop messages
     ServiceId service; // service of its upstream
     std::string failureDomain;
     PacketAddress upstream;
     std::vector<PacketAddress> routes; // public addresses on which the upstream answers open flows
+    std::optional<UpstreamFigures> figures; // of the upstream, as entries stated them; empty: not known
 };
 
 // An entry that another one knows.
@@ -74,6 +77,7 @@
     AgentAnnouncer(AnnouncerOptions, AgentPresence self, const Clock&);
 
     void setService(ServiceId); // an upstream of another service runs here now: the routes are cleared
+    void setUpstreamFigures(const std::optional<UpstreamFigures>&);
     void onUpstreamAnswered(PacketAddress route); // the upstream sent a packet of an open flow
 
     std::optional<PresenceMessage> takeMessage(); // the message that is due for the seeds, if any
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -23,6 +23,11 @@
 
 UpstreamId UpstreamRecord::id() const { return upstreamIdOf(this->name + '@' + std::to_string(this->born)); }
 
+std::optional<UpstreamFigures> UpstreamRecord::figures() const
+{
+    return this->slots ? std::optional(UpstreamFigures { this->revision, *this->slots, this->draining }) : std::nullopt;
+}
+
 UpstreamDirectory::UpstreamDirectory(DirectoryOptions directoryOptions, const Clock& timeSource)
     : UpstreamDirectory(directoryOptions, timeSource, timeSource)
 {
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -30,15 +30,13 @@
     std::string name;
     PacketAddress address;
     std::vector<RouteShare> shares; // at least one
-    Milliseconds objective { 0 }; // latency objective of the requests on its flows; 0: none
-    Milliseconds timeout { 0 }; // timeout of the requests on its flows; 0: none
-    unsigned priority = 0; // 0 is highest
+    std::optional<RequestLimits> limits; // of the requests on its flows; empty: not known, learned without the store
 };
 
 struct RoutingTable {
     uint64_t version = 0;
     std::map<PacketAddress, Route> routes;
-    Milliseconds idleTimeout { 15000 }; // a flow without packets for longer may be dropped
+    std::optional<Milliseconds> idleTimeout; // a flow without packets for longer may be dropped; empty: not known
 
     const Route* find(PacketAddress) const;
 };
@@ -54,11 +52,12 @@
     ServiceId service;
     PacketAddress address;
     std::string failureDomain;
-    uint16_t slots = 1;
+    std::optional<uint16_t> slots; // requests that it runs at a time; empty: not known, learned without the store
     bool draining = false;
     uint64_t revision = 0; // revision of the store in which the record last changed
 
     UpstreamId id() const; // differs between incarnations
+    std::optional<UpstreamFigures> figures() const; // empty: not known
 };
 
 // State of an upstream's record.
