--- /dev/null
+++ b/wasabicroft/EntrySearch.cpp
@@ -0,0 +1,323 @@
+// The search of EntryRouter for the upstream that holds a flow.
+#include "wasabicroft/EntryRouter.h"
+#include "wasabicroft/Log.h"
+
+#include <algorithm>
+
+namespace wasabicroft {
+
+//-----------------------------------------------------------------------------
+// Questions and copies
+//-----------------------------------------------------------------------------
+
+// Starts a search for the holder of a packet's flow, or queues the packet if a search runs or the limit is reached.
+void EntryRouter::startSearch(const FlowKey& key, Flow& flow, Bytes bytes, std::optional<PacketAddress> excluded)
+{
+    const TimePoint now = this->clock.now();
+    if (now - flow.searchWindowStart > this->options.searchWindow) {
+        flow.searchWindowStart = now;
+        flow.searchCount = 0;
+    }
+    const bool isSearching
+        = flow.search && (flow.search->isDenied || now - flow.search->started < this->options.searchTimeout);
+    if (isSearching || flow.searchCount >= this->options.maxSearches) {
+        this->queueForHolder(key, flow, bytes);
+        return;
+    }
+    const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, excluded);
+    if (targets.empty()) {
+        ++this->counts.dropped;
+        return;
+    }
+    ++flow.searchCount;
+    ++this->counts.finds;
+    HolderSearch& search = flow.search.emplace();
+    search.packet = copyOf(bytes);
+    search.started = now;
+    search.coversAllUpstreams = (this->directoryIsComplete || this->directoryAwaitsPeers) && !this->isBehindPeers
+        && !this->hasProvisionalRoutes && flow.offers.empty() && !excluded;
+    search.beganBeforeListCheck = this->directoryAwaitsPeers;
+    search.directoryRevision = this->directoryRevision;
+    for (const HolderCandidate& target : targets)
+        search.targets.push_back({ target.agent, target.listing });
+    // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
+    // before that is useless.
+    search.askRounds = flow.offers.empty() ? 0 : this->options.maxAskRounds;
+    this->continueSearch(key, flow);
+}
+
+// Upstreams that may hold the flow: those that it was offered to, or else all upstreams of its route's services.
+std::vector<HolderCandidate> EntryRouter::possibleHolders(
+    const FlowKey& key, Flow& flow, std::optional<PacketAddress> excluded) const
+{
+    std::vector<HolderCandidate> targets;
+    const auto add = [&](const HolderCandidate& target) {
+        const bool isDuplicate = std::any_of(
+            targets.begin(), targets.end(), [&](const HolderCandidate& other) { return other.agent == target.agent; });
+        if (target.agent != excluded && !isDuplicate)
+            targets.push_back(target);
+    };
+    for (const Offer& offer : flow.offers)
+        add({ offer.upstream, offer.agent, Listing::Listed });
+    if (!targets.empty())
+        return targets;
+    const Route* route = this->routes->find(key.route);
+    for (const auto& [service, candidates] : this->holders) {
+        const ServiceId holderService = service;
+        const bool isRouted = route
+            && std::any_of(route->shares.begin(), route->shares.end(),
+                [&](const RouteShare& share) { return share.service == holderService; });
+        if (!isRouted && (route || !this->hasProvisionalRoutes))
+            continue;
+        flow.service = service;
+        for (const HolderCandidate& target : candidates)
+            add(target);
+    }
+    const uint64_t hash = FlowKeyHash()(key);
+    std::sort(targets.begin(), targets.end(), [hash](const HolderCandidate& a, const HolderCandidate& b) {
+        return rendezvousScore(hash, a.upstream) > rendezvousScore(hash, b.upstream);
+    });
+    return targets;
+}
+
+// Asks the agents first: they track most flows, and one message asks about many. Only upstreams whose agents are silent
+// or unsure get the packet, which an upstream that doesn't hold the flow returns.
+void EntryRouter::continueSearch(const FlowKey& key, Flow& flow)
+{
+    const bool asksAgain = flow.search->askRounds < this->options.maxAskRounds && !flow.search->isAnsweredByAll();
+    if (asksAgain)
+        this->askAgents(key, *flow.search);
+    if (!asksAgain || flow.search->isAnsweredByAll())
+        this->sendFinds(key, flow);
+    this->searchTimers.emplace(this->clock.now() + this->options.searchStageTimeout, key);
+}
+
+void EntryRouter::askAgents(const FlowKey& key, HolderSearch& search)
+{
+    ++search.askRounds;
+    const TimePoint now = this->clock.now();
+    uint64_t asked = 0;
+    for (HolderSearch::Target& target : search.targets) {
+        const auto unsure = this->unsureUntil.find(target.agent);
+        if (unsure != this->unsureUntil.end() && now < unsure->second) {
+            target.agentIsUnsure = true;
+            continue;
+        }
+        this->queuedAsks[target.agent].push_back(key);
+        ++asked;
+    }
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", asked }, { "with", "question" },
+            { "directory", this->directoryRevision } });
+}
+
+// Sends to the preferred upstreams first, then to all others or, at the rate limit, to none: denials of only some
+// would not show that the flow is lost.
+void EntryRouter::sendFinds(const FlowKey& key, Flow& flow)
+{
+    HolderSearch& search = *flow.search;
+    const bool isFirst = std::none_of(search.targets.begin(), search.targets.end(),
+        [](const HolderSearch::Target& target) { return target.packetSent; });
+    std::vector<HolderSearch::Target*> receivers;
+    for (HolderSearch::Target& target : search.targets) {
+        if (!target.packetSent && !target.denied && (!isFirst || receivers.size() < this->options.preferredUpstreams))
+            receivers.push_back(&target);
+    }
+    if (!this->tryTakeFindTokens(receivers.size() * (hopHeaderBytes + search.packet.size()))) {
+        ++this->counts.findsLimited;
+        return;
+    }
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(receivers.size()) }, { "with", "packet" },
+            { "directory", this->directoryRevision } });
+    this->counts.findCopies += receivers.size();
+    for (HolderSearch::Target* target : receivers) {
+        target->packetSent = true;
+        this->sendPacket(target->agent, HopKind::Find, key, flow.service, search.packet);
+    }
+}
+
+void EntryRouter::flushAsks()
+{
+    for (const auto& [agent, keys] : std::exchange(this->queuedAsks, {})) {
+        for (size_t first = 0; first < keys.size(); first += maxFlowKeysPerMessage) {
+            HopMessage message;
+            message.kind = HopKind::Ask;
+            if (this->routes)
+                message.idleTimeout = this->routes->idleTimeout;
+            message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
+                keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeysPerMessage)));
+            ++this->counts.asks;
+            this->expectReply(agent);
+            this->hooks.sendHop(agent, message);
+        }
+    }
+}
+
+void EntryRouter::onKnown(PacketAddress agent, std::span<const FlowKey> keys)
+{
+    for (const FlowKey& key : keys) {
+        Flow* flow = this->flows.find(key);
+        if (!flow || flow->holder)
+            continue;
+        if (flow->search && flow->waiting.size() < this->options.maxWaitingPacketsPerFlow)
+            flow->waiting.insert(flow->waiting.begin(), std::move(flow->search->packet));
+        this->setHolder(key, *flow, agent);
+    }
+}
+
+void EntryRouter::onUnsure(PacketAddress agent, std::span<const FlowKey> keys)
+{
+    this->unsureUntil[agent] = this->clock.now() + this->options.unsureRetryDelay;
+    for (const FlowKey& key : keys) {
+        Flow* flow = this->flows.find(key);
+        HolderSearch::Target* target = flow && !flow->holder && flow->search ? flow->search->find(agent) : nullptr;
+        if (target && !std::exchange(target->agentIsUnsure, true))
+            this->onSearchAnswer(key, *flow);
+    }
+}
+
+void EntryRouter::queueForHolder(const FlowKey& key, Flow& flow, Bytes bytes)
+{
+    ++this->counts.findsLimited;
+    if (flow.waiting.size() >= this->options.maxWaitingPacketsPerFlow) {
+        ++this->counts.dropped;
+        return;
+    }
+    if (flow.waiting.empty() && !flow.search)
+        this->searchTimers.emplace(this->clock.now() + this->options.searchTimeout, key);
+    flow.waiting.push_back(copyOf(bytes));
+}
+
+bool EntryRouter::tryTakeFindTokens(size_t bytes)
+{
+    const TimePoint now = this->clock.now();
+    const double seconds = std::chrono::duration<double>(now - this->findTokensUpdated).count();
+    this->findTokensUpdated = now;
+    this->findTokens
+        = std::min(this->options.findBytesPerSecond, this->findTokens + seconds * this->options.findBytesPerSecond);
+    if (this->findTokens < static_cast<double>(bytes))
+        return false;
+    this->findTokens -= static_cast<double>(bytes);
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// Answers
+//-----------------------------------------------------------------------------
+
+// Once every upstream that may hold the flow has denied it, no upstream holds it.
+void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent)
+{
+    HolderSearch::Target* target = flow.search ? flow.search->find(agent) : nullptr;
+    if (target && !std::exchange(target->denied, true))
+        this->onSearchAnswer(key, flow);
+}
+
+void EntryRouter::onSearchAnswer(const FlowKey& key, Flow& flow)
+{
+    if (flow.search->isDeniedByAll())
+        this->endFailedSearch(key, flow);
+    else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll())
+        this->sendFinds(key, flow);
+}
+
+void EntryRouter::endFailedSearch(const FlowKey& key, Flow& flow)
+{
+    if (flow.search->coversAllUpstreams && this->directoryAwaitsPeers) {
+        if (!std::exchange(flow.search->isDenied, true))
+            this->deniedSearches.push_back(key);
+        return;
+    }
+    if (this->isConclusive(*flow.search)) {
+        this->resetLostFlow(key, flow, "held-nowhere");
+    } else {
+        // The search covered only some upstreams: the next one asks all that the directory has by now.
+        const std::vector<uint8_t> packet = std::move(flow.search->packet);
+        flow.search.reset();
+        flow.offers.clear();
+        this->startSearch(key, flow, packet, std::nullopt);
+    }
+}
+
+// Whether the denials of all targets show that no upstream holds the flow.
+bool EntryRouter::isConclusive(const HolderSearch& search) const
+{
+    const bool usedConfirmedList = !search.beganBeforeListCheck || search.directoryRevision == this->directoryRevision;
+    return search.coversAllUpstreams && this->directoryIsComplete && usedConfirmedList;
+}
+
+void EntryRouter::endDeniedSearches()
+{
+    for (const FlowKey& key : std::exchange(this->deniedSearches, {})) {
+        Flow* flow = this->flows.find(key);
+        if (flow && !flow->holder && flow->search && flow->search->isDenied)
+            this->endFailedSearch(key, *flow);
+    }
+}
+
+// No upstream holds the flow: the reset lets the client retry at once instead of waiting for its timeout.
+void EntryRouter::resetLostFlow(const FlowKey& key, const Flow& flow, std::string_view cause)
+{
+    ++this->counts.resets;
+    logEvent(Event::PacketFlowLost,
+        { { "flow", toString(key) }, { "cause", cause }, { "directory", this->directoryRevision } });
+    const uint32_t sequence = flow.lastAcknowledgement;
+    this->flows.erase(key);
+    this->hooks.sendReset(key, sequence);
+}
+
+//-----------------------------------------------------------------------------
+// Timers
+//-----------------------------------------------------------------------------
+
+// Continues searches that lack replies, and drops packets that waited too long.
+void EntryRouter::processSearchTimers()
+{
+    const TimePoint now = this->clock.now();
+    if (!this->directoryAwaitsPeers)
+        this->endDeniedSearches();
+    while (!this->searchTimers.empty() && this->searchTimers.begin()->first <= now) {
+        const FlowKey key = this->searchTimers.begin()->second;
+        this->searchTimers.erase(this->searchTimers.begin());
+        Flow* flow = this->flows.find(key);
+        if (!flow || flow->holder || (flow->search && flow->search->isDenied))
+            continue;
+        // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
+        // counts as a denial.
+        if (flow->search && flow->search->isDeniedByAllNeeded()) {
+            const TimePoint end = flow->search->started + this->options.unlistedTimeout;
+            if (now >= end) {
+                this->endFailedSearch(key, *flow);
+                continue;
+            }
+            if (flow->search->isPacketSentToAll()) {
+                this->searchTimers.emplace(end, key);
+                continue;
+            }
+        }
+        const bool lacksAnswers = flow->search && now - flow->search->started < this->options.searchTimeout;
+        if (lacksAnswers && !flow->search->isPacketSentToAll()) {
+            this->continueSearch(key, *flow);
+            continue;
+        }
+        this->abandonSearch(key, *flow);
+    }
+}
+
+// Some upstream that may hold the flow did not answer: the next packet of the client may start another search.
+void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
+{
+    if (flow.search && !std::exchange(flow.search->isAbandoned, true)) {
+        const size_t mayReturn = flow.search->countSilent(Listing::MayReturn);
+        this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
+        logEvent(Event::PacketHolderNotFound,
+            { { "flow", toString(key) }, { "silent", static_cast<uint64_t>(flow.search->countSilent(Listing::Listed)) },
+                { "silent-may-return", static_cast<uint64_t>(mayReturn) },
+                { "dropped", static_cast<uint64_t>(flow.waiting.size()) }, { "directory", this->directoryRevision } });
+    }
+    this->counts.dropped += flow.waiting.size();
+    flow.waiting.clear();
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/HolderSearch.cpp
@@ -0,0 +1,49 @@
+#include "wasabicroft/HolderSearch.h"
+
+#include <algorithm>
+
+namespace wasabicroft {
+
+HolderSearch::Target* HolderSearch::find(PacketAddress agent)
+{
+    const auto found = std::find_if(
+        this->targets.begin(), this->targets.end(), [&](const Target& target) { return target.agent == agent; });
+    return found == this->targets.end() ? nullptr : &*found;
+}
+
+bool HolderSearch::isPacketSentToAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.packetSent || target.denied; });
+}
+
+bool HolderSearch::isAnsweredByAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.agentIsUnsure || target.denied || !target.isNeeded(); });
+}
+
+bool HolderSearch::awaitsUpstreamReply() const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.packetSent && !target.denied && target.isNeeded(); });
+}
+
+bool HolderSearch::isDeniedByAllNeeded() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.denied || !target.isNeeded(); });
+}
+
+size_t HolderSearch::countSilent(Listing listing) const
+{
+    return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(),
+        [listing](const Target& target) { return !target.denied && target.listing == listing; }));
+}
+
+bool HolderSearch::isDeniedByAll() const
+{
+    return std::all_of(this->targets.begin(), this->targets.end(), [](const Target& target) { return target.denied; });
+}
+
+} // namespace wasabicroft
--- /dev/null
+++ b/wasabicroft/HolderSearch.h
@@ -0,0 +1,47 @@
+// State of one search for the upstream that holds a flow. EntryRouter decides whom it asks and when it ends. No I/O.
+#pragma once
+
+#include "wasabicroft/Published.h"
+
+namespace wasabicroft {
+
+// An upstream that may hold a flow.
+struct HolderCandidate {
+    UpstreamId upstream;
+    PacketAddress agent;
+    Listing listing = Listing::Listed; // a removed one may still hold flows
+};
+
+// A search for the holder of a flow.
+struct HolderSearch {
+    struct Target {
+        PacketAddress agent;
+        Listing listing = Listing::Listed;
+        bool agentIsUnsure = false; // it replied Unsure for this flow, or lately for another
+        bool packetSent = false; // the upstream got the packet
+        bool denied = false; // the upstream doesn't hold the flow
+
+        bool isNeeded() const { return this->listing != Listing::Removed; } // its silence is not a denial
+    };
+
+    std::vector<uint8_t> packet;
+    std::vector<Target> targets; // preferred upstreams of the flow first
+    unsigned askRounds = 0; // times that the agents were asked, without the packet
+    TimePoint started;
+    bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
+    bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
+    uint64_t directoryRevision = 0; // at the start
+    bool isDenied = false; // no listed upstream holds the flow; see EntryRouter::deniedSearches
+    bool isAbandoned = false; // it took too long; late answers still count
+
+    Target* find(PacketAddress agent);
+    bool isPacketSentToAll() const; // every target got the packet or denied the flow
+    // The agent of an upstream that was removed for good may be gone: its answer is not needed.
+    bool isAnsweredByAll() const; // each needed target denied the flow or has an unsure agent
+    bool isDeniedByAllNeeded() const;
+    bool isDeniedByAll() const;
+    bool awaitsUpstreamReply() const; // a needed upstream got the packet and has not denied the flow
+    size_t countSilent(Listing) const; // targets in this state that have not denied the flow
+};
+
+} // namespace wasabicroft
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -23,6 +23,8 @@
 
 using Bytes = std::span<const uint8_t>;
 
+inline std::vector<uint8_t> copyOf(Bytes bytes) { return { bytes.begin(), bytes.end() }; }
+
 // IPv4 address and port in host byte order.
 struct PacketAddress {
     uint32_t address = 0;
