Let probes start at agents without waiting behind requests

Cause: the packet of a search waits in the agent's queue like a request. While upstreams are cold, requests wait there, so that no upstream returned the packet within the 300 ms of a search, and a lost flow could not be reset.

Change: a probe starts at once.

QueueFixture.ProbesDoNotWaitBehindRequests fails without the change.

--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -151,6 +151,33 @@
         EXPECT_EQ(this->queue.startWaiting(), std::vector<FlowKey> { flowKeyOf(3) });
     }
 
+    // Guards against searches that take as long as requests wait: after a loss of everything, most probes are returned,
+    // and lost flows can't be reset before.
+    TEST_F(QueueFixture, ProbesDoNotWaitBehindRequests)
+    {
+        const auto probeOf = [this](uint32_t number) {
+            QueuedRequest probe = requestOf(number, this->clock.now());
+            probe.isProbe = true;
+            return probe;
+        };
+        this->queue.submit(requestOf(1, this->clock.now()));
+        EXPECT_EQ(this->queue.submit(requestOf(2, this->clock.now())), RequestQueue::Decision::Wait);
+        for (uint32_t i = 10; i < 20; ++i)
+            EXPECT_EQ(this->queue.submit(probeOf(i)), RequestQueue::Decision::Start);
+        for (uint32_t i = 10; i < 14; ++i)
+            this->queue.onHeld(flowKeyOf(i));
+        EXPECT_EQ(this->queue.submit(probeOf(30)), RequestQueue::Decision::Wait)
+            << "the upstream has as many requests of held flows as it may queue";
+        for (uint32_t i = 14; i < 20; ++i)
+            this->queue.remove(flowKeyOf(i));
+        for (uint32_t i = 10; i < 14; ++i)
+            this->queue.onAnswered(flowKeyOf(i));
+        EXPECT_EQ(this->queue.submit(probeOf(31)), RequestQueue::Decision::Start);
+        this->queue.remove(flowKeyOf(31));
+        this->queue.onAnswered(flowKeyOf(1));
+        EXPECT_EQ(this->queue.startWaiting(), (std::vector<FlowKey> { flowKeyOf(2), flowKeyOf(30) }));
+    }
+
     // Guards against slots that stay occupied by requests whose client closed the flow.
     TEST_F(QueueFixture, ACancelledRequestFreesItsSlot)
     {
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -27,13 +27,22 @@
         return false;
     if (this->options.slots == 0)
         return true;
+    const size_t probes = this->unansweredProbes();
+    const size_t held = this->runningRequests.size() - probes;
     const size_t limit = this->options.slots + this->options.prefetch + (isProbe ? this->options.probePrefetch : 0U);
-    return this->runningRequests.size() < limit;
+    return held < limit && (!isProbe || probes < this->options.maxUnansweredProbes);
+}
+
+size_t RequestQueue::unansweredProbes() const
+{
+    return static_cast<size_t>(std::count_if(this->runningRequests.begin(), this->runningRequests.end(),
+        [](const auto& item) { return item.second.request.isProbe; }));
 }
 
 RequestQueue::Decision RequestQueue::submit(const QueuedRequest& request)
 {
-    if (this->canStart(request.isProbe) && this->waitingRequests.empty() && !request.isAbandoned) {
+    const bool isNext = this->waitingRequests.empty() || request.isProbe;
+    if (this->canStart(request.isProbe) && isNext && !request.isAbandoned) {
         this->start(request);
         return Decision::Start;
     }
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -19,7 +19,10 @@
 struct RequestQueueOptions {
     uint16_t slots = 0; // requests that the upstream runs at a time; 0: unknown, nothing waits
     uint16_t prefetch = 1; // requests beyond the slots, so that no slot is idle while the next one is on its way
-    uint16_t probePrefetch = 4; // further ones on flows that the upstream may not hold, as it returns those at once
+    // Probes are requests on flows that the upstream may not hold. It returns those at once, so that they neither wait
+    // behind other requests nor take their place.
+    uint16_t probePrefetch = 4; // requests beyond the prefetched ones that turned out to be held, until probes wait
+    size_t maxUnansweredProbes = 256; // delivered, and neither returned nor known to be held
     size_t maxWaiting = 512; // further requests are dropped
     Milliseconds defaultTimeout { 8000 }; // of requests whose route states none
     // A request without an answer for minStuckTime and for stuckFactor times the mean service time no longer counts
@@ -67,6 +70,7 @@
     };
 
     bool canStart(bool isProbe) const;
+    size_t unansweredProbes() const;
     // Lower values start first.
     enum class Rank : uint8_t { MeetsObjective, MeetsTimeout, Last };
 
