Take a removal as final at once while the store answers steadily

Cause: each removal counted as due to an outage of the store that this entry had not noticed, until a read that began 2 s later.

Change: answers of the store at most 1 s apart show that it had no outage between them in which a record could expire. A record that is removed while the store answers like this is back, if it had expired before, 2 s after the first of these answers. A failure between such answers is no outage. For 4 s after the first list, an entry watches the upstreams with a wait of 0.5 s (eight calls), so that the answers come steadily when it matters.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -180,6 +180,58 @@
         EXPECT_FALSE(directory.onPeerListState(ListState::Incomplete)) << "it knows of outages itself by now";
     }
 
+    // Answers of the store in intervals of half a second, from the first list on.
+    void answerSteadily(UpstreamDirectory& directory, ManualClock& clock, Milliseconds duration)
+    {
+        constexpr Milliseconds interval { 500 };
+        for (Milliseconds time(0); time < duration; time += interval) {
+            const TimePoint started = clock.now();
+            clock.advance(interval);
+            directory.onRead(started);
+            directory.onTick();
+        }
+    }
+
+    // Guards against clients that wait for lost flows after a loss of all power: records of upstreams that were lost,
+    // too, expire after the entries have started, while the store answers all the time.
+    TEST(UpstreamDirectory, ARemovalIsFinalAtOnceIfTheStoreHasAnsweredSteadily)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2), recordOf("c", 3) }, 3);
+        directory.onRead(clock.now());
+        EXPECT_TRUE(directory.needsSteadyAnswers());
+        answerSteadily(directory, clock, Milliseconds(1500));
+        directory.remove("a", 4);
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn)
+            << "an outage may have ended right before the first list";
+        answerSteadily(directory, clock, Milliseconds(1500));
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::Removed);
+        directory.remove("b", 5);
+        EXPECT_EQ(directory.listingOf(recordOf("b", 2)), Listing::Removed);
+        answerSteadily(directory, clock, Milliseconds(1500));
+        EXPECT_FALSE(directory.needsSteadyAnswers()) << "afterwards, the long watches serve";
+        clock.advance(Milliseconds(1001));
+        directory.remove("c", 6);
+        EXPECT_EQ(directory.listingOf(recordOf("c", 3)), Listing::MayReturn) << "there may have been an outage since";
+    }
+
+    // Guards against a grace after a single lost answer, in which no lost flow is reset.
+    TEST(UpstreamDirectory, AFailureBetweenAnswersInShortIntervalsIsNoOutage)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 1);
+        directory.onPeerListState(ListState::Complete);
+        directory.onRead(clock.now());
+        clock.advance(Milliseconds(900));
+        directory.onStoreRecovered();
+        EXPECT_TRUE(directory.isComplete());
+        clock.advance(Milliseconds(101));
+        directory.onStoreRecovered();
+        EXPECT_FALSE(directory.isComplete());
+    }
+
     // Guards against resets by a process that was paused during a store outage: it sees removals, but no outage.
     TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsExpired)
     {
--- a/tests/StoreRefreshTest.cpp
+++ b/tests/StoreRefreshTest.cpp
@@ -188,6 +188,16 @@
         EXPECT_EQ(watch->wait, StoreRefreshOptions().sentinelWait);
     }
 
+    // Guards against a removal that may be due to an outage of the store because a long watch says nothing about it.
+    TEST_F(StoreRefreshFixture, AnswersThatAreToComeSteadilyAreWatchedWithAShortWait)
+    {
+        this->refresh.setSteady(StoreTopic::Routes, true);
+        EXPECT_TRUE(this->tick()) << "the watch in flight is replaced";
+        const std::optional<StoreRead> watch = this->sync.nextRead(StoreTopic::Routes);
+        ASSERT_TRUE(watch);
+        EXPECT_LT(watch->wait, DirectoryOptions().maxAnswerGap);
+    }
+
     // Guards against a confirmation of the old state that hides a newer one.
     TEST_F(StoreRefreshFixture, AConfirmationOfAnOlderStateDoesNotCount)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -57,7 +57,7 @@
         this->pendingUsableTimes.insert(usableFrom);
     this->removeFromAddressIndex(row.record);
     this->namesByAddress[record.address].insert(record.name);
-    row = Row { std::move(record), true, 0, {}, false, usableFrom };
+    row = Row { std::move(record), true, 0, {}, {}, false, usableFrom };
     return true;
 }
 
@@ -100,7 +100,7 @@
     const TimePoint now = this->pauseClock.now();
     if (this->lastTick && now - *this->lastTick > this->options.pauseThreshold) {
         this->lastTick = now;
-        this->onStoreRecovered();
+        this->startGrace();
     }
 }
 
@@ -110,15 +110,23 @@
     row.listed = false;
     row.removedAt = revision;
     row.unlistedAt = this->clock.now();
+    row.returnsUntil = this->returnTime();
     row.keptForGrace = !row.record.draining && this->clock.now() < this->graceEnd;
 }
 
 void UpstreamDirectory::onStoreRecovered()
+{
+    if (!this->answersSteadily())
+        this->startGrace();
+}
+
+void UpstreamDirectory::startGrace()
 {
     this->graceEnd = this->clock.now() + this->options.recoveryGrace;
     this->inGrace = true;
     this->isReadRequested = false;
     this->hasReadAfterGrace = false;
+    this->lastAnswer.reset();
 }
 
 void UpstreamDirectory::requestCheckOfRemovals()
@@ -127,8 +135,7 @@
         return;
     for (const auto& [name, row] : this->rows) {
         if (this->mayReturn(row))
-            this->removalCheckTime
-                = std::max(this->removalCheckTime.value_or(TimePoint::min()), this->finalRemovalTime(row));
+            this->removalCheckTime = std::max(this->removalCheckTime.value_or(TimePoint::min()), row.returnsUntil);
     }
 }
 
@@ -152,18 +159,29 @@
     const auto isUnconfirmed = [this](const auto& item) { return this->mayReturn(item.second); };
     const auto before = std::count_if(this->rows.begin(), this->rows.end(), isUnconfirmed);
     this->lastReadStart = std::max(this->lastReadStart, started);
+    const TimePoint now = this->clock.now();
+    if (!this->answersSteadily())
+        this->answersSince = now;
+    this->lastAnswer = now;
     return before != std::count_if(this->rows.begin(), this->rows.end(), isUnconfirmed);
 }
 
-// From this time on, the record of an upstream that runs and reaches the store has returned.
-TimePoint UpstreamDirectory::finalRemovalTime(const Row& row) const
+// If a record that is removed now expired in an outage of the store and its upstream runs, it has returned by this
+// time.
+TimePoint UpstreamDirectory::returnTime() const
 {
-    return row.unlistedAt + this->options.recoveryGrace;
+    return (this->answersSteadily() ? this->answersSince : this->clock.now()) + this->options.recoveryGrace;
+}
+
+// No outage since the last answer was long enough for a record to expire.
+bool UpstreamDirectory::answersSteadily() const
+{
+    return this->lastAnswer && this->clock.now() - *this->lastAnswer <= this->options.maxAnswerGap;
 }
 
 bool UpstreamDirectory::mayReturn(const Row& row) const
 {
-    return !row.listed && this->lastReadStart < this->finalRemovalTime(row);
+    return !row.listed && this->lastReadStart < row.returnsUntil;
 }
 
 bool UpstreamDirectory::isComplete() const { return this->isLoaded() && !this->inGrace && !this->isAwaitingPeers; }
@@ -197,7 +215,7 @@
         return ListState::Starting;
     const bool mayLackUpstream = std::any_of(this->rows.begin(), this->rows.end(), [&](const auto& item) {
         const Row& row = item.second;
-        return !row.listed && !row.record.draining && now < this->finalRemovalTime(row);
+        return !row.listed && !row.record.draining && now < row.returnsUntil;
     });
     return mayLackUpstream ? ListState::Incomplete : ListState::Complete;
 }
@@ -212,6 +230,12 @@
     return this->mayReturn(found->second) ? Listing::MayReturn : Listing::Removed;
 }
 
+bool UpstreamDirectory::needsSteadyAnswers() const
+{
+    return this->hasFullList
+        && this->clock.now() < this->startEnd - this->options.recoveryGrace + this->options.startWatchTime;
+}
+
 bool UpstreamDirectory::onTick()
 {
     const TimePoint now = this->clock.now();
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -87,6 +87,11 @@
     Milliseconds peerStateTimeout { 150 }; // a starting process waits this long for the list state of entries that run
     Milliseconds propagationTime { 750 }; // for a change to reach every entry by its spaced watches or gossip of peers
     Milliseconds removedUpstreamLifetime { 60000 }; // a removed upstream may hold flows for this long
+    // Answers of the store in shorter intervals show that it had no outage in which a record could expire.
+    Milliseconds maxAnswerGap { 1000 };
+    // After the first list, for records of upstreams that were lost with this process to expire: more than three
+    // intervals in which upstreams renew them.
+    Milliseconds startWatchTime { 4000 };
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which an outage may be missed
 };
 
@@ -104,8 +109,9 @@
     // whether anything changed.
     bool replace(std::vector<UpstreamRecord>, uint64_t revision);
 
-    // The store answers again after an outage: records that it lacks now may return within recoveryGrace. They count as
-    // gone once a read that began after that time has shown the records.
+    // The store answers again after a failure: records that it lacks now may return within recoveryGrace. They count as
+    // gone once a read that began after that time has shown the records. No effect if the store answered so lately that
+    // no record can have expired in between.
     void onStoreRecovered();
     // A removed record may return within recoveryGrace even if this process noticed no outage: its watch may have been
     // silent. Requests a read that began after that time for the records that were removed lately.
@@ -124,6 +130,9 @@
     // or awaitsPeers() changed.
     bool onPeerListState(ListState);
     ListState listState() const;
+    // Whether answers of the store are to come in intervals shorter than maxAnswerGap: shortly after the first list,
+    // they show that records which are removed did not expire in an outage of the store.
+    bool needsSteadyAnswers() const;
 
     uint64_t revision() const { return this->newestRevision; } // newest known revision of the store
     uint64_t lastChange() const { return this->lastChangeRevision; } // revision of the newest known change of a record
@@ -143,14 +152,17 @@
         bool listed = true;
         uint64_t removedAt = 0; // revision in which the record was removed
         TimePoint unlistedAt; // when the record was removed
+        TimePoint returnsUntil; // if it expired in an outage of the store, it is back by then
         bool keptForGrace = false; // removed, but usable until the grace period ends
         TimePoint usableFrom; // when every entry lists the upstream
     };
 
     void endWaitForPeers(std::string_view outcome);
     void checkForPause();
+    bool answersSteadily() const;
+    void startGrace();
     void unlist(Row&, uint64_t revision);
-    TimePoint finalRemovalTime(const Row&) const;
+    TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
     bool isSuperseded(const UpstreamRecord&) const;
     void removeFromAddressIndex(const UpstreamRecord&);
@@ -173,6 +185,8 @@
     bool isReadRequested = false; // for the current grace period
     bool hasReadAfterGrace = false;
     TimePoint lastReadStart = TimePoint::min(); // of the reads that the store answered
+    std::optional<TimePoint> lastAnswer; // of the store; empty after an outage or a pause
+    TimePoint answersSince; // since then, the store has answered in intervals of at most maxAnswerGap
     std::optional<TimePoint> removalCheckTime; // when a read of removed records is due, if one was requested
 };
 
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -88,7 +88,8 @@
                 { { "topic", nameOf(topic) }, { "wait-ms", wait }, { "sentinel", isNowSentinel },
                     { "unconfirmed", isNowUnconfirmed }, { "answer-age-ms", this->answerAge(topic) },
                     { "entries", static_cast<uint64_t>(this->fleet.entryCount()) } });
-        isWatchReplaced = this->sync.setWatchWait(topic, wait) || isWatchReplaced;
+        isWatchReplaced
+            = this->sync.setWatchWait(topic, this->steady.at(i) ? this->options.steadyWait : wait) || isWatchReplaced;
     }
     this->isSentinel = isNowSentinel;
     return isWatchReplaced;
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -15,6 +15,7 @@
     // connection that went silent can hide a change.
     Milliseconds sentinelWait { 2000 };
     Milliseconds watchWait { 20000 };
+    Milliseconds steadyWait { 500 }; // while answers are to come steadily; see UpstreamDirectory::needsSteadyAnswers
     Milliseconds maxBehindTime { 350 }; // longer than the interval between two watches
     // An entry whose copy of a topic the store has not confirmed for longer, neither to it nor to others, watches the
     // topic anew with the short wait. Above the interval of a sentinel's confirmations, with the time of their reports.
@@ -34,6 +35,11 @@
 public:
     StoreRefresh(StoreRefreshOptions, StoreSync&, const FleetView&, const Clock&, const Clock& pauseClock);
 
+    void setSteady(StoreTopic topic, bool isSteady) // whether answers of the topic are to come steadily
+    {
+        this->steady.at(static_cast<size_t>(topic)) = isSteady;
+    }
+
     // Call every few milliseconds. No versions: the state of the store was not read yet. Returns whether a read is due.
     bool onTick(const std::optional<StoreVersions>&);
 
@@ -74,6 +80,7 @@
     bool isSentinel = false;
     std::array<std::optional<TimePoint>, storeTopicCount> confirmations; // see confirmedAt()
     std::array<bool, storeTopicCount> wasUnconfirmed {};
+    std::array<bool, storeTopicCount> steady {};
     std::array<bool, storeTopicCount> isBehind {}; // see isBehindPeers()
     // For each topic, when other entries were first seen to announce a newer state than this one has read.
     std::array<std::optional<TimePoint>, storeTopicCount> behindSince;
