Keep searches for holders from filling the link of an entry

The 1 MB/s of copies were more than the link had left. Replies came after their timeouts (60 and 300 ms), which caused further copies, questions and offers; the store's answers timed out, too, and the entry lost sight of its peers.

Change: - LinkBudget: all messages to agents count against half of the link, a tenth is for searches alone, at most 0.1 s of it at once; searches that have begun go before new ones. The link comes from the settings (--link-mbps, limits in the template). - An agent passes the packet of a search on to the others of its failure domain (message Search), and they reply to the entry: one message instead of 12 to 40 on the small link.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -12,6 +12,7 @@
     {
         AgentRouterOptions options;
         options.service = serviceIdOf(settings.service);
+        options.self = settings.packets;
         return options;
     }
 
@@ -77,7 +78,10 @@
     }
     const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
     if (packet && !packet.value().bounced) {
-        this->router.onHop(entry, message.value(), packet.value());
+        if (message.value().kind == HopKind::Search)
+            this->router.onSearch(entry, message.value(), packet.value());
+        else
+            this->router.onHop(entry, message.value(), packet.value());
         return;
     }
     ++this->invalidHopMessages;
@@ -102,6 +106,7 @@
 
 void PacketAgent::flush()
 {
+    this->router.flushDenials();
     this->upstreamSocket.flush();
     this->entrySocket.flush();
 }
@@ -145,6 +150,7 @@
     metrics.setCount("wasabi_packets_total", "from=\"entries\"", counts.fromEntries);
     metrics.setCount("wasabi_packets_total", "from=\"upstream\"", counts.fromUpstream);
     metrics.setCount("wasabi_asked_flows_total", "", counts.asked);
+    metrics.setCount("wasabi_searches_passed_on_total", "", counts.passedOn);
     metrics.setCount("wasabi_bounces_total", "", counts.bounces);
     metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -18,6 +18,7 @@
     constexpr uint64_t defaultLogRate = 400; // Lines per second.
     constexpr size_t logBatchBytes = 16 * 1024;
     constexpr Milliseconds maxStopDelay { 60000 };
+    constexpr double maxLinkMbps = 1000000;
     constexpr uint64_t ticksPerLogFlush = 10;
 
     const std::string usage = R"(Options come from flags, environment variables and a settings file.
@@ -40,6 +41,7 @@
   --peer IP:PORT           Serves the same paths; port 0: disabled [0].
   --seeds LIST             Addresses of entries that may be running, separated by commas.
   --store IP:PORT          Entry: the platform's store.
+  --link-mbps N            Entry: bandwidth of its network link in Mbit/s; 0: the default [10].
   --stop-delay MS          Keeps forwarding for this long after SIGTERM [1500].
   --log-level LEVEL        debug, info, warning or error [info].
   --log-rate N             Log lines per second; further lines are only counted [400].
@@ -129,6 +131,8 @@
     settings.peer = reader.endpoint("--peer", {});
     settings.seeds = reader.endpoints("--seeds");
     settings.store = reader.endpoint("--store", {});
+    const double linkMbps = reader.decimal("--link-mbps", 0, 0, maxLinkMbps);
+    settings.linkMbps = linkMbps > 0 ? linkMbps : PacketSettings().linkMbps;
     settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
     settings.log.threshold = reader.severity("--log-level", Severity::Info);
     settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -28,6 +28,7 @@
     Endpoint peer; // Serves the same paths. Port 0: disabled.
     std::vector<Endpoint> seeds; // Entries that may be running; their ports are not used.
     Endpoint store; // Entry: the platform's store.
+    double linkMbps = 10; // Entry: bandwidth of its network link, in each direction.
     // Milliseconds for which the process keeps forwarding after SIGTERM. Routers need this time to notice that an entry
     // is not ready.
     Milliseconds stopDelay { 1500 };
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -17,6 +17,8 @@
         options.failureDomain = settings.failureDomain;
         options.agentPort = settings.packets.port;
         options.seed = hashName(settings.name);
+        constexpr double bytesPerMegabit = 125000;
+        options.link.bytesPerSecond = settings.linkMbps * bytesPerMegabit;
         return options;
     }
 
@@ -383,6 +385,7 @@
         this->readStore();
     if (!this->hasStoreState() && this->fleet.takeChange())
         this->applyProvisionalState();
+    this->storeRefresh.setSteady(StoreTopic::Upstreams, this->directory.needsSteadyAnswers());
     if (this->storeRefresh.onTick(this->storeVersions()))
         this->readStore();
     this->router.setBehindPeers(this->storeRefresh.isBehindPeers(StoreTopic::Upstreams));
@@ -428,8 +431,11 @@
     metrics.setCount("wasabi_forwarded_total", "", counts.forwarded);
     metrics.setCount("wasabi_finds_total", "", counts.finds);
     metrics.setCount("wasabi_find_copies_total", "", counts.findCopies);
+    metrics.setCount("wasabi_relayed_searches_total", "", counts.relayedSearches);
     metrics.setCount("wasabi_asks_total", "", counts.asks);
     metrics.setCount("wasabi_finds_limited_total", "", counts.findsLimited);
+    metrics.setCount("wasabi_search_bytes_total", "", counts.searchBytes);
+    metrics.setCount("wasabi_searches_shed_total", "", counts.searchesShed);
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
     metrics.setCount("wasabi_resets_total", "", counts.resets);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -35,6 +35,8 @@
     uint16_t slots = 2;
     uint64_t seed = 1;
     DirectoryOptions directory;
+    std::optional<double> entryLinkBytesPerSecond; // outgoing link of each entry; empty: unlimited
+    LinkBudgetOptions entryLinkBudget;
     std::function<void(HopMessage&)> tamper; // modifies hop messages before they are sent; may be empty
 };
 
@@ -152,6 +154,7 @@
         EntryRouterOptions routerOptions;
         routerOptions.agentPort = agentPort;
         routerOptions.seed = this->random();
+        routerOptions.link = this->options.entryLinkBudget;
         const PacketAddress self { entryNetwork + static_cast<uint32_t>(index), hopPort };
         entry.router = std::make_unique<EntryRouter>(routerOptions,
             EntryRouterHooks {
@@ -323,6 +326,7 @@
     {
         AgentRouterOptions routerOptions;
         routerOptions.service = upstream.record.service;
+        routerOptions.self = upstream.agent;
         Upstream* self = &upstream;
         AgentRouterHooks hooks;
         hooks.sendToUpstream = [this, self](Bytes packet) {
@@ -347,6 +351,28 @@
         std::vector<uint8_t> bytes;
         encodeHop(message, bytes);
         ++this->hopMessages;
+        const std::optional<Duration> queueing = this->queueAtLink(from, bytes.size() + datagramHeaderBytes);
+        if (queueing)
+            this->after(*queueing, [this, from, to, bytes] { this->deliverHop(from, to, bytes); });
+    }
+
+    // Time that a message waits at the link of its sender, which drops messages when its queue is full.
+    std::optional<Duration> queueAtLink(PacketAddress from, size_t bytes)
+    {
+        constexpr Milliseconds maxQueueing { 1000 };
+        if (!this->options.entryLinkBytesPerSecond || from.address >= hostNetwork)
+            return Duration::zero();
+        TimePoint& isFree = this->linkIsFree[from];
+        isFree = std::max(isFree, this->clock.now());
+        if (isFree - this->clock.now() > maxQueueing)
+            return std::nullopt;
+        isFree += std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(static_cast<double>(bytes) / *this->options.entryLinkBytesPerSecond));
+        return isFree - this->clock.now();
+    }
+
+    void deliverHop(PacketAddress from, PacketAddress to, const std::vector<uint8_t>& bytes)
+    {
         this->send([this, from, to, bytes] {
             const Result<HopMessage> decoded = decodeHop(bytes);
             if (!decoded) {
@@ -360,6 +386,8 @@
                 Upstream& upstream = *this->upstreams.at(to.address - hostNetwork);
                 if (upstream.agentIsUp && decoded.value().kind == HopKind::Ask)
                     upstream.router->onAsk(from, decoded.value());
+                else if (upstream.agentIsUp && decoded.value().kind == HopKind::Search)
+                    upstream.router->onSearch(from, decoded.value(), packet.value());
                 else if (upstream.agentIsUp)
                     upstream.router->onHop(from, decoded.value(), packet.value());
             } else {
@@ -443,6 +471,7 @@
             if (packet.bounced)
                 platform::restoreBouncedPacket(restored);
             host.router->onUpstreamPacket(packet, restored);
+            host.router->flushDenials();
         });
     }
 
@@ -513,6 +542,7 @@
     std::priority_queue<Event> events;
     std::map<FlowKey, size_t> requestByFlow;
     std::map<FlowKey, uint32_t> clientSequence;
+    std::map<PacketAddress, TimePoint> linkIsFree; // when the outgoing link of each entry has sent all messages
 };
 
 } // namespace wasabicroft::tests
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -119,6 +119,64 @@
             targetShareInTime);
     }
 
+    // Pattern: all power is lost, and so are all flows. Every agent is unsure, and each flow is searched at all
+    // upstreams through the link of a small entry while new flows arrive. Returns the share of the new flows that open
+    // at the first copy of their SYN.
+    double shareOpenedAtOnceWhileLostFlowsAreSearched(const LinkBudgetOptions& budget)
+    {
+        constexpr size_t lostFlows = 400;
+        PacketWorldOptions options;
+        options.entries = 1;
+        options.upstreams = 37;
+        options.slots = 4;
+        options.entryLinkBytesPerSecond = 1250000;
+        options.entryLinkBudget = budget;
+        PacketWorld world(options);
+        world.startTicks();
+        for (size_t i = 0; i < lostFlows; ++i) {
+            world.open(0, 0);
+            world.run(Milliseconds(2));
+        }
+        world.run(Milliseconds(2000));
+        EXPECT_EQ(answeredCount(world), lostFlows);
+        for (size_t i = 0; i < world.upstreams.size(); ++i) {
+            world.crashUpstream(i);
+            world.startUpstream(i);
+            world.restartAgent(i);
+        }
+        world.startEntry(0);
+        requestAllAgain(world);
+        const size_t first = world.requests.size();
+        for (Milliseconds time(0); time < Milliseconds(3000); time += Milliseconds(5)) {
+            world.open(0, 0);
+            world.run(Milliseconds(5));
+        }
+        world.run(Milliseconds(2000));
+        constexpr Milliseconds secondCopy { 200 };
+        size_t atOnce = 0;
+        for (size_t i = first; i < world.requests.size(); ++i)
+            atOnce += world.requests[i].latency && *world.requests[i].latency < secondCopy ? 1 : 0;
+        size_t reset = 0;
+        for (size_t i = 0; i < lostFlows; ++i)
+            reset += world.requests[i].reset ? 1 : 0;
+        std::cout << reset << " of " << lostFlows << " lost flows reset\n";
+        EXPECT_EQ(firstOrEmpty(world.violations), "");
+        return static_cast<double>(atOnce) / static_cast<double>(world.requests.size() - first);
+    }
+
+    // Guards against searches that fill the link of an entry: replies come after their timeouts and cause more
+    // messages.
+    TEST(PacketWorld, SearchesOfLostFlowsLeaveTheLinkToNewFlows)
+    {
+        EXPECT_GE(shareOpenedAtOnceWhileLostFlowsAreSearched({ .bytesPerSecond = 1250000 }), targetShareInTime);
+    }
+
+    // The same with searches that don't know the link.
+    TEST(PacketWorldAblationOfTheLinkBudget, SearchesFillTheLink)
+    {
+        EXPECT_LT(shareOpenedAtOnceWhileLostFlowsAreSearched({ .bytesPerSecond = 1e9 }), targetShareInTime);
+    }
+
     // Guards against flows that are lost when all entries and agents restart while the upstreams run on.
     TEST(PacketWorld, OpenFlowsSurviveTheRestartOfEveryProcess)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -77,9 +77,10 @@
 // Packets of entries
 //-----------------------------------------------------------------------------
 
-void AgentRouter::onHop(PacketAddress entry, const HopMessage& message, const Packet& packet)
+void AgentRouter::onHop(PacketAddress source, const HopMessage& message, const Packet& packet)
 {
     ++this->counts.fromEntries;
+    const PacketAddress entry = message.replyTo == PacketAddress() ? source : message.replyTo;
     this->learn(entry, message);
     if (message.kind == HopKind::Offer) {
         this->onOffer(entry, message, packet);
@@ -91,7 +92,7 @@
     }
     const FlowKey key = packet.flowKeyFromClient();
     if (this->liveness.state() == UpstreamState::Down) {
-        this->denyFlow(key, entry);
+        this->denyFlow(key, entry, message.kind == HopKind::Find);
         return;
     }
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -102,6 +103,45 @@
     this->deliver(key, flow, message, packet);
 }
 
+// Passing a search on takes the copies off the link of the entry, which may be a hundred times smaller than this one's.
+void AgentRouter::onSearch(PacketAddress entry, const HopMessage& message, const Packet& packet)
+{
+    HopMessage find = message;
+    find.kind = HopKind::Find;
+    find.targets.clear();
+    find.upstream.reset(); // those of the receiver's upstream
+    find.replyTo = entry;
+    for (const uint32_t target : message.targets) {
+        if (target == this->options.self.address)
+            continue;
+        ++this->counts.passedOn;
+        this->hooks.sendHop({ target, this->options.self.port }, find);
+    }
+    find.upstream = message.upstream;
+    this->onHop(entry, find, packet);
+}
+
+void AgentRouter::flushDenials()
+{
+    const TimePoint now = this->clock.now();
+    for (auto& [entry, queued] : this->queuedDenials) {
+        if (queued.flows.empty() || now - queued.lastSent < this->options.denialInterval)
+            continue;
+        queued.lastSent = now;
+        for (size_t first = 0; first < queued.flows.size(); first += maxFlowKeysPerMessage) {
+            HopMessage message = this->makeReply(HopKind::Denied);
+            message.flowKeys.assign(queued.flows.begin() + static_cast<std::ptrdiff_t>(first),
+                queued.flows.begin()
+                    + static_cast<std::ptrdiff_t>(std::min(queued.flows.size(), first + maxFlowKeysPerMessage)));
+            this->hooks.sendHop(entry, message);
+        }
+        queued.flows.clear();
+    }
+    std::erase_if(this->queuedDenials, [&](const auto& item) {
+        return item.second.flows.empty() && now - item.second.lastSent >= this->options.denialInterval;
+    });
+}
+
 // An agent that has run for longer than the idle timeout of flows, without evictions, has seen a packet of every flow
 // of its upstream and denies the others.
 void AgentRouter::onAsk(PacketAddress entry, const HopMessage& message)
@@ -116,7 +156,7 @@
     }
     if (this->liveness.state() == UpstreamState::Down) {
         for (const FlowKey& key : message.flowKeys)
-            this->denyFlow(key, entry);
+            this->denyFlow(key, entry, true);
         return;
     }
     const bool hasSeenAll
@@ -140,13 +180,15 @@
 }
 
 // An upstream that is down has lost its flows.
-void AgentRouter::denyFlow(const FlowKey& key, PacketAddress entry)
+void AgentRouter::denyFlow(const FlowKey& key, PacketAddress entry, bool isSearched)
 {
     const Flow* flow = this->flows.find(key);
     const bool wasOpen = flow && flow->isOpen;
     this->flows.erase(key);
     if (wasOpen)
         this->reportGone(key, entry, HopRefusal::UpstreamDown, "upstream-down");
+    else if (isSearched)
+        this->queuedDenials[entry].flows.push_back(key);
     else
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
@@ -400,15 +442,17 @@
     this->confirmDelivery(*flow);
     const PacketAddress entry = flow->entry;
     const bool wasOpen = flow->isOpen;
-    const bool returnsPacket = flow->lastKind != HopKind::Find; // the entry keeps the packet of a Find
+    const bool isSearched = flow->lastKind == HopKind::Find; // the entry keeps the packet
     this->removeFlow(key);
     if (packet.isSyn()) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
     } else if (wasOpen) {
         this->reportGone(key, entry, HopRefusal::None, "returned-packet");
+    } else if (isSearched) {
+        this->queuedDenials[entry].flows.push_back(key);
     } else {
-        this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, returnsPacket ? bytes : Bytes());
+        this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, bytes);
     }
 }
 
@@ -432,7 +476,7 @@
             lost.emplace_back(key, flow.entry);
     });
     for (const auto& [key, entry] : lost)
-        this->denyFlow(key, entry);
+        this->denyFlow(key, entry, false);
 }
 
 void AgentRouter::removeFlow(const FlowKey& key)
@@ -476,6 +520,7 @@
     this->liveness.onTick();
     this->updateState();
     this->confirmHeldFlows();
+    this->flushDenials();
     this->expireRequests();
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -24,6 +24,7 @@
 
 struct AgentRouterOptions {
     ServiceId service; // service of the upstream
+    PacketAddress self; // address of this agent for messages of entries; other agents use the same port
     size_t maxRoutes = 256; // whose limits are kept
     size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is evicted
     Milliseconds flowIdleTimeout { 60000 }; // flows without packets for longer are removed
@@ -31,6 +32,7 @@
     Milliseconds unchangedLoadInterval { 1000 }; // between load reports while the load is unchanged
     RequestQueueOptions requestQueue;
     LivenessOptions liveness;
+    Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
 };
 
@@ -38,6 +40,7 @@
     uint64_t fromEntries = 0; // packets
     uint64_t fromUpstream = 0;
     uint64_t asked = 0; // flows that entries asked about
+    uint64_t passedOn = 0; // messages of searches, to other agents
     uint64_t bounces = 0; // packets returned by the upstream
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0; // SYNs refused by the agent or the upstream
@@ -55,7 +58,7 @@
 struct AgentRouterHooks {
     std::function<void(Bytes)> sendToUpstream;
     std::function<void(PacketAddress client, Bytes)> sendToClient;
-    std::function<void(PacketAddress entry, const HopMessage&)> sendHop;
+    std::function<void(PacketAddress entry, const HopMessage&)> sendHop; // to an entry, or a Find to an agent
     std::function<void(PacketAddress route)> onUpstreamAnswered; // the upstream sent a packet of an open flow
     std::function<void(const std::optional<UpstreamFigures>&)> onUpstreamFigures; // changed; may be empty
 };
@@ -67,8 +70,10 @@
     void setService(ServiceId); // the settings changed: an upstream of another service runs here now
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
+    void onSearch(PacketAddress entry, const HopMessage&, const Packet&); // a Find for this and other agents
     void onAsk(PacketAddress entry, const HopMessage&); // asks which flows the upstream holds
     void onUpstreamPacket(const Packet&, Bytes); // the caller has cleared the bounced flag in the bytes
+    void flushDenials(); // call after each batch of datagrams: denials of one batch share their messages
     void onTick(); // call every few milliseconds
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
@@ -126,7 +131,7 @@
     void startWaitingRequests();
     void expireRequests();
     void updateState();
-    void denyFlow(const FlowKey&, PacketAddress entry);
+    void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause);
     void markHeld(const FlowKey&, Flow&);
     void assignDeliveryNumber(Flow&);
@@ -148,6 +153,11 @@
     std::optional<Milliseconds> idleTimeout;
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
+    struct QueuedDenials {
+        std::vector<FlowKey> flows;
+        TimePoint lastSent;
+    };
+    std::map<PacketAddress, QueuedDenials> queuedDenials; // by entry
     std::deque<Delivery> unconfirmedDeliveries; // ordered by number
     uint64_t lastDelivery = 0; // number of the last delivery
     uint64_t confirmedDelivery = 0; // the upstream has received all deliveries up to this number
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -55,8 +55,7 @@
     , random(this->options.seed)
     , placement(placementOptions(this->options, this->random), timeSource)
     , flows(this->options.maxFlows)
-    , findTokens(this->options.findBytesPerSecond)
-    , findTokensUpdated(timeSource.now())
+    , linkBudget(this->options.link, timeSource)
 {
 }
 
@@ -93,9 +92,11 @@
     const std::map<PacketAddress, std::optional<UpstreamFigures>> figuresBefore
         = std::exchange(this->figuresByAgent, {});
     this->usableAgents.clear();
+    std::map<std::string, size_t> failureDomains; // numbers by name
     const auto toCandidate = [&](const UpstreamRecord& record) {
         return HolderCandidate { record.id(), { record.address.address, this->options.agentPort },
-            directory.listingOf(record) };
+            directory.listingOf(record),
+            failureDomains.emplace(record.failureDomain, failureDomains.size()).first->second };
     };
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
@@ -140,7 +141,7 @@
         message.kind = HopKind::Ask;
         message.service = record.service;
         message.upstream = record.figures();
-        this->hooks.sendHop(agent, message);
+        this->sendHop(agent, message);
     }
 }
 
@@ -299,7 +300,21 @@
     this->sendPacket(offer.agent, HopKind::Offer, key, flow.service, flow.syn);
 }
 
-void EntryRouter::sendPacket(PacketAddress agent, HopKind kind, const FlowKey& key, ServiceId service, Bytes bytes)
+// Every message counts against the share of the link that is left for searches. chargedBytes of it did already.
+void EntryRouter::sendHop(PacketAddress agent, const HopMessage& message, size_t chargedBytes)
+{
+    const size_t bytes = encodedBytes(message) + datagramHeaderBytes - chargedBytes;
+    if (message.kind == HopKind::Find || message.kind == HopKind::Ask || message.kind == HopKind::Search) {
+        this->counts.searchBytes += bytes;
+        this->linkBudget.onSearchMessage(bytes);
+    } else {
+        this->linkBudget.onMessage(bytes);
+    }
+    this->hooks.sendHop(agent, message);
+}
+
+HopMessage EntryRouter::makeMessage(
+    PacketAddress agent, HopKind kind, const FlowKey& key, ServiceId service, Bytes bytes) const
 {
     HopMessage message;
     message.kind = kind;
@@ -309,11 +324,17 @@
         message.limits = route->limits;
     if (const auto figures = this->figuresByAgent.find(agent); figures != this->figuresByAgent.end())
         message.upstream = figures->second;
+    return message;
+}
+
+void EntryRouter::sendPacket(PacketAddress agent, HopKind kind, const FlowKey& key, ServiceId service, Bytes bytes)
+{
+    HopMessage message = this->makeMessage(agent, kind, key, service, bytes);
     if (kind == HopKind::Offer || kind == HopKind::Find)
         this->expectReply(agent);
     if (kind == HopKind::Offer)
         message.loadInterval = this->addLoadReporter(agent);
-    this->hooks.sendHop(agent, message);
+    this->sendHop(agent, message);
 }
 
 // Only usable upstreams count: those that were removed may be gone with their agents.
@@ -361,7 +382,7 @@
     std::advance(agent, static_cast<std::ptrdiff_t>(this->random() % this->usableAgents.size()));
     for (size_t i = 0; i < std::min(this->options.maxIsolationProbes, this->usableAgents.size()); ++i) {
         this->expectReply(*agent);
-        this->hooks.sendHop(*agent, probe);
+        this->sendHop(*agent, probe);
         if (++agent == this->usableAgents.end())
             agent = this->usableAgents.begin();
     }
@@ -497,6 +518,7 @@
     case HopKind::Forward:
     case HopKind::Find:
     case HopKind::Ask:
+    case HopKind::Search:
         break;
     }
 }
@@ -584,6 +606,7 @@
     this->processSearchTimers();
     this->flushAsks();
     this->updateIsolation();
+    this->logShedSearches();
     while (!this->buffered.empty() && now - this->buffered.front().received > this->options.maxBufferTime) {
         ++this->counts.dropped;
         this->bufferedBytes -= this->buffered.front().bytes.size();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "wasabicroft/HolderSearch.h"
+#include "wasabicroft/LinkBudget.h"
 #include "wasabicroft/Placement.h"
 #include "wasabicroft/Published.h"
 
@@ -44,7 +45,9 @@
     size_t maxBufferedBytes = 1024 * 1024; // of packets that wait for the first routes
     Milliseconds maxBufferTime { 1400 }; // a client gives up opening a flow after this time
     Milliseconds flowIdleTimeout { 60000 }; // flows without packets for longer are removed
-    double findBytesPerSecond = 1000000; // of packets to possible holders: two thirds of a small machine's link
+    unsigned maxPacketRounds = 3; // times that upstreams get the packet of a search: it or their reply may be lost
+    LinkBudgetOptions link; // this entry's network link
+    size_t minSearchTargets = 4; // upstreams of a failure domain that get the packet of a search through one of them
     Milliseconds agentSilenceTimeout { 250 }; // an agent that has not replied for longer is silent; above round trips
     Milliseconds isolationDelay { 250 }; // how long most agents are silent, to probes too, before the entry is isolated
     Milliseconds isolationProbeInterval { 100 };
@@ -62,8 +65,11 @@
     uint64_t forwarded = 0;
     uint64_t finds = 0; // searches for the holder of a flow
     uint64_t findCopies = 0; // Find messages sent
+    uint64_t relayedSearches = 0; // Search messages sent, each for several of these copies
     uint64_t asks = 0; // Ask messages sent
     uint64_t findsLimited = 0; // packets and searches that had to wait because of a limit
+    uint64_t searchBytes = 0; // of Find and Ask messages, with IP and UDP headers
+    uint64_t searchesShed = 0; // searches that did not start because the link is busy
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
     uint64_t resets = 0;
@@ -158,6 +164,7 @@
     Milliseconds addLoadReporter(PacketAddress agent);
     void announceDrains(
         const UpstreamDirectory&, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before);
+    void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
@@ -170,6 +177,9 @@
     void continueSearch(const FlowKey&, Flow&);
     void askAgents(const FlowKey&, HolderSearch&);
     void sendFinds(const FlowKey&, Flow&);
+    std::optional<PacketAddress> chooseRelay(const std::vector<const HolderSearch::Target*>&) const;
+    void sendSearch(PacketAddress relay, const FlowKey&, const Flow&, const std::vector<const HolderSearch::Target*>&);
+    HopMessage makeMessage(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes) const;
     void onKnown(PacketAddress agent, std::span<const FlowKey>);
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
@@ -180,7 +190,7 @@
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
     void expirePendingOffers();
-    bool tryTakeFindTokens(size_t bytes);
+    void logShedSearches();
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
@@ -222,8 +232,9 @@
     bool isolated = false;
     std::deque<BufferedPacket> buffered;
     size_t bufferedBytes = 0;
-    double findTokens = 0;
-    TimePoint findTokensUpdated;
+    LinkBudget linkBudget;
+    uint64_t loggedSearchesShed = 0;
+    TimePoint nextShedLog;
     EntryRouterCounters counts;
 };
 
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -24,6 +24,11 @@
         this->queueForHolder(key, flow, bytes);
         return;
     }
+    if (!this->linkBudget.canStartSearch()) {
+        ++this->counts.searchesShed;
+        this->queueForHolder(key, flow, bytes);
+        return;
+    }
     const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, excluded);
     if (targets.empty()) {
         ++this->counts.dropped;
@@ -39,7 +44,7 @@
     search.beganBeforeListCheck = this->directoryAwaitsPeers;
     search.directoryRevision = this->directoryRevision;
     for (const HolderCandidate& target : targets)
-        search.targets.push_back({ target.agent, target.listing });
+        search.targets.push_back({ target.agent, target.listing, target.failureDomain });
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
     // before that is useless.
     search.askRounds = flow.offers.empty() ? 0 : this->options.maxAskRounds;
@@ -58,7 +63,7 @@
             targets.push_back(target);
     };
     for (const Offer& offer : flow.offers)
-        add({ offer.upstream, offer.agent, Listing::Listed });
+        add({ offer.upstream, offer.agent, Listing::Listed, 0 });
     if (!targets.empty())
         return targets;
     const Route* route = this->routes->find(key.route);
@@ -85,10 +90,14 @@
 void EntryRouter::continueSearch(const FlowKey& key, Flow& flow)
 {
     const bool asksAgain = flow.search->askRounds < this->options.maxAskRounds && !flow.search->isAnsweredByAll();
-    if (asksAgain)
-        this->askAgents(key, *flow.search);
-    if (!asksAgain || flow.search->isAnsweredByAll())
-        this->sendFinds(key, flow);
+    if (!this->linkBudget.canContinueSearch()) {
+        ++this->counts.findsLimited;
+    } else {
+        if (asksAgain)
+            this->askAgents(key, *flow.search);
+        if (!asksAgain || flow.search->isAnsweredByAll())
+            this->sendFinds(key, flow);
+    }
     this->searchTimers.emplace(this->clock.now() + this->options.searchStageTimeout, key);
 }
 
@@ -106,34 +115,70 @@
         this->queuedAsks[target.agent].push_back(key);
         ++asked;
     }
+    // Charged before they are sent, so that a batch of packets does not start more searches than the link can carry.
+    this->counts.searchBytes += asked * flowKeyBytes;
+    this->linkBudget.onSearchMessage(asked * flowKeyBytes);
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", asked }, { "with", "question" },
             { "directory", this->directoryRevision } });
 }
 
-// Sends to the preferred upstreams first, then to all others or, at the rate limit, to none: denials of only some
-// would not show that the flow is lost.
+// Sends to the preferred upstreams first, then to all others, then again to those that have not answered: denials of
+// only some would not show that the flow is lost.
 void EntryRouter::sendFinds(const FlowKey& key, Flow& flow)
 {
     HolderSearch& search = *flow.search;
     const bool isFirst = std::none_of(search.targets.begin(), search.targets.end(),
         [](const HolderSearch::Target& target) { return target.packetSent; });
+    const bool isRepeated = search.isPacketSentToAll();
     std::vector<HolderSearch::Target*> receivers;
     for (HolderSearch::Target& target : search.targets) {
-        if (!target.packetSent && !target.denied && (!isFirst || receivers.size() < this->options.preferredUpstreams))
+        if (target.packetSent == isRepeated && !target.denied
+            && (!isFirst || receivers.size() < this->options.preferredUpstreams))
             receivers.push_back(&target);
     }
-    if (!this->tryTakeFindTokens(receivers.size() * (hopHeaderBytes + search.packet.size()))) {
-        ++this->counts.findsLimited;
-        return;
-    }
+    search.packetRounds += isRepeated || isFirst ? 1 : 0;
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(receivers.size()) }, { "with", "packet" },
             { "directory", this->directoryRevision } });
     this->counts.findCopies += receivers.size();
+    std::map<size_t, std::vector<const HolderSearch::Target*>> byFailureDomain;
     for (HolderSearch::Target* target : receivers) {
         target->packetSent = true;
-        this->sendPacket(target->agent, HopKind::Find, key, flow.service, search.packet);
+        byFailureDomain[target->failureDomain].push_back(target);
+    }
+    for (const auto& [failureDomain, group] : byFailureDomain) {
+        const bool isLarge = !isRepeated && group.size() >= this->options.minSearchTargets;
+        const std::optional<PacketAddress> relay = isLarge ? this->chooseRelay(group) : std::nullopt;
+        if (relay) {
+            this->sendSearch(*relay, key, flow, group);
+            continue;
+        }
+        for (const HolderSearch::Target* target : group)
+            this->sendPacket(target->agent, HopKind::Find, key, flow.service, search.packet);
+    }
+}
+
+// An agent that replied lately: the first one in the order of the flow's upstreams, so that flows use different ones.
+std::optional<PacketAddress> EntryRouter::chooseRelay(const std::vector<const HolderSearch::Target*>& group) const
+{
+    for (const HolderSearch::Target* target : group) {
+        if (this->lastReplies.contains(target->agent) || this->unsureUntil.contains(target->agent))
+            return target->agent;
+    }
+    return std::nullopt;
+}
+
+void EntryRouter::sendSearch(
+    PacketAddress relay, const FlowKey& key, const Flow& flow, const std::vector<const HolderSearch::Target*>& group)
+{
+    for (size_t first = 0; first < group.size(); first += maxSearchTargets) {
+        HopMessage message = this->makeMessage(relay, HopKind::Search, key, flow.service, flow.search->packet);
+        for (size_t i = first; i < std::min(group.size(), first + maxSearchTargets); ++i)
+            message.targets.push_back(group[i]->agent.address);
+        ++this->counts.relayedSearches;
+        this->expectReply(relay);
+        this->sendHop(relay, message);
     }
 }
 
@@ -149,7 +194,7 @@
                 keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeysPerMessage)));
             ++this->counts.asks;
             this->expectReply(agent);
-            this->hooks.sendHop(agent, message);
+            this->sendHop(agent, message, message.flowKeys.size() * flowKeyBytes);
         }
     }
 }
@@ -189,19 +234,6 @@
     flow.waiting.push_back(copyOf(bytes));
 }
 
-bool EntryRouter::tryTakeFindTokens(size_t bytes)
-{
-    const TimePoint now = this->clock.now();
-    const double seconds = std::chrono::duration<double>(now - this->findTokensUpdated).count();
-    this->findTokensUpdated = now;
-    this->findTokens
-        = std::min(this->options.findBytesPerSecond, this->findTokens + seconds * this->options.findBytesPerSecond);
-    if (this->findTokens < static_cast<double>(bytes))
-        return false;
-    this->findTokens -= static_cast<double>(bytes);
-    return true;
-}
-
 //-----------------------------------------------------------------------------
 // Answers
 //-----------------------------------------------------------------------------
@@ -218,7 +250,8 @@
 {
     if (flow.search->isDeniedByAll())
         this->endFailedSearch(key, flow);
-    else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll())
+    else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll()
+        && this->linkBudget.canContinueSearch())
         this->sendFinds(key, flow);
 }
 
@@ -297,7 +330,9 @@
             }
         }
         const bool lacksAnswers = flow->search && now - flow->search->started < this->options.searchTimeout;
-        if (lacksAnswers && !flow->search->isPacketSentToAll()) {
+        const bool canSendAgain = lacksAnswers
+            && (!flow->search->isPacketSentToAll() || flow->search->packetRounds < this->options.maxPacketRounds);
+        if (canSendAgain) {
             this->continueSearch(key, *flow);
             continue;
         }
@@ -305,6 +340,20 @@
     }
 }
 
+void EntryRouter::logShedSearches()
+{
+    const TimePoint now = this->clock.now();
+    if (this->counts.searchesShed == this->loggedSearchesShed || now < this->nextShedLog)
+        return;
+    constexpr Milliseconds interval { 500 };
+    this->nextShedLog = now + interval;
+    logEvent(Event::PacketSearchesShed,
+        { { "searches",
+              this->counts.searchesShed - std::exchange(this->loggedSearchesShed, this->counts.searchesShed) },
+            { "link-bytes-per-second", static_cast<uint64_t>(this->options.link.bytesPerSecond) },
+            { "flows", static_cast<uint64_t>(this->flows.size()) }, { "directory", this->directoryRevision } });
+}
+
 // Some upstream that may hold the flow did not answer: the next packet of the client may start another search.
 void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
 {
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -71,6 +71,7 @@
         EventInfo { Event::PacketAgentsHeard, Severity::Info, "packet-agents-heard" },
         EventInfo { Event::PacketHolderNotFound, Severity::Info, "packet-holder-not-found" },
         EventInfo { Event::PacketUpstreamFigures, Severity::Info, "packet-upstream-figures" },
+        EventInfo { Event::PacketSearchesShed, Severity::Warning, "packet-searches-shed" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -75,6 +75,7 @@
     PacketAgentsHeard = 4215,
     PacketHolderNotFound = 4216,
     PacketUpstreamFigures = 4217,
+    PacketSearchesShed = 4218,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -10,6 +10,7 @@
     UpstreamId upstream;
     PacketAddress agent;
     Listing listing = Listing::Listed; // a removed one may still hold flows
+    size_t failureDomain = 0; // number of its failure domain
 };
 
 // A search for the holder of a flow.
@@ -17,6 +18,7 @@
     struct Target {
         PacketAddress agent;
         Listing listing = Listing::Listed;
+        size_t failureDomain = 0;
         bool agentIsUnsure = false; // it replied Unsure for this flow, or lately for another
         bool packetSent = false; // the upstream got the packet
         bool denied = false; // the upstream doesn't hold the flow
@@ -27,6 +29,7 @@
     std::vector<uint8_t> packet;
     std::vector<Target> targets; // preferred upstreams of the flow first
     unsigned askRounds = 0; // times that the agents were asked, without the packet
+    unsigned packetRounds = 0; // times that upstreams got the packet, the preferred ones and the others as one
     TimePoint started;
     bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
     bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -15,6 +15,7 @@
     constexpr Milliseconds loadIntervalStep(20);
 
     static_assert(sizeof(wire::Hop) == hopHeaderBytes);
+    static_assert(sizeof(wire::FlowEnds) == flowKeyBytes);
 
     uint64_t toUint64(PacketAddress address) { return (static_cast<uint64_t>(address.address) << 16) | address.port; }
 
@@ -82,7 +83,8 @@
 
     bool isFromEntry(HopKind kind)
     {
-        return kind == HopKind::Offer || kind == HopKind::Forward || kind == HopKind::Find || kind == HopKind::Ask;
+        return kind == HopKind::Offer || kind == HopKind::Forward || kind == HopKind::Find || kind == HopKind::Ask
+            || kind == HopKind::Search;
     }
 
     uint16_t toUint16Ms(Milliseconds time)
@@ -106,6 +108,7 @@
         header.mutate_timeout_ms(
             toUint16Ms(message.kind == HopKind::Ask ? message.idleTimeout.value_or(Milliseconds(0)) : limits.timeout));
         header.mutate_priority(static_cast<uint8_t>(std::min<unsigned>(limits.priority, UINT8_MAX)));
+        header.mutate_refusal(static_cast<uint8_t>(message.targets.size()));
         header.mutate_load_interval(
             static_cast<uint8_t>(std::clamp<int64_t>(message.loadInterval / loadIntervalStep, 0, UINT8_MAX)));
     }
@@ -149,25 +152,35 @@
 
 } // namespace
 
+size_t encodedBytes(const HopMessage& message)
+{
+    return hopHeaderBytes + message.packet.size() + message.targets.size() * sizeof(uint32_t)
+        + message.flowKeys.size() * sizeof(wire::FlowEnds);
+}
+
 void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
 {
-    const size_t flowBytes = message.flowKeys.size() * sizeof(wire::FlowEnds);
+    const size_t messageBytes = encodedBytes(message);
     wire::Hop header;
     header.mutate_service(message.service.value);
-    header.mutate_client_address(message.flow.client.address);
-    header.mutate_client_port(message.flow.client.port);
+    const PacketAddress client = message.kind == HopKind::Find ? message.replyTo : message.flow.client;
+    header.mutate_client_address(client.address);
+    header.mutate_client_port(client.port);
     header.mutate_route_address(message.flow.route.address);
     header.mutate_route_port(message.flow.route.port);
     header.mutate_magic(hopMagic);
-    header.mutate_packet_bytes(static_cast<uint16_t>(message.packet.size() + flowBytes));
+    header.mutate_packet_bytes(static_cast<uint16_t>(messageBytes - hopHeaderBytes));
     header.mutate_kind(static_cast<uint8_t>(message.kind));
     isFromEntry(message.kind) ? encodeEntryFigures(message, header) : encodeAgentFigures(message, header);
     const size_t start = out.size();
-    out.resize(start + hopHeaderBytes + message.packet.size() + flowBytes);
+    out.resize(start + messageBytes);
     std::memcpy(out.data() + start, &header, hopHeaderBytes);
     uint8_t* next = out.data() + start + hopHeaderBytes;
     if (!message.packet.empty())
         std::memcpy(next, message.packet.data(), message.packet.size());
+    next += message.packet.size();
+    if (!message.targets.empty())
+        std::memcpy(next, message.targets.data(), message.targets.size() * sizeof(uint32_t));
     for (const FlowKey& key : message.flowKeys) {
         const wire::FlowEnds ends(key.client.address, key.route.address, key.client.port, key.route.port);
         std::memcpy(next, &ends, sizeof(ends));
@@ -188,8 +201,10 @@
     std::memcpy(&header, bytes.data(), hopHeaderBytes);
     if (header.magic() != hopMagic)
         return Error { ErrorKind::InvalidFrame, "the message has an unknown version; run one version on all hosts" };
-    if (header.kind() >= hopKindNames.size() || header.refusal() >= hopRefusalNames.size())
+    if (header.kind() >= hopKindNames.size())
         return Error { ErrorKind::InvalidFrame, "the message has an unknown kind; run one version on all hosts" };
+    if (!isFromEntry(static_cast<HopKind>(header.kind())) && header.refusal() >= hopRefusalNames.size())
+        return Error { ErrorKind::InvalidFrame, "the message has an unknown cause; run one version on all hosts" };
     if (header.packet_bytes() != bytes.size() - hopHeaderBytes)
         return Error { ErrorKind::InvalidFrame, "the message has a wrong length; check the network for truncation" };
     HopMessage message;
@@ -198,9 +213,19 @@
     message.flow.client = { header.client_address(), header.client_port() };
     message.flow.route = { header.route_address(), header.route_port() };
     isFromEntry(message.kind) ? decodeEntryFigures(header, message) : decodeAgentFigures(header, message);
+    if (message.kind == HopKind::Find)
+        message.replyTo = std::exchange(message.flow.client, PacketAddress());
     const Bytes payload = bytes.subspan(hopHeaderBytes);
     if (!carriesFlowKeys(message.kind)) {
-        message.packet = payload;
+        const size_t targetCount = message.kind == HopKind::Search ? header.refusal() : 0;
+        const size_t targetBytes = targetCount * sizeof(uint32_t);
+        if (targetCount > maxSearchTargets || targetBytes > payload.size())
+            return Error { ErrorKind::InvalidFrame,
+                "the message has a wrong length; check the network for truncation" };
+        message.packet = payload.first(payload.size() - targetBytes);
+        message.targets.resize(targetCount);
+        if (targetCount > 0)
+            std::memcpy(message.targets.data(), payload.last(targetBytes).data(), targetBytes);
         return message;
     }
     if (payload.size() % sizeof(wire::FlowEnds) != 0 || payload.size() / sizeof(wire::FlowEnds) > maxFlowKeysPerMessage)
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -73,7 +73,7 @@
 // [SECTION] Hop messages
 //-----------------------------------------------------------------------------
 
-// Messages between entries and agents. Entry to agent: Offer, Forward, Find, Ask. Agent to entry: the others.
+// Messages between entries and agents. Entry to agent: Offer, Forward, Find, Ask, Search. Agent to entry: the others.
 enum class HopKind : uint8_t {
     Offer, // a SYN for the upstream
     Forward, // a packet of a flow that the upstream holds according to the flow table of the entry
@@ -87,11 +87,12 @@
     Ask, // asks which of the given flows the upstream holds; without flows, probes whether the agent replies
     Known, // the flows of an Ask that the upstream holds
     Unsure, // the flows of an Ask that the upstream may hold: half open, or the agent has not seen all flows
-    Denied, // the flows of an Ask that the upstream does not hold
+    Denied, // the flows of Asks and Finds that the upstream does not hold
+    Search, // a Find for several agents, which the receiver passes on to them; they reply to the entry
 };
 
-inline constexpr std::array<std::string_view, 13> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
-    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied" };
+inline constexpr std::array<std::string_view, 14> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
+    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied", "search" };
 
 std::string_view nameOf(HopKind);
 
@@ -136,16 +137,21 @@
     std::optional<Milliseconds> idleTimeout; // in Ask: of flows; empty: not known
     uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds
     Milliseconds loadInterval { 0 }; // in Offer: requested time between load reports; steps of 20 ms, at most 5.1 s
+    PacketAddress replyTo; // in a Find that an agent passes on: the entry; no address: the sender
+    std::vector<uint32_t> targets; // of a Search: IP addresses of agents that use the same port as the receiver
     Bytes packet; // packet as received; empty if the message carries none
     std::vector<FlowKey> flowKeys; // flows of an Ask or of an answer to it
 };
 
 inline constexpr size_t hopHeaderBytes = 48;
+inline constexpr size_t flowKeyBytes = 12; // of a flow key in a message
+inline constexpr size_t maxSearchTargets = 40; // keeps a message with the largest packet below the usual MTU
 inline constexpr size_t maxFlowKeysPerMessage = 100; // keeps a message below the smallest usual MTU
 
 inline constexpr size_t datagramHeaderBytes = 28; // IPv4 and UDP
 inline constexpr Milliseconds loadSubscriptionDuration { 5000 }; // an entry gets load reports this long after an offer
 
+size_t encodedBytes(const HopMessage&); // size of the message without IP and UDP headers
 bool carriesFlowKeys(HopKind); // true if the message carries flow keys instead of a packet
 
 // Appends the encoded message to out.
--- a/wasabicroft/Settings.cpp
+++ b/wasabicroft/Settings.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <sstream>
 
 namespace wasabicroft {
 
@@ -103,6 +104,22 @@
     return defaultValue;
 }
 
+double SettingsReader::decimal(const std::string& flag, double defaultValue, double min, double max)
+{
+    const std::optional<std::string> given = this->find(flag);
+    if (!given)
+        return defaultValue;
+    double value = 0;
+    const std::from_chars_result parsed = std::from_chars(given->data(), given->data() + given->size(), value);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == given->data() + given->size();
+    if (isNumber && value >= min && value <= max)
+        return value;
+    std::ostringstream expected;
+    expected << "a number from " << min << " to " << max;
+    this->reject(flag, *given, expected.str());
+    return defaultValue;
+}
+
 Milliseconds SettingsReader::duration(
     const std::string& flag, Milliseconds defaultValue, Milliseconds min, Milliseconds max)
 {
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -33,6 +33,7 @@
     std::string text(const std::string& flag, const std::string& defaultValue);
     std::string requiredText(const std::string& flag);
     uint64_t number(const std::string& flag, uint64_t defaultValue, uint64_t min, uint64_t max);
+    double decimal(const std::string& flag, double defaultValue, double min, double max);
     Milliseconds duration(const std::string& flag, Milliseconds defaultValue, Milliseconds min, Milliseconds max);
     Endpoint endpoint(const std::string& flag, const Endpoint& defaultValue); // Expects "ip:port".
     std::string ipAddress(const std::string& flag); // May be empty.
