Keep processes running after unexpected errors; check answers of the store; age announced routes

Looked for in the packet path, the session path and the client of the store: - One unexpected error took a process down: run() of every daemon and thread had no guard, and an exception in a tick, a datagram or an answer of the store would have ended the process, or the chain of its timers and reads. Event 5004. - A late second copy of an answer on a connection in use again: the client of the store took it for the answer to its next request. HttpClient.ASecondCopyOfAnAnswer* fails without the check for bytes after an answer. A copy that comes after the next request is recognised by its revision: answers never go back (StoreSync.AReadStatesTheRevision*). - A withdrawn route in use again after a restart: agents announced a route for as long as they ran. Now for 15 s after the last packet of an open flow on it (Presence.ARouteWithoutOpenFlowsIsNoLongerAnnounced). Not found: a broken answer as a complete one (session path: EntryServer::closeCaller resets; store: the JSON does not parse). Packets that wait at a stopping agent are not acknowledged by the upstream: the client sends them again.

--- a/backends/Daemon.cpp
+++ b/backends/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "backends/Daemon.h"
 
+#include "backends/Guard.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <csignal>
@@ -197,7 +198,7 @@
     return bound;
 }
 
-void Daemon::run() { this->context.run(); }
+void Daemon::run() { runEventLoop(this->context); }
 
 Daemon::Reply Daemon::onTrafficThread(Reply reply)
 {
--- a/backends/DatagramSocket.cpp
+++ b/backends/DatagramSocket.cpp
@@ -1,5 +1,7 @@
 #include "backends/DatagramSocket.h"
 
+#include "backends/Guard.h"
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -69,7 +71,7 @@
     this->socket.async_wait(asio::socket_base::wait_read, [this](error_code error) {
         if (error)
             return;
-        this->readBatches();
+        runGuarded("datagrams", [this] { this->readBatches(); });
         this->wait();
     });
 }
@@ -101,8 +103,11 @@
     const int count = recvmmsg(this->socket.native_handle(), messages.data(), batchSize, 0, nullptr);
     if (count < 0)
         return 0; // No datagram, or an ICMP error because a peer's port has no listener.
-    for (size_t i = 0; i < static_cast<size_t>(count); ++i)
-        this->handler(fromSockaddr(sources[i]), std::span<uint8_t>(this->buffers[i].data(), messages[i].msg_len));
+    for (size_t i = 0; i < static_cast<size_t>(count); ++i) {
+        runGuarded("datagram", [&] {
+            this->handler(fromSockaddr(sources[i]), std::span<uint8_t>(this->buffers[i].data(), messages[i].msg_len));
+        });
+    }
     return static_cast<size_t>(count);
 }
 
--- a/backends/HttpClient.cpp
+++ b/backends/HttpClient.cpp
@@ -22,7 +22,7 @@
     const Endpoint& server, const std::string& target, Milliseconds callTimeout, Callback onCompletion)
 {
     const asio::ip::tcp::endpoint address(asio::ip::make_address(server.address), server.port);
-    if (this->isConnected && address != this->endpoint)
+    if (this->isConnected && (address != this->endpoint || this->hasUnrequestedBytes()))
         this->disconnect();
     this->callback = std::move(onCompletion);
     this->endpoint = address;
@@ -37,6 +37,13 @@
         this->connect();
 }
 
+// Bytes after the end of an answer are not the answer to the next request: a server may have sent an answer twice.
+bool HttpClient::hasUnrequestedBytes()
+{
+    beast::error_code error;
+    return this->buffer.size() > 0 || this->stream.socket().available(error) > 0 || error;
+}
+
 void HttpClient::close()
 {
     this->callback = nullptr;
--- a/backends/HttpClient.h
+++ b/backends/HttpClient.h
@@ -29,6 +29,7 @@
     bool isBusy() const { return this->callback != nullptr; }
 
 private:
+    bool hasUnrequestedBytes();
     void connect();
     void write();
     void read();
--- a/backends/HttpServer.cpp
+++ b/backends/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "backends/HttpServer.h"
 
+#include "backends/Guard.h"
 #include "backends/Link.h"
 
 #include <boost/beast/core.hpp>
@@ -121,7 +122,7 @@
         this->accept(this->acceptors.back());
     }
     const Endpoint bound = fromTcp(this->acceptors.front().local_endpoint());
-    this->thread = std::thread([this] { this->context.run(); });
+    this->thread = std::thread([this] { runEventLoop(this->context); });
     return bound;
 }
 
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -1,5 +1,7 @@
 #include "backends/PacketDaemon.h"
 
+#include "backends/Guard.h"
+
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -216,7 +218,7 @@
     return true;
 }
 
-void PacketDaemon::run() { this->context.run(); }
+void PacketDaemon::run() { runEventLoop(this->context); }
 
 void PacketDaemon::publishStatus()
 {
@@ -277,9 +279,11 @@
     this->tickTimer.async_wait([this](error_code error) {
         if (error)
             return;
-        this->handlers.onTick();
-        if (this->handlers.isReady() != this->wasReady)
-            this->publishStatus();
+        runGuarded("tick", [this] {
+            this->handlers.onTick();
+            if (this->handlers.isReady() != this->wasReady)
+                this->publishStatus();
+        });
         if (++this->ticks % ticksPerLogFlush == 0)
             flushLog();
         this->scheduleTick();
@@ -292,8 +296,10 @@
     this->statusTimer.async_wait([this](error_code error) {
         if (error)
             return;
-        this->reloadIfChanged();
-        this->publishStatus();
+        runGuarded("status", [this] {
+            this->reloadIfChanged();
+            this->publishStatus();
+        });
         this->scheduleStatus();
     });
 }
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -1,5 +1,6 @@
 #include "backends/PacketEntry.h"
 
+#include "backends/Guard.h"
 #include "platform/PacketLayout.h"
 
 #include <boost/json.hpp>
@@ -174,7 +175,8 @@
     if (!client)
         client = std::make_shared<HttpClient>(this->context);
     client->start(this->settings.store, platform::requestTarget(read), read.timeout, [this, read](HttpResult result) {
-        this->onStoreResponse(read, std::move(result));
+        if (!runGuarded("answer of the store", [&] { this->onStoreResponse(read, std::move(result)); }))
+            this->storeSync.onFailure(read);
         this->flush();
         this->readStore();
     });
@@ -193,7 +195,12 @@
         failure = "HTTP status " + std::to_string(result.value().result_int());
     } else {
         const Result<platform::StoreResponse> response = platform::decodeResponse(read, result.value().body());
-        if (response) {
+        if (response && response.value().revision < read.minRevision) {
+            failure = "the answer has revision " + std::to_string(response.value().revision) + ", older than "
+                + std::to_string(read.minRevision) + ", which was read before";
+            // The connection may deliver further answers to earlier requests.
+            std::exchange(this->storeClients.at(static_cast<size_t>(read.topic)), nullptr)->close();
+        } else if (response) {
             this->logProblems(response.value());
             if (read.isWatch)
                 this->onWatchEvents(read, response.value());
@@ -202,7 +209,8 @@
             this->updateReachability();
             return;
         }
-        failure = response.error().message;
+        if (!response)
+            failure = response.error().message;
     }
     ++this->failedReads;
     this->storeSync.onFailure(read);
--- a/backends/PlatformReader.cpp
+++ b/backends/PlatformReader.cpp
@@ -1,5 +1,6 @@
 #include "backends/PlatformReader.h"
 
+#include "backends/Guard.h"
 #include "backends/HttpClient.h"
 
 #include <atomic>
@@ -131,7 +132,7 @@
             this->processUpdates();
             this->scheduleTick();
         });
-        this->thread = std::thread([this] { this->context.run(); });
+        this->thread = std::thread([this] { runEventLoop(this->context); });
         return true;
     }
 
--- a/backends/SessionClient.cpp
+++ b/backends/SessionClient.cpp
@@ -1,5 +1,6 @@
 #include "backends/SessionClient.h"
 
+#include "backends/Guard.h"
 #include "backends/Link.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -504,7 +505,7 @@
 {
     this->impl = std::make_shared<Impl>(this->ownThread->context, std::move(options), clock);
     this->post([](Impl& running) { running.start(); });
-    this->ownThread->thread = std::thread([&context = this->ownThread->context] { context.run(); });
+    this->ownThread->thread = std::thread([&context = this->ownThread->context] { runEventLoop(context); });
 }
 
 SessionClient::~SessionClient()
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -482,6 +482,25 @@
         EXPECT_TRUE(announcer.presence().routes.empty());
     }
 
+    // Guards against a withdrawn route that is in use again after a restart of all entries while the store is away: its
+    // open flows have ended, but the agent would announce it for as long as it runs.
+    TEST(Presence, ARouteWithoutOpenFlowsIsNoLongerAnnounced)
+    {
+        ManualClock clock;
+        AgentAnnouncer announcer({}, { { 3, 4 }, { 5 }, "zone-a", { 3, 9 }, {}, {} }, clock);
+        const PacketAddress withdrawn { 0xc6120002, 443 };
+        announcer.onUpstreamAnswered(routeAddress);
+        announcer.onUpstreamAnswered(withdrawn);
+        for (int second = 0; second < 16; ++second) {
+            EXPECT_EQ(announcer.takeMessage()->agents.at(0).routes.size(), 2U);
+            clock.advance(Milliseconds(1000));
+            announcer.onUpstreamAnswered(routeAddress);
+        }
+        EXPECT_EQ(announcer.takeMessage()->agents.at(0).routes, std::vector<PacketAddress> { routeAddress });
+        announcer.onUpstreamAnswered(withdrawn);
+        EXPECT_EQ(announcer.takeMessage()->agents.at(0).routes.size(), 2U);
+    }
+
     // Guards against short watches whose number grows with the number of entries, and against entries without any.
     TEST(Presence, AFewEntriesThatReachTheStoreAreSentinels)
     {
--- /dev/null
+++ b/tests/EventLoopTest.cpp
@@ -0,0 +1,137 @@
+// Unexpected errors in handlers, and answers that were not asked for on a connection that is used again.
+#include "backends/DatagramSocket.h"
+#include "backends/Guard.h"
+#include "backends/HttpClient.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <stdexcept>
+
+namespace wasabicroft::tests {
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+
+    // Guards against a daemon that ends because one handler meets an error that nobody foresaw.
+    TEST(EventLoop, RunsOnAfterAHandlerThatThrows)
+    {
+        asio::io_context context;
+        int handled = 0;
+        asio::post(context, [] { throw std::runtime_error("unexpected"); });
+        asio::post(context, [&] { ++handled; });
+        runEventLoop(context);
+        EXPECT_EQ(handled, 1);
+    }
+
+    // Guards against a socket that is never read again after one datagram whose handler throws.
+    TEST(EventLoop, ADatagramWhoseHandlerThrowsLosesNoOther)
+    {
+        asio::io_context context;
+        DatagramSocket receiver(context);
+        DatagramSocket sender(context);
+        const PacketAddress any { 0x7f000001, 0 };
+        const Result<PacketAddress> bound = receiver.open(any);
+        ASSERT_TRUE(bound);
+        ASSERT_TRUE(sender.open(any));
+        std::string received;
+        receiver.start([&](PacketAddress, std::span<uint8_t> bytes) {
+            if (bytes[0] == 'x')
+                throw std::out_of_range("malformed datagram");
+            received += static_cast<char>(bytes[0]);
+            if (received.size() == 2)
+                context.stop();
+        });
+        for (const uint8_t letter : { 'a', 'x', 'b' })
+            sender.send(bound.value(), Bytes(&letter, 1));
+        sender.flush();
+        context.run_for(std::chrono::seconds(5));
+        EXPECT_EQ(received, "ab");
+    }
+
+    // A server that answers the first request on each connection twice; the body is the target of the request.
+    class DoubleAnswerServer {
+    public:
+        explicit DoubleAnswerServer(asio::io_context& context)
+            : acceptor(context, tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0))
+        {
+            this->accept();
+        }
+
+        Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+
+    private:
+        struct Connection {
+            explicit Connection(tcp::socket accepted)
+                : socket(std::move(accepted))
+            {
+            }
+            tcp::socket socket;
+            asio::streambuf request;
+            std::string answer;
+            bool isFirst = true;
+        };
+
+        void accept()
+        {
+            this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+                if (error)
+                    return;
+                this->read(std::make_shared<Connection>(std::move(socket)));
+                this->accept();
+            });
+        }
+
+        void read(const std::shared_ptr<Connection>& connection)
+        {
+            asio::async_read_until(connection->socket, connection->request, "\r\n\r\n",
+                [this, connection](boost::system::error_code error, size_t size) {
+                    if (error)
+                        return;
+                    std::string method;
+                    std::string target;
+                    std::istream(&connection->request) >> method >> target;
+                    connection->request.consume(connection->request.size());
+                    connection->answer
+                        = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+                    if (std::exchange(connection->isFirst, false))
+                        connection->answer += connection->answer;
+                    static_cast<void>(size);
+                    asio::async_write(connection->socket, asio::buffer(connection->answer),
+                        [this, connection](boost::system::error_code, size_t) { this->read(connection); });
+                });
+        }
+
+        tcp::acceptor acceptor;
+    };
+
+    // Guards against a second copy of an answer that is taken for the answer to the next request on the connection.
+    TEST(HttpClient, ASecondCopyOfAnAnswerIsNotTheAnswerToTheNextRequest)
+    {
+        asio::io_context context;
+        DoubleAnswerServer server(context);
+        const std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(context);
+        std::vector<std::string> bodies;
+        asio::steady_timer pause(context);
+        const auto record
+            = [&](HttpResult result) { bodies.push_back(result ? result.value().body() : result.error().message); };
+        client->start(server.endpoint(), "/first", Milliseconds(1000), [&](HttpResult result) {
+            record(std::move(result));
+            pause.expires_after(Milliseconds(50));
+            pause.async_wait([&](boost::system::error_code) {
+                client->start(server.endpoint(), "/second", Milliseconds(1000), [&](HttpResult next) {
+                    record(std::move(next));
+                    context.stop();
+                });
+            });
+        });
+        context.run_for(std::chrono::seconds(5));
+        EXPECT_EQ(bodies, (std::vector<std::string> { "/first", "/second" }));
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -5,6 +5,7 @@
 #include "fakes/PacketPlatform.h"
 #include "tests/PacketPrograms.h"
 #include "tests/Processes.h"
+#include "wasabicroft/Presence.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
@@ -12,6 +13,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <random>
 #include <sys/stat.h>
 #include <thread>
 
@@ -165,6 +167,59 @@
         EXPECT_TRUE(this->completesRequest(80000)) << this->group.allLogs();
     }
 
+    // Datagrams of random bytes, and real messages with some bytes changed or cut off, to every port of an address.
+    void sendMalformedDatagrams(const std::string& ip, std::mt19937_64& random)
+    {
+        boost::asio::io_context context;
+        DatagramSocket socket(context);
+        ASSERT_TRUE(socket.open({ 0x7f000001, 0 }));
+        constexpr size_t datagramsPerPort = 2000;
+        for (const uint16_t port : { packet_ports::packets, packet_ports::hop, packet_ports::outbound }) {
+            for (size_t i = 0; i < datagramsPerPort; ++i) {
+                const std::vector<uint8_t> packet = fakes::makePacket({ 0x64400007, 4001 }, route,
+                    static_cast<uint8_t>(random()), static_cast<uint32_t>(random()), 7, 100);
+                HopMessage message;
+                message.kind = static_cast<HopKind>(random() % hopKindNames.size());
+                message.service = serviceIdOf("api");
+                message.targets.assign(message.kind == HopKind::Search ? random() % 5 : 0, 0x7f000001);
+                if (carriesFlowKeys(message.kind))
+                    message.flowKeys.assign(random() % 100, { { 1, 2 }, route });
+                else
+                    message.packet = packet;
+                std::vector<uint8_t> bytes = packet;
+                if (random() % 3 == 0) {
+                    bytes.clear();
+                    encodeHop(message, bytes);
+                } else if (random() % 3 == 0) {
+                    bytes = encodePresence({ true, true, random(), random(), {}, ListState::Complete,
+                        { { 1, Milliseconds(0) } }, { { { 3, 4 }, { 5 }, "z", { 3, 9 }, { route }, {} } } });
+                }
+                for (size_t change = random() % 6; change > 0; --change)
+                    bytes.at(random() % bytes.size()) = static_cast<uint8_t>(random());
+                if (random() % 4 == 0)
+                    bytes.resize(random() % (bytes.size() + 1));
+                if (bytes.empty())
+                    continue;
+                socket.send(addressOf(ip, port), bytes);
+                socket.flush();
+            }
+        }
+    }
+
+    // Guards against a process that one malformed message ends or keeps from serving.
+    TEST_F(PacketFleet, MalformedDatagramsEndNothing)
+    {
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0) && this->isReady(1)) << this->group.allLogs();
+        std::mt19937_64 random(20261205);
+        sendMalformedDatagrams(this->ip(10), random);
+        for (size_t i = 0; i < upstreamCount; ++i)
+            sendMalformedDatagrams(this->ip(20 + i), random);
+        ASSERT_TRUE(this->openFlowThrough(0, 4001)) << this->group.allLogs();
+        EXPECT_TRUE(this->completesRequest(4000)) << this->group.allLogs();
+        EXPECT_EQ(this->group.allLogs().find("handler-failed"), std::string::npos) << this->group.allLogs();
+    }
+
     // Guards against open flows that are lost when an entry, or every entry and agent, is killed.
     TEST_F(PacketFleet, AnOpenFlowSurvivesTheLossOfProcesses)
     {
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -144,6 +144,25 @@
         EXPECT_EQ(route->shares.at(0).service, serviceIdOf("api"));
     }
 
+    // Guards against sums of times that overflow, and against figures that wrap around in messages.
+    TEST(StoreWire, LimitsOfRoutesAreBounded)
+    {
+        // {"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"api","slo_ms":9223372036854775807,
+        //  "timeout_ms":9223372036854775807,"priority":4294967297}],"limits":{"idle_timeout_ms":9223372036854775807}}
+        const std::string value
+            = "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Imhvc3QiOiIxOTguMTguMC4xIiwicHJlZml4IjoiLzQ0My8iLCJzZXJ2aWNlIjoiYXBpIiwi"
+              "c2xvX21zIjo5MjIzMzcyMDM2ODU0Nzc1ODA3LCJ0aW1lb3V0X21zIjo5MjIzMzcyMDM2ODU0Nzc1ODA3LCJwcmlvcml0eSI6NDI5NDk2"
+              "NzI5N31dLCJsaW1pdHMiOnsiaWRsZV90aW1lb3V0X21zIjo5MjIzMzcyMDM2ODU0Nzc1ODA3fX0=";
+        const std::string body = R"({"key":"op/config","value":")" + value + R"(","rev":3,"store_revision":9})";
+        const StoreResponse answer = decodeResponse(listRead(StoreTopic::Routes), body).value();
+        ASSERT_TRUE(answer.routes);
+        constexpr Milliseconds day = std::chrono::hours(24);
+        EXPECT_EQ(answer.routes->idleTimeout, day);
+        const Route* route = answer.routes->find(*parsePacketAddress("198.18.0.1:443"));
+        ASSERT_NE(route, nullptr);
+        EXPECT_EQ(route->limits, (RequestLimits { day, day, 254 }));
+    }
+
     TEST(StoreWire, RemovalsNameTheirRevision)
     {
         StoreRead watch = listRead(StoreTopic::Upstreams);
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -380,6 +380,22 @@
 
     // Guards against a list of several pages that is taken for complete at the revision of a record on its last page: a
     // change of a record on the first page in between is only reported by the watch.
+    // Guards against a late second copy of an answer that is taken for the state of the store: its revision never
+    // decreases between answers.
+    TEST(StoreSync, AReadStatesTheRevisionThatItsAnswerMustHave)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        EXPECT_EQ(sync.nextRead(StoreTopic::Routes)->minRevision, 0U);
+        sync.onPage(*sync.nextRead(StoreTopic::Upstreams), 9, false, "");
+        const StoreRead watch = *sync.nextRead(StoreTopic::Upstreams);
+        EXPECT_EQ(watch.minRevision, 9U);
+        sync.onEvents(watch, 12);
+        clock.advance(Milliseconds(1000));
+        sync.onHistoryLost(*sync.nextRead(StoreTopic::Upstreams));
+        EXPECT_EQ(sync.nextRead(StoreTopic::Upstreams)->minRevision, 12U);
+    }
+
     TEST(StoreSync, AListIsCompleteUpToItsFirstPage)
     {
         ManualClock clock;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -75,6 +75,7 @@
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
+        EventInfo { Event::HandlerFailed, Severity::Error, "handler-failed" },
         EventInfo { Event::InvariantViolated, Severity::Error, "invariant-violated" },
     };
 
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -79,6 +79,7 @@
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
+    HandlerFailed = 5004,
     InvariantViolated = 9001,
 };
 
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -142,6 +142,7 @@
         return;
     this->self.service = service;
     this->self.routes.clear();
+    this->lastAnswers.clear();
     this->nextMessageTime = this->clock.now();
 }
 
@@ -154,17 +155,29 @@
 void AgentAnnouncer::onUpstreamAnswered(PacketAddress route)
 {
     std::vector<PacketAddress>& routes = this->self.routes;
+    const auto known = this->lastAnswers.find(route);
+    if (known != this->lastAnswers.end())
+        known->second = this->clock.now();
     if (routes.size() >= this->options.maxRoutes || std::find(routes.begin(), routes.end(), route) != routes.end())
         return;
     routes.push_back(route);
+    this->lastAnswers[route] = this->clock.now();
     this->nextMessageTime = this->clock.now(); // entries that started without routes wait for it
 }
 
+void AgentAnnouncer::expireRoutes()
+{
+    std::erase_if(this->lastAnswers,
+        [&](const auto& item) { return this->clock.now() - item.second > this->options.routeLifetime; });
+    std::erase_if(this->self.routes, [&](PacketAddress route) { return !this->lastAnswers.contains(route); });
+}
+
 std::optional<PresenceMessage> AgentAnnouncer::takeMessage()
 {
     const TimePoint now = this->clock.now();
     if (now < this->nextMessageTime)
         return std::nullopt;
+    this->expireRoutes();
     const bool isStarting = now - this->started < this->options.startDuration;
     this->nextMessageTime = now + (isStarting ? this->options.startInterval : this->options.interval);
     PresenceMessage message;
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -69,6 +69,9 @@
     Milliseconds startDuration { 5000 };
     Milliseconds interval { 1000 };
     size_t maxRoutes = 32; // addresses that are announced
+    // A route is announced for as long after the last packet of an open flow on it. The configuration may have
+    // withdrawn it since: open flows on it end then.
+    Milliseconds routeLifetime { 15000 };
 };
 
 // Announces an agent to the seeds.
@@ -84,8 +87,11 @@
     const AgentPresence& presence() const { return this->self; }
 
 private:
+    void expireRoutes();
+
     AnnouncerOptions options;
     AgentPresence self;
+    std::map<PacketAddress, TimePoint> lastAnswers; // by announced route
     const Clock& clock;
     TimePoint started;
     TimePoint nextMessageTime;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -37,6 +37,7 @@
     read.topic = which;
     read.isWatch = topic.revision > 0;
     read.afterRevision = topic.revision;
+    read.minRevision = read.isWatch ? topic.revision : this->newestRevision;
     read.pageAfter = topic.pageAfter;
     read.wait = read.isWatch ? topic.watchWait : Milliseconds(0);
     read.timeout = this->options.readTimeout + read.wait;
@@ -74,6 +75,7 @@
     if (!this->finishRead(read))
         return false;
     TopicState& topic = this->at(read.topic);
+    this->newestRevision = std::max(this->newestRevision, revision);
     this->recordAnswer(topic);
     topic.due = this->clock.now();
     // Pages are read at different revisions: the watch reports all changes since the first page.
@@ -95,6 +97,7 @@
         return false;
     TopicState& topic = this->at(read.topic);
     this->recordAnswer(topic);
+    this->newestRevision = std::max(this->newestRevision, revision);
     topic.revision = std::max(topic.revision, revision);
     topic.completeRevision = topic.revision;
     topic.confirmedAt = this->clock.now();
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -26,6 +26,7 @@
     StoreTopic topic = StoreTopic::Routes;
     bool isWatch = false; // waits for a change; false: reads the whole topic
     uint64_t afterRevision = 0; // of a watch: changes after this revision are reported
+    uint64_t minRevision = 0; // an answer that states an older revision is not the answer to this read
     std::string pageAfter; // key after which the next page begins; empty for the first page
     Milliseconds wait { 0 }; // of a watch: longest time until the store answers
     Milliseconds timeout { 0 }; // the read counts as failed after this time
@@ -103,6 +104,7 @@
     std::mt19937_64 random;
     std::array<TopicState, storeTopicCount> topics;
     uint64_t readCount = 0;
+    uint64_t newestRevision = 0; // of all answers
     std::optional<TimePoint> lastFailure; // of any topic
     bool recovered = false;
 };
