Log whom a search asks, what it covers and whether the list is behind

Lines 4204 and 4216 did not tell a search that covers only the upstreams to which the entry offered the flow from one whose list of upstreams is behind. They now state the scope, the agents (at most four) and whether other entries announce a newer list; 4206 states how many upstreams denied the flow. wasabi_searches_without_result_total counts by scope.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -444,6 +444,9 @@
     metrics.setCount("wasabi_finds_limited_total", "", counts.findsLimited);
     metrics.setCount("wasabi_search_bytes_total", "", counts.searchBytes);
     metrics.setCount("wasabi_searches_shed_total", "", counts.searchesShed);
+    for (size_t i = 0; i < searchScopeNames.size(); ++i)
+        metrics.setCount("wasabi_searches_without_result_total", "scope=\"" + std::string(searchScopeNames.at(i)) + '"',
+            counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
     metrics.setCount("wasabi_resets_total", "", counts.resets);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -70,6 +70,7 @@
     uint64_t findsLimited = 0; // packets and searches that had to wait because of a limit
     uint64_t searchBytes = 0; // of Find and Ask messages, with IP and UDP headers
     uint64_t searchesShed = 0; // searches that did not start because the link is busy
+    std::array<uint64_t, searchScopeNames.size()> searchesWithoutResult {}; // by SearchScope
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
     uint64_t resets = 0;
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -6,6 +6,23 @@
 
 namespace wasabicroft {
 
+namespace {
+
+    constexpr size_t maxLoggedAgents = 4; // in a line
+
+    // The first agents of a list, and how many more it has.
+    std::string namesForLog(const std::vector<PacketAddress>& agents)
+    {
+        std::string names;
+        for (size_t i = 0; i < std::min(agents.size(), maxLoggedAgents); ++i)
+            names += (i == 0 ? "" : ",") + toString(agents[i]);
+        if (agents.size() > maxLoggedAgents)
+            names += ",+" + std::to_string(agents.size() - maxLoggedAgents);
+        return names;
+    }
+
+} // namespace
+
 //-----------------------------------------------------------------------------
 // Questions and copies
 //-----------------------------------------------------------------------------
@@ -39,8 +56,12 @@
     HolderSearch& search = flow.search.emplace();
     search.packet = copyOf(bytes);
     search.started = now;
+    if (!flow.offers.empty())
+        search.scope = SearchScope::Offered;
+    else if (excluded)
+        search.scope = SearchScope::AllButOne;
     search.coversAllUpstreams = (this->directoryIsComplete || this->directoryAwaitsPeers) && !this->isBehindPeers
-        && !this->hasProvisionalRoutes && flow.offers.empty() && !excluded;
+        && !this->hasProvisionalRoutes && search.scope == SearchScope::All;
     search.beganBeforeListCheck = this->directoryAwaitsPeers;
     search.directoryRevision = this->directoryRevision;
     for (const HolderCandidate& target : targets)
@@ -119,8 +140,8 @@
     this->counts.searchBytes += asked * flowKeyBytes;
     this->linkBudget.onSearchMessage(asked * flowKeyBytes);
     logEvent(Event::PacketHolderSought,
-        { { "flow", toString(key) }, { "asked", asked }, { "with", "question" },
-            { "directory", this->directoryRevision } });
+        { { "flow", toString(key) }, { "asked", asked }, { "with", "question" }, { "scope", nameOf(search.scope) },
+            { "behind", this->isBehindPeers }, { "directory", this->directoryRevision } });
 }
 
 // Sends to the preferred upstreams first, then to all others, then again to those that have not answered: denials of
@@ -138,8 +159,12 @@
             receivers.push_back(&target);
     }
     search.packetRounds += isRepeated || isFirst ? 1 : 0;
+    std::vector<PacketAddress> agents;
+    for (const HolderSearch::Target* target : receivers)
+        agents.push_back(target->agent);
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(receivers.size()) }, { "with", "packet" },
+            { "scope", nameOf(search.scope) }, { "behind", this->isBehindPeers }, { "agents", namesForLog(agents) },
             { "directory", this->directoryRevision } });
     this->counts.findCopies += receivers.size();
     std::map<size_t, std::vector<const HolderSearch::Target*>> byFailureDomain;
@@ -294,7 +319,9 @@
 {
     ++this->counts.resets;
     logEvent(Event::PacketFlowLost,
-        { { "flow", toString(key) }, { "cause", cause }, { "directory", this->directoryRevision } });
+        { { "flow", toString(key) }, { "cause", cause },
+            { "denied-by", static_cast<uint64_t>(flow.search ? flow.search->targets.size() : 0) },
+            { "behind", this->isBehindPeers }, { "directory", this->directoryRevision } });
     const uint32_t sequence = flow.lastAcknowledgement;
     this->flows.erase(key);
     this->hooks.sendReset(key, sequence);
@@ -358,11 +385,13 @@
 void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
 {
     if (flow.search && !std::exchange(flow.search->isAbandoned, true)) {
+        ++this->counts.searchesWithoutResult.at(static_cast<size_t>(flow.search->scope));
         const size_t mayReturn = flow.search->countSilent(Listing::MayReturn);
         this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
         logEvent(Event::PacketHolderNotFound,
             { { "flow", toString(key) }, { "silent", static_cast<uint64_t>(flow.search->countSilent(Listing::Listed)) },
-                { "silent-may-return", static_cast<uint64_t>(mayReturn) },
+                { "silent-may-return", static_cast<uint64_t>(mayReturn) }, { "scope", nameOf(flow.search->scope) },
+                { "behind", this->isBehindPeers }, { "agents", namesForLog(flow.search->silentAgents()) },
                 { "dropped", static_cast<uint64_t>(flow.waiting.size()) }, { "directory", this->directoryRevision } });
     }
     this->counts.dropped += flow.waiting.size();
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -41,6 +41,16 @@
         [listing](const Target& target) { return !target.denied && target.listing == listing; }));
 }
 
+std::vector<PacketAddress> HolderSearch::silentAgents() const
+{
+    std::vector<PacketAddress> agents;
+    for (const Target& target : this->targets) {
+        if (!target.denied)
+            agents.push_back(target.agent);
+    }
+    return agents;
+}
+
 bool HolderSearch::isDeniedByAll() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(), [](const Target& target) { return target.denied; });
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -13,6 +13,17 @@
     size_t failureDomain = 0; // number of its failure domain
 };
 
+// Which upstreams a search asks.
+enum class SearchScope : uint8_t {
+    Offered, // those that this entry offered the flow to
+    AllButOne, // all that may hold the flow, except one that just returned a packet of it
+    All,
+};
+
+inline constexpr std::array<std::string_view, 3> searchScopeNames = { "offered", "all-but-one", "all" };
+
+inline std::string_view nameOf(SearchScope scope) { return searchScopeNames.at(static_cast<size_t>(scope)); }
+
 // A search for the holder of a flow.
 struct HolderSearch {
     struct Target {
@@ -31,6 +42,7 @@
     unsigned askRounds = 0; // times that the agents were asked, without the packet
     unsigned packetRounds = 0; // times that upstreams got the packet, the preferred ones and the others as one
     TimePoint started;
+    SearchScope scope = SearchScope::All;
     bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
     bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
     uint64_t directoryRevision = 0; // at the start
@@ -45,6 +57,7 @@
     bool isDeniedByAll() const;
     bool awaitsUpstreamReply() const; // a needed upstream got the packet and has not denied the flow
     size_t countSilent(Listing) const; // targets in this state that have not denied the flow
+    std::vector<PacketAddress> silentAgents() const; // of targets that have not denied the flow
 };
 
 } // namespace wasabicroft
