Extend a search among offered upstreams to all others

Cause: a search for the holder of a flow that this entry had offered covered only the upstreams of these offers. While one of them was silent, it neither ended nor asked anybody else, and the next search was the same. Its targets counted as listed, even after their records were removed. Class: a partial list of candidates is taken for the complete one.

Offers have the listing that the directory states. A flow whose client has sent further packets is offered to no one else.

Evidence: RouterFixture.ASearchAmongOfferedUpstreamsExtendsToAllOthers failed before (1 of 8 upstreams asked) and passes.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -20,6 +20,7 @@
         std::optional<UpstreamFigures> upstream;
         std::optional<RequestLimits> limits;
         std::vector<uint32_t> targets;
+        size_t flowCount = 0; // flows that an Ask asks for
     };
 
     // An EntryRouter that records what it sends.
@@ -29,7 +30,8 @@
             , router(options(),
                   { [this](PacketAddress agent, const HopMessage& message) {
                        this->hops.push_back({ agent, message.kind, { message.packet.begin(), message.packet.end() },
-                           message.loadInterval, message.upstream, message.limits, message.targets });
+                           message.loadInterval, message.upstream, message.limits, message.targets,
+                           message.flowKeys.size() });
                    },
                       [this](const FlowKey& key, uint32_t) { this->resets.push_back(key); } },
                   this->clock)
@@ -199,6 +201,30 @@
         EXPECT_EQ(this->hops[0].agent, first);
     }
 
+    // Guards against packets of an open flow that go only to upstreams which this entry offered the flow to, while one
+    // of these is silent and another upstream, to which another entry offered the flow, holds it.
+    TEST_F(RouterFixture, ASearchAmongOfferedUpstreamsExtendsToAllOthers)
+    {
+        constexpr uint32_t upstreams = 8;
+        this->useRoutes();
+        this->useUpstreams(upstreams);
+        this->fromClient(synFlag);
+        this->takeHops();
+        std::set<PacketAddress> asked;
+        for (int copy = 0; copy < 2; ++copy) {
+            this->fromClient(ackFlag, 501, 100);
+            for (int tick = 0; tick < 10; ++tick) {
+                this->advance(Milliseconds(20));
+                for (const SentHop& hop : this->takeHops()) {
+                    if (hop.flowCount > 0 || hop.kind == HopKind::Find)
+                        asked.insert(hop.agent);
+                }
+            }
+        }
+        EXPECT_EQ(asked.size(), upstreams);
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     TEST_F(RouterFixture, UnknownRoutesAreRefusedAtOnce)
     {
         this->useUpstreams(4);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -634,7 +634,8 @@
         offer->state = OfferState::TimedOut;
         ++this->counts.offerTimeouts;
         this->placement.onFailure(item.upstream);
-        this->offerToNextUpstream(item.flow, *flow, "silent");
+        if (!flow->search) // else the client has got an answer to its SYN
+            this->offerToNextUpstream(item.flow, *flow, "silent");
     }
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -174,6 +174,9 @@
     void setHolder(const FlowKey&, Flow&, PacketAddress agent);
     void forward(const FlowKey&, const Flow&, Bytes);
     void startSearch(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> excluded);
+    void setScope(HolderSearch&, SearchScope) const;
+    void extendSearch(const FlowKey&, Flow&);
+    std::vector<HolderCandidate> offeredUpstreams(const Flow&) const;
     std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> excluded) const;
     void continueSearch(const FlowKey&, Flow&);
     void askAgents(const FlowKey&, HolderSearch&);
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -46,7 +46,9 @@
         this->queueForHolder(key, flow, bytes);
         return;
     }
-    const std::vector<HolderCandidate> targets = this->possibleHolders(key, flow, excluded);
+    const bool isOffered = !flow.offers.empty();
+    const std::vector<HolderCandidate> targets
+        = isOffered ? this->offeredUpstreams(flow) : this->possibleHolders(key, flow, excluded);
     if (targets.empty()) {
         ++this->counts.dropped;
         return;
@@ -56,23 +58,59 @@
     HolderSearch& search = flow.search.emplace();
     search.packet = copyOf(bytes);
     search.started = now;
-    if (!flow.offers.empty())
-        search.scope = SearchScope::Offered;
-    else if (excluded)
-        search.scope = SearchScope::AllButOne;
-    search.coversAllUpstreams = (this->directoryIsComplete || this->directoryAwaitsPeers) && !this->isBehindPeers
-        && !this->hasProvisionalRoutes && search.scope == SearchScope::All;
-    search.beganBeforeListCheck = this->directoryAwaitsPeers;
-    search.directoryRevision = this->directoryRevision;
     for (const HolderCandidate& target : targets)
         search.targets.push_back({ target.agent, target.listing, target.failureDomain });
+    if (isOffered)
+        this->setScope(search, SearchScope::Offered);
+    else
+        this->setScope(search, excluded ? SearchScope::AllButOne : SearchScope::All);
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
     // before that is useless.
-    search.askRounds = flow.offers.empty() ? 0 : this->options.maxAskRounds;
+    search.askRounds = isOffered ? this->options.maxAskRounds : 0;
+    this->continueSearch(key, flow);
+}
+
+// Sets what denials of all targets that are known now will show.
+void EntryRouter::setScope(HolderSearch& search, SearchScope scope) const
+{
+    search.scope = scope;
+    search.coversAllUpstreams = (this->directoryIsComplete || this->directoryAwaitsPeers) && !this->isBehindPeers
+        && !this->hasProvisionalRoutes && scope == SearchScope::All;
+    search.beganBeforeListCheck = this->directoryAwaitsPeers;
+    search.directoryRevision = this->directoryRevision;
+}
+
+// Another entry may have offered the flow to the upstream that holds it.
+void EntryRouter::extendSearch(const FlowKey& key, Flow& flow)
+{
+    HolderSearch& search = *flow.search;
+    search.started = this->clock.now();
+    search.askRounds = 0;
+    for (const HolderCandidate& target : this->possibleHolders(key, flow, std::nullopt))
+        search.addTarget(target);
+    this->setScope(search, SearchScope::All);
     this->continueSearch(key, flow);
 }
 
-// Upstreams that may hold the flow: those that it was offered to, or else all upstreams of its route's services.
+// The upstreams that this entry offered the flow to, with their present listing.
+std::vector<HolderCandidate> EntryRouter::offeredUpstreams(const Flow& flow) const
+{
+    std::vector<HolderCandidate> targets;
+    for (const Offer& offer : flow.offers)
+        targets.push_back({ offer.upstream, offer.agent, Listing::Removed, 0 });
+    const auto known = this->holders.find(flow.service);
+    if (known == this->holders.end())
+        return targets;
+    for (HolderCandidate& target : targets) {
+        const auto candidate = std::find_if(known->second.begin(), known->second.end(),
+            [&](const HolderCandidate& other) { return other.agent == target.agent; });
+        if (candidate != known->second.end())
+            target = *candidate;
+    }
+    return targets;
+}
+
+// All upstreams of the services of the flow's route, its preferred ones first.
 std::vector<HolderCandidate> EntryRouter::possibleHolders(
     const FlowKey& key, Flow& flow, std::optional<PacketAddress> excluded) const
 {
@@ -83,10 +121,6 @@
         if (target.agent != excluded && !isDuplicate)
             targets.push_back(target);
     };
-    for (const Offer& offer : flow.offers)
-        add({ offer.upstream, offer.agent, Listing::Listed, 0 });
-    if (!targets.empty())
-        return targets;
     const Route* route = this->routes->find(key.route);
     for (const auto& [service, candidates] : this->holders) {
         const ServiceId holderService = service;
@@ -273,7 +307,9 @@
 
 void EntryRouter::onSearchAnswer(const FlowKey& key, Flow& flow)
 {
-    if (flow.search->isDeniedByAll())
+    if (flow.search->scope == SearchScope::Offered && flow.search->isDeniedByAll())
+        this->extendSearch(key, flow);
+    else if (flow.search->isDeniedByAll())
         this->endFailedSearch(key, flow);
     else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll()
         && this->linkBudget.canContinueSearch())
@@ -343,6 +379,10 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder || (flow->search && flow->search->isDenied))
             continue;
+        if (flow->search && flow->search->scope == SearchScope::Offered) {
+            this->extendSearch(key, *flow);
+            continue;
+        }
         // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
         // counts as a denial.
         if (flow->search && flow->search->isDeniedByAllNeeded()) {
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -4,6 +4,12 @@
 
 namespace wasabicroft {
 
+void HolderSearch::addTarget(const HolderCandidate& candidate)
+{
+    if (!this->find(candidate.agent))
+        this->targets.push_back({ candidate.agent, candidate.listing, candidate.failureDomain });
+}
+
 HolderSearch::Target* HolderSearch::find(PacketAddress agent)
 {
     const auto found = std::find_if(
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -15,7 +15,7 @@
 
 // Which upstreams a search asks.
 enum class SearchScope : uint8_t {
-    Offered, // those that this entry offered the flow to
+    Offered, // those that this entry offered the flow to; extended to all unless one of them answers soon
     AllButOne, // all that may hold the flow, except one that just returned a packet of it
     All,
 };
@@ -49,6 +49,7 @@
     bool isDenied = false; // no listed upstream holds the flow; see EntryRouter::deniedSearches
     bool isAbandoned = false; // it took too long; late answers still count
 
+    void addTarget(const HolderCandidate&); // unless its agent is a target
     Target* find(PacketAddress agent);
     bool isPacketSentToAll() const; // every target got the packet or denied the flow
     // The agent of an upstream that was removed for good may be gone: its answer is not needed.
