Keep the offers of a flow when its client repeats the SYN

Cause: after four silent offers, a copy of the SYN cleared them. The answer of an earlier upstream was ignored, although the upstream had sent its SYN+ACK straight to the client, which acknowledged it.

Change: offers have a round. A new round may offer the flow to the same upstreams again; earlier ones may still be answered, and a flow is refused only if all have refused it.

Evidence: RouterFixture.ALateAnswerToAnEarlierRoundOfOffersCounts failed before (a Find to another upstream) and passes.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -225,6 +225,26 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against an entry that forgets its first offers of a flow when the client repeats its SYN: an upstream that
+    // answered late holds the flow, and the entry does not know it.
+    TEST_F(RouterFixture, ALateAnswerToAnEarlierRoundOfOffersCounts)
+    {
+        this->useRoutes();
+        this->useUpstreams(8);
+        this->fromClient(synFlag);
+        this->advance(Milliseconds(200));
+        const std::vector<SentHop> offers = this->takeHops();
+        ASSERT_EQ(offers.size(), 4U);
+        const PacketAddress last = offers.back().agent;
+        this->fromClient(synFlag, 1);
+        this->fromAgent(last, HopKind::Accepted, 500);
+        this->takeHops();
+        this->fromClient(ackFlag, 501, 100);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Forward);
+        EXPECT_EQ(this->hops[0].agent, last);
+    }
+
     TEST_F(RouterFixture, UnknownRoutesAreRefusedAtOnce)
     {
         this->useUpstreams(4);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -243,8 +243,8 @@
     }
     // A copy of the SYN starts a new round of offers.
     std::erase_if(flow.offers, [](const Offer& offer) { return offer.state == OfferState::Refused; });
-    if (flow.offers.size() >= this->options.maxOffersPerSyn)
-        flow.offers.clear();
+    if (offersInRound(flow) >= this->options.maxOffersPerSyn)
+        ++flow.offerRound;
     if (!this->offerToNextUpstream(key, flow, "open") && !this->hasProvisionalRoutes)
         this->refuseFlow(key, 0, "no-upstream");
 }
@@ -266,20 +266,23 @@
 // Offers the flow to the best upstream that it was not offered to in this round. Returns false if there is none.
 bool EntryRouter::offerToNextUpstream(const FlowKey& key, Flow& flow, std::string_view cause)
 {
-    if (flow.offers.size() >= this->options.maxOffersPerSyn)
+    if (offersInRound(flow) >= this->options.maxOffersPerSyn)
         return false;
     const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
     for (const UpstreamId candidate : candidates) {
         const auto agent = this->agentByUpstream.find(candidate);
-        const bool isAlreadyOffered = std::any_of(
+        const auto earlier = std::find_if(
             flow.offers.begin(), flow.offers.end(), [&](const Offer& offer) { return offer.upstream == candidate; });
+        const bool isAlreadyOffered = earlier != flow.offers.end() && earlier->round == flow.offerRound;
         if (isAlreadyOffered || agent == this->agentByUpstream.end())
             continue;
-        flow.offers.push_back({ candidate, agent->second, OfferState::Pending, this->clock.now(), 0 });
+        if (earlier != flow.offers.end())
+            flow.offers.erase(earlier);
+        flow.offers.push_back({ candidate, agent->second, OfferState::Pending, this->clock.now(), 0, flow.offerRound });
         logEvent(Event::PacketFlowOffered,
             { { "flow", toString(key) }, { "service", flow.service }, { "upstream", candidate },
                 { "agent", toString(agent->second) }, { "cause", cause },
-                { "attempt", static_cast<uint64_t>(flow.offers.size()) },
+                { "attempt", static_cast<uint64_t>(offersInRound(flow)) },
                 { "candidates", static_cast<uint64_t>(candidates.size()) },
                 { "occupied", this->placement.utilization(flow.service, candidate) },
                 { "load-age-ms", this->placement.loadAge(candidate) }, { "routes", this->routes->version },
@@ -405,6 +408,12 @@
     return found == flow.offers.end() ? nullptr : &*found;
 }
 
+size_t EntryRouter::offersInRound(const Flow& flow)
+{
+    return static_cast<size_t>(std::count_if(
+        flow.offers.begin(), flow.offers.end(), [&](const Offer& offer) { return offer.round == flow.offerRound; }));
+}
+
 // Only for flows that are not open, so no part of the client's request has run.
 void EntryRouter::refuseFlow(const FlowKey& key, uint32_t sequence, std::string_view cause)
 {
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -124,11 +124,13 @@
         OfferState state = OfferState::Pending;
         TimePoint sentAt;
         uint32_t upstreamSequence = 0; // once accepted
+        unsigned round = 0; // each starts with a copy of the SYN; see Flow::offerRound
     };
 
     struct Flow {
         ServiceId service;
-        std::vector<Offer> offers;
+        std::vector<Offer> offers; // one per upstream; those of earlier rounds may still be answered
+        unsigned offerRound = 0;
         std::vector<uint8_t> syn; // SYN of the client, until the flow is open
         std::optional<PacketAddress> holder; // agent of the upstream that holds the flow
         std::vector<std::vector<uint8_t>> waiting; // packets that wait for the holder
@@ -168,6 +170,7 @@
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     Offer* findOffer(Flow&, PacketAddress agent);
+    static size_t offersInRound(const Flow&);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
     void onFlowPacket(const FlowKey&, const Packet&, Bytes);
     const Offer* acceptedOffer(const Flow&, uint32_t acknowledgement) const;
