Refuse no flow whose client has used it

Callers could see: an open flow is reset because a late copy of its SYN, which reached another entry, is refused by all upstreams that this entry knows (found by reading; not seen in a run).

Cause: an entry that offered a copy of a SYN treated the flow as new until it knew the holder, even while it searched for the holder of packets that only a client with an open flow sends.

Change: while an entry searches for the holder, copies of the SYN are dropped and refusals of its offers reset nothing.

Evidence: RouterFixture.ARefusedCopyOfTheSynEndsNoFlowThatItsClientUses failed before (reset by the refusal) and passes.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -245,6 +245,24 @@
         EXPECT_EQ(this->hops[0].agent, last);
     }
 
+    // Guards against the reset of an open flow by the refusal of a late copy of its SYN: another entry offered the flow to
+    // the upstream that holds it.
+    TEST_F(RouterFixture, ARefusedCopyOfTheSynEndsNoFlowThatItsClientUses)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->fromClient(synFlag, 1);
+        this->fromClient(ackFlag, 501, 100);
+        this->fromAgent(agent(0), HopKind::Refused, 0, makePacket(client, routeAddress, synFlag, 1001, 1, 0));
+        EXPECT_TRUE(this->resets.empty());
+        this->fromClient(synFlag, 2);
+        EXPECT_TRUE(this->resets.empty());
+        this->directory.remove(upstream(0).name, 6);
+        this->router.setUpstreams(this->directory);
+        this->fromClient(synFlag, 2);
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     TEST_F(RouterFixture, UnknownRoutesAreRefusedAtOnce)
     {
         this->useUpstreams(4);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -231,6 +231,11 @@
         this->sendPacket(*flow.holder, HopKind::Offer, key, flow.service, syn);
         return;
     }
+    // A late copy, too: the client has got an answer to its SYN and used the flow.
+    if (flow.search) {
+        ++this->counts.dropped;
+        return;
+    }
     if (flow.syn.empty()) {
         flow.service = this->chooseService(*route);
         flow.syn = copyOf(syn);
@@ -564,6 +569,8 @@
     if (!offer)
         return;
     offer->state = OfferState::Refused;
+    if (flow->search) // the client uses the flow: it is open at an upstream, perhaps through another entry
+        return;
     if (message.refusal != HopRefusal::UpstreamBusy)
         this->placement.onDraining(offer->upstream); // excluded for downRetryDelay
     if (this->offerToNextUpstream(key, *flow, nameOf(message.refusal)))
