Let entries whose list is behind have holders found by others

Cause: the store turned the entry away for 13 s. It knew from 3028 that its list (revision 18) was behind that of others (52), which kept it from a reset, but it asked the upstreams on its list again and again. The holder had started since. Class: entries whose lists differ for long; the knowledge that the own list is behind changed only what is concluded, not who is asked.

Change: such an entry asks the agents that it knows. Unless one of them holds the flow, it hands the packet to the entry with the newest list (HopKind Delegate), which searches, forwards it and answers with the agent (Located). Without an answer within 0.3 s the next search uses the packet as before; so do entries of the version before, which drop the message.

RouterFixture.AnEntryThatIsBehindLetsAnotherEntryFindTheHolder, ASearchGoesOnHereIfTheOtherEntryDoesNotAnswer and ADelegatedPacketIsNotPassedOnAndItsSenderLearnsTheHolder; before, copies of the packet went to upstreams in the first of them.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -124,6 +124,10 @@
         return;
     }
     const Result<Packet> packet = platform::decodePacket(message.value().packet);
+    if (packet && message.value().kind == HopKind::Delegate) {
+        this->router.onDelegatedPacket(source, packet.value(), message.value().packet);
+        return;
+    }
     if (packet) {
         this->router.onHop(source, message.value(), &packet.value());
         return;
@@ -396,7 +400,12 @@
     this->storeRefresh.setSteady(StoreTopic::Upstreams, this->directory.needsSteadyAnswers());
     if (this->storeRefresh.onTick(this->storeVersions()))
         this->readStore();
-    this->router.setBehindPeers(this->storeRefresh.isBehindPeers(StoreTopic::Upstreams));
+    const bool isBehind = this->storeRefresh.isBehindPeers(StoreTopic::Upstreams);
+    this->router.setBehindPeers(isBehind);
+    const std::optional<uint32_t> delegate
+        = isBehind || !this->hasStoreState() ? this->fleet.entryWithNewestList() : std::nullopt;
+    this->router.setDelegate(
+        delegate ? std::optional(PacketAddress { *delegate, this->settings.hop.port }) : std::nullopt);
     this->sendPresence();
     this->router.onTick();
     this->flush();
@@ -441,6 +450,8 @@
     metrics.setCount("wasabi_find_copies_total", "", counts.findCopies);
     metrics.setCount("wasabi_relayed_searches_total", "", counts.relayedSearches);
     metrics.setCount("wasabi_asks_total", "", counts.asks);
+    metrics.setCount("wasabi_delegated_packets_total", "to=\"others\"", counts.delegated);
+    metrics.setCount("wasabi_delegated_packets_total", "to=\"self\"", counts.delegatedByOthers);
     metrics.setCount("wasabi_finds_limited_total", "", counts.findsLimited);
     metrics.setCount("wasabi_search_bytes_total", "", counts.searchBytes);
     metrics.setCount("wasabi_searches_shed_total", "", counts.searchesShed);
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -570,6 +570,44 @@
 
     // Guards against an entry that starts right after an outage of the store and takes its list for complete, since
     // those that know of the outage tell it too late.
+    // Guards against an entry that is told a wrong holder.
+    TEST(HopMessages, LocatedStatesTheHolderAndItsFlows)
+    {
+        HopMessage message;
+        message.kind = HopKind::Located;
+        message.holder = { 0x0a020007, 8000 };
+        message.flowKeys = { { { 1, 2 }, { 3, 4 } }, { { 5, 6 }, { 7, 8 } } };
+        std::vector<uint8_t> bytes;
+        encodeHop(message, bytes);
+        const Result<HopMessage> decoded = decodeHop(bytes);
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded.value().holder, message.holder);
+        EXPECT_EQ(decoded.value().flowKeys, message.flowKeys);
+    }
+
+    // Guards against searches that are handed to an entry which is behind, too, or which has ended.
+    TEST(Presence, TheEntryWithTheNewestListIsOneThatWasHeardLately)
+    {
+        ManualClock clock;
+        FleetView fleet({}, clock);
+        const auto hear = [&](uint32_t sender, uint64_t revision) {
+            PresenceMessage message;
+            message.fromEntry = true;
+            message.directoryRevision = revision;
+            fleet.onMessage(sender, message);
+        };
+        EXPECT_FALSE(fleet.entryWithNewestList());
+        clock.advance(Milliseconds(1000));
+        hear(1, 20);
+        hear(2, 18);
+        EXPECT_EQ(fleet.entryWithNewestList(), 1U);
+        clock.advance(Milliseconds(1000));
+        hear(2, 20);
+        EXPECT_EQ(fleet.entryWithNewestList(), 2U);
+        clock.advance(FleetOptions().silenceTimeout);
+        EXPECT_FALSE(fleet.entryWithNewestList());
+    }
+
     TEST(Presence, AnEntryThatStartsIsToldTheStateOfTheListAtOnce)
     {
         ManualClock clock;
--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -11,6 +11,7 @@
     constexpr FlowKey flow { client, routeAddress };
     constexpr ServiceId service { 1 };
     constexpr uint16_t agentPort = 8000;
+    constexpr PacketAddress otherEntry { 0x0a010002, 7700 };
 
     struct SentHop {
         PacketAddress agent;
@@ -91,6 +92,23 @@
             this->agentDenies(agent(1));
         }
 
+        // Searches with a list that is behind that of another entry. The agents of all upstreams on it are unsure.
+        void searchWhileBehind()
+        {
+            this->useRoutes();
+            this->useUpstreams(4);
+            this->router.setBehindPeers(true);
+            this->router.setDelegate(otherEntry);
+            this->fromClient(ackFlag, 7, 100);
+            this->takeHops();
+            HopMessage unsure;
+            unsure.kind = HopKind::Unsure;
+            unsure.flowKeys = { flow };
+            for (uint32_t number = 0; number < 4; ++number)
+                this->router.onHop(agent(number), unsure, nullptr);
+            this->router.flushAsks();
+        }
+
         void advance(Milliseconds duration)
         {
             constexpr Milliseconds step { 20 };
@@ -245,8 +263,8 @@
         EXPECT_EQ(this->hops[0].agent, last);
     }
 
-    // Guards against the reset of an open flow by the refusal of a late copy of its SYN: another entry offered the flow to
-    // the upstream that holds it.
+    // Guards against the reset of an open flow by the refusal of a late copy of its SYN: another entry offered the flow
+    // to the upstream that holds it.
     TEST_F(RouterFixture, ARefusedCopyOfTheSynEndsNoFlowThatItsClientUses)
     {
         this->useRoutes();
@@ -384,6 +402,65 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against packets of an open flow that reach only upstreams which don't hold it, for as long as the store
+    // turns this entry away: another entry lists the holder.
+    TEST_F(RouterFixture, AnEntryThatIsBehindLetsAnotherEntryFindTheHolder)
+    {
+        this->searchWhileBehind();
+        const std::vector<SentHop> sent = this->takeHops();
+        ASSERT_EQ(sent.size(), 1U) << "no upstream gets the packet";
+        EXPECT_EQ(sent[0].kind, HopKind::Delegate);
+        EXPECT_EQ(sent[0].agent, otherEntry);
+        EXPECT_FALSE(sent[0].packet.empty());
+        this->fromClient(ackFlag, 7, 200);
+        const std::vector<SentHop> next = this->takeHops();
+        ASSERT_EQ(next.size(), 1U);
+        EXPECT_EQ(next[0].kind, HopKind::Delegate);
+        HopMessage located;
+        located.kind = HopKind::Located;
+        located.holder = agent(9);
+        located.flowKeys = { flow };
+        this->router.onHop(otherEntry, located, nullptr);
+        this->fromClient(ackFlag, 7, 300);
+        const std::vector<SentHop> last = this->takeHops();
+        ASSERT_EQ(last.size(), 1U);
+        EXPECT_EQ(last[0].kind, HopKind::Forward);
+        EXPECT_EQ(last[0].agent, agent(9));
+    }
+
+    // Guards against flows that depend on an entry which is gone or runs a version that can't find holders for others.
+    TEST_F(RouterFixture, ASearchGoesOnHereIfTheOtherEntryDoesNotAnswer)
+    {
+        this->searchWhileBehind();
+        this->takeHops();
+        this->advance(EntryRouterOptions().delegationTimeout);
+        this->fromClient(ackFlag, 7, 100);
+        const std::vector<SentHop> sent = this->takeHops();
+        EXPECT_TRUE(
+            std::any_of(sent.begin(), sent.end(), [](const SentHop& hop) { return hop.kind == HopKind::Find; }));
+    }
+
+    // Guards against packets that entries hand to each other in turn.
+    TEST_F(RouterFixture, ADelegatedPacketIsNotPassedOnAndItsSenderLearnsTheHolder)
+    {
+        this->useRoutes();
+        this->useUpstreams(2);
+        this->router.setBehindPeers(true);
+        this->router.setDelegate(otherEntry);
+        const std::vector<uint8_t> bytes = makePacket(client, routeAddress, ackFlag, 1001, 7, 100);
+        this->router.onDelegatedPacket(otherEntry, platform::decodePacket(bytes).value(), bytes);
+        this->router.flushAsks();
+        this->agentDenies(agent(0));
+        this->agentDenies(agent(1));
+        for (const SentHop& hop : this->takeHops())
+            EXPECT_NE(hop.kind, HopKind::Delegate);
+        this->fromAgent(agent(1), HopKind::Holds);
+        const std::vector<SentHop> sent = this->takeHops();
+        ASSERT_FALSE(sent.empty());
+        EXPECT_EQ(sent[0].kind, HopKind::Located);
+        EXPECT_EQ(sent[0].agent, otherEntry);
+    }
+
     // Guards against the reset of a flow whose upstream was removed but still runs: its agent needs time to answer.
     TEST_F(RouterFixture, RemovedUpstreamsCanAnswerBeforeAReset)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -160,6 +160,22 @@
     this->routePacket(packet, bytes, this->clock.now());
 }
 
+void EntryRouter::onDelegatedPacket(PacketAddress entry, const Packet& packet, Bytes bytes)
+{
+    if (packet.syn || !this->routes || !this->hasUpstreamList || this->hasProvisionalRoutes) {
+        ++this->counts.dropped;
+        return;
+    }
+    ++this->counts.delegatedByOthers;
+    const FlowKey key = packet.flowKeyFromClient();
+    Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.delegator = entry;
+    this->routePacket(packet, bytes, this->clock.now());
+    // The flow may be gone by now.
+    if (Flow* routed = this->flows.find(key); routed && routed->holder)
+        this->reportToDelegator(key, *routed);
+}
+
 void EntryRouter::bufferPacket(const Packet& packet, Bytes bytes, TimePoint received)
 {
     if (this->bufferedBytes + bytes.size() > this->options.maxBufferedBytes) {
@@ -449,6 +465,8 @@
     }
     if (flow.holder)
         this->forward(key, flow, bytes);
+    else if (flow.delegatedUntil && this->clock.now() < *flow.delegatedUntil && this->canDelegate(flow))
+        this->sendToDelegate(bytes);
     else
         this->startSearch(key, flow, bytes, std::nullopt);
 }
@@ -476,6 +494,8 @@
     flow.syn.clear();
     flow.offers.clear();
     flow.search.reset();
+    flow.delegatedUntil.reset();
+    this->reportToDelegator(key, flow);
     logEvent(Event::PacketHolderKnown, { { "flow", toString(key) }, { "agent", toString(agent) } });
     for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
         this->forward(key, flow, bytes);
@@ -494,6 +514,10 @@
 void EntryRouter::onHop(PacketAddress agent, const HopMessage& message, const Packet* packet)
 {
     const FlowKey key = packet ? packet->flowKeyFromClient() : message.flow;
+    if (message.kind == HopKind::Located) { // from an entry
+        this->onLocated(message.holder, message.flowKeys);
+        return;
+    }
     this->unansweredSince.erase(agent);
     this->lastReplies[agent] = this->clock.now();
     this->updateLoad(agent, message);
@@ -527,6 +551,8 @@
                 this->onDenied(denied, *flow, agent);
         }
         break;
+    case HopKind::Located:
+    case HopKind::Delegate:
     case HopKind::Load:
     case HopKind::Offer:
     case HopKind::Forward:
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -4,7 +4,8 @@
 // A new flow is offered to one upstream at a time until one accepts. The upstream is the authority on the flows that it
 // holds; the flow table here is a cache. If it lacks a flow, the agents of all upstreams that may hold the flow are
 // asked. Upstreams whose agents are unsure or silent get a packet of the flow: first its preferred upstreams, which its
-// hash selects, then the others. Further packets of the flow wait until its holder is found.
+// hash selects, then the others. Further packets of the flow wait until its holder is found. An entry whose list of
+// upstreams is behind that of another one lets that one find the holder.
 //
 // Index
 //   [SECTION] Options and counters
@@ -41,6 +42,7 @@
     Milliseconds searchStageTimeout { 60 }; // for the answers of agents in another failure domain
     Milliseconds unlistedTimeout { 120 }; // for the answers of agents whose upstreams were removed: two stages
     Milliseconds searchTimeout { 300 }; // packets wait this long for their holder, then are dropped: clients retransmit
+    Milliseconds delegationTimeout { 300 }; // for an entry that is to find a holder: as long as its search may take
     size_t maxWaitingPacketsPerFlow = 16; // one client window
     size_t maxBufferedBytes = 1024 * 1024; // of packets that wait for the first routes
     Milliseconds maxBufferTime { 1400 }; // a client gives up opening a flow after this time
@@ -71,6 +73,8 @@
     uint64_t searchBytes = 0; // of Find and Ask messages, with IP and UDP headers
     uint64_t searchesShed = 0; // searches that did not start because the link is busy
     std::array<uint64_t, searchScopeNames.size()> searchesWithoutResult {}; // by SearchScope
+    uint64_t delegated = 0; // packets handed to another entry, which finds their holder
+    uint64_t delegatedByOthers = 0; // such packets from other entries
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
     uint64_t resets = 0;
@@ -84,7 +88,7 @@
 //-----------------------------------------------------------------------------
 
 struct EntryRouterHooks {
-    std::function<void(PacketAddress agent, const HopMessage&)> sendHop;
+    std::function<void(PacketAddress receiver, const HopMessage&)> sendHop; // to an agent or another entry
     std::function<void(const FlowKey&, uint32_t sequence)> sendReset; // to the client
 };
 
@@ -97,8 +101,13 @@
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
+    // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
+    // this one lacks none.
+    void setDelegate(std::optional<PacketAddress> entry) { this->delegate = entry; }
 
     void onClientPacket(const Packet&, Bytes);
+    // A packet from another entry, whose list is behind. It is told the holder.
+    void onDelegatedPacket(PacketAddress entry, const Packet&, Bytes);
     // packet is the decoded header of the packet in the message; null if it carries none.
     void onHop(PacketAddress agent, const HopMessage&, const Packet* packet);
     void flushAsks(); // call after each batch of datagrams: searches of one batch share their messages
@@ -137,6 +146,8 @@
         TimePoint searchWindowStart;
         unsigned searchCount = 0; // searches in the current window
         std::optional<HolderSearch> search; // search in progress
+        std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
+        std::optional<PacketAddress> delegator; // the entry that waits for the holder
         uint32_t lastAcknowledgement = 0; // of the client's packets
     };
 
@@ -182,6 +193,12 @@
     std::vector<HolderCandidate> offeredUpstreams(const Flow&) const;
     std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> excluded) const;
     void continueSearch(const FlowKey&, Flow&);
+    void searchWithPacket(const FlowKey&, Flow&);
+    bool canDelegate(const Flow&) const;
+    void delegateSearch(const FlowKey&, Flow&);
+    void sendToDelegate(Bytes);
+    void onLocated(PacketAddress holder, std::span<const FlowKey>);
+    void reportToDelegator(const FlowKey&, Flow&);
     void askAgents(const FlowKey&, HolderSearch&);
     void sendFinds(const FlowKey&, Flow&);
     std::optional<PacketAddress> chooseRelay(const std::vector<const HolderSearch::Target*>&) const;
@@ -217,6 +234,7 @@
     bool directoryIsComplete = false; // no record is missing because of an outage of the store
     bool directoryAwaitsPeers = false; // entries that run are about to state whether it is complete
     bool isBehindPeers = false; // a listed upstream may be missing here
+    std::optional<PacketAddress> delegate; // see setDelegate()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
     bool hasUsableUpstream = false;
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -50,7 +50,11 @@
     const std::vector<HolderCandidate> targets
         = isOffered ? this->offeredUpstreams(flow) : this->possibleHolders(key, flow, excluded);
     if (targets.empty()) {
-        ++this->counts.dropped;
+        flow.waiting.push_back(copyOf(bytes));
+        if (this->canDelegate(flow))
+            this->delegateSearch(key, flow);
+        else
+            this->abandonSearch(key, flow);
         return;
     }
     ++flow.searchCount;
@@ -151,7 +155,7 @@
         if (asksAgain)
             this->askAgents(key, *flow.search);
         if (!asksAgain || flow.search->isAnsweredByAll())
-            this->sendFinds(key, flow);
+            this->searchWithPacket(key, flow);
     }
     this->searchTimers.emplace(this->clock.now() + this->options.searchStageTimeout, key);
 }
@@ -313,11 +317,24 @@
         this->endFailedSearch(key, flow);
     else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll()
         && this->linkBudget.canContinueSearch())
+        this->searchWithPacket(key, flow);
+}
+
+// No upstream gets a packet of a flow that it can't hold while another entry lists upstreams that this one lacks.
+void EntryRouter::searchWithPacket(const FlowKey& key, Flow& flow)
+{
+    if (flow.search->scope != SearchScope::Offered && !flow.delegatedUntil && this->canDelegate(flow))
+        this->delegateSearch(key, flow);
+    else
         this->sendFinds(key, flow);
 }
 
 void EntryRouter::endFailedSearch(const FlowKey& key, Flow& flow)
 {
+    if (!flow.delegatedUntil && this->canDelegate(flow)) {
+        this->delegateSearch(key, flow);
+        return;
+    }
     if (flow.search->coversAllUpstreams && this->directoryAwaitsPeers) {
         if (!std::exchange(flow.search->isDenied, true))
             this->deniedSearches.push_back(key);
@@ -363,6 +380,56 @@
     this->hooks.sendReset(key, sequence);
 }
 
+//-----------------------------------------------------------------------------
+// Searches by other entries
+//-----------------------------------------------------------------------------
+
+// A flow that another entry delegated is not passed on again.
+bool EntryRouter::canDelegate(const Flow& flow) const { return this->delegate && !flow.delegator; }
+
+// Lets an entry whose list is newer find the holder. If it does not answer, the next search here uses the packet.
+void EntryRouter::delegateSearch(const FlowKey& key, Flow& flow)
+{
+    flow.delegatedUntil = this->clock.now() + this->options.delegationTimeout;
+    logEvent(Event::PacketSearchDelegated,
+        { { "flow", toString(key) }, { "entry", toString(*this->delegate) },
+            { "directory", this->directoryRevision } });
+    if (flow.search)
+        this->sendToDelegate(flow.search->packet);
+    flow.search.reset();
+    for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
+        this->sendToDelegate(bytes);
+}
+
+void EntryRouter::sendToDelegate(Bytes bytes)
+{
+    ++this->counts.delegated;
+    HopMessage message;
+    message.kind = HopKind::Delegate;
+    message.packet = bytes;
+    this->sendHop(*this->delegate, message);
+}
+
+void EntryRouter::onLocated(PacketAddress holder, std::span<const FlowKey> keys)
+{
+    for (const FlowKey& key : keys) {
+        if (Flow* flow = this->flows.find(key); flow && !flow->holder && flow->delegatedUntil)
+            this->setHolder(key, *flow, holder);
+    }
+}
+
+// Tells the entry that delegated the flow which agent holds it.
+void EntryRouter::reportToDelegator(const FlowKey& key, Flow& flow)
+{
+    if (!flow.delegator)
+        return;
+    HopMessage message;
+    message.kind = HopKind::Located;
+    message.holder = *flow.holder;
+    message.flowKeys = { key };
+    this->sendHop(*std::exchange(flow.delegator, std::nullopt), message);
+}
+
 //-----------------------------------------------------------------------------
 // Timers
 //-----------------------------------------------------------------------------
@@ -425,6 +492,7 @@
 void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
 {
     if (flow.search && !std::exchange(flow.search->isAbandoned, true)) {
+        flow.delegatedUntil.reset(); // the next search may delegate again
         ++this->counts.searchesWithoutResult.at(static_cast<size_t>(flow.search->scope));
         const size_t mayReturn = flow.search->countSilent(Listing::MayReturn);
         this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -74,6 +74,7 @@
         EventInfo { Event::PacketSearchesShed, Severity::Warning, "packet-searches-shed" },
         EventInfo { Event::PacketUpstreamRejects, Severity::Warning, "packet-upstream-rejects" },
         EventInfo { Event::PacketUpstreamAnswers, Severity::Info, "packet-upstream-answers" },
+        EventInfo { Event::PacketSearchDelegated, Severity::Info, "packet-search-delegated" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -78,6 +78,7 @@
     PacketSearchesShed = 4218,
     PacketUpstreamRejects = 4219,
     PacketUpstreamAnswers = 4220,
+    PacketSearchDelegated = 4221,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -84,7 +84,15 @@
     bool isFromEntry(HopKind kind)
     {
         return kind == HopKind::Offer || kind == HopKind::Forward || kind == HopKind::Find || kind == HopKind::Ask
-            || kind == HopKind::Search;
+            || kind == HopKind::Search || kind == HopKind::Delegate || kind == HopKind::Located;
+    }
+
+    // The header has one field for these addresses.
+    PacketAddress addressInHeader(const HopMessage& message)
+    {
+        if (message.kind == HopKind::Find)
+            return message.replyTo;
+        return message.kind == HopKind::Located ? message.holder : message.flow.client;
     }
 
     uint16_t toUint16Ms(Milliseconds time)
@@ -163,9 +171,9 @@
     const size_t messageBytes = encodedBytes(message);
     wire::Hop header;
     header.mutate_service(message.service.value);
-    const PacketAddress client = message.kind == HopKind::Find ? message.replyTo : message.flow.client;
-    header.mutate_client_address(client.address);
-    header.mutate_client_port(client.port);
+    const PacketAddress address = addressInHeader(message);
+    header.mutate_client_address(address.address);
+    header.mutate_client_port(address.port);
     header.mutate_route_address(message.flow.route.address);
     header.mutate_route_port(message.flow.route.port);
     header.mutate_magic(hopMagic);
@@ -190,7 +198,8 @@
 
 bool carriesFlowKeys(HopKind kind)
 {
-    return kind == HopKind::Ask || kind == HopKind::Known || kind == HopKind::Unsure || kind == HopKind::Denied;
+    return kind == HopKind::Ask || kind == HopKind::Known || kind == HopKind::Unsure || kind == HopKind::Denied
+        || kind == HopKind::Located;
 }
 
 Result<HopMessage> decodeHop(Bytes bytes)
@@ -215,6 +224,8 @@
     isFromEntry(message.kind) ? decodeEntryFigures(header, message) : decodeAgentFigures(header, message);
     if (message.kind == HopKind::Find)
         message.replyTo = std::exchange(message.flow.client, PacketAddress());
+    if (message.kind == HopKind::Located)
+        message.holder = std::exchange(message.flow.client, PacketAddress());
     const Bytes payload = bytes.subspan(hopHeaderBytes);
     if (!carriesFlowKeys(message.kind)) {
         const size_t targetCount = message.kind == HopKind::Search ? header.refusal() : 0;
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -89,10 +89,12 @@
     Unsure, // the flows of an Ask that the upstream may hold: half open, or the agent has not seen all flows
     Denied, // the flows of Asks and Finds that the upstream does not hold
     Search, // a Find for several agents, which the receiver passes on to them; they reply to the entry
+    Delegate, // to an entry: a packet of a flow whose holder the sender can't find, because its list is older
+    Located, // the answer to a Delegate: the agent that holds the flows
 };
 
-inline constexpr std::array<std::string_view, 14> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
-    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied", "search" };
+inline constexpr std::array<std::string_view, 16> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
+    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied", "search", "delegate", "located" };
 
 std::string_view nameOf(HopKind);
 
@@ -138,9 +140,10 @@
     uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds
     Milliseconds loadInterval { 0 }; // in Offer: requested time between load reports; steps of 20 ms, at most 5.1 s
     PacketAddress replyTo; // in a Find that an agent passes on: the entry; no address: the sender
+    PacketAddress holder; // in Located
     std::vector<uint32_t> targets; // of a Search: IP addresses of agents that use the same port as the receiver
     Bytes packet; // packet as received; empty if the message carries none
-    std::vector<FlowKey> flowKeys; // flows of an Ask or of an answer to it
+    std::vector<FlowKey> flowKeys; // flows of an Ask or of an answer to it, or of Located
 };
 
 inline constexpr size_t hopHeaderBytes = 48;
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -208,7 +208,7 @@
 {
     const TimePoint now = this->clock.now();
     if (message.fromEntry) {
-        this->entries[sender] = { now, now, message.reachesStore };
+        this->entries[sender] = { now, now, message.reachesStore, message.directoryRevision };
         this->recordConfirmation(
             StoreTopic::Routes, message.routesVersion, this->routesVersion, message.confirmationAges[0]);
         this->recordConfirmation(
@@ -365,6 +365,20 @@
     return true;
 }
 
+std::optional<uint32_t> FleetView::entryWithNewestList() const
+{
+    const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
+    std::optional<uint32_t> newest;
+    TimePoint lastReceived = oldest;
+    for (const auto& [address, entry] : this->entries) {
+        if (entry.directoryRevision < this->directoryRevision || entry.lastReceived <= lastReceived)
+            continue;
+        newest = address;
+        lastReceived = entry.lastReceived;
+    }
+    return newest;
+}
+
 bool FleetView::takeChange() { return std::exchange(this->changed, false); }
 
 std::shared_ptr<const RoutingTable> FleetView::provisionalRoutes() const
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -143,6 +143,9 @@
 
     uint64_t newestRoutesVersion() const { return this->routesVersion; } // of any entry
     uint64_t newestDirectoryRevision() const { return this->directoryRevision; }
+    // IP address of the entry that was heard last of those with the newest revision of the upstreams; empty if none was
+    // heard lately.
+    std::optional<uint32_t> entryWithNewestList() const;
     // When the store last confirmed the newest version or revision to another entry; empty if it did not.
     std::optional<TimePoint> confirmedAt(StoreTopic topic) const
     {
@@ -175,6 +178,7 @@
         TimePoint lastSent; // when it last sent a message to this entry or to another one
         TimePoint lastReceived; // when this entry last received a message of it
         bool reachesStore = false; // as of lastReceived
+        uint64_t directoryRevision = 0; // as of lastReceived
     };
 
     void recordMention(const EntryMention&);
