Keep a flow whose upstream returned a copy of its SYN

Cause: the agent took a returned SYN for a refusal and removed the flow, also when it was a late copy and the flow was open or its handshake complete. It dropped the request that waited, freed the slot of the running one, and denied the flow when asked.

Change: a returned SYN ends only a flow whose upstream answered no SYN and that got no other packet of the client.

Evidence: AgentRouterFixture.AReturnedSynCopyDoesNotEndAnOpenFlow (a Refused, 0 running requests instead of 1, Denied instead of Known) and AReturnedSynCopyDoesNotEndAFlowThatMayBeOpen (Denied instead of Unsure) failed before and pass.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -84,6 +84,26 @@
             this->fromUpstream(ackFlag, clientPort);
         }
 
+        void ask(std::vector<FlowKey> keys, std::optional<Milliseconds> idleTimeout = Milliseconds(15000))
+        {
+            this->kinds.clear();
+            HopMessage message;
+            message.kind = HopKind::Ask;
+            message.idleTimeout = idleTimeout;
+            message.flowKeys = std::move(keys);
+            this->router.onAsk(entry, message);
+        }
+
+        // Lets the time pass with a tick of the agent each 20 ms.
+        void run(Milliseconds duration)
+        {
+            constexpr Milliseconds tick { 20 };
+            for (Milliseconds time(0); time < duration; time += tick) {
+                this->clock.advance(tick);
+                this->router.onTick();
+            }
+        }
+
         static FlowKey keyOf(uint16_t clientPort) { return { { client.address, clientPort }, routeAddress }; }
 
         std::vector<HopKind> repliesToSearches()
@@ -277,6 +297,36 @@
         EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { key(3) });
     }
 
+    // Guards against denials of an open flow because its upstream returned a late copy of the SYN.
+    TEST_F(AgentRouterFixture, AReturnedSynCopyDoesNotEndAnOpenFlow)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->clock.advance(Milliseconds(15001));
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Offer, synFlag, 1));
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Refused), 0);
+        EXPECT_EQ(this->router.runningRequests(), 1U);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
+    // Guards against the same while the upstream has the end of the handshake and has sent no packet since.
+    TEST_F(AgentRouterFixture, AReturnedSynCopyDoesNotEndAFlowThatMayBeOpen)
+    {
+        this->fromUpstream(ackFlag, 9);
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->fromUpstream(synFlag | ackFlag, 1);
+        const std::vector<uint8_t> copy = this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->clock.advance(Milliseconds(15001));
+        this->fromEntry(HopKind::Forward, ackFlag, 1);
+        this->kinds.clear();
+        this->bounce(copy);
+        EXPECT_TRUE(this->kinds.empty());
+        this->ask({ keyOf(1) });
+        EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -100,6 +100,7 @@
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = message.kind;
+    flow.mayBeOpen = true;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
     this->deliver(key, flow, message, packet);
@@ -360,6 +361,7 @@
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
+        flow.mayBeOpen = true;
         if (flow.offered) {
             ++this->counts.accepted;
             this->reply(flow.entry, HopKind::Accepted, key, HopRefusal::None, {}, packet.sequence);
@@ -379,6 +381,7 @@
         return;
     }
     this->markHeld(key, flow);
+    flow.mayBeOpen = true;
     flow.isOpen = true;
     this->hooks.onUpstreamAnswered(key.route);
     if (packet.payloadBytes > 0) {
@@ -453,6 +456,11 @@
         return;
     }
     this->confirmDelivery(*flow);
+    // A late copy of the SYN: the upstream may hold the flow nevertheless.
+    if (packet.isSyn() && flow->mayBeOpen) {
+        ++this->counts.dropped;
+        return;
+    }
     const PacketAddress entry = flow->entry;
     const bool wasOpen = flow->isOpen;
     const bool isSearched = flow->lastKind == HopKind::Find; // the entry keeps the packet
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -97,6 +97,7 @@
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
         bool offered = false; // a SYN was delivered
+        bool mayBeOpen = false; // the upstream answered the SYN, or a later packet of the client was delivered
         bool isOpen = false; // the upstream sent more than the handshake
         bool isHeld = false; // the upstream sent any packet of the flow
         bool isAnswered = false; // the upstream answered a request
