Take no silence after a copy of an open flow's SYN as a sign that the upstream is down

Cause: each SYN that the agent handed on counted, and was repeated up to four times within 0.1 s. If nothing else came from the upstream meanwhile, it was declared down and its flows with requests gone.

Change: only SYNs of flows that can't be open count: the upstream answered none and got no later packet of the client.

Evidence: AgentRouterFixture.SynCopiesOfOpenFlowsDoNotShowThatTheUpstreamIsDown failed before (state down, one Gone) and passes.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -327,6 +327,19 @@
         EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Denied });
     }
 
+    // Guards against declaring an upstream down that does not answer copies of the SYN of an open flow.
+    TEST_F(AgentRouterFixture, SynCopiesOfOpenFlowsDoNotShowThatTheUpstreamIsDown)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->kinds.clear();
+        for (int copy = 0; copy < 4; ++copy)
+            this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->run(Milliseconds(300));
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -237,7 +237,8 @@
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
     this->assignDeliveryNumber(flow);
-    this->liveness.onSynDelivered(message.packet);
+    if (!flow.mayBeOpen) // an upstream may ignore the SYN of a flow that is open there
+        this->liveness.onSynDelivered(message.packet);
     this->hooks.sendToUpstream(message.packet);
 }
 
