Answer the offer of a flow that the upstream holds with Holds

Cause: the agent treated each Offer as a new flow, also one of a flow that it knows to be open.

Change: it answers Holds, by which the entry knows the holder at once, and hands the SYN to the upstream as before.

Evidence: AgentRouterFixture.AnOfferOfAFlowThatTheUpstreamHoldsIsNotRefused failed before (Refused) and passes.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -340,6 +340,21 @@
         EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
     }
 
+    // Guards against the reset of an open flow when a late copy of its SYN reaches another entry: its upstream drains
+    // and the others refuse the SYN.
+    TEST_F(AgentRouterFixture, AnOfferOfAFlowThatTheUpstreamHoldsIsNotRefused)
+    {
+        this->openFlow(1);
+        this->stated = UpstreamFigures { 6, 1, true };
+        this->kinds.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Holds });
+        EXPECT_EQ(this->lastHop.flow, keyOf(1));
+        this->kinds.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Refused });
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -211,11 +211,19 @@
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
+    const bool isDown = this->liveness.state() == UpstreamState::Down;
+    Flow* known = isDown ? nullptr : this->flows.find(key);
+    if (known && known->isHeld) { // a late copy of the SYN, which all other upstreams may refuse
+        known->entry = entry;
+        this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, known->upstreamSequence);
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
     // An upstream of another service may reuse the address before every entry has the change.
     HopRefusal refusal = HopRefusal::None;
     if (message.service != this->options.service)
         refusal = HopRefusal::OtherService;
-    else if (this->liveness.state() == UpstreamState::Down)
+    else if (isDown)
         refusal = HopRefusal::UpstreamDown;
     else if (this->figures && this->figures->draining)
         refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
