Don't count a pause of the agent as silence of its upstream

Cause: the agent compares the time of the first unanswered SYN with the present time. After a pause of the machine between four SYNs and their answers, the first tick declared the upstream down, although it had not run either.

Change: of a gap between two ticks, 30 ms count at most; ticks are 20 ms apart. An agent that runs for a part of each period only takes longer to find its upstream down.

Evidence: AgentRouterFixture.SilenceDuringAPauseOfTheAgentDoesNotCount failed before (down at the first tick) and passes.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -355,6 +355,20 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Refused });
     }
 
+    // Guards against declaring an upstream down because agent and upstream did not run: the machine was stopped.
+    TEST_F(AgentRouterFixture, SilenceDuringAPauseOfTheAgentDoesNotCount)
+    {
+        this->openFlow(1);
+        this->router.onTick();
+        for (const uint16_t port : std::array<uint16_t, 4> { 2, 3, 4, 5 })
+            this->fromEntry(HopKind::Offer, synFlag, port);
+        this->clock.advance(Milliseconds(2000));
+        this->router.onTick();
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        this->run(Milliseconds(120));
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Down) << "it stays silent while the agent runs";
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/UpstreamLiveness.cpp
+++ b/wasabicroft/UpstreamLiveness.cpp
@@ -1,5 +1,8 @@
 #include "wasabicroft/UpstreamLiveness.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wasabicroft {
 
 UpstreamLiveness::UpstreamLiveness(LivenessOptions livenessOptions, const Clock& timeSource)
@@ -44,8 +47,12 @@
 
 void UpstreamLiveness::onTick()
 {
+    const TimePoint now = this->clock.now();
+    const Duration gap = now - std::exchange(this->lastTick, now).value_or(now);
+    if (gap > this->options.maxTickGap)
+        this->firstDelivery = std::min(now, this->firstDelivery + (gap - this->options.maxTickGap));
     if (this->unansweredDeliveries >= this->options.unansweredSynsToDown
-        && this->clock.now() - this->firstDelivery >= this->options.silenceToDown)
+        && now - this->firstDelivery >= this->options.silenceToDown)
         this->currentState = UpstreamState::Down;
 }
 
--- a/wasabicroft/UpstreamLiveness.h
+++ b/wasabicroft/UpstreamLiveness.h
@@ -7,6 +7,7 @@
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Packet.h"
 
+#include <optional>
 #include <vector>
 
 namespace wasabicroft {
@@ -20,7 +21,8 @@
 struct LivenessOptions {
     Milliseconds probeInterval { 25 }; // between copies of an unanswered SYN
     unsigned unansweredSynsToDown = 4; // copies without an answer; one datagram in some hundreds is lost
-    Milliseconds silenceToDown { 100 }; // least time since the first of these copies
+    Milliseconds silenceToDown { 100 }; // least time since the first of these copies, without pauses
+    Milliseconds maxTickGap { 30 }; // of a longer gap between ticks, the rest is a pause: the upstream may have paused too
     Milliseconds downProbeInterval { 100 }; // between SYNs that are sent as probes while the upstream is down
 };
 
@@ -35,7 +37,7 @@
     const std::vector<uint8_t>* takeProbe();
 
     bool tryStartProbe(); // whether a packet may be sent as a probe now; at most one per downProbeInterval
-    void onTick();
+    void onTick(); // call every few milliseconds, after the packets that have arrived
     UpstreamState state() const { return this->currentState; }
 
 private:
@@ -46,6 +48,7 @@
     TimePoint firstDelivery;
     TimePoint lastDelivery;
     unsigned unansweredDeliveries = 0;
+    std::optional<TimePoint> lastTick;
 };
 
 } // namespace wasabicroft
