Read the upstream's packets before an agent checks its timeouts

Cause: after a pause, the tick of the agent may run before the event loop reads its sockets. The answers to the SYNs of before the pause waited there, and the upstream counted as silent. The entry reads its socket first.

Change: the agent does so too.

Evidence: PacketAgentFixture.AnswersThatHaveArrivedAreReadBeforeTimeoutsAreChecked failed before (upstream down) and passes.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -129,6 +129,7 @@
 
 void PacketAgent::onTick()
 {
+    this->upstreamSocket.poll(); // Handles packets that have arrived before checking timeouts.
     this->router.onTick();
     this->announce();
     this->flush();
