Let agents be unsure of flows that they forgot while their upstream was down

Cause: while the upstream is down, the agent forgets the flows that entries ask for. It counted its running time from its own start and denied them once the upstream answered again. The same after a change of the service, which clears all flows.

Change: the time that a denial needs counts from when the upstream was last down, or the service changed. For that time, searches hand the packet to an upstream that restarted, as after a restart of its agent.

Evidence: AgentRouterFixture.AnAgentIsUnsureAfterItsUpstreamWasDown and AnAgentIsUnsureAfterAChangeOfTheService failed before (Denied instead of Unsure) and pass.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -369,6 +369,34 @@
         EXPECT_EQ(this->router.upstreamState(), UpstreamState::Down) << "it stays silent while the agent runs";
     }
 
+    // Guards against denials of flows that an upstream kept: it was silent and then went on without a restart.
+    TEST_F(AgentRouterFixture, AnAgentIsUnsureAfterItsUpstreamWasDown)
+    {
+        this->openFlow(1);
+        this->run(Milliseconds(16000));
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->run(Milliseconds(200));
+        ASSERT_EQ(this->router.upstreamState(), UpstreamState::Down);
+        this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100); // the agent forgets the flow
+        this->fromUpstream(synFlag | ackFlag, 2);
+        ASSERT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(15100));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
+    // Guards against the same after a change of the service, which makes the agent forget all flows.
+    TEST_F(AgentRouterFixture, AnAgentIsUnsureAfterAChangeOfTheService)
+    {
+        this->openFlow(1);
+        this->run(Milliseconds(16000));
+        this->router.setService({ 2 });
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -10,7 +10,7 @@
     : options(routerOptions)
     , hooks(std::move(routerHooks))
     , clock(timeSource)
-    , started(timeSource.now())
+    , trackingSince(timeSource.now())
     , flows(this->options.maxFlows)
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
@@ -30,6 +30,7 @@
         return;
     this->options.service = service;
     this->flows.clear();
+    this->trackingSince = this->clock.now();
     this->figures.reset();
     this->limits.clear();
     this->rejection.reset();
@@ -145,7 +146,7 @@
     });
 }
 
-// An agent that has run for longer than the idle timeout of flows, without evictions, has seen a packet of every flow
+// An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every flow
 // of its upstream and denies the others.
 void AgentRouter::onAsk(PacketAddress entry, const HopMessage& message)
 {
@@ -163,7 +164,7 @@
         return;
     }
     const bool hasSeenAll
-        = this->idleTimeout && this->clock.now() - this->started > *this->idleTimeout && this->flows.evictions() == 0;
+        = this->idleTimeout && this->clock.now() - this->trackingSince > *this->idleTimeout && this->flows.evictions() == 0;
     HopMessage known = this->makeReply(HopKind::Known);
     HopMessage unsure = this->makeReply(HopKind::Unsure);
     HopMessage denied = this->makeReply(HopKind::Denied);
@@ -501,7 +502,9 @@
     const UpstreamState state = this->liveness.state();
     if (state == this->loggedState)
         return;
-    this->loggedState = state;
+    // An upstream that was silent may have kept the flows that the agent forgot meanwhile.
+    if (std::exchange(this->loggedState, state) == UpstreamState::Down)
+        this->trackingSince = this->clock.now();
     logEvent(state == UpstreamState::Down ? Event::PacketUpstreamDown : Event::PacketUpstreamUp,
         { { "flows", static_cast<uint64_t>(this->heldFlows) }, { "waiting", this->waitingRequests() } });
     this->requestQueue.setPaused(state != UpstreamState::Up);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -150,7 +150,7 @@
     AgentRouterOptions options;
     AgentRouterHooks hooks;
     const Clock& clock;
-    TimePoint started;
+    TimePoint trackingSince; // since then, the agent sees the packets of all flows and forgets none
     // What entries stated last. An entry that does not know a figure, because it started while the store is away,
     // changes none.
     std::optional<UpstreamFigures> figures;
