Count the longest idle timeout that entries stated before an agent denies flows

Cause: the agent used the idle timeout that the last question stated. An entry with the former configuration made it deny flows again that may be idle for longer than it had run.

Change: the longest one that was stated counts.

Evidence: AgentRouterFixture.TheLongestIdleTimeoutDecidesWhetherAnAgentHasSeenAllFlows failed before (Denied instead of Unsure) and passes.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -397,6 +397,19 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
     }
 
+    // Guards against denials of flows that may be idle for longer by a configuration that not every entry has.
+    TEST_F(AgentRouterFixture, TheLongestIdleTimeoutDecidesWhetherAnAgentHasSeenAllFlows)
+    {
+        this->run(Milliseconds(6000));
+        this->ask({ keyOf(1) }, Milliseconds(15000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->ask({ keyOf(1) }, Milliseconds(5000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(10000));
+        this->ask({ keyOf(1) }, Milliseconds(5000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -153,7 +153,7 @@
     this->counts.asked += message.flowKeys.size();
     this->learn(entry, message);
     if (message.idleTimeout)
-        this->idleTimeout = message.idleTimeout;
+        this->idleTimeout = std::max(*message.idleTimeout, this->idleTimeout.value_or(Milliseconds(0)));
     if (message.flowKeys.empty()) { // a probe by which the entry checks whether it reaches the agent
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
         return;
