Don't count a pause of an agent as time in which it saw packets

Cause: an agent denies flows that it has not seen once it has run for longer than a flow may be idle. The time included pauses, in which the socket's buffer may overflow and packets are lost, and began before the sockets were open.

Change: after a gap of over 1 s between ticks, by the clock that includes suspension, the time starts anew, unless the agent had seen all flows before. It starts once the sockets are open.

Evidence: AgentRouterFixture.APauseDoesNotCountAsTimeInWhichAnAgentSawPackets failed before (Denied instead of Unsure) and passes.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -39,7 +39,7 @@
               },
               [this](PacketAddress route) { this->announcer.onUpstreamAnswered(route); },
               [this](const std::optional<UpstreamFigures>& figures) { this->announcer.setUpstreamFigures(figures); } },
-          timeSource)
+          timeSource, this->bootClock)
 {
 }
 
@@ -56,6 +56,7 @@
     this->entrySocket.start(
         [this](PacketAddress source, std::span<uint8_t> bytes) { this->onHopDatagram(source, bytes); });
     this->upstreamSocket.start([this](PacketAddress, std::span<uint8_t> bytes) { this->onUpstreamDatagram(bytes); });
+    this->router.startTracking();
     return true;
 }
 
--- a/backends/PacketAgent.h
+++ b/backends/PacketAgent.h
@@ -32,6 +32,7 @@
     DatagramSocket entrySocket; // Hop messages, and packets to clients.
     DatagramSocket upstreamSocket;
     AgentAnnouncer announcer;
+    const BootClock bootClock;
     AgentRouter router;
     std::vector<uint8_t> hopBuffer;
     uint64_t invalidPackets = 0;
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -410,6 +410,23 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
     }
 
+    // Guards against denials of flows whose packets were lost while the agent did not run.
+    TEST_F(AgentRouterFixture, APauseDoesNotCountAsTimeInWhichAnAgentSawPackets)
+    {
+        this->run(Milliseconds(8000));
+        this->clock.advance(Milliseconds(10000));
+        this->run(Milliseconds(1000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(15000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+        this->clock.advance(Milliseconds(10000));
+        this->run(Milliseconds(1000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied }) << "no flow opened without the agent";
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -7,9 +7,16 @@
 namespace wasabicroft {
 
 AgentRouter::AgentRouter(AgentRouterOptions routerOptions, AgentRouterHooks routerHooks, const Clock& timeSource)
+    : AgentRouter(routerOptions, std::move(routerHooks), timeSource, timeSource)
+{
+}
+
+AgentRouter::AgentRouter(AgentRouterOptions routerOptions, AgentRouterHooks routerHooks, const Clock& timeSource,
+    const Clock& pauseTimeSource)
     : options(routerOptions)
     , hooks(std::move(routerHooks))
     , clock(timeSource)
+    , pauseClock(pauseTimeSource)
     , trackingSince(timeSource.now())
     , flows(this->options.maxFlows)
     , requestQueue(this->options.requestQueue, timeSource)
@@ -146,10 +153,31 @@
     });
 }
 
+void AgentRouter::startTracking() { this->trackingSince = this->clock.now(); }
+
 // An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every flow
-// of its upstream and denies the others.
+// of its upstream.
+bool AgentRouter::hasSeenAllFlows(TimePoint time) const
+{
+    return this->idleTimeout && time - this->trackingSince > *this->idleTimeout && this->flows.evictions() == 0;
+}
+
+// An agent that had seen all flows before a pause knows all of them after it: none opens without the agent.
+void AgentRouter::checkForPause()
+{
+    const TimePoint now = this->clock.now();
+    const TimePoint pauseClockNow = this->pauseClock.now();
+    const TimePoint lastRun = std::exchange(this->lastTick, now).value_or(now);
+    const TimePoint lastPauseClockTime
+        = std::exchange(this->lastPauseClockTick, pauseClockNow).value_or(pauseClockNow);
+    if (pauseClockNow - lastPauseClockTime > this->options.pauseThreshold && !this->hasSeenAllFlows(lastRun))
+        this->trackingSince = now;
+}
+
 void AgentRouter::onAsk(PacketAddress entry, const HopMessage& message)
 {
+    if (this->lastTick) // a question may be read before the first tick after a pause
+        this->checkForPause();
     this->counts.asked += message.flowKeys.size();
     this->learn(entry, message);
     if (message.idleTimeout)
@@ -163,8 +191,7 @@
             this->denyFlow(key, entry, true);
         return;
     }
-    const bool hasSeenAll
-        = this->idleTimeout && this->clock.now() - this->trackingSince > *this->idleTimeout && this->flows.evictions() == 0;
+    const bool hasSeenAll = this->hasSeenAllFlows(this->clock.now());
     HopMessage known = this->makeReply(HopKind::Known);
     HopMessage unsure = this->makeReply(HopKind::Unsure);
     HopMessage denied = this->makeReply(HopKind::Denied);
@@ -557,6 +584,7 @@
 void AgentRouter::onTick()
 {
     const TimePoint now = this->clock.now();
+    this->checkForPause();
     if (const std::vector<uint8_t>* probe = this->liveness.takeProbe())
         this->hooks.sendToUpstream(*probe);
     this->liveness.onTick();
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -36,6 +36,7 @@
     RejectionOptions rejection;
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
+    Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
 };
 
 struct AgentRouterCounters {
@@ -68,6 +69,9 @@
 class AgentRouter {
 public:
     AgentRouter(AgentRouterOptions, AgentRouterHooks, const Clock&);
+    AgentRouter(AgentRouterOptions, AgentRouterHooks, const Clock&, const Clock& pauseClock); // see BootClock
+
+    void startTracking(); // the sockets are open: the agent sees the packets of all flows from now on
 
     void setService(ServiceId); // the settings changed: an upstream of another service runs here now
 
@@ -126,6 +130,8 @@
     };
 
     void learn(PacketAddress entry, const HopMessage&);
+    bool hasSeenAllFlows(TimePoint) const;
+    void checkForPause();
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
@@ -150,6 +156,9 @@
     AgentRouterOptions options;
     AgentRouterHooks hooks;
     const Clock& clock;
+    const Clock& pauseClock; // measures pauses of the process
+    std::optional<TimePoint> lastTick;
+    std::optional<TimePoint> lastPauseClockTick; // time of pauseClock
     TimePoint trackingSince; // since then, the agent sees the packets of all flows and forgets none
     // What entries stated last. An entry that does not know a figure, because it started while the store is away,
     // changes none.
