Claim a flow once its client acknowledged the upstream's SYN+ACK

Cause: the agent claimed a flow only once its upstream sent a packet after the handshake. Until then it was unsure, stored the packet of the search with the waiting request, and answered nothing.

Change: the first packet of a client that acknowledges exactly the sequence number of the upstream's SYN+ACK makes the agent claim the flow. A client acknowledges one upstream only. A flow of which the agent did not see the SYN+ACK is found as before.

Evidence: AgentRouterFixture.AFlowWhoseClientAcknowledgedTheHandshakeIsClaimedWhileItsRequestWaits failed before (Unsure instead of Known, no answer to a Find) and passes. AClaimEndsWithTheNextReturnedPacket passed before and passes: a wrong claim after a returned packet was lost costs one more search and does not last.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -61,6 +61,19 @@
             return bytes;
         }
 
+        // A packet of a client that acknowledges what its upstream sent.
+        void fromEntryWithAck(HopKind kind, uint16_t clientPort, uint32_t acknowledgement, uint16_t payload)
+        {
+            const std::vector<uint8_t> bytes = makePacket(
+                { client.address, clientPort }, routeAddress, ackFlag, 1001, acknowledgement, payload);
+            HopMessage message;
+            message.kind = kind;
+            message.service = { 1 };
+            message.upstream = this->stated;
+            message.packet = bytes;
+            this->router.onHop(entry, message, platform::decodePacket(bytes).value());
+        }
+
         void fromUpstream(uint8_t flags, uint16_t clientPort, uint16_t payload = 0)
         {
             const std::vector<uint8_t> bytes
@@ -427,6 +440,49 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied }) << "no flow opened without the agent";
     }
 
+    // Guards against a wrong claim that lasts: the packet that the upstream returned was lost in a full socket.
+    TEST_F(AgentRouterFixture, AClaimEndsWithTheNextReturnedPacket)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 0); // its return is lost
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 3, 1002, 0));
+        this->clock.advance(Milliseconds(11));
+        this->router.onTick();
+        this->ask({ keyOf(2) });
+        ASSERT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Forward, ackFlag, 2, 1002, 0));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+        this->ask({ keyOf(2) });
+        EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
+    // Guards against searches that hand a flow's packets to all other upstreams while its request waits at its own.
+    TEST_F(AgentRouterFixture, AFlowWhoseClientAcknowledgedTheHandshakeIsClaimedWhileItsRequestWaits)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        for (const uint16_t port : threePorts)
+            this->fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        this->fromEntry(HopKind::Offer, synFlag, 4);
+        this->fromUpstream(synFlag | ackFlag, 4); // its sequence number is 500
+        this->toUpstream.clear();
+        this->fromEntryWithAck(HopKind::Forward, 4, 501, 100);
+        ASSERT_TRUE(this->toUpstream.empty());
+        this->ask({ keyOf(4) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->fromEntry(HopKind::Offer, synFlag, 5);
+        this->fromUpstream(synFlag | ackFlag, 5);
+        this->kinds.clear();
+        this->fromEntryWithAck(HopKind::Find, 5, 501, 100);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Holds });
+        this->fromEntry(HopKind::Offer, synFlag, 6);
+        this->fromUpstream(synFlag | ackFlag, 6);
+        this->fromEntryWithAck(HopKind::Forward, 6, 801, 100);
+        this->ask({ keyOf(6) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure }) << "its client chose another upstream";
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -111,6 +111,9 @@
     flow.mayBeOpen = true;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
+    // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
+    if (flow.isAnsweredSyn && packet.ack && packet.acknowledgement == flow.upstreamSequence + 1)
+        this->markHeld(key, flow);
     this->deliver(key, flow, message, packet);
 }
 
@@ -398,6 +401,7 @@
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
+        flow.isAnsweredSyn = true;
         flow.mayBeOpen = true;
         if (flow.offered) {
             ++this->counts.accepted;
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -103,7 +103,8 @@
         bool offered = false; // a SYN was delivered
         bool mayBeOpen = false; // the upstream answered the SYN, or a later packet of the client was delivered
         bool isOpen = false; // the upstream sent more than the handshake
-        bool isHeld = false; // the upstream sent any packet of the flow
+        bool isAnsweredSyn = false; // the agent saw the SYN+ACK
+        bool isHeld = false; // the upstream sent any packet of the flow after it, or the client acknowledged it
         bool isAnswered = false; // the upstream answered a request
         bool clientClosed = false; // the client sent a FIN without payload
         RequestState request = RequestState::None;
