Report that a list of upstreams is incomplete after a pause of the process

Cause: the directory counted its list as incomplete after a pause, but its tick did not say that anything changed, so that the router went on resetting flows by the list until the next change of a record.

Change: the tick reports each change of completeness.

Evidence: UpstreamDirectory.APauseReportsThatTheListIsNoLongerComplete failed before (no change reported) and passes.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -232,6 +232,22 @@
         EXPECT_FALSE(directory.isComplete());
     }
 
+    // Guards against resets by a list that counts as incomplete after a pause: its user is not told to look at it again.
+    TEST(UpstreamDirectory, APauseReportsThatTheListIsNoLongerComplete)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 1);
+        directory.onPeerListState(ListState::Complete);
+        directory.onTick();
+        ASSERT_TRUE(directory.isComplete());
+        clock.advance(Milliseconds(5000));
+        EXPECT_TRUE(directory.onTick());
+        EXPECT_FALSE(directory.isComplete());
+        clock.advance(Milliseconds(20));
+        EXPECT_FALSE(directory.onTick());
+    }
+
     // Guards against resets by a process that was paused during a store outage: it sees removals, but no outage.
     TEST(UpstreamDirectory, RemovalsAfterAPauseOfTheProcessAreTakenAsExpired)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -239,6 +239,7 @@
 bool UpstreamDirectory::onTick()
 {
     const TimePoint now = this->clock.now();
+    const bool wasComplete = this->isComplete();
     this->checkForPause();
     this->lastTick = this->pauseClock.now();
     const bool isWaitOver
@@ -261,7 +262,7 @@
     const auto due = this->pendingUsableTimes.upper_bound(now);
     const bool becameUsable = due != this->pendingUsableTimes.begin();
     this->pendingUsableTimes.erase(this->pendingUsableTimes.begin(), due);
-    return graceEnded || becameUsable || isWaitOver;
+    return becameUsable || isWaitOver || graceEnded || this->isComplete() != wasComplete;
 }
 
 void UpstreamDirectory::removeFromAddressIndex(const UpstreamRecord& record)
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -120,7 +120,7 @@
     // The store answered a read or watch of the records that began at this time. Returns whether it shows that removed
     // records did not return.
     bool onRead(TimePoint started);
-    bool onTick(); // call every few milliseconds; returns whether a time limit changed what is usable
+    bool onTick(); // call every few milliseconds; returns whether that changed what is usable or isComplete()
 
     // Whether every live upstream is listed: the store was read, and again after the grace period of an outage. After
     // the first read, entries that run state whether it was; it counts as complete if none answers.
