Let an upstream wait for propagation at an address that another service used

Cause: a new upstream at a known address took flows at once, since entries that lack its record ask the agent there too. They do so only for flows of the former service.

Change: it waits like one at a new address, unless the address is in use by an upstream of the same service.

Evidence: UpstreamDirectory.AnUpstreamOfAnotherServiceAtAKnownAddressTakesNewFlowsOnceEveryEntryKnowsIt and AnUpstreamThatChangesItsServiceTakesNewFlowsOnceEveryEntryKnowsIt failed before (2 usable instead of 1) and pass.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -305,6 +305,42 @@
         EXPECT_EQ(directory.usable(service).size(), 2U);
     }
 
+    // Guards against the same at an address that another service used before: an entry that lacks the new record does not
+    // ask there for flows of the new service.
+    TEST(UpstreamDirectory, AnUpstreamOfAnotherServiceAtAKnownAddressTakesNewFlowsOnceEveryEntryKnowsIt)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        UpstreamRecord former = recordOf("b", 1);
+        former.service = { 2 };
+        directory.replace({ recordOf("a", 1), former }, 1);
+        EXPECT_TRUE(directory.onPeerListState(ListState::Complete));
+        directory.update(recordOf("next-b", 3, false, 2));
+        ASSERT_EQ(directory.usable(service).size(), 1U);
+        EXPECT_EQ(directory.usable(service)[0].name, "a");
+        EXPECT_EQ(directory.possibleHolders(service).size(), 2U);
+        clock.advance(Milliseconds(750));
+        EXPECT_TRUE(directory.onTick());
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+        directory.update(recordOf("newest-b", 4, false, 3));
+        EXPECT_EQ(directory.usable(service).size(), 2U) << "one of the same service is asked by every entry";
+    }
+
+    // Guards against the same when a record keeps its name and changes its service.
+    TEST(UpstreamDirectory, AnUpstreamThatChangesItsServiceTakesNewFlowsOnceEveryEntryKnowsIt)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        UpstreamRecord former = recordOf("b", 1);
+        former.service = { 2 };
+        directory.replace({ recordOf("a", 1), former }, 1);
+        EXPECT_TRUE(directory.onPeerListState(ListState::Complete));
+        directory.update(recordOf("b", 2, false, 2));
+        EXPECT_EQ(directory.usable(service).size(), 1U);
+        clock.advance(Milliseconds(750));
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+    }
+
     // Guards against refusals when all upstreams are new.
     TEST(UpstreamDirectory, NewUpstreamsTakeFlowsAtOnceIfThereIsNoOther)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -47,7 +47,7 @@
     const uint64_t revision = record.revision;
     this->newestRevision = std::max(this->newestRevision, revision);
     this->lastChangeRevision = std::max(this->lastChangeRevision, revision);
-    const bool isNew = this->hasFullList && !this->inGrace && !this->namesByAddress.contains(record.address);
+    const bool isNew = this->hasFullList && !this->inGrace && !this->isAskedFor(record.service, record.address);
     Row& row = this->rows[record.name];
     if (revision <= std::max(row.record.revision, row.removedAt))
         return false;
@@ -272,6 +272,17 @@
         this->namesByAddress.erase(names);
 }
 
+// Whether entries that lack the next record of this service at this address ask there for its flows.
+bool UpstreamDirectory::isAskedFor(ServiceId service, PacketAddress address) const
+{
+    const auto names = this->namesByAddress.find(address);
+    return names != this->namesByAddress.end()
+        && std::any_of(names->second.begin(), names->second.end(), [&](const std::string& name) {
+               const UpstreamRecord& record = this->rows.at(name).record;
+               return record.service == service && !this->isSuperseded(record);
+           });
+}
+
 bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
 {
     const UpstreamRecord* current = this->listedAt(record.address);
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -138,8 +138,8 @@
     uint64_t lastChange() const { return this->lastChangeRevision; } // revision of the newest known change of a record
     bool isLoaded() const { return this->newestRevision > 0; }
 
-    // Upstreams that take new flows. One at a new address is left out for propagationTime, until every entry lists it:
-    // an entry that doesn't would treat its flows as lost. If there is no other upstream, it is included at once.
+    // Upstreams that take new flows. One at a new address, or at one of another service, is left out for
+    // propagationTime, until every entry lists it: an entry that doesn't would treat its flows as lost. If there is no other upstream, it is included at once.
     std::vector<UpstreamRecord> usable(ServiceId) const;
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
     std::vector<UpstreamRecord> allListed() const;
@@ -164,6 +164,7 @@
     void unlist(Row&, uint64_t revision);
     TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
+    bool isAskedFor(ServiceId, PacketAddress) const;
     bool isSuperseded(const UpstreamRecord&) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
