--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -64,8 +64,8 @@
         // A packet of a client that acknowledges what its upstream sent.
         void fromEntryWithAck(HopKind kind, uint16_t clientPort, uint32_t acknowledgement, uint16_t payload)
         {
-            const std::vector<uint8_t> bytes = makePacket(
-                { client.address, clientPort }, routeAddress, ackFlag, 1001, acknowledgement, payload);
+            const std::vector<uint8_t> bytes
+                = makePacket({ client.address, clientPort }, routeAddress, ackFlag, 1001, acknowledgement, payload);
             HopMessage message;
             message.kind = kind;
             message.service = { 1 };
--- a/tests/PacketAgentTest.cpp
+++ b/tests/PacketAgentTest.cpp
@@ -48,8 +48,8 @@
 
         void offer(uint16_t clientPort)
         {
-            const std::vector<uint8_t> syn = fakes::makePacket(
-                { clientNetwork, clientPort }, routeAddress, fakes::packet_flags::syn, 1000, 0, 0);
+            const std::vector<uint8_t> syn
+                = fakes::makePacket({ clientNetwork, clientPort }, routeAddress, fakes::packet_flags::syn, 1000, 0, 0);
             HopMessage message;
             message.kind = HopKind::Offer;
             message.service = serviceIdOf("shop");
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -232,7 +232,8 @@
         EXPECT_FALSE(directory.isComplete());
     }
 
-    // Guards against resets by a list that counts as incomplete after a pause: its user is not told to look at it again.
+    // Guards against resets by a list that counts as incomplete after a pause: its user is not told to look at it
+    // again.
     TEST(UpstreamDirectory, APauseReportsThatTheListIsNoLongerComplete)
     {
         ManualClock clock;
@@ -305,8 +306,8 @@
         EXPECT_EQ(directory.usable(service).size(), 2U);
     }
 
-    // Guards against the same at an address that another service used before: an entry that lacks the new record does not
-    // ask there for flows of the new service.
+    // Guards against the same at an address that another service used before: an entry that lacks the new record does
+    // not ask there for flows of the new service.
     TEST(UpstreamDirectory, AnUpstreamOfAnotherServiceAtAKnownAddressTakesNewFlowsOnceEveryEntryKnowsIt)
     {
         ManualClock clock;
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -158,8 +158,8 @@
 
 void AgentRouter::startTracking() { this->trackingSince = this->clock.now(); }
 
-// An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every flow
-// of its upstream.
+// An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every
+// flow of its upstream.
 bool AgentRouter::hasSeenAllFlows(TimePoint time) const
 {
     return this->idleTimeout && time - this->trackingSince > *this->idleTimeout && this->flows.evictions() == 0;
@@ -171,8 +171,7 @@
     const TimePoint now = this->clock.now();
     const TimePoint pauseClockNow = this->pauseClock.now();
     const TimePoint lastRun = std::exchange(this->lastTick, now).value_or(now);
-    const TimePoint lastPauseClockTime
-        = std::exchange(this->lastPauseClockTick, pauseClockNow).value_or(pauseClockNow);
+    const TimePoint lastPauseClockTime = std::exchange(this->lastPauseClockTick, pauseClockNow).value_or(pauseClockNow);
     if (pauseClockNow - lastPauseClockTime > this->options.pauseThreshold && !this->hasSeenAllFlows(lastRun))
         this->trackingSince = now;
 }
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -165,7 +165,8 @@
     // changes none.
     std::optional<UpstreamFigures> figures;
     std::map<PacketAddress, RequestLimits> limits; // by route
-    std::optional<Milliseconds> idleTimeout; // of flows, the longest that was stated: not every entry has the newest routes
+    std::optional<Milliseconds>
+        idleTimeout; // of flows, the longest that was stated: not every entry has the newest routes
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
     struct QueuedDenials {
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -139,7 +139,8 @@
     bool isLoaded() const { return this->newestRevision > 0; }
 
     // Upstreams that take new flows. One at a new address, or at one of another service, is left out for
-    // propagationTime, until every entry lists it: an entry that doesn't would treat its flows as lost. If there is no other upstream, it is included at once.
+    // propagationTime, until every entry lists it: an entry that doesn't would treat its flows as lost. If there is no
+    // other upstream, it is included at once.
     std::vector<UpstreamRecord> usable(ServiceId) const;
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
     std::vector<UpstreamRecord> allListed() const;
--- a/wasabicroft/UpstreamLiveness.h
+++ b/wasabicroft/UpstreamLiveness.h
@@ -22,7 +22,9 @@
     Milliseconds probeInterval { 25 }; // between copies of an unanswered SYN
     unsigned unansweredSynsToDown = 4; // copies without an answer; one datagram in some hundreds is lost
     Milliseconds silenceToDown { 100 }; // least time since the first of these copies, without pauses
-    Milliseconds maxTickGap { 30 }; // of a longer gap between ticks, the rest is a pause: the upstream may have paused too
+    Milliseconds maxTickGap {
+        30
+    }; // of a longer gap between ticks, the rest is a pause: the upstream may have paused too
     Milliseconds downProbeInterval { 100 }; // between SYNs that are sent as probes while the upstream is down
 };
 
