Model entries whose lists of upstreams differ

The model of the packet path gave all entries one list at once, and clients that give up after 1.4 s.

Now each entry may have a list of its own that lags behind or stands still, and may learn that it is behind after a delay or never. Upstreams are released and retired, entries leave and return, agents restart or stay silent, copies of SYNs reach other entries late, clients retransmit for 8 s. Beside resets of held flows, the model finds stretches of two seconds in which three or more packets of an open flow, over 0.4 s at least, reach other upstreams and none its own while its upstream and agent run.

--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -37,6 +37,8 @@
     DirectoryOptions directory;
     std::optional<double> entryLinkBytesPerSecond; // outgoing link of each entry; empty: unlimited
     LinkBudgetOptions entryLinkBudget;
+    bool ownDirectories = false; // each entry has a list of its own, which may lag behind or stand still
+    bool patientClients = false; // clients retransmit for 8 s, in growing intervals, and copies of SYNs may come late
     std::function<void(HopMessage&)> tamper; // modifies hop messages before they are sent; may be empty
 };
 
@@ -131,13 +133,15 @@
                     upstream->router->onTick();
             }
             for (const std::unique_ptr<Entry>& entry : this->entries) {
-                if (entry->isUp && entry->router->takeUnresolvedRemoval())
+                if (entry->isUp && this->options.ownDirectories)
+                    this->tickDirectory(*entry);
+                else if (entry->isUp && entry->router->takeUnresolvedRemoval())
                     this->directory.requestCheckOfRemovals();
             }
             const bool isRemovalFinal = this->directory.takeReadRequest() && this->directory.onRead(this->clock.now());
             if (this->directory.onTick() || isRemovalFinal) {
                 for (const std::unique_ptr<Entry>& entry : this->entries) {
-                    if (entry->isUp)
+                    if (entry->isUp && !this->options.ownDirectories)
                         entry->router->setUpstreams(this->directory);
                 }
             }
@@ -162,8 +166,38 @@
                 [this](const FlowKey& flow, uint32_t) { this->send([this, flow] { this->onReset(flow); }); } },
             this->clock);
         entry.router->setRoutes(this->table);
-        entry.router->setUpstreams(this->directory);
+        if (this->options.ownDirectories)
+            entry.directory = std::make_unique<UpstreamDirectory>(this->options.directory, this->clock);
+        entry.appliedRevision = 0;
         entry.isUp = true;
+        if (this->options.ownDirectories)
+            this->applyList(entry);
+        else
+            entry.router->setUpstreams(this->directory);
+    }
+
+    // The store turns an entry away: its list stands still. Once it is behind, it learns so after a delay, or never.
+    void turnAway(size_t index, std::optional<Milliseconds> behindDelay)
+    {
+        this->entries.at(index)->isTurnedAway = true;
+        this->entries.at(index)->behindDelay = behindDelay;
+    }
+
+    void letIn(size_t index)
+    {
+        Entry& entry = *this->entries.at(index);
+        if (!std::exchange(entry.isTurnedAway, false) || !entry.isUp)
+            return;
+        entry.directory->onStoreRecovered();
+        this->applyList(entry);
+    }
+
+    // Starts one more upstream, with its agent, and lists it. Returns its index.
+    size_t releaseUpstream(size_t service)
+    {
+        this->addUpstream(service);
+        this->publish();
+        return this->upstreams.size() - 1;
     }
 
     // Starts an entry while the store is away: it knows what agents announce.
@@ -182,11 +216,16 @@
         this->entries.at(index)->router->setUpstreams(this->provisionalDirectory);
     }
 
-    void stopAgent(size_t index) { this->upstreams.at(index)->agentIsUp = false; }
+    void stopAgent(size_t index)
+    {
+        this->endStretches(*this->upstreams.at(index));
+        this->upstreams.at(index)->agentIsUp = false;
+    }
 
     void restartAgent(size_t index)
     {
         Upstream& upstream = *this->upstreams.at(index);
+        this->endStretches(upstream);
         upstream.agentIsUp = true;
         this->startAgent(upstream);
     }
@@ -194,6 +233,7 @@
     void crashUpstream(size_t index)
     {
         Upstream& upstream = *this->upstreams.at(index);
+        this->endStretches(upstream);
         upstream.isUp = false;
         upstream.flows.clear();
         ++upstream.incarnation;
@@ -223,16 +263,29 @@
                 records.push_back(upstream->record);
         }
         this->directory.replace(records, this->revision);
-        for (const std::unique_ptr<Entry>& entry : this->entries) {
-            if (entry->isUp)
-                entry->router->setUpstreams(this->directory);
+        this->listed = records;
+        for (size_t i = 0; i < this->entries.size(); ++i) {
+            Entry& entry = *this->entries[i];
+            if (entry.isUp && !this->options.ownDirectories)
+                entry.router->setUpstreams(this->directory);
+            else if (this->options.ownDirectories)
+                this->announceList(entry);
         }
     }
 
+    // Ends the stretches in which packets of open flows reached other upstreams: call at the end of a test.
+    void endAllStretches()
+    {
+        for (const std::unique_ptr<Upstream>& upstream : this->upstreams)
+            this->endStretches(*upstream);
+    }
+
     struct HostFlow {
         uint32_t sequence = 0;
         bool isOpen = false;
         uint32_t highest = 0; // end of the payload received so far
+        // When packets of the open flow reached other upstreams since the last one that reached this upstream.
+        std::vector<TimePoint> elsewhere;
     };
 
     struct Upstream {
@@ -254,6 +307,11 @@
     struct Entry {
         std::unique_ptr<EntryRouter> router;
         bool isUp = false;
+        std::unique_ptr<UpstreamDirectory> directory; // with ownDirectories
+        Milliseconds lag { 0 }; // until a change of the list reaches it
+        bool isTurnedAway = false; // by the store
+        std::optional<Milliseconds> behindDelay { Milliseconds(0) }; // until it knows that it is behind; empty: never
+        uint64_t appliedRevision = 0; // of the list
     };
 
     PacketWorldOptions options;
@@ -267,6 +325,7 @@
     std::vector<Request> requests;
     std::map<FlowKey, size_t> entryByFlow; // the entry that the platform's routers select for a flow
     std::vector<std::string> violations;
+    std::vector<std::string> strayed; // open flows whose packets reached only other upstreams for two seconds
     uint64_t hopMessages = 0;
 
 private:
@@ -344,6 +403,84 @@
         upstream.router = std::make_unique<AgentRouter>(routerOptions, hooks, this->clock);
     }
 
+    // A change of the list reaches an entry after its lag. One that is turned away hears of it from other entries.
+    void announceList(Entry& entry)
+    {
+        const uint64_t announced = this->revision;
+        const EntryRouter* router = entry.router.get();
+        this->after(entry.lag, [this, &entry, router, announced] {
+            if (entry.isUp && entry.router.get() == router && !entry.isTurnedAway && entry.appliedRevision < announced)
+                this->applyList(entry);
+        });
+        if (!entry.behindDelay)
+            return;
+        this->after(*entry.behindDelay, [&entry, router, announced] {
+            if (entry.isUp && entry.router.get() == router && entry.appliedRevision < announced)
+                entry.router->setBehindPeers(true);
+        });
+    }
+
+    void applyList(Entry& entry)
+    {
+        entry.appliedRevision = this->revision;
+        entry.directory->replace(this->listed, this->revision);
+        entry.directory->onRead(this->clock.now());
+        entry.router->setBehindPeers(false);
+        entry.router->setUpstreams(*entry.directory);
+    }
+
+    void tickDirectory(Entry& entry)
+    {
+        if (entry.router->takeUnresolvedRemoval())
+            entry.directory->requestCheckOfRemovals();
+        bool isChanged = entry.directory->onTick();
+        if (!entry.isTurnedAway && entry.directory->takeReadRequest())
+            isChanged = entry.directory->onRead(this->clock.now()) || isChanged;
+        if (isChanged)
+            entry.router->setUpstreams(*entry.directory);
+    }
+
+    // Notes where a packet of an open flow arrived.
+    void notePacket(const Upstream& host, const FlowKey& key)
+    {
+        for (const std::unique_ptr<Upstream>& holder : this->upstreams) {
+            const auto held = holder->flows.find(key);
+            if (!holder->isUp || !holder->agentIsUp || held == holder->flows.end() || !held->second.isOpen)
+                continue;
+            if (holder.get() == &host)
+                this->endStretch(*holder, key, held->second);
+            else
+                held->second.elsewhere.push_back(this->clock.now());
+        }
+    }
+
+    void endStretches(Upstream& holder)
+    {
+        for (auto& [key, flow] : holder.flows)
+            this->endStretch(holder, key, flow);
+    }
+
+    void endStretch(const Upstream& holder, const FlowKey& key, HostFlow& flow)
+    {
+        constexpr Milliseconds maxStretch { 2000 };
+        constexpr size_t maxElsewhere = 2; // packets
+        // Copies over a longer time are of several packets of the client: it is not idle.
+        constexpr Milliseconds longestSearch { 400 };
+        const std::vector<TimePoint> times = std::exchange(flow.elsewhere, {});
+        if (!flow.isOpen || !holder.isUp || !holder.agentIsUp)
+            return;
+        for (size_t i = 0; i + maxElsewhere < times.size(); ++i) {
+            const auto end = std::upper_bound(times.begin(), times.end(), times[i] + maxStretch);
+            if (this->clock.now() - times[i] < maxStretch
+                || end - times.begin() <= static_cast<std::ptrdiff_t>(i + maxElsewhere)
+                || *std::prev(end) - times[i] < longestSearch)
+                continue;
+            this->strayed.push_back("packets of " + toString(key) + " reached " + std::to_string(times.size())
+                + " times others and not " + holder.record.name);
+            return;
+        }
+    }
+
     void sendHop(PacketAddress from, PacketAddress to, HopMessage message)
     {
         if (this->options.tamper)
@@ -417,6 +554,7 @@
                 host, makePacket(key.route, key.client, synFlag | ackFlag, flow.sequence, packet.sequence + 1, 0));
             return;
         }
+        this->notePacket(host, key);
         const auto found = host.flows.find(key);
         const bool holds = found != host.flows.end()
             && (found->second.isOpen || packet.acknowledgement == found->second.sequence + 1);
@@ -478,13 +616,15 @@
     // The client.
     void sendToEntry(const FlowKey& flow, const std::vector<uint8_t>& bytes)
     {
-        this->send([this, flow, bytes] {
-            size_t choice = this->entryByFlow[flow];
-            for (size_t i = 0; i < this->entries.size() && !this->entries[choice]->isUp; ++i)
-                choice = (choice + 1) % this->entries.size();
-            if (this->entries[choice]->isUp)
-                this->entries[choice]->router->onClientPacket(platform::decodePacket(bytes).value(), bytes);
-        });
+        this->send([this, flow, bytes] { this->deliverToEntry(this->entryByFlow[flow], bytes); });
+    }
+
+    void deliverToEntry(size_t choice, const std::vector<uint8_t>& bytes)
+    {
+        for (size_t i = 0; i < this->entries.size() && !this->entries[choice]->isUp; ++i)
+            choice = (choice + 1) % this->entries.size();
+        if (this->entries[choice]->isUp)
+            this->entries[choice]->router->onClientPacket(platform::decodePacket(bytes).value(), bytes);
     }
 
     void sendSyn(size_t index, uint32_t copy)
@@ -493,18 +633,35 @@
         if (request.hostSequence || request.reset || copy > 2)
             return;
         this->sendToEntry(request.flow, makePacket(request.flow.client, request.flow.route, synFlag, 1000, copy, 0));
+        constexpr uint64_t maxLateness = 400; // ms
+        if (this->options.patientClients) {
+            const Milliseconds lateness(this->random() % maxLateness);
+            const size_t entry = this->random() % this->entries.size();
+            const std::vector<uint8_t> bytes
+                = makePacket(request.flow.client, request.flow.route, synFlag, 1000, copy, 0);
+            this->after(lateness, [this, entry, bytes] { this->deliverToEntry(entry, bytes); });
+        }
         this->after(Milliseconds(copy == 0 ? 200 : 400), [this, index, copy] { this->sendSyn(index, copy + 1); });
     }
 
     void sendData(size_t index, unsigned attempt)
     {
         Request& request = this->requests.at(index);
-        if (request.answered || request.reset || attempt > 6 || !request.hostSequence)
+        constexpr unsigned maxAttempts = 6;
+        if (request.answered || request.reset || attempt > maxAttempts || !request.hostSequence)
             return;
         this->sendToEntry(request.flow,
             makePacket(request.flow.client, request.flow.route, ackFlag, 1001 + this->clientSequence[request.flow],
                 *request.hostSequence + 1, 100));
-        this->after(Milliseconds(200), [this, index, attempt] { this->sendData(index, attempt + 1); });
+        constexpr Milliseconds firstInterval { 200 };
+        constexpr Milliseconds longestInterval { 1600 };
+        const Milliseconds interval
+            = this->options.patientClients ? std::min(longestInterval, firstInterval * (1U << attempt)) : firstInterval;
+        const TimePoint started = request.started;
+        this->after(interval, [this, index, attempt, started] {
+            if (!this->options.patientClients || this->requests.at(index).started == started)
+                this->sendData(index, attempt + 1);
+        });
     }
 
     void onClientPacket(const std::vector<uint8_t>& bytes)
@@ -538,6 +695,7 @@
     }
 
     uint64_t revision = 1;
+    std::vector<UpstreamRecord> listed; // what the store lists
     uint64_t eventCount = 0;
     std::priority_queue<Event> events;
     std::map<FlowKey, size_t> requestByFlow;
--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -419,6 +419,177 @@
         RC_ASSERT(firstOrEmpty(world.violations) == std::string());
     }
 
+    // What may happen beside restarts of agents and entries in the histories below.
+    struct DifferingOptions {
+        bool turnsEntriesAway = false; // the store turns single entries away, so that their lists stand still
+        std::optional<Milliseconds> behindDelay { 100 }; // until such an entry learns that it is behind; empty: never
+        bool silencesAnAgent = false; // one agent is silent for good
+        bool restartsManyAgents = false;
+    };
+
+    PacketWorldOptions differingWorld(uint64_t seed)
+    {
+        PacketWorldOptions options;
+        options.seed = seed;
+        options.entries = 4;
+        options.ownDirectories = true;
+        options.patientClients = true;
+        constexpr std::array<double, 3> losses = { 0, 0, 0.01 };
+        options.loss = losses.at(seed % losses.size());
+        return options;
+    }
+
+    // Runs one random history in which the lists of entries differ: upstreams are released and replaced, each entry
+    // learns of it after a lag of its own, entries leave and return, agents restart and copies of SYNs come late.
+    void runDifferingHistory(PacketWorld& world, const DifferingOptions& differing)
+    {
+        constexpr int steps = 200;
+        constexpr Milliseconds stepTime { 40 };
+        constexpr int returnSteps = 30; // until an entry that left is back
+        constexpr uint64_t maxLag = 500; // ms; below the time after which a new upstream takes flows
+        constexpr size_t maxReleased = 6;
+        world.startTicks();
+        for (const std::unique_ptr<PacketWorld::Entry>& entry : world.entries)
+            entry->lag = Milliseconds(world.random() % maxLag);
+        std::optional<size_t> silentAgent;
+        std::optional<size_t> leftEntry;
+        int leftAtStep = 0;
+        const size_t firstUpstreams = world.upstreams.size();
+        size_t retired = 0;
+        for (int step = 0; step < steps; ++step) {
+            if (leftEntry && step - leftAtStep >= returnSteps)
+                world.startEntry(*std::exchange(leftEntry, std::nullopt));
+            for (size_t i = 0; i < 3; ++i)
+                world.open(world.random() % 2, world.random() % world.entries.size());
+            for (size_t i = 0; i < 6; ++i) {
+                const size_t old = world.random() % world.requests.size();
+                if (world.random() % 2 == 0)
+                    world.entryByFlow[world.requests[old].flow] = world.random() % world.entries.size();
+                if (world.requests[old].answered)
+                    world.sendNextRequest(old);
+            }
+            const size_t index = world.random() % world.upstreams.size();
+            const size_t entry = world.random() % world.entries.size();
+            const bool isUsual = entry != leftEntry && !world.entries[entry]->isTurnedAway;
+            const uint64_t event = world.random() % 30;
+            if (event < 2 && isUsual) {
+                world.startEntry(entry);
+            } else if (event == 2 && isUsual && !leftEntry) {
+                world.killEntry(entry);
+                leftEntry = entry;
+                leftAtStep = step;
+            } else if (event < (differing.restartsManyAgents ? 12U : 6U)) {
+                if (index != silentAgent && world.upstreams[index]->agentIsUp)
+                    world.restartAgent(index);
+            } else if (event < 14 && world.upstreams.size() < firstUpstreams + maxReleased) {
+                world.releaseUpstream(world.random() % 2);
+            } else if (event == 14 && differing.silencesAnAgent && !silentAgent && world.upstreams[index]->isUp) {
+                silentAgent = index;
+                world.stopAgent(index);
+            } else if (event < 18 && differing.turnsEntriesAway && isUsual && entry != 0) {
+                world.turnAway(entry, differing.behindDelay);
+            } else if (event == 18) {
+                world.letIn(entry);
+            } else if (event == 19 && retired < 2 && world.upstreams.size() > firstUpstreams + 2) {
+                world.crashUpstream(retired);
+                world.stopAgent(retired);
+                world.setListed(retired++, false);
+            }
+            world.run(stepTime);
+        }
+        constexpr Milliseconds clientTimeout { 8000 };
+        world.run(clientTimeout);
+        world.endAllStretches();
+    }
+
+    // Runs histories with seeds from 1 on. Returns the first finding of each history that has one, with its seed.
+    std::string findingsOfDifferingHistories(
+        const DifferingOptions& differing, const std::function<std::vector<std::string>(const PacketWorld&)>& findings)
+    {
+        constexpr uint64_t histories = 20;
+        std::string all;
+        for (uint64_t seed = 1; seed <= histories; ++seed) {
+            PacketWorld world(differingWorld(seed));
+            runDifferingHistory(world, differing);
+            EXPECT_GE(answeredCount(world) * 10, world.requests.size() * 5) << "seed " << seed;
+            const std::vector<std::string> found = findings(world);
+            if (!found.empty())
+                all += "seed " + std::to_string(seed) + ", first of " + std::to_string(found.size()) + ": "
+                    + found.front() + "\n";
+        }
+        return all;
+    }
+
+    std::vector<std::string> resetsOf(const PacketWorld& world) { return world.violations; }
+    std::vector<std::string> strayedOf(const PacketWorld& world) { return world.strayed; }
+
+    // Guards against resets of held flows while entries that the store turned away know that their lists are behind.
+    TEST(PacketWorldOfDifferingEntries, EntriesThatKnowThatTheyAreBehindResetNoHeldFlow)
+    {
+        EXPECT_EQ(findingsOfDifferingHistories({ .turnsEntriesAway = true }, resetsOf), "");
+    }
+
+    // Guards against the same by entries that don't know it, as after the store came back from an older copy.
+    TEST(PacketWorldOfDifferingEntries, EntriesThatDoNotKnowThatTheyAreBehindResetNoHeldFlow)
+    {
+        EXPECT_EQ(findingsOfDifferingHistories({ .turnsEntriesAway = true, .behindDelay = {} }, resetsOf), "");
+    }
+
+    // Guards against packets of an open flow that reach only other upstreams for two seconds: an entry that is behind
+    // asks only the upstreams that it lists.
+    TEST(PacketWorldOfDifferingEntries, PacketsReachTheirUpstreamThroughEntriesThatAreBehind)
+    {
+        EXPECT_EQ(findingsOfDifferingHistories({ .turnsEntriesAway = true }, strayedOf), "");
+    }
+
+    // Guards against clients that wait for their timeout: another entry took a late copy of the SYN, an upstream that
+    // the client did not choose accepted it, and the entry forwards to that one for as long as its agent is silent.
+    TEST(PacketWorldOfDifferingEntries, ALateCopyOfTheSynDoesNotMoveAnOpenFlow)
+    {
+        PacketWorldOptions options;
+        options.entries = 2;
+        PacketWorld world(options);
+        world.startTicks();
+        constexpr size_t flows = 40;
+        for (size_t i = 0; i < flows; ++i)
+            world.open(0, 0);
+        world.run(Milliseconds(1000));
+        ASSERT_EQ(answeredCount(world), flows);
+        for (const PacketWorld::Request& request : world.requests) {
+            const std::vector<uint8_t> copy = makePacket(request.flow.client, request.flow.route, synFlag, 1000, 1, 0);
+            world.entries[1]->router->onClientPacket(platform::decodePacket(copy).value(), copy);
+        }
+        world.run(Milliseconds(200));
+        world.stopAgent(0);
+        std::vector<size_t> heldElsewhere;
+        for (size_t i = 0; i < flows; ++i) {
+            const auto held = world.upstreams[0]->flows.find(world.requests[i].flow);
+            world.entryByFlow[world.requests[i].flow] = 1;
+            if (held == world.upstreams[0]->flows.end() || !held->second.isOpen)
+                heldElsewhere.push_back(i);
+        }
+        for (const size_t index : heldElsewhere)
+            world.sendNextRequest(index);
+        world.run(Milliseconds(3000));
+        size_t unanswered = 0;
+        for (const size_t index : heldElsewhere)
+            unanswered += world.requests[index].answered ? 0 : 1;
+        EXPECT_EQ(unanswered, 0U) << "of " << heldElsewhere.size();
+    }
+
+    // Guards against resets of held flows while agents restart and one stays silent.
+    TEST(PacketWorldOfDifferingEntries, NoHeldFlowIsResetWhileAgentsRestart)
+    {
+        EXPECT_EQ(findingsOfDifferingHistories({ .silencesAnAgent = true, .restartsManyAgents = true }, resetsOf), "");
+    }
+
+    // Guards against packets of an open flow that reach only other upstreams for two seconds in the same histories: the
+    // copies of two searches, of which the first reaches the holder before others and the second after them.
+    TEST(PacketWorldOfDifferingEntries, PacketsReachTheirUpstreamWhileAgentsRestart)
+    {
+        EXPECT_EQ(findingsOfDifferingHistories({ .silencesAnAgent = true, .restartsManyAgents = true }, strayedOf), "");
+    }
+
     // Checks that each part of the search for holders is needed and that the random histories can find faults: without
     // the part, open flows are reset in some of the same histories.
     struct Ablation {
