--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -61,6 +61,19 @@
             return bytes;
         }
 
+        // A packet of a client that acknowledges what its upstream sent.
+        void fromEntryWithAck(HopKind kind, uint16_t clientPort, uint32_t acknowledgement, uint16_t payload)
+        {
+            const std::vector<uint8_t> bytes
+                = makePacket({ client.address, clientPort }, routeAddress, ackFlag, 1001, acknowledgement, payload);
+            HopMessage message;
+            message.kind = kind;
+            message.service = { 1 };
+            message.upstream = this->stated;
+            message.packet = bytes;
+            this->router.onHop(entry, message, platform::decodePacket(bytes).value());
+        }
+
         void fromUpstream(uint8_t flags, uint16_t clientPort, uint16_t payload = 0)
         {
             const std::vector<uint8_t> bytes
@@ -84,6 +97,26 @@
             this->fromUpstream(ackFlag, clientPort);
         }
 
+        void ask(std::vector<FlowKey> keys, std::optional<Milliseconds> idleTimeout = Milliseconds(15000))
+        {
+            this->kinds.clear();
+            HopMessage message;
+            message.kind = HopKind::Ask;
+            message.idleTimeout = idleTimeout;
+            message.flowKeys = std::move(keys);
+            this->router.onAsk(entry, message);
+        }
+
+        // Lets the time pass with a tick of the agent each 20 ms.
+        void run(Milliseconds duration)
+        {
+            constexpr Milliseconds tick { 20 };
+            for (Milliseconds time(0); time < duration; time += tick) {
+                this->clock.advance(tick);
+                this->router.onTick();
+            }
+        }
+
         static FlowKey keyOf(uint16_t clientPort) { return { { client.address, clientPort }, routeAddress }; }
 
         std::vector<HopKind> repliesToSearches()
@@ -277,6 +310,179 @@
         EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { key(3) });
     }
 
+    // Guards against denials of an open flow because its upstream returned a late copy of the SYN.
+    TEST_F(AgentRouterFixture, AReturnedSynCopyDoesNotEndAnOpenFlow)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->clock.advance(Milliseconds(15001));
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Offer, synFlag, 1));
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Refused), 0);
+        EXPECT_EQ(this->router.runningRequests(), 1U);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
+    // Guards against the same while the upstream has the end of the handshake and has sent no packet since.
+    TEST_F(AgentRouterFixture, AReturnedSynCopyDoesNotEndAFlowThatMayBeOpen)
+    {
+        this->fromUpstream(ackFlag, 9);
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->fromUpstream(synFlag | ackFlag, 1);
+        const std::vector<uint8_t> copy = this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->clock.advance(Milliseconds(15001));
+        this->fromEntry(HopKind::Forward, ackFlag, 1);
+        this->kinds.clear();
+        this->bounce(copy);
+        EXPECT_TRUE(this->kinds.empty());
+        this->ask({ keyOf(1) });
+        EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
+    // Guards against declaring an upstream down that does not answer copies of the SYN of an open flow.
+    TEST_F(AgentRouterFixture, SynCopiesOfOpenFlowsDoNotShowThatTheUpstreamIsDown)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->kinds.clear();
+        for (int copy = 0; copy < 4; ++copy)
+            this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->run(Milliseconds(300));
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
+    }
+
+    // Guards against the reset of an open flow when a late copy of its SYN reaches another entry: its upstream drains
+    // and the others refuse the SYN.
+    TEST_F(AgentRouterFixture, AnOfferOfAFlowThatTheUpstreamHoldsIsNotRefused)
+    {
+        this->openFlow(1);
+        this->stated = UpstreamFigures { 6, 1, true };
+        this->kinds.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Holds });
+        EXPECT_EQ(this->lastHop.flow, keyOf(1));
+        this->kinds.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Refused });
+    }
+
+    // Guards against declaring an upstream down because agent and upstream did not run: the machine was stopped.
+    TEST_F(AgentRouterFixture, SilenceDuringAPauseOfTheAgentDoesNotCount)
+    {
+        this->openFlow(1);
+        this->router.onTick();
+        for (const uint16_t port : std::array<uint16_t, 4> { 2, 3, 4, 5 })
+            this->fromEntry(HopKind::Offer, synFlag, port);
+        this->clock.advance(Milliseconds(2000));
+        this->router.onTick();
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        this->run(Milliseconds(120));
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Down) << "it stays silent while the agent runs";
+    }
+
+    // Guards against denials of flows that an upstream kept: it was silent and then went on without a restart.
+    TEST_F(AgentRouterFixture, AnAgentIsUnsureAfterItsUpstreamWasDown)
+    {
+        this->openFlow(1);
+        this->run(Milliseconds(16000));
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->run(Milliseconds(200));
+        ASSERT_EQ(this->router.upstreamState(), UpstreamState::Down);
+        this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100); // the agent forgets the flow
+        this->fromUpstream(synFlag | ackFlag, 2);
+        ASSERT_EQ(this->router.upstreamState(), UpstreamState::Up);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(15100));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
+    // Guards against the same after a change of the service, which makes the agent forget all flows.
+    TEST_F(AgentRouterFixture, AnAgentIsUnsureAfterAChangeOfTheService)
+    {
+        this->openFlow(1);
+        this->run(Milliseconds(16000));
+        this->router.setService({ 2 });
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+    }
+
+    // Guards against denials of flows that may be idle for longer by a configuration that not every entry has.
+    TEST_F(AgentRouterFixture, TheLongestIdleTimeoutDecidesWhetherAnAgentHasSeenAllFlows)
+    {
+        this->run(Milliseconds(6000));
+        this->ask({ keyOf(1) }, Milliseconds(15000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->ask({ keyOf(1) }, Milliseconds(5000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(10000));
+        this->ask({ keyOf(1) }, Milliseconds(5000));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+    }
+
+    // Guards against denials of flows whose packets were lost while the agent did not run.
+    TEST_F(AgentRouterFixture, APauseDoesNotCountAsTimeInWhichAnAgentSawPackets)
+    {
+        this->run(Milliseconds(8000));
+        this->clock.advance(Milliseconds(10000));
+        this->run(Milliseconds(1000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure });
+        this->run(Milliseconds(15000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied });
+        this->clock.advance(Milliseconds(10000));
+        this->run(Milliseconds(1000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Denied }) << "no flow opened without the agent";
+    }
+
+    // Guards against a wrong claim that lasts: the packet that the upstream returned was lost in a full socket.
+    TEST_F(AgentRouterFixture, AClaimEndsWithTheNextReturnedPacket)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 0); // its return is lost
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 3, 1002, 0));
+        this->clock.advance(Milliseconds(11));
+        this->router.onTick();
+        this->ask({ keyOf(2) });
+        ASSERT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->kinds.clear();
+        this->bounce(this->fromEntry(HopKind::Forward, ackFlag, 2, 1002, 0));
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+        this->ask({ keyOf(2) });
+        EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
+    // Guards against searches that hand a flow's packets to all other upstreams while its request waits at its own.
+    TEST_F(AgentRouterFixture, AFlowWhoseClientAcknowledgedTheHandshakeIsClaimedWhileItsRequestWaits)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        for (const uint16_t port : threePorts)
+            this->fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        this->fromEntry(HopKind::Offer, synFlag, 4);
+        this->fromUpstream(synFlag | ackFlag, 4); // its sequence number is 500
+        this->toUpstream.clear();
+        this->fromEntryWithAck(HopKind::Forward, 4, 501, 100);
+        ASSERT_TRUE(this->toUpstream.empty());
+        this->ask({ keyOf(4) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->fromEntry(HopKind::Offer, synFlag, 5);
+        this->fromUpstream(synFlag | ackFlag, 5);
+        this->kinds.clear();
+        this->fromEntryWithAck(HopKind::Find, 5, 501, 100);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Holds });
+        this->fromEntry(HopKind::Offer, synFlag, 6);
+        this->fromUpstream(synFlag | ackFlag, 6);
+        this->fromEntryWithAck(HopKind::Forward, 6, 801, 100);
+        this->ask({ keyOf(6) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Unsure }) << "its client chose another upstream";
+    }
+
     // Guards against new flows that wait at a silent upstream, and against counting it as down after one lost datagram.
     TEST_F(AgentRouterFixture, AnUpstreamThatAnswersNoSynIsDown)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -7,10 +7,17 @@
 namespace wasabicroft {
 
 AgentRouter::AgentRouter(AgentRouterOptions routerOptions, AgentRouterHooks routerHooks, const Clock& timeSource)
+    : AgentRouter(routerOptions, std::move(routerHooks), timeSource, timeSource)
+{
+}
+
+AgentRouter::AgentRouter(AgentRouterOptions routerOptions, AgentRouterHooks routerHooks, const Clock& timeSource,
+    const Clock& pauseTimeSource)
     : options(routerOptions)
     , hooks(std::move(routerHooks))
     , clock(timeSource)
-    , started(timeSource.now())
+    , pauseClock(pauseTimeSource)
+    , trackingSince(timeSource.now())
     , flows(this->options.maxFlows)
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
@@ -30,6 +37,7 @@
         return;
     this->options.service = service;
     this->flows.clear();
+    this->trackingSince = this->clock.now();
     this->figures.reset();
     this->limits.clear();
     this->rejection.reset();
@@ -100,8 +108,12 @@
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = message.kind;
+    flow.mayBeOpen = true;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
+    // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
+    if (flow.isAnsweredSyn && packet.ack && packet.acknowledgement == flow.upstreamSequence + 1)
+        this->markHeld(key, flow);
     this->deliver(key, flow, message, packet);
 }
 
@@ -144,14 +156,34 @@
     });
 }
 
-// An agent that has run for longer than the idle timeout of flows, without evictions, has seen a packet of every flow
-// of its upstream and denies the others.
+void AgentRouter::startTracking() { this->trackingSince = this->clock.now(); }
+
+// An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every
+// flow of its upstream.
+bool AgentRouter::hasSeenAllFlows(TimePoint time) const
+{
+    return this->idleTimeout && time - this->trackingSince > *this->idleTimeout && this->flows.evictions() == 0;
+}
+
+// An agent that had seen all flows before a pause knows all of them after it: none opens without the agent.
+void AgentRouter::checkForPause()
+{
+    const TimePoint now = this->clock.now();
+    const TimePoint pauseClockNow = this->pauseClock.now();
+    const TimePoint lastRun = std::exchange(this->lastTick, now).value_or(now);
+    const TimePoint lastPauseClockTime = std::exchange(this->lastPauseClockTick, pauseClockNow).value_or(pauseClockNow);
+    if (pauseClockNow - lastPauseClockTime > this->options.pauseThreshold && !this->hasSeenAllFlows(lastRun))
+        this->trackingSince = now;
+}
+
 void AgentRouter::onAsk(PacketAddress entry, const HopMessage& message)
 {
+    if (this->lastTick) // a question may be read before the first tick after a pause
+        this->checkForPause();
     this->counts.asked += message.flowKeys.size();
     this->learn(entry, message);
     if (message.idleTimeout)
-        this->idleTimeout = message.idleTimeout;
+        this->idleTimeout = std::max(*message.idleTimeout, this->idleTimeout.value_or(Milliseconds(0)));
     if (message.flowKeys.empty()) { // a probe by which the entry checks whether it reaches the agent
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
         return;
@@ -161,8 +193,7 @@
             this->denyFlow(key, entry, true);
         return;
     }
-    const bool hasSeenAll
-        = this->idleTimeout && this->clock.now() - this->started > *this->idleTimeout && this->flows.evictions() == 0;
+    const bool hasSeenAll = this->hasSeenAllFlows(this->clock.now());
     HopMessage known = this->makeReply(HopKind::Known);
     HopMessage unsure = this->makeReply(HopKind::Unsure);
     HopMessage denied = this->makeReply(HopKind::Denied);
@@ -210,11 +241,19 @@
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
+    const bool isDown = this->liveness.state() == UpstreamState::Down;
+    Flow* known = isDown ? nullptr : this->flows.find(key);
+    if (known && known->isHeld) { // a late copy of the SYN, which all other upstreams may refuse
+        known->entry = entry;
+        this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, known->upstreamSequence);
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
     // An upstream of another service may reuse the address before every entry has the change.
     HopRefusal refusal = HopRefusal::None;
     if (message.service != this->options.service)
         refusal = HopRefusal::OtherService;
-    else if (this->liveness.state() == UpstreamState::Down)
+    else if (isDown)
         refusal = HopRefusal::UpstreamDown;
     else if (this->figures && this->figures->draining)
         refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
@@ -236,7 +275,8 @@
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
     this->assignDeliveryNumber(flow);
-    this->liveness.onSynDelivered(message.packet);
+    if (!flow.mayBeOpen) // an upstream may ignore the SYN of a flow that is open there
+        this->liveness.onSynDelivered(message.packet);
     this->hooks.sendToUpstream(message.packet);
 }
 
@@ -360,6 +400,8 @@
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
+        flow.isAnsweredSyn = true;
+        flow.mayBeOpen = true;
         if (flow.offered) {
             ++this->counts.accepted;
             this->reply(flow.entry, HopKind::Accepted, key, HopRefusal::None, {}, packet.sequence);
@@ -379,6 +421,7 @@
         return;
     }
     this->markHeld(key, flow);
+    flow.mayBeOpen = true;
     flow.isOpen = true;
     this->hooks.onUpstreamAnswered(key.route);
     if (packet.payloadBytes > 0) {
@@ -453,6 +496,11 @@
         return;
     }
     this->confirmDelivery(*flow);
+    // A late copy of the SYN: the upstream may hold the flow nevertheless.
+    if (packet.isSyn() && flow->mayBeOpen) {
+        ++this->counts.dropped;
+        return;
+    }
     const PacketAddress entry = flow->entry;
     const bool wasOpen = flow->isOpen;
     const bool isSearched = flow->lastKind == HopKind::Find; // the entry keeps the packet
@@ -484,7 +532,9 @@
     const UpstreamState state = this->liveness.state();
     if (state == this->loggedState)
         return;
-    this->loggedState = state;
+    // An upstream that was silent may have kept the flows that the agent forgot meanwhile.
+    if (std::exchange(this->loggedState, state) == UpstreamState::Down)
+        this->trackingSince = this->clock.now();
     logEvent(state == UpstreamState::Down ? Event::PacketUpstreamDown : Event::PacketUpstreamUp,
         { { "flows", static_cast<uint64_t>(this->heldFlows) }, { "waiting", this->waitingRequests() } });
     this->requestQueue.setPaused(state != UpstreamState::Up);
@@ -537,6 +587,7 @@
 void AgentRouter::onTick()
 {
     const TimePoint now = this->clock.now();
+    this->checkForPause();
     if (const std::vector<uint8_t>* probe = this->liveness.takeProbe())
         this->hooks.sendToUpstream(*probe);
     this->liveness.onTick();
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -36,6 +36,7 @@
     RejectionOptions rejection;
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
+    Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
 };
 
 struct AgentRouterCounters {
@@ -68,6 +69,9 @@
 class AgentRouter {
 public:
     AgentRouter(AgentRouterOptions, AgentRouterHooks, const Clock&);
+    AgentRouter(AgentRouterOptions, AgentRouterHooks, const Clock&, const Clock& pauseClock); // see BootClock
+
+    void startTracking(); // the sockets are open: the agent sees the packets of all flows from now on
 
     void setService(ServiceId); // the settings changed: an upstream of another service runs here now
 
@@ -97,8 +101,10 @@
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
         bool offered = false; // a SYN was delivered
+        bool mayBeOpen = false; // the upstream answered the SYN, or a later packet of the client was delivered
         bool isOpen = false; // the upstream sent more than the handshake
-        bool isHeld = false; // the upstream sent any packet of the flow
+        bool isAnsweredSyn = false; // the agent saw the SYN+ACK
+        bool isHeld = false; // the upstream sent any packet of the flow after it, or the client acknowledged it
         bool isAnswered = false; // the upstream answered a request
         bool clientClosed = false; // the client sent a FIN without payload
         RequestState request = RequestState::None;
@@ -125,6 +131,8 @@
     };
 
     void learn(PacketAddress entry, const HopMessage&);
+    bool hasSeenAllFlows(TimePoint) const;
+    void checkForPause();
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
@@ -149,12 +157,16 @@
     AgentRouterOptions options;
     AgentRouterHooks hooks;
     const Clock& clock;
-    TimePoint started;
+    const Clock& pauseClock; // measures pauses of the process
+    std::optional<TimePoint> lastTick;
+    std::optional<TimePoint> lastPauseClockTick; // time of pauseClock
+    TimePoint trackingSince; // since then, the agent sees the packets of all flows and forgets none
     // What entries stated last. An entry that does not know a figure, because it started while the store is away,
     // changes none.
     std::optional<UpstreamFigures> figures;
     std::map<PacketAddress, RequestLimits> limits; // by route
-    std::optional<Milliseconds> idleTimeout;
+    std::optional<Milliseconds>
+        idleTimeout; // of flows, the longest that was stated: not every entry has the newest routes
     FlowTable<Flow> flows;
     std::map<PacketAddress, Subscriber> subscribers;
     struct QueuedDenials {
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -120,7 +120,7 @@
     // The store answered a read or watch of the records that began at this time. Returns whether it shows that removed
     // records did not return.
     bool onRead(TimePoint started);
-    bool onTick(); // call every few milliseconds; returns whether a time limit changed what is usable
+    bool onTick(); // call every few milliseconds; returns whether that changed what is usable or isComplete()
 
     // Whether every live upstream is listed: the store was read, and again after the grace period of an outage. After
     // the first read, entries that run state whether it was; it counts as complete if none answers.
@@ -138,8 +138,9 @@
     uint64_t lastChange() const { return this->lastChangeRevision; } // revision of the newest known change of a record
     bool isLoaded() const { return this->newestRevision > 0; }
 
-    // Upstreams that take new flows. One at a new address is left out for propagationTime, until every entry lists it:
-    // an entry that doesn't would treat its flows as lost. If there is no other upstream, it is included at once.
+    // Upstreams that take new flows. One at a new address, or at one of another service, is left out for
+    // propagationTime, until every entry lists it: an entry that doesn't would treat its flows as lost. If there is no
+    // other upstream, it is included at once.
     std::vector<UpstreamRecord> usable(ServiceId) const;
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
     std::vector<UpstreamRecord> allListed() const;
@@ -164,6 +165,7 @@
     void unlist(Row&, uint64_t revision);
     TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
+    bool isAskedFor(ServiceId, PacketAddress) const;
     bool isSuperseded(const UpstreamRecord&) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
