--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/PacketLayout.h"
 #include "platform/StoreWire.h"
 
+#include <boost/beast/core/detail/base64.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -174,6 +175,123 @@
         EXPECT_EQ(answer.removedUpstreams[0].second, 8U);
     }
 
+    //-----------------------------------------------------------------------------
+    // [SECTION] Entries of other writers
+    //-----------------------------------------------------------------------------
+
+    std::string base64(const std::string& text)
+    {
+        namespace codec = boost::beast::detail::base64;
+        std::string encoded(codec::encoded_size(text.size()), '\0');
+        encoded.resize(codec::encode(encoded.data(), text.data(), text.size()));
+        return encoded;
+    }
+
+    // A complete upstream entry in which one field has another JSON value; without the field if that is empty.
+    std::string entryWith(const std::string& field, const std::string& json)
+    {
+        const std::vector<std::pair<std::string, std::string>> fields = { { "service", R"("api")" },
+            { "address", R"("10.0.0.9:8080")" }, { "zone", R"("z")" }, { "version", R"("v1")" }, { "slots", "2" },
+            { "state", R"("ready")" }, { "cold_left_ms", "0" }, { "seq_no", "4" }, { "born", "123" } };
+        std::string text;
+        for (const auto& [name, value] : fields) {
+            const std::string& chosen = name == field ? json : value;
+            if (!chosen.empty())
+                text += (text.empty() ? "{\"" : ",\"") + name + "\":" + chosen;
+        }
+        return text + '}';
+    }
+
+    std::string nested(size_t levels) { return std::string(levels, '[') + std::string(levels, ']'); }
+
+    // The answer to a read of the list or to a watch with these items.
+    std::string bodyOf(bool isWatch, const std::string& items)
+    {
+        return std::string(isWatch ? R"({"events":[)" : R"({"items":[)") + items
+            + R"(],"has_more":false,"store_revision":9})";
+    }
+
+    StoreRead upstreamRead(bool isWatch)
+    {
+        StoreRead read = listRead(StoreTopic::Upstreams);
+        read.isWatch = isWatch;
+        return read;
+    }
+
+    // Whether an upstream entry with this value is used, as decoded beside a valid one, which has to be used.
+    bool isUsed(const std::string& value)
+    {
+        const std::string items
+            = itemOf("servers/odd", base64(value)) + ',' + itemOf("servers/i-1", std::string(upstreamValue));
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        EXPECT_TRUE(answer) << value;
+        if (!answer)
+            return false;
+        const std::vector<UpstreamRecord>& upstreams = answer.value().upstreams;
+        EXPECT_FALSE(upstreams.empty()) << value;
+        EXPECT_EQ(upstreams.empty() ? "" : upstreams.back().name, "i-1") << value;
+        const bool isListed = upstreams.size() == 2;
+        EXPECT_EQ(answer.value().problems.size(), isListed ? 0U : 1U) << value;
+        return isListed;
+    }
+
+    // Guards against a process that ends on a deeply nested value, and against a list that it makes unreadable.
+    TEST(StoreWire, ADeeplyNestedValueIsNotUsed)
+    {
+        for (const size_t levels : { 31U, 33U, 1000U, 100000U }) {
+            EXPECT_FALSE(isUsed(nested(levels)));
+            EXPECT_FALSE(isUsed(std::string(levels, '[')));
+            EXPECT_FALSE(isUsed(entryWith("zone", nested(levels))));
+        }
+    }
+
+    // Guards against a list or watch that is not followed any more because one item of it can't be parsed.
+    TEST(StoreWire, AnUnreadableItemHidesNoOther)
+    {
+        const std::string valid = itemOf("servers/i-1", upstreamValue);
+        const std::string unpairedSurrogate = R"({"key":"servers/\udcff","value":"","rev":7})";
+        const std::string wrongUtf8 = "{\"key\":\"servers/\xff\xfe\",\"value\":\"\",\"rev\":7}";
+        const std::string hugeExponent = R"({"key":"servers/odd","value":"","rev":7,"x":1e99999999999})";
+        const std::string bracketsInText = R"({"key":"servers/]}\"[{","value":"","rev":7,"x":)" + nested(40) + '}';
+        const std::string deep = R"({"key":"servers/odd","value":"","rev":7,"x":)" + nested(100000) + '}';
+        for (const std::string& odd : { unpairedSurrogate, wrongUtf8, hugeExponent, bracketsInText, deep }) {
+            for (const bool isWatch : { false, true }) {
+                for (const std::string& items : { odd + ',' + valid, valid + ',' + odd }) {
+                    const Result<StoreResponse> answer = decodeResponse(upstreamRead(isWatch), bodyOf(isWatch, items));
+                    EXPECT_TRUE(answer) << odd.substr(0, 80);
+                    if (!answer)
+                        continue;
+                    ASSERT_EQ(answer.value().upstreams.size(), 1U);
+                    EXPECT_EQ(answer.value().upstreams[0].name, "i-1");
+                    EXPECT_EQ(answer.value().problems.size(), 1U);
+                }
+            }
+        }
+    }
+
+    // Guards against numbers that wrap around or are cut to a valid one.
+    TEST(StoreWire, ANumberOutOfRangeIsNotUsed)
+    {
+        for (const std::string number :
+            { "1e30", "1e400", "-1", "-1e400", "1.5", "18446744073709551615", "18446744073709551616",
+                "9223372036854775808", "1e99999999999", "\"4\"", "true", "null", "[]", "{}" }) {
+            EXPECT_FALSE(isUsed(entryWith("slots", number))) << number;
+            EXPECT_FALSE(isUsed(entryWith("born", number))) << number;
+            const std::string item = R"({"key":"servers/odd","value":")" + std::string(upstreamValue) + R"(","rev":)"
+                + number + "}," + itemOf("servers/i-1", upstreamValue);
+            const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, item));
+            ASSERT_TRUE(answer) << number;
+            EXPECT_EQ(answer.value().upstreams.size(), 1U) << number;
+            const std::string body = R"({"items":[],"has_more":false,"store_revision":)" + number + '}';
+            EXPECT_FALSE(decodeResponse(upstreamRead(false), body)) << number;
+        }
+        EXPECT_FALSE(isUsed(entryWith("slots", "0")));
+        EXPECT_FALSE(isUsed(entryWith("slots", "65536")));
+        EXPECT_TRUE(isUsed(entryWith("slots", "65535")));
+        EXPECT_TRUE(isUsed(entryWith("slots", "4.0")));
+        EXPECT_TRUE(isUsed(entryWith("born", "1796457600000")));
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
