--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -292,6 +292,17 @@
         EXPECT_TRUE(isUsed(entryWith("born", "1796457600000")));
     }
 
+    // Guards against a last key of a page that ends the paging, starts it anew or makes the request invalid.
+    TEST(StoreWire, TheKeyAfterWhichAPageBeginsIsEncoded)
+    {
+        StoreRead read = upstreamRead(false);
+        read.pageAfter = "servers/a-Z.0_~/";
+        EXPECT_EQ(requestTarget(read), "/-/kv-range?prefix=servers/&after=servers/a-Z.0_~/");
+        read.pageAfter = "servers/&after=x y%2f+#?=\"\r\n\x7f\xff";
+        EXPECT_EQ(requestTarget(read),
+            "/-/kv-range?prefix=servers/&after=servers/%26after%3Dx%20y%252f%2B%23%3F%3D%22%0D%0A%7F%FF");
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
