--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -303,6 +303,42 @@
             "/-/kv-range?prefix=servers/&after=servers/%26after%3Dx%20y%252f%2B%23%3F%3D%22%0D%0A%7F%FF");
     }
 
+    // Guards against a list that is read over and over, without pause, because a page does not lead to the next one.
+    TEST(StoreWire, APageThatDoesNotLeadOnIsAnError)
+    {
+        StoreRead read = upstreamRead(false);
+        read.pageAfter = "servers/i-1";
+        const std::string item = itemOf("servers/i-1", upstreamValue);
+        const auto body = [](const std::string& items, const std::string& hasMore) {
+            return R"({"items":[)" + items + R"(],"has_more":)" + hasMore + R"(,"store_revision":9})";
+        };
+        EXPECT_FALSE(decodeResponse(read, body("", "true")));
+        EXPECT_FALSE(decodeResponse(read, body(item, "true"))) << "the key does not advance";
+        EXPECT_FALSE(decodeResponse(upstreamRead(false), body("", "true")));
+        EXPECT_FALSE(decodeResponse(upstreamRead(false), body("1,null", "true")));
+        EXPECT_TRUE(decodeResponse(read, body("", "false")));
+        EXPECT_TRUE(decodeResponse(upstreamRead(false), body(item, "true")));
+    }
+
+    // Guards against a list that ends at a page on which every entry is odd.
+    TEST(StoreWire, APageOfOddEntriesLeadsOn)
+    {
+        const std::string longName(192, 'x');
+        std::string items;
+        for (const std::string& name : { std::string("a b"), std::string("a&b"), longName }) {
+            if (!items.empty())
+                items += ',';
+            items += itemOf("servers/" + name, "!!!!");
+        }
+        const StoreResponse answer
+            = decodeResponse(upstreamRead(false), R"({"items":[)" + items + R"(],"has_more":true,"store_revision":9})")
+                  .value();
+        EXPECT_TRUE(answer.upstreams.empty());
+        EXPECT_TRUE(answer.hasMore);
+        EXPECT_EQ(answer.lastKey, "servers/" + longName);
+        EXPECT_EQ(answer.problems.size(), 3U);
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
