--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -292,6 +292,19 @@
         EXPECT_TRUE(isUsed(entryWith("born", "1796457600000")));
     }
 
+    // Guards against flows that are offered to, and searched at, addresses where no host can be.
+    TEST(StoreWire, AnAddressWithoutHostIsNotUsed)
+    {
+        for (const std::string address : { "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1",
+                 "10.0.0.9", "10.0.0.9:", ":80", "", "[::1]:80", "::1", "host.example:80", "localhost:80", "0.0.0.0:80",
+                 "255.255.255.255:80", "224.0.0.1:80", "239.255.255.255:80", "010.0.0.9:80", "10.0.0.009:80",
+                 "10.0.0.9:0080", " 10.0.0.9:80", "10.0.0.9:80 ", "10.0.0.9: 80", "10.0.0:80", "10.0.0.0.9:80",
+                 "256.0.0.1:80", "10.0.0.9:80/x", "+10.0.0.9:80", "0x0a.0.0.9:80" })
+            EXPECT_FALSE(isUsed(entryWith("address", '"' + address + '"'))) << address;
+        for (const std::string address : { "10.0.0.9:1", "10.0.0.0:65535", "198.18.0.1:443", "127.0.0.2:8080" })
+            EXPECT_TRUE(isUsed(entryWith("address", '"' + address + '"'))) << address;
+    }
+
     // Guards against a last key of a page that ends the paging, starts it anew or makes the request invalid.
     TEST(StoreWire, TheKeyAfterWhichAPageBeginsIsEncoded)
     {
