--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -48,7 +48,7 @@
                     this->context, addressOf(host, packet_ports::upstream), addressOf(host, packet_ports::outbound)));
                 this->store.put("servers/i-" + std::to_string(i),
                     R"({"service":"api","address":")" + host + ":" + std::to_string(packet_ports::upstream)
-                        + R"(","zone":"z","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"born":1})");
+                        + R"(","zone":"z","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq_no":1,"born":1})");
             }
             this->thread = std::thread([this] { this->context.run(); });
         }
--- a/tests/PacketSoakEnvironment.cpp
+++ b/tests/PacketSoakEnvironment.cpp
@@ -481,7 +481,7 @@
         boost::json::serialize(boost::json::object { { "service", host.service },
             { "address", toString(PacketAddress { this->hostAddress(number), packet_ports::upstream }) },
             { "zone", "z" }, { "version", "v1" }, { "slots", 4 }, { "state", isDraining ? "draining" : "ready" },
-            { "cold_left_ms", 0 }, { "born", host.incarnation } }));
+            { "cold_left_ms", 0 }, { "seq_no", 1 }, { "born", host.incarnation } }));
 }
 
 void SoakEnvironment::unlistUpstream(size_t number) { this->store.remove(this->storeKeyOf(number)); }
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -305,6 +305,35 @@
             EXPECT_TRUE(isUsed(entryWith("address", '"' + address + '"'))) << address;
     }
 
+    // Guards against entries of other writers that are taken for hosts: one of a host has all fields of its type.
+    TEST(StoreWire, AnEntryWithoutAFieldOrWithOneOfAnotherTypeIsNotUsed)
+    {
+        EXPECT_TRUE(isUsed(entryWith("", "")));
+        for (const std::string field :
+            { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no", "born" }) {
+            for (const std::string json : { "", "null", "true", "[]", "{}", "[4]" })
+                EXPECT_FALSE(isUsed(entryWith(field, json))) << field << ' ' << json;
+        }
+        for (const std::string field : { "service", "address", "zone", "state" })
+            EXPECT_FALSE(isUsed(entryWith(field, "4"))) << field;
+        for (const std::string field : { "slots", "cold_left_ms", "seq_no", "born" })
+            EXPECT_FALSE(isUsed(entryWith(field, "\"4\""))) << field;
+        EXPECT_FALSE(isUsed(entryWith("state", "\"odd\"")));
+        EXPECT_FALSE(isUsed(entryWith("state", "\"READY\"")));
+        EXPECT_TRUE(isUsed(entryWith("state", "\"draining\"")));
+        EXPECT_TRUE(isUsed(entryWith("cold_left_ms", "12.5")));
+    }
+
+    // Guards against a host without a name: each one registers under its id.
+    TEST(StoreWire, AnEntryWithoutANameIsNotUsed)
+    {
+        const std::string items = itemOf("servers/", upstreamValue) + ',' + itemOf("servers/i-1", upstreamValue);
+        const StoreResponse answer = decodeResponse(upstreamRead(false), bodyOf(false, items)).value();
+        ASSERT_EQ(answer.upstreams.size(), 1U);
+        EXPECT_EQ(answer.upstreams[0].name, "i-1");
+        EXPECT_EQ(answer.problems.size(), 1U);
+    }
+
     // Guards against a last key of a page that ends the paging, starts it anew or makes the request invalid.
     TEST(StoreWire, TheKeyAfterWhichAPageBeginsIsEncoded)
     {
