--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -381,6 +381,22 @@
         EXPECT_EQ(answer.problems.size(), 3U);
     }
 
+    // Guards against a weight that wraps around to 0: the service would get no flows.
+    TEST(StoreWire, WeightsOfSharesAreBounded)
+    {
+        const std::string value = R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","split":[)"
+                                  R"({"service":"a","weight":4294967296},{"service":"b","weight":1}]}]})";
+        const std::string item = itemOf("op/config", base64(value));
+        StoreRead watch = listRead(StoreTopic::Routes);
+        watch.isWatch = true;
+        const StoreResponse answer = decodeResponse(watch, bodyOf(true, item)).value();
+        ASSERT_TRUE(answer.routes);
+        const Route* route = answer.routes->find(*parsePacketAddress("198.18.0.1:443"));
+        ASSERT_NE(route, nullptr);
+        ASSERT_EQ(route->shares.size(), 2U);
+        EXPECT_GT(route->shares[0].weight, route->shares[1].weight);
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
