Test odd entries and an unreadable configuration

No fault: random bytes, damaged entries and an op/config that can't be read or has no valid version or routes change nothing else and end no process.

--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -381,6 +381,27 @@
         EXPECT_EQ(answer.problems.size(), 3U);
     }
 
+    // Guards against a routing table that is lost, or a process that ends, because op/config can't be read.
+    TEST(StoreWire, AnUnreadableConfigurationNamesNoRoutes)
+    {
+        const std::vector<std::string> values = { "", "{", nested(100000), R"({"version":1e400,"routes":[]})",
+            R"({"version":-1,"routes":[]})", R"({"version":"7","routes":[]})", R"({"version":7,"routes":{}})",
+            R"({"version":7})", R"({"version":7,"routes":)" + nested(1000) + '}' };
+        for (const std::string& value : values) {
+            const std::string item = itemOf("op/config", base64(value));
+            const std::string body = item.substr(0, item.size() - 1) + R"(,"store_revision":9})";
+            const Result<StoreResponse> answer = decodeResponse(listRead(StoreTopic::Routes), body);
+            ASSERT_TRUE(answer) << value.substr(0, 40);
+            EXPECT_FALSE(answer.value().routes) << value.substr(0, 40);
+            EXPECT_EQ(answer.value().problems.size(), 1U);
+            StoreRead watch = listRead(StoreTopic::Routes);
+            watch.isWatch = true;
+            const Result<StoreResponse> events = decodeResponse(watch, bodyOf(true, item));
+            ASSERT_TRUE(events) << value.substr(0, 40);
+            EXPECT_FALSE(events.value().routes) << value.substr(0, 40);
+        }
+    }
+
     // Guards against a weight that wraps around to 0: the service would get no flows.
     TEST(StoreWire, WeightsOfSharesAreBounded)
     {
@@ -397,6 +418,30 @@
         EXPECT_GT(route->shares[0].weight, route->shares[1].weight);
     }
 
+    // Guards against any content of an entry that ends the process or hides another entry.
+    RC_GTEST_PROP(StoreWire, RandomEntriesHideNoOther, (const std::vector<uint8_t>& bytes))
+    {
+        const std::string value(bytes.begin(), bytes.end());
+        const std::string items = itemOf("servers/i-0", base64(value)) + ',' + itemOf("servers/i-1", upstreamValue);
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        RC_ASSERT((answer && answer.value().upstreams.size() == 1));
+        RC_ASSERT(answer.value().problems.size() == 1);
+    }
+
+    // Guards against a damaged field of an otherwise complete entry that ends the process or hides another entry.
+    RC_GTEST_PROP(StoreWire, DamagedEntriesHideNoOther, ())
+    {
+        std::string value = entryWith("", "");
+        for (int i = *rc::gen::inRange(1, 4); i > 0; --i)
+            value[*rc::gen::inRange<size_t>(0, value.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
+        const std::string items = itemOf("servers/i-0", base64(value)) + ',' + itemOf("servers/i-1", upstreamValue);
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        RC_ASSERT(static_cast<bool>(answer));
+        const StoreResponse& response = answer.value();
+        RC_ASSERT(response.upstreams.size() + response.problems.size() == 2);
+        RC_ASSERT(response.upstreams.back().name == "i-1");
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
