Ask an upstream for flows although another record claims its address

Callers would see: open flows that are reset while their upstream runs, on every packet that reaches an entry which does not know the holder, as long as an entry of another writer has the address of the upstream and a later `born`.

Cause: the directory left out upstreams whose address a newer record has. So their agents were not asked, the other upstreams denied the flow, and it was reset as held nowhere.

Change: an upstream is asked until its own record was removed for good. Its silence is waited for as before, since the claim may be wrong; if the claim is right, the agent at the address answers. New flows still go to the newest record only.

Evidence: RouterFixture.AnotherRecordAtTheAddressOfAnUpstreamEndsNoFlow (the flow is reset and the agent not asked) and UpstreamDirectory.AListedUpstreamIsAskedWhoeverClaimsItsAddress fail before, pass after.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -688,6 +688,27 @@
         EXPECT_EQ(this->hops[0].upstream, (UpstreamFigures { 6, 2, true }));
     }
 
+    // Guards against the reset of an open flow: a record of another writer claims the address of the upstream that
+    // holds it, and all others deny it.
+    TEST_F(RouterFixture, AnotherRecordAtTheAddressOfAnUpstreamEndsNoFlow)
+    {
+        this->useRoutes();
+        this->useUpstreams(3);
+        UpstreamRecord claim = upstream(0, 6);
+        claim.name = "odd";
+        claim.born = 9;
+        claim.service = { service.value + 1 };
+        this->directory.update(claim);
+        this->router.setUpstreams(this->directory);
+        this->fromClient(ackFlag, 501, 100);
+        for (const PacketAddress other : { agent(1), agent(2) })
+            this->agentDenies(other);
+        this->advance(Milliseconds(500));
+        EXPECT_TRUE(this->resets.empty());
+        EXPECT_TRUE(std::any_of(
+            this->hops.begin(), this->hops.end(), [](const SentHop& hop) { return hop.agent == agent(0); }));
+    }
+
     // Guards against an entry that stays ready although it can't reach any agent.
     TEST_F(RouterFixture, AnEntryThatHardlyAnyAgentAnswersIsNotReady)
     {
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -313,6 +313,43 @@
         EXPECT_EQ(directory.usable({ 2 }).size(), 1U);
     }
 
+    // A record of another writer at the address of recordOf("a", 1), with a later start.
+    UpstreamRecord claimOf(const std::string& name, ServiceId claimedService)
+    {
+        UpstreamRecord claim = recordOf(name, 8, false, 9);
+        claim.service = claimedService;
+        claim.address = recordOf("a", 1).address;
+        return claim;
+    }
+
+    bool contains(const std::vector<UpstreamRecord>& records, const std::string& name)
+    {
+        return std::any_of(
+            records.begin(), records.end(), [&](const UpstreamRecord& record) { return record.name == name; });
+    }
+
+    // Guards against the reset of open flows: a record of another writer claims the address of the upstream that holds
+    // them, which is then not asked for them.
+    TEST(UpstreamDirectory, AListedUpstreamIsAskedWhoeverClaimsItsAddress)
+    {
+        for (const ServiceId claimedService : { service, ServiceId { 2 } }) {
+            ManualClock clock;
+            UpstreamDirectory directory({}, clock);
+            directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+            directory.update(claimOf("x", claimedService));
+            EXPECT_TRUE(contains(directory.possibleHolders(service), "a"));
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::Listed);
+            EXPECT_FALSE(contains(directory.usable(service), "a")) << "one that left may still be listed";
+            directory.remove("a", 9);
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn);
+            EXPECT_TRUE(contains(directory.possibleHolders(service), "a"))
+                << "its record may have expired in an outage";
+            clock.advance(Milliseconds(2000));
+            directory.onRead(clock.now());
+            EXPECT_FALSE(contains(directory.possibleHolders(service), "a")) << "it left, and its address is reused";
+        }
+    }
+
     // Guards against a directory that depends on the order in which changes arrive.
     RC_GTEST_PROP(UpstreamDirectory, AnyOrderOfChangesLeadsToTheNewestState, ())
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -304,13 +304,21 @@
     return result.empty() ? notYetUsable : result;
 }
 
+// Another writer may claim the address of an upstream that runs. Asking the agent once more costs less than the flows
+// that the upstream holds.
 std::vector<UpstreamRecord> UpstreamDirectory::possibleHolders(ServiceId service) const
 {
     std::vector<UpstreamRecord> result;
+    std::vector<UpstreamRecord> superseded;
     for (const auto& [name, row] : this->rows) {
-        if (row.record.service == service && !this->isSuperseded(row.record))
+        if (row.record.service != service)
+            continue;
+        if (!this->isSuperseded(row.record))
             result.push_back(row.record);
+        else if (row.listed || this->mayReturn(row))
+            superseded.push_back(row.record);
     }
+    result.insert(result.end(), superseded.begin(), superseded.end());
     return result;
 }
 
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -141,7 +141,9 @@
     // Upstreams that take new flows. One at a new address is left out for propagationTime, until every entry lists it:
     // an entry that doesn't would treat its flows as lost. If there is no other upstream, it is included at once.
     std::vector<UpstreamRecord> usable(ServiceId) const;
-    std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
+    // Includes draining and removed upstreams, and those whose address another record claims, these last: unless they
+    // were removed for good.
+    std::vector<UpstreamRecord> possibleHolders(ServiceId) const;
     std::vector<UpstreamRecord> allListed() const;
     Listing listingOf(const UpstreamRecord&) const;
     const UpstreamRecord* listedAt(PacketAddress) const; // newest listed upstream at an address; null if none
