Let no record of an unknown service claim the address of an upstream

Callers would see: an upstream that gets no new flows while it runs, as long as an entry of another writer, of a service that the configuration doesn't name, has its address and a later `born`; refusals, if all upstreams are affected.

Cause: the newest listed record at an address, of whatever service, supersedes the others.

Change: only records of services that a route names do. A record of a service that a route of a newer configuration names counts from then on. Not changed: a record of a routed service still supersedes others, as upstreams of other services reuse addresses while the former records linger; the published state can't tell the two.

Evidence: UpstreamDirectory.ARecordOfAnUnknownServiceClaimsNoAddress fails on the code before (trial: all services count as named), passes after. UpstreamDirectory.AnUpstreamWhoseEntryBecameUnreadableKeepsItsFlowsAndReturns shows no fault: it passed in that trial, too.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -292,6 +292,7 @@
 {
     if (!this->hasStoreState())
         return;
+    this->directory.setServices(this->routes->services());
     this->router.setRoutes(this->routes);
     this->router.setUpstreams(this->directory);
 }
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -350,6 +350,45 @@
         }
     }
 
+    // Guards against an upstream that gets no new flows because a record of another writer, of a service that the
+    // configuration doesn't name, claims its address.
+    TEST(UpstreamDirectory, ARecordOfAnUnknownServiceClaimsNoAddress)
+    {
+        const ServiceId unknownService { 7 };
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.setServices({ service, ServiceId { 2 } });
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.update(claimOf("x", unknownService));
+        EXPECT_TRUE(contains(directory.usable(service), "a"));
+        directory.update(claimOf("y", { 2 }));
+        EXPECT_FALSE(contains(directory.usable(service), "a"))
+            << "an upstream of another service may reuse the address";
+        directory.remove("y", 9);
+        EXPECT_TRUE(contains(directory.usable(service), "a"));
+        directory.setServices({ service, unknownService });
+        EXPECT_FALSE(contains(directory.usable(service), "a")) << "a newer configuration names the service";
+    }
+
+    // Guards against the loss of flows and of an upstream whose entry another writer replaces by an unreadable one: the
+    // upstream writes its entry again with its next heartbeat.
+    TEST(UpstreamDirectory, AnUpstreamWhoseEntryBecameUnreadableKeepsItsFlowsAndReturns)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.onPeerListState(ListState::Complete);
+        directory.remove("a", 3);
+        EXPECT_FALSE(contains(directory.usable(service), "a"));
+        EXPECT_TRUE(contains(directory.possibleHolders(service), "a"));
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn) << "its silence ends no flow";
+        clock.advance(Milliseconds(1000));
+        directory.onRead(clock.now());
+        EXPECT_TRUE(directory.update(recordOf("a", 4)));
+        EXPECT_TRUE(contains(directory.usable(service), "a")) << "at once, as every entry knows its address";
+        EXPECT_EQ(directory.listingOf(recordOf("a", 4)), Listing::Listed);
+    }
+
     // Guards against a directory that depends on the order in which changes arrive.
     RC_GTEST_PROP(UpstreamDirectory, AnyOrderOfChangesLeadsToTheNewestState, ())
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -17,6 +17,16 @@
     return found == this->routes.end() ? nullptr : &found->second;
 }
 
+std::set<ServiceId> RoutingTable::services() const
+{
+    std::set<ServiceId> result;
+    for (const auto& [address, route] : this->routes) {
+        for (const RouteShare& share : route.shares)
+            result.insert(share.service);
+    }
+    return result;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Upstream directory
 //-----------------------------------------------------------------------------
@@ -42,6 +52,13 @@
 {
 }
 
+void UpstreamDirectory::setServices(std::set<ServiceId> services) { this->namedServices = std::move(services); }
+
+bool UpstreamDirectory::isNamed(ServiceId service) const
+{
+    return !this->namedServices || this->namedServices->contains(service);
+}
+
 bool UpstreamDirectory::update(UpstreamRecord record)
 {
     const uint64_t revision = record.revision;
@@ -271,13 +288,19 @@
         this->namesByAddress.erase(names);
 }
 
+// A listed record of a named service with a later start has the address.
 bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
 {
-    const UpstreamRecord* current = this->listedAt(record.address);
+    const UpstreamRecord* current = this->newestListedAt(record.address, true);
     return current && current->name != record.name;
 }
 
 const UpstreamRecord* UpstreamDirectory::listedAt(PacketAddress address) const
+{
+    return this->newestListedAt(address, false);
+}
+
+const UpstreamRecord* UpstreamDirectory::newestListedAt(PacketAddress address, bool onlyNamedServices) const
 {
     const UpstreamRecord* newestRecord = nullptr;
     const auto names = this->namesByAddress.find(address);
@@ -285,7 +308,9 @@
         return nullptr;
     for (const std::string& name : names->second) {
         const Row& row = this->rows.at(name);
-        if (row.listed && (!newestRecord || row.record.born > newestRecord->born))
+        if (!row.listed || (onlyNamedServices && !this->isNamed(row.record.service)))
+            continue;
+        if (!newestRecord || row.record.born > newestRecord->born)
             newestRecord = &row.record;
     }
     return newestRecord;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -39,6 +39,7 @@
     std::optional<Milliseconds> idleTimeout; // a flow without packets for longer may be dropped; empty: not known
 
     const Route* find(PacketAddress) const;
+    std::set<ServiceId> services() const; // that a route names
 };
 
 //-----------------------------------------------------------------------------
@@ -101,6 +102,10 @@
     UpstreamDirectory(DirectoryOptions, const Clock&);
     UpstreamDirectory(DirectoryOptions, const Clock&, const Clock& pauseClock); // see BootClock
 
+    // The services that the configuration names. Records of others claim no address of an upstream: another writer may
+    // have published them. All services count as named until this is called.
+    void setServices(std::set<ServiceId>);
+
     // Change single records; changes not newer than the stored record are ignored. Return whether anything changed.
     bool update(UpstreamRecord);
     bool remove(const std::string& name, uint64_t revision);
@@ -167,11 +172,14 @@
     TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
     bool isSuperseded(const UpstreamRecord&) const;
+    bool isNamed(ServiceId) const;
+    const UpstreamRecord* newestListedAt(PacketAddress, bool onlyNamedServices) const; // null if none
     void removeFromAddressIndex(const UpstreamRecord&);
 
     DirectoryOptions options;
     const Clock& clock;
     const Clock& pauseClock; // measures pauses of the process
+    std::optional<std::set<ServiceId>> namedServices; // see setServices(); empty: all
     std::map<std::string, Row> rows; // by name
     std::map<PacketAddress, std::set<std::string>> namesByAddress; // names of rows
     uint64_t newestRevision = 0;
