Bound log lines about odd items of the store, and name key and reason

Operators would see: a line for every odd entry in every answer that contains it, without limit (its writer may change it at any rate), with the key as its writer chose it, up to 200 bytes and control characters, and without the reason.

Cause: decodeResponse built one text of the raw key, and logProblems logged all of them.

Change: event 3025 has the fields `key` (64 bytes, printable ASCII) and `reason` (the field that is missing or not valid), once a minute for each key and for 16 keys at most.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -299,8 +299,11 @@
 
 void PacketEntry::logProblems(const platform::StoreResponse& response)
 {
-    for (const std::string& problem : response.problems)
-        logEvent(Event::StoreItemInvalid, { { "reason", problem }, { "revision", response.revision } });
+    for (const platform::StoreItemProblem& problem : response.problems) {
+        if (this->itemLogLimiter.shouldLog(problem.key, this->clock.now()))
+            logEvent(Event::StoreItemInvalid,
+                { { "key", problem.key }, { "reason", problem.reason }, { "revision", response.revision } });
+    }
 }
 
 void PacketEntry::updateReachability()
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -63,6 +63,7 @@
     std::vector<UpstreamRecord> listedUpstreams; // Upstreams from the pages of a list that is being read.
     std::vector<uint8_t> hopBuffer;
     InvalidSenderLogLimiter invalidSenderLogLimiter;
+    ItemLogLimiter itemLogLimiter;
     bool isStoreReachable = false;
     uint64_t invalidPackets = 0;
     uint64_t invalidHopMessages = 0;
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -418,6 +418,24 @@
         EXPECT_GT(route->shares[0].weight, route->shares[1].weight);
     }
 
+    // Guards against log lines that don't name the entry and its fault, and against keys that break or lengthen them.
+    TEST(StoreWire, AProblemNamesTheKeyAndTheField)
+    {
+        const auto problemOf = [](const std::string& key, const std::string& value) {
+            const std::string body = bodyOf(false, itemOf(key, base64(value)));
+            return decodeResponse(upstreamRead(false), body).value().problems.at(0);
+        };
+        for (const std::string field :
+            { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no", "born" }) {
+            const StoreItemProblem problem = problemOf("servers/odd", entryWith(field, "[]"));
+            EXPECT_EQ(problem.key, "servers/odd");
+            EXPECT_EQ(problem.reason, "its field " + field + " is missing or not valid");
+        }
+        EXPECT_EQ(problemOf("servers/odd", nested(1000)).reason, "its value is not a JSON object");
+        EXPECT_EQ(problemOf("servers/a\\nb\\u0000\xff\\\"c", "").key, "servers/a?b??\"c");
+        EXPECT_EQ(problemOf("servers/" + std::string(192, 'x'), "").key, "servers/" + std::string(56, 'x') + "...");
+    }
+
     // Guards against any content of an entry that ends the process or hides another entry.
     RC_GTEST_PROP(StoreWire, RandomEntriesHideNoOther, (const std::vector<uint8_t>& bytes))
     {
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -567,5 +567,22 @@
         EXPECT_FALSE(sync.onEvents(watch, 41)) << "the answer to the replaced watch is ignored";
     }
 
+    // Guards against a log that odd entries of the store fill: they are read again with each list, and their writer may
+    // change them at any rate.
+    TEST(ItemLogLimiter, LogsAKeyOnceAMinuteAndFewKeys)
+    {
+        ManualClock clock;
+        ItemLogLimiter limiter;
+        EXPECT_TRUE(limiter.shouldLog("servers/a", clock.now()));
+        EXPECT_FALSE(limiter.shouldLog("servers/a", clock.now()));
+        EXPECT_TRUE(limiter.shouldLog("servers/b", clock.now()));
+        int lines = 0;
+        for (int i = 0; i < 10000; ++i)
+            lines += limiter.shouldLog("servers/" + std::to_string(i), clock.now()) ? 1 : 0;
+        EXPECT_EQ(lines, 14);
+        clock.advance(std::chrono::minutes(1));
+        EXPECT_TRUE(limiter.shouldLog("servers/a", clock.now()));
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -173,4 +173,17 @@
     return std::chrono::duration_cast<Milliseconds>(base * spread(this->random));
 }
 
+bool ItemLogLimiter::shouldLog(const std::string& key, TimePoint now)
+{
+    if (now - this->intervalStart >= interval) {
+        this->loggedKeys.clear();
+        this->intervalStart = now;
+    }
+    const bool isLogged = std::find(this->loggedKeys.begin(), this->loggedKeys.end(), key) != this->loggedKeys.end();
+    if (isLogged || this->loggedKeys.size() >= maxKeys)
+        return false;
+    this->loggedKeys.push_back(key);
+    return true;
+}
+
 } // namespace wasabicroft
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace wasabicroft {
 
@@ -109,4 +110,18 @@
     bool recovered = false;
 };
 
+// Limits log lines about items of the store that can't be used: one for each key in each interval, for the first
+// maxKeys keys only. Such an item is read again with each list, and its writer may change it at any rate.
+class ItemLogLimiter {
+public:
+    bool shouldLog(const std::string& key, TimePoint now);
+
+private:
+    static constexpr Milliseconds interval { 60000 };
+    static constexpr size_t maxKeys = 16;
+
+    std::vector<std::string> loggedKeys; // in the current interval
+    TimePoint intervalStart;
+};
+
 } // namespace wasabicroft
