Test odd values of the product's own platform interface

No fault: values that are nested up to 100,000 levels, have numbers out of range, other types or bytes that can't be read change nothing, end no process, and the next reads come. One such row keeps the whole instance list as it was: it is one document in a canonical encoding, not entries of several writers.

--- a/tests/PlatformReaderTest.cpp
+++ b/tests/PlatformReaderTest.cpp
@@ -602,5 +602,43 @@
         EXPECT_TRUE(reader.nextCall(PlatformStream::Instances));
     }
 
+    // Guards against odd values of the platform that end the process, change the published state or end the reads.
+    TEST(ConfigReader, OddValuesChangeNothingAndAreReadAgain)
+    {
+        const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+        const std::string row = R"({"control":"10.0.0.1:1","failureDomain":"a","leaving":false,"name":"x","role":)";
+        const std::vector<std::string> oddValues
+            = { "", "\xff\xfe", "{", deep, std::string(100000, '['), R"({"instances":)" + deep + '}',
+                  R"({"instances":[)" + row + "1e400}]}", R"({"instances":[)" + row + deep + "}]}",
+                  R"({"instances":[)" + row + R"("odd"}]})", R"({"epoch":1e400,"services":[],"version":1})",
+                  R"({"epoch":1,"services":[],"version":18446744073709551616})",
+                  R"({"epoch":-1,"services":[],"version":1.5})",
+                  R"({"epoch":1,"services":)" + deep + R"(,"version":2})", "null", "4", "[]" };
+        ManualClock clock;
+        FakeKeyStore table;
+        table.setAll(samples::published(5, 4));
+        SteppedReader stepped(table, clock, 1);
+        for (int i = 0; i < 10; ++i)
+            stepped.step();
+        ASSERT_NE(stepped.inForce, nullptr);
+        const std::vector<Member> members { samples::member("entry-1"), samples::member("entry-2") };
+        uint64_t index = 100;
+        const auto deliver = [&](PlatformStream stream, const std::string& value) {
+            clock.advance(ConfigReaderOptions().pollInterval * 2);
+            const std::optional<PlatformCall> call = stepped.reader.nextCall(stream);
+            EXPECT_TRUE(call) << "the reads go on";
+            if (call)
+                stepped.reader.onValue(*call, ++index, value);
+            return stepped.reader.takeUpdate();
+        };
+        EXPECT_TRUE(deliver(PlatformStream::Instances, encodeMembers(members)).members);
+        for (const std::string& value : oddValues) {
+            EXPECT_FALSE(deliver(PlatformStream::Instances, value).members) << value.substr(0, 80);
+            EXPECT_FALSE(deliver(PlatformStream::Config, value).snapshot) << value.substr(0, 80);
+            EXPECT_EQ(stepped.reader.version().version, 5U);
+        }
+        EXPECT_TRUE(deliver(PlatformStream::Instances, encodeMembers(members)).members);
+    }
+
 } // namespace
 } // namespace wasabicroft
