--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -245,8 +245,8 @@
         EXPECT_EQ(this->hops[0].agent, last);
     }
 
-    // Guards against the reset of an open flow by the refusal of a late copy of its SYN: another entry offered the flow to
-    // the upstream that holds it.
+    // Guards against the reset of an open flow by the refusal of a late copy of its SYN: another entry offered the flow
+    // to the upstream that holds it.
     TEST_F(RouterFixture, ARefusedCopyOfTheSynEndsNoFlowThatItsClientUses)
     {
         this->useRoutes();
