--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -296,14 +296,18 @@
 {
     if (!this->hasStoreState())
         return;
+    this->directory.setServices(this->routes->services());
     this->router.setRoutes(this->routes);
     this->router.setUpstreams(this->directory);
 }
 
 void PacketEntry::logProblems(const platform::StoreResponse& response)
 {
-    for (const std::string& problem : response.problems)
-        logEvent(Event::StoreItemInvalid, { { "reason", problem }, { "revision", response.revision } });
+    for (const platform::StoreItemProblem& problem : response.problems) {
+        if (this->itemLogLimiter.shouldLog(problem.key, this->clock.now()))
+            logEvent(Event::StoreItemInvalid,
+                { { "key", problem.key }, { "reason", problem.reason }, { "revision", response.revision } });
+    }
 }
 
 void PacketEntry::updateReachability()
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -169,6 +169,7 @@
         if (this->options.ownDirectories)
             entry.directory = std::make_unique<UpstreamDirectory>(this->options.directory, this->clock);
         entry.appliedRevision = 0;
+        entry.knowsThatItIsBehind = false;
         entry.isUp = true;
         if (this->options.ownDirectories)
             this->applyList(entry);
@@ -312,6 +313,7 @@
         bool isTurnedAway = false; // by the store
         std::optional<Milliseconds> behindDelay { Milliseconds(0) }; // until it knows that it is behind; empty: never
         uint64_t appliedRevision = 0; // of the list
+        bool knowsThatItIsBehind = false;
     };
 
     PacketWorldOptions options;
@@ -415,22 +417,35 @@
         if (!entry.behindDelay)
             return;
         this->after(*entry.behindDelay, [&entry, router, announced] {
-            if (entry.isUp && entry.router.get() == router && entry.appliedRevision < announced)
-                entry.router->setBehindPeers(true);
+            if (!entry.isUp || entry.router.get() != router || entry.appliedRevision >= announced)
+                return;
+            entry.knowsThatItIsBehind = true;
+            entry.router->setBehindPeers(true);
         });
     }
 
+    std::optional<PacketAddress> entryWithNewestList() const
+    {
+        for (size_t i = 0; i < this->entries.size(); ++i) {
+            if (this->entries[i]->isUp && this->entries[i]->appliedRevision == this->revision)
+                return PacketAddress { entryNetwork + static_cast<uint32_t>(i), hopPort };
+        }
+        return std::nullopt;
+    }
+
     void applyList(Entry& entry)
     {
         entry.appliedRevision = this->revision;
         entry.directory->replace(this->listed, this->revision);
         entry.directory->onRead(this->clock.now());
         entry.router->setBehindPeers(false);
+        entry.knowsThatItIsBehind = false;
         entry.router->setUpstreams(*entry.directory);
     }
 
     void tickDirectory(Entry& entry)
     {
+        entry.router->setDelegate(entry.knowsThatItIsBehind ? this->entryWithNewestList() : std::nullopt);
         if (entry.router->takeUnresolvedRemoval())
             entry.directory->requestCheckOfRemovals();
         bool isChanged = entry.directory->onTick();
@@ -531,7 +546,10 @@
                 Entry& entry = *this->entries.at(to.address - entryNetwork);
                 if (!entry.isUp)
                     return;
-                entry.router->onHop(from, decoded.value(), hasPacket ? &packet.value() : nullptr);
+                if (decoded.value().kind == HopKind::Delegate)
+                    entry.router->onDelegatedPacket(from, packet.value(), decoded.value().packet);
+                else
+                    entry.router->onHop(from, decoded.value(), hasPacket ? &packet.value() : nullptr);
                 entry.router->flushAsks();
             }
         });
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/PacketLayout.h"
 #include "platform/StoreWire.h"
 
+#include <boost/beast/core/detail/base64.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -174,6 +175,295 @@
         EXPECT_EQ(answer.removedUpstreams[0].second, 8U);
     }
 
+    //-----------------------------------------------------------------------------
+    // [SECTION] Entries of other writers
+    //-----------------------------------------------------------------------------
+
+    std::string base64(const std::string& text)
+    {
+        namespace codec = boost::beast::detail::base64;
+        std::string encoded(codec::encoded_size(text.size()), '\0');
+        encoded.resize(codec::encode(encoded.data(), text.data(), text.size()));
+        return encoded;
+    }
+
+    // A complete upstream entry in which one field has another JSON value; without the field if that is empty.
+    std::string entryWith(const std::string& field, const std::string& json)
+    {
+        const std::vector<std::pair<std::string, std::string>> fields = { { "service", R"("api")" },
+            { "address", R"("10.0.0.9:8080")" }, { "zone", R"("z")" }, { "version", R"("v1")" }, { "slots", "2" },
+            { "state", R"("ready")" }, { "cold_left_ms", "0" }, { "seq_no", "4" }, { "born", "123" } };
+        std::string text;
+        for (const auto& [name, value] : fields) {
+            const std::string& chosen = name == field ? json : value;
+            if (chosen.empty())
+                continue;
+            text += text.empty() ? '{' : ',';
+            text.append("\"").append(name).append("\":").append(chosen);
+        }
+        return text + '}';
+    }
+
+    std::string nested(size_t levels) { return std::string(levels, '[') + std::string(levels, ']'); }
+
+    // The answer to a read of the list or to a watch with these items.
+    std::string bodyOf(bool isWatch, const std::string& items)
+    {
+        return std::string(isWatch ? R"({"events":[)" : R"({"items":[)") + items
+            + R"(],"has_more":false,"store_revision":9})";
+    }
+
+    StoreRead upstreamRead(bool isWatch)
+    {
+        StoreRead read = listRead(StoreTopic::Upstreams);
+        read.isWatch = isWatch;
+        return read;
+    }
+
+    // Whether an upstream entry with this value is used, as decoded beside a valid one, which has to be used.
+    bool isUsed(const std::string& value)
+    {
+        const std::string items
+            = itemOf("servers/odd", base64(value)) + ',' + itemOf("servers/i-1", std::string(upstreamValue));
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        EXPECT_TRUE(answer) << value;
+        if (!answer)
+            return false;
+        const std::vector<UpstreamRecord>& upstreams = answer.value().upstreams;
+        EXPECT_FALSE(upstreams.empty()) << value;
+        EXPECT_EQ(upstreams.empty() ? "" : upstreams.back().name, "i-1") << value;
+        const bool isListed = upstreams.size() == 2;
+        EXPECT_EQ(answer.value().problems.size(), isListed ? 0U : 1U) << value;
+        return isListed;
+    }
+
+    // Guards against a process that ends on a deeply nested value, and against a list that it makes unreadable.
+    TEST(StoreWire, ADeeplyNestedValueIsNotUsed)
+    {
+        for (const size_t levels : { 31U, 33U, 1000U, 100000U }) {
+            EXPECT_FALSE(isUsed(nested(levels)));
+            EXPECT_FALSE(isUsed(std::string(levels, '[')));
+            EXPECT_FALSE(isUsed(entryWith("zone", nested(levels))));
+        }
+    }
+
+    // Guards against a list or watch that is not followed any more because one item of it can't be parsed.
+    TEST(StoreWire, AnUnreadableItemHidesNoOther)
+    {
+        const std::string valid = itemOf("servers/i-1", upstreamValue);
+        const std::string unpairedSurrogate = R"({"key":"servers/\udcff","value":"","rev":7})";
+        const std::string wrongUtf8 = "{\"key\":\"servers/\xff\xfe\",\"value\":\"\",\"rev\":7}";
+        const std::string hugeExponent = R"({"key":"servers/odd","value":"","rev":7,"x":1e99999999999})";
+        const std::string bracketsInText = R"({"key":"servers/]}\"[{","value":"","rev":7,"x":)" + nested(40) + '}';
+        const std::string deep = R"({"key":"servers/odd","value":"","rev":7,"x":)" + nested(100000) + '}';
+        for (const std::string& odd : { unpairedSurrogate, wrongUtf8, hugeExponent, bracketsInText, deep }) {
+            for (const bool isWatch : { false, true }) {
+                for (const bool isFirst : { false, true }) {
+                    const std::string items
+                        = std::string(isFirst ? odd : valid).append(",").append(isFirst ? valid : odd);
+                    const Result<StoreResponse> answer = decodeResponse(upstreamRead(isWatch), bodyOf(isWatch, items));
+                    EXPECT_TRUE(answer) << odd.substr(0, 80);
+                    if (!answer)
+                        continue;
+                    ASSERT_EQ(answer.value().upstreams.size(), 1U);
+                    EXPECT_EQ(answer.value().upstreams[0].name, "i-1");
+                    EXPECT_EQ(answer.value().problems.size(), 1U);
+                }
+            }
+        }
+    }
+
+    // Guards against numbers that wrap around or are cut to a valid one.
+    TEST(StoreWire, ANumberOutOfRangeIsNotUsed)
+    {
+        for (const std::string number :
+            { "1e30", "1e400", "-1", "-1e400", "1.5", "18446744073709551615", "18446744073709551616",
+                "9223372036854775808", "1e99999999999", "\"4\"", "true", "null", "[]", "{}" }) {
+            EXPECT_FALSE(isUsed(entryWith("slots", number))) << number;
+            EXPECT_FALSE(isUsed(entryWith("born", number))) << number;
+            const std::string item = R"({"key":"servers/odd","value":")" + std::string(upstreamValue) + R"(","rev":)"
+                + number + "}," + itemOf("servers/i-1", upstreamValue);
+            const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, item));
+            ASSERT_TRUE(answer) << number;
+            EXPECT_EQ(answer.value().upstreams.size(), 1U) << number;
+            const std::string body = R"({"items":[],"has_more":false,"store_revision":)" + number + '}';
+            EXPECT_FALSE(decodeResponse(upstreamRead(false), body)) << number;
+        }
+        EXPECT_FALSE(isUsed(entryWith("slots", "0")));
+        EXPECT_FALSE(isUsed(entryWith("slots", "65536")));
+        EXPECT_TRUE(isUsed(entryWith("slots", "65535")));
+        EXPECT_TRUE(isUsed(entryWith("slots", "4.0")));
+        EXPECT_TRUE(isUsed(entryWith("born", "1796457600000")));
+    }
+
+    // Guards against flows that are offered to, and searched at, addresses where no host can be.
+    TEST(StoreWire, AnAddressWithoutHostIsNotUsed)
+    {
+        for (const std::string address : { "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1",
+                 "10.0.0.9", "10.0.0.9:", ":80", "", "[::1]:80", "::1", "host.example:80", "localhost:80", "0.0.0.0:80",
+                 "255.255.255.255:80", "224.0.0.1:80", "239.255.255.255:80", "010.0.0.9:80", "10.0.0.009:80",
+                 "10.0.0.9:0080", " 10.0.0.9:80", "10.0.0.9:80 ", "10.0.0.9: 80", "10.0.0:80", "10.0.0.0.9:80",
+                 "256.0.0.1:80", "10.0.0.9:80/x", "+10.0.0.9:80", "0x0a.0.0.9:80" })
+            EXPECT_FALSE(isUsed(entryWith("address", '"' + address + '"'))) << address;
+        for (const std::string address : { "10.0.0.9:1", "10.0.0.0:65535", "198.18.0.1:443", "127.0.0.2:8080" })
+            EXPECT_TRUE(isUsed(entryWith("address", '"' + address + '"'))) << address;
+    }
+
+    // Guards against entries of other writers that are taken for hosts: one of a host has all fields of its type.
+    TEST(StoreWire, AnEntryWithoutAFieldOrWithOneOfAnotherTypeIsNotUsed)
+    {
+        EXPECT_TRUE(isUsed(entryWith("", "")));
+        for (const std::string field :
+            { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no", "born" }) {
+            for (const std::string json : { "", "null", "true", "[]", "{}", "[4]" })
+                EXPECT_FALSE(isUsed(entryWith(field, json))) << field << ' ' << json;
+        }
+        for (const std::string field : { "service", "address", "zone", "state" })
+            EXPECT_FALSE(isUsed(entryWith(field, "4"))) << field;
+        for (const std::string field : { "slots", "cold_left_ms", "seq_no", "born" })
+            EXPECT_FALSE(isUsed(entryWith(field, "\"4\""))) << field;
+        EXPECT_FALSE(isUsed(entryWith("state", "\"odd\"")));
+        EXPECT_FALSE(isUsed(entryWith("state", "\"READY\"")));
+        EXPECT_TRUE(isUsed(entryWith("state", "\"draining\"")));
+        EXPECT_TRUE(isUsed(entryWith("cold_left_ms", "12.5")));
+    }
+
+    // Guards against a host without a name: each one registers under its id.
+    TEST(StoreWire, AnEntryWithoutANameIsNotUsed)
+    {
+        const std::string items = itemOf("servers/", upstreamValue) + ',' + itemOf("servers/i-1", upstreamValue);
+        const StoreResponse answer = decodeResponse(upstreamRead(false), bodyOf(false, items)).value();
+        ASSERT_EQ(answer.upstreams.size(), 1U);
+        EXPECT_EQ(answer.upstreams[0].name, "i-1");
+        EXPECT_EQ(answer.problems.size(), 1U);
+    }
+
+    // Guards against a last key of a page that ends the paging, starts it anew or makes the request invalid.
+    TEST(StoreWire, TheKeyAfterWhichAPageBeginsIsEncoded)
+    {
+        StoreRead read = upstreamRead(false);
+        read.pageAfter = "servers/a-Z.0_~/";
+        EXPECT_EQ(requestTarget(read), "/-/kv-range?prefix=servers/&after=servers/a-Z.0_~/");
+        read.pageAfter = "servers/&after=x y%2f+#?=\"\r\n\x7f\xff";
+        EXPECT_EQ(requestTarget(read),
+            "/-/kv-range?prefix=servers/&after=servers/%26after%3Dx%20y%252f%2B%23%3F%3D%22%0D%0A%7F%FF");
+    }
+
+    // Guards against a list that is read over and over, without pause, because a page does not lead to the next one.
+    TEST(StoreWire, APageThatDoesNotLeadOnIsAnError)
+    {
+        StoreRead read = upstreamRead(false);
+        read.pageAfter = "servers/i-1";
+        const std::string item = itemOf("servers/i-1", upstreamValue);
+        const auto body = [](const std::string& items, const std::string& hasMore) {
+            return R"({"items":[)" + items + R"(],"has_more":)" + hasMore + R"(,"store_revision":9})";
+        };
+        EXPECT_FALSE(decodeResponse(read, body("", "true")));
+        EXPECT_FALSE(decodeResponse(read, body(item, "true"))) << "the key does not advance";
+        EXPECT_FALSE(decodeResponse(upstreamRead(false), body("", "true")));
+        EXPECT_FALSE(decodeResponse(upstreamRead(false), body("1,null", "true")));
+        EXPECT_TRUE(decodeResponse(read, body("", "false")));
+        EXPECT_TRUE(decodeResponse(upstreamRead(false), body(item, "true")));
+    }
+
+    // Guards against a list that ends at a page on which every entry is odd.
+    TEST(StoreWire, APageOfOddEntriesLeadsOn)
+    {
+        const std::string longName(192, 'x');
+        std::string items;
+        for (const std::string& name : { std::string("a b"), std::string("a&b"), longName }) {
+            if (!items.empty())
+                items += ',';
+            items += itemOf("servers/" + name, "!!!!");
+        }
+        const StoreResponse answer
+            = decodeResponse(upstreamRead(false), R"({"items":[)" + items + R"(],"has_more":true,"store_revision":9})")
+                  .value();
+        EXPECT_TRUE(answer.upstreams.empty());
+        EXPECT_TRUE(answer.hasMore);
+        EXPECT_EQ(answer.lastKey, "servers/" + longName);
+        EXPECT_EQ(answer.problems.size(), 3U);
+    }
+
+    // Guards against a routing table that is lost, or a process that ends, because op/config can't be read.
+    TEST(StoreWire, AnUnreadableConfigurationNamesNoRoutes)
+    {
+        const std::vector<std::string> values = { "", "{", nested(100000), R"({"version":1e400,"routes":[]})",
+            R"({"version":-1,"routes":[]})", R"({"version":"7","routes":[]})", R"({"version":7,"routes":{}})",
+            R"({"version":7})", R"({"version":7,"routes":)" + nested(1000) + '}' };
+        for (const std::string& value : values) {
+            const std::string item = itemOf("op/config", base64(value));
+            const std::string body = item.substr(0, item.size() - 1) + R"(,"store_revision":9})";
+            const Result<StoreResponse> answer = decodeResponse(listRead(StoreTopic::Routes), body);
+            ASSERT_TRUE(answer) << value.substr(0, 40);
+            EXPECT_FALSE(answer.value().routes) << value.substr(0, 40);
+            EXPECT_EQ(answer.value().problems.size(), 1U);
+            StoreRead watch = listRead(StoreTopic::Routes);
+            watch.isWatch = true;
+            const Result<StoreResponse> events = decodeResponse(watch, bodyOf(true, item));
+            ASSERT_TRUE(events) << value.substr(0, 40);
+            EXPECT_FALSE(events.value().routes) << value.substr(0, 40);
+        }
+    }
+
+    // Guards against a weight that wraps around to 0: the service would get no flows.
+    TEST(StoreWire, WeightsOfSharesAreBounded)
+    {
+        const std::string value = R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","split":[)"
+                                  R"({"service":"a","weight":4294967296},{"service":"b","weight":1}]}]})";
+        const std::string item = itemOf("op/config", base64(value));
+        StoreRead watch = listRead(StoreTopic::Routes);
+        watch.isWatch = true;
+        const StoreResponse answer = decodeResponse(watch, bodyOf(true, item)).value();
+        ASSERT_TRUE(answer.routes);
+        const Route* route = answer.routes->find(*parsePacketAddress("198.18.0.1:443"));
+        ASSERT_NE(route, nullptr);
+        ASSERT_EQ(route->shares.size(), 2U);
+        EXPECT_GT(route->shares[0].weight, route->shares[1].weight);
+    }
+
+    // Guards against log lines that don't name the entry and its fault, and against keys that break or lengthen them.
+    TEST(StoreWire, AProblemNamesTheKeyAndTheField)
+    {
+        const auto problemOf = [](const std::string& key, const std::string& value) {
+            const std::string body = bodyOf(false, itemOf(key, base64(value)));
+            return decodeResponse(upstreamRead(false), body).value().problems.at(0);
+        };
+        for (const std::string field :
+            { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no", "born" }) {
+            const StoreItemProblem problem = problemOf("servers/odd", entryWith(field, "[]"));
+            EXPECT_EQ(problem.key, "servers/odd");
+            EXPECT_EQ(problem.reason, "its field " + field + " is missing or not valid");
+        }
+        EXPECT_EQ(problemOf("servers/odd", nested(1000)).reason, "its value is not a JSON object");
+        EXPECT_EQ(problemOf("servers/a\\nb\\u0000\xff\\\"c", "").key, "servers/a?b??\"c");
+        EXPECT_EQ(problemOf("servers/" + std::string(192, 'x'), "").key, "servers/" + std::string(56, 'x') + "...");
+    }
+
+    // Guards against any content of an entry that ends the process or hides another entry.
+    RC_GTEST_PROP(StoreWire, RandomEntriesHideNoOther, (const std::vector<uint8_t>& bytes))
+    {
+        const std::string value(bytes.begin(), bytes.end());
+        const std::string items = itemOf("servers/i-0", base64(value)) + ',' + itemOf("servers/i-1", upstreamValue);
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        RC_ASSERT((answer && answer.value().upstreams.size() == 1));
+        RC_ASSERT(answer.value().problems.size() == 1);
+    }
+
+    // Guards against a damaged field of an otherwise complete entry that ends the process or hides another entry.
+    RC_GTEST_PROP(StoreWire, DamagedEntriesHideNoOther, ())
+    {
+        std::string value = entryWith("", "");
+        for (int i = *rc::gen::inRange(1, 4); i > 0; --i)
+            value[*rc::gen::inRange<size_t>(0, value.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
+        const std::string items = itemOf("servers/i-0", base64(value)) + ',' + itemOf("servers/i-1", upstreamValue);
+        const Result<StoreResponse> answer = decodeResponse(upstreamRead(false), bodyOf(false, items));
+        RC_ASSERT(static_cast<bool>(answer));
+        const StoreResponse& response = answer.value();
+        RC_ASSERT(response.upstreams.size() + response.problems.size() == 2);
+        RC_ASSERT(response.upstreams.back().name == "i-1");
+    }
+
     RC_GTEST_PROP(StoreWire, DamagedAnswersNeverCrash, ())
     {
         std::string body
--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -366,6 +366,82 @@
         EXPECT_EQ(directory.usable({ 2 }).size(), 1U);
     }
 
+    // A record of another writer at the address of recordOf("a", 1), with a later start.
+    UpstreamRecord claimOf(const std::string& name, ServiceId claimedService)
+    {
+        UpstreamRecord claim = recordOf(name, 8, false, 9);
+        claim.service = claimedService;
+        claim.address = recordOf("a", 1).address;
+        return claim;
+    }
+
+    bool contains(const std::vector<UpstreamRecord>& records, const std::string& name)
+    {
+        return std::any_of(
+            records.begin(), records.end(), [&](const UpstreamRecord& record) { return record.name == name; });
+    }
+
+    // Guards against the reset of open flows: a record of another writer claims the address of the upstream that holds
+    // them, which is then not asked for them.
+    TEST(UpstreamDirectory, AListedUpstreamIsAskedWhoeverClaimsItsAddress)
+    {
+        for (const ServiceId claimedService : { service, ServiceId { 2 } }) {
+            ManualClock clock;
+            UpstreamDirectory directory({}, clock);
+            directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+            directory.update(claimOf("x", claimedService));
+            EXPECT_TRUE(contains(directory.possibleHolders(service), "a"));
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::Listed);
+            EXPECT_FALSE(contains(directory.usable(service), "a")) << "one that left may still be listed";
+            directory.remove("a", 9);
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn);
+            EXPECT_TRUE(contains(directory.possibleHolders(service), "a"))
+                << "its record may have expired in an outage";
+            clock.advance(Milliseconds(2000));
+            directory.onRead(clock.now());
+            EXPECT_FALSE(contains(directory.possibleHolders(service), "a")) << "it left, and its address is reused";
+        }
+    }
+
+    // Guards against an upstream that gets no new flows because a record of another writer, of a service that the
+    // configuration doesn't name, claims its address.
+    TEST(UpstreamDirectory, ARecordOfAnUnknownServiceClaimsNoAddress)
+    {
+        const ServiceId unknownService { 7 };
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.setServices({ service, ServiceId { 2 } });
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.update(claimOf("x", unknownService));
+        EXPECT_TRUE(contains(directory.usable(service), "a"));
+        directory.update(claimOf("y", { 2 }));
+        EXPECT_FALSE(contains(directory.usable(service), "a"))
+            << "an upstream of another service may reuse the address";
+        directory.remove("y", 9);
+        EXPECT_TRUE(contains(directory.usable(service), "a"));
+        directory.setServices({ service, unknownService });
+        EXPECT_FALSE(contains(directory.usable(service), "a")) << "a newer configuration names the service";
+    }
+
+    // Guards against the loss of flows and of an upstream whose entry another writer replaces by an unreadable one: the
+    // upstream writes its entry again with its next heartbeat.
+    TEST(UpstreamDirectory, AnUpstreamWhoseEntryBecameUnreadableKeepsItsFlowsAndReturns)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1), recordOf("b", 2) }, 2);
+        directory.onPeerListState(ListState::Complete);
+        directory.remove("a", 3);
+        EXPECT_FALSE(contains(directory.usable(service), "a"));
+        EXPECT_TRUE(contains(directory.possibleHolders(service), "a"));
+        EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn) << "its silence ends no flow";
+        clock.advance(Milliseconds(1000));
+        directory.onRead(clock.now());
+        EXPECT_TRUE(directory.update(recordOf("a", 4)));
+        EXPECT_TRUE(contains(directory.usable(service), "a")) << "at once, as every entry knows its address";
+        EXPECT_EQ(directory.listingOf(recordOf("a", 4)), Listing::Listed);
+    }
+
     // Guards against a directory that depends on the order in which changes arrive.
     RC_GTEST_PROP(UpstreamDirectory, AnyOrderOfChangesLeadsToTheNewestState, ())
     {
@@ -544,5 +620,22 @@
         EXPECT_FALSE(sync.onEvents(watch, 41)) << "the answer to the replaced watch is ignored";
     }
 
+    // Guards against a log that odd entries of the store fill: they are read again with each list, and their writer may
+    // change them at any rate.
+    TEST(ItemLogLimiter, LogsAKeyOnceAMinuteAndFewKeys)
+    {
+        ManualClock clock;
+        ItemLogLimiter limiter;
+        EXPECT_TRUE(limiter.shouldLog("servers/a", clock.now()));
+        EXPECT_FALSE(limiter.shouldLog("servers/a", clock.now()));
+        EXPECT_TRUE(limiter.shouldLog("servers/b", clock.now()));
+        int lines = 0;
+        for (int i = 0; i < 10000; ++i)
+            lines += limiter.shouldLog("servers/" + std::to_string(i), clock.now()) ? 1 : 0;
+        EXPECT_EQ(lines, 14);
+        clock.advance(std::chrono::minutes(1));
+        EXPECT_TRUE(limiter.shouldLog("servers/a", clock.now()));
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -100,6 +100,7 @@
 std::vector<HolderCandidate> EntryRouter::offeredUpstreams(const Flow& flow) const
 {
     std::vector<HolderCandidate> targets;
+    targets.reserve(flow.offers.size());
     for (const Offer& offer : flow.offers)
         targets.push_back({ offer.upstream, offer.agent, Listing::Removed, 0 });
     const auto known = this->holders.find(flow.service);
@@ -198,6 +199,7 @@
     }
     search.packetRounds += isRepeated || isFirst ? 1 : 0;
     std::vector<PacketAddress> agents;
+    agents.reserve(receivers.size());
     for (const HolderSearch::Target* target : receivers)
         agents.push_back(target->agent);
     logEvent(Event::PacketHolderSought,
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -39,6 +39,7 @@
     std::optional<Milliseconds> idleTimeout; // a flow without packets for longer may be dropped; empty: not known
 
     const Route* find(PacketAddress) const;
+    std::set<ServiceId> services() const; // that a route names
 };
 
 //-----------------------------------------------------------------------------
@@ -101,6 +102,10 @@
     UpstreamDirectory(DirectoryOptions, const Clock&);
     UpstreamDirectory(DirectoryOptions, const Clock&, const Clock& pauseClock); // see BootClock
 
+    // The services that the configuration names. Records of others claim no address of an upstream: another writer may
+    // have published them. All services count as named until this is called.
+    void setServices(std::set<ServiceId>);
+
     // Change single records; changes not newer than the stored record are ignored. Return whether anything changed.
     bool update(UpstreamRecord);
     bool remove(const std::string& name, uint64_t revision);
@@ -142,7 +147,9 @@
     // propagationTime, until every entry lists it: an entry that doesn't would treat its flows as lost. If there is no
     // other upstream, it is included at once.
     std::vector<UpstreamRecord> usable(ServiceId) const;
-    std::vector<UpstreamRecord> possibleHolders(ServiceId) const; // includes draining and removed upstreams
+    // Includes draining and removed upstreams, and those whose address another record claims, these last: unless they
+    // were removed for good.
+    std::vector<UpstreamRecord> possibleHolders(ServiceId) const;
     std::vector<UpstreamRecord> allListed() const;
     Listing listingOf(const UpstreamRecord&) const;
     const UpstreamRecord* listedAt(PacketAddress) const; // newest listed upstream at an address; null if none
@@ -167,11 +174,14 @@
     bool mayReturn(const Row&) const;
     bool isAskedFor(ServiceId, PacketAddress) const;
     bool isSuperseded(const UpstreamRecord&) const;
+    bool isNamed(ServiceId) const;
+    const UpstreamRecord* newestListedAt(PacketAddress, bool onlyNamedServices) const; // null if none
     void removeFromAddressIndex(const UpstreamRecord&);
 
     DirectoryOptions options;
     const Clock& clock;
     const Clock& pauseClock; // measures pauses of the process
+    std::optional<std::set<ServiceId>> namedServices; // see setServices(); empty: all
     std::map<std::string, Row> rows; // by name
     std::map<PacketAddress, std::set<std::string>> namesByAddress; // names of rows
     uint64_t newestRevision = 0;
