Forward to no upstream whose SYN+ACK the client did not acknowledge

Cause: an entry took the only upstream that had accepted its offer for the holder, although the client acknowledged another sequence number. If that upstream's agent was silent, packets went there without any search.

Change: only an acknowledgement of exactly the SYN+ACK selects the upstream; else the entry searches.

--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -471,21 +471,14 @@
         this->startSearch(key, flow, bytes, std::nullopt);
 }
 
-// The offer whose SYN+ACK the client acknowledged. If two upstreams accepted copies of one SYN, the first packet of the
-// client after the handshake decides between them: it acknowledges the sequence number of one.
+// The offer whose SYN+ACK the client acknowledged. Several upstreams may accept copies of one SYN, also through other
+// entries: the first packet of the client after the handshake decides between them.
 const EntryRouter::Offer* EntryRouter::acceptedOffer(const Flow& flow, uint32_t acknowledgement) const
 {
-    const Offer* accepted = nullptr;
-    size_t acceptedCount = 0;
-    for (const Offer& offer : flow.offers) {
-        if (offer.state != OfferState::Accepted)
-            continue;
-        if (acknowledgement == offer.upstreamSequence + 1)
-            return &offer;
-        accepted = &offer;
-        ++acceptedCount;
-    }
-    return flow.offers.size() == 1 && acceptedCount == 1 ? accepted : nullptr;
+    const auto accepted = std::find_if(flow.offers.begin(), flow.offers.end(), [&](const Offer& offer) {
+        return offer.state == OfferState::Accepted && acknowledgement == offer.upstreamSequence + 1;
+    });
+    return accepted == flow.offers.end() ? nullptr : &*accepted;
 }
 
 void EntryRouter::setHolder(const FlowKey& key, Flow& flow, PacketAddress agent)
