Treat the first list of a restored store as incomplete

Cause: an outage counted only if a read failed, and not if the store had answered within 1 s. An older copy shows upstreams that drain as ready, and former incarnations. Besides, an entry that started got no grace when its peers called its first list incomplete: its own first answer was less than 1 s old (the existing test reported no read, unlike PacketEntry).

Change: the first position of a newer era starts the grace of 2 s and counts as a change, so that peers notice it even if no record differs. A record of a newer era keeps a known drain of the same incarnation, and replaces no later incarnation within the grace. An incomplete list of a peer always starts the grace of an entry that starts.

Evidence: UpstreamDirectory.AListOfARestoredStore*, ARestoreCountsAsAChange, AnUpstreamThatDrains*, AnOlderCopyBrings* and AFirstListThatPeersCallIncomplete* failed on the commit before and pass.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -299,6 +299,94 @@
         EXPECT_EQ(directory.usable(service).size(), 1U);
     }
 
+    // Directory of an entry that has run for long, with answers of the store until now.
+    void fill(UpstreamDirectory& directory, const Clock& clock, std::vector<UpstreamRecord> records, uint64_t revision)
+    {
+        directory.replace(std::move(records), revision);
+        directory.onPeerListState(ListState::Complete);
+        directory.onRead(clock.now());
+    }
+
+    // Guards against resets of flows at upstreams that started in the lost stretch: the restored store lacks them until
+    // they write again, although no read has failed.
+    TEST(UpstreamDirectory, AListOfARestoredStoreMayBeIncompleteForTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, { recordOf("a", storePosition(1, 5)), recordOf("b", storePosition(1, 9)) },
+            storePosition(1, 10));
+        ASSERT_TRUE(directory.isComplete());
+        EXPECT_TRUE(directory.replace({ recordOf("a", storePosition(2, 5)) }, storePosition(2, 7)));
+        directory.onRead(clock.now());
+        EXPECT_FALSE(directory.isComplete());
+        EXPECT_EQ(directory.listState(), ListState::Incomplete);
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+        EXPECT_EQ(directory.listingOf(recordOf("b", 0)), Listing::MayReturn);
+        EXPECT_TRUE(directory.update(recordOf("b", storePosition(2, 8)))) << "written again in a lower revision";
+        EXPECT_EQ(directory.listingOf(recordOf("b", 0)), Listing::Listed);
+        clock.advance(DirectoryOptions().recoveryGrace);
+        EXPECT_TRUE(directory.takeReadRequest());
+        directory.onRead(clock.now());
+        directory.onTick();
+        EXPECT_TRUE(directory.isComplete());
+    }
+
+    // Guards against entries that wait for one another to notice a restore that changed no record of an upstream.
+    TEST(UpstreamDirectory, ARestoreCountsAsAChange)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, {}, storePosition(1, 10));
+        directory.replace({}, storePosition(2, 7));
+        EXPECT_EQ(eraOf(directory.lastChange()), 2U);
+        EXPECT_LE(directory.lastChange(), storePosition(2, 7));
+    }
+
+    // Guards against new flows to an upstream that is about to exit: an older copy of the store shows it as ready.
+    TEST(UpstreamDirectory, AnUpstreamThatDrainsIsNeverReadyAgain)
+    {
+        ManualClock clock;
+        for (const bool isRemoved : { false, true }) {
+            UpstreamDirectory directory({}, clock);
+            fill(directory, clock, { recordOf("a", storePosition(1, 10), true) }, storePosition(1, 10));
+            if (isRemoved)
+                directory.remove("a", storePosition(1, 11));
+            directory.replace({ recordOf("a", storePosition(2, 8)) }, storePosition(2, 8));
+            EXPECT_TRUE(directory.usable(service).empty());
+            EXPECT_TRUE(directory.allListed().at(0).draining);
+            directory.update(recordOf("a", storePosition(2, 9), false, 2));
+            EXPECT_EQ(directory.usable(service).size(), 1U) << "another incarnation";
+        }
+    }
+
+    // Guards against flows that are sent to, or searched at, the former incarnation of an upstream that an older copy
+    // of the store shows until the new one has written again.
+    TEST(UpstreamDirectory, AnOlderCopyBringsNoFormerIncarnationBackDuringTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, { recordOf("a", storePosition(1, 10), false, 5) }, storePosition(1, 10));
+        directory.replace({ recordOf("a", storePosition(2, 8), false, 4) }, storePosition(2, 8));
+        ASSERT_EQ(directory.allListed().size(), 1U);
+        EXPECT_EQ(directory.allListed().at(0).born, 5);
+        clock.advance(DirectoryOptions().recoveryGrace);
+        directory.replace({ recordOf("a", storePosition(2, 8), false, 4) }, storePosition(2, 12));
+        EXPECT_EQ(directory.allListed().at(0).born, 4) << "the upstream has not written again";
+    }
+
+    // Guards against a start right after an outage in which the peers' answer has no effect: it arrives while the first
+    // answer of the store is recent. The test above reports no read.
+    TEST(UpstreamDirectory, AFirstListThatPeersCallIncompleteHasTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 2);
+        directory.onRead(clock.now());
+        clock.advance(Milliseconds(20));
+        EXPECT_TRUE(directory.onPeerListState(ListState::Incomplete));
+        EXPECT_FALSE(directory.isComplete());
+    }
+
     // Guards against flows to the former upstream at an address that another one reuses.
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -1,6 +1,7 @@
 #include "wasabicroft/Published.h"
 
 #include "wasabicroft/Log.h"
+#include "wasabicroft/StorePosition.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +22,15 @@
 // [SECTION] Upstream directory
 //-----------------------------------------------------------------------------
 
+namespace {
+
+    bool isOfNewerEra(const UpstreamRecord& record, const UpstreamRecord& known)
+    {
+        return eraOf(record.revision) > eraOf(known.revision);
+    }
+
+} // namespace
+
 UpstreamId UpstreamRecord::id() const { return upstreamIdOf(this->name + '@' + std::to_string(this->born)); }
 
 std::optional<UpstreamFigures> UpstreamRecord::figures() const
@@ -42,15 +52,36 @@
 {
 }
 
+// A restored store lacks records of upstreams that run, until they write again. It counts as a change: others read in
+// full what they have from before.
+void UpstreamDirectory::noteRevision(uint64_t revision)
+{
+    const bool isRestored = this->hasFullList && eraOf(revision) > eraOf(this->newestRevision);
+    this->newestRevision = std::max(this->newestRevision, revision);
+    if (!isRestored)
+        return;
+    this->lastChangeRevision = std::max(this->lastChangeRevision, storePosition(eraOf(revision), 0));
+    this->startGrace();
+}
+
+// An older copy of the store may show a former incarnation, until the known one writes again.
+bool UpstreamDirectory::isFormerIncarnation(const UpstreamRecord& record, const Row& known) const
+{
+    return isOfNewerEra(record, known.record) && record.born < known.record.born && this->clock.now() < this->graceEnd;
+}
+
 bool UpstreamDirectory::update(UpstreamRecord record)
 {
     const uint64_t revision = record.revision;
-    this->newestRevision = std::max(this->newestRevision, revision);
+    this->noteRevision(revision);
     this->lastChangeRevision = std::max(this->lastChangeRevision, revision);
     const bool isNew = this->hasFullList && !this->inGrace && !this->namesByAddress.contains(record.address);
     Row& row = this->rows[record.name];
-    if (revision <= std::max(row.record.revision, row.removedAt))
+    if (revision <= std::max(row.record.revision, row.removedAt) || this->isFormerIncarnation(record, row))
         return false;
+    // An upstream that drains never becomes ready again: an older copy of the store shows a state of before.
+    const bool isKnownToDrain = row.record.draining && row.record.born == record.born;
+    record.draining = record.draining || (isKnownToDrain && isOfNewerEra(record, row.record));
     const TimePoint now = this->clock.now();
     const TimePoint usableFrom = isNew ? now + this->options.propagationTime : row.usableFrom;
     if (isNew)
@@ -63,7 +94,7 @@
 
 bool UpstreamDirectory::remove(const std::string& name, uint64_t revision)
 {
-    this->newestRevision = std::max(this->newestRevision, revision);
+    this->noteRevision(revision);
     this->lastChangeRevision = std::max(this->lastChangeRevision, revision);
     const auto found = this->rows.find(name);
     if (found == this->rows.end() || !found->second.listed || revision <= found->second.record.revision)
@@ -74,6 +105,7 @@
 
 bool UpstreamDirectory::replace(std::vector<UpstreamRecord> records, uint64_t revision)
 {
+    this->noteRevision(revision);
     bool changed = false;
     std::set<std::string> present;
     for (UpstreamRecord& record : records) {
@@ -86,7 +118,6 @@
         this->unlist(row, revision);
         changed = true;
     }
-    this->newestRevision = std::max(this->newestRevision, revision);
     if (!std::exchange(this->hasFullList, true)) {
         this->startEnd = this->clock.now() + this->options.recoveryGrace;
         this->isAwaitingPeers = !this->inGrace;
@@ -193,7 +224,7 @@
         return false;
     const bool isChanged = this->isAwaitingPeers || state == ListState::Incomplete;
     if (state == ListState::Incomplete)
-        this->onStoreRecovered();
+        this->startGrace();
     else
         this->isConfirmedByPeer = true;
     this->endWaitForPeers(nameOf(state));
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -107,7 +107,8 @@
     bool remove(const std::string& name, uint64_t revision);
 
     // Applies a complete list, read at the given revision of the store. Records that it lacks are removed. Returns
-    // whether anything changed.
+    // whether anything changed. The first list of a newer era has the effect of an outage of the store, see
+    // onStoreRecovered().
     bool replace(std::vector<UpstreamRecord>, uint64_t revision);
 
     // The store answers again after a failure: records that it lacks now may return within recoveryGrace. They count as
@@ -162,10 +163,12 @@
     void checkForPause();
     bool answersSteadily() const;
     void startGrace();
+    void noteRevision(uint64_t revision);
     void unlist(Row&, uint64_t revision);
     TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
     bool isSuperseded(const UpstreamRecord&) const;
+    bool isFormerIncarnation(const UpstreamRecord&, const Row& known) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
     DirectoryOptions options;
