--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -352,6 +352,94 @@
         EXPECT_EQ(directory.usable(service).size(), 1U);
     }
 
+    // Directory of an entry that has run for long, with answers of the store until now.
+    void fill(UpstreamDirectory& directory, const Clock& clock, std::vector<UpstreamRecord> records, uint64_t revision)
+    {
+        directory.replace(std::move(records), revision);
+        directory.onPeerListState(ListState::Complete);
+        directory.onRead(clock.now());
+    }
+
+    // Guards against resets of flows at upstreams that started in the lost stretch: the restored store lacks them until
+    // they write again, although no read has failed.
+    TEST(UpstreamDirectory, AListOfARestoredStoreMayBeIncompleteForTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, { recordOf("a", storePosition(1, 5)), recordOf("b", storePosition(1, 9)) },
+            storePosition(1, 10));
+        ASSERT_TRUE(directory.isComplete());
+        EXPECT_TRUE(directory.replace({ recordOf("a", storePosition(2, 5)) }, storePosition(2, 7)));
+        directory.onRead(clock.now());
+        EXPECT_FALSE(directory.isComplete());
+        EXPECT_EQ(directory.listState(), ListState::Incomplete);
+        EXPECT_EQ(directory.usable(service).size(), 2U);
+        EXPECT_EQ(directory.listingOf(recordOf("b", 0)), Listing::MayReturn);
+        EXPECT_TRUE(directory.update(recordOf("b", storePosition(2, 8)))) << "written again in a lower revision";
+        EXPECT_EQ(directory.listingOf(recordOf("b", 0)), Listing::Listed);
+        clock.advance(DirectoryOptions().recoveryGrace);
+        EXPECT_TRUE(directory.takeReadRequest());
+        directory.onRead(clock.now());
+        directory.onTick();
+        EXPECT_TRUE(directory.isComplete());
+    }
+
+    // Guards against entries that wait for one another to notice a restore that changed no record of an upstream.
+    TEST(UpstreamDirectory, ARestoreCountsAsAChange)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, {}, storePosition(1, 10));
+        directory.replace({}, storePosition(2, 7));
+        EXPECT_EQ(eraOf(directory.lastChange()), 2U);
+        EXPECT_LE(directory.lastChange(), storePosition(2, 7));
+    }
+
+    // Guards against new flows to an upstream that is about to exit: an older copy of the store shows it as ready.
+    TEST(UpstreamDirectory, AnUpstreamThatDrainsIsNeverReadyAgain)
+    {
+        ManualClock clock;
+        for (const bool isRemoved : { false, true }) {
+            UpstreamDirectory directory({}, clock);
+            fill(directory, clock, { recordOf("a", storePosition(1, 10), true) }, storePosition(1, 10));
+            if (isRemoved)
+                directory.remove("a", storePosition(1, 11));
+            directory.replace({ recordOf("a", storePosition(2, 8)) }, storePosition(2, 8));
+            EXPECT_TRUE(directory.usable(service).empty());
+            EXPECT_TRUE(directory.allListed().at(0).draining);
+            directory.update(recordOf("a", storePosition(2, 9), false, 2));
+            EXPECT_EQ(directory.usable(service).size(), 1U) << "another incarnation";
+        }
+    }
+
+    // Guards against flows that are sent to, or searched at, the former incarnation of an upstream that an older copy
+    // of the store shows until the new one has written again.
+    TEST(UpstreamDirectory, AnOlderCopyBringsNoFormerIncarnationBackDuringTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        fill(directory, clock, { recordOf("a", storePosition(1, 10), false, 5) }, storePosition(1, 10));
+        directory.replace({ recordOf("a", storePosition(2, 8), false, 4) }, storePosition(2, 8));
+        ASSERT_EQ(directory.allListed().size(), 1U);
+        EXPECT_EQ(directory.allListed().at(0).born, 5);
+        clock.advance(DirectoryOptions().recoveryGrace);
+        directory.replace({ recordOf("a", storePosition(2, 8), false, 4) }, storePosition(2, 12));
+        EXPECT_EQ(directory.allListed().at(0).born, 4) << "the upstream has not written again";
+    }
+
+    // Guards against a start right after an outage in which the peers' answer has no effect: it arrives while the first
+    // answer of the store is recent. The test above reports no read.
+    TEST(UpstreamDirectory, AFirstListThatPeersCallIncompleteHasTheGracePeriod)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 2);
+        directory.onRead(clock.now());
+        clock.advance(Milliseconds(20));
+        EXPECT_TRUE(directory.onPeerListState(ListState::Incomplete));
+        EXPECT_FALSE(directory.isComplete());
+    }
+
     // Guards against flows to the former upstream at an address that another one reuses.
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
@@ -525,6 +613,79 @@
         EXPECT_EQ(sync.nextRead(StoreTopic::Upstreams)->minRevision, 12U);
     }
 
+    // Guards against watches that are continued in a restored store, which reports neither what it lost nor what it has
+    // given the same revisions since.
+    TEST(StoreSync, AWatchOfAFormerEraIsNotContinued)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        std::vector<StoreRead> watches;
+        for (const StoreTopic topic : { StoreTopic::Routes, StoreTopic::Upstreams }) {
+            sync.onPage(*sync.nextRead(topic), storePosition(1, 100), false, "");
+            watches.push_back(*sync.nextRead(topic));
+        }
+        EXPECT_FALSE(sync.onEvents(watches[0], storePosition(2, 130)));
+        for (const StoreTopic topic : { StoreTopic::Routes, StoreTopic::Upstreams }) {
+            const std::optional<StoreRead> read = sync.nextRead(topic);
+            ASSERT_TRUE(read) << nameOf(topic);
+            EXPECT_FALSE(read->isWatch);
+            EXPECT_GE(read->minRevision, storePosition(2, 130));
+            EXPECT_TRUE(sync.onPage(*read, storePosition(2, 131), false, ""));
+            EXPECT_EQ(sync.nextRead(topic)->afterRevision, storePosition(2, 131));
+        }
+        EXPECT_FALSE(sync.onEvents(watches[1], storePosition(1, 105))) << "a late answer of the former era";
+    }
+
+    // Guards against a topic that is watched on from the former era because only the other one was read since.
+    TEST(StoreSync, EachAnswerOfANewEraConcernsBothTopics)
+    {
+        for (const bool isHistoryLost : { false, true }) {
+            ManualClock clock;
+            StoreSync sync({}, clock);
+            sync.onPage(*sync.nextRead(StoreTopic::Upstreams), storePosition(0, 100), false, "");
+            const StoreRead watch = *sync.nextRead(StoreTopic::Upstreams);
+            const StoreRead list = *sync.nextRead(StoreTopic::Routes);
+            if (isHistoryLost)
+                EXPECT_TRUE(sync.onHistoryLost(list, storePosition(1, 0)));
+            else
+                EXPECT_TRUE(sync.onPage(list, storePosition(1, 70), false, ""));
+            const std::optional<StoreRead> read = sync.nextRead(StoreTopic::Upstreams);
+            ASSERT_TRUE(read);
+            EXPECT_FALSE(read->isWatch);
+            EXPECT_FALSE(sync.onEvents(watch, storePosition(0, 101)));
+        }
+    }
+
+    // Guards against a watch that waits in a restored store for a change beyond a revision of the former era.
+    TEST(StoreSync, TheFirstWatchAfterAFailureIsAnsweredAtOnce)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        sync.onPage(*sync.nextRead(StoreTopic::Routes), 5, false, "");
+        sync.onFailure(*sync.nextRead(StoreTopic::Routes));
+        clock.advance(StoreSyncOptions().maxBackOff * 2);
+        const StoreRead check = *sync.nextRead(StoreTopic::Routes);
+        EXPECT_TRUE(check.isWatch);
+        EXPECT_LT(check.wait, Milliseconds(100));
+        sync.onEvents(check, 5);
+        clock.advance(StoreSyncOptions().watchSpacing);
+        EXPECT_EQ(sync.nextRead(StoreTopic::Routes)->wait, StoreSyncOptions().watchWait);
+    }
+
+    // Guards against a list that is put together from pages of the store before and after a restore.
+    TEST(StoreSync, PagesOfTwoErasAreNoList)
+    {
+        ManualClock clock;
+        StoreSync sync({}, clock);
+        EXPECT_TRUE(sync.onPage(*sync.nextRead(StoreTopic::Upstreams), storePosition(1, 100), true, "servers/m"));
+        EXPECT_FALSE(sync.onPage(*sync.nextRead(StoreTopic::Upstreams), storePosition(2, 60), false, "servers/z"));
+        EXPECT_EQ(sync.completeRevision(StoreTopic::Upstreams), 0U);
+        const std::optional<StoreRead> read = sync.nextRead(StoreTopic::Upstreams);
+        ASSERT_TRUE(read);
+        EXPECT_FALSE(read->isWatch);
+        EXPECT_TRUE(read->pageAfter.empty());
+    }
+
     TEST(StoreSync, AListIsCompleteUpToItsFirstPage)
     {
         ManualClock clock;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -55,7 +55,7 @@
     std::string failureDomain;
     std::optional<uint16_t> slots; // requests that it runs at a time; empty: not known, learned without the store
     bool draining = false;
-    uint64_t revision = 0; // revision of the store in which the record last changed
+    uint64_t revision = 0; // position of the store at which the record last changed; see StorePosition.h
 
     UpstreamId id() const; // differs between incarnations
     std::optional<UpstreamFigures> figures() const; // empty: not known
@@ -96,7 +96,8 @@
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which an outage may be missed
 };
 
-// Directory of upstreams. Merges records by revision: responses and events may arrive in any order and repeatedly.
+// Directory of upstreams. Merges records by revision: responses and events may arrive in any order and repeatedly. All
+// revisions are positions (StorePosition.h), so that those of a restored store are newer than what it lost.
 class UpstreamDirectory {
 public:
     UpstreamDirectory(DirectoryOptions, const Clock&);
@@ -111,7 +112,8 @@
     bool remove(const std::string& name, uint64_t revision);
 
     // Applies a complete list, read at the given revision of the store. Records that it lacks are removed. Returns
-    // whether anything changed.
+    // whether anything changed. The first list of a newer era has the effect of an outage of the store, see
+    // onStoreRecovered().
     bool replace(std::vector<UpstreamRecord>, uint64_t revision);
 
     // The store answers again after a failure: records that it lacks now may return within recoveryGrace. They count as
@@ -169,6 +171,7 @@
     void checkForPause();
     bool answersSteadily() const;
     void startGrace();
+    void noteRevision(uint64_t revision);
     void unlist(Row&, uint64_t revision);
     TimePoint returnTime() const;
     bool mayReturn(const Row&) const;
@@ -176,6 +179,7 @@
     bool isSuperseded(const UpstreamRecord&) const;
     bool isNamed(ServiceId) const;
     const UpstreamRecord* newestListedAt(PacketAddress, bool onlyNamedServices) const; // null if none
+    bool isFormerIncarnation(const UpstreamRecord&, const Row& known) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
     DirectoryOptions options;
