--- a/tests/PacketWorldTest.cpp
+++ b/tests/PacketWorldTest.cpp
@@ -601,8 +601,9 @@
 
     TEST_P(PacketWorldAblation, WithoutThePartOpenFlowsAreReset)
     {
+        constexpr uint64_t histories = 60;
         size_t broken = 0;
-        for (uint64_t seed = 1; seed <= 20; ++seed) {
+        for (uint64_t seed = 1; seed <= histories; ++seed) {
             PacketWorldOptions options;
             options.seed = seed;
             PacketWorld whole(options);
@@ -614,7 +615,7 @@
             broken += partial.violations.empty() ? 0 : 1;
         }
         EXPECT_GT(broken, 0U);
-        std::cout << GetParam().name << ": " << broken << " of 20 histories broken\n";
+        std::cout << GetParam().name << ": " << broken << " of " << histories << " histories broken\n";
     }
 
     INSTANTIATE_TEST_SUITE_P(Parts, PacketWorldAblation,
