Recognise a flow in use while another entry finds its holder

Callers could see: an open flow is reset by the refusal of a late copy of its SYN.

Cause: a flow that its client has used was recognised by a search in progress, which a delegation ends.

A port that a client uses again later is not affected.

Evidence: RouterFixture.ARefusedCopyOfTheSynEndsNoFlowWhoseHolderAnotherEntryFinds.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -428,6 +428,27 @@
         EXPECT_EQ(last[0].agent, agent(9));
     }
 
+    // Guards against the reset of an open flow by the refusal of a copy of its SYN while another entry finds its
+    // holder.
+    TEST_F(RouterFixture, ARefusedCopyOfTheSynEndsNoFlowWhoseHolderAnotherEntryFinds)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->router.setBehindPeers(true);
+        this->router.setDelegate(otherEntry);
+        this->fromClient(synFlag, 1);
+        this->fromClient(ackFlag, 501, 100);
+        this->agentDenies(agent(0));
+        this->agentDenies(agent(0));
+        this->advance(Milliseconds(140));
+        const std::vector<SentHop> sent = this->takeHops();
+        ASSERT_TRUE(
+            std::any_of(sent.begin(), sent.end(), [](const SentHop& hop) { return hop.kind == HopKind::Delegate; }));
+        this->fromAgent(agent(0), HopKind::Refused, 0, makePacket(client, routeAddress, synFlag, 1001, 1, 0));
+        this->fromClient(synFlag, 2);
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against flows that depend on an entry which is gone or runs a version that can't find holders for others.
     TEST_F(RouterFixture, ASearchGoesOnHereIfTheOtherEntryDoesNotAnswer)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -248,7 +248,7 @@
         return;
     }
     // A late copy, too: the client has got an answer to its SYN and used the flow.
-    if (flow.search) {
+    if (this->isInUse(flow)) {
         ++this->counts.dropped;
         return;
     }
@@ -422,6 +422,13 @@
         std::lround(millisecondsPerSecond * static_cast<double>(bytes) / this->options.loadReportBytesPerSecond));
 }
 
+// A client sends other packets than SYNs only once an upstream has answered it, perhaps through another entry. Searches
+// for the holder of such a flow come and go; a port may be used again later.
+bool EntryRouter::isInUse(const Flow& flow) const
+{
+    return flow.lastUse && this->clock.now() - *flow.lastUse < this->options.searchWindow;
+}
+
 EntryRouter::Offer* EntryRouter::findOffer(Flow& flow, PacketAddress agent)
 {
     const auto found = std::find_if(
@@ -463,9 +470,12 @@
         if (const Offer* offer = this->acceptedOffer(flow, packet.acknowledgement))
             this->setHolder(key, flow, offer->agent);
     }
-    if (flow.holder)
+    if (flow.holder) {
         this->forward(key, flow, bytes);
-    else if (flow.delegatedUntil && this->clock.now() < *flow.delegatedUntil && this->canDelegate(flow))
+        return;
+    }
+    flow.lastUse = this->clock.now();
+    if (flow.delegatedUntil && this->clock.now() < *flow.delegatedUntil && this->canDelegate(flow))
         this->sendToDelegate(bytes);
     else
         this->startSearch(key, flow, bytes, std::nullopt);
@@ -588,7 +598,7 @@
     if (!offer)
         return;
     offer->state = OfferState::Refused;
-    if (flow->search) // the client uses the flow: it is open at an upstream, perhaps through another entry
+    if (this->isInUse(*flow))
         return;
     if (message.refusal != HopRefusal::UpstreamBusy)
         this->placement.onDraining(offer->upstream); // excluded for downRetryDelay
@@ -669,7 +679,7 @@
         offer->state = OfferState::TimedOut;
         ++this->counts.offerTimeouts;
         this->placement.onFailure(item.upstream);
-        if (!flow->search) // else the client has got an answer to its SYN
+        if (!this->isInUse(*flow))
             this->offerToNextUpstream(item.flow, *flow, "silent");
     }
 }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -146,6 +146,7 @@
         TimePoint searchWindowStart;
         unsigned searchCount = 0; // searches in the current window
         std::optional<HolderSearch> search; // search in progress
+        std::optional<TimePoint> lastUse; // when the client sent a packet other than a SYN while the holder was unknown
         std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
         std::optional<PacketAddress> delegator; // the entry that waits for the holder
         uint32_t lastAcknowledgement = 0; // of the client's packets
@@ -180,6 +181,7 @@
         const UpstreamDirectory&, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before);
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
+    bool isInUse(const Flow&) const;
     Offer* findOffer(Flow&, PacketAddress agent);
     static size_t offersInRound(const Flow&);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
