Look up offered upstreams in the lists of all services

Callers could see: a flow of a route with two services is reset while its upstream is silent.

Cause: a search sets the service of the flow to the last one of its route. The next search looked up the offered upstream among those of that service, did not find it and took it for removed, whose silence counts as a denial.

Change: offered upstreams are looked up by their agents in all lists.

Evidence: RouterFixture.SilenceOfAnOfferedUpstreamResetsNoFlowOfARouteWithTwoServices.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -243,6 +243,30 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of a flow whose upstream is silent: with a second service on its route, the upstream
+    // that the flow was offered to counted as removed.
+    TEST_F(RouterFixture, SilenceOfAnOfferedUpstreamResetsNoFlowOfARouteWithTwoServices)
+    {
+        constexpr ServiceId otherService { 2 };
+        const std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
+        table->version = 1;
+        table->routes[routeAddress] = { "", routeAddress, { { service, 1 }, { otherService, 1 } }, {} };
+        this->router.setRoutes(table);
+        UpstreamRecord other = upstream(1);
+        other.service = otherService;
+        this->directory.replace({ upstream(0), other }, 5);
+        this->directory.onPeerListState(ListState::Complete);
+        this->router.setUpstreams(this->directory);
+        this->fromClient(synFlag);
+        const PacketAddress offered = this->takeHops().at(0).agent;
+        for (int copy = 0; copy < 20; ++copy) {
+            this->fromClient(ackFlag, 501, 100);
+            this->agentDenies(offered == agent(0) ? agent(1) : agent(0));
+            this->advance(Milliseconds(200));
+        }
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against an entry that forgets its first offers of a flow when the client repeats its SYN: an upstream that
     // answered late holds the flow, and the entry does not know it.
     TEST_F(RouterFixture, ALateAnswerToAnEarlierRoundOfOffersCounts)
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -103,14 +103,13 @@
     targets.reserve(flow.offers.size());
     for (const Offer& offer : flow.offers)
         targets.push_back({ offer.upstream, offer.agent, Listing::Removed, 0 });
-    const auto known = this->holders.find(flow.service);
-    if (known == this->holders.end())
-        return targets;
-    for (HolderCandidate& target : targets) {
-        const auto candidate = std::find_if(known->second.begin(), known->second.end(),
-            [&](const HolderCandidate& other) { return other.agent == target.agent; });
-        if (candidate != known->second.end())
-            target = *candidate;
+    for (const auto& [service, candidates] : this->holders) {
+        for (HolderCandidate& target : targets) {
+            const auto candidate = std::find_if(candidates.begin(), candidates.end(),
+                [&](const HolderCandidate& other) { return other.agent == target.agent; });
+            if (candidate != candidates.end())
+                target = *candidate;
+        }
     }
     return targets;
 }
