State no figures of records of unknown services

Callers could see: an upstream gets no new flows while a record of another writer, of a service that no route names, has its address and states that it drains.

Cause: such a record no longer hid the upstream, but entries still stated its figures to the agent, which refused all offers.

Change: the record that counts at an address is of a named service, for the figures as well.

Evidence: RouterFixture.ARecordOfAnUnknownServiceStatesNoFiguresOfAnUpstream.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -831,6 +831,26 @@
             this->hops.begin(), this->hops.end(), [](const SentHop& hop) { return hop.agent == agent(0); }));
     }
 
+    // Guards against an agent that refuses all flows, because a record of another writer at the address of its upstream
+    // states that it drains.
+    TEST_F(RouterFixture, ARecordOfAnUnknownServiceStatesNoFiguresOfAnUpstream)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        UpstreamRecord odd = upstream(0, 9);
+        odd.name = "odd";
+        odd.service = { 99 };
+        odd.born = 100;
+        odd.draining = true;
+        this->directory.setServices({ service });
+        this->directory.update(odd);
+        this->router.setUpstreams(this->directory);
+        this->takeHops();
+        this->fromClient(synFlag);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].upstream, (UpstreamFigures { 5, 2, false }));
+    }
+
     // Guards against an entry that stays ready although it can't reach any agent.
     TEST_F(RouterFixture, AnEntryThatHardlyAnyAgentAnswersIsNotReady)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -135,7 +135,9 @@
         const PacketAddress agent { record.address.address, this->options.agentPort };
         const auto known = before.find(agent);
         const bool wasReady = known != before.end() && known->second && !known->second->draining;
-        if (!wasReady || !record.draining || this->figuresByAgent.at(agent) != record.figures())
+        const auto stated = this->figuresByAgent.find(agent);
+        const bool isStated = stated != this->figuresByAgent.end() && stated->second == record.figures();
+        if (!wasReady || !record.draining || !isStated)
             continue;
         HopMessage message;
         message.kind = HopKind::Ask;
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -334,16 +334,11 @@
 // A listed record of a named service with a later start has the address.
 bool UpstreamDirectory::isSuperseded(const UpstreamRecord& record) const
 {
-    const UpstreamRecord* current = this->newestListedAt(record.address, true);
+    const UpstreamRecord* current = this->listedAt(record.address);
     return current && current->name != record.name;
 }
 
 const UpstreamRecord* UpstreamDirectory::listedAt(PacketAddress address) const
-{
-    return this->newestListedAt(address, false);
-}
-
-const UpstreamRecord* UpstreamDirectory::newestListedAt(PacketAddress address, bool onlyNamedServices) const
 {
     const UpstreamRecord* newestRecord = nullptr;
     const auto names = this->namesByAddress.find(address);
@@ -351,7 +346,7 @@
         return nullptr;
     for (const std::string& name : names->second) {
         const Row& row = this->rows.at(name);
-        if (!row.listed || (onlyNamedServices && !this->isNamed(row.record.service)))
+        if (!row.listed || !this->isNamed(row.record.service))
             continue;
         if (!newestRecord || row.record.born > newestRecord->born)
             newestRecord = &row.record;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -154,7 +154,8 @@
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const;
     std::vector<UpstreamRecord> allListed() const;
     Listing listingOf(const UpstreamRecord&) const;
-    const UpstreamRecord* listedAt(PacketAddress) const; // newest listed upstream at an address; null if none
+    // The listed upstream of a named service at an address that started last; null if none.
+    const UpstreamRecord* listedAt(PacketAddress) const;
 
 private:
     struct Row {
@@ -178,7 +179,6 @@
     bool isAskedFor(ServiceId, PacketAddress) const;
     bool isSuperseded(const UpstreamRecord&) const;
     bool isNamed(ServiceId) const;
-    const UpstreamRecord* newestListedAt(PacketAddress, bool onlyNamedServices) const; // null if none
     bool isFormerIncarnation(const UpstreamRecord&, const Row& known) const;
     void removeFromAddressIndex(const UpstreamRecord&);
 
