Hand no search to an entry without a list from the store

Found by the review of: entries that all started without the store handed packets to each other, which dropped them. A failed search for another entry also kept this one from handing later searches of the flow on. Evidence: Presence.TheEntryWithTheNewestListIsOneThatWasHeardLately, extended.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -805,6 +805,8 @@
         };
         EXPECT_FALSE(fleet.entryWithNewestList());
         clock.advance(Milliseconds(1000));
+        hear(1, 0);
+        EXPECT_FALSE(fleet.entryWithNewestList()) << "it has no list from the store";
         hear(1, 20);
         hear(2, 18);
         EXPECT_EQ(fleet.entryWithNewestList(), 1U);
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -505,6 +505,7 @@
     }
     this->counts.dropped += flow.waiting.size();
     flow.waiting.clear();
+    flow.delegator.reset();
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -383,6 +383,8 @@
 {
     const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
     std::optional<uint32_t> newest;
+    if (this->directoryRevision == 0)
+        return newest; // nobody has a list of the store
     TimePoint lastReceived = oldest;
     for (const auto& [address, entry] : this->entries) {
         if (entry.directoryRevision < this->directoryRevision || entry.lastReceived <= lastReceived)
