Apply an incomplete list at once when the store answers again

An answer that changes no record starts the grace after an outage, but the router was not told and could reset flows by the former list for 2 s. No test covers the wiring in PacketEntry; the directory's part is UpstreamDirectory.APauseReportsThatTheListIsNoLongerComplete and the tests of the grace.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -229,12 +229,22 @@
         logEvent(Event::StoreUnreachable, { { "topic", nameOf(read.topic) }, { "reason", failure } });
 }
 
+// After an outage of the store the list may lack upstreams, also if the answer changes none.
+void PacketEntry::noteRecovery()
+{
+    if (!this->storeSync.takeRecovery())
+        return;
+    const bool wasComplete = this->directory.isComplete();
+    this->directory.onStoreRecovered();
+    if (this->directory.isComplete() != wasComplete)
+        this->applyStoreState();
+}
+
 void PacketEntry::onListPage(const StoreRead& read, const platform::StoreResponse& response)
 {
     if (!this->storeSync.onPage(read, response.revision, response.hasMore, response.lastKey))
         return;
-    if (this->storeSync.takeRecovery())
-        this->directory.onStoreRecovered();
+    this->noteRecovery();
     if (read.topic == StoreTopic::Routes) {
         if (response.routes)
             this->applyRoutes(response.routes, "store");
@@ -254,8 +264,7 @@
 {
     if (!this->storeSync.onEvents(read, response.revision))
         return;
-    if (this->storeSync.takeRecovery())
-        this->directory.onStoreRecovered();
+    this->noteRecovery();
     if (response.routes)
         this->applyRoutes(response.routes, "store");
     bool isChanged = this->mergeUpstreams(response);
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -30,6 +30,7 @@
     void readStore();
     void startRead(const StoreRead&);
     void onStoreResponse(const StoreRead&, HttpResult);
+    void noteRecovery();
     void onListPage(const StoreRead&, const platform::StoreResponse&);
     void onWatchEvents(const StoreRead&, const platform::StoreResponse&);
     void applyStoreState();
