--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,5 @@
-"""A new version sends the new flows of a route to another service; then an entry is stopped and started."""
+"""A new version sends the new flows of a route to another service, and those of a second route to one of its two
+services only; then an entry is stopped and started."""
 import asyncio
 import signal
 import sys
@@ -7,13 +8,15 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 from rig import BOUNDS, now, run_case  # noqa: E402
 
-ROUTE, OTHER_ROUTE = ("198.18.0.1", 443), ("198.18.0.2", 443)
-FLOWS = 24
+MOVED, SPLIT, PLAIN = ("198.18.0.1", 443), ("198.18.0.2", 443), ("198.18.0.3", 443)
+FLOWS = 48
+BEFORE = {MOVED: "core", SPLIT: {"core": 50, "label": 50}, PLAIN: "label"}
+AFTER = {MOVED: "label", SPLIT: {"core": 100}, PLAIN: "label"}
 
 
 async def scenario(rig, trouble):
     await rig.start()
-    rig.publish_config(7, {ROUTE: "core", OTHER_ROUTE: "label"}, ["core", "label"])
+    rig.publish_config(7, BEFORE, ["core", "label"])
     for number in range(6):
         await rig.add_host(f"host-{number}", "core" if number < 3 else "label", number)
     clients = [await rig.add_client(number) for number in range(4)]
@@ -21,12 +24,13 @@
         return None
     await asyncio.sleep(BOUNDS["stability_window_ms"] / 1000 + 1)
     start = now()
-    flows = [asyncio.create_task(clients[i % 4].converse(f"f{i}", ROUTE, start + 18)) for i in range(FLOWS)]
+    flows = [asyncio.create_task(clients[i // 2 % 4].converse(f"f{i}", (MOVED, SPLIT)[i % 2], start + 18))
+             for i in range(FLOWS)]
     await asyncio.sleep(3)
-    rig.publish_config(9, {ROUTE: "label", OTHER_ROUTE: "label"}, ["core", "label"])
+    rig.publish_config(9, AFTER, ["core", "label"])
     rig.record.write("configuration-acknowledged", version=9)
     await asyncio.sleep(5)
-    new_flows = [await client.attempt(f"new-{i}", ROUTE) for i, client in enumerate(clients)]
+    new_flows = [await client.attempt(f"new-{i}", MOVED) for i, client in enumerate(clients)]
     if trouble:
         rig.signal("entry-0", signal.SIGTERM)
         await asyncio.sleep(2.5)  # the process stops by itself within grace_s
@@ -42,8 +46,8 @@
         if outcomes[0] != "answered":
             return None
         if "reset-by-system" in outcomes:
-            broken.append(f"FLOW: flow f{number}, open at {host}, which runs and holds it, got a reset of the system in "
-                          f"its request {len(outcomes)}")
+            broken.append(f"FLOW: flow f{number} of the {('moved', 'split')[number % 2]} route, open at {host}, which runs "
+                          f"and holds it, got a reset of the system in its request {len(outcomes)}")
     print(f"{len(results)} flows,", sum(len(outcomes) for outcomes, _ in results), "requests;",
           "new flows after the change went to", sorted({text.split(" by ")[-1] for _, text in new_flows}))
     return broken
--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -546,12 +546,17 @@
         self.router = asyncio.create_task(self.probe_entries())
 
     def publish_config(self, version, routes, services, idle_ms=15000, timeout_ms=3000):
+        """routes: by address, the service of new flows, or the weights of several services."""
+        def target(services):
+            if isinstance(services, str):
+                return {"service": services}
+            return {"split": [{"service": name, "weight": weight} for name, weight in services.items()]}
         return self.store.put("op/config", {
             "version": version, "limits": {"idle_timeout_ms": idle_ms}, "services": [
                 {"name": name, "health_path": "/health"} for name in services],
-            "routes": [{"name": f"r{i}", "host": address[0], "prefix": f"/{address[1]}/", "service": service,
-                        "type": "request", "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 1, "max_attempts": 1}
-                       for i, (address, service) in enumerate(routes.items())]})
+            "routes": [{"name": f"r{i}", "host": address[0], "prefix": f"/{address[1]}/", "type": "safe",
+                        "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 1, "max_attempts": 1} | target(services)
+                       for i, (address, services) in enumerate(routes.items())]})
 
     async def probe_entries(self):
         """Two missed probes take an entry out of rotation until it answers 200 again."""
