--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
 """A new version sends the new flows of a route to another service, and those of a second route to one of its two
 services only; then an entry is stopped and started."""
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -32,12 +31,7 @@
     await asyncio.sleep(5)
     new_flows = [await client.attempt(f"new-{i}", MOVED) for i, client in enumerate(clients)]
     if trouble:
-        rig.signal("entry-0", signal.SIGTERM)
-        await asyncio.sleep(2.5)  # the process stops by itself within grace_s
-        if rig.processes["entry-0"].poll() is None:
-            rig.processes["entry-0"].kill()
-        rig.processes["entry-0"].wait()
-        rig.start_process("entry", rig.entry_ips[0], 0)
+        await rig.restart_entry(0)
     results = await asyncio.gather(*flows)
     if any(outcome != "answered" for outcome, _ in new_flows):
         return None
--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -211,6 +211,7 @@
         self.state, self.seq_no, self.born = "ready", 0, int(time.time() * 1000)
         self.flows = {}
         self.running = 0
+        self.idle_timeout_s = 12.0  # an ended flow is kept for as long
         self.on_run = None  # hook(host, flow, request)
 
     async def start(self):
@@ -227,6 +228,9 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             self.seq_no += 1
+            for key in [key for key, flow in self.flows.items()
+                        if flow["ended"] and now() - flow["used"] > self.idle_timeout_s]:
+                del self.flows[key]
 
     def drain(self):
         self.state = "draining"
@@ -251,7 +255,7 @@
         if packet.flags & SYN:
             if not flow or (flow["ended"] and flow["client_seq"] != packet.seq):
                 flow = self.flows[key] = {"seq": random.getrandbits(30), "client_seq": packet.seq, "open": False,
-                                          "ended": False, "syn_at": now(), "requests": {}}
+                                          "ended": False, "syn_at": now(), "used": now(), "requests": {}}
                 self.rig.record.write("host-takes-syn", host=self.name, client=f"{packet.src}:{packet.sport}",
                                       state=self.state)
             if not flow["open"]:
@@ -260,6 +264,7 @@
         if not flow or (not flow["open"] and packet.ack != (flow["seq"] + 1) & 0xffffffff):
             self.send(bytes([raw[0] | BOUNCED]) + bytes(5) + raw[6:])
             return
+        flow["used"] = now()
         if packet.flags & RST:
             self.flows.pop(key)
             return
@@ -409,10 +414,10 @@
             return outcome, packet.data.decode()
         return outcome, ""
 
-    async def converse(self, name, route, until, pause_s=0.4, limit_s=3.0):
+    async def converse(self, name, route, until, pause_s=0.4, limit_s=3.0, port=None):
         """Keeps one flow open for many requests. Returns (outcomes, host): the flow ends at the first that is not
         "answered"."""
-        port = self.take_port()
+        port = port or self.take_port()
         flow_id, inbox = (port, route), asyncio.Queue()
         self.flows[port] = inbox
         seq, host, outcomes = random.getrandbits(30), None, []
@@ -524,6 +529,18 @@
         self.processes[name].send_signal(number)
         self.record.write("signal", name=name, signal=signal.Signals(number).name)
 
+    async def restart_entry(self, number):
+        """As in a rolling restart: SIGTERM, the process ends within grace_s, a new one starts."""
+        name = f"entry-{number}"
+        self.signal(name, signal.SIGTERM)
+        deadline = now() + BOUNDS["grace_s"]
+        while self.processes[name].poll() is None and now() < deadline:
+            await asyncio.sleep(0.05)
+        if self.processes[name].poll() is None:
+            self.processes[name].kill()
+        self.processes[name].wait()
+        self.start_process("entry", self.entry_ips[number], number)
+
     async def add_host(self, name, service, number, **options):
         ip = f"{self.net}.{30 + number}"
         host = Host(self, name, ip, self.ZONES[number % 3], service, **options)
