--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -628,7 +628,10 @@
 
 
 def run_case(folder, scenario, entries=4):
-    """Runs scenario(rig, trouble). It returns a list of broken promises, or None if the case could not run."""
+    """Runs scenario(rig, trouble), which returns a list of broken promises, or None if the case could not run.
+
+    Ends the program with 10 if a promise was broken, 0 if none was, 2 if the case could not run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def body():
@@ -647,5 +650,5 @@
         for line in broken[:10]:
             print("BROKEN:", line)
         print(f"{len(broken)} violations, trouble={int(trouble)}")
-        return 1 if broken else 0
+        return 10 if broken else 0
     raise SystemExit(asyncio.run(body()))
