--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -433,6 +433,8 @@
             outcome, packet, seq = await self.request(flow_id, inbox, request, seq, ack, now() + limit_s)
             outcomes.append(outcome)
             self.rig.record.write("client-ends", request=request, outcome=outcome)
+            if outcome == "reset-by-system" and not self.rig.holds(host, (self.ip, port) + tuple(route)):
+                outcomes[-1] = "reset-after-loss"
             if outcome != "answered":
                 break
             host = re.search(r"Server-Stamp: (\S+)", packet.data.decode()).group(1)
@@ -530,6 +532,11 @@
         self.processes[name].send_signal(number)
         self.record.write("signal", name=name, signal=signal.Signals(number).name)
 
+    def holds(self, name, ends):
+        """Whether the host of this name has the flow open."""
+        flow = next((host.flows.get(ends) for host in self.hosts if host.name == name), None)
+        return bool(flow and flow["open"] and not flow["ended"])
+
     async def restart_entry(self, number):
         """As in a rolling restart: SIGTERM, the process ends within grace_s, a new one starts."""
         name = f"entry-{number}"
