Ask the upstreams of all services before a flow counts as lost

Cause: EntryRouter::possibleHolders() took only the upstreams of the services that the route names now, and the denials of all of them counted as the proof that no upstream holds the flow. An entry knows the present configuration, not the one under which a flow opened.

Change: a search starts with the services of the route and is widened to all services when they have denied the flow, or in the next search if one ended without result. The services of removed records are searched too. Forward and Find state the service of their receiver's upstream. Denied targets are not asked twice.

--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -187,6 +187,18 @@
         return encoded;
     }
 
+    // Guards against taking a service without routes for one that the configuration does not name: its upstreams may
+    // hold flows that opened before a route went to another service.
+    TEST(StoreWire, ServicesWithoutRoutesAreNamed)
+    {
+        const std::string value = base64(R"({"version":3,"services":[{"name":"a"},{"name":"b"},{"name":7},null],
+            "routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","service":"a"}]})");
+        const std::string body = R"({"key":"op/config","value":")" + value + R"(","rev":3,"store_revision":9})";
+        const StoreResponse answer = decodeResponse(listRead(StoreTopic::Routes), body).value();
+        ASSERT_TRUE(answer.routes);
+        EXPECT_EQ(answer.routes->services(), (std::set<ServiceId> { serviceIdOf("a"), serviceIdOf("b") }));
+    }
+
     // A complete upstream entry in which one field has another JSON value; without the field if that is empty.
     std::string entryWith(const std::string& field, const std::string& json)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -76,21 +76,16 @@
     this->directoryIsComplete = directory.isComplete();
     this->directoryAwaitsPeers = directory.awaitsPeers();
     this->directoryRevision = directory.revision();
-    std::set<ServiceId> services;
-    if (this->routes) {
-        for (const auto& [address, route] : this->routes->routes) {
-            for (const RouteShare& share : route.shares)
-                services.insert(share.service);
-        }
-    }
-    for (const UpstreamRecord& record : directory.allListed())
-        services.insert(record.service);
+    std::set<ServiceId> services = directory.services();
+    if (this->routes)
+        services.merge(this->routes->services());
     this->hasUsableUpstream = false;
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
     const std::map<PacketAddress, std::optional<UpstreamFigures>> figuresBefore
         = std::exchange(this->figuresByAgent, {});
+    this->serviceByAgent.clear();
     this->usableAgents.clear();
     std::map<std::string, size_t> failureDomains; // numbers by name
     const auto toCandidate = [&](const UpstreamRecord& record) {
@@ -119,8 +114,11 @@
     std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->usableAgents.contains(item.first); });
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
-        if (current && current->name == record.name)
-            this->figuresByAgent[toCandidate(record).agent] = record.figures();
+        if (!current || current->name != record.name)
+            continue;
+        const PacketAddress agent = toCandidate(record).agent;
+        this->figuresByAgent[agent] = record.figures();
+        this->serviceByAgent[agent] = record.service;
     }
     this->announceDrains(directory, figuresBefore);
     this->releaseBuffered();
@@ -350,6 +348,10 @@
         message.limits = route->limits;
     if (const auto figures = this->figuresByAgent.find(agent); figures != this->figuresByAgent.end())
         message.upstream = figures->second;
+    // A flow may be open at an upstream of a service that its route no longer names.
+    const auto listed = this->serviceByAgent.find(agent);
+    if (kind != HopKind::Offer && listed != this->serviceByAgent.end())
+        message.service = listed->second;
     return message;
 }
 
@@ -499,6 +501,7 @@
     flow.syn.clear();
     flow.offers.clear();
     flow.search.reset();
+    flow.searchesAll = false;
     flow.delegatedUntil.reset();
     this->reportToDelegator(key, flow);
     logEvent(Event::PacketHolderKnown, { { "flow", toString(key) }, { "agent", toString(agent) } });
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -146,6 +146,7 @@
         TimePoint searchWindowStart;
         unsigned searchCount = 0; // searches in the current window
         std::optional<HolderSearch> search; // search in progress
+        bool searchesAll = false; // the next search asks upstreams of all services, since a narrower one failed
         std::optional<TimePoint> lastUse; // when the client sent a packet other than a SYN while the holder was unknown
         std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
         std::optional<PacketAddress> delegator; // the entry that waits for the holder
@@ -191,9 +192,12 @@
     void forward(const FlowKey&, const Flow&, Bytes);
     void startSearch(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> excluded);
     void setScope(HolderSearch&, SearchScope) const;
-    void extendSearch(const FlowKey&, Flow&);
+    bool widenScope(const FlowKey&, Flow&, SearchScope);
+    void repeatSearch(const FlowKey&, Flow&);
+    void extendToRoute(const FlowKey&, Flow&);
     std::vector<HolderCandidate> offeredUpstreams(const Flow&) const;
-    std::vector<HolderCandidate> possibleHolders(const FlowKey&, Flow&, std::optional<PacketAddress> excluded) const;
+    std::vector<HolderCandidate> possibleHolders(
+        const FlowKey&, Flow&, SearchScope, std::optional<PacketAddress> excluded) const;
     void continueSearch(const FlowKey&, Flow&);
     void searchWithPacket(const FlowKey&, Flow&);
     bool canDelegate(const Flow&) const;
@@ -245,6 +249,7 @@
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     std::set<PacketAddress> usableAgents; // agents of usable upstreams
     std::map<PacketAddress, std::optional<UpstreamFigures>> figuresByAgent; // of listed upstreams
+    std::map<PacketAddress, ServiceId> serviceByAgent; // of the same upstreams
     FlowTable<Flow> flows;
     std::deque<PendingOffer> pendingOffers; // ordered by due time
     std::multimap<TimePoint, FlowKey> searchTimers; // ordered by due time
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -47,8 +47,13 @@
         return;
     }
     const bool isOffered = !flow.offers.empty();
+    SearchScope scope = flow.searchesAll ? SearchScope::All : SearchScope::Routed;
+    if (isOffered)
+        scope = SearchScope::Offered;
+    else if (excluded)
+        scope = SearchScope::RoutedButOne;
     const std::vector<HolderCandidate> targets
-        = isOffered ? this->offeredUpstreams(flow) : this->possibleHolders(key, flow, excluded);
+        = isOffered ? this->offeredUpstreams(flow) : this->possibleHolders(key, flow, scope, excluded);
     if (targets.empty()) {
         flow.waiting.push_back(copyOf(bytes));
         if (this->canDelegate(flow))
@@ -64,10 +69,7 @@
     search.started = now;
     for (const HolderCandidate& target : targets)
         search.targets.push_back({ target.agent, target.listing, target.failureDomain });
-    if (isOffered)
-        this->setScope(search, SearchScope::Offered);
-    else
-        this->setScope(search, excluded ? SearchScope::AllButOne : SearchScope::All);
+    this->setScope(search, scope);
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
     // before that is useless.
     search.askRounds = isOffered ? this->options.maxAskRounds : 0;
@@ -84,18 +86,31 @@
     search.directoryRevision = this->directoryRevision;
 }
 
-// Another entry may have offered the flow to the upstream that holds it.
-void EntryRouter::extendSearch(const FlowKey& key, Flow& flow)
+// Returns whether the wider scope has upstreams that the search did not ask yet.
+bool EntryRouter::widenScope(const FlowKey& key, Flow& flow, SearchScope scope)
 {
     HolderSearch& search = *flow.search;
-    search.started = this->clock.now();
-    search.askRounds = 0;
-    for (const HolderCandidate& target : this->possibleHolders(key, flow, std::nullopt))
+    const size_t targetsBefore = search.targets.size();
+    for (const HolderCandidate& target : this->possibleHolders(key, flow, scope, std::nullopt))
         search.addTarget(target);
-    this->setScope(search, SearchScope::All);
+    this->setScope(search, scope);
+    return search.targets.size() > targetsBefore;
+}
+
+void EntryRouter::repeatSearch(const FlowKey& key, Flow& flow)
+{
+    flow.search->started = this->clock.now();
+    flow.search->askRounds = 0;
     this->continueSearch(key, flow);
 }
 
+// Another entry may have offered the flow to the upstream that holds it.
+void EntryRouter::extendToRoute(const FlowKey& key, Flow& flow)
+{
+    this->widenScope(key, flow, SearchScope::Routed);
+    this->repeatSearch(key, flow);
+}
+
 // The upstreams that this entry offered the flow to, with their present listing.
 std::vector<HolderCandidate> EntryRouter::offeredUpstreams(const Flow& flow) const
 {
@@ -114,9 +129,9 @@
     return targets;
 }
 
-// All upstreams of the services of the flow's route, its preferred ones first.
+// The upstreams of the services of the flow's route, or of all services, the preferred ones of the flow first.
 std::vector<HolderCandidate> EntryRouter::possibleHolders(
-    const FlowKey& key, Flow& flow, std::optional<PacketAddress> excluded) const
+    const FlowKey& key, Flow& flow, SearchScope scope, std::optional<PacketAddress> excluded) const
 {
     std::vector<HolderCandidate> targets;
     const auto add = [&](const HolderCandidate& target) {
@@ -131,9 +146,11 @@
         const bool isRouted = route
             && std::any_of(route->shares.begin(), route->shares.end(),
                 [&](const RouteShare& share) { return share.service == holderService; });
-        if (!isRouted && (route || !this->hasProvisionalRoutes))
+        const bool isAsked = isRouted || (route ? scope == SearchScope::All : this->hasProvisionalRoutes);
+        if (!isAsked)
             continue;
-        flow.service = service;
+        if (isRouted || !route)
+            flow.service = service;
         for (const HolderCandidate& target : candidates)
             add(target);
     }
@@ -166,6 +183,8 @@
     const TimePoint now = this->clock.now();
     uint64_t asked = 0;
     for (HolderSearch::Target& target : search.targets) {
+        if (target.denied)
+            continue;
         const auto unsure = this->unsureUntil.find(target.agent);
         if (unsure != this->unsureUntil.end() && now < unsure->second) {
             target.agentIsUnsure = true;
@@ -313,7 +332,7 @@
 void EntryRouter::onSearchAnswer(const FlowKey& key, Flow& flow)
 {
     if (flow.search->scope == SearchScope::Offered && flow.search->isDeniedByAll())
-        this->extendSearch(key, flow);
+        this->extendToRoute(key, flow);
     else if (flow.search->isDeniedByAll())
         this->endFailedSearch(key, flow);
     else if (flow.search->isAnsweredByAll() && !flow.search->awaitsUpstreamReply() && !flow.search->isPacketSentToAll()
@@ -336,6 +355,11 @@
         this->delegateSearch(key, flow);
         return;
     }
+    // An earlier configuration may have sent the flow to a service that its route does not name now.
+    if (flow.search->scope == SearchScope::Routed && this->widenScope(key, flow, SearchScope::All)) {
+        this->repeatSearch(key, flow);
+        return;
+    }
     if (flow.search->coversAllUpstreams && this->directoryAwaitsPeers) {
         if (!std::exchange(flow.search->isDenied, true))
             this->deniedSearches.push_back(key);
@@ -346,6 +370,7 @@
     } else {
         // The search covered only some upstreams: the next one asks all that the directory has by now.
         const std::vector<uint8_t> packet = std::move(flow.search->packet);
+        flow.searchesAll = flow.search->scope == SearchScope::All;
         flow.search.reset();
         flow.offers.clear();
         this->startSearch(key, flow, packet, std::nullopt);
@@ -448,7 +473,7 @@
         if (!flow || flow->holder || (flow->search && flow->search->isDenied))
             continue;
         if (flow->search && flow->search->scope == SearchScope::Offered) {
-            this->extendSearch(key, *flow);
+            this->extendToRoute(key, *flow);
             continue;
         }
         // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
@@ -494,6 +519,7 @@
 {
     if (flow.search && !std::exchange(flow.search->isAbandoned, true)) {
         flow.delegatedUntil.reset(); // the next search may delegate again
+        flow.searchesAll = true;
         ++this->counts.searchesWithoutResult.at(static_cast<size_t>(flow.search->scope));
         const size_t mayReturn = flow.search->countSilent(Listing::MayReturn);
         this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -15,12 +15,13 @@
 
 // Which upstreams a search asks.
 enum class SearchScope : uint8_t {
-    Offered, // those that this entry offered the flow to; extended to all unless one of them answers soon
-    AllButOne, // all that may hold the flow, except one that just returned a packet of it
-    All,
+    Offered, // those that this entry offered the flow to; extended unless one of them answers soon
+    Routed, // those of the services of the flow's route; extended to all once they have denied the flow
+    RoutedButOne, // the same, except one that just returned a packet of the flow
+    All, // also those of other services, to which an earlier configuration may have sent the flow
 };
 
-inline constexpr std::array<std::string_view, 3> searchScopeNames = { "offered", "all-but-one", "all" };
+inline constexpr std::array<std::string_view, 4> searchScopeNames = { "offered", "routed", "routed-but-one", "all" };
 
 inline std::string_view nameOf(SearchScope scope) { return searchScopeNames.at(static_cast<size_t>(scope)); }
 
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -20,7 +20,7 @@
 
 std::set<ServiceId> RoutingTable::services() const
 {
-    std::set<ServiceId> result;
+    std::set<ServiceId> result = this->listedServices;
     for (const auto& [address, route] : this->routes) {
         for (const RouteShare& share : route.shares)
             result.insert(share.service);
@@ -271,7 +271,7 @@
 Listing UpstreamDirectory::listingOf(const UpstreamRecord& record) const
 {
     const auto found = this->rows.find(record.name);
-    if (found == this->rows.end() || found->second.record.born != record.born)
+    if (found == this->rows.end() || found->second.record.born != record.born || !this->isNamed(record.service))
         return Listing::Removed;
     if (found->second.listed)
         return Listing::Listed;
@@ -385,6 +385,14 @@
     return result;
 }
 
+std::set<ServiceId> UpstreamDirectory::services() const
+{
+    std::set<ServiceId> result;
+    for (const auto& [name, row] : this->rows)
+        result.insert(row.record.service);
+    return result;
+}
+
 std::vector<UpstreamRecord> UpstreamDirectory::allListed() const
 {
     std::vector<UpstreamRecord> result;
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -36,10 +36,11 @@
 struct RoutingTable {
     uint64_t version = 0;
     std::map<PacketAddress, Route> routes;
+    std::set<ServiceId> listedServices; // those that the configuration lists, with and without routes
     std::optional<Milliseconds> idleTimeout; // a flow without packets for longer may be dropped; empty: not known
 
     const Route* find(PacketAddress) const;
-    std::set<ServiceId> services() const; // that a route names
+    std::set<ServiceId> services() const; // that the configuration names: listed ones and those of routes
 };
 
 //-----------------------------------------------------------------------------
@@ -153,6 +154,8 @@
     // were removed for good.
     std::vector<UpstreamRecord> possibleHolders(ServiceId) const;
     std::vector<UpstreamRecord> allListed() const;
+    std::set<ServiceId> services() const; // of all records, including removed ones
+    // Records of services that the configuration does not name count as removed.
     Listing listingOf(const UpstreamRecord&) const;
     // The listed upstream of a named service at an address that started last; null if none.
     const UpstreamRecord* listedAt(PacketAddress) const;
