Tell flows of the same ends apart by their sequence numbers

Clients use their ports again 40 s after a flow closed.

Cause: agents and entries identify a flow by its ends. The agent of the former upstream still knows the earlier flow and claims the later one; its upstream returns the next packet; the agent reports an open flow as lost, and the entry resets it without asking others.

Change: FlowSequences keeps the range of sequence numbers that were seen of a flow. An agent returns a packet that does not fit, before its upstream gets it, and forgets the known flow if both ends closed it. Gone states where the upstream's numbers ended; an entry resets only if that is near the client's last acknowledgement, and does not trust a holder known from packets far from the present one. New event 4222. This holds because all that an upstream sends passes its agent.

The upstreams of the model (PacketWorld.h) answered with sequence number 1 whatever they had stated in the handshake; they use their own now, as the platform's hosts do.

--- a/tests/EntryRouterFixture.h
+++ b/tests/EntryRouterFixture.h
@@ -1,15 +1,13 @@
 // An EntryRouter whose messages and resets are recorded, with one route, one client and a directory of upstreams.
 #pragma once
 
+#include "FlowSamples.h"
 #include "PacketWorld.h"
 
 #include <gtest/gtest.h>
 
 namespace wasabicroft::tests {
 
-inline constexpr PacketAddress client { 0x64400007, 40001 };
-inline constexpr PacketAddress routeAddress { 0xc6120001, 443 };
-inline constexpr FlowKey flow { client, routeAddress };
 inline constexpr ServiceId service { 1 };
 inline constexpr uint16_t agentPort = 8000;
 inline constexpr PacketAddress otherEntry { 0x0a010002, 7700 };
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -593,7 +593,8 @@
             if (host.incarnation != boot)
                 return;
             ++host.completed;
-            this->fromHost(host, makePacket(key.route, key.client, ackFlag, 1, 1, 500));
+            const HostFlow& flow = host.flows.at(key);
+            this->fromHost(host, makePacket(key.route, key.client, ackFlag, flow.sequence + 1, flow.highest, 500));
         });
     }
 
--- /dev/null
+++ b/tests/PortReuseTest.cpp
@@ -0,0 +1,235 @@
+// Clients that use a port again: entries and agents still know the earlier flow of the same ends.
+#include "AgentRouterFixture.h"
+#include "EntryRouterFixture.h"
+#include "wasabicroft/FlowSequences.h"
+
+namespace wasabicroft::tests {
+namespace {
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Sequence numbers
+    //-----------------------------------------------------------------------------
+
+    Packet packetOf(uint32_t sequence, uint32_t acknowledgement)
+    {
+        Packet packet;
+        packet.ack = true;
+        packet.sequence = sequence;
+        packet.acknowledgement = acknowledgement;
+        return packet;
+    }
+
+    TEST(FlowSequences, NothingIsOfAnotherFlowWhileNothingIsKnown)
+    {
+        EXPECT_FALSE(FlowSequences().isOfOtherFlow(packetOf(1, 2)));
+    }
+
+    // Guards against packets of a flow that are taken for another one's because they were delayed or sent again.
+    TEST(FlowSequences, AllThatAFlowHasSentIsNear)
+    {
+        constexpr uint32_t start = UINT32_MAX - 100000; // wraps around
+        constexpr uint32_t step = 1200;
+        constexpr uint32_t packets = 1000;
+        FlowSequences sequences;
+        for (uint32_t i = 0; i < packets; ++i) {
+            sequences.onClientPacket(packetOf(start + i * step, 7));
+            sequences.onUpstreamPacket(packetOf(start + i * step, start));
+        }
+        EXPECT_FALSE(sequences.isOfOtherFlow(packetOf(start, start)));
+        EXPECT_FALSE(sequences.isOfOtherFlow(packetOf(start + packets * step, start + packets * step)));
+        EXPECT_FALSE(sequences.isOfOtherFlow(packetOf(start - maxSequenceGap, start - maxSequenceGap)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(packetOf(start - maxSequenceGap - 1, start)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(packetOf(start, start - maxSequenceGap - 1)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(packetOf(start + packets * step + maxSequenceGap, start)));
+    }
+
+    // Guards against a client's reset that is kept from its upstream: it may carry any numbers.
+    TEST(FlowSequences, AResetBelongsToEveryFlow)
+    {
+        FlowSequences sequences;
+        sequences.onClientPacket(packetOf(5000000, 7000000));
+        sequences.onUpstreamPacket(packetOf(7000000, 5000000));
+        Packet reset;
+        reset.rst = true;
+        EXPECT_FALSE(sequences.isOfOtherFlow(reset));
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Agent
+    //-----------------------------------------------------------------------------
+
+    // The upstream held a flow from port 1; its sequence numbers start at 1001 at the client and at 500 at the
+    // upstream.
+    struct PortReuseAtAgent : AgentRouterFixture {
+        static constexpr uint32_t nextClientSequence = 900000000; // of another flow from the port
+        static constexpr uint32_t nextUpstreamSequence = 700000000;
+
+        void endFlow()
+        {
+            this->fromEntry(HopKind::Forward, ackFlag | finFlag, 1, 1002);
+            this->fromUpstream(ackFlag | finFlag, 1);
+        }
+
+        std::vector<uint8_t> nextFlowPacket(HopKind kind)
+        {
+            const std::vector<uint8_t> bytes = makePacket(
+                { client.address, 1 }, routeAddress, ackFlag, nextClientSequence, nextUpstreamSequence, 100);
+            HopMessage message;
+            message.kind = kind;
+            message.service = { 1 };
+            message.packet = bytes;
+            this->kinds.clear();
+            this->toUpstream.clear();
+            this->router.onHop(entry, message, platform::decodePacket(bytes).value());
+            return bytes;
+        }
+    };
+
+    // Guards against an agent that reports the flow of a port as lost although another upstream holds a later flow from
+    // it.
+    TEST_F(PortReuseAtAgent, APacketOfALaterFlowIsReturnedToItsEntry)
+    {
+        this->openFlow(1);
+        const std::vector<uint8_t> packet = this->nextFlowPacket(HopKind::Forward);
+        EXPECT_TRUE(this->toUpstream.empty());
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+        EXPECT_EQ(this->lastHop.flow, keyOf(1));
+    }
+
+    // Guards against an agent that claims the later flow, which ends the search before the holder has answered.
+    TEST_F(PortReuseAtAgent, ASearchForALaterFlowIsDenied)
+    {
+        this->openFlow(1);
+        this->nextFlowPacket(HopKind::Find);
+        EXPECT_TRUE(this->toUpstream.empty());
+        EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
+        EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { keyOf(1) });
+    }
+
+    // Guards against an agent that forgets the flow that its upstream holds because of a late packet of an earlier one.
+    TEST_F(PortReuseAtAgent, ALatePacketOfAnEarlierFlowEndsNoOpenFlow)
+    {
+        this->openFlow(1);
+        this->nextFlowPacket(HopKind::Forward);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+    }
+
+    // Guards against an agent that claims the later flow again and again.
+    TEST_F(PortReuseAtAgent, AnEndedFlowIsNotClaimedOnceAnotherUsesItsPort)
+    {
+        this->openFlow(1);
+        this->endFlow();
+        this->nextFlowPacket(HopKind::Forward);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+        this->ask({ keyOf(1) });
+        EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
+    // Guards against reporting the later flow as lost: the agent restarted, and a late packet of the earlier flow makes
+    // it known again while the packet of the later one is on its way back.
+    TEST_F(PortReuseAtAgent, AReturnedPacketOfALaterFlowIsNotReportedAsLost)
+    {
+        const std::vector<uint8_t> packet = this->nextFlowPacket(HopKind::Forward);
+        ASSERT_EQ(this->toUpstream.size(), 1U);
+        this->fromUpstream(ackFlag | finFlag, 1);
+        this->kinds.clear();
+        this->bounce(packet);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+    }
+
+    // Guards against entries that can't tell which flow of the port an agent reports as lost.
+    TEST_F(PortReuseAtAgent, AReportOfALostFlowStatesWhereItEnded)
+    {
+        this->openFlow(1);
+        this->fromUpstream(ackFlag, 1, 100);
+        this->bounce(this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100));
+        EXPECT_EQ(this->kinds.back(), HopKind::Gone);
+        EXPECT_EQ(this->lastHop.upstreamSequence, 600U);
+    }
+
+    //-----------------------------------------------------------------------------
+    // [SECTION] Entry
+    //-----------------------------------------------------------------------------
+
+    struct PortReuseAtEntry : RouterFixture {
+        // Packets of the client, which acknowledges 500,000,001, are forwarded to the agent.
+        void useHolder(PacketAddress holder)
+        {
+            this->useRoutes();
+            this->useUpstreams(2);
+            this->fromClient(ackFlag, 500000001, 100);
+            this->fromAgent(holder, HopKind::Holds);
+            this->takeHops();
+        }
+
+        void fromClientAt(uint32_t sequence)
+        {
+            const std::vector<uint8_t> bytes = makePacket(client, routeAddress, ackFlag, sequence, 500000001, 100);
+            this->router.onClientPacket(platform::decodePacket(bytes).value(), bytes);
+            this->router.flushAsks();
+        }
+    };
+
+    // Guards against the reset of an open flow because an agent lost an earlier flow of the same ends.
+    TEST_F(PortReuseAtEntry, TheLossOfAnEarlierFlowResetsNoLaterOne)
+    {
+        this->useHolder(agent(0));
+        this->fromAgent(agent(0), HopKind::Gone, 77);
+        EXPECT_TRUE(this->resets.empty());
+        this->fromClient(ackFlag, 500000001, 100);
+        ASSERT_FALSE(this->hops.empty());
+        EXPECT_NE(this->hops[0].kind, HopKind::Forward);
+    }
+
+    // Guards against the same while the holder is sought.
+    TEST_F(PortReuseAtEntry, TheLossOfAnEarlierFlowEndsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(2);
+        this->fromClient(ackFlag, 500000001, 100);
+        this->fromAgent(agent(0), HopKind::Gone, 77);
+        EXPECT_TRUE(this->resets.empty());
+        this->fromAgent(agent(1), HopKind::Holds);
+        this->fromClient(ackFlag, 500000001, 100);
+        ASSERT_FALSE(this->hops.empty());
+        EXPECT_EQ(this->hops.back().kind, HopKind::Forward);
+        EXPECT_EQ(this->hops.back().agent, agent(1));
+    }
+
+    // Guards against clients that wait for their timeout instead of a retry at once.
+    TEST_F(PortReuseAtEntry, TheLossOfTheFlowItselfResetsIt)
+    {
+        this->useHolder(agent(0));
+        this->fromAgent(agent(0), HopKind::Gone, 500000101);
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Agents of the version before state no sequence number.
+    TEST_F(PortReuseAtEntry, AReportWithoutSequenceNumberResetsTheFlow)
+    {
+        this->useHolder(agent(0));
+        this->fromAgent(agent(0), HopKind::Gone, 0);
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Guards against an entry that forwards to the holder of the earlier flow, whose machine may be gone, after another
+    // entry opened the later one elsewhere.
+    TEST_F(PortReuseAtEntry, TheHolderOfAnEarlierFlowIsNotTrusted)
+    {
+        this->useHolder(agent(0));
+        this->fromClientAt(1101);
+        ASSERT_EQ(this->takeHops().at(0).kind, HopKind::Forward);
+        this->fromClientAt(900000000);
+        ASSERT_FALSE(this->hops.empty());
+        EXPECT_NE(this->hops[0].kind, HopKind::Forward);
+        this->fromAgent(agent(1), HopKind::Holds);
+        this->fromClientAt(900000000);
+        EXPECT_EQ(this->hops.back().kind, HopKind::Forward);
+        EXPECT_EQ(this->hops.back().agent, agent(1));
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -101,6 +101,10 @@
         return;
     }
     const FlowKey key = packet.flowKeyFromClient();
+    if (const Flow* known = this->flows.find(key); known && known->sequences.isOfOtherFlow(packet)) {
+        this->denyOtherFlow(key, *known, entry, message.kind, message.packet);
+        return;
+    }
     if (this->liveness.state() == UpstreamState::Down) {
         this->denyFlow(key, entry, message.kind == HopKind::Find);
         return;
@@ -109,6 +113,8 @@
     flow.entry = entry;
     flow.lastKind = message.kind;
     flow.mayBeOpen = true;
+    flow.sequences.onClientPacket(packet);
+    flow.clientSentFin = flow.clientSentFin || packet.fin;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
     // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
@@ -217,22 +223,41 @@
 {
     const Flow* flow = this->flows.find(key);
     const bool wasOpen = flow && flow->isOpen;
+    const FlowSequences sequences = flow ? flow->sequences : FlowSequences();
     this->flows.erase(key);
     if (wasOpen)
-        this->reportGone(key, entry, HopRefusal::UpstreamDown, "upstream-down");
+        this->reportGone(key, entry, HopRefusal::UpstreamDown, "upstream-down", sequences);
     else if (isSearched)
         this->queuedDenials[entry].flows.push_back(key);
     else
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
 
-void AgentRouter::reportGone(const FlowKey& key, PacketAddress entry, HopRefusal refusal, std::string_view cause)
+// The upstream holds at most the newest flow of two ends, and all that it sends passes here: it does not hold the flow
+// of a packet that does not fit the known one.
+void AgentRouter::denyOtherFlow(const FlowKey& key, const Flow& known, PacketAddress entry, HopKind kind, Bytes packet)
+{
+    const bool isEnded = known.clientSentFin && known.upstreamSentFin;
+    logEvent(Event::PacketOfOtherFlow,
+        { { "flow", toString(key) }, { "entry", toString(entry) }, { "with", nameOf(kind) },
+            { "known-flow", isEnded ? "ended" : "open" }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
+    if (isEnded)
+        this->removeFlow(key); // so that it is not claimed again
+    if (kind == HopKind::Find)
+        this->queuedDenials[entry].flows.push_back(key);
+    else
+        this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, packet);
+}
+
+void AgentRouter::reportGone(
+    const FlowKey& key, PacketAddress entry, HopRefusal refusal, std::string_view cause, const FlowSequences& sequences)
 {
     ++this->counts.gone;
     logEvent(Event::PacketFlowGone,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "cause", cause },
             { "busy", this->runningRequests() }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    this->reply(entry, HopKind::Gone, key, refusal);
+    const uint32_t end = sequences.fromUpstream().isKnown() ? sequences.fromUpstream().end() : 0;
+    this->reply(entry, HopKind::Gone, key, refusal, {}, end);
 }
 
 void AgentRouter::onOffer(PacketAddress entry, const HopMessage& message, const Packet& packet)
@@ -274,6 +299,7 @@
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
+    flow.sequences.onClientPacket(packet);
     this->assignDeliveryNumber(flow);
     if (!flow.mayBeOpen) // an upstream may ignore the SYN of a flow that is open there
         this->liveness.onSynDelivered(message.packet);
@@ -397,6 +423,8 @@
     this->hooks.sendToClient(packet.destination, bytes);
     const FlowKey key = packet.flowKeyFromUpstream();
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.sequences.onUpstreamPacket(packet);
+    flow.upstreamSentFin = flow.upstreamSentFin || packet.fin;
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
@@ -502,14 +530,19 @@
         return;
     }
     const PacketAddress entry = flow->entry;
+    if (!packet.isSyn() && flow->sequences.isOfOtherFlow(packet)) {
+        this->denyOtherFlow(key, *flow, entry, flow->lastKind, bytes);
+        return;
+    }
     const bool wasOpen = flow->isOpen;
+    const FlowSequences sequences = flow->sequences;
     const bool isSearched = flow->lastKind == HopKind::Find; // the entry keeps the packet
     this->removeFlow(key);
     if (packet.isSyn()) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
     } else if (wasOpen) {
-        this->reportGone(key, entry, HopRefusal::None, "returned-packet");
+        this->reportGone(key, entry, HopRefusal::None, "returned-packet", sequences);
     } else if (isSearched) {
         this->queuedDenials[entry].flows.push_back(key);
     } else {
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/RejectionDetector.h"
 #include "wasabicroft/RequestQueue.h"
 #include "wasabicroft/UpstreamLiveness.h"
@@ -107,6 +108,9 @@
         bool isHeld = false; // the upstream sent any packet of the flow after it, or the client acknowledged it
         bool isAnswered = false; // the upstream answered a request
         bool clientClosed = false; // the client sent a FIN without payload
+        FlowSequences sequences;
+        bool clientSentFin = false;
+        bool upstreamSentFin = false;
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
@@ -144,7 +148,8 @@
     void updateState();
     void updateRejection();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
-    void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause);
+    void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
+    void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
     void markHeld(const FlowKey&, Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -469,7 +469,16 @@
         return;
     }
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
-    flow.lastAcknowledgement = packet.acknowledgement;
+    // The client may use its port again for a flow that opened through another entry. The holder may be right all the
+    // same: the flow may have gone on there.
+    if (flow.sequences.isOfOtherFlow(packet)) {
+        flow.sequences = FlowSequences();
+        if (flow.holder)
+            this->forgetHolder(key, flow, "other-flow");
+    }
+    flow.sequences.onClientPacket(packet);
+    if (packet.ack)
+        flow.lastAcknowledgement = packet.acknowledgement;
     if (!flow.holder) {
         if (const Offer* offer = this->acceptedOffer(flow, packet.acknowledgement))
             this->setHolder(key, flow, offer->agent);
@@ -627,8 +636,7 @@
         if (!message.packet.empty())
             this->forward(key, *flow, message.packet);
     } else {
-        logEvent(Event::PacketHolderLost, { { "flow", toString(key) }, { "agent", toString(agent) } });
-        flow->holder.reset();
+        this->forgetHolder(key, *flow, "not-held");
         // A denial without the packet is late or of an upstream that is down: the next packet of the client starts a
         // search.
         if (!message.packet.empty())
@@ -636,12 +644,28 @@
     }
 }
 
-// The upstream has lost the flow.
+void EntryRouter::forgetHolder(const FlowKey& key, Flow& flow, std::string_view cause)
+{
+    logEvent(Event::PacketHolderLost,
+        { { "flow", toString(key) }, { "agent", toString(*flow.holder) }, { "cause", cause } });
+    flow.holder.reset();
+}
+
+// The upstream has lost the flow, unless the agent means an earlier flow of the same ends.
 void EntryRouter::onGone(const FlowKey& key, PacketAddress agent, const HopMessage& message)
 {
     Flow* flow = this->flows.find(key);
-    if (flow && (!flow->holder || flow->holder == agent))
+    if (!flow || (flow->holder && flow->holder != agent))
+        return;
+    SequenceRange upstream;
+    if (message.upstreamSequence != 0)
+        upstream.add(message.upstreamSequence);
+    if (upstream.isNear(flow->lastAcknowledgement))
         this->resetLostFlow(key, *flow, nameOf(message.refusal));
+    else if (flow->holder)
+        this->forgetHolder(key, *flow, "other-flow"); // the next packet of the client starts a search
+    else
+        this->onDenied(key, *flow, agent);
 }
 
 //-----------------------------------------------------------------------------
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -12,6 +12,7 @@
 //   [SECTION] EntryRouter
 #pragma once
 
+#include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
 #include "wasabicroft/Placement.h"
@@ -151,6 +152,7 @@
         std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
         std::optional<PacketAddress> delegator; // the entry that waits for the holder
         uint32_t lastAcknowledgement = 0; // of the client's packets
+        FlowSequences sequences; // of packets that came to this entry
     };
 
     // Timeout of an offer.
@@ -189,6 +191,7 @@
     void onFlowPacket(const FlowKey&, const Packet&, Bytes);
     const Offer* acceptedOffer(const Flow&, uint32_t acknowledgement) const;
     void setHolder(const FlowKey&, Flow&, PacketAddress agent);
+    void forgetHolder(const FlowKey&, Flow&, std::string_view cause);
     void forward(const FlowKey&, const Flow&, Bytes);
     void startSearch(const FlowKey&, Flow&, Bytes, std::optional<PacketAddress> excluded);
     void setScope(HolderSearch&, SearchScope) const;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -77,6 +77,7 @@
         EventInfo { Event::PacketUpstreamRejects, Severity::Warning, "packet-upstream-rejects" },
         EventInfo { Event::PacketUpstreamAnswers, Severity::Info, "packet-upstream-answers" },
         EventInfo { Event::PacketSearchDelegated, Severity::Info, "packet-search-delegated" },
+        EventInfo { Event::PacketOfOtherFlow, Severity::Info, "packet-of-other-flow" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -81,6 +81,7 @@
     PacketUpstreamRejects = 4219,
     PacketUpstreamAnswers = 4220,
     PacketSearchDelegated = 4221,
+    PacketOfOtherFlow = 4222,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -130,7 +130,9 @@
     HopRefusal refusal = HopRefusal::None;
     ServiceId service; // service of the route; in messages of agents, service of the upstream
     FlowKey flow; // flow of a message that carries no packet
-    uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK, in Accepted and Holds
+    // Sequence number of the SYN+ACK, in Accepted and Holds; end of what the upstream sent on the flow, in Gone (0: not
+    // stated).
+    uint32_t upstreamSequence = 0;
     uint16_t runningRequests = 0; // from agents: requests at the upstream that it has not answered
     uint16_t waitingRequests = 0; // from agents: requests queued at the agent
     uint16_t slots = 0; // from agents: requests that the upstream runs at a time; 0: not known
