Place the flow of a port that is used again anew

Clients use their ports again 40 s after a flow closed.

Cause: EntryRouter::openFlow() and AgentRouter::onOffer() took every SYN of known ends for a late copy and passed it to the former upstream, before they looked at its drain. Flows from other ports avoided the upstream at the same time, so that the drain was known.

Change: a SYN with another sequence number opens another flow. Entries forget the earlier one (4223); agents decide on the new one as on any other and forget the earlier one when the SYN reaches their upstream. Such a SYN is no probe of the upstream. Where the number of the earlier SYN is not known, a SYN is a copy only if it comes shortly before what the client sent later. Late refusals of an earlier SYN are ignored.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -54,6 +54,34 @@
         EXPECT_FALSE(sequences.isOfOtherFlow(reset));
     }
 
+    Packet synOf(uint32_t sequence)
+    {
+        Packet packet;
+        packet.syn = true;
+        packet.sequence = sequence;
+        return packet;
+    }
+
+    // Guards against a copy of a SYN that is taken for another flow's, and the other way round.
+    TEST(FlowSequences, CopiesOfASynHaveOneNumber)
+    {
+        FlowSequences sequences;
+        sequences.onClientPacket(synOf(1000));
+        EXPECT_FALSE(sequences.isOfOtherFlow(synOf(1000)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(synOf(1001)));
+    }
+
+    // The same where the SYN was not seen: copies come only while the flow is young.
+    TEST(FlowSequences, AnUnknownSynIsACopyIfItComesShortlyBeforeWhatWasSeen)
+    {
+        FlowSequences sequences;
+        sequences.onClientPacket(packetOf(50, 7));
+        EXPECT_FALSE(sequences.isOfOtherFlow(synOf(49)));
+        EXPECT_FALSE(sequences.isOfOtherFlow(synOf(50 - maxSequenceGap)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(synOf(51)));
+        EXPECT_TRUE(sequences.isOfOtherFlow(synOf(50 - maxSequenceGap - 1)));
+    }
+
     //-----------------------------------------------------------------------------
     // [SECTION] Agent
     //-----------------------------------------------------------------------------
@@ -150,6 +178,55 @@
         EXPECT_EQ(this->lastHop.upstreamSequence, 600U);
     }
 
+    // Guards against new flows at an upstream that drains: its agent took the SYN for a late copy.
+    TEST_F(PortReuseAtAgent, ADrainingUpstreamGetsNoLaterFlow)
+    {
+        this->openFlow(1);
+        this->endFlow();
+        this->stated = UpstreamFigures { 6, 1, true };
+        this->toUpstream.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 1, nextClientSequence);
+        EXPECT_TRUE(this->toUpstream.empty());
+        EXPECT_EQ(this->refusals.back(), HopRefusal::UpstreamDraining);
+        this->fromEntry(HopKind::Offer, synFlag, 1); // a copy of the first one
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+    }
+
+    // The same after a restart of the agent, which knows the earlier flow from its later packets only.
+    TEST_F(PortReuseAtAgent, ADrainingUpstreamGetsNoLaterFlowThoughTheSynIsNotKnown)
+    {
+        this->stated = UpstreamFigures { 6, 1, true };
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->fromUpstream(ackFlag | finFlag, 1);
+        this->toUpstream.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 1, nextClientSequence);
+        EXPECT_TRUE(this->toUpstream.empty());
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+    }
+
+    // Guards against a refusal that the entry never hears: the returned SYN was taken for a late copy.
+    TEST_F(PortReuseAtAgent, ALaterFlowThatTheUpstreamReturnsIsRefused)
+    {
+        this->openFlow(1);
+        this->endFlow();
+        const std::vector<uint8_t> syn = this->fromEntry(HopKind::Offer, synFlag, 1, nextClientSequence);
+        this->kinds.clear();
+        this->bounce(syn);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Refused });
+    }
+
+    // Guards against an upstream that counts as down because it ignores the SYN of a port whose earlier flow its client
+    // never closed.
+    TEST_F(PortReuseAtAgent, TheSynOfALaterFlowIsNoProbe)
+    {
+        this->openFlow(1);
+        constexpr Milliseconds longerThanTheProbes { 1000 };
+        this->fromEntry(HopKind::Offer, synFlag, 1, nextClientSequence);
+        this->run(longerThanTheProbes);
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
+    }
+
     //-----------------------------------------------------------------------------
     // [SECTION] Entry
     //-----------------------------------------------------------------------------
@@ -173,6 +250,96 @@
         }
     };
 
+    struct NewFlowAtEntry : PortReuseAtEntry {
+        static constexpr uint32_t nextClientSequence = 900000000;
+
+        void synFromClient(uint32_t sequence)
+        {
+            const std::vector<uint8_t> bytes = makePacket(client, routeAddress, synFlag, sequence, 0, 0);
+            this->router.onClientPacket(platform::decodePacket(bytes).value(), bytes);
+        }
+
+        void drain(uint32_t number)
+        {
+            UpstreamRecord record = upstream(number, 6);
+            record.draining = true;
+            this->directory.update(record);
+            this->router.setUpstreams(this->directory);
+            this->takeHops();
+        }
+    };
+
+    // Guards against new flows at an upstream that drains: the entry took the SYN for a late copy.
+    TEST_F(NewFlowAtEntry, ItDoesNotGoToTheHolderOfTheEarlierFlow)
+    {
+        this->useRoutes();
+        this->useUpstreams(2);
+        this->synFromClient(1000);
+        const PacketAddress holder = this->takeHops().at(0).agent;
+        this->fromAgent(holder, HopKind::Accepted, 500000000);
+        this->fromClient(ackFlag, 500000001, 100);
+        this->drain(holder == agent(0) ? 0 : 1);
+        this->synFromClient(nextClientSequence);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Offer);
+        EXPECT_NE(this->hops[0].agent, holder);
+    }
+
+    // The same if the entry found the earlier flow by a search.
+    TEST_F(NewFlowAtEntry, ItDoesNotGoToTheHolderThatASearchFound)
+    {
+        this->useHolder(agent(0));
+        this->drain(0);
+        this->synFromClient(nextClientSequence);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Offer);
+        EXPECT_EQ(this->hops[0].agent, agent(1));
+    }
+
+    // Guards against a late copy that opens an open flow once more elsewhere.
+    TEST_F(NewFlowAtEntry, ACopyOfTheSynStillGoesToTheHolder)
+    {
+        this->useHolder(agent(0));
+        this->synFromClient(1000);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Offer);
+        EXPECT_EQ(this->hops[0].agent, agent(0));
+    }
+
+    // Guards against a client that waits in vain because the last packets of the earlier flow started a search.
+    TEST_F(NewFlowAtEntry, ASearchForTheEarlierFlowDoesNotHoldItUp)
+    {
+        this->useRoutes();
+        this->useUpstreams(2);
+        this->fromClient(ackFlag | finFlag, 500000001);
+        this->takeHops();
+        this->synFromClient(nextClientSequence);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Offer);
+    }
+
+    // Guards against offering the SYN of an earlier attempt: its answer means nothing to the client.
+    TEST_F(NewFlowAtEntry, ItsOwnSynIsOffered)
+    {
+        this->useRoutes();
+        this->useUpstreams(2);
+        this->synFromClient(1000);
+        this->takeHops();
+        this->synFromClient(nextClientSequence);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(platform::decodePacket(this->hops[0].packet).value().sequence, nextClientSequence);
+    }
+
+    // Guards against a late refusal of the earlier attempt that refuses the new one.
+    TEST_F(NewFlowAtEntry, TheRefusalOfAnEarlierSynDoesNotRefuseIt)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->synFromClient(nextClientSequence);
+        this->fromAgent(agent(0), HopKind::Refused, 0, makePacket(client, routeAddress, synFlag, 1000, 0, 0));
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against the reset of an open flow because an agent lost an earlier flow of the same ends.
     TEST_F(PortReuseAtEntry, TheLossOfAnEarlierFlowResetsNoLaterOne)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -268,7 +268,8 @@
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
     const bool isDown = this->liveness.state() == UpstreamState::Down;
     Flow* known = isDown ? nullptr : this->flows.find(key);
-    if (known && known->isHeld) { // a late copy of the SYN, which all other upstreams may refuse
+    const bool isPortReused = known && known->sequences.isOfOtherFlow(packet);
+    if (known && known->isHeld && !isPortReused) { // a late copy of the SYN, which all other upstreams may refuse
         known->entry = entry;
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, known->upstreamSequence);
         this->hooks.sendToUpstream(message.packet);
@@ -295,13 +296,16 @@
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
         return;
     }
+    if (isPortReused)
+        this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
     flow.offered = true;
     flow.sequences.onClientPacket(packet);
     this->assignDeliveryNumber(flow);
-    if (!flow.mayBeOpen) // an upstream may ignore the SYN of a flow that is open there
+    // An upstream may ignore the SYN of a flow that is open there, and of a port whose earlier flow it did not end.
+    if (!flow.mayBeOpen && !isPortReused)
         this->liveness.onSynDelivered(message.packet);
     this->hooks.sendToUpstream(message.packet);
 }
@@ -524,13 +528,13 @@
         return;
     }
     this->confirmDelivery(*flow);
-    // A late copy of the SYN: the upstream may hold the flow nevertheless.
-    if (packet.isSyn() && flow->mayBeOpen) {
+    // A late copy of the SYN, or the SYN of an earlier flow: the upstream may hold the flow nevertheless.
+    if (packet.isSyn() && (flow->mayBeOpen || flow->sequences.isOfOtherFlow(packet))) {
         ++this->counts.dropped;
         return;
     }
     const PacketAddress entry = flow->entry;
-    if (!packet.isSyn() && flow->sequences.isOfOtherFlow(packet)) {
+    if (flow->sequences.isOfOtherFlow(packet)) {
         this->denyOtherFlow(key, *flow, entry, flow->lastKind, bytes);
         return;
     }
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -225,7 +225,7 @@
     if (!isConfigured || waitsForRoute)
         this->bufferPacket(packet, bytes, received);
     else if (packet.isSyn())
-        this->openFlow(packet.flowKeyFromClient(), bytes);
+        this->openFlow(packet.flowKeyFromClient(), packet, bytes);
     else
         this->onFlowPacket(packet.flowKeyFromClient(), packet, bytes);
 }
@@ -234,14 +234,16 @@
 // New flows
 //-----------------------------------------------------------------------------
 
-void EntryRouter::openFlow(const FlowKey& key, Bytes syn)
+void EntryRouter::openFlow(const FlowKey& key, const Packet& packet, Bytes syn)
 {
     const Route* route = this->routes->find(key.route);
     if (!route) {
         this->refuseFlow(key, 0, "no-route");
         return;
     }
+    this->forgetEarlierFlow(key, packet);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.sequences.onClientPacket(packet);
     if (flow.holder) {
         // A late copy of the SYN: the holder gives the same answer again.
         this->sendPacket(*flow.holder, HopKind::Offer, key, flow.service, syn);
@@ -270,6 +272,18 @@
         this->refuseFlow(key, 0, "no-upstream");
 }
 
+// The client uses its port again: the upstream of the earlier flow may drain by now, and its offers are of another SYN.
+void EntryRouter::forgetEarlierFlow(const FlowKey& key, const Packet& syn)
+{
+    const Flow* flow = this->flows.find(key);
+    if (!flow || !flow->sequences.isOfOtherFlow(syn))
+        return;
+    logEvent(Event::PacketPortReused,
+        { { "flow", toString(key) }, { "agent", flow->holder ? toString(*flow->holder) : std::string("none") },
+            { "offers", static_cast<uint64_t>(flow->offers.size()) }, { "directory", this->directoryRevision } });
+    this->flows.erase(key);
+}
+
 ServiceId EntryRouter::chooseService(const Route& route)
 {
     uint64_t total = 0;
@@ -544,7 +558,7 @@
         break;
     case HopKind::Refused:
         if (packet)
-            this->onRefused(key, agent, message);
+            this->onRefused(key, agent, message, *packet);
         break;
     case HopKind::Holds:
         if (Flow* flow = this->flows.find(key); flow && flow->holder != agent)
@@ -604,11 +618,12 @@
     this->setHolder(key, *flow, agent);
 }
 
-void EntryRouter::onRefused(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+void EntryRouter::onRefused(const FlowKey& key, PacketAddress agent, const HopMessage& message, const Packet& syn)
 {
     ++this->counts.refusedOffers;
     Flow* flow = this->flows.find(key);
-    Offer* offer = flow && !flow->holder ? this->findOffer(*flow, agent) : nullptr;
+    const bool isOpening = flow && !flow->holder && !flow->sequences.isOfOtherFlow(syn);
+    Offer* offer = isOpening ? this->findOffer(*flow, agent) : nullptr;
     if (!offer)
         return;
     offer->state = OfferState::Refused;
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -172,7 +172,8 @@
     void releaseBuffered();
     void releaseBufferedSyns(const std::deque<BufferedPacket>&);
     void routePacket(const Packet&, Bytes, TimePoint received);
-    void openFlow(const FlowKey&, Bytes syn);
+    void openFlow(const FlowKey&, const Packet&, Bytes syn);
+    void forgetEarlierFlow(const FlowKey&, const Packet& syn);
     ServiceId chooseService(const Route&);
     bool offerToNextUpstream(const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
@@ -225,7 +226,7 @@
     void expirePendingOffers();
     void logShedSearches();
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
-    void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet& syn);
     void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onDenied(const FlowKey&, Flow&, PacketAddress agent);
     void onGone(const FlowKey&, PacketAddress agent, const HopMessage&);
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -82,6 +82,7 @@
     PacketUpstreamAnswers = 4220,
     PacketSearchDelegated = 4221,
     PacketOfOtherFlow = 4222,
+    PacketPortReused = 4223,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/FlowSequences.cpp
+++ b/wasabicroft/FlowSequences.cpp
@@ -20,10 +20,18 @@
     return sequence - (this->range->first - maxSequenceGap) <= length + 2 * maxSequenceGap;
 }
 
+bool SequenceRange::startsNear(uint32_t sequence) const
+{
+    return !this->range || this->range->first - sequence <= maxSequenceGap;
+}
+
 void FlowSequences::onClientPacket(const Packet& packet)
 {
-    if (!packet.rst) // it may carry any sequence number
-        this->client.add(packet.sequence);
+    if (packet.rst) // it may carry any sequence number
+        return;
+    this->client.add(packet.sequence);
+    if (packet.isSyn())
+        this->syn = packet.sequence;
 }
 
 void FlowSequences::onUpstreamPacket(const Packet& packet)
@@ -39,6 +47,8 @@
 {
     if (packet.rst)
         return false;
+    if (packet.isSyn())
+        return this->syn ? packet.sequence != *this->syn : !this->client.startsNear(packet.sequence);
     return !this->client.isNear(packet.sequence) || (packet.ack && !this->upstream.isNear(packet.acknowledgement));
 }
 
--- a/wasabicroft/FlowSequences.h
+++ b/wasabicroft/FlowSequences.h
@@ -16,6 +16,7 @@
     void add(uint32_t sequence);
     bool isKnown() const { return this->range.has_value(); }
     bool isNear(uint32_t sequence) const; // within maxSequenceGap of the range; true if nothing is known
+    bool startsNear(uint32_t sequence) const; // at most maxSequenceGap after this number; true if nothing is known
     uint32_t end() const { return this->range->last; } // the highest one; isKnown() only
 
 private:
@@ -33,11 +34,14 @@
     void onClientPacket(const Packet&);
     void onUpstreamPacket(const Packet&);
 
-    // Whether a packet of the client other than a SYN belongs to another flow of the same ends.
+    // Whether a packet of the client belongs to another flow of the same ends. All copies of a SYN have one sequence
+    // number. If it is not known, a SYN is a copy if it comes shortly before what the client sent later: clients repeat
+    // it only until the flow is open.
     bool isOfOtherFlow(const Packet&) const;
     const SequenceRange& fromUpstream() const { return this->upstream; }
 
 private:
+    std::optional<uint32_t> syn; // sequence number of the client's SYN
     SequenceRange client;
     SequenceRange upstream;
 };
