Let an entry that is behind use any newer list than its own

Cause: an entry that is behind lets another one find the holder of a flow, but only one that has the newest list. While that entry is gone or none has the newest list yet, the entry searches among its own upstreams, and the packets of a flow reach others and none its own.

Change: FleetView names the entry with the newest list of those it heard lately, if it is newer than the own one. The model does the same.

Presence.AnyNewerListIsUsedWhileTheNewestOneIsGone needs the new function; the one before named no entry in its case.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -422,8 +422,9 @@
         this->readStore();
     const bool isBehind = this->storeRefresh.isBehindPeers(StoreTopic::Upstreams);
     this->router.setBehindPeers(isBehind);
+    const uint64_t ownRevision = this->hasStoreState() ? this->directory.lastChange() : 0;
     const std::optional<uint32_t> delegate
-        = isBehind || !this->hasStoreState() ? this->fleet.entryWithNewestList() : std::nullopt;
+        = isBehind || !this->hasStoreState() ? this->fleet.entryWithNewerList(ownRevision) : std::nullopt;
     this->router.setDelegate(
         delegate ? std::optional(PacketAddress { *delegate, this->settings.hop.port }) : std::nullopt);
     this->sendPresence();
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -645,7 +645,7 @@
     }
 
     // Guards against searches that are handed to an entry which is behind, too, or which has ended.
-    TEST(Presence, TheEntryWithTheNewestListIsOneThatWasHeardLately)
+    TEST(Presence, TheEntryWithANewerListIsOneThatWasHeardLately)
     {
         ManualClock clock;
         FleetView fleet({}, clock);
@@ -655,18 +655,39 @@
             message.directoryRevision = revision;
             fleet.onMessage(sender, message);
         };
-        EXPECT_FALSE(fleet.entryWithNewestList());
+        EXPECT_FALSE(fleet.entryWithNewerList(0));
         clock.advance(Milliseconds(1000));
         hear(1, 0);
-        EXPECT_FALSE(fleet.entryWithNewestList()) << "it has no list from the store";
+        EXPECT_FALSE(fleet.entryWithNewerList(0)) << "it has no list from the store";
         hear(1, 20);
         hear(2, 18);
-        EXPECT_EQ(fleet.entryWithNewestList(), 1U);
+        EXPECT_EQ(fleet.entryWithNewerList(0), 1U);
         clock.advance(Milliseconds(1000));
         hear(2, 20);
-        EXPECT_EQ(fleet.entryWithNewestList(), 2U);
+        EXPECT_EQ(fleet.entryWithNewerList(0), 2U);
+        EXPECT_FALSE(fleet.entryWithNewerList(20));
         clock.advance(FleetOptions().silenceTimeout);
-        EXPECT_FALSE(fleet.entryWithNewestList());
+        EXPECT_FALSE(fleet.entryWithNewerList(0));
+    }
+
+    // Guards against an entry that is behind and searches among its own upstreams, because the entry with the newest
+    // list ended: the list of another one is newer, too, and may have the holder.
+    TEST(Presence, AnyNewerListIsUsedWhileTheNewestOneIsGone)
+    {
+        ManualClock clock;
+        FleetView fleet({}, clock);
+        const auto hear = [&](uint32_t sender, uint64_t revision) {
+            PresenceMessage message;
+            message.fromEntry = true;
+            message.directoryRevision = revision;
+            fleet.onMessage(sender, message);
+        };
+        hear(1, 20);
+        clock.advance(FleetOptions().silenceTimeout);
+        hear(2, 18);
+        hear(3, 17);
+        EXPECT_EQ(fleet.entryWithNewerList(16), 2U);
+        EXPECT_FALSE(fleet.entryWithNewerList(18));
     }
 
     TEST(Presence, AnEntryThatStartsIsToldTheStateOfTheListAtOnce)
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -424,13 +424,16 @@
         });
     }
 
-    std::optional<PacketAddress> entryWithNewestList() const
+    std::optional<PacketAddress> entryWithNewerList(uint64_t newest) const
     {
+        std::optional<PacketAddress> address;
         for (size_t i = 0; i < this->entries.size(); ++i) {
-            if (this->entries[i]->isUp && this->entries[i]->appliedRevision == this->revision)
-                return PacketAddress { entryNetwork + static_cast<uint32_t>(i), hopPort };
+            if (!this->entries[i]->isUp || this->entries[i]->appliedRevision <= newest)
+                continue;
+            newest = this->entries[i]->appliedRevision;
+            address = PacketAddress { entryNetwork + static_cast<uint32_t>(i), hopPort };
         }
-        return std::nullopt;
+        return address;
     }
 
     void applyList(Entry& entry)
@@ -445,7 +448,8 @@
 
     void tickDirectory(Entry& entry)
     {
-        entry.router->setDelegate(entry.knowsThatItIsBehind ? this->entryWithNewestList() : std::nullopt);
+        entry.router->setDelegate(
+            entry.knowsThatItIsBehind ? this->entryWithNewerList(entry.appliedRevision) : std::nullopt);
         if (entry.router->takeUnresolvedRemoval())
             entry.directory->requestCheckOfRemovals();
         bool isChanged = entry.directory->onTick();
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -379,18 +379,17 @@
     return true;
 }
 
-std::optional<uint32_t> FleetView::entryWithNewestList() const
+std::optional<uint32_t> FleetView::entryWithNewerList(uint64_t revision) const
 {
     const TimePoint oldest = this->clock.now() - this->options.silenceTimeout;
     std::optional<uint32_t> newest;
-    if (this->directoryRevision == 0)
-        return newest; // nobody has a list of the store
-    TimePoint lastReceived = oldest;
+    std::pair<uint64_t, TimePoint> best { revision, TimePoint::max() };
     for (const auto& [address, entry] : this->entries) {
-        if (entry.directoryRevision < this->directoryRevision || entry.lastReceived <= lastReceived)
+        const std::pair<uint64_t, TimePoint> candidate { entry.directoryRevision, entry.lastReceived };
+        if (entry.lastReceived <= oldest || candidate <= best)
             continue;
         newest = address;
-        lastReceived = entry.lastReceived;
+        best = candidate;
     }
     return newest;
 }
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -143,9 +143,9 @@
 
     uint64_t newestRoutesVersion() const { return this->routesVersion; } // of any entry
     uint64_t newestDirectoryRevision() const { return this->directoryRevision; }
-    // IP address of the entry that was heard last of those with the newest revision of the upstreams; empty if none was
-    // heard lately.
-    std::optional<uint32_t> entryWithNewestList() const;
+    // IP address of the entry with the newest revision of the upstreams of those that were heard lately, the one that
+    // was heard last among equals. Empty if none has a newer revision than this.
+    std::optional<uint32_t> entryWithNewerList(uint64_t revision) const;
     // When the store last confirmed the newest version or revision to another entry; empty if it did not.
     std::optional<TimePoint> confirmedAt(StoreTopic topic) const
     {
