--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -644,26 +644,28 @@
         EXPECT_EQ(decoded.value().flowKeys, message.flowKeys);
     }
 
+    void announceList(FleetView& fleet, uint32_t sender, uint64_t revision)
+    {
+        PresenceMessage message;
+        message.fromEntry = true;
+        message.directoryRevision = revision;
+        fleet.onMessage(sender, message);
+    }
+
     // Guards against searches that are handed to an entry which is behind, too, or which has ended.
     TEST(Presence, TheEntryWithANewerListIsOneThatWasHeardLately)
     {
         ManualClock clock;
         FleetView fleet({}, clock);
-        const auto hear = [&](uint32_t sender, uint64_t revision) {
-            PresenceMessage message;
-            message.fromEntry = true;
-            message.directoryRevision = revision;
-            fleet.onMessage(sender, message);
-        };
         EXPECT_FALSE(fleet.entryWithNewerList(0));
         clock.advance(Milliseconds(1000));
-        hear(1, 0);
+        announceList(fleet, 1, 0);
         EXPECT_FALSE(fleet.entryWithNewerList(0)) << "it has no list from the store";
-        hear(1, 20);
-        hear(2, 18);
+        announceList(fleet, 1, 20);
+        announceList(fleet, 2, 18);
         EXPECT_EQ(fleet.entryWithNewerList(0), 1U);
         clock.advance(Milliseconds(1000));
-        hear(2, 20);
+        announceList(fleet, 2, 20);
         EXPECT_EQ(fleet.entryWithNewerList(0), 2U);
         EXPECT_FALSE(fleet.entryWithNewerList(20));
         clock.advance(FleetOptions().silenceTimeout);
@@ -676,16 +678,10 @@
     {
         ManualClock clock;
         FleetView fleet({}, clock);
-        const auto hear = [&](uint32_t sender, uint64_t revision) {
-            PresenceMessage message;
-            message.fromEntry = true;
-            message.directoryRevision = revision;
-            fleet.onMessage(sender, message);
-        };
-        hear(1, 20);
+        announceList(fleet, 1, 20);
         clock.advance(FleetOptions().silenceTimeout);
-        hear(2, 18);
-        hear(3, 17);
+        announceList(fleet, 2, 18);
+        announceList(fleet, 3, 17);
         EXPECT_EQ(fleet.entryWithNewerList(16), 2U);
         EXPECT_FALSE(fleet.entryWithNewerList(18));
     }
--- a/tests/EntryRouterFixture.h
+++ b/tests/EntryRouterFixture.h
@@ -145,15 +145,18 @@
         this->router.flushAsks();
     }
 
-    void agentDenies(PacketAddress sender)
+    void agentAnswers(PacketAddress sender, HopKind kind)
     {
         HopMessage message;
-        message.kind = HopKind::Denied;
+        message.kind = kind;
         message.flowKeys = { flow };
         this->router.onHop(sender, message, nullptr);
         this->router.flushAsks();
     }
 
+    void agentDenies(PacketAddress sender) { this->agentAnswers(sender, HopKind::Denied); }
+    void agentKnows(PacketAddress sender) { this->agentAnswers(sender, HopKind::Known); }
+
     // Every upstream that gets the packet of the search returns it, until the flow is reset or all have.
     void returnPacketsOfSearch()
     {
--- a/tests/MovedRouteTest.cpp
+++ b/tests/MovedRouteTest.cpp
@@ -26,15 +26,6 @@
             this->router.setUpstreams(this->directory);
         }
 
-        void agentKnows(PacketAddress sender)
-        {
-            HopMessage message;
-            message.kind = HopKind::Known;
-            message.flowKeys = { flow };
-            this->router.onHop(sender, message, nullptr);
-            this->router.flushAsks();
-        }
-
         bool wasReached(uint32_t number) const
         {
             return std::any_of(this->hops.begin(), this->hops.end(), [&](const SentHop& hop) {
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -109,7 +109,7 @@
         bool isAnswered = false; // the upstream answered a request
         bool clientClosed = false; // the client sent a FIN without payload
         FlowSequences sequences;
-        bool clientSentFin = false;
+        bool clientSentFin = false; // also with payload
         bool upstreamSentFin = false;
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -83,9 +83,7 @@
     this->holders.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
-    const std::map<PacketAddress, std::optional<UpstreamFigures>> figuresBefore
-        = std::exchange(this->figuresByAgent, {});
-    this->serviceByAgent.clear();
+    const std::map<PacketAddress, ListedUpstream> listedBefore = std::exchange(this->listedByAgent, {});
     this->usableAgents.clear();
     std::map<std::string, size_t> failureDomains; // numbers by name
     const auto toCandidate = [&](const UpstreamRecord& record) {
@@ -114,27 +112,24 @@
     std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->usableAgents.contains(item.first); });
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
-        if (!current || current->name != record.name)
-            continue;
-        const PacketAddress agent = toCandidate(record).agent;
-        this->figuresByAgent[agent] = record.figures();
-        this->serviceByAgent[agent] = record.service;
+        if (current && current->name == record.name)
+            this->listedByAgent[toCandidate(record).agent] = { record.service, record.figures() };
     }
-    this->announceDrains(directory, figuresBefore);
+    this->announceDrains(directory, listedBefore);
     this->releaseBuffered();
 }
 
 // An agent keeps what its upstream publishes for entries that start while the store is away, but hears of a drain only
 // with the next packet for its upstream: it is told at once.
 void EntryRouter::announceDrains(
-    const UpstreamDirectory& directory, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before)
+    const UpstreamDirectory& directory, const std::map<PacketAddress, ListedUpstream>& before)
 {
     for (const UpstreamRecord& record : directory.allListed()) {
         const PacketAddress agent { record.address.address, this->options.agentPort };
         const auto known = before.find(agent);
-        const bool wasReady = known != before.end() && known->second && !known->second->draining;
-        const auto stated = this->figuresByAgent.find(agent);
-        const bool isStated = stated != this->figuresByAgent.end() && stated->second == record.figures();
+        const bool wasReady = known != before.end() && known->second.figures && !known->second.figures->draining;
+        const auto stated = this->listedByAgent.find(agent);
+        const bool isStated = stated != this->listedByAgent.end() && stated->second.figures == record.figures();
         if (!wasReady || !record.draining || !isStated)
             continue;
         HopMessage message;
@@ -360,12 +355,12 @@
     message.packet = bytes;
     if (const Route* route = this->routes->find(key.route))
         message.limits = route->limits;
-    if (const auto figures = this->figuresByAgent.find(agent); figures != this->figuresByAgent.end())
-        message.upstream = figures->second;
-    // A flow may be open at an upstream of a service that its route no longer names.
-    const auto listed = this->serviceByAgent.find(agent);
-    if (kind != HopKind::Offer && listed != this->serviceByAgent.end())
-        message.service = listed->second;
+    if (const auto listed = this->listedByAgent.find(agent); listed != this->listedByAgent.end()) {
+        message.upstream = listed->second.figures;
+        // A flow may be open at an upstream of a service that its route no longer names.
+        if (kind != HopKind::Offer)
+            message.service = listed->second.service;
+    }
     return message;
 }
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -155,6 +155,12 @@
         FlowSequences sequences; // of packets that came to this entry
     };
 
+    // The listed upstream beside an agent.
+    struct ListedUpstream {
+        ServiceId service;
+        std::optional<UpstreamFigures> figures; // empty: not known
+    };
+
     // Timeout of an offer.
     struct PendingOffer {
         FlowKey flow;
@@ -181,8 +187,7 @@
     void updateIsolation();
     void probeAgents();
     Milliseconds addLoadReporter(PacketAddress agent);
-    void announceDrains(
-        const UpstreamDirectory&, const std::map<PacketAddress, std::optional<UpstreamFigures>>& before);
+    void announceDrains(const UpstreamDirectory&, const std::map<PacketAddress, ListedUpstream>& before);
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
@@ -252,8 +257,7 @@
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     std::set<PacketAddress> usableAgents; // agents of usable upstreams
-    std::map<PacketAddress, std::optional<UpstreamFigures>> figuresByAgent; // of listed upstreams
-    std::map<PacketAddress, ServiceId> serviceByAgent; // of the same upstreams
+    std::map<PacketAddress, ListedUpstream> listedByAgent;
     FlowTable<Flow> flows;
     std::deque<PendingOffer> pendingOffers; // ordered by due time
     std::multimap<TimePoint, FlowKey> searchTimers; // ordered by due time
