Say in the events of a search how many agents have not answered

The metric wasabi_find_copies_beside_silent_total counts packets sent to upstreams while the agent of another possible holder had not answered.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -469,6 +469,7 @@
     metrics.setCount("wasabi_forwarded_total", "", counts.forwarded);
     metrics.setCount("wasabi_finds_total", "", counts.finds);
     metrics.setCount("wasabi_find_copies_total", "", counts.findCopies);
+    metrics.setCount("wasabi_find_copies_beside_silent_total", "", counts.findCopiesBesideSilent);
     metrics.setCount("wasabi_relayed_searches_total", "", counts.relayedSearches);
     metrics.setCount("wasabi_asks_total", "", counts.asks);
     metrics.setCount("wasabi_delegated_packets_total", "to=\"others\"", counts.delegated);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -68,6 +68,7 @@
     uint64_t forwarded = 0;
     uint64_t finds = 0; // searches for the holder of a flow
     uint64_t findCopies = 0; // Find messages sent
+    uint64_t findCopiesBesideSilent = 0; // of these, while the agent of another possible holder had not answered
     uint64_t relayedSearches = 0; // Search messages sent, each for several of these copies
     uint64_t asks = 0; // Ask messages sent
     uint64_t findsLimited = 0; // packets and searches that had to wait because of a limit
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -198,7 +198,8 @@
     this->linkBudget.onSearchMessage(asked * flowKeyBytes);
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", asked }, { "with", "question" }, { "scope", nameOf(search.scope) },
-            { "behind", this->isBehindPeers }, { "directory", this->directoryRevision } });
+            { "silent", static_cast<uint64_t>(search.countUnanswered()) }, { "behind", this->isBehindPeers },
+            { "directory", this->directoryRevision } });
 }
 
 // Sends to the preferred upstreams first, then to all others, then again to those that have not answered: denials of
@@ -222,9 +223,12 @@
         agents.push_back(target->agent);
     logEvent(Event::PacketHolderSought,
         { { "flow", toString(key) }, { "asked", static_cast<uint64_t>(receivers.size()) }, { "with", "packet" },
-            { "scope", nameOf(search.scope) }, { "behind", this->isBehindPeers }, { "agents", namesForLog(agents) },
+            { "scope", nameOf(search.scope) }, { "silent", static_cast<uint64_t>(search.countUnanswered()) },
+            { "behind", this->isBehindPeers }, { "agents", namesForLog(agents) },
             { "directory", this->directoryRevision } });
     this->counts.findCopies += receivers.size();
+    if (!search.isAnsweredByAll())
+        this->counts.findCopiesBesideSilent += receivers.size();
     std::map<size_t, std::vector<const HolderSearch::Target*>> byFailureDomain;
     for (HolderSearch::Target* target : receivers) {
         target->packetSent = true;
@@ -418,7 +422,7 @@
 {
     flow.delegatedUntil = this->clock.now() + this->options.delegationTimeout;
     logEvent(Event::PacketSearchDelegated,
-        { { "flow", toString(key) }, { "entry", toString(*this->delegate) },
+        { { "flow", toString(key) }, { "entry", toString(*this->delegate) }, { "behind", this->isBehindPeers },
             { "directory", this->directoryRevision } });
     if (flow.search)
         this->sendToDelegate(flow.search->packet);
@@ -525,7 +529,9 @@
         this->hasUnresolvedRemoval = this->hasUnresolvedRemoval || mayReturn > 0;
         logEvent(Event::PacketHolderNotFound,
             { { "flow", toString(key) }, { "silent", static_cast<uint64_t>(flow.search->countSilent(Listing::Listed)) },
-                { "silent-may-return", static_cast<uint64_t>(mayReturn) }, { "scope", nameOf(flow.search->scope) },
+                { "silent-may-return", static_cast<uint64_t>(mayReturn) },
+                { "unanswered", static_cast<uint64_t>(flow.search->countUnanswered()) },
+                { "scope", nameOf(flow.search->scope) },
                 { "behind", this->isBehindPeers }, { "agents", namesForLog(flow.search->silentAgents()) },
                 { "dropped", static_cast<uint64_t>(flow.waiting.size()) }, { "directory", this->directoryRevision } });
     }
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -26,7 +26,13 @@
 bool HolderSearch::isAnsweredByAll() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
-        [](const Target& target) { return target.agentIsUnsure || target.denied || !target.isNeeded(); });
+        [](const Target& target) { return target.isAnswered() || !target.isNeeded(); });
+}
+
+size_t HolderSearch::countUnanswered() const
+{
+    return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return !target.isAnswered() && target.isNeeded(); }));
 }
 
 bool HolderSearch::awaitsUpstreamReply() const
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -36,6 +36,7 @@
         bool denied = false; // the upstream doesn't hold the flow
 
         bool isNeeded() const { return this->listing != Listing::Removed; } // its silence is not a denial
+        bool isAnswered() const { return this->agentIsUnsure || this->denied; }
     };
 
     std::vector<uint8_t> packet;
@@ -55,6 +56,7 @@
     bool isPacketSentToAll() const; // every target got the packet or denied the flow
     // The agent of an upstream that was removed for good may be gone: its answer is not needed.
     bool isAnsweredByAll() const; // each needed target denied the flow or has an unsure agent
+    size_t countUnanswered() const; // needed targets whose agents have not answered
     bool isDeniedByAllNeeded() const;
     bool isDeniedByAll() const;
     bool awaitsUpstreamReply() const; // a needed upstream got the packet and has not denied the flow
