--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -38,6 +38,8 @@
     std::optional<double> entryLinkBytesPerSecond; // outgoing link of each entry; empty: unlimited
     LinkBudgetOptions entryLinkBudget;
     bool ownDirectories = false; // each entry has a list of its own, which may lag behind or stand still
+    bool countsStoppedAgents
+        = false; // packets that reach others count as strayed also while the holder's agent is stopped
     bool patientClients = false; // clients retransmit for 8 s, in growing intervals, and copies of SYNs may come late
     std::function<void(HopMessage&)> tamper; // modifies hop messages before they are sent; may be empty
 };
@@ -219,14 +221,16 @@
 
     void stopAgent(size_t index)
     {
-        this->endStretches(*this->upstreams.at(index));
+        if (!this->options.countsStoppedAgents)
+            this->endStretches(*this->upstreams.at(index));
         this->upstreams.at(index)->agentIsUp = false;
     }
 
     void restartAgent(size_t index)
     {
         Upstream& upstream = *this->upstreams.at(index);
-        this->endStretches(upstream);
+        if (!this->options.countsStoppedAgents)
+            this->endStretches(upstream);
         upstream.agentIsUp = true;
         this->startAgent(upstream);
     }
@@ -464,7 +468,7 @@
     {
         for (const std::unique_ptr<Upstream>& holder : this->upstreams) {
             const auto held = holder->flows.find(key);
-            if (!holder->isUp || !holder->agentIsUp || held == holder->flows.end() || !held->second.isOpen)
+            if (!this->countsAsSound(*holder) || held == holder->flows.end() || !held->second.isOpen)
                 continue;
             if (holder.get() == &host)
                 this->endStretch(*holder, key, held->second);
@@ -473,6 +477,11 @@
         }
     }
 
+    bool countsAsSound(const Upstream& holder) const
+    {
+        return holder.isUp && (holder.agentIsUp || this->options.countsStoppedAgents);
+    }
+
     void endStretches(Upstream& holder)
     {
         for (auto& [key, flow] : holder.flows)
@@ -486,7 +495,7 @@
         // Copies over a longer time are of several packets of the client: it is not idle.
         constexpr Milliseconds longestSearch { 400 };
         const std::vector<TimePoint> times = std::exchange(flow.elsewhere, {});
-        if (!flow.isOpen || !holder.isUp || !holder.agentIsUp)
+        if (!flow.isOpen || !this->countsAsSound(holder))
             return;
         for (size_t i = 0; i + maxElsewhere < times.size(); ++i) {
             const auto end = std::upper_bound(times.begin(), times.end(), times[i] + maxStretch);
--- /dev/null
+++ b/tests/RestartSeriesTest.cpp
@@ -0,0 +1,105 @@
+// Planned restarts of agents in close series beside restarts of entries. The upstreams run on and hold their flows.
+#include "PacketWorld.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+
+namespace wasabicroft::tests {
+namespace {
+
+    constexpr Milliseconds stepTime { 20 };
+
+    struct Restart {
+        Milliseconds stop { 0 };
+        Milliseconds start { 0 };
+        bool isAgent = false;
+        size_t index = 0;
+    };
+
+    // Restarts all agents in some series, a few at a time, and all entries once. The order differs from series to
+    // series.
+    void addSeries(PacketWorld& world, std::vector<Restart>& restarts, Milliseconds begin)
+    {
+        constexpr size_t seriesCount = 3;
+        constexpr size_t agentsAtOnce = 4;
+        constexpr Milliseconds seriesInterval { 1500 };
+        constexpr Milliseconds agentInterval { 400 };
+        constexpr Milliseconds agentDowntime { 700 };
+        constexpr Milliseconds entryInterval { 600 };
+        constexpr Milliseconds entryDowntime { 500 };
+        std::vector<size_t> agents(world.upstreams.size());
+        std::iota(agents.begin(), agents.end(), 0);
+        for (size_t series = 0; series < seriesCount; ++series) {
+            std::shuffle(agents.begin(), agents.end(), world.random);
+            for (size_t i = 0; i < agents.size(); ++i) {
+                const Milliseconds stop = begin + series * seriesInterval + i / agentsAtOnce * agentInterval;
+                restarts.push_back({ stop, stop + agentDowntime, true, agents[i] });
+            }
+        }
+        for (size_t i = 0; i < world.entries.size(); ++i)
+            restarts.push_back({ begin + i * entryInterval, begin + i * entryInterval + entryDowntime, false, i });
+    }
+
+    // Plays clients that keep flows open for many requests, while the restarts go on.
+    void playRestarts(PacketWorld& world)
+    {
+        constexpr size_t flows = 80;
+        constexpr size_t requestsPerStep = 2;
+        constexpr Milliseconds duration { 16000 };
+        constexpr Milliseconds clientTimeout { 8000 };
+        std::vector<Restart> restarts;
+        addSeries(world, restarts, Milliseconds(2000));
+        addSeries(world, restarts, Milliseconds(9000));
+        world.startTicks();
+        for (size_t i = 0; i < flows; ++i)
+            world.open(i % 2, i % world.entries.size());
+        for (Milliseconds time(0); time < duration; time += stepTime) {
+            for (const Restart& restart : restarts) {
+                if (restart.stop == time && restart.isAgent)
+                    world.stopAgent(restart.index);
+                else if (restart.stop == time)
+                    world.killEntry(restart.index);
+                else if (restart.start == time && restart.isAgent)
+                    world.restartAgent(restart.index);
+                else if (restart.start == time)
+                    world.startEntry(restart.index);
+            }
+            for (size_t i = 0; i < requestsPerStep; ++i) {
+                const size_t index = world.random() % flows;
+                if (world.requests[index].answered)
+                    world.sendNextRequest(index);
+            }
+            world.run(stepTime);
+        }
+        world.run(clientTimeout);
+        world.endAllStretches();
+    }
+
+    PacketWorldOptions worldOfRestarts(uint64_t seed)
+    {
+        PacketWorldOptions options;
+        options.seed = seed;
+        options.entries = 4;
+        options.patientClients = true;
+        options.countsStoppedAgents = true;
+        constexpr std::array<double, 3> losses = { 0, 0, 0.01 };
+        options.loss = losses.at(seed % losses.size());
+        return options;
+    }
+
+    // Guards against packets of an open flow that reach other upstreams for two seconds and its own never, because the
+    // agent of its own is stopped whenever one of them arrives.
+    TEST(RestartSeries, PacketsReachTheirUpstreamBetweenTheRestartsOfItsAgent)
+    {
+        constexpr uint64_t histories = 40;
+        for (uint64_t seed = 1; seed <= histories; ++seed) {
+            PacketWorld world(worldOfRestarts(seed));
+            playRestarts(world);
+            EXPECT_EQ(world.strayed.size(), 0U) << "seed " << seed << ": " << world.strayed.front();
+            EXPECT_EQ(world.violations.size(), 0U) << "seed " << seed << ": " << world.violations.front();
+        }
+    }
+
+} // namespace
+} // namespace wasabicroft::tests
