Deliver packets of open flows to upstreams whose agents restart, and to no others in vain

Causes, of one class: a search for the holder of a flow took the silence of the one agent that could deliver the packet for nothing to wait for. They share functions and are fixed together: - A packet was dropped 0.3 s after its search began, and the next copy of the client came up to 1.6 s later, when the agent could be gone again. It is kept now until the client's own next copy is due; silent agents are asked each 0.1 s, and their listing is looked up anew. - An answer "unsure" counted for 1 s for all flows, so that an agent that had stopped was taken for one that had answered. Once it has left a message unanswered, it is asked again. - Each search sent the packet to the same wrong upstreams again. An entry remembers for a flow who returned its packets, and so does the agent, for searches of other entries. Denials of upstreams that are down are told apart (field refusal of Denied) and not remembered. - With each planned stop, what the process knew was lost. A named upstream gets the packet alone for 1 s; others get it only if it returns it or its agent stays silent for longer. - A search of all services preferred upstreams of other services to those of the flow's route.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -136,6 +136,12 @@
     this->flush();
 }
 
+void PacketAgent::handOver()
+{
+    this->router.handOver();
+    this->flush();
+}
+
 OperatorStatus PacketAgent::status() const
 {
     OperatorStatus status;
--- a/backends/PacketAgent.h
+++ b/backends/PacketAgent.h
@@ -15,6 +15,7 @@
     Result<bool> start();
     void onSettings(const PacketSettings&);
     void onTick();
+    void handOver(); // Call before the process ends.
     bool isReady() const { return true; }
     OperatorStatus status() const;
     // Reads the settings again if their file changed, and returns whether it changed. May be empty.
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -152,7 +152,10 @@
     handlers.isReady = [&] { return node.isReady(); };
     handlers.exportMetrics = [&](Metrics& metrics) { node.exportMetrics(metrics); };
     handlers.onTick = [&] { node.onTick(); };
-    handlers.onStop = [&] { logEvent(program.stopping, { { "delay-ms", settings.stopDelay } }); };
+    handlers.onStop = [&] {
+        logEvent(program.stopping, { { "delay-ms", settings.stopDelay } });
+        node.handOver();
+    };
     PacketDaemon daemon(context, settings, source, packetTickInterval, handlers);
     if (configureNode)
         configureNode(node, daemon);
@@ -169,6 +172,8 @@
         { { "version", WASABICROFT_VERSION }, { "packets", toString(settings.packets) },
             { "failure-domain", settings.failureDomain } });
     daemon.run();
+    if (settings.stopDelay > Milliseconds(0)) // it has learned of more flows since
+        node.handOver();
     logEvent(program.stopped, {});
     stopLog();
     return exit_codes::success;
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -357,6 +357,10 @@
         return;
     }
     this->fleet.onMessage(source.address, message.value());
+    std::vector<PacketAddress> peers;
+    for (const uint32_t address : this->fleet.knownEntries())
+        peers.push_back({ address, this->settings.hop.port });
+    this->router.setPeers(std::move(peers));
 }
 
 std::optional<StoreVersions> PacketEntry::storeVersions() const
@@ -432,6 +436,12 @@
     this->flush();
 }
 
+void PacketEntry::handOver()
+{
+    this->router.handOver();
+    this->flush();
+}
+
 OperatorStatus PacketEntry::status() const
 {
     OperatorStatus status;
@@ -472,6 +482,7 @@
     metrics.setCount("wasabi_find_copies_beside_silent_total", "", counts.findCopiesBesideSilent);
     metrics.setCount("wasabi_relayed_searches_total", "", counts.relayedSearches);
     metrics.setCount("wasabi_asks_total", "", counts.asks);
+    metrics.setCount("wasabi_holder_hints_total", "", counts.hints);
     metrics.setCount("wasabi_delegated_packets_total", "to=\"others\"", counts.delegated);
     metrics.setCount("wasabi_delegated_packets_total", "to=\"self\"", counts.delegatedByOthers);
     metrics.setCount("wasabi_finds_limited_total", "", counts.findsLimited);
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -17,6 +17,7 @@
     Result<bool> start();
     void onSettings(const PacketSettings&);
     void onTick();
+    void handOver(); // Call before the process ends.
     bool isReady() const { return this->router.isServing(); }
     OperatorStatus status() const;
     void exportMetrics(Metrics&) const;
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -79,6 +79,28 @@
         EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { keyOf(2) });
     }
 
+    // Guards against another packet of a flow to an upstream that has returned one: a second entry may search it.
+    TEST_F(AgentRouterFixture, AReturnedFlowIsDeniedWithoutAnotherPacket)
+    {
+        this->bounce(this->fromEntry(HopKind::Find, ackFlag, 2, 1002, 100));
+        this->ask({ keyOf(2) });
+        EXPECT_EQ(this->kinds.back(), HopKind::Denied);
+        this->fromEntry(HopKind::Offer, synFlag, 2, 5000, 0);
+        this->ask({ keyOf(2) });
+        EXPECT_EQ(this->kinds.back(), HopKind::Unsure) << "the client uses its port again";
+    }
+
+    // Guards against the loss of all that an agent knows when it is stopped.
+    TEST_F(AgentRouterFixture, AnAgentThatStopsNamesItsFlows)
+    {
+        this->openFlow(1);
+        this->fromUpstream(ackFlag, 1, 100);
+        this->kinds.clear();
+        this->router.handOver();
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { keyOf(1) });
+    }
+
     // Guards against searches that continue although the upstream returned a later packet and not this one.
     TEST_F(AgentRouterFixture, AHeldFlowIsConfirmedByTheReturnOfALaterPacket)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -3,6 +3,7 @@
 #include "wasabicroft/Log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace wasabicroft {
 
@@ -19,6 +20,7 @@
     , pauseClock(pauseTimeSource)
     , trackingSince(timeSource.now())
     , flows(this->options.maxFlows)
+    , returnedFlows(this->options.maxReturnedFlows)
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
     , rejection(this->options.rejection, timeSource)
@@ -37,6 +39,7 @@
         return;
     this->options.service = service;
     this->flows.clear();
+    this->returnedFlows.clear();
     this->trackingSince = this->clock.now();
     this->figures.reset();
     this->limits.clear();
@@ -144,17 +147,12 @@
 void AgentRouter::flushDenials()
 {
     const TimePoint now = this->clock.now();
-    for (auto& [entry, queued] : this->queuedDenials) {
+    for (auto& [target, queued] : this->queuedDenials) {
+        const auto& [entry, refusal] = target;
         if (queued.flows.empty() || now - queued.lastSent < this->options.denialInterval)
             continue;
         queued.lastSent = now;
-        for (size_t first = 0; first < queued.flows.size(); first += maxFlowKeysPerMessage) {
-            HopMessage message = this->makeReply(HopKind::Denied);
-            message.flowKeys.assign(queued.flows.begin() + static_cast<std::ptrdiff_t>(first),
-                queued.flows.begin()
-                    + static_cast<std::ptrdiff_t>(std::min(queued.flows.size(), first + maxFlowKeysPerMessage)));
-            this->hooks.sendHop(entry, message);
-        }
+        this->sendKeys(entry, HopKind::Denied, refusal, queued.flows);
         queued.flows.clear();
     }
     std::erase_if(this->queuedDenials, [&](const auto& item) {
@@ -162,6 +160,41 @@
     });
 }
 
+void AgentRouter::sendKeys(PacketAddress entry, HopKind kind, HopRefusal refusal, const std::vector<FlowKey>& keys)
+{
+    for (size_t first = 0; first < keys.size(); first += maxFlowKeysPerMessage) {
+        HopMessage message = this->makeReply(kind);
+        message.refusal = refusal;
+        message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
+            keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeysPerMessage)));
+        this->hooks.sendHop(entry, message);
+    }
+}
+
+// Another agent process beside this upstream knows nothing of these flows at first.
+void AgentRouter::handOver()
+{
+    std::vector<FlowKey> held;
+    std::set<PacketAddress> entries;
+    this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
+        if (flow.isHeld)
+            held.push_back(key);
+        if (flow.entry != PacketAddress())
+            entries.insert(flow.entry);
+    });
+    for (const auto& [entry, subscriber] : this->subscribers)
+        entries.insert(entry);
+    size_t receivers = 0;
+    for (const PacketAddress entry : entries) {
+        if (receivers == this->options.maxHandOverEntries)
+            break;
+        ++receivers;
+        this->sendKeys(entry, HopKind::Known, HopRefusal::None, held);
+    }
+    logEvent(Event::PacketFlowsHandedOver,
+        { { "flows", static_cast<uint64_t>(held.size()) }, { "receivers", static_cast<uint64_t>(receivers) } });
+}
+
 void AgentRouter::startTracking() { this->trackingSince = this->clock.now(); }
 
 // An agent that has tracked flows for longer than their idle timeout, without evictions, has seen a packet of every
@@ -209,7 +242,7 @@
             flow->entry = entry;
             known.flowKeys.push_back(key);
         } else {
-            (hasSeenAll && !flow ? denied : unsure).flowKeys.push_back(key);
+            (!flow && (hasSeenAll || this->isReturnedFlow(key)) ? denied : unsure).flowKeys.push_back(key);
         }
     }
     for (const HopMessage* reply : { &known, &unsure, &denied }) {
@@ -218,6 +251,9 @@
     }
 }
 
+// A flow opens at an upstream only by a SYN, which this agent would have seen since.
+bool AgentRouter::isReturnedFlow(const FlowKey& key) { return this->returnedFlows.find(key) != nullptr; }
+
 // An upstream that is down has lost its flows.
 void AgentRouter::denyFlow(const FlowKey& key, PacketAddress entry, bool isSearched)
 {
@@ -228,7 +264,7 @@
     if (wasOpen)
         this->reportGone(key, entry, HopRefusal::UpstreamDown, "upstream-down", sequences);
     else if (isSearched)
-        this->queuedDenials[entry].flows.push_back(key);
+        this->queuedDenials[{ entry, HopRefusal::UpstreamDown }].flows.push_back(key);
     else
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
@@ -244,7 +280,7 @@
     if (isEnded)
         this->removeFlow(key); // so that it is not claimed again
     if (kind == HopKind::Find)
-        this->queuedDenials[entry].flows.push_back(key);
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
     else
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, packet);
 }
@@ -298,6 +334,7 @@
     }
     if (isPortReused)
         this->removeFlow(key);
+    this->returnedFlows.erase(key); // the client uses its port again
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
@@ -548,7 +585,8 @@
     } else if (wasOpen) {
         this->reportGone(key, entry, HopRefusal::None, "returned-packet", sequences);
     } else if (isSearched) {
-        this->queuedDenials[entry].flows.push_back(key);
+        this->returnedFlows.findOrInsert(key, this->clock.now());
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
     } else {
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::None, bytes);
     }
@@ -634,6 +672,7 @@
     this->expireRequests();
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
+    this->returnedFlows.expire(now - this->options.flowIdleTimeout);
     std::erase_if(
         this->subscribers, [&](const auto& item) { return now - item.second.lastOffer > loadSubscriptionDuration; });
     const size_t requests = this->requestQueue.runningCount() + this->requestQueue.waitingCount();
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -28,6 +28,7 @@
     ServiceId service; // service of the upstream
     PacketAddress self; // address of this agent for messages of entries; other agents use the same port
     size_t maxRoutes = 256; // whose limits are kept
+    size_t maxReturnedFlows = 8192; // flows of searches that the upstream does not hold; older ones are forgotten
     size_t maxFlows = 32768; // above the flows that an upstream may hold; the least recently used is evicted
     Milliseconds flowIdleTimeout { 60000 }; // flows without packets for longer are removed
     Milliseconds loadInterval { 100 }; // shortest time between load reports to an entry, which may request a longer one
@@ -35,6 +36,7 @@
     RequestQueueOptions requestQueue;
     LivenessOptions liveness;
     RejectionOptions rejection;
+    size_t maxHandOverEntries = 8; // that get the flows of an agent that stops; entries ask those with low addresses
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
@@ -82,6 +84,7 @@
     void onUpstreamPacket(const Packet&, Bytes); // the caller has cleared the bounced flag in the bytes
     void flushDenials(); // call after each batch of datagrams: denials of one batch share their messages
     void onTick(); // call every few milliseconds
+    void handOver(); // call before the process ends: entries learn which flows the upstream holds
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
@@ -148,6 +151,7 @@
     void updateState();
     void updateRejection();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
+    bool isReturnedFlow(const FlowKey&);
     void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
     void markHeld(const FlowKey&, Flow&);
@@ -157,6 +161,7 @@
     void confirmHeldFlows();
     void removeFlow(const FlowKey&);
     HopMessage makeReply(HopKind) const;
+    void sendKeys(PacketAddress entry, HopKind, HopRefusal, const std::vector<FlowKey>&);
     void reply(PacketAddress entry, HopKind, const FlowKey&, HopRefusal, Bytes packet = {}, uint32_t sequence = 0);
 
     AgentRouterOptions options;
@@ -173,12 +178,14 @@
     std::optional<Milliseconds>
         idleTimeout; // of flows, the longest that was stated: not every entry has the newest routes
     FlowTable<Flow> flows;
+    struct ReturnedFlow { };
+    FlowTable<ReturnedFlow> returnedFlows; // that the upstream does not hold: it returned a packet
     std::map<PacketAddress, Subscriber> subscribers;
     struct QueuedDenials {
         std::vector<FlowKey> flows;
         TimePoint lastSent;
     };
-    std::map<PacketAddress, QueuedDenials> queuedDenials; // by entry
+    std::map<std::pair<PacketAddress, HopRefusal>, QueuedDenials> queuedDenials; // by entry and cause
     std::deque<Delivery> unconfirmedDeliveries; // ordered by number
     uint64_t lastDelivery = 0; // number of the last delivery
     uint64_t confirmedDelivery = 0; // the upstream has received all deliveries up to this number
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -55,6 +55,7 @@
     , random(this->options.seed)
     , placement(placementOptions(this->options, this->random), timeSource)
     , flows(this->options.maxFlows)
+    , hints(this->options.maxFlows)
     , linkBudget(this->options.link, timeSource)
 {
 }
@@ -81,6 +82,7 @@
         services.merge(this->routes->services());
     this->hasUsableUpstream = false;
     this->holders.clear();
+    this->listingByAgent.clear();
     this->upstreamByAgent.clear();
     this->agentByUpstream.clear();
     const std::map<PacketAddress, ListedUpstream> listedBefore = std::exchange(this->listedByAgent, {});
@@ -105,11 +107,14 @@
         for (const UpstreamRecord& record : directory.possibleHolders(service)) {
             const HolderCandidate target = toCandidate(record);
             this->holders[service].push_back(target);
+            Listing& listing = this->listingByAgent.emplace(target.agent, target.listing).first->second;
+            listing = std::min(listing, target.listing);
             this->agentByUpstream[target.upstream] = target.agent;
             this->upstreamByAgent.emplace(target.agent, target.upstream);
         }
     }
-    std::erase_if(this->unansweredSince, [this](const auto& item) { return !this->usableAgents.contains(item.first); });
+    std::erase_if(
+        this->unansweredSince, [this](const auto& item) { return !this->listingByAgent.contains(item.first); });
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
         if (current && current->name == record.name)
@@ -237,6 +242,7 @@
         return;
     }
     this->forgetEarlierFlow(key, packet);
+    this->hints.erase(key); // of an earlier flow, or a copy of the SYN came late
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onClientPacket(packet);
     if (flow.holder) {
@@ -374,10 +380,9 @@
     this->sendHop(agent, message);
 }
 
-// Only usable upstreams count: those that were removed may be gone with their agents.
 void EntryRouter::expectReply(PacketAddress agent)
 {
-    if (this->usableAgents.contains(agent))
+    if (this->listingByAgent.contains(agent))
         this->unansweredSince.emplace(agent, this->clock.now());
 }
 
@@ -387,8 +392,11 @@
     const TimePoint now = this->clock.now();
     std::erase_if(
         this->lastReplies, [&](const auto& item) { return now - item.second > this->options.agentSilenceTimeout; });
-    const size_t silent = static_cast<size_t>(std::count_if(this->unansweredSince.begin(), this->unansweredSince.end(),
-        [&](const auto& item) { return now - item.second > this->options.agentSilenceTimeout; }));
+    // Only usable upstreams count: those that were removed may be gone with their agents.
+    const size_t silent = static_cast<size_t>(
+        std::count_if(this->unansweredSince.begin(), this->unansweredSince.end(), [&](const auto& item) {
+            return now - item.second > this->options.agentSilenceTimeout && this->usableAgents.contains(item.first);
+        }));
     const size_t minSilent = std::min<size_t>(2, this->usableAgents.size()); // one agent may be down
     const bool mostAreSilent = minSilent > 0 && silent >= minSilent
         && silent >= this->options.isolationSilentRatio * this->lastReplies.size();
@@ -482,6 +490,7 @@
     // same: the flow may have gone on there.
     if (flow.sequences.isOfOtherFlow(packet)) {
         flow.sequences = FlowSequences();
+        flow.returnedBy.clear();
         if (flow.holder)
             this->forgetHolder(key, flow, "other-flow");
     }
@@ -496,6 +505,8 @@
         this->forward(key, flow, bytes);
         return;
     }
+    if (!this->isInUse(flow))
+        flow.searchedSince.reset();
     flow.lastUse = this->clock.now();
     if (flow.delegatedUntil && this->clock.now() < *flow.delegatedUntil && this->canDelegate(flow))
         this->sendToDelegate(bytes);
@@ -516,9 +527,12 @@
 void EntryRouter::setHolder(const FlowKey& key, Flow& flow, PacketAddress agent)
 {
     flow.holder = agent;
+    this->hints.erase(key);
     flow.syn.clear();
     flow.offers.clear();
     flow.search.reset();
+    flow.searchedSince.reset();
+    flow.returnedBy.clear();
     flow.searchesAll = false;
     flow.delegatedUntil.reset();
     this->reportToDelegator(key, flow);
@@ -541,7 +555,11 @@
 {
     const FlowKey key = packet ? packet->flowKeyFromClient() : message.flow;
     if (message.kind == HopKind::Located) { // from an entry
-        this->onLocated(message.holder, message.flowKeys);
+        this->onLocated(agent, message.holder, message.flowKeys);
+        return;
+    }
+    if (message.kind == HopKind::Ask) { // from an entry, too
+        this->answerPeer(agent, message.flowKeys);
         return;
     }
     this->unansweredSince.erase(agent);
@@ -574,7 +592,7 @@
     case HopKind::Denied:
         for (const FlowKey& denied : message.flowKeys) {
             if (Flow* flow = this->flows.find(denied); flow && !flow->holder)
-                this->onDenied(denied, *flow, agent);
+                this->onDenied(denied, *flow, agent, message.refusal);
         }
         break;
     case HopKind::Located:
@@ -641,7 +659,7 @@
     if (!flow)
         return;
     if (!flow->holder) {
-        this->onDenied(key, *flow, agent);
+        this->onDenied(key, *flow, agent, message.refusal);
     } else if (flow->holder != agent) {
         if (!message.packet.empty())
             this->forward(key, *flow, message.packet);
@@ -675,7 +693,7 @@
     else if (flow->holder)
         this->forgetHolder(key, *flow, "other-flow"); // the next packet of the client starts a search
     else
-        this->onDenied(key, *flow, agent);
+        this->onDenied(key, *flow, agent, message.refusal);
 }
 
 //-----------------------------------------------------------------------------
@@ -697,6 +715,7 @@
         this->buffered.pop_front();
     }
     this->flows.expire(now - this->options.flowIdleTimeout);
+    this->hints.expire(now - this->options.flowIdleTimeout);
     std::erase_if(this->loadReporters, [&](const auto& item) { return now - item.second > loadSubscriptionDuration; });
     std::erase_if(this->unsureUntil, [now](const auto& item) { return item.second <= now; });
 }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -42,7 +42,13 @@
     Milliseconds searchWindow { 2000 };
     Milliseconds searchStageTimeout { 60 }; // for the answers of agents in another failure domain
     Milliseconds unlistedTimeout { 120 }; // for the answers of agents whose upstreams were removed: two stages
-    Milliseconds searchTimeout { 300 }; // packets wait this long for their holder, then are dropped: clients retransmit
+    Milliseconds searchTimeout { 300 }; // later, the next packet of the client starts another search
+    Milliseconds packetWait { 1600 }; // for a silent agent: the longest interval between a client's retransmissions
+    Milliseconds silentAgentInterval { 100 }; // between questions to silent agents while a packet waits for them
+    size_t maxAskedPeers = 16; // other entries that are asked for the holder of a flow
+    size_t maxHandOverPeers = 2; // other entries that get the flow table of one that stops; the first of those asked
+    size_t maxWaitingSearches = 4096; // searches whose packets wait for silent agents
+    Milliseconds hintPatience { 1000 }; // for the agent that another entry named: longer than it takes to restart
     Milliseconds delegationTimeout { 300 }; // for an entry that is to find a holder: as long as its search may take
     size_t maxWaitingPacketsPerFlow = 16; // one client window
     size_t maxBufferedBytes = 1024 * 1024; // of packets that wait for the first routes
@@ -70,7 +76,8 @@
     uint64_t findCopies = 0; // Find messages sent
     uint64_t findCopiesBesideSilent = 0; // of these, while the agent of another possible holder had not answered
     uint64_t relayedSearches = 0; // Search messages sent, each for several of these copies
-    uint64_t asks = 0; // Ask messages sent
+    uint64_t asks = 0; // Ask messages sent, to agents and entries
+    uint64_t hints = 0; // flows whose holder another entry named
     uint64_t findsLimited = 0; // packets and searches that had to wait because of a limit
     uint64_t searchBytes = 0; // of Find and Ask messages, with IP and UDP headers
     uint64_t searchesShed = 0; // searches that did not start because the link is busy
@@ -107,6 +114,9 @@
     // this one lacks none.
     void setDelegate(std::optional<PacketAddress> entry) { this->delegate = entry; }
 
+    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches.
+    void setPeers(std::vector<PacketAddress> entries) { this->peers = std::move(entries); }
+
     void onClientPacket(const Packet&, Bytes);
     // A packet from another entry, whose list is behind. It is told the holder.
     void onDelegatedPacket(PacketAddress entry, const Packet&, Bytes);
@@ -115,6 +125,8 @@
     void flushAsks(); // call after each batch of datagrams: searches of one batch share their messages
     void onTick(); // call every few milliseconds
 
+    void handOver(); // call before the process ends: other entries learn which agents hold the flows
+
     bool isServing() const; // has routes of the store, a usable upstream, and replies of agents
     // Whether a search ended without result because an agent is silent whose upstream may return to the list; true
     // once.
@@ -148,6 +160,8 @@
         TimePoint searchWindowStart;
         unsigned searchCount = 0; // searches in the current window
         std::optional<HolderSearch> search; // search in progress
+        std::optional<TimePoint> searchedSince; // start of the first of the searches in series
+        std::set<PacketAddress> returnedBy; // agents of upstreams that returned a packet: they don't hold the flow
         bool searchesAll = false; // the next search asks upstreams of all services, since a narrower one failed
         std::optional<TimePoint> lastUse; // when the client sent a packet other than a SYN while the holder was unknown
         std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
@@ -210,12 +224,24 @@
         const FlowKey&, Flow&, SearchScope, std::optional<PacketAddress> excluded) const;
     void continueSearch(const FlowKey&, Flow&);
     void searchWithPacket(const FlowKey&, Flow&);
+    bool isSilentFor(PacketAddress agent, Milliseconds duration) const;
+    bool keepsPacket(const Flow&) const;
+    void waitForSilentAgents(const FlowKey&, Flow&);
+    void scheduleSearch(const FlowKey&, HolderSearch&, Milliseconds delay);
+    void updateListings(HolderSearch&) const;
     bool canDelegate(const Flow&) const;
     void delegateSearch(const FlowKey&, Flow&);
     void sendToDelegate(Bytes);
-    void onLocated(PacketAddress holder, std::span<const FlowKey>);
+    void onLocated(PacketAddress entry, PacketAddress holder, std::span<const FlowKey>);
+    void onHint(const FlowKey&, Flow&, PacketAddress source, PacketAddress agent);
+    void answerPeer(PacketAddress entry, std::span<const FlowKey>);
+    void sendLocated(PacketAddress entry, const std::map<PacketAddress, std::vector<FlowKey>>& keysByHolder);
+    void rememberHint(const FlowKey&, PacketAddress agent);
     void reportToDelegator(const FlowKey&, Flow&);
     void askAgents(const FlowKey&, HolderSearch&);
+    uint64_t queueQuestions(const FlowKey&, HolderSearch&);
+    bool followsHint(const Flow&) const;
+    std::vector<HolderSearch::Target*> nextReceivers(const Flow&, HolderSearch&) const;
     void sendFinds(const FlowKey&, Flow&);
     std::optional<PacketAddress> chooseRelay(const std::vector<const HolderSearch::Target*>&) const;
     void sendSearch(PacketAddress relay, const FlowKey&, const Flow&, const std::vector<const HolderSearch::Target*>&);
@@ -227,6 +253,7 @@
     bool isConclusive(const HolderSearch&) const;
     void endDeniedSearches();
     void abandonSearch(const FlowKey&, Flow&);
+    void dropWaiting(Flow&);
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
     void expirePendingOffers();
@@ -234,7 +261,7 @@
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet& syn);
     void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
-    void onDenied(const FlowKey&, Flow&, PacketAddress agent);
+    void onDenied(const FlowKey&, Flow&, PacketAddress agent, HopRefusal);
     void onGone(const FlowKey&, PacketAddress agent, const HopMessage&);
     void resetLostFlow(const FlowKey&, const Flow&, std::string_view cause);
     void updateLoad(PacketAddress agent, const HopMessage&);
@@ -251,15 +278,19 @@
     bool directoryAwaitsPeers = false; // entries that run are about to state whether it is complete
     bool isBehindPeers = false; // a listed upstream may be missing here
     std::optional<PacketAddress> delegate; // see setDelegate()
+    std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
+    std::map<PacketAddress, Listing> listingByAgent; // of possible holders
     std::map<PacketAddress, UpstreamId> upstreamByAgent;
     std::unordered_map<UpstreamId, PacketAddress> agentByUpstream;
     std::set<PacketAddress> usableAgents; // agents of usable upstreams
     std::map<PacketAddress, ListedUpstream> listedByAgent;
     FlowTable<Flow> flows;
+    FlowTable<PacketAddress>
+        hints; // agents that hold flows which are not in the table, as they or other entries stated
     std::deque<PendingOffer> pendingOffers; // ordered by due time
     std::multimap<TimePoint, FlowKey> searchTimers; // ordered by due time
     std::vector<FlowKey> deniedSearches; // flows whose loss is certain only if entries that run confirm the list
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -21,6 +21,14 @@
         return names;
     }
 
+    void markReturned(HolderSearch& search, const std::set<PacketAddress>& returnedBy)
+    {
+        for (HolderSearch::Target& target : search.targets) {
+            target.returned = target.returned || returnedBy.contains(target.agent);
+            target.denied = target.denied || target.returned;
+        }
+    }
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -64,15 +72,20 @@
     }
     ++flow.searchCount;
     ++this->counts.finds;
+    if (!flow.searchedSince)
+        flow.searchedSince = now;
     HolderSearch& search = flow.search.emplace();
     search.packet = copyOf(bytes);
     search.started = now;
     for (const HolderCandidate& target : targets)
         search.targets.push_back({ target.agent, target.listing, target.failureDomain });
+    markReturned(search, flow.returnedBy);
     this->setScope(search, scope);
     // An upstream that accepted the SYN holds the flow only once it gets a packet of the client: asking its agent
     // before that is useless.
     search.askRounds = isOffered ? this->options.maxAskRounds : 0;
+    if (const PacketAddress* hint = this->hints.find(key))
+        this->onHint(key, flow, *hint, *hint);
     this->continueSearch(key, flow);
 }
 
@@ -93,6 +106,7 @@
     const size_t targetsBefore = search.targets.size();
     for (const HolderCandidate& target : this->possibleHolders(key, flow, scope, std::nullopt))
         search.addTarget(target);
+    markReturned(search, flow.returnedBy);
     this->setScope(search, scope);
     return search.targets.size() > targetsBefore;
 }
@@ -129,16 +143,16 @@
     return targets;
 }
 
-// The upstreams of the services of the flow's route, or of all services, the preferred ones of the flow first.
+// The upstreams of the services of the flow's route, the preferred ones of the flow first, then those of other
+// services.
 std::vector<HolderCandidate> EntryRouter::possibleHolders(
     const FlowKey& key, Flow& flow, SearchScope scope, std::optional<PacketAddress> excluded) const
 {
-    std::vector<HolderCandidate> targets;
-    const auto add = [&](const HolderCandidate& target) {
-        const bool isDuplicate = std::any_of(
+    std::vector<HolderCandidate> routed;
+    std::vector<HolderCandidate> others;
+    const auto contains = [](const std::vector<HolderCandidate>& targets, const HolderCandidate& target) {
+        return std::any_of(
             targets.begin(), targets.end(), [&](const HolderCandidate& other) { return other.agent == target.agent; });
-        if (target.agent != excluded && !isDuplicate)
-            targets.push_back(target);
     };
     const Route* route = this->routes->find(key.route);
     for (const auto& [service, candidates] : this->holders) {
@@ -151,14 +165,23 @@
             continue;
         if (isRouted || !route)
             flow.service = service;
-        for (const HolderCandidate& target : candidates)
-            add(target);
+        std::vector<HolderCandidate>& targets = isRouted ? routed : others;
+        for (const HolderCandidate& target : candidates) {
+            if (target.agent != excluded && !contains(targets, target))
+                targets.push_back(target);
+        }
     }
     const uint64_t hash = FlowKeyHash()(key);
-    std::sort(targets.begin(), targets.end(), [hash](const HolderCandidate& a, const HolderCandidate& b) {
-        return rendezvousScore(hash, a.upstream) > rendezvousScore(hash, b.upstream);
-    });
-    return targets;
+    for (std::vector<HolderCandidate>* targets : { &routed, &others }) {
+        std::sort(targets->begin(), targets->end(), [hash](const HolderCandidate& a, const HolderCandidate& b) {
+            return rendezvousScore(hash, a.upstream) > rendezvousScore(hash, b.upstream);
+        });
+    }
+    for (const HolderCandidate& target : others) {
+        if (!contains(routed, target))
+            routed.push_back(target);
+    }
+    return routed;
 }
 
 // Asks the agents first: they track most flows, and one message asks about many. Only upstreams whose agents are silent
@@ -174,10 +197,26 @@
         if (!asksAgain || flow.search->isAnsweredByAll())
             this->searchWithPacket(key, flow);
     }
-    this->searchTimers.emplace(this->clock.now() + this->options.searchStageTimeout, key);
+    this->scheduleSearch(key, *flow.search, this->options.searchStageTimeout);
+}
+
+void EntryRouter::scheduleSearch(const FlowKey& key, HolderSearch& search, Milliseconds delay)
+{
+    search.due = this->clock.now() + delay;
+    this->searchTimers.emplace(search.due, key);
 }
 
 void EntryRouter::askAgents(const FlowKey& key, HolderSearch& search)
+{
+    const uint64_t asked = this->queueQuestions(key, search);
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", asked }, { "with", "question" }, { "scope", nameOf(search.scope) },
+            { "silent", static_cast<uint64_t>(search.countUnanswered()) }, { "behind", this->isBehindPeers },
+            { "directory", this->directoryRevision } });
+}
+
+// Returns the number of agents that are asked.
+uint64_t EntryRouter::queueQuestions(const FlowKey& key, HolderSearch& search)
 {
     ++search.askRounds;
     const TimePoint now = this->clock.now();
@@ -186,36 +225,63 @@
         if (target.denied)
             continue;
         const auto unsure = this->unsureUntil.find(target.agent);
-        if (unsure != this->unsureUntil.end() && now < unsure->second) {
-            target.agentIsUnsure = true;
+        const bool isAssumed = search.askRounds == 1 && unsure != this->unsureUntil.end() && now < unsure->second
+            && !this->isSilentFor(target.agent, this->options.searchStageTimeout);
+        target.agentIsUnsure = target.agentIsUnsure || isAssumed;
+        if (target.agentIsUnsure)
             continue;
-        }
         this->queuedAsks[target.agent].push_back(key);
         ++asked;
     }
+    if (search.askRounds <= this->options.maxAskRounds) {
+        for (size_t i = 0; i < std::min(this->peers.size(), this->options.maxAskedPeers); ++i)
+            this->queuedAsks[this->peers[i]].push_back(key);
+        asked += std::min(this->peers.size(), this->options.maxAskedPeers);
+    }
     // Charged before they are sent, so that a batch of packets does not start more searches than the link can carry.
     this->counts.searchBytes += asked * flowKeyBytes;
     this->linkBudget.onSearchMessage(asked * flowKeyBytes);
-    logEvent(Event::PacketHolderSought,
-        { { "flow", toString(key) }, { "asked", asked }, { "with", "question" }, { "scope", nameOf(search.scope) },
-            { "silent", static_cast<uint64_t>(search.countUnanswered()) }, { "behind", this->isBehindPeers },
-            { "directory", this->directoryRevision } });
+    return asked;
 }
 
-// Sends to the preferred upstreams first, then to all others, then again to those that have not answered: denials of
-// only some would not show that the flow is lost.
-void EntryRouter::sendFinds(const FlowKey& key, Flow& flow)
+// Whether an agent has left a message unanswered for longer than this.
+bool EntryRouter::isSilentFor(PacketAddress agent, Milliseconds duration) const
 {
-    HolderSearch& search = *flow.search;
-    const bool isFirst = std::none_of(search.targets.begin(), search.targets.end(),
-        [](const HolderSearch::Target& target) { return target.packetSent; });
+    const auto since = this->unansweredSince.find(agent);
+    return since != this->unansweredSince.end() && this->clock.now() - since->second > duration;
+}
+
+// The upstream that another entry named, for as long as its agent may need to restart; else the preferred upstreams,
+// then all others, then again those that have not answered: denials of only some would not show that the flow is lost.
+std::vector<HolderSearch::Target*> EntryRouter::nextReceivers(const Flow& flow, HolderSearch& search) const
+{
+    const bool followsHint = this->followsHint(flow);
     const bool isRepeated = search.isPacketSentToAll();
+    const bool isFirst = !search.isPacketSentToAny();
     std::vector<HolderSearch::Target*> receivers;
     for (HolderSearch::Target& target : search.targets) {
-        if (target.packetSent == isRepeated && !target.denied
+        if (target.packetSent == isRepeated && !target.denied && (!followsHint || target.isHinted)
             && (!isFirst || receivers.size() < this->options.preferredUpstreams))
             receivers.push_back(&target);
     }
+    return receivers;
+}
+
+bool EntryRouter::followsHint(const Flow& flow) const
+{
+    return flow.search->hasHint() && this->clock.now() - *flow.searchedSince < this->options.hintPatience;
+}
+
+void EntryRouter::sendFinds(const FlowKey& key, Flow& flow)
+{
+    HolderSearch& search = *flow.search;
+    const std::vector<HolderSearch::Target*> receivers = this->nextReceivers(flow, search);
+    if (receivers.empty()) { // the agent of the upstream that another entry named is silent
+        this->queueQuestions(key, search);
+        return;
+    }
+    const bool isRepeated = search.isPacketSentToAll();
+    const bool isFirst = !search.isPacketSentToAny();
     search.packetRounds += isRepeated || isFirst ? 1 : 0;
     std::vector<PacketAddress> agents;
     agents.reserve(receivers.size());
@@ -290,6 +356,8 @@
 {
     for (const FlowKey& key : keys) {
         Flow* flow = this->flows.find(key);
+        if (!flow)
+            this->rememberHint(key, agent);
         if (!flow || flow->holder)
             continue;
         if (flow->search && flow->waiting.size() < this->options.maxWaitingPacketsPerFlow)
@@ -304,8 +372,14 @@
     for (const FlowKey& key : keys) {
         Flow* flow = this->flows.find(key);
         HolderSearch::Target* target = flow && !flow->holder && flow->search ? flow->search->find(agent) : nullptr;
-        if (target && !std::exchange(target->agentIsUnsure, true))
-            this->onSearchAnswer(key, *flow);
+        if (!target || target->denied)
+            continue;
+        if (std::exchange(target->agentIsUnsure, true))
+            continue;
+        // The agent did not answer before: it may have been stopped when the packet was sent.
+        if (target->packetSent)
+            this->sendPacket(agent, HopKind::Find, key, flow->service, flow->search->packet);
+        this->onSearchAnswer(key, *flow);
     }
 }
 
@@ -326,9 +400,13 @@
 //-----------------------------------------------------------------------------
 
 // Once every upstream that may hold the flow has denied it, no upstream holds it.
-void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent)
+void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent, HopRefusal refusal)
 {
     HolderSearch::Target* target = flow.search ? flow.search->find(agent) : nullptr;
+    if (target && target->packetSent && refusal == HopRefusal::None) {
+        target->returned = true;
+        flow.returnedBy.insert(agent);
+    }
     if (target && !std::exchange(target->denied, true))
         this->onSearchAnswer(key, flow);
 }
@@ -440,12 +518,86 @@
     this->sendHop(*this->delegate, message);
 }
 
-void EntryRouter::onLocated(PacketAddress holder, std::span<const FlowKey> keys)
+void EntryRouter::onLocated(PacketAddress entry, PacketAddress holder, std::span<const FlowKey> keys)
 {
     for (const FlowKey& key : keys) {
-        if (Flow* flow = this->flows.find(key); flow && !flow->holder && flow->delegatedUntil)
+        Flow* flow = this->flows.find(key);
+        if (!flow)
+            this->rememberHint(key, holder);
+        if (!flow || flow->holder)
+            continue;
+        if (flow->delegatedUntil)
             this->setHolder(key, *flow, holder);
+        else if (flow->search)
+            this->onHint(key, *flow, entry, holder);
+    }
+}
+
+void EntryRouter::rememberHint(const FlowKey& key, PacketAddress agent)
+{
+    this->hints.findOrInsert(key, this->clock.now()) = agent;
+}
+
+// The source, an entry or the agent itself, may mean an earlier flow of the same ends: the upstream shows whether it
+// holds this one.
+void EntryRouter::onHint(const FlowKey& key, Flow& flow, PacketAddress source, PacketAddress agent)
+{
+    HolderSearch::Target* target = flow.search->find(agent);
+    if (!target || target->denied || std::exchange(target->isHinted, true))
+        return;
+    ++this->counts.hints;
+    if (std::exchange(target->packetSent, true))
+        return;
+    ++this->counts.findCopies;
+    logEvent(Event::PacketHolderSought,
+        { { "flow", toString(key) }, { "asked", uint64_t { 1 } }, { "with", "packet" },
+            { "scope", nameOf(flow.search->scope) }, { "told-by", toString(source) }, { "agents", toString(agent) },
+            { "directory", this->directoryRevision } });
+    this->sendPacket(agent, HopKind::Find, key, flow.service, flow.search->packet);
+}
+
+// Names the holders of those flows that this entry knows.
+void EntryRouter::answerPeer(PacketAddress entry, std::span<const FlowKey> keys)
+{
+    std::map<PacketAddress, std::vector<FlowKey>> keysByHolder;
+    for (const FlowKey& key : keys) {
+        const Flow* flow = this->flows.find(key);
+        const PacketAddress* hint = this->hints.find(key);
+        if (flow && flow->holder)
+            keysByHolder[*flow->holder].push_back(key);
+        else if (hint)
+            keysByHolder[*hint].push_back(key);
     }
+    this->sendLocated(entry, keysByHolder);
+}
+
+void EntryRouter::sendLocated(PacketAddress entry, const std::map<PacketAddress, std::vector<FlowKey>>& keysByHolder)
+{
+    for (const auto& [holder, keys] : keysByHolder) {
+        for (size_t first = 0; first < keys.size(); first += maxFlowKeysPerMessage) {
+            HopMessage message;
+            message.kind = HopKind::Located;
+            message.holder = holder;
+            message.flowKeys.assign(keys.begin() + static_cast<std::ptrdiff_t>(first),
+                keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxFlowKeysPerMessage)));
+            this->sendHop(entry, message);
+        }
+    }
+}
+
+void EntryRouter::handOver()
+{
+    std::map<PacketAddress, std::vector<FlowKey>> keysByHolder;
+    this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
+        if (flow.holder)
+            keysByHolder[*flow.holder].push_back(key);
+    });
+    this->hints.forEach([&](const FlowKey& key, PacketAddress holder) { keysByHolder[holder].push_back(key); });
+    const size_t receivers = std::min(this->peers.size(), this->options.maxHandOverPeers);
+    for (size_t i = 0; i < receivers; ++i)
+        this->sendLocated(this->peers[i], keysByHolder);
+    logEvent(Event::PacketFlowsHandedOver,
+        { { "flows", static_cast<uint64_t>(this->flows.size()) }, { "receivers", static_cast<uint64_t>(receivers) } });
 }
 
 // Tells the entry that delegated the flow which agent holds it.
@@ -471,10 +623,10 @@
     if (!this->directoryAwaitsPeers)
         this->endDeniedSearches();
     while (!this->searchTimers.empty() && this->searchTimers.begin()->first <= now) {
-        const FlowKey key = this->searchTimers.begin()->second;
+        const auto [due, key] = *this->searchTimers.begin();
         this->searchTimers.erase(this->searchTimers.begin());
         Flow* flow = this->flows.find(key);
-        if (!flow || flow->holder || (flow->search && flow->search->isDenied))
+        if (!flow || flow->holder || (flow->search && (flow->search->isDenied || due < flow->search->due)))
             continue;
         if (flow->search && flow->search->scope == SearchScope::Offered) {
             this->extendToRoute(key, *flow);
@@ -489,7 +641,7 @@
                 continue;
             }
             if (flow->search->isPacketSentToAll()) {
-                this->searchTimers.emplace(end, key);
+                this->scheduleSearch(key, *flow->search, std::chrono::ceil<Milliseconds>(end - now));
                 continue;
             }
         }
@@ -518,6 +670,38 @@
             { "flows", static_cast<uint64_t>(this->flows.size()) }, { "directory", this->directoryRevision } });
 }
 
+// Whether the packet of a search without result waits for agents that are silent.
+bool EntryRouter::keepsPacket(const Flow& flow) const
+{
+    return flow.search && !flow.search->packet.empty() && flow.lastUse
+        && this->clock.now() - *flow.lastUse < this->options.packetWait
+        && this->searchTimers.size() < this->options.maxWaitingSearches
+        && flow.search->countSilent(Listing::Listed) + flow.search->countSilent(Listing::MayReturn) > 0;
+}
+
+// An agent may be back before the client sends its next copy, and gone again when that arrives.
+void EntryRouter::waitForSilentAgents(const FlowKey& key, Flow& flow)
+{
+    HolderSearch& search = *flow.search;
+    this->updateListings(search);
+    search.forgetAnswers(); // an agent may have stopped since, before it delivered the packet
+    if (this->linkBudget.canContinueSearch()) {
+        if (!search.isPacketSentToAll() && !this->followsHint(flow))
+            this->sendFinds(key, flow);
+        else
+            this->queueQuestions(key, search);
+    }
+    this->scheduleSearch(key, search, this->options.silentAgentInterval);
+}
+
+void EntryRouter::updateListings(HolderSearch& search) const
+{
+    for (HolderSearch::Target& target : search.targets) {
+        const auto listing = this->listingByAgent.find(target.agent);
+        target.listing = listing == this->listingByAgent.end() ? Listing::Removed : listing->second;
+    }
+}
+
 // Some upstream that may hold the flow did not answer: the next packet of the client may start another search.
 void EntryRouter::abandonSearch(const FlowKey& key, Flow& flow)
 {
@@ -531,10 +715,19 @@
             { { "flow", toString(key) }, { "silent", static_cast<uint64_t>(flow.search->countSilent(Listing::Listed)) },
                 { "silent-may-return", static_cast<uint64_t>(mayReturn) },
                 { "unanswered", static_cast<uint64_t>(flow.search->countUnanswered()) },
-                { "scope", nameOf(flow.search->scope) },
-                { "behind", this->isBehindPeers }, { "agents", namesForLog(flow.search->silentAgents()) },
-                { "dropped", static_cast<uint64_t>(flow.waiting.size()) }, { "directory", this->directoryRevision } });
+                { "scope", nameOf(flow.search->scope) }, { "behind", this->isBehindPeers },
+                { "agents", namesForLog(flow.search->silentAgents()) },
+                { "waiting", static_cast<uint64_t>(flow.waiting.size() + 1) },
+                { "directory", this->directoryRevision } });
     }
+    if (this->keepsPacket(flow))
+        this->waitForSilentAgents(key, flow);
+    else
+        this->dropWaiting(flow);
+}
+
+void EntryRouter::dropWaiting(Flow& flow)
+{
     this->counts.dropped += flow.waiting.size();
     flow.waiting.clear();
     flow.delegator.reset();
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -79,6 +79,7 @@
         EventInfo { Event::PacketSearchDelegated, Severity::Info, "packet-search-delegated" },
         EventInfo { Event::PacketOfOtherFlow, Severity::Info, "packet-of-other-flow" },
         EventInfo { Event::PacketPortReused, Severity::Info, "packet-port-reused" },
+        EventInfo { Event::PacketFlowsHandedOver, Severity::Info, "packet-flows-handed-over" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -83,6 +83,7 @@
     PacketSearchDelegated = 4221,
     PacketOfOtherFlow = 4222,
     PacketPortReused = 4223,
+    PacketFlowsHandedOver = 4224,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -17,6 +17,12 @@
     return found == this->targets.end() ? nullptr : &*found;
 }
 
+bool HolderSearch::isPacketSentToAny() const
+{
+    return std::any_of(
+        this->targets.begin(), this->targets.end(), [](const Target& target) { return target.packetSent; });
+}
+
 bool HolderSearch::isPacketSentToAll() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
@@ -29,6 +35,19 @@
         [](const Target& target) { return target.isAnswered() || !target.isNeeded(); });
 }
 
+bool HolderSearch::hasHint() const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.isHinted && !target.denied; });
+}
+
+void HolderSearch::forgetAnswers()
+{
+    for (Target& target : this->targets) {
+        target.agentIsUnsure = target.agentIsUnsure && !target.packetSent;
+    }
+}
+
 size_t HolderSearch::countUnanswered() const
 {
     return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(),
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -33,7 +33,9 @@
         size_t failureDomain = 0;
         bool agentIsUnsure = false; // it replied Unsure for this flow, or lately for another
         bool packetSent = false; // the upstream got the packet
+        bool isHinted = false; // another entry has forwarded packets of the flow there
         bool denied = false; // the upstream doesn't hold the flow
+        bool returned = false; // it denied the flow by returning a packet, perhaps in an earlier search
 
         bool isNeeded() const { return this->listing != Listing::Removed; } // its silence is not a denial
         bool isAnswered() const { return this->agentIsUnsure || this->denied; }
@@ -44,18 +46,22 @@
     unsigned askRounds = 0; // times that the agents were asked, without the packet
     unsigned packetRounds = 0; // times that upstreams got the packet, the preferred ones and the others as one
     TimePoint started;
+    TimePoint due; // of its timer
     SearchScope scope = SearchScope::All;
     bool coversAllUpstreams = false; // every upstream that may hold the flow was known at the start
     bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
     uint64_t directoryRevision = 0; // at the start
     bool isDenied = false; // no listed upstream holds the flow; see EntryRouter::deniedSearches
-    bool isAbandoned = false; // it took too long; late answers still count
+    bool isAbandoned = false; // it took too long; late answers still count, and its packet may wait for silent agents
 
     void addTarget(const HolderCandidate&); // unless its agent is a target
     Target* find(PacketAddress agent);
+    bool isPacketSentToAny() const;
     bool isPacketSentToAll() const; // every target got the packet or denied the flow
     // The agent of an upstream that was removed for good may be gone: its answer is not needed.
     bool isAnsweredByAll() const; // each needed target denied the flow or has an unsure agent
+    bool hasHint() const; // a target that has not denied the flow is hinted
+    void forgetAnswers(); // of targets that got the packet
     size_t countUnanswered() const; // needed targets whose agents have not answered
     bool isDeniedByAllNeeded() const;
     bool isDeniedByAll() const;
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -394,6 +394,15 @@
     return newest;
 }
 
+std::vector<uint32_t> FleetView::knownEntries() const
+{
+    std::vector<uint32_t> addresses;
+    addresses.reserve(this->entries.size());
+    for (const auto& [address, entry] : this->entries)
+        addresses.push_back(address);
+    return addresses;
+}
+
 bool FleetView::takeChange() { return std::exchange(this->changed, false); }
 
 std::shared_ptr<const RoutingTable> FleetView::provisionalRoutes() const
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -146,6 +146,7 @@
     // IP address of the entry with the newest revision of the upstreams of those that were heard lately, the one that
     // was heard last among equals. Empty if none has a newer revision than this.
     std::optional<uint32_t> entryWithNewerList(uint64_t revision) const;
+    std::vector<uint32_t> knownEntries() const; // IP addresses of other entries
     // When the store last confirmed the newest version or revision to another entry; empty if it did not.
     std::optional<TimePoint> confirmedAt(StoreTopic topic) const
     {
