Don't lose a packet with the entry that was to find its holder

Cause: an entry that has just read its first list releases the packets that waited for it before its next tick, while it still uses the delegate from the time without a list. The packet went to an entry that had ended 38 ms before; the search here had ended with that, and nothing came of it until the client's next copy. The other case, an entry that is behind and whose delegate has ended, had the same effect.

The wiring in PacketEntry has no test.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -313,10 +313,22 @@
     if (!this->hasStoreState())
         return;
     this->directory.setServices(this->routes->services());
+    this->updateDelegate(); // packets that waited for the list are searched with it
     this->router.setRoutes(this->routes);
     this->router.setUpstreams(this->directory);
 }
 
+void PacketEntry::updateDelegate()
+{
+    const bool isBehind = this->storeRefresh.isBehindPeers(StoreTopic::Upstreams);
+    this->router.setBehindPeers(isBehind);
+    const uint64_t ownRevision = this->hasStoreState() ? this->directory.lastChange() : 0;
+    const std::optional<uint32_t> delegate
+        = isBehind || !this->hasStoreState() ? this->fleet.entryWithNewerList(ownRevision) : std::nullopt;
+    this->router.setDelegate(
+        delegate ? std::optional(PacketAddress { *delegate, this->settings.hop.port }) : std::nullopt);
+}
+
 void PacketEntry::logProblems(const platform::StoreResponse& response)
 {
     for (const platform::StoreItemProblem& problem : response.problems) {
@@ -424,13 +436,7 @@
     this->storeRefresh.setSteady(StoreTopic::Upstreams, this->directory.needsSteadyAnswers());
     if (this->storeRefresh.onTick(this->storeVersions()))
         this->readStore();
-    const bool isBehind = this->storeRefresh.isBehindPeers(StoreTopic::Upstreams);
-    this->router.setBehindPeers(isBehind);
-    const uint64_t ownRevision = this->hasStoreState() ? this->directory.lastChange() : 0;
-    const std::optional<uint32_t> delegate
-        = isBehind || !this->hasStoreState() ? this->fleet.entryWithNewerList(ownRevision) : std::nullopt;
-    this->router.setDelegate(
-        delegate ? std::optional(PacketAddress { *delegate, this->settings.hop.port }) : std::nullopt);
+    this->updateDelegate();
     this->sendPresence();
     this->router.onTick();
     this->flush();
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -35,6 +35,7 @@
     void onListPage(const StoreRead&, const platform::StoreResponse&);
     void onWatchEvents(const StoreRead&, const platform::StoreResponse&);
     void applyStoreState();
+    void updateDelegate();
     void applyRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
     void logProblems(const platform::StoreResponse&);
     void updateReachability();
--- a/tests/HolderSearchTest.cpp
+++ b/tests/HolderSearchTest.cpp
@@ -185,5 +185,16 @@
         EXPECT_EQ(this->copiesTo(sent, agent(2)), 1U);
     }
 
+    // Guards against packets that are lost with the entry that was to find their holder.
+    TEST_F(HolderSearchFixture, ADelegatedPacketIsSearchedHereIfTheOtherEntryIsGone)
+    {
+        this->searchWhileBehind();
+        this->takeHops();
+        this->advance(EntryRouterOptions().delegationTimeout + Milliseconds(40));
+        const std::vector<SentHop> sent = this->takeHops();
+        EXPECT_TRUE(
+            std::any_of(sent.begin(), sent.end(), [](const SentHop& hop) { return hop.kind == HopKind::Find; }));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -503,10 +503,12 @@
         { { "flow", toString(key) }, { "entry", toString(*this->delegate) }, { "behind", this->isBehindPeers },
             { "directory", this->directoryRevision } });
     if (flow.search)
-        this->sendToDelegate(flow.search->packet);
+        flow.waiting.insert(flow.waiting.begin(), std::move(flow.search->packet));
     flow.search.reset();
-    for (const std::vector<uint8_t>& bytes : std::exchange(flow.waiting, {}))
+    for (const std::vector<uint8_t>& bytes : flow.waiting)
         this->sendToDelegate(bytes);
+    flow.waiting.resize(std::min<size_t>(flow.waiting.size(), 1)); // for a search here
+    this->searchTimers.emplace(*flow.delegatedUntil, key);
 }
 
 void EntryRouter::sendToDelegate(Bytes bytes)
@@ -526,9 +528,10 @@
             this->rememberHint(key, holder);
         if (!flow || flow->holder)
             continue;
-        if (flow->delegatedUntil)
+        if (flow->delegatedUntil && !flow->search) {
+            flow->waiting.clear(); // the other entry has forwarded it
             this->setHolder(key, *flow, holder);
-        else if (flow->search)
+        } else if (flow->search)
             this->onHint(key, *flow, entry, holder);
     }
 }
@@ -628,6 +631,11 @@
         Flow* flow = this->flows.find(key);
         if (!flow || flow->holder || (flow->search && (flow->search->isDenied || due < flow->search->due)))
             continue;
+        if (!flow->search && flow->delegatedUntil) {
+            if (now >= *flow->delegatedUntil && !flow->waiting.empty())
+                this->startSearch(key, *flow, std::exchange(flow->waiting, {}).front(), std::nullopt);
+            continue;
+        }
         if (flow->search && flow->search->scope == SearchScope::Offered) {
             this->extendToRoute(key, *flow);
             continue;
