Review: a waiting search concludes from the present list; remembered denials and repeated copies are bounded

It takes the present list at each step, and an entry that is behind concludes nothing. (new tests AWaitingSearch*) - An entry that knows no upstream delegated one packet again and again: 33 times in 10 s. (ADelegatedPacketIsNotDelegatedForEver) - A late denial of the earlier flow of a port was remembered for the present one.

The model counts strayed packets by either condition, time or activity of the client, so that nothing that it counted before is left out.

--- a/tests/HolderSearchTest.cpp
+++ b/tests/HolderSearchTest.cpp
@@ -196,5 +196,109 @@
             std::any_of(sent.begin(), sent.end(), [](const SentHop& hop) { return hop.kind == HopKind::Find; }));
     }
 
+    // Guards against the reset of a held flow by a search whose packet waits while the list gains the holder.
+    TEST_F(HolderSearchFixture, AWaitingSearchAsksUpstreamsThatWereListedSince)
+    {
+        this->startSearch();
+        this->returnPacketExceptAt(agent(2));
+        this->fromClient(ackFlag, 7, 100);
+        this->advance(Milliseconds(400));
+        this->takeHops();
+        this->useUpstreams(upstreams + 1);
+        this->advance(Milliseconds(400));
+        const std::vector<SentHop> sent = this->takeHops();
+        EXPECT_TRUE(std::any_of(sent.begin(), sent.end(), [](const SentHop& hop) { return hop.agent == agent(4); }));
+        this->agentDenies(agent(2));
+        this->advance(Milliseconds(200));
+        EXPECT_TRUE(this->resets.empty());
+    }
+
+    // Guards against the same by an entry that learns meanwhile that its list is behind.
+    TEST_F(HolderSearchFixture, AWaitingSearchOfAnEntryThatFallsBehindEndsNoFlow)
+    {
+        this->startSearch();
+        this->returnPacketExceptAt(agent(2));
+        this->fromClient(ackFlag, 7, 100);
+        this->advance(Milliseconds(400));
+        this->router.setBehindPeers(true);
+        this->advance(Milliseconds(400));
+        this->agentDenies(agent(2));
+        this->advance(Milliseconds(200));
+        EXPECT_TRUE(this->resets.empty());
+    }
+
+    // Guards against packets that are delegated again and again by an entry that knows no upstream.
+    TEST_F(HolderSearchFixture, ADelegatedPacketIsNotDelegatedForEver)
+    {
+        this->useRoutes();
+        this->useUpstreams(0);
+        this->router.setBehindPeers(true);
+        this->router.setDelegate(otherEntry);
+        this->fromClient(ackFlag, 7, 100);
+        this->advance(EntryRouterOptions().packetWait + EntryRouterOptions().delegationTimeout);
+        this->takeHops();
+        this->advance(Milliseconds(2000));
+        EXPECT_TRUE(this->takeHops().empty());
+    }
+
+    // Guards against the loss of a delegated packet whose holder an entry names that did not get it.
+    TEST_F(HolderSearchFixture, ADelegatedPacketIsForwardedToAHolderThatAnotherEntryNames)
+    {
+        this->searchWhileBehind();
+        this->takeHops();
+        HopMessage located;
+        located.kind = HopKind::Located;
+        located.holder = agent(2);
+        located.flowKeys = { flow };
+        this->router.onHop({ otherEntry.address + 1, otherEntry.port }, located, nullptr);
+        const std::vector<SentHop> sent = this->takeHops();
+        ASSERT_EQ(sent.size(), 1U);
+        EXPECT_EQ(sent[0].kind, HopKind::Forward);
+        EXPECT_EQ(sent[0].agent, agent(2));
+    }
+
+    // Guards against the reset of a flow whose port was used before: a denial of the earlier flow came late.
+    TEST_F(HolderSearchFixture, ALateDenialOfAnEarlierFlowIsNotRemembered)
+    {
+        constexpr uint32_t sequence = 900000000;
+        this->startSearch();
+        this->returnPacketExceptAt(agent(2));
+        this->agentAnswers(agent(2), HopKind::Unsure);
+        const std::vector<uint8_t> other = makePacket(client, routeAddress, ackFlag, sequence, sequence + 1000000, 100);
+        this->router.onClientPacket(platform::decodePacket(other).value(), other);
+        this->router.flushAsks();
+        for (uint32_t number = 0; number < upstreams; ++number)
+            this->agentAnswers(agent(number), HopKind::Unsure);
+        this->advance(Milliseconds(20));
+        this->agentDenies(agent(2)); // of the earlier flow
+        this->advance(EntryRouterOptions().searchWindow + Milliseconds(500));
+        this->takeHops();
+        this->router.onClientPacket(platform::decodePacket(other).value(), other);
+        this->router.flushAsks();
+        this->agentAnswers(agent(2), HopKind::Unsure);
+        this->advance(Milliseconds(280));
+        EXPECT_GT(this->copiesTo(this->takeHops(), agent(2)), 0U);
+        EXPECT_TRUE(this->resets.empty());
+    }
+
+    // Guards against copies without end to an upstream that neither holds the flow nor returns them.
+    TEST_F(HolderSearchFixture, AnUpstreamThatDoesNotReactGetsFewCopies)
+    {
+        this->startSearch();
+        size_t copies = 0;
+        for (int step = 0; step < 150; ++step) {
+            const std::vector<SentHop> sent = this->takeHops();
+            copies += this->copiesTo(sent, agent(2));
+            for (const SentHop& hop : sent) {
+                if (hop.kind == HopKind::Find && (hop.agent == agent(1) || hop.agent == agent(3)))
+                    this->agentDenies(hop.agent);
+                if (hop.kind == HopKind::Ask && hop.agent != agent(0))
+                    this->agentAnswers(hop.agent, HopKind::Unsure);
+            }
+            this->advance(Milliseconds(20));
+        }
+        EXPECT_LE(copies, 2 * EntryRouterOptions().maxPacketRounds);
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -515,7 +515,7 @@
             this->endStretch(holder, key, flow);
     }
 
-    // Copies of a single packet say nothing while its client is idle: its upstream may have got others before.
+    // Copies of a single search say nothing while the client is idle: its upstream may have got others before.
     bool isClientActive(const FlowKey& key, TimePoint begin, TimePoint end) const
     {
         const auto found = this->sentByClient.find(key);
@@ -529,6 +529,7 @@
     {
         constexpr Milliseconds maxStretch { 2000 };
         constexpr size_t maxElsewhere = 2; // packets
+        constexpr Milliseconds longestSearch { 400 };
         const std::vector<TimePoint> times = std::exchange(flow.elsewhere, {});
         if (!flow.isOpen || !this->countsAsSound(holder))
             return;
@@ -536,7 +537,8 @@
             const auto end = std::upper_bound(times.begin(), times.end(), times[i] + maxStretch);
             if (this->clock.now() - times[i] < maxStretch
                 || end - times.begin() <= static_cast<std::ptrdiff_t>(i + maxElsewhere)
-                || !this->isClientActive(key, times[i], times[i] + maxStretch))
+                || (*std::prev(end) - times[i] < longestSearch
+                    && !this->isClientActive(key, times[i], times[i] + maxStretch)))
                 continue;
             this->strayed.push_back("packets of " + toString(key) + " reached " + std::to_string(times.size())
                 + " times others and not " + holder.record.name);
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -299,6 +299,7 @@
 void AgentRouter::onOffer(PacketAddress entry, const HopMessage& message, const Packet& packet)
 {
     const FlowKey key = packet.flowKeyFromClient();
+    this->returnedFlows.erase(key); // the client uses its port again
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
@@ -334,7 +335,6 @@
     }
     if (isPortReused)
         this->removeFlow(key);
-    this->returnedFlows.erase(key); // the client uses its port again
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.entry = entry;
     flow.lastKind = HopKind::Offer;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -491,6 +491,9 @@
     if (flow.sequences.isOfOtherFlow(packet)) {
         flow.sequences = FlowSequences();
         flow.returnedBy.clear();
+        flow.deniableSince = this->clock.now() + this->options.lateDenialTime;
+        flow.search.reset();
+        this->dropWaiting(flow);
         if (flow.holder)
             this->forgetHolder(key, flow, "other-flow");
     }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -43,9 +43,11 @@
     Milliseconds searchStageTimeout { 60 }; // for the answers of agents in another failure domain
     Milliseconds unlistedTimeout { 120 }; // for the answers of agents whose upstreams were removed: two stages
     Milliseconds searchTimeout { 300 }; // later, the next packet of the client starts another search
+    Milliseconds lateDenialTime { 100 }; // denials of the packets of an earlier flow have arrived after this time
     Milliseconds packetWait { 1600 }; // for a silent agent: the longest interval between a client's retransmissions
     Milliseconds silentAgentInterval { 100 }; // between questions to silent agents while a packet waits for them
     size_t maxAskedPeers = 16; // other entries that are asked for the holder of a flow
+    size_t maxHandOverFlows = 16384; // the latest ones: 200 KB to each receiver
     size_t maxHandOverPeers = 2; // other entries that get the flow table of one that stops; the first of those asked
     size_t maxWaitingSearches = 4096; // searches whose packets wait for silent agents
     Milliseconds hintPatience { 1000 }; // for the agent that another entry named: longer than it takes to restart
@@ -162,6 +164,7 @@
         std::optional<HolderSearch> search; // search in progress
         std::optional<TimePoint> searchedSince; // start of the first of the searches in series
         std::set<PacketAddress> returnedBy; // agents of upstreams that returned a packet: they don't hold the flow
+        TimePoint deniableSince = TimePoint::min(); // earlier denials may be of the client's former flow
         bool searchesAll = false; // the next search asks upstreams of all services, since a narrower one failed
         std::optional<TimePoint> lastUse; // when the client sent a packet other than a SYN while the holder was unknown
         std::optional<TimePoint> delegatedUntil; // another entry is to find the holder by then
@@ -231,6 +234,7 @@
     void updateListings(HolderSearch&) const;
     bool canDelegate(const Flow&) const;
     void delegateSearch(const FlowKey&, Flow&);
+    void endDelegation(const FlowKey&, Flow&);
     void sendToDelegate(Bytes);
     void onLocated(PacketAddress entry, PacketAddress holder, std::span<const FlowKey>);
     void onHint(const FlowKey&, Flow&, PacketAddress source, PacketAddress agent);
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -25,7 +25,6 @@
     {
         for (HolderSearch::Target& target : search.targets) {
             target.returned = target.returned || returnedBy.contains(target.agent);
-            target.denied = target.denied || target.returned;
         }
     }
 
@@ -260,7 +259,7 @@
     const bool isFirst = !search.isPacketSentToAny();
     std::vector<HolderSearch::Target*> receivers;
     for (HolderSearch::Target& target : search.targets) {
-        if (target.packetSent == isRepeated && !target.denied && (!followsHint || target.isHinted)
+        if (target.packetSent == isRepeated && !target.denied && !target.returned && (!followsHint || target.isHinted)
             && (!isFirst || receivers.size() < this->options.preferredUpstreams))
             receivers.push_back(&target);
     }
@@ -374,10 +373,14 @@
         HolderSearch::Target* target = flow && !flow->holder && flow->search ? flow->search->find(agent) : nullptr;
         if (!target || target->denied)
             continue;
+        if (target->returned) { // it does not know that its upstream returned a packet before it started
+            this->onDenied(key, *flow, agent, HopRefusal::UpstreamDown);
+            continue;
+        }
         if (std::exchange(target->agentIsUnsure, true))
             continue;
         // The agent did not answer before: it may have been stopped when the packet was sent.
-        if (target->packetSent)
+        if (target->packetSent && target->resends++ < this->options.maxPacketRounds)
             this->sendPacket(agent, HopKind::Find, key, flow->service, flow->search->packet);
         this->onSearchAnswer(key, *flow);
     }
@@ -403,7 +406,8 @@
 void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent, HopRefusal refusal)
 {
     HolderSearch::Target* target = flow.search ? flow.search->find(agent) : nullptr;
-    if (target && target->packetSent && refusal == HopRefusal::None) {
+    const bool isOfThisFlow = this->clock.now() >= flow.deniableSince;
+    if (target && target->packetSent && refusal == HopRefusal::None && isOfThisFlow) {
         target->returned = true;
         flow.returnedBy.insert(agent);
     }
@@ -463,7 +467,9 @@
 bool EntryRouter::isConclusive(const HolderSearch& search) const
 {
     const bool usedConfirmedList = !search.beganBeforeListCheck || search.directoryRevision == this->directoryRevision;
-    return search.coversAllUpstreams && this->directoryIsComplete && usedConfirmedList;
+    const bool usedPresentList = !search.isAbandoned || search.directoryRevision == this->directoryRevision;
+    return search.coversAllUpstreams && this->directoryIsComplete && usedConfirmedList && usedPresentList
+        && !this->isBehindPeers;
 }
 
 void EntryRouter::endDeniedSearches()
@@ -511,6 +517,16 @@
     this->searchTimers.emplace(*flow.delegatedUntil, key);
 }
 
+// The other entry did not answer in time.
+void EntryRouter::endDelegation(const FlowKey& key, Flow& flow)
+{
+    const bool isFresh = flow.lastUse && this->clock.now() - *flow.lastUse < this->options.packetWait;
+    if (!flow.waiting.empty() && isFresh)
+        this->startSearch(key, flow, std::exchange(flow.waiting, {}).front(), std::nullopt);
+    else
+        this->dropWaiting(flow);
+}
+
 void EntryRouter::sendToDelegate(Bytes bytes)
 {
     ++this->counts.delegated;
@@ -529,7 +545,8 @@
         if (!flow || flow->holder)
             continue;
         if (flow->delegatedUntil && !flow->search) {
-            flow->waiting.clear(); // the other entry has forwarded it
+            if (entry == this->delegate)
+                flow->waiting.clear(); // it has forwarded them
             this->setHolder(key, *flow, holder);
         } else if (flow->search)
             this->onHint(key, *flow, entry, holder);
@@ -546,7 +563,7 @@
 void EntryRouter::onHint(const FlowKey& key, Flow& flow, PacketAddress source, PacketAddress agent)
 {
     HolderSearch::Target* target = flow.search->find(agent);
-    if (!target || target->denied || std::exchange(target->isHinted, true))
+    if (!target || target->denied || target->returned || std::exchange(target->isHinted, true))
         return;
     ++this->counts.hints;
     if (std::exchange(target->packetSent, true))
@@ -591,11 +608,13 @@
 void EntryRouter::handOver()
 {
     std::map<PacketAddress, std::vector<FlowKey>> keysByHolder;
+    size_t older = this->flows.size() - std::min(this->flows.size(), this->options.maxHandOverFlows);
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
-        if (flow.holder)
+        if (older > 0)
+            --older;
+        else if (flow.holder)
             keysByHolder[*flow.holder].push_back(key);
     });
-    this->hints.forEach([&](const FlowKey& key, PacketAddress holder) { keysByHolder[holder].push_back(key); });
     const size_t receivers = std::min(this->peers.size(), this->options.maxHandOverPeers);
     for (size_t i = 0; i < receivers; ++i)
         this->sendLocated(this->peers[i], keysByHolder);
@@ -632,8 +651,8 @@
         if (!flow || flow->holder || (flow->search && (flow->search->isDenied || due < flow->search->due)))
             continue;
         if (!flow->search && flow->delegatedUntil) {
-            if (now >= *flow->delegatedUntil && !flow->waiting.empty())
-                this->startSearch(key, *flow, std::exchange(flow->waiting, {}).front(), std::nullopt);
+            if (now >= *flow->delegatedUntil)
+                this->endDelegation(key, *flow);
             continue;
         }
         if (flow->search && flow->search->scope == SearchScope::Offered) {
@@ -692,6 +711,8 @@
 {
     HolderSearch& search = *flow.search;
     this->updateListings(search);
+    if (search.scope == SearchScope::Routed || search.scope == SearchScope::All)
+        this->widenScope(key, flow, search.scope); // the list may have gained upstreams
     search.forgetAnswers(); // an agent may have stopped since, before it delivered the packet
     if (this->linkBudget.canContinueSearch()) {
         if (!search.isPacketSentToAll() && !this->followsHint(flow))
@@ -705,8 +726,11 @@
 void EntryRouter::updateListings(HolderSearch& search) const
 {
     for (HolderSearch::Target& target : search.targets) {
+        const bool wasNeeded = target.isNeeded();
         const auto listing = this->listingByAgent.find(target.agent);
         target.listing = listing == this->listingByAgent.end() ? Listing::Removed : listing->second;
+        if (wasNeeded && !target.isNeeded())
+            search.started = this->clock.now(); // its agent has unlistedTimeout to answer
     }
 }
 
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -26,7 +26,7 @@
 bool HolderSearch::isPacketSentToAll() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
-        [](const Target& target) { return target.packetSent || target.denied; });
+        [](const Target& target) { return target.packetSent || target.denied || target.returned; });
 }
 
 bool HolderSearch::isAnsweredByAll() const
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -35,9 +35,10 @@
         bool packetSent = false; // the upstream got the packet
         bool isHinted = false; // another entry has forwarded packets of the flow there
         bool denied = false; // the upstream doesn't hold the flow
-        bool returned = false; // it denied the flow by returning a packet, perhaps in an earlier search
+        bool returned = false; // the upstream returned a packet, perhaps in an earlier search: it gets no other
+        unsigned resends = 0; // of the packet, after its agent was silent
 
-        bool isNeeded() const { return this->listing != Listing::Removed; } // its silence is not a denial
+        bool isNeeded() const { return this->listing != Listing::Removed && !this->returned; } // silence is no denial
         bool isAnswered() const { return this->agentIsUnsure || this->denied; }
     };
 
@@ -57,7 +58,7 @@
     void addTarget(const HolderCandidate&); // unless its agent is a target
     Target* find(PacketAddress agent);
     bool isPacketSentToAny() const;
-    bool isPacketSentToAll() const; // every target got the packet or denied the flow
+    bool isPacketSentToAll() const; // every target got the packet, denied the flow or returned a packet of it
     // The agent of an upstream that was removed for good may be gone: its answer is not needed.
     bool isAnsweredByAll() const; // each needed target denied the flow or has an unsure agent
     bool hasHint() const; // a target that has not denied the flow is hinted
