--- a/tests/HolderSearchTest.cpp
+++ b/tests/HolderSearchTest.cpp
@@ -23,6 +23,16 @@
                 [&](const SentHop& hop) { return hop.kind == HopKind::Find && hop.agent == receiver; }));
         }
 
+        // Another entry states which agent holds the flow.
+        void entryNames(PacketAddress entry, PacketAddress holder)
+        {
+            HopMessage located;
+            located.kind = HopKind::Located;
+            located.holder = holder;
+            located.flowKeys = { flow };
+            this->router.onHop(entry, located, nullptr);
+        }
+
         // All agents but one are unsure, and their upstreams return the packet.
         void returnPacketExceptAt(PacketAddress silentAgent)
         {
@@ -127,11 +137,7 @@
         const std::vector<SentHop> asked = this->takeHops();
         EXPECT_TRUE(std::any_of(asked.begin(), asked.end(),
             [](const SentHop& hop) { return hop.kind == HopKind::Ask && hop.agent == otherEntry; }));
-        HopMessage located;
-        located.kind = HopKind::Located;
-        located.holder = agent(2);
-        located.flowKeys = { flow };
-        this->router.onHop(otherEntry, located, nullptr);
+        this->entryNames(otherEntry, agent(2));
         for (const uint32_t number : { 0U, 1U, 3U })
             this->agentAnswers(agent(number), HopKind::Unsure);
         this->advance(Milliseconds(600));
@@ -145,11 +151,7 @@
     TEST_F(HolderSearchFixture, AWrongHintDelaysTheSearchShortly)
     {
         this->startSearch();
-        HopMessage located;
-        located.kind = HopKind::Located;
-        located.holder = agent(2);
-        located.flowKeys = { flow };
-        this->router.onHop(otherEntry, located, nullptr);
+        this->entryNames(otherEntry, agent(2));
         for (const uint32_t number : { 0U, 1U, 3U })
             this->agentAnswers(agent(number), HopKind::Unsure);
         this->takeHops();
@@ -246,11 +248,7 @@
     {
         this->searchWhileBehind();
         this->takeHops();
-        HopMessage located;
-        located.kind = HopKind::Located;
-        located.holder = agent(2);
-        located.flowKeys = { flow };
-        this->router.onHop({ otherEntry.address + 1, otherEntry.port }, located, nullptr);
+        this->entryNames({ otherEntry.address + 1, otherEntry.port }, agent(2));
         const std::vector<SentHop> sent = this->takeHops();
         ASSERT_EQ(sent.size(), 1U);
         EXPECT_EQ(sent[0].kind, HopKind::Forward);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -4,8 +4,9 @@
 // A new flow is offered to one upstream at a time until one accepts. The upstream is the authority on the flows that it
 // holds; the flow table here is a cache. If it lacks a flow, the agents of all upstreams that may hold the flow are
 // asked. Upstreams whose agents are unsure or silent get a packet of the flow: first its preferred upstreams, which its
-// hash selects, then the others. Further packets of the flow wait until its holder is found. An entry whose list of
-// upstreams is behind that of another one lets that one find the holder.
+// hash selects, then the others. Further packets of the flow wait until its holder is found, also for an agent that is
+// silent. Other entries are asked, too: the upstream that one of them names is tried alone at first. An entry whose
+// list of upstreams is behind that of another one lets that one find the holder.
 //
 // Index
 //   [SECTION] Options and counters
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -23,9 +23,8 @@
 
     void markReturned(HolderSearch& search, const std::set<PacketAddress>& returnedBy)
     {
-        for (HolderSearch::Target& target : search.targets) {
+        for (HolderSearch::Target& target : search.targets)
             target.returned = target.returned || returnedBy.contains(target.agent);
-        }
     }
 
 } // namespace
