--- a/tests/HolderSearchTest.cpp
+++ b/tests/HolderSearchTest.cpp
@@ -298,5 +298,20 @@
         EXPECT_LE(copies, 2 * EntryRouterOptions().maxPacketRounds);
     }
 
+    // Guards against a delegated packet whose sender never learns the holder, because the client uses its port again.
+    TEST_F(HolderSearchFixture, TheDelegatorOfAFlowThatUsesAPortAgainLearnsTheHolder)
+    {
+        constexpr uint32_t sequence = 900000000;
+        this->startSearch();
+        this->takeHops();
+        const std::vector<uint8_t> other = makePacket(client, routeAddress, ackFlag, sequence, sequence + 1000000, 100);
+        this->router.onDelegatedPacket(otherEntry, platform::decodePacket(other).value(), other);
+        this->router.flushAsks();
+        this->agentKnows(agent(2));
+        const std::vector<SentHop> sent = this->takeHops();
+        EXPECT_TRUE(std::any_of(sent.begin(), sent.end(),
+            [](const SentHop& hop) { return hop.kind == HopKind::Located && hop.agent == otherEntry; }));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -493,7 +493,7 @@
         flow.returnedBy.clear();
         flow.deniableSince = this->clock.now() + this->options.lateDenialTime;
         flow.search.reset();
-        this->dropWaiting(flow);
+        this->counts.dropped += std::exchange(flow.waiting, {}).size();
         if (flow.holder)
             this->forgetHolder(key, flow, "other-flow");
     }
