Give the datagrams of a test their byte type

Cause: char is signed on x86-64 and unsigned on arm64, so that the conversion of 'a' to uint8_t in the loop changes signedness on the former only. Change: the list has the type of the bytes. The test checks what it checked before.

--- a/tests/EventLoopTest.cpp
+++ b/tests/EventLoopTest.cpp
@@ -46,7 +46,7 @@
             if (received.size() == 2)
                 context.stop();
         });
-        for (const uint8_t letter : { 'a', 'x', 'b' })
+        for (const uint8_t letter : std::initializer_list<uint8_t> { 'a', 'x', 'b' })
             sender.send(bound.value(), Bytes(&letter, 1));
         sender.flush();
         context.run_for(std::chrono::seconds(5));
