Reserve message fields for evacuation, cold starts and service times

Entries and agents are to exchange the state of evacuations, how long an upstream stays cold, and what agents measure of their upstream. Nothing states or uses the fields yet.

Programs of the former version leave the fields of performance 0 and refuse a Directive as unknown; the new ones read both as not known.

--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -20,6 +20,8 @@
 
 struct FlowEnds;
 
+struct UpstreamDirective;
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Hop FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t service_;
@@ -250,6 +252,58 @@
   using type = FlowEnds;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamDirective FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t evacuation_position_;
+  uint32_t cold_left_ms_;
+  uint32_t cold_flows_per_second_;
+  uint64_t evacuated_;
+
+ public:
+  struct Traits;
+  UpstreamDirective()
+      : evacuation_position_(0),
+        cold_left_ms_(0),
+        cold_flows_per_second_(0),
+        evacuated_(0) {
+  }
+  UpstreamDirective(uint64_t _evacuation_position, uint32_t _cold_left_ms, uint32_t _cold_flows_per_second, uint64_t _evacuated)
+      : evacuation_position_(flatbuffers::EndianScalar(_evacuation_position)),
+        cold_left_ms_(flatbuffers::EndianScalar(_cold_left_ms)),
+        cold_flows_per_second_(flatbuffers::EndianScalar(_cold_flows_per_second)),
+        evacuated_(flatbuffers::EndianScalar(_evacuated)) {
+  }
+  uint64_t evacuation_position() const {
+    return flatbuffers::EndianScalar(evacuation_position_);
+  }
+  void mutate_evacuation_position(uint64_t _evacuation_position) {
+    flatbuffers::WriteScalar(&evacuation_position_, _evacuation_position);
+  }
+  uint32_t cold_left_ms() const {
+    return flatbuffers::EndianScalar(cold_left_ms_);
+  }
+  void mutate_cold_left_ms(uint32_t _cold_left_ms) {
+    flatbuffers::WriteScalar(&cold_left_ms_, _cold_left_ms);
+  }
+  uint32_t cold_flows_per_second() const {
+    return flatbuffers::EndianScalar(cold_flows_per_second_);
+  }
+  void mutate_cold_flows_per_second(uint32_t _cold_flows_per_second) {
+    flatbuffers::WriteScalar(&cold_flows_per_second_, _cold_flows_per_second);
+  }
+  uint64_t evacuated() const {
+    return flatbuffers::EndianScalar(evacuated_);
+  }
+  void mutate_evacuated(uint64_t _evacuated) {
+    flatbuffers::WriteScalar(&evacuated_, _evacuated);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamDirective, 24);
+
+struct UpstreamDirective::Traits {
+  using type = UpstreamDirective;
+};
+
 }  // namespace wire
 }  // namespace wasabicroft
 
--- a/schemas/Presence_generated.h
+++ b/schemas/Presence_generated.h
@@ -214,7 +214,9 @@
     VT_DIRECTORY_CONFIRMATION_AGE_MS = 18,
     VT_ENTRY_SILENCES = 20,
     VT_LIST_STATE = 22,
-    VT_STORE_ERA = 24
+    VT_STORE_ERA = 24,
+    VT_EVACUATION_POSITION = 26,
+    VT_EVACUATED_DOMAINS = 28
   };
   bool from_entry() const {
     return GetField<uint8_t>(VT_FROM_ENTRY, 0) != 0;
@@ -249,6 +251,12 @@
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
   }
+  uint64_t evacuation_position() const {
+    return GetField<uint64_t>(VT_EVACUATION_POSITION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_domains() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATED_DOMAINS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FROM_ENTRY, 1) &&
@@ -266,6 +274,10 @@
            verifier.VerifyVector(entry_silences()) &&
            VerifyField<uint8_t>(verifier, VT_LIST_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_POSITION, 8) &&
+           VerifyOffset(verifier, VT_EVACUATED_DOMAINS) &&
+           verifier.VerifyVector(evacuated_domains()) &&
+           verifier.VerifyVectorOfStrings(evacuated_domains()) &&
            verifier.EndTable();
   }
 };
@@ -307,6 +319,12 @@
   void add_store_era(uint64_t store_era) {
     fbb_.AddElement<uint64_t>(Presence::VT_STORE_ERA, store_era, 0);
   }
+  void add_evacuation_position(uint64_t evacuation_position) {
+    fbb_.AddElement<uint64_t>(Presence::VT_EVACUATION_POSITION, evacuation_position, 0);
+  }
+  void add_evacuated_domains(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_domains) {
+    fbb_.AddOffset(Presence::VT_EVACUATED_DOMAINS, evacuated_domains);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -330,11 +348,15 @@
     uint32_t directory_confirmation_age_ms = 4294967295,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entry_silences = 0,
     uint8_t list_state = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    uint64_t evacuation_position = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_domains = 0) {
   PresenceBuilder builder_(_fbb);
+  builder_.add_evacuation_position(evacuation_position);
   builder_.add_store_era(store_era);
   builder_.add_directory_revision(directory_revision);
   builder_.add_routes_version(routes_version);
+  builder_.add_evacuated_domains(evacuated_domains);
   builder_.add_entry_silences(entry_silences);
   builder_.add_directory_confirmation_age_ms(directory_confirmation_age_ms);
   builder_.add_routes_confirmation_age_ms(routes_confirmation_age_ms);
@@ -363,10 +385,13 @@
     uint32_t directory_confirmation_age_ms = 4294967295,
     const std::vector<uint8_t> *entry_silences = nullptr,
     uint8_t list_state = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    uint64_t evacuation_position = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_domains = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<uint32_t>(*entries) : 0;
   auto agents__ = agents ? _fbb.CreateVector<flatbuffers::Offset<wasabicroft::wire::AgentPresence>>(*agents) : 0;
   auto entry_silences__ = entry_silences ? _fbb.CreateVector<uint8_t>(*entry_silences) : 0;
+  auto evacuated_domains__ = evacuated_domains ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated_domains) : 0;
   return wasabicroft::wire::CreatePresence(
       _fbb,
       from_entry,
@@ -379,7 +404,9 @@
       directory_confirmation_age_ms,
       entry_silences__,
       list_state,
-      store_era);
+      store_era,
+      evacuation_position,
+      evacuated_domains__);
 }
 
 inline const wasabicroft::wire::Presence *GetPresence(const void *buf) {
--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -864,5 +864,37 @@
         EXPECT_EQ(other.agentCount(), 0U) << "silent agents are removed";
     }
 
+    // Guards against agents and entries that read each other's figures from different places of a message.
+    TEST(HopMessages, DirectivesAndPerformanceAreDecodedAsEncoded)
+    {
+        HopMessage directive;
+        directive.kind = HopKind::Directive;
+        directive.directive = { 3000000000000007, true, Milliseconds(1900), 25 };
+        HopMessage load;
+        load.kind = HopKind::Load;
+        load.performance = UpstreamPerformance { Milliseconds(250), std::chrono::microseconds(4200) };
+        for (const HopMessage* message : { &directive, &load }) {
+            std::vector<uint8_t> bytes;
+            encodeHop(*message, bytes);
+            EXPECT_EQ(bytes.size(), encodedBytes(*message));
+            const Result<HopMessage> decoded = decodeHop(bytes);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().directive, message->directive);
+            EXPECT_EQ(decoded.value().performance, message->performance);
+            bytes.pop_back();
+            EXPECT_FALSE(decodeHop(bytes));
+        }
+    }
+
+    // Guards against figures that an agent of an older version did not state.
+    TEST(HopMessages, AMessageWithoutPerformanceStatesNone)
+    {
+        HopMessage load;
+        load.kind = HopKind::Load;
+        std::vector<uint8_t> bytes;
+        encodeHop(load, bytes);
+        EXPECT_FALSE(decodeHop(bytes).value().performance);
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -606,6 +606,7 @@
     case HopKind::Find:
     case HopKind::Ask:
     case HopKind::Search:
+    case HopKind::Directive:
         break;
     }
 }
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -84,7 +84,8 @@
     bool isFromEntry(HopKind kind)
     {
         return kind == HopKind::Offer || kind == HopKind::Forward || kind == HopKind::Find || kind == HopKind::Ask
-            || kind == HopKind::Search || kind == HopKind::Delegate || kind == HopKind::Located;
+            || kind == HopKind::Search || kind == HopKind::Delegate || kind == HopKind::Located
+            || kind == HopKind::Directive;
     }
 
     // The header has one field for these addresses.
@@ -138,6 +139,24 @@
         message.loadInterval = header.load_interval() * loadIntervalStep;
     }
 
+    constexpr std::chrono::microseconds serviceTimeStep { 100 };
+
+    void encodePerformance(const UpstreamPerformance& performance, wire::Hop& header)
+    {
+        const int64_t steps = std::clamp<int64_t>(performance.serviceTime / serviceTimeStep, 0, UINT16_MAX);
+        header.mutate_objective_ms(toUint16Ms(performance.expectedWait));
+        header.mutate_timeout_ms(static_cast<uint16_t>(steps));
+        header.mutate_priority(1);
+    }
+
+    // Agents of older versions leave these fields 0.
+    std::optional<UpstreamPerformance> decodePerformance(const wire::Hop& header)
+    {
+        if (header.priority() == 0)
+            return std::nullopt;
+        return UpstreamPerformance { Milliseconds(header.objective_ms()), header.timeout_ms() * serviceTimeStep };
+    }
+
     void encodeAgentFigures(const HopMessage& message, wire::Hop& header)
     {
         header.mutate_upstream_sequence(message.upstreamSequence);
@@ -146,6 +165,8 @@
         header.mutate_waiting(message.waitingRequests);
         header.mutate_slots(message.slots);
         header.mutate_refusal(static_cast<uint8_t>(message.refusal));
+        if (message.performance)
+            encodePerformance(*message.performance, header);
     }
 
     void decodeAgentFigures(const wire::Hop& header, HopMessage& message)
@@ -156,14 +177,29 @@
         message.waitingRequests = header.waiting();
         message.slots = header.slots();
         message.refusal = static_cast<HopRefusal>(header.refusal());
+        message.performance = decodePerformance(header);
+    }
+
+    wire::UpstreamDirective toWire(const UpstreamDirective& directive)
+    {
+        const int64_t coldLeft = std::clamp<int64_t>(directive.coldLeft.count(), 0, UINT32_MAX);
+        return { directive.evacuationPosition, static_cast<uint32_t>(coldLeft), directive.coldFlowsPerSecond,
+            directive.evacuated ? 1U : 0U };
+    }
+
+    UpstreamDirective fromWire(const wire::UpstreamDirective& directive)
+    {
+        return { directive.evacuation_position(), directive.evacuated() != 0, Milliseconds(directive.cold_left_ms()),
+            directive.cold_flows_per_second() };
     }
 
 } // namespace
 
 size_t encodedBytes(const HopMessage& message)
 {
+    const size_t directiveBytes = message.kind == HopKind::Directive ? sizeof(wire::UpstreamDirective) : 0;
     return hopHeaderBytes + message.packet.size() + message.targets.size() * sizeof(uint32_t)
-        + message.flowKeys.size() * sizeof(wire::FlowEnds);
+        + message.flowKeys.size() * sizeof(wire::FlowEnds) + directiveBytes;
 }
 
 void encodeHop(const HopMessage& message, std::vector<uint8_t>& out)
@@ -194,6 +230,10 @@
         std::memcpy(next, &ends, sizeof(ends));
         next += sizeof(ends);
     }
+    if (message.kind == HopKind::Directive) {
+        const wire::UpstreamDirective directive = toWire(message.directive);
+        std::memcpy(next, &directive, sizeof(directive));
+    }
 }
 
 bool carriesFlowKeys(HopKind kind)
@@ -227,6 +267,14 @@
     if (message.kind == HopKind::Located)
         message.holder = std::exchange(message.flow.client, PacketAddress());
     const Bytes payload = bytes.subspan(hopHeaderBytes);
+    if (message.kind == HopKind::Directive) {
+        wire::UpstreamDirective directive;
+        if (payload.size() != sizeof(directive))
+            return Error { ErrorKind::InvalidFrame, "the directive has a wrong length; check the sender's version" };
+        std::memcpy(&directive, payload.data(), sizeof(directive));
+        message.directive = fromWire(directive);
+        return message;
+    }
     if (!carriesFlowKeys(message.kind)) {
         const size_t targetCount = message.kind == HopKind::Search ? header.refusal() : 0;
         const size_t targetBytes = targetCount * sizeof(uint32_t);
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -73,7 +73,8 @@
 // [SECTION] Hop messages
 //-----------------------------------------------------------------------------
 
-// Messages between entries and agents. Entry to agent: Offer, Forward, Find, Ask, Search. Agent to entry: the others.
+// Messages between entries and agents. Entry to agent: Offer, Forward, Find, Ask, Search, Directive. Agent to entry:
+// the others.
 enum class HopKind : uint8_t {
     Offer, // a SYN for the upstream
     Forward, // a packet of a flow that the upstream holds according to the flow table of the entry
@@ -91,10 +92,12 @@
     Search, // a Find for several agents, which the receiver passes on to them; they reply to the entry
     Delegate, // to an entry: a packet of a flow whose holder the sender can't find, because its list is older
     Located, // the answer to a Delegate: the agent that holds the flows
+    Directive, // what limits the new flows of the receiver's upstream; programs of older versions refuse it as unknown
 };
 
-inline constexpr std::array<std::string_view, 16> hopKindNames = { "offer", "forward", "find", "accepted", "refused",
-    "holds", "not-held", "gone", "load", "ask", "known", "unsure", "denied", "search", "delegate", "located" };
+inline constexpr std::array<std::string_view, 17> hopKindNames
+    = { "offer", "forward", "find", "accepted", "refused", "holds", "not-held", "gone", "load", "ask", "known",
+          "unsure", "denied", "search", "delegate", "located", "directive" };
 
 std::string_view nameOf(HopKind);
 
@@ -116,6 +119,25 @@
     bool operator==(const UpstreamFigures&) const = default;
 };
 
+// What limits the new flows of an upstream at present, as an entry knows it from the store. An agent keeps the newest
+// evacuation state by its position, and refuses new flows by it that an entry which is behind offers.
+struct UpstreamDirective {
+    uint64_t evacuationPosition = 0; // position of the store at which evacuation orders last changed; 0: not known
+    bool evacuated = false; // the upstream's failure domain is evacuated
+    Milliseconds coldLeft { 0 }; // how much longer the upstream stays cold
+    uint32_t coldFlowsPerSecond = 0; // new flows that it bears while it is cold; 0: no limit is stated
+
+    bool operator==(const UpstreamDirective&) const = default;
+};
+
+// What an agent measures of its upstream.
+struct UpstreamPerformance {
+    Milliseconds expectedWait { 0 }; // until a request that arrives now would start
+    std::chrono::microseconds serviceTime { 0 }; // mean time that the upstream needs for a request; stated in 0.1 ms
+
+    bool operator==(const UpstreamPerformance&) const = default;
+};
+
 // What the operators' configuration states of the requests on a route.
 struct RequestLimits {
     Milliseconds objective { 0 }; // latency objective; 0: none
@@ -140,6 +162,8 @@
     std::optional<RequestLimits> limits; // from entries: of the packet's route; empty: not known
     std::optional<Milliseconds> idleTimeout; // in Ask: of flows; empty: not known
     uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds
+    std::optional<UpstreamPerformance> performance; // from agents; empty: not known
+    UpstreamDirective directive; // in Directive
     Milliseconds loadInterval { 0 }; // in Offer: requested time between load reports; steps of 20 ms, at most 5.1 s
     PacketAddress replyTo; // in a Find that an agent passes on: the entry; no address: the sender
     PacketAddress holder; // in Located
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -33,11 +33,20 @@
     std::optional<RequestLimits> limits; // of the requests on its flows; empty: not known, learned without the store
 };
 
+// How much the upstreams of a service bear shortly after their start.
+struct ColdStart {
+    Milliseconds duration { 0 }; // for how long an upstream is cold
+    uint32_t requestsPerSecond = 0; // that it bears while it is cold; 0: no limit is stated
+
+    bool operator==(const ColdStart&) const = default;
+};
+
 struct RoutingTable {
     uint64_t version = 0;
     std::map<PacketAddress, Route> routes;
     std::set<ServiceId> listedServices; // those that the configuration lists, with and without routes
     std::optional<Milliseconds> idleTimeout; // a flow without packets for longer may be dropped; empty: not known
+    std::map<ServiceId, ColdStart> coldStarts; // of services that state one
 
     const Route* find(PacketAddress) const;
     std::set<ServiceId> services() const; // that the configuration names: listed ones and those of routes
@@ -56,6 +65,7 @@
     std::string failureDomain;
     std::optional<uint16_t> slots; // requests that it runs at a time; empty: not known, learned without the store
     bool draining = false;
+    Milliseconds coldLeft { 0 }; // how much longer it stays cold, when it published the record
     uint64_t revision = 0; // position of the store at which the record last changed; see StorePosition.h
 
     UpstreamId id() const; // differs between incarnations
