--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -145,6 +145,8 @@
     }
 }
 
+void EntryRouter::setEvacuations(EvacuationOrders orders) { this->evacuations = std::move(orders); }
+
 bool EntryRouter::isServing() const
 {
     return this->routes && !this->hasProvisionalRoutes && this->hasUsableUpstream && !this->isolated;
@@ -619,6 +621,8 @@
     this->placement.onReply(upstream->second);
     this->placement.onLoad(
         upstream->second, { message.runningRequests, message.slots, message.waitingRequests, message.heldFlows });
+    if (message.performance)
+        this->placement.onPerformance(upstream->second, *message.performance);
 }
 
 void EntryRouter::onAccepted(const FlowKey& key, PacketAddress agent, const HopMessage& message)
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -13,6 +13,7 @@
 //   [SECTION] EntryRouter
 #pragma once
 
+#include "wasabicroft/Evacuation.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
@@ -112,6 +113,7 @@
     // the store and are not refused.
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
+    void setEvacuations(EvacuationOrders); // call after each change, before setUpstreams
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
     // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
     // this one lacks none.
@@ -286,6 +288,7 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
+    EvacuationOrders evacuations;
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -222,6 +222,23 @@
     estimate.reportTime = this->clock.now();
 }
 
+void Placement::onPerformance(UpstreamId upstream, const UpstreamPerformance& performance)
+{
+    LoadEstimate& estimate = this->estimates[upstream];
+    estimate.performance = performance;
+    estimate.performanceTime = this->clock.now();
+}
+
+std::optional<Milliseconds> Placement::expectedAnswer(UpstreamId upstream) const
+{
+    const auto found = this->estimates.find(upstream);
+    if (found == this->estimates.end() || !found->second.performance
+        || this->clock.now() - found->second.performanceTime > this->options.performanceLifetime)
+        return std::nullopt;
+    const UpstreamPerformance& performance = *found->second.performance;
+    return performance.expectedWait + std::chrono::duration_cast<Milliseconds>(performance.serviceTime);
+}
+
 void Placement::onFlowStarted(UpstreamId upstream) { ++this->estimates[upstream].ownFlowDelta; }
 
 void Placement::onFlowEnded(UpstreamId upstream) { --this->estimates[upstream].ownFlowDelta; }
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -8,6 +8,7 @@
 
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Frame.h"
+#include "wasabicroft/Packet.h"
 
 #include <functional>
 #include <unordered_map>
@@ -104,6 +105,7 @@
     size_t preferredUpstreams = 0; // chosen by a flow's hash: other entries search them for it first; 0: none
     double nonPreferredPenalty = 2; // added to the utilization of an upstream that the flow does not prefer
     Milliseconds drainingRetryDelay { 1000 }; // an upstream that replied that it drains is excluded for this long
+    Milliseconds performanceLifetime { 1000 }; // an older statement of an upstream's waits says nothing of the present
     OutlierDetectorOptions outlierDetection;
     std::function<uint64_t()> random; // required
 };
@@ -126,6 +128,7 @@
     PlacementPlan plan(ServiceId, uint64_t flowHash = 0);
 
     void onLoad(UpstreamId, const Load&); // piggybacked on any reply
+    void onPerformance(UpstreamId, const UpstreamPerformance&); // stated with a load
     void onFlowStarted(UpstreamId); // call before the onLoad of the same reply, whose load includes the flow
     void onFlowEnded(UpstreamId);
     void onReply(UpstreamId); // any reply of the agent
@@ -137,6 +140,10 @@
     double utilization(ServiceId, UpstreamId) const;
     Milliseconds loadAge(UpstreamId) const;
 
+    // Time until a new flow's first request would be answered. Empty if the agent has stated none in the last
+    // performanceLifetime.
+    std::optional<Milliseconds> expectedAnswer(UpstreamId) const;
+
     RetryBudget& retryBudget(ServiceId);
     const OutlierDetector& outlierDetector() const;
 
@@ -146,6 +153,8 @@
         int64_t ownFlowDelta = 0; // flows of this entry started minus ended since the report
         TimePoint reportTime;
         TimePoint drainingUntil;
+        std::optional<UpstreamPerformance> performance;
+        TimePoint performanceTime;
     };
 
     struct RankedUpstream {
