End a search when the upstream answers its packet with a reset

Cause: an upstream answers data of a flow that has ended there with a reset of its own. The agent passed it to the client, forgot the flow and told the entry nothing. Change: the agent answers the search with Gone and the sequence number of the reset; the entry tells by it whether the flow is the one it seeks, as for any Gone. A reset without a sequence number counts as a denial. Evidence: AgentRouterFixture.AResetInAnswerToASearchEndsTheSearch fails without the change.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -839,6 +839,18 @@
         EXPECT_EQ(this->router.trackedFlows(), 0U);
     }
 
+    // Guards against a search that sends its packet to an upstream again and again: the flow has ended there, and the
+    // upstream answers each copy with a reset, of which the entry hears nothing.
+    TEST_F(AgentRouterFixture, AResetInAnswerToASearchEndsTheSearch)
+    {
+        this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100);
+        this->kinds.clear();
+        this->fromUpstream(fakes::packet_flags::reset, 1);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Gone });
+        EXPECT_EQ(this->lastHop.flow, keyOf(1));
+        EXPECT_NE(this->lastHop.upstreamSequence, 0U) << "the entry tells by it which flow of these ends is meant";
+    }
+
     // Guards against entries that don't learn of each other's agents. Each message goes to a limited number of entries.
     TEST(Presence, EntriesPassAgentsOnWhileTheStoreIsUnreachable)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -486,6 +486,8 @@
             this->rejection.onFreshFlowReset();
             this->updateRejection();
         }
+        if (flow.lastKind == HopKind::Find && !flow.isHeld && flow.entry != PacketAddress())
+            this->answerSearchForEndedFlow(key, flow.entry, packet.sequence);
         this->removeFlow(key);
         return;
     }
@@ -505,6 +507,16 @@
     }
 }
 
+// The upstream answers data of a flow that has ended there with a reset. Without an answer of its agent, the search
+// would send the packet again and again. The entry tells by the sequence number whether the flow is the one it seeks.
+void AgentRouter::answerSearchForEndedFlow(const FlowKey& key, PacketAddress entry, uint32_t sequence)
+{
+    if (sequence != 0)
+        this->reply(entry, HopKind::Gone, key, HopRefusal::None, {}, sequence);
+    else
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+}
+
 void AgentRouter::markHeld(const FlowKey& key, Flow& flow)
 {
     if (!flow.isHeld) {
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -154,6 +154,7 @@
     bool isReturnedFlow(const FlowKey&);
     void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
+    void answerSearchForEndedFlow(const FlowKey&, PacketAddress entry, uint32_t sequence);
     void markHeld(const FlowKey&, Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
