Let the grace of a first list end with that list

Cause: an upstream that was lost with the machines expires from the store 2 s after the start. Entries that notice call their list incomplete, and entries whose first list is younger than 2 s then began the whole grace period of 2 s again, though the store had answered since their first list. Change: that grace ends 2 s after the first list: what an outage before it removed is back by then. Later outages are noticed by the entry itself.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -440,6 +440,23 @@
         EXPECT_FALSE(directory.isComplete());
     }
 
+    // Guards against lost flows that are not reset for another two seconds: a peer whose first list is as old lost a
+    // record lately, and its statement started the grace anew.
+    TEST(UpstreamDirectory, TheGraceOfAFirstListIsNotProlongedByPeers)
+    {
+        ManualClock clock;
+        UpstreamDirectory directory({}, clock);
+        directory.replace({ recordOf("a", 1) }, 2);
+        clock.advance(Milliseconds(1900));
+        directory.onTick();
+        EXPECT_TRUE(directory.onPeerListState(ListState::Incomplete));
+        EXPECT_FALSE(directory.isComplete());
+        clock.advance(Milliseconds(100));
+        directory.onRead(clock.now());
+        directory.onTick();
+        EXPECT_TRUE(directory.isComplete());
+    }
+
     // Guards against flows to the former upstream at an address that another one reuses.
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -168,9 +168,11 @@
         this->startGrace();
 }
 
-void UpstreamDirectory::startGrace()
+void UpstreamDirectory::startGrace() { this->startGrace(this->clock.now() + this->options.recoveryGrace); }
+
+void UpstreamDirectory::startGrace(TimePoint end)
 {
-    this->graceEnd = this->clock.now() + this->options.recoveryGrace;
+    this->graceEnd = end;
     this->inGrace = true;
     this->isReadRequested = false;
     this->hasReadAfterGrace = false;
@@ -240,8 +242,9 @@
     if (!this->hasFullList || this->inGrace || this->clock.now() >= this->startEnd || state == ListState::Starting)
         return false;
     const bool isChanged = this->isAwaitingPeers || state == ListState::Incomplete;
+    // The store has answered since the first list: what an outage before it removed is back by startEnd.
     if (state == ListState::Incomplete)
-        this->startGrace();
+        this->startGrace(this->startEnd);
     else
         this->isConfirmedByPeer = true;
     this->endWaitForPeers(nameOf(state));
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -185,6 +185,7 @@
     void checkForPause();
     bool answersSteadily() const;
     void startGrace();
+    void startGrace(TimePoint end);
     void noteRevision(uint64_t revision);
     void unlist(Row&, uint64_t revision);
     TimePoint returnTime() const;
