Take the removal of a drained upstream as final after 0.8 s

Cause: a removed record may have expired in an outage before the entry's start, so that the upstream counts as possibly running for 2 s. Change: a drained upstream leaves anyway. Its silence counts as a denial 0.8 s after the removal, time enough for its agent to restart. An agent that runs answers, whatever the list says. Weighed: at once (a restarting agent of an upstream whose record expired would lose its flows); unchanged (all lost flows of the fleet wait for the slowest). Evidence: UpstreamDirectory.TheRemovalOfADrainedUpstreamIsFinalSooner fails without the change.

--- a/tests/PublishedTest.cpp
+++ b/tests/PublishedTest.cpp
@@ -457,6 +457,23 @@
         EXPECT_TRUE(directory.isComplete());
     }
 
+    // Guards against lost flows that are not reset for two seconds after their upstream drained and left.
+    TEST(UpstreamDirectory, TheRemovalOfADrainedUpstreamIsFinalSooner)
+    {
+        for (const bool isDraining : { true, false }) {
+            ManualClock clock;
+            UpstreamDirectory directory({}, clock);
+            directory.replace({ recordOf("a", 1, isDraining), recordOf("b", 1) }, 2);
+            directory.remove("a", 3);
+            clock.advance(Milliseconds(700));
+            directory.onRead(clock.now());
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), Listing::MayReturn) << "its agent may restart";
+            clock.advance(Milliseconds(100));
+            directory.onRead(clock.now());
+            EXPECT_EQ(directory.listingOf(recordOf("a", 1)), isDraining ? Listing::Removed : Listing::MayReturn);
+        }
+    }
+
     // Guards against flows to the former upstream at an address that another one reuses.
     TEST(UpstreamDirectory, AnAddressBelongsToItsNewestUpstream)
     {
--- a/wasabicroft/Published.cpp
+++ b/wasabicroft/Published.cpp
@@ -159,6 +159,8 @@
     row.removedAt = revision;
     row.unlistedAt = this->clock.now();
     row.returnsUntil = this->returnTime();
+    if (row.record.draining)
+        row.returnsUntil = std::min(row.returnsUntil, row.unlistedAt + this->options.drainedReturnTime);
     row.keptForGrace = !row.record.draining && this->clock.now() < this->graceEnd;
 }
 
--- a/wasabicroft/Published.h
+++ b/wasabicroft/Published.h
@@ -96,6 +96,9 @@
 
 struct DirectoryOptions {
     Milliseconds recoveryGrace { 2000 }; // records that expired in a store outage return within this time after it
+    // An upstream that drained leaves for good, unless its record expired in an outage just before it would have left.
+    // Its agent may restart meanwhile.
+    Milliseconds drainedReturnTime { 800 };
     Milliseconds peerStateTimeout { 150 }; // a starting process waits this long for the list state of entries that run
     Milliseconds propagationTime { 750 }; // for a change to reach every entry by its spaced watches or gossip of peers
     Milliseconds removedUpstreamLifetime { 60000 }; // a removed upstream may hold flows for this long
