Keep the packet of a search that all upstreams have denied until the list is complete

Cause: while 51 upstreams register again, an entry is behind others for moments, and the denials of all upstreams show nothing then. The search was repeated at once, met the limit of two searches in 2 s, and its packet was dropped. Change: the search stays, with its denials, and looks at the list every 50 ms for 1.6 s: upstreams that the list gains are asked, the others are not asked again, since a flow opens only by a SYN. Once the list is complete the flow is reset. Evidence: RouterFixture.ASearchThatAllHaveDeniedWaitsForTheList fails without the change. RouterFixture.ASearchOfAnOlderFirstListIsRepeated expected that all upstreams are asked again; it now checks that exactly the one that came is asked, and that its denial ends the search, which failed before.

--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -47,6 +47,7 @@
     Milliseconds searchTimeout { 300 }; // later, the next packet of the client starts another search
     Milliseconds lateDenialTime { 100 }; // denials of the packets of an earlier flow have arrived after this time
     Milliseconds packetWait { 1600 }; // for a silent agent: the longest interval between a client's retransmissions
+    Milliseconds listWaitInterval { 50 }; // between checks whether the list covers all upstreams by now
     Milliseconds silentAgentInterval { 100 }; // between questions to silent agents while a packet waits for them
     size_t maxAskedPeers = 16; // other entries that are asked for the holder of a flow
     size_t maxHandOverFlows = 16384; // the latest ones: 200 KB to each receiver
@@ -257,6 +258,7 @@
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
     void endFailedSearch(const FlowKey&, Flow&);
+    void awaitList(const FlowKey&, Flow&);
     bool isConclusive(const HolderSearch&) const;
     void endDeniedSearches();
     void abandonSearch(const FlowKey&, Flow&);
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -41,8 +41,9 @@
         flow.searchWindowStart = now;
         flow.searchCount = 0;
     }
-    const bool isSearching
-        = flow.search && (flow.search->isDenied || now - flow.search->started < this->options.searchTimeout);
+    const bool isSearching = flow.search
+        && (flow.search->isDenied || flow.search->awaitsList
+            || now - flow.search->started < this->options.searchTimeout);
     if (isSearching || flow.searchCount >= this->options.maxSearches) {
         this->queueForHolder(key, flow, bytes);
         return;
@@ -450,16 +451,31 @@
             this->deniedSearches.push_back(key);
         return;
     }
-    if (this->isConclusive(*flow.search)) {
+    if (this->isConclusive(*flow.search))
         this->resetLostFlow(key, flow, "held-nowhere");
-    } else {
-        // The search covered only some upstreams: the next one asks all that the directory has by now.
-        const std::vector<uint8_t> packet = std::move(flow.search->packet);
-        flow.searchesAll = flow.search->scope == SearchScope::All;
+    else
+        this->awaitList(key, flow);
+}
+
+// The search covered only some upstreams. The denials stay valid, since a flow opens only by a SYN: upstreams that the
+// list gains are asked, and the others are not asked again.
+void EntryRouter::awaitList(const FlowKey& key, Flow& flow)
+{
+    HolderSearch& search = *flow.search;
+    flow.offers.clear();
+    const bool isFresh = flow.lastUse && this->clock.now() - *flow.lastUse < this->options.packetWait
+        && this->searchTimers.size() < this->options.maxWaitingSearches;
+    if (!isFresh) {
+        flow.searchesAll = true;
         flow.search.reset();
-        flow.offers.clear();
-        this->startSearch(key, flow, packet, std::nullopt);
+        this->dropWaiting(flow);
+        return;
     }
+    search.awaitsList = !this->widenScope(key, flow, SearchScope::All);
+    if (search.awaitsList)
+        this->scheduleSearch(key, search, this->options.listWaitInterval);
+    else
+        this->repeatSearch(key, flow);
 }
 
 // Whether the denials of all targets show that no upstream holds the flow.
@@ -658,6 +674,14 @@
             this->extendToRoute(key, *flow);
             continue;
         }
+        if (flow->search && std::exchange(flow->search->awaitsList, false)) {
+            this->widenScope(key, *flow, SearchScope::All);
+            if (flow->search->isDeniedByAll())
+                this->endFailedSearch(key, *flow);
+            else
+                this->repeatSearch(key, *flow);
+            continue;
+        }
         // Upstreams that were removed for good may be gone with their agents: after unlistedTimeout, their silence
         // counts as a denial.
         if (flow->search && flow->search->isDeniedByAllNeeded()) {
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -53,6 +53,7 @@
     bool beganBeforeListCheck = false; // the list of upstreams was not yet confirmed by entries that run
     uint64_t directoryRevision = 0; // at the start
     bool isDenied = false; // no listed upstream holds the flow; see EntryRouter::deniedSearches
+    bool awaitsList = false; // all targets have denied the flow, but the list of upstreams may lack some
     bool isAbandoned = false; // it took too long; late answers still count, and its packet may wait for silent agents
 
     void addTarget(const HolderCandidate&); // unless its agent is a target
