Measure the service time at agents and state it with the expected wait

Agents divide the busy time of the upstream's slots by the answered requests, so that requests in the upstream's own queue do not make it look slow. Requests that were removed, and probes, count as running but not in the mean. Metrics of agents: wasabi_service_time_ms and wasabi_expected_wait_ms (-1: not known).

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -174,6 +174,11 @@
     metrics.setCount("wasabi_waiting", "", this->router.waitingRequests());
     metrics.setCount("wasabi_requests_waited_total", "", counts.waited);
     metrics.setCount("wasabi_requests_expired_total", "", counts.expired);
+    const std::optional<UpstreamPerformance> performance = this->router.performance();
+    metrics.set("wasabi_service_time_ms", "",
+        performance ? std::chrono::duration<double, std::milli>(performance->serviceTime).count() : -1);
+    metrics.set(
+        "wasabi_expected_wait_ms", "", performance ? static_cast<double>(performance->expectedWait.count()) : -1);
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -652,6 +652,7 @@
     message.waitingRequests = this->waitingRequests();
     message.heldFlows = static_cast<uint32_t>(this->heldFlows);
     message.slots = this->figures ? this->figures->slots : 0;
+    message.performance = this->requestQueue.performance();
     return message;
 }
 
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -88,6 +88,7 @@
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
+    std::optional<UpstreamPerformance> performance() const { return this->requestQueue.performance(); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -14,10 +14,16 @@
 RequestQueue::RequestQueue(RequestQueueOptions queueOptions, const Clock& timeSource)
     : options(queueOptions)
     , clock(timeSource)
+    , serviceTime(queueOptions.serviceTime, timeSource)
 {
+    this->serviceTime.setSlots(queueOptions.slots);
 }
 
-void RequestQueue::setSlots(uint16_t slots) { this->options.slots = slots; }
+void RequestQueue::setSlots(uint16_t slots)
+{
+    this->options.slots = slots;
+    this->serviceTime.setSlots(slots);
+}
 
 void RequestQueue::setPaused(bool isPaused) { this->paused = isPaused; }
 
@@ -54,7 +60,28 @@
 
 void RequestQueue::start(const QueuedRequest& request)
 {
-    this->runningRequests[request.flow] = { request, this->clock.now() };
+    this->removeRunning(request.flow);
+    std::optional<ServiceTime::Seconds> chargeAtStart;
+    if (!request.isProbe)
+        chargeAtStart = this->serviceTime.onStarted();
+    this->runningRequests[request.flow] = { request, this->clock.now(), chargeAtStart };
+}
+
+void RequestQueue::endRunning(RunningRequests::iterator item, bool isAnswered)
+{
+    const Running& running = item->second;
+    if (running.chargeAtStart && isAnswered)
+        this->serviceTime.onAnswered(*running.chargeAtStart);
+    else if (!running.request.isProbe)
+        this->serviceTime.onRemoved();
+    this->runningRequests.erase(item);
+}
+
+void RequestQueue::removeRunning(const FlowKey& flow)
+{
+    const auto found = this->runningRequests.find(flow);
+    if (found != this->runningRequests.end())
+        this->endRunning(found, false);
 }
 
 void RequestQueue::onAnswered(const FlowKey& flow)
@@ -64,12 +91,12 @@
         return;
     const double seconds = std::chrono::duration<double>(this->clock.now() - found->second.started).count();
     this->meanServiceSeconds += serviceTimeWeight * (seconds - this->meanServiceSeconds);
-    this->runningRequests.erase(found);
+    this->endRunning(found, true);
 }
 
 void RequestQueue::onClientClosed(const FlowKey& flow)
 {
-    this->runningRequests.erase(flow);
+    this->removeRunning(flow);
     for (QueuedRequest& request : this->waitingRequests)
         request.isAbandoned = request.isAbandoned || request.flow == flow;
 }
@@ -77,13 +104,15 @@
 void RequestQueue::onHeld(const FlowKey& flow)
 {
     const auto found = this->runningRequests.find(flow);
-    if (found != this->runningRequests.end())
-        found->second.request.isProbe = false;
+    if (found == this->runningRequests.end() || !found->second.request.isProbe)
+        return;
+    found->second.request.isProbe = false;
+    this->serviceTime.onStarted(); // it occupies a slot; when it started at the upstream is not known
 }
 
 void RequestQueue::remove(const FlowKey& flow)
 {
-    this->runningRequests.erase(flow);
+    this->removeRunning(flow);
     std::erase_if(this->waitingRequests, [&](const QueuedRequest& request) { return request.flow == flow; });
 }
 
@@ -153,4 +182,16 @@
     return expired;
 }
 
+std::optional<UpstreamPerformance> RequestQueue::performance() const
+{
+    const auto waiting = std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(),
+        [](const QueuedRequest& request) { return !request.isAbandoned; });
+    const std::optional<ServiceTime::Seconds> mean = this->serviceTime.mean();
+    const std::optional<ServiceTime::Seconds> wait = this->serviceTime.expectedWait(static_cast<size_t>(waiting));
+    if (this->paused || !mean || !wait)
+        return std::nullopt;
+    return UpstreamPerformance { std::chrono::ceil<Milliseconds>(*wait),
+        std::chrono::round<std::chrono::microseconds>(*mean) };
+}
+
 } // namespace wasabicroft
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -11,6 +11,7 @@
 
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Packet.h"
+#include "wasabicroft/ServiceTime.h"
 
 #include <vector>
 
@@ -30,6 +31,7 @@
     Milliseconds minStuckTime { 300 };
     double stuckFactor = 8;
     bool orderByObjective = true; // false: first come, first served
+    ServiceTimeOptions serviceTime {};
 };
 
 struct QueuedRequest {
@@ -63,11 +65,17 @@
     size_t runningCount() const { return this->runningRequests.size(); }
     size_t waitingCount() const { return this->waitingRequests.size(); }
 
+    // Mean service time of the upstream, and the wait of a request that arrives now. Empty while the service time is
+    // not known or nothing starts.
+    std::optional<UpstreamPerformance> performance() const;
+
 private:
     struct Running {
         QueuedRequest request;
         TimePoint started;
+        std::optional<ServiceTime::Seconds> chargeAtStart; // empty: of a probe, which may not run
     };
+    using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
 
     bool canStart(bool isProbe) const;
     size_t unansweredProbes() const;
@@ -78,11 +86,14 @@
     bool startsBefore(const QueuedRequest&, const QueuedRequest&) const;
     Milliseconds effectiveTimeout(const QueuedRequest&) const;
     void start(const QueuedRequest&);
+    void endRunning(RunningRequests::iterator, bool isAnswered);
+    void removeRunning(const FlowKey&);
 
     RequestQueueOptions options;
     const Clock& clock;
     std::vector<QueuedRequest> waitingRequests;
-    std::unordered_map<FlowKey, Running, FlowKeyHash> runningRequests;
+    RunningRequests runningRequests;
+    ServiceTime serviceTime;
     bool paused = false;
     double meanServiceSeconds = 0; // moving average of the time from start to the first packet of the answer
 };
