Place flows by the speed of upstreams and the load that flows bring

An upstream's utilization counts its slots multiplied by its speed: the mean service time of the pool divided by its own, 0.25 to 4, and 1 while no agent has stated one for 30 s. A flow without a running request counts by the pool's moving mean of busy slots per flow instead of 0.02. The means are taken each 0.1 s, not for each flow. Event 4201 states speed and answer-ms.

--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -2,6 +2,7 @@
 #include "wasabicroft/Placement.h"
 
 #include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
 #include <map>
 #include <random>
@@ -271,5 +272,120 @@
         EXPECT_EQ(fixture.placement->candidates(service).at(0), UpstreamId { 1 });
     }
 
+    // A pool of three upstreams with four slots, of which the third runs at half the speed of the others.
+    struct SpeedFixture : PlacementFixture {
+        explicit SpeedFixture(bool weighsSpeed, bool measuresConnectionCost = false)
+            : PlacementFixture(3)
+        {
+            PlacementOptions options;
+            options.weighsSpeed = weighsSpeed;
+            options.measuresConnectionCost = measuresConnectionCost;
+            options.connectionCost = 0.02;
+            options.random = [this] { return this->random(); };
+            this->placement.emplace(options, this->clock);
+            this->pool = { { { 1 }, "", 4, false }, { { 2 }, "", 4, false }, { { 3 }, "", 4, false } };
+            this->placement->setPool(service, this->pool);
+            for (uint64_t id = 1; id <= 3; ++id)
+                this->state(id, Milliseconds(id == 3 ? 80 : 40));
+        }
+
+        void state(uint64_t id, Milliseconds serviceTime)
+        {
+            this->placement->onPerformance({ id }, { Milliseconds(0), serviceTime });
+        }
+
+        // Places flows that stay open, and returns how many each upstream got.
+        std::array<uint32_t, 3> placeFlows(size_t count)
+        {
+            std::array<uint32_t, 3> flows {};
+            for (size_t i = 0; i < count; ++i) {
+                const UpstreamId chosen = this->placement->candidates(service).at(0);
+                ++flows.at(chosen.value - 1);
+                this->placement->onLoad(chosen, { 0, 4, 0, flows.at(chosen.value - 1) });
+            }
+            return flows;
+        }
+    };
+
+    // Guards against a slow upstream that gets as many long flows as a fast one, whose requests come later.
+    TEST(Placement, AnUpstreamOfHalfTheSpeedGetsHalfTheFlows)
+    {
+        const std::array<uint32_t, 3> weighed = SpeedFixture(true).placeFlows(500);
+        EXPECT_NEAR(weighed[0], 200, 2);
+        EXPECT_NEAR(weighed[1], 200, 2);
+        EXPECT_NEAR(weighed[2], 100, 2);
+        const std::array<uint32_t, 3> former = SpeedFixture(false).placeFlows(500);
+        EXPECT_GT(former[2], 160U) << "the naive counterpart";
+    }
+
+    // Guards against decisions by service times that are wrong, of the past, or not known.
+    TEST(Placement, SpeedIsLimitedAndOneWithoutANewStatement)
+    {
+        SpeedFixture fixture(true);
+        fixture.state(2, Milliseconds(4000));
+        fixture.state(3, Milliseconds(0));
+        fixture.placement->plan(service);
+        EXPECT_EQ(fixture.placement->speed(service, { 1 }), 4);
+        EXPECT_LT(fixture.placement->speed(service, { 2 }), 0.6);
+        EXPECT_EQ(fixture.placement->speed(service, { 3 }), 1) << "not known";
+        fixture.clock.advance(Milliseconds(30000));
+        fixture.state(1, Milliseconds(40));
+        fixture.state(3, Milliseconds(40));
+        fixture.clock.advance(Milliseconds(1));
+        fixture.placement->plan(service);
+        EXPECT_EQ(fixture.placement->speed(service, { 1 }), 1);
+        EXPECT_EQ(fixture.placement->speed(service, { 2 }), 1) << "30 s old";
+        EXPECT_EQ(fixture.placement->speed(service, { 99 }), 1);
+    }
+
+    // Guards against changes where they are not called for: without service times, and with equal ones, the order is
+    // that of the former rule.
+    RC_GTEST_PROP(Placement, EqualOrUnknownSpeedsKeepTheFormerOrder, ())
+    {
+        SpeedFixture weighed(true);
+        SpeedFixture former(false);
+        const int serviceTime = *rc::gen::inRange(0, 500); // 0: not known
+        for (uint64_t id = 1; id <= 3; ++id) {
+            const Load load { static_cast<uint16_t>(*rc::gen::inRange(0, 5)), 4,
+                static_cast<uint16_t>(*rc::gen::inRange(0, 9)), static_cast<uint32_t>(*rc::gen::inRange(0, 99)) };
+            for (SpeedFixture* fixture : { &weighed, &former }) {
+                fixture->state(id, Milliseconds(serviceTime));
+                fixture->placement->onLoad({ id }, load);
+            }
+        }
+        for (uint64_t hash = 0; hash < 10; ++hash)
+            RC_ASSERT(weighed.placement->candidates(service, hash) == former.placement->candidates(service, hash));
+    }
+
+    // Guards against flows that weigh little although each brings much load, and against an upstream whose clients
+    // pause for a moment and which then gets all new flows.
+    TEST(Placement, TheWeightOfAConnectionIsTheLoadThatThePoolsConnectionsBring)
+    {
+        SpeedFixture fixture(false, true);
+        SpeedFixture former(false, false);
+        const auto report = [&](Load first, Load second) {
+            for (SpeedFixture* item : { &fixture, &former }) {
+                item->placement->onLoad({ 1 }, first);
+                item->placement->onLoad({ 2 }, second);
+                item->placement->onLoad({ 3 }, { 4, 4, 9, 20 });
+                item->clock.advance(Milliseconds(100));
+                item->placement->plan(service);
+            }
+        };
+        report({ 3, 4, 0, 20 }, { 3, 4, 0, 20 });
+        EXPECT_NEAR(fixture.placement->connectionCost(service), 0.02, 0.02) << "one look decides little";
+        for (int i = 0; i < 600; ++i)
+            report({ 3, 4, 0, 20 }, { 3, 4, 0, 20 });
+        EXPECT_NEAR(fixture.placement->connectionCost(service), 10.0 / 60, 0.01);
+        report({ 0, 4, 0, 20 }, { 2, 4, 0, 5 }); // the first upstream's clients pause
+        EXPECT_EQ(fixture.placement->candidates(service).at(0), UpstreamId { 2 });
+        EXPECT_EQ(former.placement->candidates(service).at(0), UpstreamId { 1 }) << "the naive counterpart";
+        for (int i = 0; i < 600; ++i) { // no reports for a minute
+            fixture.clock.advance(Milliseconds(100));
+            fixture.placement->plan(service);
+        }
+        EXPECT_GT(fixture.placement->connectionCost(service), 0.145) << "of loads that are over 6 s old";
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -21,6 +21,9 @@
         placement.maxWaitUpstreams = 0;
         placement.remotePenalty = options.remotePenalty;
         placement.connectionCost = options.connectionCost;
+        placement.measuresConnectionCost = options.measuresConnectionCost;
+        placement.weighsSpeed = options.weighsSpeed;
+        placement.nonPreferredPenalty = options.nonPreferredPenalty;
         placement.preferredUpstreams = options.preferredUpstreams;
         placement.drainingRetryDelay = options.downRetryDelay;
         placement.random = [&random] { return random(); };
@@ -323,6 +326,8 @@
                 { "attempt", static_cast<uint64_t>(offersInRound(flow)) },
                 { "candidates", static_cast<uint64_t>(candidates.size()) },
                 { "occupied", this->placement.utilization(flow.service, candidate) },
+                { "speed", this->placement.speed(flow.service, candidate) },
+                { "answer-ms", this->placement.expectedAnswer(candidate).value_or(Milliseconds(-1)) },
                 { "load-age-ms", this->placement.loadAge(candidate) }, { "routes", this->routes->version },
                 { "directory", this->directoryRevision } });
         this->sendOffer(key, flow, flow.offers.back());
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -67,7 +67,10 @@
     size_t maxIsolationProbes = 6; // agents probed per interval
     size_t isolationSilentRatio = 3; // silent agents per replying one; one of three failure domains may be cut off
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
-    double connectionCost = 0.02; // expected share of a slot that an open flow uses
+    double connectionCost = 0.02; // expected share of a slot that an open flow uses, until it is measured
+    bool measuresConnectionCost = true; // see PlacementOptions
+    bool weighsSpeed = true; // see PlacementOptions
+    double nonPreferredPenalty = 2; // see PlacementOptions
     double remotePenalty = 0.25; // see PlacementOptions
     uint64_t seed = 1;
 };
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace wasabicroft {
 
@@ -114,6 +115,19 @@
 // [SECTION] Placement
 //-----------------------------------------------------------------------------
 
+namespace {
+
+    // Wrong or extreme service times neither starve an upstream nor send it the flows of the whole pool.
+    constexpr double minSpeed = 0.25;
+    constexpr double maxSpeed = 4;
+
+    double slotsOf(const PlacementUpstream& upstream, const Load& load)
+    {
+        return std::max<double>(1, load.slots > 0 ? load.slots : upstream.slots);
+    }
+
+} // namespace
+
 uint64_t rendezvousScore(uint64_t flowHash, UpstreamId upstream)
 {
     return mixBits(flowHash ^ (upstream.value * splitMixIncrement));
@@ -129,7 +143,7 @@
 
 void Placement::setPool(ServiceId service, std::vector<PlacementUpstream> pool)
 {
-    this->pools[service] = std::move(pool);
+    this->pools[service].upstreams = std::move(pool);
 }
 
 bool Placement::isDraining(UpstreamId upstream) const
@@ -138,24 +152,88 @@
     return found != this->estimates.end() && this->clock.now() < found->second.drainingUntil;
 }
 
-double Placement::estimateUtilization(const PlacementUpstream& upstream) const
+bool Placement::knowsServiceTime(const LoadEstimate& estimate) const
+{
+    return estimate.performance && estimate.performance->serviceTime.count() > 0
+        && this->clock.now() - estimate.performanceTime <= this->options.speedLifetime;
+}
+
+double Placement::speedOf(const Pool& pool, const LoadEstimate& estimate) const
+{
+    if (!this->options.weighsSpeed || pool.meanServiceTime <= 0 || !this->knowsServiceTime(estimate))
+        return 1;
+    return std::clamp(
+        pool.meanServiceTime / static_cast<double>(estimate.performance->serviceTime.count()), minSpeed, maxSpeed);
+}
+
+double Placement::connectionCostOf(const Pool& pool) const
+{
+    return pool.connectionCost.value_or(this->options.connectionCost);
+}
+
+double Placement::estimateUtilization(const Pool& pool, const PlacementUpstream& upstream) const
 {
     const auto found = this->estimates.find(upstream.id);
-    const LoadEstimate estimate = found == this->estimates.end() ? LoadEstimate() : found->second;
-    const double slots = std::max<double>(1, estimate.load.slots > 0 ? estimate.load.slots : upstream.slots);
-    const double reported = estimate.load.busySlots + estimate.load.queueLength
-        + this->options.connectionCost * static_cast<double>(estimate.load.connections);
-    return std::max(0.0, reported + static_cast<double>(estimate.ownFlowDelta)) / slots;
+    if (found == this->estimates.end())
+        return 0;
+    const LoadEstimate& estimate = found->second;
+    const Load& load = estimate.load;
+    // A connection with a running request counts by that request.
+    const double connections = this->options.measuresConnectionCost
+        ? std::max(0.0, static_cast<double>(load.connections) - load.busySlots)
+        : static_cast<double>(load.connections);
+    const double reported = load.busySlots + load.queueLength + this->connectionCostOf(pool) * connections;
+    return std::max(0.0, reported + static_cast<double>(estimate.ownFlowDelta))
+        / (slotsOf(upstream, load) * this->speedOf(pool, estimate));
+}
+
+// The load that a connection brings is a mean over the pool and time: a single upstream whose connections pause would
+// look as if they brought nothing.
+void Placement::refreshMeans(Pool& pool) const
+{
+    const TimePoint now = this->clock.now();
+    const Duration elapsed = now - pool.refreshed;
+    if (elapsed < this->options.poolRefreshInterval)
+        return;
+    pool.refreshed = now;
+    int64_t serviceTimes = 0;
+    int64_t known = 0;
+    double busy = 0;
+    double connections = 0;
+    for (const PlacementUpstream& upstream : pool.upstreams) {
+        const auto found = this->estimates.find(upstream.id);
+        if (found == this->estimates.end())
+            continue;
+        const LoadEstimate& estimate = found->second;
+        if (this->knowsServiceTime(estimate)) {
+            serviceTimes += estimate.performance->serviceTime.count();
+            ++known;
+        }
+        if (now - estimate.reportTime <= this->options.connectionCostReportAge) {
+            busy += std::min<double>(estimate.load.busySlots, slotsOf(upstream, estimate.load));
+            connections += static_cast<double>(estimate.load.connections);
+        }
+    }
+    pool.meanServiceTime = known > 0 ? static_cast<double>(serviceTimes) / static_cast<double>(known) : 0;
+    if (!this->options.measuresConnectionCost || connections <= 0)
+        return;
+    const double cost = this->connectionCostOf(pool);
+    // After a time without new flows, one look at the pool does not replace what was learnt.
+    const std::chrono::duration<double> time = std::min<Duration>(elapsed, std::chrono::seconds(1));
+    const double weight = 1 - std::exp(-time / std::chrono::duration<double>(this->options.connectionCostWindow));
+    pool.connectionCost = cost + weight * (std::min(1.0, busy / connections) - cost);
 }
 
 std::vector<Placement::RankedUpstream> Placement::rankUpstreams(ServiceId service, uint64_t flowHash)
 {
-    const auto pool = this->pools.find(service);
-    if (pool == this->pools.end())
+    const auto found = this->pools.find(service);
+    if (found == this->pools.end())
         return {};
+    Pool& pool = found->second;
+    this->refreshMeans(pool);
     std::vector<UpstreamId> available;
     std::vector<UpstreamId> draining; // according to a reply that may be outdated
-    for (const PlacementUpstream& upstream : pool->second) {
+    for (const PlacementUpstream& upstream : pool.upstreams) {
         if (!upstream.leaving)
             (this->isDraining(upstream.id) ? draining : available).push_back(upstream.id);
     }
@@ -165,12 +243,12 @@
     const std::vector<UpstreamId> usable = this->detector.withoutEjected(available);
     std::vector<RankedUpstream> ranking;
     auto next = usable.begin(); // usable is in the order of the pool
-    for (const PlacementUpstream& upstream : pool->second) {
+    for (const PlacementUpstream& upstream : pool.upstreams) {
         if (next == usable.end() || *next != upstream.id)
             continue;
         ++next;
         const bool isLocal = upstream.failureDomain == this->options.failureDomain;
-        const double estimated = this->estimateUtilization(upstream);
+        const double estimated = this->estimateUtilization(pool, upstream);
         ranking.push_back({ upstream.id, estimated + (isLocal ? 0 : this->options.remotePenalty), estimated });
     }
     if (this->options.preferredUpstreams > 0 && ranking.size() > this->options.preferredUpstreams) {
@@ -259,13 +337,28 @@
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
         return 0;
-    for (const PlacementUpstream& item : pool->second) {
+    for (const PlacementUpstream& item : pool->second.upstreams) {
         if (item.id == upstream)
-            return this->estimateUtilization(item);
+            return this->estimateUtilization(pool->second, item);
     }
     return 0;
 }
 
+double Placement::speed(ServiceId service, UpstreamId upstream) const
+{
+    const auto pool = this->pools.find(service);
+    const auto estimate = this->estimates.find(upstream);
+    if (pool == this->pools.end() || estimate == this->estimates.end())
+        return 1;
+    return this->speedOf(pool->second, estimate->second);
+}
+
+double Placement::connectionCost(ServiceId service) const
+{
+    const auto pool = this->pools.find(service);
+    return pool == this->pools.end() ? this->options.connectionCost : this->connectionCostOf(pool->second);
+}
+
 Milliseconds Placement::loadAge(UpstreamId upstream) const
 {
     const auto found = this->estimates.find(upstream);
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -102,10 +102,19 @@
     size_t maxWaitUpstreams = 8; // upstreams at which one flow may wait
     double remotePenalty = 0.25; // added to the utilization of an upstream in another failure domain
     double connectionCost = 0; // share of a slot that an open connection counts as
+    // true: connectionCost is only where the moving mean of busy slots per connection begins, by which those
+    // connections count that have no running request.
+    bool measuresConnectionCost = false;
+    bool weighsSpeed = true; // utilization counts slots multiplied by the upstream's speed
     size_t preferredUpstreams = 0; // chosen by a flow's hash: other entries search them for it first; 0: none
     double nonPreferredPenalty = 2; // added to the utilization of an upstream that the flow does not prefer
     Milliseconds drainingRetryDelay { 1000 }; // an upstream that replied that it drains is excluded for this long
     Milliseconds performanceLifetime { 1000 }; // an older statement of an upstream's waits says nothing of the present
+    Milliseconds speedLifetime { 30000 }; // after an older statement, an upstream counts as one of mean speed
+    // An upstream's load reports end when it gets no new flows. Above the longest interval between reports.
+    Milliseconds connectionCostReportAge { 6000 };
+    Milliseconds connectionCostWindow { 10000 }; // time constant of the moving mean; above the pauses of single clients
+    Milliseconds poolRefreshInterval { 100 }; // of means over the pool, so that not every flow pays for them
     OutlierDetectorOptions outlierDetection;
     std::function<uint64_t()> random; // required
 };
@@ -139,6 +148,8 @@
     // For log lines: the estimated utilization of an upstream, and the age of its last load report (-1 ms: none).
     double utilization(ServiceId, UpstreamId) const;
     Milliseconds loadAge(UpstreamId) const;
+    double speed(ServiceId, UpstreamId) const; // 1: as the mean of the pool, or not known
+    double connectionCost(ServiceId) const; // share of a slot that a connection without a running request counts as
 
     // Time until a new flow's first request would be answered. Empty if the agent has stated none in the last
     // performanceLifetime.
@@ -160,17 +171,28 @@
     struct RankedUpstream {
         UpstreamId id;
         double cost = 0;
-        double utilization = 0; // running and waiting requests divided by slots
+        double utilization = 0; // running and waiting requests divided by slots, these by their speed
+    };
+
+    struct Pool {
+        std::vector<PlacementUpstream> upstreams;
+        TimePoint refreshed;
+        double meanServiceTime = 0; // of upstreams whose service time is known, in us; 0: none is
+        std::optional<double> connectionCost; // moving mean; empty: not measured yet
     };
 
     bool isDraining(UpstreamId) const;
-    double estimateUtilization(const PlacementUpstream&) const;
+    bool knowsServiceTime(const LoadEstimate&) const;
+    double speedOf(const Pool&, const LoadEstimate&) const;
+    double connectionCostOf(const Pool&) const;
+    double estimateUtilization(const Pool&, const PlacementUpstream&) const;
+    void refreshMeans(Pool&) const;
     std::vector<RankedUpstream> rankUpstreams(ServiceId, uint64_t flowHash);
 
     PlacementOptions options;
     const Clock& clock;
     OutlierDetector detector;
-    std::unordered_map<ServiceId, std::vector<PlacementUpstream>> pools;
+    std::unordered_map<ServiceId, Pool> pools;
     std::unordered_map<UpstreamId, LoadEstimate> estimates;
     std::unordered_map<ServiceId, RetryBudget> budgets;
 };
