Leave ended flows out of the load that agents state

Agents know a flow for up to its idle timeout after its end, and counted it as held until then. Where clients open one flow per request, such flows outnumber the open ones many times, so that an upstream looked occupied by the number of flows it got in the last minute, and the load per flow that entries derive was too small. A flow that either end has closed (FIN) no longer counts; searches still find it.

Test: AgentRouterFixture.FlowsThatEitherEndHasClosedAreNoLoad.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -548,6 +548,28 @@
         EXPECT_EQ(this->toUpstream.size(), 3U);
     }
 
+    // Guards against a load of ended flows, which stay known for up to a minute: an upstream that got many short flows
+    // would look occupied for as long.
+    TEST_F(AgentRouterFixture, FlowsThatEitherEndHasClosedAreNoLoad)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        this->ask({});
+        EXPECT_EQ(this->lastHop.heldFlows, 3U);
+        this->fromEntry(HopKind::Forward, ackFlag | finFlag, 1, 1002, 100); // with its last request
+        this->fromUpstream(ackFlag | finFlag, 2, 100);
+        this->ask({});
+        EXPECT_EQ(this->lastHop.heldFlows, 1U);
+        this->fromUpstream(ackFlag | finFlag, 1, 100);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->lastHop.kind, HopKind::Known) << "a late packet still finds its upstream";
+        EXPECT_EQ(this->lastHop.heldFlows, 1U);
+        this->fromUpstream(rstFlag, 1);
+        this->fromUpstream(rstFlag, 3);
+        this->ask({});
+        EXPECT_EQ(this->lastHop.heldFlows, 0U);
+    }
+
     // Guards against a request that still counts as running after the upstream sent a FIN.
     TEST_F(AgentRouterFixture, AFinOfTheUpstreamEndsARequest)
     {
--- a/tests/EvenLoadTest.cpp
+++ b/tests/EvenLoadTest.cpp
@@ -251,7 +251,7 @@
     // upstreams of equal speed have 2% late answers, too: the requests of open flows arrive at random.
     TEST(EvenLoad, FewerAnswersAreLateWhereSpeedsDiffer)
     {
-        for (const uint64_t seed : { 1, 2 }) {
+        for (const uint64_t seed : { 1U, 2U }) {
             for (const double load : { 0.7, 0.88 }) {
                 const Outcome former = outcomeOf(formerRule, load, false, seed);
                 const Outcome weighed = outcomeOf({}, load, false, seed);
@@ -270,7 +270,7 @@
     // the load less even than before.
     TEST(EvenLoad, EqualSpeedsAreAsEvenAsBefore)
     {
-        for (const uint64_t seed : { 1, 2 }) {
+        for (const uint64_t seed : { 1U, 2U }) {
             const Outcome former = outcomeOf(formerRule, 0.88, true, seed);
             const Outcome weighed = outcomeOf({}, 0.88, true, seed);
             EXPECT_LT(weighed.lateShare, former.lateShare + 0.005) << "seed " << seed;
@@ -284,7 +284,7 @@
     // Guards against a smaller penalty: entries whose load reports are old would choose the same few upstreams.
     TEST(EvenLoad, ASmallerPenaltyMakesMoreAnswersLate)
     {
-        for (const uint64_t seed : { 1, 2 }) {
+        for (const uint64_t seed : { 1U, 2U }) {
             double previous = 0;
             for (const double penalty : { 2.0, 1.0, 0.5 }) {
                 const Outcome outcome = outcomeOf({ true, true, penalty }, 0.88, false, seed);
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -29,7 +29,7 @@
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
         if (flow.request != RequestState::None)
             this->requestQueue.remove(key);
-        this->heldFlows -= flow.isHeld ? 1 : 0;
+        this->heldFlows -= flow.isCounted ? 1 : 0;
     };
 }
 
@@ -118,6 +118,7 @@
     flow.mayBeOpen = true;
     flow.sequences.onClientPacket(packet);
     flow.clientSentFin = flow.clientSentFin || packet.fin;
+    this->countFlow(flow);
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
     // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
@@ -466,6 +467,7 @@
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onUpstreamPacket(packet);
     flow.upstreamSentFin = flow.upstreamSentFin || packet.fin;
+    this->countFlow(flow);
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
@@ -509,7 +511,7 @@
 {
     if (!flow.isHeld) {
         flow.isHeld = true;
-        ++this->heldFlows;
+        this->countFlow(flow);
         this->requestQueue.onHeld(key);
     }
     if (flow.lastKind == HopKind::Find && flow.entry != PacketAddress()) {
@@ -518,6 +520,19 @@
     }
 }
 
+// A flow that either end has closed brings no further requests, but stays known for up to the idle timeout. It would
+// outnumber the flows that do where clients open one per request.
+void AgentRouter::countFlow(Flow& flow)
+{
+    const bool counts = flow.isHeld && !flow.clientSentFin && !flow.upstreamSentFin;
+    if (counts == std::exchange(flow.isCounted, counts))
+        return;
+    if (counts)
+        ++this->heldFlows;
+    else
+        --this->heldFlows;
+}
+
 // Numbers a packet that is sent to the upstream: its answer shows that the upstream has received all packets before it.
 // Only the first of several copies counts, since the answer may be to that one.
 void AgentRouter::assignDeliveryNumber(Flow& flow)
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -115,6 +115,7 @@
         FlowSequences sequences;
         bool clientSentFin = false; // also with payload
         bool upstreamSentFin = false;
+        bool isCounted = false; // in heldFlows
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
@@ -156,6 +157,7 @@
     void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
     void markHeld(const FlowKey&, Flow&);
+    void countFlow(Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
     void trackDelivery(const FlowKey&, Flow&);
@@ -195,7 +197,7 @@
     RejectionDetector rejection;
     bool wasRejecting = false;
     UpstreamState loggedState = UpstreamState::Unknown;
-    size_t heldFlows = 0;
+    size_t heldFlows = 0; // closed by neither end
     AgentRouterCounters counts;
 };
 
--- a/wasabicroft/Packet.h
+++ b/wasabicroft/Packet.h
@@ -161,7 +161,7 @@
     std::optional<UpstreamFigures> upstream; // from entries: of the receiver's upstream; empty: not known
     std::optional<RequestLimits> limits; // from entries: of the packet's route; empty: not known
     std::optional<Milliseconds> idleTimeout; // in Ask: of flows; empty: not known
-    uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds
+    uint32_t heldFlows = 0; // from agents: number of flows that the upstream holds and neither end has closed
     std::optional<UpstreamPerformance> performance; // from agents; empty: not known
     UpstreamDirective directive; // in Directive
     Milliseconds loadInterval { 0 }; // in Offer: requested time between load reports; steps of 20 ms, at most 5.1 s
