--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -88,6 +88,7 @@
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
+    std::optional<UpstreamPerformance> performance() const { return this->requestQueue.performance(); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
@@ -114,6 +115,7 @@
         FlowSequences sequences;
         bool clientSentFin = false; // also with payload
         bool upstreamSentFin = false;
+        bool isCounted = false; // in heldFlows
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
@@ -156,6 +158,7 @@
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
     void answerSearchForEndedFlow(const FlowKey&, PacketAddress entry, uint32_t sequence);
     void markHeld(const FlowKey&, Flow&);
+    void countFlow(Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
     void trackDelivery(const FlowKey&, Flow&);
@@ -195,7 +198,7 @@
     RejectionDetector rejection;
     bool wasRejecting = false;
     UpstreamState loggedState = UpstreamState::Unknown;
-    size_t heldFlows = 0;
+    size_t heldFlows = 0; // closed by neither end
     AgentRouterCounters counts;
 };
 
