Tell agents of evacuated failure domains by directives

An entry that does not know an order would place new flows in the evacuated domain until the store or a peer tells it. Agents are the second line of defence: entries that know the order send them its position, and they refuse new flows by the newest one.

Without orders nothing is sent. An evacuated agent sends no new SYN as a probe of a down upstream.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -77,6 +77,10 @@
         this->router.onAsk(entry, message.value());
         return;
     }
+    if (message && message.value().kind == HopKind::Directive) {
+        this->router.onDirective(entry, message.value());
+        return;
+    }
     const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
     if (packet && !packet.value().bounced) {
         if (message.value().kind == HopKind::Search)
@@ -148,7 +152,9 @@
     status.ready = this->isReady();
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
         { "flows", this->router.trackedFlows() }, { "busy", this->router.runningRequests() },
-        { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) } });
+        { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) },
+        { "evacuated", this->router.evacuation().isEvacuated() },
+        { "evacuationPosition", this->router.evacuation().position() } });
     return status;
 }
 
@@ -162,6 +168,9 @@
     metrics.setCount("wasabi_bounces_total", "", counts.bounces);
     metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
+    metrics.setCount("wasabi_offers_refused_total", "cause=\"evacuated\"", counts.refusedEvacuated);
+    metrics.setCount("wasabi_directives_total", "", counts.directives);
+    metrics.setCount("wasabi_upstream_evacuated", "", this->router.evacuation().isEvacuated() ? 1 : 0);
     metrics.setCount("wasabi_flows_gone_total", "", counts.gone);
     metrics.setCount("wasabi_upstream_resets_total", "", counts.upstreamResets);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -498,6 +498,7 @@
         metrics.setCount("wasabi_searches_without_result_total", "scope=\"" + std::string(searchScopeNames.at(i)) + '"',
             counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
+    metrics.setCount("wasabi_directives_total", "", counts.directives);
     metrics.setCount("wasabi_resets_total", "", counts.resets);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
--- a/tests/EntryRouterFixture.h
+++ b/tests/EntryRouterFixture.h
@@ -22,6 +22,7 @@
     std::optional<RequestLimits> limits;
     std::vector<uint32_t> targets;
     size_t flowCount = 0; // flows that an Ask asks for
+    UpstreamDirective directive;
 };
 
 // An EntryRouter that records what it sends.
@@ -32,7 +33,7 @@
               { [this](PacketAddress agent, const HopMessage& message) {
                    this->hops.push_back({ agent, message.kind, message.service,
                        { message.packet.begin(), message.packet.end() }, message.loadInterval, message.upstream,
-                       message.limits, message.targets, message.flowKeys.size() });
+                       message.limits, message.targets, message.flowKeys.size(), message.directive });
                },
                   [this](const FlowKey& key, uint32_t) { this->resets.push_back(key); } },
               this->clock)
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -24,6 +24,7 @@
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
     , rejection(this->options.rejection, timeSource)
+    , evacuationNotice(this->options.evacuationLifetime, timeSource)
 {
     this->requestQueue.setPaused(true);
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
@@ -73,6 +74,24 @@
         this->hooks.onUpstreamFigures(this->figures);
 }
 
+// The entry may know an upstream of another service at this address.
+void AgentRouter::onDirective(PacketAddress entry, const HopMessage& message)
+{
+    ++this->counts.directives;
+    if (message.service != this->options.service)
+        return;
+    if (!this->evacuationNotice.onDirective(message.directive))
+        return;
+    if (this->evacuationNotice.isEvacuated())
+        logEvent(Event::PacketUpstreamEvacuated,
+            { { "entry", toString(entry) }, { "position", this->evacuationNotice.position() },
+                { "flows", static_cast<uint64_t>(this->heldFlows) } });
+    else
+        logEvent(Event::PacketEvacuationEnded,
+            { { "entry", toString(entry) }, { "cause", "withdrawn" },
+                { "position", this->evacuationNotice.position() } });
+}
+
 // The limits that the entry states, or else those that were stated last.
 RequestLimits AgentRouter::limitsOf(PacketAddress route, const HopMessage& message)
 {
@@ -312,16 +331,15 @@
         this->hooks.sendToUpstream(message.packet);
         return;
     }
-    // An upstream of another service may reuse the address before every entry has the change.
-    HopRefusal refusal = HopRefusal::None;
-    if (message.service != this->options.service)
-        refusal = HopRefusal::OtherService;
-    else if (isDown)
-        refusal = HopRefusal::UpstreamDown;
-    else if (this->figures && this->figures->draining)
-        refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
-    else if (!this->rejection.tryAdmit())
-        refusal = HopRefusal::UpstreamRejecting;
+    // Of a flow that was handed to the upstream before, the upstream has decided already.
+    const bool isNewFlow = !known || isPortReused || (!known->offered && !known->mayBeOpen);
+    const HopRefusal refusal = this->refusalOf(message, isNewFlow);
+    if (refusal == HopRefusal::UpstreamDraining && isNewFlow && this->evacuationNotice.isEvacuated()) {
+        ++this->counts.refusedEvacuated;
+        logEvent(Event::PacketEvacuatedOfferRefused,
+            { { "flow", toString(key) }, { "entry", toString(entry) },
+                { "position", this->evacuationNotice.position() } });
+    }
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
@@ -347,6 +365,22 @@
     this->hooks.sendToUpstream(message.packet);
 }
 
+// Why the agent refuses a SYN that an entry offers. Evacuation comes before the state of the upstream: a probe of a
+// down upstream is a SYN, too, and would open a flow there.
+HopRefusal AgentRouter::refusalOf(const HopMessage& message, bool isNewFlow)
+{
+    // An upstream of another service may reuse the address before every entry has the change.
+    if (message.service != this->options.service)
+        return HopRefusal::OtherService;
+    if (isNewFlow && this->evacuationNotice.isEvacuated())
+        return HopRefusal::UpstreamDraining;
+    if (this->liveness.state() == UpstreamState::Down)
+        return HopRefusal::UpstreamDown;
+    if (this->figures && this->figures->draining)
+        return HopRefusal::UpstreamDraining; // the entry lacks a change of the record
+    return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
+}
+
 // Sends a packet to the upstream, or stores it while its request waits.
 void AgentRouter::deliver(const FlowKey& key, Flow& flow, const HopMessage& message, const Packet& packet)
 {
@@ -670,6 +704,9 @@
     this->confirmHeldFlows();
     this->flushDenials();
     this->expireRequests();
+    if (this->evacuationNotice.onTick())
+        logEvent(Event::PacketEvacuationEnded,
+            { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
     this->returnedFlows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/RejectionDetector.h"
 #include "wasabicroft/RequestQueue.h"
@@ -40,6 +41,7 @@
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
+    Milliseconds evacuationLifetime { 30000 }; // without a directive for longer, the upstream is not evacuated any more
 };
 
 struct AgentRouterCounters {
@@ -50,6 +52,8 @@
     uint64_t bounces = 0; // packets returned by the upstream
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0; // SYNs refused by the agent or the upstream
+    uint64_t refusedEvacuated = 0; // of these, because the upstream's failure domain is evacuated
+    uint64_t directives = 0; // from entries
     uint64_t gone = 0; // open flows that the upstream lost
     uint64_t upstreamResets = 0; // flows that the upstream reset
     uint64_t waited = 0; // requests that did not start at once
@@ -81,6 +85,7 @@
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
     void onSearch(PacketAddress entry, const HopMessage&, const Packet&); // a Find for this and other agents
     void onAsk(PacketAddress entry, const HopMessage&); // asks which flows the upstream holds
+    void onDirective(PacketAddress entry, const HopMessage&);
     void onUpstreamPacket(const Packet&, Bytes); // the caller has cleared the bounced flag in the bytes
     void flushDenials(); // call after each batch of datagrams: denials of one batch share their messages
     void onTick(); // call every few milliseconds
@@ -90,6 +95,7 @@
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
+    const EvacuationNotice& evacuation() const { return this->evacuationNotice; }
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
 
@@ -142,6 +148,7 @@
     void checkForPause();
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
+    HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
@@ -193,6 +200,7 @@
     UpstreamLiveness liveness;
     RejectionDetector rejection;
     bool wasRejecting = false;
+    EvacuationNotice evacuationNotice;
     UpstreamState loggedState = UpstreamState::Unknown;
     size_t heldFlows = 0;
     AgentRouterCounters counts;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -54,6 +54,7 @@
     , clock(timeSource)
     , random(this->options.seed)
     , placement(placementOptions(this->options, this->random), timeSource)
+    , directives(this->options.directives, timeSource)
     , flows(this->options.maxFlows)
     , hints(this->options.maxFlows)
     , linkBudget(this->options.link, timeSource)
@@ -118,7 +119,7 @@
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
         if (current && current->name == record.name)
-            this->listedByAgent[toCandidate(record).agent] = { record.service, record.figures() };
+            this->listedByAgent[toCandidate(record).agent] = { record.service, record.figures(), record.failureDomain };
     }
     this->announceDrains(directory, listedBefore);
     this->releaseBuffered();
@@ -145,7 +146,54 @@
     }
 }
 
-void EntryRouter::setEvacuations(EvacuationOrders orders) { this->evacuations = std::move(orders); }
+void EntryRouter::setEvacuations(EvacuationOrders orders)
+{
+    const std::set<std::string> changed = this->directives.setOrders(std::move(orders));
+    std::vector<PacketAddress> receivers;
+    for (const auto& [agent, listed] : this->listedByAgent) {
+        if (changed.contains(listed.failureDomain))
+            receivers.push_back(agent);
+    }
+    if (receivers.empty())
+        return;
+    // Entries begin with different agents, so that each agent soon hears of the order from one of them.
+    const size_t first = this->random() % receivers.size();
+    std::rotate(receivers.begin(), receivers.begin() + static_cast<std::ptrdiff_t>(first), receivers.end());
+    this->directives.enqueue(std::move(receivers));
+    this->sendQueuedDirectives();
+}
+
+void EntryRouter::sendQueuedDirectives()
+{
+    HopMessage message;
+    message.kind = HopKind::Directive;
+    for (const PacketAddress agent : this->directives.takeQueued(encodedBytes(message) + datagramHeaderBytes))
+        this->sendDirective(agent);
+}
+
+// The agent may lack an order, or have an outdated one, which decides on the offer that follows.
+void EntryRouter::sendDirectiveBeforeOffer(PacketAddress agent)
+{
+    const auto listed = this->listedByAgent.find(agent);
+    if (listed != this->listedByAgent.end()
+        && this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, false))
+        this->sendDirective(agent);
+}
+
+void EntryRouter::sendDirective(PacketAddress agent)
+{
+    const auto listed = this->listedByAgent.find(agent);
+    if (listed == this->listedByAgent.end())
+        return;
+    HopMessage message;
+    message.kind = HopKind::Directive;
+    message.service = listed->second.service;
+    message.directive.evacuationPosition = this->directives.orders().position;
+    message.directive.evacuated = this->directives.isEvacuated(listed->second.failureDomain);
+    ++this->counts.directives;
+    this->directives.onSent(agent);
+    this->sendHop(agent, message);
+}
 
 bool EntryRouter::isServing() const
 {
@@ -377,8 +425,10 @@
     HopMessage message = this->makeMessage(agent, kind, key, service, bytes);
     if (kind == HopKind::Offer || kind == HopKind::Find)
         this->expectReply(agent);
-    if (kind == HopKind::Offer)
+    if (kind == HopKind::Offer) {
+        this->sendDirectiveBeforeOffer(agent);
         message.loadInterval = this->addLoadReporter(agent);
+    }
     this->sendHop(agent, message);
 }
 
@@ -717,6 +767,8 @@
     this->flushAsks();
     this->updateIsolation();
     this->logShedSearches();
+    this->directives.onTick();
+    this->sendQueuedDirectives();
     while (!this->buffered.empty() && now - this->buffered.front().received > this->options.maxBufferTime) {
         ++this->counts.dropped;
         this->bufferedBytes -= this->buffered.front().bytes.size();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -13,7 +13,7 @@
 //   [SECTION] EntryRouter
 #pragma once
 
-#include "wasabicroft/Evacuation.h"
+#include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
@@ -69,6 +69,7 @@
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
+    DirectiveOptions directives;
     uint64_t seed = 1;
 };
 
@@ -94,6 +95,7 @@
     uint64_t buffered = 0; // packets that waited for the first routes
     uint64_t dropped = 0; // packets that could not be delivered
     uint64_t notHeld = 0; // forwarded packets that the upstream did not hold
+    uint64_t directives = 0; // Directive messages sent to agents
 };
 
 //-----------------------------------------------------------------------------
@@ -114,6 +116,7 @@
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
     void setEvacuations(EvacuationOrders); // call after each change, before setUpstreams
+    const EvacuationOrders& evacuations() const { return this->directives.orders(); }
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
     // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
     // this one lacks none.
@@ -180,6 +183,7 @@
     struct ListedUpstream {
         ServiceId service;
         std::optional<UpstreamFigures> figures; // empty: not known
+        std::string failureDomain;
     };
 
     // Timeout of an offer.
@@ -210,6 +214,9 @@
     Milliseconds addLoadReporter(PacketAddress agent);
     void announceDrains(const UpstreamDirectory&, const std::map<PacketAddress, ListedUpstream>& before);
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
+    void sendDirective(PacketAddress agent);
+    void sendQueuedDirectives();
+    void sendDirectiveBeforeOffer(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
     Offer* findOffer(Flow&, PacketAddress agent);
@@ -288,7 +295,7 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
-    EvacuationOrders evacuations;
+    DirectiveSchedule directives; // has the evacuation orders in force
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
