Limit the new flows of cold upstreams

An upstream that started lately bears few requests, but is idle, so that all entries prefer it. Entries now learn from the store how long it stays cold and how much it bears. They prefer warm upstreams with a free slot and keep to their share. The agent refuses new flows beyond the limit in any second as busy; it alone sees those of all entries. It learns the limit from directives, which entries send before offers to cold upstreams.

In force only where the setting cold-excess is not empty.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -13,6 +13,7 @@
         AgentRouterOptions options;
         options.service = serviceIdOf(settings.service);
         options.self = settings.packets;
+        options.limitsColdStarts = settings.coldExcess > 0;
         return options;
     }
 
@@ -67,6 +68,7 @@
     this->settings.seeds = changed.seeds;
     this->settings.entryHopPort = changed.entryHopPort;
     this->router.setService(serviceIdOf(changed.service));
+    this->router.limitColdStarts(changed.coldExcess > 0);
     this->announcer.setService(serviceIdOf(changed.service));
 }
 
@@ -154,7 +156,8 @@
         { "flows", this->router.trackedFlows() }, { "busy", this->router.runningRequests() },
         { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) },
         { "evacuated", this->router.evacuation().isEvacuated() },
-        { "evacuationPosition", this->router.evacuation().position() } });
+        { "evacuationPosition", this->router.evacuation().position() },
+        { "coldLeftMs", this->router.coldStart().timeLeft().count() } });
     return status;
 }
 
@@ -169,6 +172,8 @@
     metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
     metrics.setCount("wasabi_offers_refused_total", "cause=\"evacuated\"", counts.refusedEvacuated);
+    metrics.setCount("wasabi_offers_refused_total", "cause=\"cold\"", counts.refusedCold);
+    metrics.setCount("wasabi_upstream_cold", "", this->router.coldStart().isCold() ? 1 : 0);
     metrics.setCount("wasabi_directives_total", "", counts.directives);
     metrics.setCount("wasabi_upstream_evacuated", "", this->router.evacuation().isEvacuated() ? 1 : 0);
     metrics.setCount("wasabi_flows_gone_total", "", counts.gone);
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -21,6 +21,7 @@
     constexpr size_t logBatchBytes = 16 * 1024;
     constexpr Milliseconds maxStopDelay { 60000 };
     constexpr double maxLinkMbps = 1000000;
+    constexpr double maxColdExcess = 1000000;
     constexpr uint64_t ticksPerLogFlush = 10;
 
     const std::string usage = R"(Options come from flags, environment variables and a settings file.
@@ -43,6 +44,8 @@
   --peer IP:PORT           Serves the same paths; port 0: disabled [0].
   --seeds LIST             Addresses of entries that may be running, separated by commas.
   --store IP:PORT          Entry: the platform's store.
+  --cold-excess N          Above 0: limits new flows of cold upstreams. The platform's bound is N times what they bear [0].
+  --cold-slack N           Flows per second beyond that bound [0].
   --link-mbps N            Entry: bandwidth of its network link in Mbit/s; 0: the default [10].
   --stop-delay MS          Keeps forwarding for this long after SIGTERM [1500].
   --log-level LEVEL        debug, info, warning or error [info].
@@ -135,6 +138,8 @@
     settings.store = reader.endpoint("--store", {});
     const double linkMbps = reader.decimal("--link-mbps", 0, 0, maxLinkMbps);
     settings.linkMbps = linkMbps > 0 ? linkMbps : PacketSettings().linkMbps;
+    settings.coldExcess = reader.decimal("--cold-excess", 0, 0, maxColdExcess);
+    settings.coldSlack = reader.decimal("--cold-slack", 0, 0, maxColdExcess);
     settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
     settings.log.threshold = reader.severity("--log-level", Severity::Info);
     settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -66,6 +66,7 @@
 
 Result<bool> PacketEntry::start()
 {
+    this->router.limitColdStarts(this->settings.coldExcess > 0);
     const Result<PacketAddress> packets = this->clientSocket.open(this->settings.packets);
     if (!packets)
         return packets.error();
@@ -87,6 +88,7 @@
 {
     this->settings.seeds = changed.seeds;
     this->settings.store = changed.store;
+    this->router.limitColdStarts(changed.coldExcess > 0);
     this->applySeeds();
 }
 
@@ -460,9 +462,10 @@
         status.notReadyCause = "no upstream accepts new flows";
     boost::json::array upstreams;
     for (const UpstreamRecord& record : this->directory.allListed())
-        upstreams.push_back({ { "name", record.name }, { "id", toString(record.id()) },
-            { "address", toString(record.address) }, { "draining", record.draining },
-            { "suspect", this->router.outlierDetector().isEjected(record.id()) } });
+        upstreams.push_back(
+            { { "name", record.name }, { "id", toString(record.id()) }, { "address", toString(record.address) },
+                { "draining", record.draining }, { "coldLeftMs", this->router.cold().timeLeft(record.id()).count() },
+                { "suspect", this->router.outlierDetector().isEjected(record.id()) } });
     boost::json::object json { { "routesVersion", this->router.routesVersion() },
         { "directoryRevision", this->directory.revision() }, { "flows", this->router.trackedFlows() },
         { "storeReachable", this->isStoreReachable }, { "upstreams", std::move(upstreams) } };
@@ -499,6 +502,7 @@
             counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
     metrics.setCount("wasabi_directives_total", "", counts.directives);
+    metrics.setCount("wasabi_cold_upstreams", "", this->router.cold().count());
     metrics.setCount("wasabi_resets_total", "", counts.resets);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -340,6 +340,47 @@
         EXPECT_TRUE(isUsed(entryWith("cold_left_ms", "12.5")));
     }
 
+    // Guards against odd figures that count as a cold time, and against losing the record because of them.
+    TEST(StoreWire, ColdTimesAreDecodedUnlessTheyAreOdd)
+    {
+        const auto coldLeft = [](const std::string& json) {
+            const std::string body = R"({"items":[{"key":"servers/h","value":")"
+                + base64(entryWith("cold_left_ms", json)) + R"(","rev":3}],"has_more":false,"store_revision":9})";
+            return decodeResponse(listRead(StoreTopic::Upstreams), body).value().upstreams.at(0).coldLeft;
+        };
+        EXPECT_EQ(coldLeft("0"), Milliseconds(0));
+        EXPECT_EQ(coldLeft("8000"), Milliseconds(8000));
+        EXPECT_EQ(coldLeft("12.5"), Milliseconds(13));
+        EXPECT_EQ(coldLeft("86400000"), Milliseconds(86400000));
+        for (const std::string odd : { "-1", "-0.5", "86400001", "1e300", "9223372036854775807" })
+            EXPECT_EQ(coldLeft(odd), Milliseconds(0)) << odd;
+    }
+
+    // Guards against odd figures of a service that limit its upstreams, and against losing the service because of them.
+    TEST(StoreWire, ColdStartsOfServicesAreDecodedUnlessTheyAreOdd)
+    {
+        const auto coldStart = [](const std::string& fields) -> std::optional<ColdStart> {
+            const std::string value = base64(R"({"version":3,"services":[{"name":"a")" + fields + R"(}],
+                "routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","service":"a"}]})");
+            const std::string body = R"({"key":"op/config","value":")" + value + R"(","rev":3,"store_revision":9})";
+            const StoreResponse answer = decodeResponse(listRead(StoreTopic::Routes), body).value();
+            EXPECT_TRUE(answer.routes->listedServices.contains(serviceIdOf("a")));
+            const auto found = answer.routes->coldStarts.find(serviceIdOf("a"));
+            return found == answer.routes->coldStarts.end() ? std::nullopt : std::optional(found->second);
+        };
+        constexpr Milliseconds day { 86400000 };
+        EXPECT_EQ(coldStart(R"(,"cold_start_s":8,"cold_per_s":6)"), (ColdStart { Milliseconds(8000), 6 }));
+        EXPECT_EQ(coldStart(R"(,"cold_start_s":1.5,"cold_per_s":6.9)"), (ColdStart { Milliseconds(1500), 6 }));
+        for (const std::string odd : { "0.9", "0", "-3", "\"6\"", "null", "1e300" })
+            EXPECT_EQ(coldStart(R"(,"cold_start_s":8,"cold_per_s":)" + odd), (ColdStart { Milliseconds(8000), 0 }))
+                << odd;
+        for (const std::string odd : { "-1", "86401", "\"8\"", "null", "1e300" })
+            EXPECT_EQ(coldStart(R"(,"cold_per_s":6,"cold_start_s":)" + odd), (ColdStart { day, 6 })) << odd;
+        EXPECT_EQ(coldStart(R"(,"cold_start_s":0,"cold_per_s":6)"), std::nullopt);
+        EXPECT_EQ(coldStart(R"(,"cold_start_s":-1,"cold_per_s":-1)"), std::nullopt);
+        EXPECT_EQ(coldStart(""), std::nullopt);
+    }
+
     // Guards against a host without a name: each one registers under its id.
     TEST(StoreWire, AnEntryWithoutANameIsNotUsed)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -25,6 +25,7 @@
     , liveness(this->options.liveness, timeSource)
     , rejection(this->options.rejection, timeSource)
     , evacuationNotice(this->options.evacuationLifetime, timeSource)
+    , coldStartLimiter(timeSource)
 {
     this->requestQueue.setPaused(true);
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
@@ -45,6 +46,7 @@
     this->figures.reset();
     this->limits.clear();
     this->rejection.reset();
+    this->coldStartLimiter.reset();
     this->requestQueue.setSlots(0);
     if (this->hooks.onUpstreamFigures)
         this->hooks.onUpstreamFigures(this->figures);
@@ -80,6 +82,10 @@
     ++this->counts.directives;
     if (message.service != this->options.service)
         return;
+    if (this->options.limitsColdStarts && this->coldStartLimiter.onDirective(message.directive))
+        logEvent(Event::PacketUpstreamCold,
+            { { "entry", toString(entry) }, { "left-ms", this->coldStartLimiter.timeLeft() },
+                { "flows-per-second", this->coldStartLimiter.flowsPerSecond() } });
     if (!this->evacuationNotice.onDirective(message.directive))
         return;
     if (this->evacuationNotice.isEvacuated())
@@ -344,13 +350,17 @@
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
             { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe())
+    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe()) {
+        this->coldStartLimiter.onHandedOver();
         this->hooks.sendToUpstream(message.packet);
+    }
     if (refusal != HopRefusal::None) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
         return;
     }
+    if (isNewFlow)
+        this->coldStartLimiter.onHandedOver();
     if (isPortReused)
         this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -378,6 +388,10 @@
         return HopRefusal::UpstreamDown;
     if (this->figures && this->figures->draining)
         return HopRefusal::UpstreamDraining; // the entry lacks a change of the record
+    if (isNewFlow && this->options.limitsColdStarts && !this->coldStartLimiter.mayHandOver()) {
+        ++this->counts.refusedCold;
+        return HopRefusal::UpstreamBusy; // the entry asks the next candidate
+    }
     return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
 }
 
@@ -707,6 +721,8 @@
     if (this->evacuationNotice.onTick())
         logEvent(Event::PacketEvacuationEnded,
             { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
+    if (this->coldStartLimiter.onTick())
+        logEvent(Event::PacketUpstreamWarm, { { "refused", this->counts.refusedCold } });
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
     this->returnedFlows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/ColdStart.h"
 #include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/RejectionDetector.h"
@@ -41,6 +42,7 @@
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
+    bool limitsColdStarts = false; // keeps the limits that directives state of a cold upstream
     Milliseconds evacuationLifetime { 30000 }; // without a directive for longer, the upstream is not evacuated any more
 };
 
@@ -53,6 +55,7 @@
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0; // SYNs refused by the agent or the upstream
     uint64_t refusedEvacuated = 0; // of these, because the upstream's failure domain is evacuated
+    uint64_t refusedCold = 0; // of the refused ones, because the upstream is cold and got its limit
     uint64_t directives = 0; // from entries
     uint64_t gone = 0; // open flows that the upstream lost
     uint64_t upstreamResets = 0; // flows that the upstream reset
@@ -80,6 +83,7 @@
 
     void startTracking(); // the sockets are open: the agent sees the packets of all flows from now on
 
+    void limitColdStarts(bool isEnabled) { this->options.limitsColdStarts = isEnabled; }
     void setService(ServiceId); // the settings changed: an upstream of another service runs here now
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
@@ -95,6 +99,7 @@
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
+    const ColdStartLimiter& coldStart() const { return this->coldStartLimiter; }
     const EvacuationNotice& evacuation() const { return this->evacuationNotice; }
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
@@ -201,6 +206,7 @@
     RejectionDetector rejection;
     bool wasRejecting = false;
     EvacuationNotice evacuationNotice;
+    ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
     size_t heldFlows = 0;
     AgentRouterCounters counts;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -13,7 +13,8 @@
     // Upper limit of the candidates of a flow; above the number of upstreams that it is offered to.
     constexpr size_t maxRankedCandidates = 8;
 
-    PlacementOptions placementOptions(const EntryRouterOptions& options, std::mt19937_64& random)
+    PlacementOptions placementOptions(
+        const EntryRouterOptions& options, std::mt19937_64& random, const ColdUpstreams& coldUpstreams)
     {
         PlacementOptions placement;
         placement.failureDomain = options.failureDomain;
@@ -24,6 +25,7 @@
         placement.preferredUpstreams = options.preferredUpstreams;
         placement.drainingRetryDelay = options.downRetryDelay;
         placement.random = [&random] { return random(); };
+        placement.coldStateOf = [&coldUpstreams](UpstreamId upstream) { return coldUpstreams.stateOf(upstream); };
         return placement;
     }
 
@@ -53,7 +55,8 @@
     , hooks(std::move(routerHooks))
     , clock(timeSource)
     , random(this->options.seed)
-    , placement(placementOptions(this->options, this->random), timeSource)
+    , coldUpstreams(timeSource)
+    , placement(placementOptions(this->options, this->random, this->coldUpstreams), timeSource)
     , directives(this->options.directives, timeSource)
     , flows(this->options.maxFlows)
     , hints(this->options.maxFlows)
@@ -69,6 +72,7 @@
 {
     this->routes = std::move(table);
     this->hasProvisionalRoutes = provisional;
+    this->coldUpstreams.setStated(this->routes->coldStarts);
     this->releaseBuffered();
 }
 
@@ -119,8 +123,10 @@
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
         if (current && current->name == record.name)
-            this->listedByAgent[toCandidate(record).agent] = { record.service, record.figures(), record.failureDomain };
+            this->listedByAgent[toCandidate(record).agent]
+                = { record.service, record.figures(), record.failureDomain, record.id() };
     }
+    this->coldUpstreams.setRecords(directory.allListed());
     this->announceDrains(directory, listedBefore);
     this->releaseBuffered();
 }
@@ -175,8 +181,10 @@
 void EntryRouter::sendDirectiveBeforeOffer(PacketAddress agent)
 {
     const auto listed = this->listedByAgent.find(agent);
-    if (listed != this->listedByAgent.end()
-        && this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, false))
+    if (listed == this->listedByAgent.end())
+        return;
+    const bool isCold = this->coldUpstreams.flowsPerSecond(listed->second.id) > 0;
+    if (this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, isCold))
         this->sendDirective(agent);
 }
 
@@ -190,11 +198,21 @@
     message.service = listed->second.service;
     message.directive.evacuationPosition = this->directives.orders().position;
     message.directive.evacuated = this->directives.isEvacuated(listed->second.failureDomain);
+    if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
+        message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
+        message.directive.coldFlowsPerSecond = limit;
+    }
     ++this->counts.directives;
     this->directives.onSent(agent);
     this->sendHop(agent, message);
 }
 
+void EntryRouter::setPeers(std::vector<PacketAddress> entries)
+{
+    this->peers = std::move(entries);
+    this->coldUpstreams.setEntryCount(this->peers.size() + 1);
+}
+
 bool EntryRouter::isServing() const
 {
     return this->routes && !this->hasProvisionalRoutes && this->hasUsableUpstream && !this->isolated;
@@ -384,6 +402,7 @@
     ++this->counts.offers;
     if (offer.state == OfferState::Pending) {
         this->placement.onFlowStarted(offer.upstream);
+        this->coldUpstreams.onOffered(offer.upstream);
         this->pendingOffers.push_back({ key, offer.upstream, this->clock.now() + this->options.offerTimeout });
     }
     this->sendPacket(offer.agent, HopKind::Offer, key, flow.service, flow.syn);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -13,6 +13,7 @@
 //   [SECTION] EntryRouter
 #pragma once
 
+#include "wasabicroft/ColdStart.h"
 #include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
@@ -122,8 +123,12 @@
     // this one lacks none.
     void setDelegate(std::optional<PacketAddress> entry) { this->delegate = entry; }
 
-    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches.
-    void setPeers(std::vector<PacketAddress> entries) { this->peers = std::move(entries); }
+    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches,
+    // and share with it what cold upstreams bear.
+    void setPeers(std::vector<PacketAddress> entries);
+
+    void limitColdStarts(bool isEnabled) { this->coldUpstreams.setEnabled(isEnabled); }
+    const ColdUpstreams& cold() const { return this->coldUpstreams; }
 
     void onClientPacket(const Packet&, Bytes);
     // A packet from another entry, whose list is behind. It is told the holder.
@@ -184,6 +189,7 @@
         ServiceId service;
         std::optional<UpstreamFigures> figures; // empty: not known
         std::string failureDomain;
+        UpstreamId id;
     };
 
     // Timeout of an offer.
@@ -284,6 +290,7 @@
     EntryRouterHooks hooks;
     const Clock& clock;
     std::mt19937_64 random;
+    ColdUpstreams coldUpstreams;
     Placement placement;
     std::shared_ptr<const RoutingTable> routes;
     bool hasProvisionalRoutes = false;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -83,6 +83,8 @@
         EventInfo { Event::PacketUpstreamEvacuated, Severity::Info, "packet-upstream-evacuated" },
         EventInfo { Event::PacketEvacuationEnded, Severity::Info, "packet-evacuation-ended" },
         EventInfo { Event::PacketEvacuatedOfferRefused, Severity::Warning, "packet-evacuated-offer-refused" },
+        EventInfo { Event::PacketUpstreamCold, Severity::Info, "packet-upstream-cold" },
+        EventInfo { Event::PacketUpstreamWarm, Severity::Info, "packet-upstream-warm" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -87,6 +87,8 @@
     PacketUpstreamEvacuated = 4230,
     PacketEvacuationEnded = 4231,
     PacketEvacuatedOfferRefused = 4232,
+    PacketUpstreamCold = 4233,
+    PacketUpstreamWarm = 4234,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -186,6 +186,10 @@
         std::swap(ranking[i - 1], ranking[this->options.random() % i]);
     std::stable_sort(ranking.begin(), ranking.end(),
         [](const RankedUpstream& a, const RankedUpstream& b) { return a.cost < b.cost; });
+    if (this->options.coldStateOf) {
+        this->demoteCold(ranking);
+        std::erase_if(available, [this](UpstreamId id) { return this->options.coldStateOf(id) != ColdState::Warm; });
+    }
     const std::optional<UpstreamId> probe = this->detector.takeProbe(available);
     if (probe) {
         std::erase_if(ranking, [&](const RankedUpstream& item) { return item.id == *probe; });
@@ -194,6 +198,23 @@
     return ranking;
 }
 
+// Moves cold upstreams behind the warm ones that have a free slot, and leaves out those that got their share.
+void Placement::demoteCold(std::vector<RankedUpstream>& ranking) const
+{
+    std::vector<RankedUpstream> cold;
+    std::erase_if(ranking, [&](const RankedUpstream& item) {
+        const ColdState state = this->options.coldStateOf(item.id);
+        if (state == ColdState::Cold)
+            cold.push_back(item);
+        return state != ColdState::Warm;
+    });
+    if (cold.empty())
+        return;
+    const auto firstFull = std::stable_partition(
+        ranking.begin(), ranking.end(), [](const RankedUpstream& item) { return item.utilization < 1; });
+    ranking.insert(firstFull, cold.begin(), cold.end());
+}
+
 std::vector<UpstreamId> Placement::candidates(ServiceId service, uint64_t flowHash)
 {
     return this->plan(service, flowHash).candidates;
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/ColdStart.h"
 #include "wasabicroft/Frame.h"
 #include "wasabicroft/Packet.h"
 
@@ -108,6 +109,7 @@
     Milliseconds performanceLifetime { 1000 }; // an older statement of an upstream's waits says nothing of the present
     OutlierDetectorOptions outlierDetection;
     std::function<uint64_t()> random; // required
+    std::function<ColdState(UpstreamId)> coldStateOf; // empty: all upstreams are warm
 };
 
 struct PlacementPlan {
@@ -166,6 +168,7 @@
     bool isDraining(UpstreamId) const;
     double estimateUtilization(const PlacementUpstream&) const;
     std::vector<RankedUpstream> rankUpstreams(ServiceId, uint64_t flowHash);
+    void demoteCold(std::vector<RankedUpstream>&) const;
 
     PlacementOptions options;
     const Clock& clock;
