--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -24,6 +24,8 @@
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
     , rejection(this->options.rejection, timeSource)
+    , evacuationNotice(this->options.evacuationLifetime, timeSource)
+    , coldStartLimiter(timeSource)
 {
     this->requestQueue.setPaused(true);
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
@@ -44,6 +46,7 @@
     this->figures.reset();
     this->limits.clear();
     this->rejection.reset();
+    this->coldStartLimiter.reset();
     this->requestQueue.setSlots(0);
     if (this->hooks.onUpstreamFigures)
         this->hooks.onUpstreamFigures(this->figures);
@@ -73,6 +76,28 @@
         this->hooks.onUpstreamFigures(this->figures);
 }
 
+// The entry may know an upstream of another service at this address.
+void AgentRouter::onDirective(PacketAddress entry, const HopMessage& message)
+{
+    ++this->counts.directives;
+    if (message.service != this->options.service)
+        return;
+    if (this->options.limitsColdStarts && this->coldStartLimiter.onDirective(message.directive))
+        logEvent(Event::PacketUpstreamCold,
+            { { "entry", toString(entry) }, { "left-ms", this->coldStartLimiter.timeLeft() },
+                { "flows-per-second", this->coldStartLimiter.flowsPerSecond() } });
+    if (!this->evacuationNotice.onDirective(message.directive))
+        return;
+    if (this->evacuationNotice.isEvacuated())
+        logEvent(Event::PacketUpstreamEvacuated,
+            { { "entry", toString(entry) }, { "position", this->evacuationNotice.position() },
+                { "flows", static_cast<uint64_t>(this->heldFlows) } });
+    else
+        logEvent(Event::PacketEvacuationEnded,
+            { { "entry", toString(entry) }, { "cause", "withdrawn" },
+                { "position", this->evacuationNotice.position() } });
+}
+
 // The limits that the entry states, or else those that were stated last.
 RequestLimits AgentRouter::limitsOf(PacketAddress route, const HopMessage& message)
 {
@@ -313,27 +338,30 @@
         this->hooks.sendToUpstream(message.packet);
         return;
     }
-    // An upstream of another service may reuse the address before every entry has the change.
-    HopRefusal refusal = HopRefusal::None;
-    if (message.service != this->options.service)
-        refusal = HopRefusal::OtherService;
-    else if (isDown)
-        refusal = HopRefusal::UpstreamDown;
-    else if (this->figures && this->figures->draining)
-        refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
-    else if (!this->rejection.tryAdmit())
-        refusal = HopRefusal::UpstreamRejecting;
+    // Of a flow that was handed to the upstream before, the upstream has decided already.
+    const bool isNewFlow = !known || isPortReused || (!known->offered && !known->mayBeOpen);
+    const HopRefusal refusal = this->refusalOf(message, isNewFlow);
+    if (refusal == HopRefusal::UpstreamDraining && isNewFlow && this->evacuationNotice.isEvacuated()) {
+        ++this->counts.refusedEvacuated;
+        logEvent(Event::PacketEvacuatedOfferRefused,
+            { { "flow", toString(key) }, { "entry", toString(entry) },
+                { "position", this->evacuationNotice.position() } });
+    }
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
             { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe())
+    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe()) {
+        this->coldStartLimiter.onHandedOver();
         this->hooks.sendToUpstream(message.packet);
+    }
     if (refusal != HopRefusal::None) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
         return;
     }
+    if (isNewFlow)
+        this->coldStartLimiter.onHandedOver();
     if (isPortReused)
         this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -348,6 +376,26 @@
     this->hooks.sendToUpstream(message.packet);
 }
 
+// Why the agent refuses a SYN that an entry offers. Evacuation comes before the state of the upstream: a probe of a
+// down upstream is a SYN, too, and would open a flow there.
+HopRefusal AgentRouter::refusalOf(const HopMessage& message, bool isNewFlow)
+{
+    // An upstream of another service may reuse the address before every entry has the change.
+    if (message.service != this->options.service)
+        return HopRefusal::OtherService;
+    if (isNewFlow && this->evacuationNotice.isEvacuated())
+        return HopRefusal::UpstreamDraining;
+    if (this->liveness.state() == UpstreamState::Down)
+        return HopRefusal::UpstreamDown;
+    if (this->figures && this->figures->draining)
+        return HopRefusal::UpstreamDraining; // the entry lacks a change of the record
+    if (isNewFlow && this->options.limitsColdStarts && !this->coldStartLimiter.mayHandOver()) {
+        ++this->counts.refusedCold;
+        return HopRefusal::UpstreamBusy; // the entry asks the next candidate
+    }
+    return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
+}
+
 // Sends a packet to the upstream, or stores it while its request waits.
 void AgentRouter::deliver(const FlowKey& key, Flow& flow, const HopMessage& message, const Packet& packet)
 {
@@ -698,6 +746,11 @@
     this->confirmHeldFlows();
     this->flushDenials();
     this->expireRequests();
+    if (this->evacuationNotice.onTick())
+        logEvent(Event::PacketEvacuationEnded,
+            { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
+    if (this->coldStartLimiter.onTick())
+        logEvent(Event::PacketUpstreamWarm, { { "refused", this->counts.refusedCold } });
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
     this->returnedFlows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -13,7 +13,8 @@
     // Upper limit of the candidates of a flow; above the number of upstreams that it is offered to.
     constexpr size_t maxRankedCandidates = 8;
 
-    PlacementOptions placementOptions(const EntryRouterOptions& options, std::mt19937_64& random)
+    PlacementOptions placementOptions(
+        const EntryRouterOptions& options, std::mt19937_64& random, const ColdUpstreams& coldUpstreams)
     {
         PlacementOptions placement;
         placement.failureDomain = options.failureDomain;
@@ -27,6 +28,7 @@
         placement.preferredUpstreams = options.preferredUpstreams;
         placement.drainingRetryDelay = options.downRetryDelay;
         placement.random = [&random] { return random(); };
+        placement.coldStateOf = [&coldUpstreams](UpstreamId upstream) { return coldUpstreams.stateOf(upstream); };
         return placement;
     }
 
@@ -56,7 +58,9 @@
     , hooks(std::move(routerHooks))
     , clock(timeSource)
     , random(this->options.seed)
-    , placement(placementOptions(this->options, this->random), timeSource)
+    , coldUpstreams(timeSource)
+    , placement(placementOptions(this->options, this->random, this->coldUpstreams), timeSource)
+    , directives(this->options.directives, timeSource)
     , flows(this->options.maxFlows)
     , hints(this->options.maxFlows)
     , linkBudget(this->options.link, timeSource)
@@ -71,6 +75,7 @@
 {
     this->routes = std::move(table);
     this->hasProvisionalRoutes = provisional;
+    this->coldUpstreams.setStated(this->routes->coldStarts);
     this->releaseBuffered();
 }
 
@@ -121,8 +126,10 @@
     for (const UpstreamRecord& record : directory.allListed()) {
         const UpstreamRecord* current = directory.listedAt(record.address);
         if (current && current->name == record.name)
-            this->listedByAgent[toCandidate(record).agent] = { record.service, record.figures() };
+            this->listedByAgent[toCandidate(record).agent]
+                = { record.service, record.figures(), record.failureDomain, record.id() };
     }
+    this->coldUpstreams.setRecords(directory.allListed());
     this->announceDrains(directory, listedBefore);
     this->releaseBuffered();
 }
@@ -148,7 +155,66 @@
     }
 }
 
-void EntryRouter::setEvacuations(EvacuationOrders orders) { this->evacuations = std::move(orders); }
+void EntryRouter::setEvacuations(EvacuationOrders orders)
+{
+    const std::set<std::string> changed = this->directives.setOrders(std::move(orders));
+    std::vector<PacketAddress> receivers;
+    for (const auto& [agent, listed] : this->listedByAgent) {
+        if (changed.contains(listed.failureDomain))
+            receivers.push_back(agent);
+    }
+    if (receivers.empty())
+        return;
+    // Entries begin with different agents, so that each agent soon hears of the order from one of them.
+    const size_t first = this->random() % receivers.size();
+    std::rotate(receivers.begin(), receivers.begin() + static_cast<std::ptrdiff_t>(first), receivers.end());
+    this->directives.enqueue(std::move(receivers));
+    this->sendQueuedDirectives();
+}
+
+void EntryRouter::sendQueuedDirectives()
+{
+    HopMessage message;
+    message.kind = HopKind::Directive;
+    for (const PacketAddress agent : this->directives.takeQueued(encodedBytes(message) + datagramHeaderBytes))
+        this->sendDirective(agent);
+}
+
+// The agent may lack an order, or have an outdated one, which decides on the offer that follows.
+void EntryRouter::sendDirectiveBeforeOffer(PacketAddress agent)
+{
+    const auto listed = this->listedByAgent.find(agent);
+    if (listed == this->listedByAgent.end())
+        return;
+    const bool isCold = this->coldUpstreams.flowsPerSecond(listed->second.id) > 0;
+    if (this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, isCold))
+        this->sendDirective(agent);
+}
+
+void EntryRouter::sendDirective(PacketAddress agent)
+{
+    const auto listed = this->listedByAgent.find(agent);
+    if (listed == this->listedByAgent.end())
+        return;
+    HopMessage message;
+    message.kind = HopKind::Directive;
+    message.service = listed->second.service;
+    message.directive.evacuationPosition = this->directives.orders().position;
+    message.directive.evacuated = this->directives.isEvacuated(listed->second.failureDomain);
+    if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
+        message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
+        message.directive.coldFlowsPerSecond = limit;
+    }
+    ++this->counts.directives;
+    this->directives.onSent(agent);
+    this->sendHop(agent, message);
+}
+
+void EntryRouter::setPeers(std::vector<PacketAddress> entries)
+{
+    this->peers = std::move(entries);
+    this->coldUpstreams.setEntryCount(this->peers.size() + 1);
+}
 
 bool EntryRouter::isServing() const
 {
@@ -341,6 +407,7 @@
     ++this->counts.offers;
     if (offer.state == OfferState::Pending) {
         this->placement.onFlowStarted(offer.upstream);
+        this->coldUpstreams.onOffered(offer.upstream);
         this->pendingOffers.push_back({ key, offer.upstream, this->clock.now() + this->options.offerTimeout });
     }
     this->sendPacket(offer.agent, HopKind::Offer, key, flow.service, flow.syn);
@@ -382,8 +449,10 @@
     HopMessage message = this->makeMessage(agent, kind, key, service, bytes);
     if (kind == HopKind::Offer || kind == HopKind::Find)
         this->expectReply(agent);
-    if (kind == HopKind::Offer)
+    if (kind == HopKind::Offer) {
+        this->sendDirectiveBeforeOffer(agent);
         message.loadInterval = this->addLoadReporter(agent);
+    }
     this->sendHop(agent, message);
 }
 
@@ -722,6 +791,8 @@
     this->flushAsks();
     this->updateIsolation();
     this->logShedSearches();
+    this->directives.onTick();
+    this->sendQueuedDirectives();
     while (!this->buffered.empty() && now - this->buffered.front().received > this->options.maxBufferTime) {
         ++this->counts.dropped;
         this->bufferedBytes -= this->buffered.front().bytes.size();
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -13,7 +13,8 @@
 //   [SECTION] EntryRouter
 #pragma once
 
-#include "wasabicroft/Evacuation.h"
+#include "wasabicroft/ColdStart.h"
+#include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
@@ -73,6 +74,7 @@
     bool weighsSpeed = true; // see PlacementOptions
     double nonPreferredPenalty = 2; // see PlacementOptions
     double remotePenalty = 0.25; // see PlacementOptions
+    DirectiveOptions directives;
     uint64_t seed = 1;
 };
 
@@ -98,6 +100,7 @@
     uint64_t buffered = 0; // packets that waited for the first routes
     uint64_t dropped = 0; // packets that could not be delivered
     uint64_t notHeld = 0; // forwarded packets that the upstream did not hold
+    uint64_t directives = 0; // Directive messages sent to agents
 };
 
 //-----------------------------------------------------------------------------
@@ -118,13 +121,18 @@
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
     void setEvacuations(EvacuationOrders); // call after each change, before setUpstreams
+    const EvacuationOrders& evacuations() const { return this->directives.orders(); }
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
     // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
     // this one lacks none.
     void setDelegate(std::optional<PacketAddress> entry) { this->delegate = entry; }
 
-    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches.
-    void setPeers(std::vector<PacketAddress> entries) { this->peers = std::move(entries); }
+    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches,
+    // and share with it what cold upstreams bear.
+    void setPeers(std::vector<PacketAddress> entries);
+
+    void limitColdStarts(bool isEnabled) { this->coldUpstreams.setEnabled(isEnabled); }
+    const ColdUpstreams& cold() const { return this->coldUpstreams; }
 
     void onClientPacket(const Packet&, Bytes);
     // A packet from another entry, whose list is behind. It is told the holder.
@@ -184,6 +192,8 @@
     struct ListedUpstream {
         ServiceId service;
         std::optional<UpstreamFigures> figures; // empty: not known
+        std::string failureDomain;
+        UpstreamId id;
     };
 
     // Timeout of an offer.
@@ -214,6 +224,9 @@
     Milliseconds addLoadReporter(PacketAddress agent);
     void announceDrains(const UpstreamDirectory&, const std::map<PacketAddress, ListedUpstream>& before);
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
+    void sendDirective(PacketAddress agent);
+    void sendQueuedDirectives();
+    void sendDirectiveBeforeOffer(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
     Offer* findOffer(Flow&, PacketAddress agent);
@@ -282,6 +295,7 @@
     EntryRouterHooks hooks;
     const Clock& clock;
     std::mt19937_64 random;
+    ColdUpstreams coldUpstreams;
     Placement placement;
     std::shared_ptr<const RoutingTable> routes;
     bool hasProvisionalRoutes = false;
@@ -293,7 +307,7 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
-    EvacuationOrders evacuations;
+    DirectiveSchedule directives; // has the evacuation orders in force
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/ColdStart.h"
 #include "wasabicroft/Frame.h"
 #include "wasabicroft/Packet.h"
 
@@ -117,6 +118,7 @@
     Milliseconds poolRefreshInterval { 100 }; // of means over the pool, so that not every flow pays for them
     OutlierDetectorOptions outlierDetection;
     std::function<uint64_t()> random; // required
+    std::function<ColdState(UpstreamId)> coldStateOf; // empty: all upstreams are warm
 };
 
 struct PlacementPlan {
@@ -188,6 +190,7 @@
     double estimateUtilization(const Pool&, const PlacementUpstream&) const;
     void refreshMeans(Pool&) const;
     std::vector<RankedUpstream> rankUpstreams(ServiceId, uint64_t flowHash);
+    void demoteCold(std::vector<RankedUpstream>&) const;
 
     PlacementOptions options;
     const Clock& clock;
