Keep an open flow when the SYN of its port's earlier flow comes late

Callers saw: an open flow was reset by the system ("held-nowhere") although its upstream held it, after its client had used the port again within 0.4 s and a delayed copy of the earlier flow's SYN reached the upstream's agent.

Cause: onOffer() took every SYN with another number than the known flow's for a later flow's and forgot the known one. The agent then returned the packets of the open flow and denied it in searches.

Fix: the agent hands the SYN over and keeps the known flow. A SYN+ACK that acknowledges the other SYN shows that the upstream took it, so that it holds the later flow now; a returned SYN is refused; one that the upstream ignores changes nothing. Flows that both ends closed are forgotten at once, as before.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -168,6 +168,35 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
     }
 
+    // Guards against the reset of an open flow: its agent forgot it because a late copy of the SYN of the port's
+    // earlier flow came, which the upstream ignores.
+    TEST_F(PortReuseAtAgent, ALateSynOfAnEarlierFlowEndsNoOpenFlow)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Offer, synFlag, 1, 500000);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+        this->toUpstream.clear();
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+    }
+
+    // Guards against a later flow that its agent does not know: the FIN of the earlier one was lost on the way.
+    TEST_F(PortReuseAtAgent, AnAcceptedSynReplacesAFlowThatDidNotEnd)
+    {
+        this->openFlow(1);
+        this->fromEntry(HopKind::Offer, synFlag, 1, nextClientSequence);
+        this->kinds.clear();
+        const std::vector<uint8_t> answer = makePacket(routeAddress, { client.address, 1 }, synFlag | ackFlag,
+            nextUpstreamSequence - 1, nextClientSequence + 1, 0);
+        this->router.onUpstreamPacket(platform::decodePacket(answer).value(), answer);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Accepted });
+        this->nextFlowPacket(HopKind::Forward);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
+    }
+
     // Guards against entries that can't tell which flow of the port an agent reports as lost.
     TEST_F(PortReuseAtAgent, AReportOfALostFlowStatesWhereItEnded)
     {
--- a/tests/StallTest.cpp
+++ b/tests/StallTest.cpp
@@ -159,6 +159,30 @@
 
     const std::vector<std::string>& violationsOf(const PacketWorld& world) { return world.violations; }
 
+    // Guards against resets of held flows from ports that are used again while entries restart in turn: what is known
+    // of an earlier flow, and late copies of its packets, must not count against a later one.
+    TEST(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgain)
+    {
+        EXPECT_EQ(findingsOf({ .usesPortsAgain = true }, true, violationsOf), "");
+    }
+
+    // The same beside restarts of agents and upstreams.
+    TEST(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgainAndAgentsRestart)
+    {
+        EXPECT_EQ(findingsOf(
+                      { .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true }, true, violationsOf),
+            "");
+    }
+
+    // The same with stalls.
+    TEST(StallHistories, NoHeldFlowIsResetUnderAllOfThese)
+    {
+        EXPECT_EQ(
+            findingsOf({ .stalls = true, .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true },
+                true, violationsOf),
+            "");
+    }
+
     // Guards against resets of held flows at upstreams that stall while entries restart in turn.
     TEST(StallHistories, NoHeldFlowIsResetWhileUpstreamsStall)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -269,6 +269,16 @@
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
 
+// The upstream accepted the SYN of another flow of the same ends, so it does not hold the known one any more.
+void AgentRouter::startLaterFlow(const FlowKey& key, OtherSyn syn)
+{
+    this->removeFlow(key);
+    Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.entry = syn.entry;
+    flow.lastKind = HopKind::Offer;
+    flow.offered = true;
+}
+
 // The upstream holds at most the newest flow of two ends, and all that it sends passes here: it does not hold the flow
 // of a packet that does not fit the known one.
 void AgentRouter::denyOtherFlow(const FlowKey& key, const Flow& known, PacketAddress entry, HopKind kind, Bytes packet)
@@ -333,6 +343,12 @@
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
         return;
     }
+    // The SYN may be a late copy of an earlier flow's: the known flow goes on unless the upstream accepts the SYN.
+    if (isPortReused && known->isHeld && !(known->clientSentFin && known->upstreamSentFin)) {
+        known->otherSyn = OtherSyn { entry, packet.sequence };
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
     if (isPortReused)
         this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -463,6 +479,9 @@
     }
     this->hooks.sendToClient(packet.destination, bytes);
     const FlowKey key = packet.flowKeyFromUpstream();
+    const Flow* known = this->flows.find(key);
+    if (packet.isSynAck() && known && known->otherSyn && packet.acknowledgement == known->otherSyn->sequence + 1)
+        this->startLaterFlow(key, *known->otherSyn);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onUpstreamPacket(packet);
     flow.upstreamSentFin = flow.upstreamSentFin || packet.fin;
@@ -565,6 +584,12 @@
         return;
     }
     this->confirmDelivery(*flow);
+    if (packet.isSyn() && flow->otherSyn && flow->otherSyn->sequence == packet.sequence) {
+        ++this->counts.refused;
+        this->reply(flow->otherSyn->entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
+        flow->otherSyn.reset();
+        return;
+    }
     // A late copy of the SYN, or the SYN of an earlier flow: the upstream may hold the flow nevertheless.
     if (packet.isSyn() && (flow->mayBeOpen || flow->sequences.isOfOtherFlow(packet))) {
         ++this->counts.dropped;
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -101,6 +101,13 @@
         std::vector<uint8_t> bytes;
     };
 
+    // A SYN of another flow of the same ends that was delivered: of a later one, or late and of an earlier one. The
+    // upstream shows which.
+    struct OtherSyn {
+        PacketAddress entry;
+        uint32_t sequence = 0;
+    };
+
     struct Flow {
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
@@ -119,6 +126,7 @@
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
+        std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
     };
 
@@ -142,6 +150,7 @@
     void checkForPause();
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
+    void startLaterFlow(const FlowKey&, OtherSyn);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
