--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -113,6 +113,13 @@
         std::vector<uint8_t> bytes;
     };
 
+    // A SYN of another flow of the same ends that was delivered: of a later one, or late and of an earlier one. The
+    // upstream shows which.
+    struct OtherSyn {
+        PacketAddress entry;
+        uint32_t sequence = 0;
+    };
+
     struct Flow {
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
@@ -132,6 +139,7 @@
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
+        std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
     };
 
@@ -156,6 +164,7 @@
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
+    void startLaterFlow(const FlowKey&, OtherSyn);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
@@ -163,6 +172,7 @@
     void startWaitingRequests();
     void expireRequests();
     void updateState();
+    void denyLostFlows();
     void updateRejection();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
@@ -212,6 +222,7 @@
     EvacuationNotice evacuationNotice;
     ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
+    bool hasDeniedLostFlows = false; // since the upstream answered last
     size_t heldFlows = 0; // closed by neither end
     AgentRouterCounters counts;
 };
