Place no new flow in an evacuated failure domain

Entries read operators' evacuation orders with the routes where the setting evacuations is on, and adopt the newest ones that peers state in presence. Upstreams of an evacuated domain get no new flows; open flows and searches are unchanged. A service whose upstreams are all evacuated is refused on the SYN. After a withdrawal the domain's upstreams rejoin placement over 10 s.

--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -43,6 +43,7 @@
   --peer IP:PORT           Serves the same paths; port 0: disabled [0].
   --seeds LIST             Addresses of entries that may be running, separated by commas.
   --store IP:PORT          Entry: the platform's store.
+  --evacuations ON         Entry: "on" puts evacuation orders in the store in force [off].
   --link-mbps N            Entry: bandwidth of its network link in Mbit/s; 0: the default [10].
   --stop-delay MS          Keeps forwarding for this long after SIGTERM [1500].
   --log-level LEVEL        debug, info, warning or error [info].
@@ -135,6 +136,7 @@
     settings.store = reader.endpoint("--store", {});
     const double linkMbps = reader.decimal("--link-mbps", 0, 0, maxLinkMbps);
     settings.linkMbps = linkMbps > 0 ? linkMbps : PacketSettings().linkMbps;
+    settings.readsEvacuations = reader.onOff("--evacuations", false);
     settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
     settings.log.threshold = reader.severity("--log-level", Severity::Info);
     settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -32,6 +32,7 @@
     // Milliseconds for which the process keeps forwarding after SIGTERM. Routers need this time to notice that an entry
     // is not ready.
     Milliseconds stopDelay { 1500 };
+    bool readsEvacuations = false; // Entry: evacuation orders in the store are in force. Takes effect at the start.
     LogOptions log;
     bool checkOnly = false;
 };
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -3,6 +3,7 @@
 #include "backends/Guard.h"
 #include "platform/PacketLayout.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace wasabicroft {
@@ -27,6 +28,7 @@
     {
         StoreSyncOptions options;
         options.seed = hashName(settings.name);
+        options.readsEvacuations = settings.readsEvacuations;
         return options;
     }
 
@@ -246,8 +248,7 @@
         return;
     this->noteRecovery();
     if (read.topic == StoreTopic::Routes) {
-        if (response.routes)
-            this->applyRoutes(response.routes, "store");
+        this->onRoutesPage(read, response);
         return;
     }
     if (read.pageAfter.empty())
@@ -260,11 +261,91 @@
     this->applyStoreState();
 }
 
+// Routes come into force with the orders of the same list: an entry that starts must not place flows by the routes
+// alone.
+void PacketEntry::onRoutesPage(const StoreRead& read, const platform::StoreResponse& response)
+{
+    if (read.pageAfter.empty()) {
+        this->listedRoutes.reset();
+        this->listedEvacuations.clear();
+    }
+    if (response.routes)
+        this->listedRoutes = response.routes;
+    for (const platform::EvacuationChange& change : response.evacuations)
+        this->listedEvacuations.insert(change.domain);
+    if (response.hasMore)
+        return;
+    if (read.withEvacuations) {
+        const EvacuationState before = this->evacuations;
+        this->evacuations.replace(std::exchange(this->listedEvacuations, {}), this->storeSync.listRevision(read.topic));
+        this->applyEvacuations(before, "store");
+    }
+    if (const std::shared_ptr<const RoutingTable> table = std::exchange(this->listedRoutes, nullptr))
+        this->applyRoutes(table, "store");
+}
+
+void PacketEntry::mergeEvacuations(const platform::StoreResponse& response)
+{
+    if (response.evacuations.empty())
+        return;
+    const EvacuationState before = this->evacuations;
+    for (const platform::EvacuationChange& change : response.evacuations) {
+        if (change.isOrdered)
+            this->evacuations.update(change.domain, change.position);
+        else
+            this->evacuations.remove(change.domain, change.position);
+    }
+    this->applyEvacuations(before, "store");
+}
+
+// The number of listed upstreams in a failure domain, for log lines.
+std::string PacketEntry::upstreamsIn(const std::string& failureDomain) const
+{
+    if (!this->directory.isLoaded())
+        return "unknown";
+    const std::vector<UpstreamRecord> listed = this->directory.allListed();
+    return std::to_string(std::count_if(listed.begin(), listed.end(),
+        [&](const UpstreamRecord& record) { return record.failureDomain == failureDomain; }));
+}
+
+// before is a copy of the state before the change.
+void PacketEntry::applyEvacuations(const EvacuationState& before, std::string_view source)
+{
+    const EvacuationOrders& orders = this->evacuations.orders();
+    const EvacuationOrders& former = before.orders();
+    const uint64_t inForce = orders.domains.size();
+    if (this->evacuations.droppedDomains() > before.droppedDomains())
+        logEvent(Event::EvacuationsLimited,
+            { { "in-force", inForce }, { "left-out", static_cast<uint64_t>(this->evacuations.droppedDomains()) },
+                { "position", orders.position } });
+    if (orders == former)
+        return;
+    const auto logChange = [&](Event event, const std::string& domain) {
+        logEvent(event,
+            { { "failure-domain", domain }, { "upstreams", this->upstreamsIn(domain) }, { "position", orders.position },
+                { "source", source }, { "in-force", inForce } });
+    };
+    for (const std::string& domain : orders.domains) {
+        if (!former.domains.contains(domain))
+            logChange(Event::EvacuationOrdered, domain);
+    }
+    for (const std::string& domain : former.domains) {
+        if (!orders.domains.contains(domain))
+            logChange(Event::EvacuationWithdrawn, domain);
+    }
+    this->router.setEvacuations(orders);
+    if (this->hasStoreState())
+        this->applyStoreState();
+    else if (this->provisionalDirectory)
+        this->router.setUpstreams(*this->provisionalDirectory);
+}
+
 void PacketEntry::onWatchEvents(const StoreRead& read, const platform::StoreResponse& response)
 {
     if (!this->storeSync.onEvents(read, response.revision))
         return;
     this->noteRecovery();
+    this->mergeEvacuations(response);
     if (response.routes)
         this->applyRoutes(response.routes, "store");
     bool isChanged = this->mergeUpstreams(response);
@@ -369,6 +450,12 @@
         return;
     }
     this->fleet.onMessage(source.address, message.value());
+    const EvacuationOrders& stated = this->fleet.newestEvacuations();
+    if (this->settings.readsEvacuations && stated.position > this->evacuations.orders().position) {
+        const EvacuationState before = this->evacuations;
+        this->evacuations.adoptFromPeer(stated);
+        this->applyEvacuations(before, "peer");
+    }
     std::vector<PacketAddress> peers;
     for (const uint32_t address : this->fleet.knownEntries())
         peers.push_back({ address, this->settings.hop.port });
@@ -390,6 +477,7 @@
         copy.confirmedAt.at(i) = this->storeRefresh.confirmedAt(static_cast<StoreTopic>(i));
     copy.listState = this->storeRefresh.listState(this->directory);
     copy.awaitsPeers = this->directory.awaitsPeers();
+    copy.evacuations = this->evacuations.orders();
     const auto [message, targets] = this->fleet.takeMessage(copy);
     if (targets.empty())
         return;
@@ -427,6 +515,8 @@
         isDirectoryChanged = this->directory.onPeerListState(*peerState) || isDirectoryChanged;
     if (isDirectoryChanged)
         this->applyStoreState();
+    if (this->evacuations.takeReadRequest() && this->storeSync.onNewerRevision(StoreTopic::Routes, UINT64_MAX))
+        this->readStore();
     if (this->router.takeUnresolvedRemoval())
         this->directory.requestCheckOfRemovals();
     if (this->directory.takeReadRequest() && this->storeSync.onNewerRevision(StoreTopic::Upstreams, UINT64_MAX))
@@ -466,6 +556,13 @@
     boost::json::object json { { "routesVersion", this->router.routesVersion() },
         { "directoryRevision", this->directory.revision() }, { "flows", this->router.trackedFlows() },
         { "storeReachable", this->isStoreReachable }, { "upstreams", std::move(upstreams) } };
+    if (this->evacuations.isKnown()) {
+        boost::json::array domains;
+        for (const std::string& domain : this->evacuations.orders().domains)
+            domains.emplace_back(domain);
+        json["evacuatedDomains"] = std::move(domains);
+        json["evacuationPosition"] = this->evacuations.orders().position;
+    }
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
         if (this->storeSync.lastAnswer(topic))
@@ -499,6 +596,10 @@
             counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
     metrics.setCount("wasabi_resets_total", "", counts.resets);
+    if (this->evacuations.isKnown()) {
+        metrics.setCount("wasabi_evacuated_domains", "", this->evacuations.orders().domains.size());
+        metrics.setCount("wasabi_flows_refused_total", "cause=\"evacuated\"", counts.refusedEvacuated);
+    }
     metrics.setCount("wasabi_held_total", "", counts.buffered);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
     metrics.setCount("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -33,8 +33,12 @@
     void onStoreResponse(const StoreRead&, HttpResult);
     void noteRecovery();
     void onListPage(const StoreRead&, const platform::StoreResponse&);
+    void onRoutesPage(const StoreRead&, const platform::StoreResponse&);
     void onWatchEvents(const StoreRead&, const platform::StoreResponse&);
     void applyStoreState();
+    void applyEvacuations(const EvacuationState& before, std::string_view source);
+    void mergeEvacuations(const platform::StoreResponse&);
+    std::string upstreamsIn(const std::string& failureDomain) const;
     void updateDelegate();
     void applyRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
     void logProblems(const platform::StoreResponse&);
@@ -57,12 +61,15 @@
     StoreSync storeSync;
     UpstreamDirectory directory;
     std::shared_ptr<const RoutingTable> routes;
+    EvacuationState evacuations;
     FleetView fleet;
     StoreRefresh storeRefresh;
     std::optional<UpstreamDirectory> provisionalDirectory; // Upstreams learned from agents, until the store responds.
     EntryRouter router;
     std::array<std::shared_ptr<HttpClient>, storeTopicCount> storeClients;
     std::array<boost::asio::steady_timer, storeTopicCount> storeTimers;
+    std::shared_ptr<const RoutingTable> listedRoutes; // From the pages of a list that is being read.
+    std::set<std::string> listedEvacuations; // From the pages of a list that is being read.
     std::vector<UpstreamRecord> listedUpstreams; // Upstreams from the pages of a list that is being read.
     std::vector<uint8_t> hopBuffer;
     InvalidSenderLogLimiter invalidSenderLogLimiter;
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -44,11 +44,9 @@
                 R"("slo_ms":200,"timeout_ms":2000,"priority":1}],"services":[],"limits":{"idle_timeout_ms":15000}})");
             for (size_t i = 0; i < upstreamCount; ++i) {
                 const std::string host = this->ip(20 + i);
+                this->putUpstream(i, "z");
                 this->hosts.push_back(std::make_unique<fakes::PacketHost>(
                     this->context, addressOf(host, packet_ports::upstream), addressOf(host, packet_ports::outbound)));
-                this->store.put("servers/i-" + std::to_string(i),
-                    R"({"service":"api","address":")" + host + ":" + std::to_string(packet_ports::upstream)
-                        + R"(","zone":"z","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq_no":1,"born":1})");
             }
             this->thread = std::thread([this] { this->context.run(); });
         }
@@ -72,6 +70,8 @@
                 = this->programConfig("entry-" + std::to_string(number), this->ip(10 + number))
                       .entryArguments(packet_ports::hop, toString(this->storeEndpoint));
             arguments.push_back("--stop-delay=200");
+            if (this->readsEvacuations)
+                arguments.push_back("--evacuations=on");
             return arguments;
         }
 
@@ -144,6 +144,21 @@
                 waitTimeout);
         }
 
+        void putUpstream(size_t number, const std::string& failureDomain)
+        {
+            this->store.put("servers/i-" + std::to_string(number),
+                R"({"service":"api","address":")" + this->ip(20 + number) + ":" + std::to_string(packet_ports::upstream)
+                    + R"(","zone":")" + failureDomain
+                    + R"(","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq_no":1,"born":1})");
+        }
+
+        bool isLogged(const std::string& process, const std::string& text)
+        {
+            return waitUntil(
+                [&] { return this->group[process].output().find(text) != std::string::npos; }, waitTimeout);
+        }
+
+        bool readsEvacuations = false;
         ProcessGroup group;
         std::string network;
         Endpoint storeEndpoint;
@@ -266,6 +281,49 @@
         EXPECT_TRUE(this->isReady(0)) << this->group.allLogs();
     }
 
+    // Guards against new flows in an evacuated domain, also through an entry that starts while the store is away, and
+    // against open flows there that end.
+    TEST_F(PacketFleet, AnEvacuatedDomainGetsNoNewFlows)
+    {
+        this->readsEvacuations = true;
+        this->runOnLoopThread([&] {
+            this->putUpstream(2, "far");
+            return 0;
+        });
+        this->startAll();
+        ASSERT_TRUE(this->isReady(0) && this->isReady(1)) << this->group.allLogs();
+        const auto openFlowsIn = [&] {
+            return this->runOnLoopThread([&] { return this->hosts[0]->openFlows() + this->hosts[1]->openFlows(); });
+        };
+        for (uint16_t port = 4001; port < 4031 && openFlowsIn() == 0; ++port)
+            ASSERT_TRUE(this->openFlowThrough(0, port)) << this->group.allLogs();
+        ASSERT_EQ(openFlowsIn(), 1U); // it is the client's present flow
+        this->runOnLoopThread([&] {
+            this->store.put("op/evacuate/z", "");
+            return 0;
+        });
+        ASSERT_TRUE(this->isLogged("entry-0", "name=evacuation-ordered")) << this->group.allLogs();
+        ASSERT_TRUE(this->isLogged("entry-1", "name=evacuation-ordered")) << this->group.allLogs();
+        EXPECT_TRUE(this->completesRequest(4000)) << this->group.allLogs();
+        for (uint16_t port = 4101; port < 4121; ++port)
+            ASSERT_TRUE(this->openFlowThrough(port % 2, port)) << this->group.allLogs();
+        EXPECT_EQ(openFlowsIn(), 1U) << this->group.allLogs();
+        this->runOnLoopThread([&] {
+            this->store.setDown(true);
+            return 0;
+        });
+        this->group.remove("entry-1");
+        this->startEntry(1);
+        ASSERT_TRUE(this->isLogged("entry-1", "source=peer")) << this->group.allLogs();
+        this->runOnLoopThread([&] {
+            this->store.setDown(false);
+            this->store.remove("op/evacuate/z");
+            return 0;
+        });
+        EXPECT_TRUE(this->isLogged("entry-0", "name=evacuation-withdrawn")) << this->group.allLogs();
+        EXPECT_TRUE(this->isLogged("entry-1", "name=evacuation-withdrawn")) << this->group.allLogs();
+    }
+
     // Guards against a client that waits until its timeout for a flow that its host has lost.
     TEST_F(PacketFleet, AFlowThatItsHostLostIsReset)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -23,6 +23,7 @@
         placement.connectionCost = options.connectionCost;
         placement.preferredUpstreams = options.preferredUpstreams;
         placement.drainingRetryDelay = options.downRetryDelay;
+        placement.rejoinDuration = options.rejoinDuration;
         placement.random = [&random] { return random(); };
         return placement;
     }
@@ -87,6 +88,10 @@
     this->agentByUpstream.clear();
     const std::map<PacketAddress, ListedUpstream> listedBefore = std::exchange(this->listedByAgent, {});
     this->usableAgents.clear();
+    this->evacuatedServices.clear();
+    this->evacuatedUpstreams.clear();
+    std::erase_if(this->rejoinTimes,
+        [this](const auto& item) { return this->clock.now() - item.second >= this->options.rejoinDuration; });
     std::map<std::string, size_t> failureDomains; // numbers by name
     const auto toCandidate = [&](const UpstreamRecord& record) {
         return HolderCandidate { record.id(), { record.address.address, this->options.agentPort },
@@ -95,13 +100,24 @@
     };
     for (const ServiceId service : services) {
         std::vector<PlacementUpstream> pool;
+        bool isEvacuated = true;
         for (const UpstreamRecord& record : directory.usable(service)) {
             const HolderCandidate target = toCandidate(record);
-            pool.push_back({ target.upstream, record.failureDomain, record.slots.value_or(0), false });
+            PlacementUpstream item { target.upstream, record.failureDomain, record.slots.value_or(0),
+                this->isEvacuated(record), std::nullopt };
+            if (const auto rejoin = this->rejoinTimes.find(record.failureDomain); rejoin != this->rejoinTimes.end())
+                item.rejoinedAt = rejoin->second;
+            if (item.leaving)
+                this->evacuatedUpstreams.insert(item.id);
+            isEvacuated = isEvacuated && item.leaving;
+            pool.push_back(std::move(item));
             this->usableAgents.insert(target.agent);
             this->upstreamByAgent[target.agent] = target.upstream; // takes precedence over those that only hold flows
         }
+        // An entry whose upstreams are all evacuated stays ready: open flows need it, and refusals are to be quick.
         this->hasUsableUpstream = this->hasUsableUpstream || !pool.empty();
+        if (isEvacuated && !pool.empty())
+            this->evacuatedServices.insert(service);
         assumeSlots(pool);
         this->placement.setPool(service, std::move(pool));
         for (const UpstreamRecord& record : directory.possibleHolders(service)) {
@@ -145,7 +161,21 @@
     }
 }
 
-void EntryRouter::setEvacuations(EvacuationOrders orders) { this->evacuations = std::move(orders); }
+void EntryRouter::setEvacuations(EvacuationOrders orders)
+{
+    for (const std::string& domain : this->evacuations.domains) {
+        if (!orders.domains.contains(domain))
+            this->rejoinTimes[domain] = this->clock.now();
+    }
+    for (const std::string& domain : orders.domains)
+        this->rejoinTimes.erase(domain);
+    this->evacuations = std::move(orders);
+}
+
+bool EntryRouter::isEvacuated(const UpstreamRecord& record) const
+{
+    return this->options.excludesEvacuated && this->evacuations.domains.contains(record.failureDomain);
+}
 
 bool EntryRouter::isServing() const
 {
@@ -271,8 +301,19 @@
     std::erase_if(flow.offers, [](const Offer& offer) { return offer.state == OfferState::Refused; });
     if (offersInRound(flow) >= this->options.maxOffersPerSyn)
         ++flow.offerRound;
-    if (!this->offerToNextUpstream(key, flow, "open") && !this->hasProvisionalRoutes)
-        this->refuseFlow(key, 0, "no-upstream");
+    if (this->offerToNextUpstream(key, flow, "open") || this->hasProvisionalRoutes)
+        return;
+    // An upstream that got an earlier copy before the order may have opened the flow.
+    const bool mayBeOpen = std::any_of(flow.offers.begin(), flow.offers.end(),
+        [this](const Offer& offer) { return this->evacuatedUpstreams.contains(offer.upstream); });
+    if (mayBeOpen) {
+        ++this->counts.dropped;
+        return;
+    }
+    const bool isEvacuated = this->evacuatedServices.contains(flow.service);
+    if (isEvacuated)
+        ++this->counts.refusedEvacuated;
+    this->refuseFlow(key, 0, isEvacuated ? "evacuated" : "no-upstream");
 }
 
 // The client uses its port again: the upstream of the earlier flow may drain by now, and its offers are of another SYN.
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -69,6 +69,8 @@
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
+    bool excludesEvacuated = true; // false: evacuation orders have no effect, for comparison
+    Milliseconds rejoinDuration { 10000 }; // see PlacementOptions
     uint64_t seed = 1;
 };
 
@@ -91,6 +93,7 @@
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
     uint64_t resets = 0;
+    uint64_t refusedEvacuated = 0; // of these, new flows of services whose upstreams are evacuated
     uint64_t buffered = 0; // packets that waited for the first routes
     uint64_t dropped = 0; // packets that could not be delivered
     uint64_t notHeld = 0; // forwarded packets that the upstream did not hold
@@ -212,6 +215,7 @@
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
+    bool isEvacuated(const UpstreamRecord&) const;
     Offer* findOffer(Flow&, PacketAddress agent);
     static size_t offersInRound(const Flow&);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
@@ -289,6 +293,9 @@
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
     EvacuationOrders evacuations;
+    std::map<std::string, TimePoint> rejoinTimes; // when the orders for failure domains were withdrawn
+    std::set<ServiceId> evacuatedServices; // services all of whose usable upstreams are evacuated
+    std::set<UpstreamId> evacuatedUpstreams; // usable but for the orders
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
--- a/wasabicroft/Evacuation.h
+++ b/wasabicroft/Evacuation.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace wasabicroft {
 
@@ -16,4 +18,48 @@
     bool operator==(const EvacuationOrders&) const = default;
 };
 
+// Above the number of failure domains of the largest fleet. The orders of one entry have to fit into its presence.
+inline constexpr size_t maxEvacuatedDomains = 64;
+inline constexpr size_t maxDomainNameBytes = 64;
+
+// Whether text can be the name of a failure domain: printable ASCII without spaces and slashes, of limited length.
+bool isDomainName(std::string_view text);
+
+// The orders in force, from the store and from other entries. Changes may arrive in any order and repeatedly; nothing
+// replaces what is known of a later position. Positions are those of StorePosition.h, so that what a restored store
+// states replaces what its former era stated.
+//
+// Before the first list or statement of a peer the orders are not known, which is not the same as that there are none.
+class EvacuationState {
+public:
+    // Single changes, as a watch reports them. Return whether the orders or their position changed.
+    bool update(const std::string& domain, uint64_t position);
+    bool remove(const std::string& domain, uint64_t position);
+
+    // A complete list that the store gave out at this position. Returns whether the orders or their position changed.
+    bool replace(std::set<std::string> domains, uint64_t position);
+
+    // What another entry states. Returns whether the orders changed: what is stated for a position that is not later
+    // than the known one is ignored.
+    bool adoptFromPeer(const EvacuationOrders&);
+
+    const EvacuationOrders& orders() const { return this->current; }
+    bool isKnown() const { return this->current.position > 0; }
+
+    // Whether a domain was left out for the limit and one that was taken has been withdrawn since: the list of the
+    // store has to be read for the domain that takes its place. True once.
+    bool takeReadRequest();
+    size_t droppedDomains() const { return this->dropped; } // left out since the last list for the limit
+
+private:
+    bool isOutdated(const std::string& domain, uint64_t position) const;
+    bool setAll(std::set<std::string> domains, uint64_t position);
+
+    EvacuationOrders current;
+    uint64_t listPosition = 0; // of the last list or statement of a peer: earlier changes are part of it
+    std::map<std::string, uint64_t> changes; // later ones by domain, with their positions
+    size_t dropped = 0;
+    bool needsRead = false;
+};
+
 } // namespace wasabicroft
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -148,6 +148,30 @@
     return std::max(0.0, reported + static_cast<double>(estimate.ownFlowDelta)) / slots;
 }
 
+// The part of rejoinDuration that is left for an upstream that returned; 0 for others.
+double Placement::rejoinShare(const PlacementUpstream& upstream) const
+{
+    if (!upstream.rejoinedAt || this->options.rejoinDuration <= Milliseconds(0))
+        return 0;
+    const std::chrono::duration<double> elapsed = this->clock.now() - *upstream.rejoinedAt;
+    const std::chrono::duration<double> whole = this->options.rejoinDuration;
+    return std::clamp(1 - elapsed / whole, 0.0, 1.0);
+}
+
+// Of the upstreams that take new flows and did not return lately; 0 if there are none.
+double Placement::meanUtilization(const std::vector<PlacementUpstream>& pool) const
+{
+    double sum = 0;
+    size_t count = 0;
+    for (const PlacementUpstream& upstream : pool) {
+        if (upstream.leaving || this->rejoinShare(upstream) > 0)
+            continue;
+        sum += this->estimateUtilization(upstream);
+        ++count;
+    }
+    return count > 0 ? sum / static_cast<double>(count) : 0;
+}
+
 std::vector<Placement::RankedUpstream> Placement::rankUpstreams(ServiceId service, uint64_t flowHash)
 {
     const auto pool = this->pools.find(service);
@@ -164,13 +188,19 @@
         available = std::move(draining);
     const std::vector<UpstreamId> usable = this->detector.withoutEjected(available);
     std::vector<RankedUpstream> ranking;
+    std::optional<double> mean; // of the others, if any returned lately
     auto next = usable.begin(); // usable is in the order of the pool
     for (const PlacementUpstream& upstream : pool->second) {
         if (next == usable.end() || *next != upstream.id)
             continue;
         ++next;
         const bool isLocal = upstream.failureDomain == this->options.failureDomain;
-        const double estimated = this->estimateUtilization(upstream);
+        double estimated = this->estimateUtilization(upstream);
+        if (const double share = this->rejoinShare(upstream); share > 0) {
+            if (!mean)
+                mean = this->meanUtilization(pool->second);
+            estimated += std::max(0.0, *mean - estimated) * share;
+        }
         ranking.push_back({ upstream.id, estimated + (isLocal ? 0 : this->options.remotePenalty), estimated });
     }
     if (this->options.preferredUpstreams > 0 && ranking.size() > this->options.preferredUpstreams) {
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -11,6 +11,7 @@
 #include "wasabicroft/Packet.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -94,6 +95,8 @@
     std::string failureDomain;
     uint16_t slots = 4;
     bool leaving = false; // gets no new flows
+    std::optional<TimePoint>
+        rejoinedAt {}; // when it returned, nearly empty, after it had got no new flows for some time
 };
 
 struct PlacementOptions {
@@ -105,6 +108,9 @@
     size_t preferredUpstreams = 0; // chosen by a flow's hash: other entries search them for it first; 0: none
     double nonPreferredPenalty = 2; // added to the utilization of an upstream that the flow does not prefer
     Milliseconds drainingRetryDelay { 1000 }; // an upstream that replied that it drains is excluded for this long
+    // An upstream that returns counts as utilized as the mean of the others at first, which falls to its own
+    // utilization over this time. It is nearly empty: all new flows would go there before their load shows.
+    Milliseconds rejoinDuration { 10000 };
     Milliseconds performanceLifetime { 1000 }; // an older statement of an upstream's waits says nothing of the present
     OutlierDetectorOptions outlierDetection;
     std::function<uint64_t()> random; // required
@@ -165,6 +171,8 @@
 
     bool isDraining(UpstreamId) const;
     double estimateUtilization(const PlacementUpstream&) const;
+    double rejoinShare(const PlacementUpstream&) const;
+    double meanUtilization(const std::vector<PlacementUpstream>&) const;
     std::vector<RankedUpstream> rankUpstreams(ServiceId, uint64_t flowHash);
 
     PlacementOptions options;
--- a/wasabicroft/Presence.cpp
+++ b/wasabicroft/Presence.cpp
@@ -65,6 +65,26 @@
         return presence;
     }
 
+    // A position that no store can state, or names that no entry states, make the orders unknown: a part of the names
+    // would withdraw the others.
+    EvacuationOrders evacuationsFromWire(const wire::Presence& message)
+    {
+        EvacuationOrders orders;
+        if (message.evacuation_position() == 0 || eraOf(message.evacuation_position()) > maxStoreEra)
+            return {};
+        orders.position = message.evacuation_position();
+        if (!message.evacuated_domains())
+            return orders;
+        if (message.evacuated_domains()->size() > maxEvacuatedDomains)
+            return {};
+        for (const flatbuffers::String* domain : *message.evacuated_domains()) {
+            if (!isDomainName(domain->string_view()))
+                return {};
+            orders.domains.insert(domain->str());
+        }
+        return orders;
+    }
+
 } // namespace
 
 std::vector<uint8_t> encodePresence(const PresenceMessage& message)
@@ -87,11 +107,14 @@
         entries.push_back(entry.address);
         silences.push_back(toWire(entry));
     }
+    std::vector<flatbuffers::Offset<flatbuffers::String>> domains;
+    for (const std::string& domain : message.evacuations.domains)
+        domains.push_back(builder.CreateString(domain));
     wire::FinishPresenceBuffer(builder,
         wire::CreatePresenceDirect(builder, message.fromEntry, message.reachesStore, message.routesVersion,
             revisionOf(message.directoryRevision), &entries, &agents, toWire(message.confirmationAges[0]),
             toWire(message.confirmationAges[1]), &silences, static_cast<uint8_t>(message.listState),
-            eraOf(message.directoryRevision)));
+            eraOf(message.directoryRevision), message.evacuations.position, domains.empty() ? nullptr : &domains));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -119,6 +142,7 @@
     message.listState = static_cast<ListState>(
         std::min<uint8_t>(wireMessage.list_state(), static_cast<uint8_t>(ListState::Incomplete)));
     message.entries = fromWire(wireMessage.entries(), wireMessage.entry_silences());
+    message.evacuations = evacuationsFromWire(wireMessage);
     if (wireMessage.agents()) {
         for (const wire::AgentPresence* agent : *wireMessage.agents())
             message.agents.push_back(fromWire(*agent));
@@ -151,7 +175,25 @@
 
 void AgentAnnouncer::setUpstreamFigures(const std::optional<UpstreamFigures>& figures)
 {
-    this->self.figures = figures;
+    this->publishedFigures = figures;
+    this->updateFigures();
+}
+
+void AgentAnnouncer::setEvacuated(bool isNowEvacuated)
+{
+    if (std::exchange(this->isEvacuated, isNowEvacuated) != isNowEvacuated)
+        this->updateFigures();
+}
+
+// The drain of an evacuation is of no record. It states no revision, so that it never outweighs a record of the
+// upstream at agents that hear of it.
+void AgentAnnouncer::updateFigures()
+{
+    this->self.figures = this->publishedFigures;
+    if (this->self.figures && this->isEvacuated && !this->self.figures->draining) {
+        this->self.figures->draining = true;
+        this->self.figures->revision = 0;
+    }
     this->nextMessageTime = this->clock.now(); // entries that started without the store weigh upstreams by them
 }
 
@@ -217,6 +259,8 @@
         this->recordConfirmation(
             StoreTopic::Upstreams, message.directoryRevision, this->directoryRevision, message.confirmationAges[1]);
         this->recordListState(sender, message.listState, message.directoryRevision);
+        if (message.evacuations.position > this->evacuations.position)
+            this->evacuations = message.evacuations;
     }
     for (const EntryMention& entry : message.entries)
         this->recordMention(entry);
@@ -319,8 +363,9 @@
     std::pair<PresenceMessage, std::vector<uint32_t>> result;
     const TimePoint now = this->clock.now();
     this->lastPoll = now;
-    const bool hasNewerState
-        = copy.routesVersion > this->sentRoutesVersion || copy.directoryRevision > this->sentDirectoryRevision;
+    const bool hasNewerState = copy.routesVersion > this->sentRoutesVersion
+        || copy.directoryRevision > this->sentDirectoryRevision
+        || copy.evacuations.position > this->sentEvacuationPosition;
     const std::optional<TimePoint> confirmation = std::min(copy.confirmedAt[0], copy.confirmedAt[1]);
     const bool hasNewerConfirmation = confirmation
         && (!this->sentConfirmation || *confirmation - *this->sentConfirmation >= this->options.confirmationInterval);
@@ -334,6 +379,7 @@
         this->sentConfirmation = confirmation;
         this->sentRoutesVersion = copy.routesVersion;
         this->sentDirectoryRevision = copy.directoryRevision;
+        this->sentEvacuationPosition = copy.evacuations.position;
         this->expireSilent();
         const std::vector<uint32_t> next = this->nextTargets();
         targets.insert(next.begin(), next.end());
@@ -348,6 +394,7 @@
     message.reachesStore = copy.reachesStore;
     message.routesVersion = copy.routesVersion;
     message.directoryRevision = copy.directoryRevision;
+    message.evacuations = copy.evacuations;
     for (size_t i = 0; i < storeTopicCount; ++i) {
         if (copy.confirmedAt.at(i))
             message.confirmationAges.at(i) = std::chrono::ceil<Milliseconds>(now - *copy.confirmedAt.at(i));
--- a/wasabicroft/Presence.h
+++ b/wasabicroft/Presence.h
@@ -14,6 +14,7 @@
 //   [SECTION] FleetView
 #pragma once
 
+#include "wasabicroft/Evacuation.h"
 #include "wasabicroft/Published.h"
 #include "wasabicroft/StoreSync.h"
 
@@ -54,6 +55,7 @@
     ListState listState = ListState::Starting; // from entries: of its upstreams
     std::vector<EntryMention> entries; // entries that the sender knows, or some of them
     std::vector<AgentPresence> agents; // the sending agent, or agents that the sending entry has learned of
+    EvacuationOrders evacuations {}; // from entries; position 0: not known, or the program knows no orders
 };
 
 std::vector<uint8_t> encodePresence(const PresenceMessage&);
@@ -81,6 +83,7 @@
 
     void setService(ServiceId); // an upstream of another service runs here now: the routes are cleared
     void setUpstreamFigures(const std::optional<UpstreamFigures>&);
+    void setEvacuated(bool); // the upstream's failure domain is evacuated: states it as draining
     void onUpstreamAnswered(PacketAddress route); // the upstream sent a packet of an open flow
 
     std::optional<PresenceMessage> takeMessage(); // the message that is due for the seeds, if any
@@ -88,9 +91,12 @@
 
 private:
     void expireRoutes();
+    void updateFigures();
 
     AnnouncerOptions options;
     AgentPresence self;
+    std::optional<UpstreamFigures> publishedFigures;
+    bool isEvacuated = false;
     std::map<PacketAddress, TimePoint> lastAnswers; // by announced route
     const Clock& clock;
     TimePoint started;
@@ -122,6 +128,7 @@
     std::array<std::optional<TimePoint>, storeTopicCount> confirmedAt; // when the store confirmed each topic
     ListState listState = ListState::Starting;
     bool awaitsPeers = false; // for the state of their lists
+    EvacuationOrders evacuations {};
 };
 
 // The other entries and the agents that an entry has learned of by gossip.
@@ -135,6 +142,7 @@
     // The message that is due and the entries that are to get it; no entries if none is due. A newer version, revision
     // or confirmation than in the last message makes one due at once, and so does an entry that starts. Call every few
     // milliseconds, after the messages that have arrived were passed to onMessage.
+    // Newer orders of evacuations count as a newer revision.
     std::pair<PresenceMessage, std::vector<uint32_t>> takeMessage(const StoreCopy&);
 
     // Whether this entry is one of the few that use short watches of the store. From them the others learn of a change
@@ -152,6 +160,8 @@
     {
         return this->confirmations.at(static_cast<size_t>(topic));
     }
+    // The orders of the latest position that an entry has stated; position 0: none has.
+    const EvacuationOrders& newestEvacuations() const { return this->evacuations; }
     // Worst state that entries that run have stated of their lists since the last call. One that has not noticed yet
     // that the store was restored can't vouch for this entry's list, which was read at the given position.
     std::optional<ListState> takePeerListState(uint64_t revision);
@@ -192,9 +202,11 @@
     uint64_t routesVersion = 0;
     uint64_t directoryRevision = 0;
     std::array<std::optional<TimePoint>, storeTopicCount> confirmations; // of routesVersion and directoryRevision
+    EvacuationOrders evacuations; // see newestEvacuations()
     TimePoint lastPoll; // messages handled now arrived after this time
     uint64_t sentRoutesVersion = 0;
     uint64_t sentDirectoryRevision = 0;
+    uint64_t sentEvacuationPosition = 0;
     std::optional<TimePoint> sentConfirmation; // older one of the two topics
     size_t nextTarget; // starts at another entry for each sender, so that the messages of all reach all
     size_t nextMention = 0;
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -41,6 +41,7 @@
     read.afterRevision = topic.revision;
     read.minRevision = read.isWatch ? topic.revision : this->newestRevision;
     read.pageAfter = topic.pageAfter;
+    read.withEvacuations = this->options.readsEvacuations && which == StoreTopic::Routes;
     if (read.isWatch)
         read.wait = topic.isCheckDue ? std::min(this->options.checkWait, topic.watchWait) : topic.watchWait;
     read.timeout = this->options.readTimeout + read.wait;
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -35,6 +35,7 @@
     std::string pageAfter; // key after which the next page begins; empty for the first page
     Milliseconds wait { 0 }; // of a watch: longest time until the store answers
     Milliseconds timeout { 0 }; // the read counts as failed after this time
+    bool withEvacuations = false; // of the topic Routes: reads evacuation orders in the same calls
 };
 
 struct StoreSyncOptions {
@@ -47,6 +48,7 @@
     Milliseconds minBackOff { 50 };
     Milliseconds maxBackOff { 400 };
     Milliseconds maxInitialBackOff { 80 }; // for a topic that was never read, as nothing can be served without it
+    bool readsEvacuations = false; // evacuation orders are part of the topic Routes
     double jitter = 0.2; // share by which a back-off varies in both directions
     uint64_t seed = 1; // seed of the jitter
 };
