--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -75,6 +75,8 @@
     double nonPreferredPenalty = 2; // see PlacementOptions
     double remotePenalty = 0.25; // see PlacementOptions
     DirectiveOptions directives;
+    bool excludesEvacuated = true; // false: evacuation orders have no effect, for comparison
+    Milliseconds rejoinDuration { 10000 }; // see PlacementOptions
     uint64_t seed = 1;
 };
 
@@ -97,6 +99,7 @@
     uint64_t offerTimeouts = 0;
     uint64_t refusedOffers = 0;
     uint64_t resets = 0;
+    uint64_t refusedEvacuated = 0; // of these, new flows of services whose upstreams are evacuated
     uint64_t buffered = 0; // packets that waited for the first routes
     uint64_t dropped = 0; // packets that could not be delivered
     uint64_t notHeld = 0; // forwarded packets that the upstream did not hold
@@ -229,6 +232,7 @@
     void sendDirectiveBeforeOffer(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
+    bool isEvacuated(const UpstreamRecord&) const;
     Offer* findOffer(Flow&, PacketAddress agent);
     static size_t offersInRound(const Flow&);
     void refuseFlow(const FlowKey&, uint32_t sequence, std::string_view cause);
@@ -308,6 +312,9 @@
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
     DirectiveSchedule directives; // has the evacuation orders in force
+    std::map<std::string, TimePoint> rejoinTimes; // when the orders for failure domains were withdrawn
+    std::set<ServiceId> evacuatedServices; // services all of whose usable upstreams are evacuated
+    std::set<UpstreamId> evacuatedUpstreams; // usable but for the orders
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
