--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -3,6 +3,7 @@
 #include "EntryRouterFixture.h"
 #include "platform/StoreWire.h"
 #include "wasabicroft/Presence.h"
+#include "wasabicroft/Settings.h"
 
 namespace wasabicroft::tests {
 namespace {
@@ -138,6 +139,20 @@
         EXPECT_EQ(platform::requestTarget(readOf(true, true)), "/-/kv-watch?prefix=op/&after=7&wait_ms=2000");
     }
 
+    // The platform leaves the value empty where the site has no evacuations.
+    TEST(EvacuationWire, SettingIsOffUnlessOn)
+    {
+        const auto read = [](const std::string& value) {
+            SettingsReader reader({}, "WASABI_EVACUATION_TEST", { { "--evacuations", value } });
+            const bool isOn = reader.onOff("--evacuations", false);
+            return std::pair(isOn, reader.errors().size());
+        };
+        EXPECT_EQ(read("on"), std::pair(true, size_t { 0 }));
+        EXPECT_EQ(read("off"), std::pair(false, size_t { 0 }));
+        EXPECT_EQ(read(""), std::pair(false, size_t { 0 }));
+        EXPECT_EQ(read("5000"), std::pair(false, size_t { 1 }));
+    }
+
     TEST(EvacuationWire, SettingConcernsTheTopicOfTheRoutes)
     {
         ManualClock clock;
@@ -402,6 +417,38 @@
         EXPECT_EQ(asked.size(), 6U);
     }
 
+    // The share of 100 new flows that go to an upstream which returned empty beside two others at 90% of their slots.
+    // The load that new flows bring is not known yet.
+    size_t flowsToReturned(Milliseconds rejoinDuration, Milliseconds sinceReturn)
+    {
+        ManualClock clock;
+        clock.advance(Milliseconds(60000));
+        std::mt19937_64 random(7);
+        PlacementOptions options;
+        options.rejoinDuration = rejoinDuration;
+        options.random = [&] { return random(); };
+        Placement placement(options, clock);
+        std::vector<PlacementUpstream> pool { { { 1 }, "a", 10 }, { { 2 }, "b", 10 }, { { 3 }, "b", 10 } };
+        pool[0].rejoinedAt = clock.now() - sinceReturn;
+        placement.setPool(service, pool);
+        placement.onLoad({ 1 }, { 0, 10, 0, 0 });
+        placement.onLoad({ 2 }, { 9, 10, 0, 0 });
+        placement.onLoad({ 3 }, { 9, 10, 0, 0 });
+        size_t count = 0;
+        for (uint64_t hash = 0; hash < 100; ++hash)
+            count += placement.candidates(service, hash).front() == UpstreamId { 1 } ? 1U : 0U;
+        return count;
+    }
+
+    TEST(EvacuationPlacement, ReturnedUpstreamGetsItsShareFirst)
+    {
+        EXPECT_EQ(flowsToReturned(Milliseconds(0), Milliseconds(0)), 100U); // the naive counterpart
+        const size_t share = flowsToReturned(Milliseconds(10000), Milliseconds(0));
+        EXPECT_GT(share, 15U);
+        EXPECT_LT(share, 55U);
+        EXPECT_EQ(flowsToReturned(Milliseconds(10000), Milliseconds(10000)), 100U);
+    }
+
     // Load reports say that domain b is busy when a, which is empty, returns: without the gradual return, all new flows
     // go to a.
     TEST_F(EvacuationFixture, DomainRejoinsGradually)
