--- a/tests/ColdStartTest.cpp
+++ b/tests/ColdStartTest.cpp
@@ -351,6 +351,26 @@
         EXPECT_TRUE(limiter.onTick());
     }
 
+    // Guards against an agent that hands over the full limit in the second in which its former process did.
+    TEST(ColdStartLimiter, AdmitsHalfInItsFirstSecond)
+    {
+        for (const uint32_t limit : { 1U, 2U, 10U, 11U }) {
+            ManualClock clock;
+            ColdStartLimiter limiter(clock);
+            limiter.onDirective(coldDirective(coldTime, limit));
+            uint32_t handedOver = 0;
+            for (; limiter.mayHandOver() && handedOver <= limit; ++handedOver)
+                limiter.onHandedOver();
+            EXPECT_EQ(handedOver, std::max(1U, limit / 2));
+            clock.advance(Milliseconds(999));
+            EXPECT_FALSE(limiter.mayHandOver());
+            clock.advance(Milliseconds(1));
+            for (handedOver = 0; limiter.mayHandOver() && handedOver <= limit; ++handedOver)
+                limiter.onHandedOver();
+            EXPECT_EQ(handedOver, limit);
+        }
+    }
+
     // Guards against flows that count although they went before the directive, and copies that count twice.
     TEST_F(AgentRouterFixture, AColdUpstreamGetsNoFurtherNewFlowsButCopies)
     {
--- a/wasabicroft/Directive.cpp
+++ b/wasabicroft/Directive.cpp
@@ -16,21 +16,21 @@
 {
 }
 
-std::set<std::string> DirectiveSchedule::setOrders(EvacuationOrders orders)
+std::set<std::string> DirectiveSchedule::setOrders(const EvacuationOrders& orders)
 {
     std::set<std::string> changed;
     for (const std::string& domain : orders.domains) {
-        if (!this->known.domains.contains(domain))
+        if (!this->evacuated.contains(domain))
             changed.insert(domain);
         this->withdrawals.erase(domain);
     }
-    for (const std::string& domain : this->known.domains) {
+    for (const std::string& domain : this->evacuated) {
         if (orders.domains.contains(domain))
             continue;
         changed.insert(domain);
         this->withdrawals[domain] = this->clock.now();
     }
-    this->known = std::move(orders);
+    this->evacuated = orders.domains;
     return changed;
 }
 
@@ -40,7 +40,7 @@
     const auto withdrawal = this->withdrawals.find(domain);
     const bool isWithdrawn
         = withdrawal != this->withdrawals.end() && now - withdrawal->second < this->options.withdrawalNotice;
-    if (!isCold && !isWithdrawn && !this->isEvacuated(domain))
+    if (!isCold && !isWithdrawn && !this->evacuated.contains(domain))
         return false;
     const auto sent = this->lastSent.find(agent);
     return sent == this->lastSent.end() || now - sent->second >= this->options.repeatInterval;
@@ -48,7 +48,7 @@
 
 void DirectiveSchedule::onSent(PacketAddress agent) { this->lastSent[agent] = this->clock.now(); }
 
-void DirectiveSchedule::enqueue(std::vector<PacketAddress> agents)
+void DirectiveSchedule::enqueue(const std::vector<PacketAddress>& agents)
 {
     for (const PacketAddress agent : agents) {
         if (std::find(this->queued.begin(), this->queued.end(), agent) == this->queued.end())
--- a/wasabicroft/Directive.h
+++ b/wasabicroft/Directive.h
@@ -35,22 +35,20 @@
     DirectiveSchedule(DirectiveOptions, const Clock&);
 
     // Returns the failure domains whose order changed.
-    std::set<std::string> setOrders(EvacuationOrders);
-    const EvacuationOrders& orders() const { return this->known; }
-    bool isEvacuated(const std::string& domain) const { return this->known.domains.contains(domain); }
+    std::set<std::string> setOrders(const EvacuationOrders&);
 
     // Whether an agent is to get a directive before it is offered a flow.
     bool isDueBeforeOffer(PacketAddress agent, const std::string& domain, bool isCold) const;
     void onSent(PacketAddress agent);
 
-    void enqueue(std::vector<PacketAddress> agents); // their order changed
+    void enqueue(const std::vector<PacketAddress>& agents); // their order changed
     std::vector<PacketAddress> takeQueued(size_t bytesPerDirective); // those that the budget admits now
     void onTick(); // forgets what is no longer needed
 
 private:
     DirectiveOptions options;
     const Clock& clock;
-    EvacuationOrders known;
+    std::set<std::string> evacuated; // failure domains
     std::map<std::string, TimePoint> withdrawals; // by failure domain
     std::map<PacketAddress, TimePoint> lastSent; // by agent, within repeatInterval
     std::deque<PacketAddress> queued;
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -154,7 +154,8 @@
 
 void EntryRouter::setEvacuations(EvacuationOrders orders)
 {
-    const std::set<std::string> changed = this->directives.setOrders(std::move(orders));
+    this->evacuations = std::move(orders);
+    const std::set<std::string> changed = this->directives.setOrders(this->evacuations);
     std::vector<PacketAddress> receivers;
     for (const auto& [agent, listed] : this->listedByAgent) {
         if (changed.contains(listed.failureDomain))
@@ -165,7 +166,7 @@
     // Entries begin with different agents, so that each agent soon hears of the order from one of them.
     const size_t first = this->random() % receivers.size();
     std::rotate(receivers.begin(), receivers.begin() + static_cast<std::ptrdiff_t>(first), receivers.end());
-    this->directives.enqueue(std::move(receivers));
+    this->directives.enqueue(receivers);
     this->sendQueuedDirectives();
 }
 
@@ -196,8 +197,8 @@
     HopMessage message;
     message.kind = HopKind::Directive;
     message.service = listed->second.service;
-    message.directive.evacuationPosition = this->directives.orders().position;
-    message.directive.evacuated = this->directives.isEvacuated(listed->second.failureDomain);
+    message.directive.evacuationPosition = this->evacuations.position;
+    message.directive.evacuated = this->evacuations.domains.contains(listed->second.failureDomain);
     if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
         message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
         message.directive.coldFlowsPerSecond = limit;
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -117,7 +117,6 @@
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
     void setEvacuations(EvacuationOrders); // call after each change, before setUpstreams
-    const EvacuationOrders& evacuations() const { return this->directives.orders(); }
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
     // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
     // this one lacks none.
@@ -302,7 +301,8 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
-    DirectiveSchedule directives; // has the evacuation orders in force
+    EvacuationOrders evacuations;
+    DirectiveSchedule directives;
     bool hasUsableUpstream = false;
     std::map<ServiceId, std::vector<HolderCandidate>> holders;
     std::map<PacketAddress, Listing> listingByAgent; // of possible holders
