--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -31,7 +31,7 @@
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
         if (flow.request != RequestState::None)
             this->requestQueue.remove(key);
-        this->heldFlows -= flow.isHeld ? 1 : 0;
+        this->heldFlows -= flow.isCounted ? 1 : 0;
     };
 }
 
@@ -133,7 +133,7 @@
         this->denyOtherFlow(key, *known, entry, message.kind, message.packet);
         return;
     }
-    if (this->liveness.state() == UpstreamState::Down) {
+    if (this->liveness.hasLostFlows()) {
         this->denyFlow(key, entry, message.kind == HopKind::Find);
         return;
     }
@@ -143,6 +143,7 @@
     flow.mayBeOpen = true;
     flow.sequences.onClientPacket(packet);
     flow.clientSentFin = flow.clientSentFin || packet.fin;
+    this->countFlow(flow);
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
     // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
@@ -252,7 +253,7 @@
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
         return;
     }
-    if (this->liveness.state() == UpstreamState::Down) {
+    if (this->liveness.hasLostFlows()) {
         for (const FlowKey& key : message.flowKeys)
             this->denyFlow(key, entry, true);
         return;
@@ -279,7 +280,7 @@
 // A flow opens at an upstream only by a SYN, which this agent would have seen since.
 bool AgentRouter::isReturnedFlow(const FlowKey& key) { return this->returnedFlows.find(key) != nullptr; }
 
-// An upstream that is down has lost its flows.
+// An upstream that has been down for long has lost its flows.
 void AgentRouter::denyFlow(const FlowKey& key, PacketAddress entry, bool isSearched)
 {
     const Flow* flow = this->flows.find(key);
@@ -294,6 +295,16 @@
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
 
+// The upstream accepted the SYN of another flow of the same ends, so it does not hold the known one any more.
+void AgentRouter::startLaterFlow(const FlowKey& key, OtherSyn syn)
+{
+    this->removeFlow(key);
+    Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.entry = syn.entry;
+    flow.lastKind = HopKind::Offer;
+    flow.offered = true;
+}
+
 // The upstream holds at most the newest flow of two ends, and all that it sends passes here: it does not hold the flow
 // of a packet that does not fit the known one.
 void AgentRouter::denyOtherFlow(const FlowKey& key, const Flow& known, PacketAddress entry, HopKind kind, Bytes packet)
@@ -329,7 +340,7 @@
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
     const bool isDown = this->liveness.state() == UpstreamState::Down;
-    Flow* known = isDown ? nullptr : this->flows.find(key);
+    Flow* known = this->liveness.hasLostFlows() ? nullptr : this->flows.find(key);
     const bool isPortReused = known && known->sequences.isOfOtherFlow(packet);
     if (known && known->isHeld && !isPortReused) { // a late copy of the SYN, which all other upstreams may refuse
         known->entry = entry;
@@ -361,6 +372,12 @@
     }
     if (isNewFlow)
         this->coldStartLimiter.onHandedOver();
+    // The SYN may be a late copy of an earlier flow's: the known flow goes on unless the upstream accepts the SYN.
+    if (isPortReused && known->isHeld && !(known->clientSentFin && known->upstreamSentFin)) {
+        known->otherSyn = OtherSyn { entry, packet.sequence };
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
     if (isPortReused)
         this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -511,9 +528,13 @@
     }
     this->hooks.sendToClient(packet.destination, bytes);
     const FlowKey key = packet.flowKeyFromUpstream();
+    const Flow* known = this->flows.find(key);
+    if (packet.isSynAck() && known && known->otherSyn && packet.acknowledgement == known->otherSyn->sequence + 1)
+        this->startLaterFlow(key, *known->otherSyn);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onUpstreamPacket(packet);
     flow.upstreamSentFin = flow.upstreamSentFin || packet.fin;
+    this->countFlow(flow);
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
@@ -534,6 +555,8 @@
             this->rejection.onFreshFlowReset();
             this->updateRejection();
         }
+        if (flow.lastKind == HopKind::Find && !flow.isHeld && flow.entry != PacketAddress())
+            this->answerSearchForEndedFlow(key, flow.entry, packet.sequence);
         this->removeFlow(key);
         return;
     }
@@ -553,11 +576,21 @@
     }
 }
 
+// The upstream answers data of a flow that has ended there with a reset. Without an answer of its agent, the search
+// would send the packet again and again. The entry tells by the sequence number whether the flow is the one it seeks.
+void AgentRouter::answerSearchForEndedFlow(const FlowKey& key, PacketAddress entry, uint32_t sequence)
+{
+    if (sequence != 0)
+        this->reply(entry, HopKind::Gone, key, HopRefusal::None, {}, sequence);
+    else
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+}
+
 void AgentRouter::markHeld(const FlowKey& key, Flow& flow)
 {
     if (!flow.isHeld) {
         flow.isHeld = true;
-        ++this->heldFlows;
+        this->countFlow(flow);
         this->requestQueue.onHeld(key);
     }
     if (flow.lastKind == HopKind::Find && flow.entry != PacketAddress()) {
@@ -566,6 +599,19 @@
     }
 }
 
+// A flow that either end has closed brings no further requests, but stays known for up to the idle timeout. It would
+// outnumber the flows that do where clients open one per request.
+void AgentRouter::countFlow(Flow& flow)
+{
+    const bool counts = flow.isHeld && !flow.clientSentFin && !flow.upstreamSentFin;
+    if (counts == std::exchange(flow.isCounted, counts))
+        return;
+    if (counts)
+        ++this->heldFlows;
+    else
+        --this->heldFlows;
+}
+
 // Numbers a packet that is sent to the upstream: its answer shows that the upstream has received all packets before it.
 // Only the first of several copies counts, since the answer may be to that one.
 void AgentRouter::assignDeliveryNumber(Flow& flow)
@@ -613,6 +659,12 @@
         return;
     }
     this->confirmDelivery(*flow);
+    if (packet.isSyn() && flow->otherSyn && flow->otherSyn->sequence == packet.sequence) {
+        ++this->counts.refused;
+        this->reply(flow->otherSyn->entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
+        flow->otherSyn.reset();
+        return;
+    }
     // A late copy of the SYN, or the SYN of an earlier flow: the upstream may hold the flow nevertheless.
     if (packet.isSyn() && (flow->mayBeOpen || flow->sequences.isOfOtherFlow(packet))) {
         ++this->counts.dropped;
@@ -649,22 +701,30 @@
     }
 }
 
-// Pauses or resumes requests when the upstream's state changes; flows with requests at a down upstream are lost.
+// Pauses or resumes requests when the upstream's state changes.
 void AgentRouter::updateState()
 {
+    if (this->liveness.hasLostFlows() != this->hasDeniedLostFlows) {
+        this->hasDeniedLostFlows = this->liveness.hasLostFlows();
+        if (this->hasDeniedLostFlows)
+            this->denyLostFlows();
+        else // an upstream that was silent may have kept the flows that the agent forgot meanwhile
+            this->trackingSince = this->clock.now();
+    }
     const UpstreamState state = this->liveness.state();
     if (state == this->loggedState)
         return;
-    // An upstream that was silent may have kept the flows that the agent forgot meanwhile.
-    if (std::exchange(this->loggedState, state) == UpstreamState::Down)
-        this->trackingSince = this->clock.now();
+    this->loggedState = state;
     logEvent(state == UpstreamState::Down ? Event::PacketUpstreamDown : Event::PacketUpstreamUp,
         { { "flows", static_cast<uint64_t>(this->heldFlows) }, { "waiting", this->waitingRequests() } });
     this->requestQueue.setPaused(state != UpstreamState::Up);
-    if (state == UpstreamState::Up) {
+    if (state == UpstreamState::Up)
         this->startWaitingRequests();
-        return;
-    }
+}
+
+// Their clients may retry at once.
+void AgentRouter::denyLostFlows()
+{
     std::vector<std::pair<FlowKey, PacketAddress>> lost;
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
         if (flow.request != RequestState::None)
@@ -700,6 +760,7 @@
     message.waitingRequests = this->waitingRequests();
     message.heldFlows = static_cast<uint32_t>(this->heldFlows);
     message.slots = this->figures ? this->figures->slots : 0;
+    message.performance = this->requestQueue.performance();
     return message;
 }
 
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -97,6 +97,7 @@
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
+    std::optional<UpstreamPerformance> performance() const { return this->requestQueue.performance(); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
     const ColdStartLimiter& coldStart() const { return this->coldStartLimiter; }
@@ -112,6 +113,13 @@
         std::vector<uint8_t> bytes;
     };
 
+    // A SYN of another flow of the same ends that was delivered: of a later one, or late and of an earlier one. The
+    // upstream shows which.
+    struct OtherSyn {
+        PacketAddress entry;
+        uint32_t sequence = 0;
+    };
+
     struct Flow {
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
@@ -125,11 +133,13 @@
         FlowSequences sequences;
         bool clientSentFin = false; // also with payload
         bool upstreamSentFin = false;
+        bool isCounted = false; // in heldFlows
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
+        std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
     };
 
@@ -154,6 +164,7 @@
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
+    void startLaterFlow(const FlowKey&, OtherSyn);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
@@ -161,12 +172,15 @@
     void startWaitingRequests();
     void expireRequests();
     void updateState();
+    void denyLostFlows();
     void updateRejection();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
     void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
+    void answerSearchForEndedFlow(const FlowKey&, PacketAddress entry, uint32_t sequence);
     void markHeld(const FlowKey&, Flow&);
+    void countFlow(Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
     void trackDelivery(const FlowKey&, Flow&);
@@ -208,7 +222,8 @@
     EvacuationNotice evacuationNotice;
     ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
-    size_t heldFlows = 0;
+    bool hasDeniedLostFlows = false; // since the upstream answered last
+    size_t heldFlows = 0; // closed by neither end
     AgentRouterCounters counts;
 };
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -48,6 +48,7 @@
     Milliseconds searchTimeout { 300 }; // later, the next packet of the client starts another search
     Milliseconds lateDenialTime { 100 }; // denials of the packets of an earlier flow have arrived after this time
     Milliseconds packetWait { 1600 }; // for a silent agent: the longest interval between a client's retransmissions
+    Milliseconds listWaitInterval { 50 }; // between checks whether the list covers all upstreams by now
     Milliseconds silentAgentInterval { 100 }; // between questions to silent agents while a packet waits for them
     size_t maxAskedPeers = 16; // other entries that are asked for the holder of a flow
     size_t maxHandOverFlows = 16384; // the latest ones: 200 KB to each receiver
@@ -68,7 +69,10 @@
     size_t maxIsolationProbes = 6; // agents probed per interval
     size_t isolationSilentRatio = 3; // silent agents per replying one; one of three failure domains may be cut off
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
-    double connectionCost = 0.02; // expected share of a slot that an open flow uses
+    double connectionCost = 0.02; // expected share of a slot that an open flow uses, until it is measured
+    bool measuresConnectionCost = true; // see PlacementOptions
+    bool weighsSpeed = true; // see PlacementOptions
+    double nonPreferredPenalty = 2; // see PlacementOptions
     double remotePenalty = 0.25; // see PlacementOptions
     DirectiveOptions directives;
     uint64_t seed = 1;
@@ -269,6 +273,7 @@
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
     void endFailedSearch(const FlowKey&, Flow&);
+    void awaitList(const FlowKey&, Flow&);
     bool isConclusive(const HolderSearch&) const;
     void endDeniedSearches();
     void abandonSearch(const FlowKey&, Flow&);
