Let no upstream of an earlier flow reset a later one of its port

Callers saw: an open flow was reset by an upstream that had served an earlier flow of the same port, kept it after its end and answers data on it with a reset (in the model; upstreams that forget ended flows at once return the packet instead).

Cause: three ways by which such an upstream got packets of the later flow. An agent that found a packet to be of another flow than the ended one forgot it, so the next packet was handed over. An agent that stops told entries that it holds flows that had ended. An agent that restarted hands over packets of searches, and passed the upstream's reset on to the client.

Fix: the agent claims the ended flow no more but keeps its sequence numbers, hands over only flows that did not end, and takes a reset that answers the packet of a search as a denial if its number is far from what the client acknowledged. A reset near it, or without a number, reaches the client as before.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -197,6 +197,52 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Known });
     }
 
+    // Guards against packets of a later flow that an upstream answers with a reset, since it keeps the earlier one: its
+    // agent knew after the first packet that they are of another flow, and forgot it.
+    TEST_F(PortReuseAtAgent, AnEndedFlowGetsNoPacketOfALaterOne)
+    {
+        this->openFlow(1);
+        this->endFlow();
+        for (int copy = 0; copy < 3; ++copy) {
+            this->nextFlowPacket(HopKind::Forward);
+            EXPECT_TRUE(this->toUpstream.empty());
+            EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+        }
+    }
+
+    // Guards against entries that take the former holder's agent for that of a later flow when it stops.
+    TEST_F(PortReuseAtAgent, AnEndedFlowIsNotHandedOver)
+    {
+        this->openFlow(1);
+        this->openFlow(2);
+        this->endFlow();
+        this->router.handOver();
+        EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { keyOf(2) });
+    }
+
+    // Guards against an upstream's reset of an earlier flow that ends the later one at its client: the agent restarted
+    // and handed the packet of a search over.
+    TEST_F(PortReuseAtAgent, AResetOfAnEarlierFlowDeniesASearchedOne)
+    {
+        for (int copy = 0; copy < 2; ++copy)
+            this->nextFlowPacket(HopKind::Find);
+        this->kinds.clear();
+        for (int copy = 0; copy < 2; ++copy)
+            this->fromUpstream(rstFlag, 1); // 500
+        EXPECT_TRUE(this->toClient.empty());
+        EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
+    }
+
+    // Guards against a reset of the upstream that is kept from its client.
+    TEST_F(PortReuseAtAgent, AResetOfTheSearchedFlowReachesTheClient)
+    {
+        this->nextFlowPacket(HopKind::Find);
+        const std::vector<uint8_t> reset
+            = makePacket(routeAddress, { client.address, 1 }, rstFlag, nextUpstreamSequence, 0, 0);
+        this->router.onUpstreamPacket(platform::decodePacket(reset).value(), reset);
+        EXPECT_EQ(this->toClient.size(), 1U);
+    }
+
     // Guards against entries that can't tell which flow of the port an agent reports as lost.
     TEST_F(PortReuseAtAgent, AReportOfALostFlowStatesWhereItEnded)
     {
--- a/tests/StallTest.cpp
+++ b/tests/StallTest.cpp
@@ -136,7 +136,7 @@
 
     // Runs histories with seeds from 1 on. Returns the first finding of each history that has one, with its seed.
     std::string findingsOf(const StallHistory& history, bool losesMessages,
-        const std::function<const std::vector<std::string>&(const PacketWorld&)>& select)
+        const std::function<std::vector<std::string>(const PacketWorld&)>& select)
     {
         constexpr uint64_t histories = 30;
         std::string all;
@@ -148,7 +148,7 @@
             for (const PacketWorld::Request& request : world.requests)
                 answered += request.answered ? 1 : 0;
             total += world.requests.size();
-            const std::vector<std::string>& found = select(world);
+            const std::vector<std::string> found = select(world);
             if (!found.empty())
                 all += "seed " + std::to_string(seed) + ", first of " + std::to_string(found.size()) + ": "
                     + found.front() + "\n";
@@ -174,6 +174,23 @@
             "");
     }
 
+    // Guards against packets of a later flow that reach an upstream which keeps an earlier one that ended, and answers
+    // them with a reset.
+    TEST(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlow)
+    {
+        EXPECT_EQ(findingsOf({ .usesPortsAgain = true }, true,
+                      [](const PacketWorld& world) { return world.resetsByEarlierHolders; }),
+            "");
+    }
+
+    // The same beside restarts of agents, which forget the earlier flows.
+    TEST(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlowWhileAgentsRestart)
+    {
+        EXPECT_EQ(findingsOf({ .usesPortsAgain = true, .restartsAgents = true }, true,
+                      [](const PacketWorld& world) { return world.resetsByEarlierHolders; }),
+            "");
+    }
+
     // The same with stalls.
     TEST(StallHistories, NoHeldFlowIsResetUnderAllOfThese)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -117,6 +117,8 @@
     flow.lastKind = message.kind;
     flow.mayBeOpen = true;
     flow.sequences.onClientPacket(packet);
+    if (packet.ack)
+        flow.lastAcknowledgement = packet.acknowledgement;
     flow.clientSentFin = flow.clientSentFin || packet.fin;
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
@@ -177,7 +179,8 @@
     std::vector<FlowKey> held;
     std::set<PacketAddress> entries;
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
-        if (flow.isHeld)
+        const bool isEnded = flow.clientSentFin && flow.upstreamSentFin;
+        if (flow.isHeld && !isEnded) // the receivers may search for a later flow of the same ends
             held.push_back(key);
         if (flow.entry != PacketAddress())
             entries.insert(flow.entry);
@@ -287,8 +290,9 @@
     logEvent(Event::PacketOfOtherFlow,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "with", nameOf(kind) },
             { "known-flow", isEnded ? "ended" : "open" }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (isEnded)
-        this->removeFlow(key); // so that it is not claimed again
+    if (Flow* ended = isEnded ? this->flows.find(key) : nullptr; ended && std::exchange(ended->isHeld, false))
+        --this->heldFlows; // so that it is not claimed again; the upstream may still answer packets of later flows to
+                           // it
     if (kind == HopKind::Find)
         this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
     else
@@ -477,8 +481,13 @@
         this->onBounce(packet.flowKeyFromClient(), packet, bytes);
         return;
     }
-    this->hooks.sendToClient(packet.destination, bytes);
     const FlowKey key = packet.flowKeyFromUpstream();
+    if (this->isResetOfEarlierFlow(key, packet)) {
+        if (this->flows.find(key))
+            this->denySearchedFlow(key);
+        return;
+    }
+    this->hooks.sendToClient(packet.destination, bytes);
     const Flow* known = this->flows.find(key);
     if (packet.isSynAck() && known && known->otherSyn && packet.acknowledgement == known->otherSyn->sequence + 1)
         this->startLaterFlow(key, *known->otherSyn);
@@ -524,6 +533,34 @@
     }
 }
 
+// An upstream that keeps an ended flow may answer the packet of a search for a later one with a reset. Its number is
+// far from what the client of the later flow acknowledged. 0 states nothing.
+bool AgentRouter::isResetOfEarlierFlow(const FlowKey& key, const Packet& packet)
+{
+    if (!packet.rst)
+        return false;
+    const Flow* flow = this->flows.find(key);
+    if (!flow) // the packet may have been sent twice
+        return this->isReturnedFlow(key);
+    if (flow->isHeld || flow->lastKind != HopKind::Find || packet.sequence == 0)
+        return false;
+    SequenceRange acknowledged;
+    if (flow->lastAcknowledgement)
+        acknowledged.add(*flow->lastAcknowledgement);
+    return !acknowledged.isNear(packet.sequence);
+}
+
+// The upstream does not hold the flow whose packet it got from a search.
+void AgentRouter::denySearchedFlow(const FlowKey& key)
+{
+    Flow* flow = this->flows.find(key);
+    const PacketAddress entry = flow->entry;
+    this->confirmDelivery(*flow);
+    this->removeFlow(key);
+    this->returnedFlows.findOrInsert(key, this->clock.now());
+    this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+}
+
 void AgentRouter::markHeld(const FlowKey& key, Flow& flow)
 {
     if (!flow.isHeld) {
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -125,6 +125,7 @@
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
+        std::optional<uint32_t> lastAcknowledgement; // of the client
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
         std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
@@ -151,6 +152,8 @@
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void startLaterFlow(const FlowKey&, OtherSyn);
+    bool isResetOfEarlierFlow(const FlowKey&, const Packet&);
+    void denySearchedFlow(const FlowKey&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
