--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -173,13 +173,14 @@
 
 void EntryRouter::setEvacuations(EvacuationOrders orders)
 {
-    for (const std::string& domain : this->directives.orders().domains) {
+    for (const std::string& domain : this->evacuations.domains) {
         if (!orders.domains.contains(domain))
             this->rejoinTimes[domain] = this->clock.now();
     }
     for (const std::string& domain : orders.domains)
         this->rejoinTimes.erase(domain);
-    const std::set<std::string> changed = this->directives.setOrders(std::move(orders));
+    this->evacuations = std::move(orders);
+    const std::set<std::string> changed = this->directives.setOrders(this->evacuations);
     std::vector<PacketAddress> receivers;
     for (const auto& [agent, listed] : this->listedByAgent) {
         if (changed.contains(listed.failureDomain))
@@ -221,8 +222,8 @@
     HopMessage message;
     message.kind = HopKind::Directive;
     message.service = listed->second.service;
-    message.directive.evacuationPosition = this->directives.orders().position;
-    message.directive.evacuated = this->directives.orders().domains.contains(listed->second.failureDomain);
+    message.directive.evacuationPosition = this->evacuations.position;
+    message.directive.evacuated = this->evacuations.domains.contains(listed->second.failureDomain);
     if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
         message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
         message.directive.coldFlowsPerSecond = limit;
@@ -240,7 +241,7 @@
 
 bool EntryRouter::isEvacuated(const UpstreamRecord& record) const
 {
-    return this->options.excludesEvacuated && this->directives.isEvacuated(record.failureDomain);
+    return this->options.excludesEvacuated && this->evacuations.domains.contains(record.failureDomain);
 }
 
 bool EntryRouter::isServing() const
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -310,7 +310,8 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
-    DirectiveSchedule directives; // has the evacuation orders in force
+    EvacuationOrders evacuations;
+    DirectiveSchedule directives;
     std::map<std::string, TimePoint> rejoinTimes; // when the orders for failure domains were withdrawn
     std::set<ServiceId> evacuatedServices; // services all of whose usable upstreams are evacuated
     std::set<UpstreamId> evacuatedUpstreams; // usable but for the orders
