--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -499,6 +499,9 @@
             counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
     metrics.setCount("wasabi_resets_total", "", counts.resets);
+    metrics.setCount("wasabi_overloaded", "", this->router.isOverloaded() ? 1 : 0);
+    for (const auto& [item, count] : this->router.overloadCounts().all())
+        metrics.setCount("wasabi_flows_refused_total", overloadLabels(item.first, item.second), count);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
     metrics.setCount("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -45,6 +45,8 @@
     , clock(timeSource)
     , random(this->options.seed)
     , placement(placementOptions(this->options, this->random), timeSource)
+    , admission(this->options.admission)
+    , overload(this->options.overload, timeSource)
     , flows(this->options.maxFlows)
     , hints(this->options.maxFlows)
     , linkBudget(this->options.link, timeSource)
@@ -248,6 +250,7 @@
         ++this->counts.dropped;
         return;
     }
+    const bool isNew = flow.syn.empty() && !flow.lastUse; // only its SYN was seen here
     if (flow.syn.empty()) {
         flow.service = this->chooseService(*route);
         flow.syn = copyOf(syn);
@@ -262,10 +265,47 @@
     std::erase_if(flow.offers, [](const Offer& offer) { return offer.state == OfferState::Refused; });
     if (offersInRound(flow) >= this->options.maxOffersPerSyn)
         ++flow.offerRound;
-    if (!this->offerToNextUpstream(key, flow, "open") && !this->hasProvisionalRoutes)
+    const std::vector<UpstreamId> candidates = this->candidatesOf(key, flow);
+    if (isNew && this->refusesForOverload(key, candidates, packet))
+        this->refuseFlow(key, 0, nameOf(OverloadCause::Overloaded));
+    else if (!this->offerToNextOf(candidates, key, flow, "open") && !this->hasProvisionalRoutes)
         this->refuseFlow(key, 0, "no-upstream");
 }
 
+// The upstreams that the flow may go to. Under overload, those that can answer in time come first.
+std::vector<UpstreamId> EntryRouter::candidatesOf(const FlowKey& key, const Flow& flow)
+{
+    std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
+    const size_t offered = std::min(candidates.size(), this->options.maxOffersPerSyn);
+    std::stable_partition(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(offered),
+        [&](UpstreamId candidate) { return !this->isTooLate(key, candidate); });
+    return candidates;
+}
+
+bool EntryRouter::isTooLate(const FlowKey& key, UpstreamId upstream) const
+{
+    const Route* route = this->routes->find(key.route);
+    return route && route->limits
+        && this->admission.isTooLate(*route->limits, this->placement.expectedAnswer(upstream));
+}
+
+// Whether a new flow is refused because none of the upstreams that it would be offered to can answer in time. Only the
+// first copy of a SYN: another entry may have offered an earlier one to an upstream that accepted it.
+bool EntryRouter::refusesForOverload(const FlowKey& key, const std::vector<UpstreamId>& candidates, const Packet& syn)
+{
+    if (this->hasProvisionalRoutes || syn.acknowledgement > 0 || candidates.empty()
+        || !this->isTooLate(key, candidates.front())) // those in time would come first
+        return false;
+    this->lastLateFlow = this->clock.now();
+    this->lastExpectedAnswer = Milliseconds::max();
+    for (size_t i = 0; i < std::min(candidates.size(), this->options.maxOffersPerSyn); ++i)
+        this->lastExpectedAnswer = std::min(this->lastExpectedAnswer, *this->placement.expectedAnswer(candidates[i]));
+    if (!this->admission.tryRefuse(key.route))
+        return false;
+    this->refusedFlows.add(key.route, OverloadCause::Overloaded);
+    return true;
+}
+
 // The client uses its port again: the upstream of the earlier flow may drain by now, and its offers are of another SYN.
 void EntryRouter::forgetEarlierFlow(const FlowKey& key, const Packet& syn)
 {
@@ -295,9 +335,13 @@
 // Offers the flow to the best upstream that it was not offered to in this round. Returns false if there is none.
 bool EntryRouter::offerToNextUpstream(const FlowKey& key, Flow& flow, std::string_view cause)
 {
-    if (offersInRound(flow) >= this->options.maxOffersPerSyn)
-        return false;
-    const std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
+    return offersInRound(flow) < this->options.maxOffersPerSyn
+        && this->offerToNextOf(this->candidatesOf(key, flow), key, flow, cause);
+}
+
+bool EntryRouter::offerToNextOf(
+    const std::vector<UpstreamId>& candidates, const FlowKey& key, Flow& flow, std::string_view cause)
+{
     for (const UpstreamId candidate : candidates) {
         const auto agent = this->agentByUpstream.find(candidate);
         const auto earlier = std::find_if(
@@ -708,6 +752,7 @@
     this->flushAsks();
     this->updateIsolation();
     this->logShedSearches();
+    this->updateOverload();
     while (!this->buffered.empty() && now - this->buffered.front().received > this->options.maxBufferTime) {
         ++this->counts.dropped;
         this->bufferedBytes -= this->buffered.front().bytes.size();
@@ -719,6 +764,16 @@
     std::erase_if(this->unsureUntil, [now](const auto& item) { return item.second <= now; });
 }
 
+void EntryRouter::updateOverload()
+{
+    const bool isLate = this->lastLateFlow && this->clock.now() - *this->lastLateFlow <= this->options.lateFlowInterval;
+    if (!this->overload.update(isLate))
+        return;
+    logEvent(this->overload.isOverloaded() ? Event::PacketEntryOverloaded : Event::PacketEntryOverloadEnded,
+        { { "expected-ms", this->lastExpectedAnswer }, { "routes", this->routesVersion() },
+            { "directory", this->directoryRevision } });
+}
+
 // Offers flows to another upstream if the first one has not replied in time.
 void EntryRouter::expirePendingOffers()
 {
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -17,6 +17,7 @@
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
+#include "wasabicroft/OverloadPolicy.h"
 #include "wasabicroft/Placement.h"
 #include "wasabicroft/Published.h"
 
@@ -69,6 +70,9 @@
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
     double connectionCost = 0.02; // expected share of a slot that an open flow uses
     double remotePenalty = 0.25; // see PlacementOptions
+    FlowAdmissionOptions admission;
+    OverloadMonitorOptions overload;
+    Milliseconds lateFlowInterval { 250 }; // new flows that can't be answered in time come more often under overload
     uint64_t seed = 1;
 };
 
@@ -141,6 +145,8 @@
     size_t trackedFlows() const { return this->flows.size(); }
     uint64_t flowEvictions() const { return this->flows.evictions(); }
     const EntryRouterCounters& counters() const { return this->counts; }
+    const OverloadCounts& overloadCounts() const { return this->refusedFlows; }
+    bool isOverloaded() const { return this->overload.isOverloaded(); }
     const OutlierDetector& outlierDetector() const { return this->placement.outlierDetector(); }
 
 private:
@@ -202,7 +208,11 @@
     void openFlow(const FlowKey&, const Packet&, Bytes syn);
     void forgetEarlierFlow(const FlowKey&, const Packet& syn);
     ServiceId chooseService(const Route&);
+    std::vector<UpstreamId> candidatesOf(const FlowKey&, const Flow&);
+    bool isTooLate(const FlowKey&, UpstreamId) const;
+    bool refusesForOverload(const FlowKey&, const std::vector<UpstreamId>& candidates, const Packet& syn);
     bool offerToNextUpstream(const FlowKey&, Flow&, std::string_view cause);
+    bool offerToNextOf(const std::vector<UpstreamId>& candidates, const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
     void expectReply(PacketAddress agent);
     void updateIsolation();
@@ -264,6 +274,7 @@
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
     void expirePendingOffers();
+    void updateOverload();
     void logShedSearches();
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet& syn);
@@ -278,6 +289,11 @@
     const Clock& clock;
     std::mt19937_64 random;
     Placement placement;
+    FlowAdmission admission;
+    OverloadMonitor overload;
+    OverloadCounts refusedFlows;
+    std::optional<TimePoint> lastLateFlow; // the last new flow that no upstream could answer in time
+    Milliseconds lastExpectedAnswer { 0 }; // of this flow
     std::shared_ptr<const RoutingTable> routes;
     bool hasProvisionalRoutes = false;
     bool hasUpstreamList = false;
