--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -170,6 +170,7 @@
     Outcome simulate(const std::vector<double>& times, bool objectiveOrder, uint64_t seed)
     {
         std::vector<Arrival> arrivals;
+        arrivals.reserve(times.size());
         for (const double time : times)
             arrivals.push_back({ time, 0 });
         RequestQueueOptions options;
