--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -193,6 +193,9 @@
         performance ? std::chrono::duration<double, std::milli>(performance->serviceTime).count() : -1);
     metrics.set(
         "wasabi_expected_wait_ms", "", performance ? static_cast<double>(performance->expectedWait.count()) : -1);
+    metrics.setCount("wasabi_overloaded", "", this->router.isOverloaded() ? 1 : 0);
+    for (const auto& [item, count] : this->router.overloadCounts().all())
+        metrics.setCount("wasabi_requests_not_in_time_total", overloadLabels(item.first, item.second), count);
 }
 
 } // namespace wasabicroft
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -605,6 +605,9 @@
         metrics.setCount("wasabi_evacuated_domains", "", this->evacuations.orders().domains.size());
         metrics.setCount("wasabi_flows_refused_total", "cause=\"evacuated\"", counts.refusedEvacuated);
     }
+    metrics.setCount("wasabi_overloaded", "", this->router.isOverloaded() ? 1 : 0);
+    for (const auto& [item, count] : this->router.overloadCounts().all())
+        metrics.setCount("wasabi_flows_refused_total", overloadLabels(item.first, item.second), count);
     metrics.setCount("wasabi_held_total", "", counts.buffered);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
     metrics.setCount("wasabi_invalid_total", "source=\"client\"", this->invalidPackets);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -18,6 +18,7 @@
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
+#include "wasabicroft/OverloadPolicy.h"
 #include "wasabicroft/Placement.h"
 #include "wasabicroft/Published.h"
 
@@ -77,6 +78,9 @@
     DirectiveOptions directives;
     bool excludesEvacuated = true; // false: evacuation orders have no effect, for comparison
     Milliseconds rejoinDuration { 10000 }; // see PlacementOptions
+    FlowAdmissionOptions admission;
+    OverloadMonitorOptions overload;
+    Milliseconds lateFlowInterval { 250 }; // new flows that can't be answered in time come more often under overload
     uint64_t seed = 1;
 };
 
@@ -155,6 +159,8 @@
     size_t trackedFlows() const { return this->flows.size(); }
     uint64_t flowEvictions() const { return this->flows.evictions(); }
     const EntryRouterCounters& counters() const { return this->counts; }
+    const OverloadCounts& overloadCounts() const { return this->refusedFlows; }
+    bool isOverloaded() const { return this->overload.isOverloaded(); }
     const OutlierDetector& outlierDetector() const { return this->placement.outlierDetector(); }
 
 private:
@@ -218,7 +224,11 @@
     void openFlow(const FlowKey&, const Packet&, Bytes syn);
     void forgetEarlierFlow(const FlowKey&, const Packet& syn);
     ServiceId chooseService(const Route&);
+    std::vector<UpstreamId> candidatesOf(const FlowKey&, const Flow&);
+    bool isTooLate(const FlowKey&, UpstreamId) const;
+    bool refusesForOverload(const FlowKey&, const std::vector<UpstreamId>& candidates, const Packet& syn);
     bool offerToNextUpstream(const FlowKey&, Flow&, std::string_view cause);
+    bool offerToNextOf(const std::vector<UpstreamId>& candidates, const FlowKey&, Flow&, std::string_view cause);
     void sendOffer(const FlowKey&, Flow&, Offer&);
     void expectReply(PacketAddress agent);
     void updateIsolation();
@@ -285,6 +295,7 @@
     void queueForHolder(const FlowKey&, Flow&, Bytes);
     void processSearchTimers();
     void expirePendingOffers();
+    void updateOverload();
     void logShedSearches();
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet& syn);
@@ -300,6 +311,11 @@
     std::mt19937_64 random;
     ColdUpstreams coldUpstreams;
     Placement placement;
+    FlowAdmission admission;
+    OverloadMonitor overload;
+    OverloadCounts refusedFlows;
+    std::optional<TimePoint> lastLateFlow; // the last new flow that no upstream could answer in time
+    Milliseconds lastExpectedAnswer { 0 }; // of this flow
     std::shared_ptr<const RoutingTable> routes;
     bool hasProvisionalRoutes = false;
     bool hasUpstreamList = false;
