--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -13,6 +13,7 @@
         AgentRouterOptions options;
         options.service = serviceIdOf(settings.service);
         options.self = settings.packets;
+        options.limitsColdStarts = settings.coldExcess > 0;
         return options;
     }
 
@@ -67,6 +68,7 @@
     this->settings.seeds = changed.seeds;
     this->settings.entryHopPort = changed.entryHopPort;
     this->router.setService(serviceIdOf(changed.service));
+    this->router.limitColdStarts(changed.coldExcess > 0);
     this->announcer.setService(serviceIdOf(changed.service));
 }
 
@@ -77,6 +79,10 @@
         this->router.onAsk(entry, message.value());
         return;
     }
+    if (message && message.value().kind == HopKind::Directive) {
+        this->router.onDirective(entry, message.value());
+        return;
+    }
     const Result<Packet> packet = message ? platform::decodePacket(message.value().packet) : message.error();
     if (packet && !packet.value().bounced) {
         if (message.value().kind == HopKind::Search)
@@ -148,7 +154,10 @@
     status.ready = this->isReady();
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
         { "flows", this->router.trackedFlows() }, { "busy", this->router.runningRequests() },
-        { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) } });
+        { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) },
+        { "evacuated", this->router.evacuation().isEvacuated() },
+        { "evacuationPosition", this->router.evacuation().position() },
+        { "coldLeftMs", this->router.coldStart().timeLeft().count() } });
     return status;
 }
 
@@ -162,6 +171,11 @@
     metrics.setCount("wasabi_bounces_total", "", counts.bounces);
     metrics.setCount("wasabi_offers_total", "outcome=\"accepted\"", counts.accepted);
     metrics.setCount("wasabi_offers_total", "outcome=\"refused\"", counts.refused);
+    metrics.setCount("wasabi_offers_refused_total", "cause=\"evacuated\"", counts.refusedEvacuated);
+    metrics.setCount("wasabi_offers_refused_total", "cause=\"cold\"", counts.refusedCold);
+    metrics.setCount("wasabi_upstream_cold", "", this->router.coldStart().isCold() ? 1 : 0);
+    metrics.setCount("wasabi_directives_total", "", counts.directives);
+    metrics.setCount("wasabi_upstream_evacuated", "", this->router.evacuation().isEvacuated() ? 1 : 0);
     metrics.setCount("wasabi_flows_gone_total", "", counts.gone);
     metrics.setCount("wasabi_upstream_resets_total", "", counts.upstreamResets);
     metrics.setCount("wasabi_dropped_total", "", counts.dropped);
@@ -174,6 +188,11 @@
     metrics.setCount("wasabi_waiting", "", this->router.waitingRequests());
     metrics.setCount("wasabi_requests_waited_total", "", counts.waited);
     metrics.setCount("wasabi_requests_expired_total", "", counts.expired);
+    const std::optional<UpstreamPerformance> performance = this->router.performance();
+    metrics.set("wasabi_service_time_ms", "",
+        performance ? std::chrono::duration<double, std::milli>(performance->serviceTime).count() : -1);
+    metrics.set(
+        "wasabi_expected_wait_ms", "", performance ? static_cast<double>(performance->expectedWait.count()) : -1);
 }
 
 } // namespace wasabicroft
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -68,6 +68,7 @@
 
 Result<bool> PacketEntry::start()
 {
+    this->router.limitColdStarts(this->settings.coldExcess > 0);
     const Result<PacketAddress> packets = this->clientSocket.open(this->settings.packets);
     if (!packets)
         return packets.error();
@@ -89,6 +90,7 @@
 {
     this->settings.seeds = changed.seeds;
     this->settings.store = changed.store;
+    this->router.limitColdStarts(changed.coldExcess > 0);
     this->applySeeds();
 }
 
@@ -550,9 +552,10 @@
         status.notReadyCause = "no upstream accepts new flows";
     boost::json::array upstreams;
     for (const UpstreamRecord& record : this->directory.allListed())
-        upstreams.push_back({ { "name", record.name }, { "id", toString(record.id()) },
-            { "address", toString(record.address) }, { "draining", record.draining },
-            { "suspect", this->router.outlierDetector().isEjected(record.id()) } });
+        upstreams.push_back(
+            { { "name", record.name }, { "id", toString(record.id()) }, { "address", toString(record.address) },
+                { "draining", record.draining }, { "coldLeftMs", this->router.cold().timeLeft(record.id()).count() },
+                { "suspect", this->router.outlierDetector().isEjected(record.id()) } });
     boost::json::object json { { "routesVersion", this->router.routesVersion() },
         { "directoryRevision", this->directory.revision() }, { "flows", this->router.trackedFlows() },
         { "storeReachable", this->isStoreReachable }, { "upstreams", std::move(upstreams) } };
@@ -595,6 +598,8 @@
         metrics.setCount("wasabi_searches_without_result_total", "scope=\"" + std::string(searchScopeNames.at(i)) + '"',
             counts.searchesWithoutResult.at(i));
     metrics.setCount("wasabi_not_held_total", "", counts.notHeld);
+    metrics.setCount("wasabi_directives_total", "", counts.directives);
+    metrics.setCount("wasabi_cold_upstreams", "", this->router.cold().count());
     metrics.setCount("wasabi_resets_total", "", counts.resets);
     if (this->evacuations.isKnown()) {
         metrics.setCount("wasabi_evacuated_domains", "", this->evacuations.orders().domains.size());
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -398,6 +398,7 @@
         const PacketAddress agent = this->takeHops().at(0).agent;
         this->fromAgent(agent, HopKind::Accepted, 500);
         this->order({ "a", "b" }, 10);
+        this->takeHops(); // directives
         this->fromClient(ackFlag, 501, 100);
         const std::vector<SentHop> hops = this->takeHops();
         ASSERT_EQ(hops.size(), 1U);
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -24,12 +24,14 @@
     , requestQueue(this->options.requestQueue, timeSource)
     , liveness(this->options.liveness, timeSource)
     , rejection(this->options.rejection, timeSource)
+    , evacuationNotice(this->options.evacuationLifetime, timeSource)
+    , coldStartLimiter(timeSource)
 {
     this->requestQueue.setPaused(true);
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
         if (flow.request != RequestState::None)
             this->requestQueue.remove(key);
-        this->heldFlows -= flow.isHeld ? 1 : 0;
+        this->heldFlows -= flow.isCounted ? 1 : 0;
     };
 }
 
@@ -44,6 +46,7 @@
     this->figures.reset();
     this->limits.clear();
     this->rejection.reset();
+    this->coldStartLimiter.reset();
     this->requestQueue.setSlots(0);
     if (this->hooks.onUpstreamFigures)
         this->hooks.onUpstreamFigures(this->figures);
@@ -73,6 +76,28 @@
         this->hooks.onUpstreamFigures(this->figures);
 }
 
+// The entry may know an upstream of another service at this address.
+void AgentRouter::onDirective(PacketAddress entry, const HopMessage& message)
+{
+    ++this->counts.directives;
+    if (message.service != this->options.service)
+        return;
+    if (this->options.limitsColdStarts && this->coldStartLimiter.onDirective(message.directive))
+        logEvent(Event::PacketUpstreamCold,
+            { { "entry", toString(entry) }, { "left-ms", this->coldStartLimiter.timeLeft() },
+                { "flows-per-second", this->coldStartLimiter.flowsPerSecond() } });
+    if (!this->evacuationNotice.onDirective(message.directive))
+        return;
+    if (this->evacuationNotice.isEvacuated())
+        logEvent(Event::PacketUpstreamEvacuated,
+            { { "entry", toString(entry) }, { "position", this->evacuationNotice.position() },
+                { "flows", static_cast<uint64_t>(this->heldFlows) } });
+    else
+        logEvent(Event::PacketEvacuationEnded,
+            { { "entry", toString(entry) }, { "cause", "withdrawn" },
+                { "position", this->evacuationNotice.position() } });
+}
+
 // The limits that the entry states, or else those that were stated last.
 RequestLimits AgentRouter::limitsOf(PacketAddress route, const HopMessage& message)
 {
@@ -108,7 +133,7 @@
         this->denyOtherFlow(key, *known, entry, message.kind, message.packet);
         return;
     }
-    if (this->liveness.state() == UpstreamState::Down) {
+    if (this->liveness.hasLostFlows()) {
         this->denyFlow(key, entry, message.kind == HopKind::Find);
         return;
     }
@@ -117,7 +142,10 @@
     flow.lastKind = message.kind;
     flow.mayBeOpen = true;
     flow.sequences.onClientPacket(packet);
+    if (packet.ack)
+        flow.lastAcknowledgement = packet.acknowledgement;
     flow.clientSentFin = flow.clientSentFin || packet.fin;
+    this->countFlow(flow);
     if (message.kind == HopKind::Find && flow.isHeld)
         this->reply(entry, HopKind::Holds, key, HopRefusal::None, {}, flow.upstreamSequence);
     // The client chose this upstream. Its packet may wait here for long before the upstream answers it.
@@ -177,7 +205,8 @@
     std::vector<FlowKey> held;
     std::set<PacketAddress> entries;
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
-        if (flow.isHeld)
+        const bool isEnded = flow.clientSentFin && flow.upstreamSentFin;
+        if (flow.isHeld && !isEnded) // the receivers may search for a later flow of the same ends
             held.push_back(key);
         if (flow.entry != PacketAddress())
             entries.insert(flow.entry);
@@ -227,7 +256,7 @@
         this->reply(entry, HopKind::Load, {}, HopRefusal::None);
         return;
     }
-    if (this->liveness.state() == UpstreamState::Down) {
+    if (this->liveness.hasLostFlows()) {
         for (const FlowKey& key : message.flowKeys)
             this->denyFlow(key, entry, true);
         return;
@@ -254,7 +283,7 @@
 // A flow opens at an upstream only by a SYN, which this agent would have seen since.
 bool AgentRouter::isReturnedFlow(const FlowKey& key) { return this->returnedFlows.find(key) != nullptr; }
 
-// An upstream that is down has lost its flows.
+// An upstream that has been down for long has lost its flows.
 void AgentRouter::denyFlow(const FlowKey& key, PacketAddress entry, bool isSearched)
 {
     const Flow* flow = this->flows.find(key);
@@ -269,6 +298,16 @@
         this->reply(entry, HopKind::NotHeld, key, HopRefusal::UpstreamDown);
 }
 
+// The upstream accepted the SYN of another flow of the same ends, so it does not hold the known one any more.
+void AgentRouter::startLaterFlow(const FlowKey& key, OtherSyn syn)
+{
+    this->removeFlow(key);
+    Flow& flow = this->flows.findOrInsert(key, this->clock.now());
+    flow.entry = syn.entry;
+    flow.lastKind = HopKind::Offer;
+    flow.offered = true;
+}
+
 // The upstream holds at most the newest flow of two ends, and all that it sends passes here: it does not hold the flow
 // of a packet that does not fit the known one.
 void AgentRouter::denyOtherFlow(const FlowKey& key, const Flow& known, PacketAddress entry, HopKind kind, Bytes packet)
@@ -277,8 +316,9 @@
     logEvent(Event::PacketOfOtherFlow,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "with", nameOf(kind) },
             { "known-flow", isEnded ? "ended" : "open" }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (isEnded)
-        this->removeFlow(key); // so that it is not claimed again
+    if (Flow* ended = isEnded ? this->flows.find(key) : nullptr; ended && std::exchange(ended->isHeld, false))
+        --this->heldFlows; // so that it is not claimed again; the upstream may still answer packets of later flows to
+                           // it
     if (kind == HopKind::Find)
         this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
     else
@@ -303,8 +343,7 @@
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
-    const bool isDown = this->liveness.state() == UpstreamState::Down;
-    Flow* known = isDown ? nullptr : this->flows.find(key);
+    Flow* known = this->liveness.hasLostFlows() ? nullptr : this->flows.find(key);
     const bool isPortReused = known && known->sequences.isOfOtherFlow(packet);
     if (known && known->isHeld && !isPortReused) { // a late copy of the SYN, which all other upstreams may refuse
         known->entry = entry;
@@ -312,27 +351,36 @@
         this->hooks.sendToUpstream(message.packet);
         return;
     }
-    // An upstream of another service may reuse the address before every entry has the change.
-    HopRefusal refusal = HopRefusal::None;
-    if (message.service != this->options.service)
-        refusal = HopRefusal::OtherService;
-    else if (isDown)
-        refusal = HopRefusal::UpstreamDown;
-    else if (this->figures && this->figures->draining)
-        refusal = HopRefusal::UpstreamDraining; // the entry lacks a change of the record
-    else if (!this->rejection.tryAdmit())
-        refusal = HopRefusal::UpstreamRejecting;
+    // Of a flow that was handed to the upstream before, the upstream has decided already.
+    const bool isNewFlow = !known || isPortReused || (!known->offered && !known->mayBeOpen);
+    const HopRefusal refusal = this->refusalOf(message, isNewFlow);
+    if (refusal == HopRefusal::UpstreamDraining && isNewFlow && this->evacuationNotice.isEvacuated()) {
+        ++this->counts.refusedEvacuated;
+        logEvent(Event::PacketEvacuatedOfferRefused,
+            { { "flow", toString(key) }, { "entry", toString(entry) },
+                { "position", this->evacuationNotice.position() } });
+    }
     logEvent(Event::PacketOfferDecided,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
             { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe())
+    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe()) {
+        this->coldStartLimiter.onHandedOver();
         this->hooks.sendToUpstream(message.packet);
+    }
     if (refusal != HopRefusal::None) {
         ++this->counts.refused;
         this->reply(entry, HopKind::Refused, key, refusal, message.packet);
         return;
     }
+    if (isNewFlow)
+        this->coldStartLimiter.onHandedOver();
+    // The SYN may be a late copy of an earlier flow's: the known flow goes on unless the upstream accepts the SYN.
+    if (isPortReused && known->isHeld && !(known->clientSentFin && known->upstreamSentFin)) {
+        known->otherSyn = OtherSyn { entry, packet.sequence };
+        this->hooks.sendToUpstream(message.packet);
+        return;
+    }
     if (isPortReused)
         this->removeFlow(key);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
@@ -347,6 +395,26 @@
     this->hooks.sendToUpstream(message.packet);
 }
 
+// Why the agent refuses a SYN that an entry offers. Evacuation comes before the state of the upstream: a probe of a
+// down upstream is a SYN, too, and would open a flow there.
+HopRefusal AgentRouter::refusalOf(const HopMessage& message, bool isNewFlow)
+{
+    // An upstream of another service may reuse the address before every entry has the change.
+    if (message.service != this->options.service)
+        return HopRefusal::OtherService;
+    if (isNewFlow && this->evacuationNotice.isEvacuated())
+        return HopRefusal::UpstreamDraining;
+    if (this->liveness.state() == UpstreamState::Down)
+        return HopRefusal::UpstreamDown;
+    if (this->figures && this->figures->draining)
+        return HopRefusal::UpstreamDraining; // the entry lacks a change of the record
+    if (isNewFlow && this->options.limitsColdStarts && !this->coldStartLimiter.mayHandOver()) {
+        ++this->counts.refusedCold;
+        return HopRefusal::UpstreamBusy; // the entry asks the next candidate
+    }
+    return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
+}
+
 // Sends a packet to the upstream, or stores it while its request waits.
 void AgentRouter::deliver(const FlowKey& key, Flow& flow, const HopMessage& message, const Packet& packet)
 {
@@ -461,11 +529,20 @@
         this->onBounce(packet.flowKeyFromClient(), packet, bytes);
         return;
     }
-    this->hooks.sendToClient(packet.destination, bytes);
     const FlowKey key = packet.flowKeyFromUpstream();
+    if (this->isResetOfEarlierFlow(key, packet)) {
+        if (this->flows.find(key))
+            this->denySearchedFlow(key);
+        return;
+    }
+    this->hooks.sendToClient(packet.destination, bytes);
+    const Flow* known = this->flows.find(key);
+    if (packet.isSynAck() && known && known->otherSyn && packet.acknowledgement == known->otherSyn->sequence + 1)
+        this->startLaterFlow(key, *known->otherSyn);
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onUpstreamPacket(packet);
     flow.upstreamSentFin = flow.upstreamSentFin || packet.fin;
+    this->countFlow(flow);
     if (packet.isSynAck()) {
         this->confirmDelivery(flow);
         flow.upstreamSequence = packet.sequence;
@@ -486,6 +563,8 @@
             this->rejection.onFreshFlowReset();
             this->updateRejection();
         }
+        if (flow.lastKind == HopKind::Find && !flow.isHeld && flow.entry != PacketAddress())
+            this->answerSearchForEndedFlow(key, flow.entry, packet.sequence);
         this->removeFlow(key);
         return;
     }
@@ -505,11 +584,49 @@
     }
 }
 
+// The upstream answers data of a flow that has ended there with a reset. Without an answer of its agent, the search
+// would send the packet again and again. The entry tells by the sequence number whether the flow is the one it seeks.
+void AgentRouter::answerSearchForEndedFlow(const FlowKey& key, PacketAddress entry, uint32_t sequence)
+{
+    if (sequence != 0)
+        this->reply(entry, HopKind::Gone, key, HopRefusal::None, {}, sequence);
+    else
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+}
+
+// An upstream that keeps an ended flow may answer the packet of a search for a later one with a reset. Its number is
+// far from what the client of the later flow acknowledged. 0 states nothing.
+bool AgentRouter::isResetOfEarlierFlow(const FlowKey& key, const Packet& packet)
+{
+    if (!packet.rst)
+        return false;
+    const Flow* flow = this->flows.find(key);
+    if (!flow) // the packet may have been sent twice
+        return this->isReturnedFlow(key);
+    if (flow->isHeld || flow->lastKind != HopKind::Find || packet.sequence == 0)
+        return false;
+    SequenceRange acknowledged;
+    if (flow->lastAcknowledgement)
+        acknowledged.add(*flow->lastAcknowledgement);
+    return !acknowledged.isNear(packet.sequence);
+}
+
+// The upstream does not hold the flow whose packet it got from a search.
+void AgentRouter::denySearchedFlow(const FlowKey& key)
+{
+    Flow* flow = this->flows.find(key);
+    const PacketAddress entry = flow->entry;
+    this->confirmDelivery(*flow);
+    this->removeFlow(key);
+    this->returnedFlows.findOrInsert(key, this->clock.now());
+    this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+}
+
 void AgentRouter::markHeld(const FlowKey& key, Flow& flow)
 {
     if (!flow.isHeld) {
         flow.isHeld = true;
-        ++this->heldFlows;
+        this->countFlow(flow);
         this->requestQueue.onHeld(key);
     }
     if (flow.lastKind == HopKind::Find && flow.entry != PacketAddress()) {
@@ -518,6 +635,19 @@
     }
 }
 
+// A flow that either end has closed brings no further requests, but stays known for up to the idle timeout. It would
+// outnumber the flows that do where clients open one per request.
+void AgentRouter::countFlow(Flow& flow)
+{
+    const bool counts = flow.isHeld && !flow.clientSentFin && !flow.upstreamSentFin;
+    if (counts == std::exchange(flow.isCounted, counts))
+        return;
+    if (counts)
+        ++this->heldFlows;
+    else
+        --this->heldFlows;
+}
+
 // Numbers a packet that is sent to the upstream: its answer shows that the upstream has received all packets before it.
 // Only the first of several copies counts, since the answer may be to that one.
 void AgentRouter::assignDeliveryNumber(Flow& flow)
@@ -565,6 +695,12 @@
         return;
     }
     this->confirmDelivery(*flow);
+    if (packet.isSyn() && flow->otherSyn && flow->otherSyn->sequence == packet.sequence) {
+        ++this->counts.refused;
+        this->reply(flow->otherSyn->entry, HopKind::Refused, key, HopRefusal::UpstreamBusy, bytes);
+        flow->otherSyn.reset();
+        return;
+    }
     // A late copy of the SYN, or the SYN of an earlier flow: the upstream may hold the flow nevertheless.
     if (packet.isSyn() && (flow->mayBeOpen || flow->sequences.isOfOtherFlow(packet))) {
         ++this->counts.dropped;
@@ -601,22 +737,30 @@
     }
 }
 
-// Pauses or resumes requests when the upstream's state changes; flows with requests at a down upstream are lost.
+// Pauses or resumes requests when the upstream's state changes.
 void AgentRouter::updateState()
 {
+    if (this->liveness.hasLostFlows() != this->hasDeniedLostFlows) {
+        this->hasDeniedLostFlows = this->liveness.hasLostFlows();
+        if (this->hasDeniedLostFlows)
+            this->denyLostFlows();
+        else // an upstream that was silent may have kept the flows that the agent forgot meanwhile
+            this->trackingSince = this->clock.now();
+    }
     const UpstreamState state = this->liveness.state();
     if (state == this->loggedState)
         return;
-    // An upstream that was silent may have kept the flows that the agent forgot meanwhile.
-    if (std::exchange(this->loggedState, state) == UpstreamState::Down)
-        this->trackingSince = this->clock.now();
+    this->loggedState = state;
     logEvent(state == UpstreamState::Down ? Event::PacketUpstreamDown : Event::PacketUpstreamUp,
         { { "flows", static_cast<uint64_t>(this->heldFlows) }, { "waiting", this->waitingRequests() } });
     this->requestQueue.setPaused(state != UpstreamState::Up);
-    if (state == UpstreamState::Up) {
+    if (state == UpstreamState::Up)
         this->startWaitingRequests();
-        return;
-    }
+}
+
+// Their clients may retry at once.
+void AgentRouter::denyLostFlows()
+{
     std::vector<std::pair<FlowKey, PacketAddress>> lost;
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
         if (flow.request != RequestState::None)
@@ -652,6 +796,7 @@
     message.waitingRequests = this->waitingRequests();
     message.heldFlows = static_cast<uint32_t>(this->heldFlows);
     message.slots = this->figures ? this->figures->slots : 0;
+    message.performance = this->requestQueue.performance();
     return message;
 }
 
@@ -670,6 +815,11 @@
     this->confirmHeldFlows();
     this->flushDenials();
     this->expireRequests();
+    if (this->evacuationNotice.onTick())
+        logEvent(Event::PacketEvacuationEnded,
+            { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
+    if (this->coldStartLimiter.onTick())
+        logEvent(Event::PacketUpstreamWarm, { { "refused", this->counts.refusedCold } });
     this->startWaitingRequests();
     this->flows.expire(now - this->options.flowIdleTimeout);
     this->returnedFlows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -10,6 +10,8 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/ColdStart.h"
+#include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/RejectionDetector.h"
 #include "wasabicroft/RequestQueue.h"
@@ -40,6 +42,8 @@
     Milliseconds denialInterval { 20 }; // between messages to an entry that deny flows of searches
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
+    bool limitsColdStarts = false; // keeps the limits that directives state of a cold upstream
+    Milliseconds evacuationLifetime { 30000 }; // without a directive for longer, the upstream is not evacuated any more
 };
 
 struct AgentRouterCounters {
@@ -50,6 +54,9 @@
     uint64_t bounces = 0; // packets returned by the upstream
     uint64_t accepted = 0; // SYNs that the upstream answered
     uint64_t refused = 0; // SYNs refused by the agent or the upstream
+    uint64_t refusedEvacuated = 0; // of these, because the upstream's failure domain is evacuated
+    uint64_t refusedCold = 0; // of the refused ones, because the upstream is cold and got its limit
+    uint64_t directives = 0; // from entries
     uint64_t gone = 0; // open flows that the upstream lost
     uint64_t upstreamResets = 0; // flows that the upstream reset
     uint64_t waited = 0; // requests that did not start at once
@@ -76,11 +83,13 @@
 
     void startTracking(); // the sockets are open: the agent sees the packets of all flows from now on
 
+    void limitColdStarts(bool isEnabled) { this->options.limitsColdStarts = isEnabled; }
     void setService(ServiceId); // the settings changed: an upstream of another service runs here now
 
     void onHop(PacketAddress entry, const HopMessage&, const Packet&); // messages that carry a packet
     void onSearch(PacketAddress entry, const HopMessage&, const Packet&); // a Find for this and other agents
     void onAsk(PacketAddress entry, const HopMessage&); // asks which flows the upstream holds
+    void onDirective(PacketAddress entry, const HopMessage&);
     void onUpstreamPacket(const Packet&, Bytes); // the caller has cleared the bounced flag in the bytes
     void flushDenials(); // call after each batch of datagrams: denials of one batch share their messages
     void onTick(); // call every few milliseconds
@@ -88,8 +97,11 @@
 
     uint16_t runningRequests() const { return static_cast<uint16_t>(this->requestQueue.runningCount()); }
     uint16_t waitingRequests() const { return static_cast<uint16_t>(this->requestQueue.waitingCount()); }
+    std::optional<UpstreamPerformance> performance() const { return this->requestQueue.performance(); }
     size_t trackedFlows() const { return this->flows.size(); }
     UpstreamState upstreamState() const { return this->liveness.state(); }
+    const ColdStartLimiter& coldStart() const { return this->coldStartLimiter; }
+    const EvacuationNotice& evacuation() const { return this->evacuationNotice; }
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
 
@@ -101,6 +113,13 @@
         std::vector<uint8_t> bytes;
     };
 
+    // A SYN of another flow of the same ends that was delivered: of a later one, or late and of an earlier one. The
+    // upstream shows which.
+    struct OtherSyn {
+        PacketAddress entry;
+        uint32_t sequence = 0;
+    };
+
     struct Flow {
         PacketAddress entry; // sender of the last packet
         HopKind lastKind = HopKind::Forward; // kind of the message that carried it
@@ -114,11 +133,14 @@
         FlowSequences sequences;
         bool clientSentFin = false; // also with payload
         bool upstreamSentFin = false;
+        bool isCounted = false; // in heldFlows
         RequestState request = RequestState::None;
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
+        std::optional<uint32_t> lastAcknowledgement; // of the client
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
+        std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
     };
 
@@ -142,6 +164,10 @@
     void checkForPause();
     RequestLimits limitsOf(PacketAddress route, const HopMessage&);
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
+    HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
+    void startLaterFlow(const FlowKey&, OtherSyn);
+    bool isResetOfEarlierFlow(const FlowKey&, const Packet&);
+    void denySearchedFlow(const FlowKey&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
@@ -149,12 +175,15 @@
     void startWaitingRequests();
     void expireRequests();
     void updateState();
+    void denyLostFlows();
     void updateRejection();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
     void denyOtherFlow(const FlowKey&, const Flow& known, PacketAddress entry, HopKind, Bytes packet);
     void reportGone(const FlowKey&, PacketAddress entry, HopRefusal, std::string_view cause, const FlowSequences&);
+    void answerSearchForEndedFlow(const FlowKey&, PacketAddress entry, uint32_t sequence);
     void markHeld(const FlowKey&, Flow&);
+    void countFlow(Flow&);
     void assignDeliveryNumber(Flow&);
     void confirmDelivery(Flow&);
     void trackDelivery(const FlowKey&, Flow&);
@@ -193,8 +222,11 @@
     UpstreamLiveness liveness;
     RejectionDetector rejection;
     bool wasRejecting = false;
+    EvacuationNotice evacuationNotice;
+    ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
-    size_t heldFlows = 0;
+    bool hasDeniedLostFlows = false; // since the upstream answered last
+    size_t heldFlows = 0; // closed by neither end
     AgentRouterCounters counts;
 };
 
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -13,7 +13,8 @@
 //   [SECTION] EntryRouter
 #pragma once
 
-#include "wasabicroft/Evacuation.h"
+#include "wasabicroft/ColdStart.h"
+#include "wasabicroft/Directive.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
@@ -47,6 +48,7 @@
     Milliseconds searchTimeout { 300 }; // later, the next packet of the client starts another search
     Milliseconds lateDenialTime { 100 }; // denials of the packets of an earlier flow have arrived after this time
     Milliseconds packetWait { 1600 }; // for a silent agent: the longest interval between a client's retransmissions
+    Milliseconds listWaitInterval { 50 }; // between checks whether the list covers all upstreams by now
     Milliseconds silentAgentInterval { 100 }; // between questions to silent agents while a packet waits for them
     size_t maxAskedPeers = 16; // other entries that are asked for the holder of a flow
     size_t maxHandOverFlows = 16384; // the latest ones: 200 KB to each receiver
@@ -67,8 +69,12 @@
     size_t maxIsolationProbes = 6; // agents probed per interval
     size_t isolationSilentRatio = 3; // silent agents per replying one; one of three failure domains may be cut off
     double loadReportBytesPerSecond = 4000; // of load reports from all agents: two thirds of the control budget
-    double connectionCost = 0.02; // expected share of a slot that an open flow uses
+    double connectionCost = 0.02; // expected share of a slot that an open flow uses, until it is measured
+    bool measuresConnectionCost = true; // see PlacementOptions
+    bool weighsSpeed = true; // see PlacementOptions
+    double nonPreferredPenalty = 2; // see PlacementOptions
     double remotePenalty = 0.25; // see PlacementOptions
+    DirectiveOptions directives;
     bool excludesEvacuated = true; // false: evacuation orders have no effect, for comparison
     Milliseconds rejoinDuration { 10000 }; // see PlacementOptions
     uint64_t seed = 1;
@@ -97,6 +103,7 @@
     uint64_t buffered = 0; // packets that waited for the first routes
     uint64_t dropped = 0; // packets that could not be delivered
     uint64_t notHeld = 0; // forwarded packets that the upstream did not hold
+    uint64_t directives = 0; // Directive messages sent to agents
 };
 
 //-----------------------------------------------------------------------------
@@ -122,8 +129,12 @@
     // this one lacks none.
     void setDelegate(std::optional<PacketAddress> entry) { this->delegate = entry; }
 
-    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches.
-    void setPeers(std::vector<PacketAddress> entries) { this->peers = std::move(entries); }
+    // Other entries, by their addresses for hop messages: they may know the holders of flows that this one searches,
+    // and share with it what cold upstreams bear.
+    void setPeers(std::vector<PacketAddress> entries);
+
+    void limitColdStarts(bool isEnabled) { this->coldUpstreams.setEnabled(isEnabled); }
+    const ColdUpstreams& cold() const { return this->coldUpstreams; }
 
     void onClientPacket(const Packet&, Bytes);
     // A packet from another entry, whose list is behind. It is told the holder.
@@ -183,6 +194,8 @@
     struct ListedUpstream {
         ServiceId service;
         std::optional<UpstreamFigures> figures; // empty: not known
+        std::string failureDomain;
+        UpstreamId id;
     };
 
     // Timeout of an offer.
@@ -213,6 +226,9 @@
     Milliseconds addLoadReporter(PacketAddress agent);
     void announceDrains(const UpstreamDirectory&, const std::map<PacketAddress, ListedUpstream>& before);
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
+    void sendDirective(PacketAddress agent);
+    void sendQueuedDirectives();
+    void sendDirectiveBeforeOffer(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
     bool isEvacuated(const UpstreamRecord&) const;
@@ -261,6 +277,7 @@
     void onUnsure(PacketAddress agent, std::span<const FlowKey>);
     void onSearchAnswer(const FlowKey&, Flow&);
     void endFailedSearch(const FlowKey&, Flow&);
+    void awaitList(const FlowKey&, Flow&);
     bool isConclusive(const HolderSearch&) const;
     void endDeniedSearches();
     void abandonSearch(const FlowKey&, Flow&);
@@ -281,6 +298,7 @@
     EntryRouterHooks hooks;
     const Clock& clock;
     std::mt19937_64 random;
+    ColdUpstreams coldUpstreams;
     Placement placement;
     std::shared_ptr<const RoutingTable> routes;
     bool hasProvisionalRoutes = false;
@@ -292,7 +310,7 @@
     std::vector<PacketAddress> peers; // see setPeers()
     bool hasUnresolvedRemoval = false; // see takeUnresolvedRemoval()
     uint64_t directoryRevision = 0;
-    EvacuationOrders evacuations;
+    DirectiveSchedule directives; // has the evacuation orders in force
     std::map<std::string, TimePoint> rejoinTimes; // when the orders for failure domains were withdrawn
     std::set<ServiceId> evacuatedServices; // services all of whose usable upstreams are evacuated
     std::set<UpstreamId> evacuatedUpstreams; // usable but for the orders
--- a/wasabicroft/Placement.cpp
+++ b/wasabicroft/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace wasabicroft {
 
@@ -114,6 +115,19 @@
 // [SECTION] Placement
 //-----------------------------------------------------------------------------
 
+namespace {
+
+    // Wrong or extreme service times neither starve an upstream nor send it the flows of the whole pool.
+    constexpr double minSpeed = 0.25;
+    constexpr double maxSpeed = 4;
+
+    double slotsOf(const PlacementUpstream& upstream, const Load& load)
+    {
+        return std::max<double>(1, load.slots > 0 ? load.slots : upstream.slots);
+    }
+
+} // namespace
+
 uint64_t rendezvousScore(uint64_t flowHash, UpstreamId upstream)
 {
     return mixBits(flowHash ^ (upstream.value * splitMixIncrement));
@@ -129,7 +143,7 @@
 
 void Placement::setPool(ServiceId service, std::vector<PlacementUpstream> pool)
 {
-    this->pools[service] = std::move(pool);
+    this->pools[service].upstreams = std::move(pool);
 }
 
 bool Placement::isDraining(UpstreamId upstream) const
@@ -138,14 +152,76 @@
     return found != this->estimates.end() && this->clock.now() < found->second.drainingUntil;
 }
 
-double Placement::estimateUtilization(const PlacementUpstream& upstream) const
+bool Placement::knowsServiceTime(const LoadEstimate& estimate) const
+{
+    return estimate.performance && estimate.performance->serviceTime.count() > 0
+        && this->clock.now() - estimate.performanceTime <= this->options.speedLifetime;
+}
+
+double Placement::speedOf(const Pool& pool, const LoadEstimate& estimate) const
+{
+    if (!this->options.weighsSpeed || pool.meanServiceTime <= 0 || !this->knowsServiceTime(estimate))
+        return 1;
+    return std::clamp(
+        pool.meanServiceTime / static_cast<double>(estimate.performance->serviceTime.count()), minSpeed, maxSpeed);
+}
+
+double Placement::connectionCostOf(const Pool& pool) const
+{
+    return pool.connectionCost.value_or(this->options.connectionCost);
+}
+
+double Placement::estimateUtilization(const Pool& pool, const PlacementUpstream& upstream) const
 {
     const auto found = this->estimates.find(upstream.id);
-    const LoadEstimate estimate = found == this->estimates.end() ? LoadEstimate() : found->second;
-    const double slots = std::max<double>(1, estimate.load.slots > 0 ? estimate.load.slots : upstream.slots);
-    const double reported = estimate.load.busySlots + estimate.load.queueLength
-        + this->options.connectionCost * static_cast<double>(estimate.load.connections);
-    return std::max(0.0, reported + static_cast<double>(estimate.ownFlowDelta)) / slots;
+    if (found == this->estimates.end())
+        return 0;
+    const LoadEstimate& estimate = found->second;
+    const Load& load = estimate.load;
+    // A connection with a running request counts by that request.
+    const double connections = this->options.measuresConnectionCost
+        ? std::max(0.0, static_cast<double>(load.connections) - load.busySlots)
+        : static_cast<double>(load.connections);
+    const double reported = load.busySlots + load.queueLength + this->connectionCostOf(pool) * connections;
+    return std::max(0.0, reported + static_cast<double>(estimate.ownFlowDelta))
+        / (slotsOf(upstream, load) * this->speedOf(pool, estimate));
+}
+
+// The load that a connection brings is a mean over the pool and time: a single upstream whose connections pause would
+// look as if they brought nothing.
+void Placement::refreshMeans(Pool& pool) const
+{
+    const TimePoint now = this->clock.now();
+    const Duration elapsed = now - pool.refreshed;
+    if (elapsed < this->options.poolRefreshInterval)
+        return;
+    pool.refreshed = now;
+    int64_t serviceTimes = 0;
+    int64_t known = 0;
+    double busy = 0;
+    double connections = 0;
+    for (const PlacementUpstream& upstream : pool.upstreams) {
+        const auto found = this->estimates.find(upstream.id);
+        if (found == this->estimates.end())
+            continue;
+        const LoadEstimate& estimate = found->second;
+        if (this->knowsServiceTime(estimate)) {
+            serviceTimes += estimate.performance->serviceTime.count();
+            ++known;
+        }
+        if (now - estimate.reportTime <= this->options.connectionCostReportAge) {
+            busy += std::min<double>(estimate.load.busySlots, slotsOf(upstream, estimate.load));
+            connections += static_cast<double>(estimate.load.connections);
+        }
+    }
+    pool.meanServiceTime = known > 0 ? static_cast<double>(serviceTimes) / static_cast<double>(known) : 0;
+    if (!this->options.measuresConnectionCost || connections <= 0)
+        return;
+    const double cost = this->connectionCostOf(pool);
+    // After a time without new flows, one look at the pool does not replace what was learnt.
+    const std::chrono::duration<double> time = std::min<Duration>(elapsed, std::chrono::seconds(1));
+    const double weight = 1 - std::exp(-time / std::chrono::duration<double>(this->options.connectionCostWindow));
+    pool.connectionCost = cost + weight * (std::min(1.0, busy / connections) - cost);
 }
 
 // The part of rejoinDuration that is left for an upstream that returned; 0 for others.
@@ -159,14 +235,14 @@
 }
 
 // Of the upstreams that take new flows and did not return lately; 0 if there are none.
-double Placement::meanUtilization(const std::vector<PlacementUpstream>& pool) const
+double Placement::meanUtilization(const Pool& pool) const
 {
     double sum = 0;
     size_t count = 0;
-    for (const PlacementUpstream& upstream : pool) {
+    for (const PlacementUpstream& upstream : pool.upstreams) {
         if (upstream.leaving || this->rejoinShare(upstream) > 0)
             continue;
-        sum += this->estimateUtilization(upstream);
+        sum += this->estimateUtilization(pool, upstream);
         ++count;
     }
     return count > 0 ? sum / static_cast<double>(count) : 0;
@@ -174,12 +250,14 @@
 
 std::vector<Placement::RankedUpstream> Placement::rankUpstreams(ServiceId service, uint64_t flowHash)
 {
-    const auto pool = this->pools.find(service);
-    if (pool == this->pools.end())
+    const auto found = this->pools.find(service);
+    if (found == this->pools.end())
         return {};
+    Pool& pool = found->second;
+    this->refreshMeans(pool);
     std::vector<UpstreamId> available;
     std::vector<UpstreamId> draining; // according to a reply that may be outdated
-    for (const PlacementUpstream& upstream : pool->second) {
+    for (const PlacementUpstream& upstream : pool.upstreams) {
         if (!upstream.leaving)
             (this->isDraining(upstream.id) ? draining : available).push_back(upstream.id);
     }
@@ -190,15 +268,15 @@
     std::vector<RankedUpstream> ranking;
     std::optional<double> mean; // of the others, if any returned lately
     auto next = usable.begin(); // usable is in the order of the pool
-    for (const PlacementUpstream& upstream : pool->second) {
+    for (const PlacementUpstream& upstream : pool.upstreams) {
         if (next == usable.end() || *next != upstream.id)
             continue;
         ++next;
         const bool isLocal = upstream.failureDomain == this->options.failureDomain;
-        double estimated = this->estimateUtilization(upstream);
+        double estimated = this->estimateUtilization(pool, upstream);
         if (const double share = this->rejoinShare(upstream); share > 0) {
             if (!mean)
-                mean = this->meanUtilization(pool->second);
+                mean = this->meanUtilization(pool);
             estimated += std::max(0.0, *mean - estimated) * share;
         }
         ranking.push_back({ upstream.id, estimated + (isLocal ? 0 : this->options.remotePenalty), estimated });
@@ -216,6 +294,10 @@
         std::swap(ranking[i - 1], ranking[this->options.random() % i]);
     std::stable_sort(ranking.begin(), ranking.end(),
         [](const RankedUpstream& a, const RankedUpstream& b) { return a.cost < b.cost; });
+    if (this->options.coldStateOf) {
+        this->demoteCold(ranking);
+        std::erase_if(available, [this](UpstreamId id) { return this->options.coldStateOf(id) != ColdState::Warm; });
+    }
     const std::optional<UpstreamId> probe = this->detector.takeProbe(available);
     if (probe) {
         std::erase_if(ranking, [&](const RankedUpstream& item) { return item.id == *probe; });
@@ -224,6 +306,23 @@
     return ranking;
 }
 
+// Moves cold upstreams behind the warm ones that have a free slot, and leaves out those that got their share.
+void Placement::demoteCold(std::vector<RankedUpstream>& ranking) const
+{
+    std::vector<RankedUpstream> cold;
+    std::erase_if(ranking, [&](const RankedUpstream& item) {
+        const ColdState state = this->options.coldStateOf(item.id);
+        if (state == ColdState::Cold)
+            cold.push_back(item);
+        return state != ColdState::Warm;
+    });
+    if (cold.empty())
+        return;
+    const auto firstFull = std::stable_partition(
+        ranking.begin(), ranking.end(), [](const RankedUpstream& item) { return item.utilization < 1; });
+    ranking.insert(firstFull, cold.begin(), cold.end());
+}
+
 std::vector<UpstreamId> Placement::candidates(ServiceId service, uint64_t flowHash)
 {
     return this->plan(service, flowHash).candidates;
@@ -289,13 +388,28 @@
     const auto pool = this->pools.find(service);
     if (pool == this->pools.end())
         return 0;
-    for (const PlacementUpstream& item : pool->second) {
+    for (const PlacementUpstream& item : pool->second.upstreams) {
         if (item.id == upstream)
-            return this->estimateUtilization(item);
+            return this->estimateUtilization(pool->second, item);
     }
     return 0;
 }
 
+double Placement::speed(ServiceId service, UpstreamId upstream) const
+{
+    const auto pool = this->pools.find(service);
+    const auto estimate = this->estimates.find(upstream);
+    if (pool == this->pools.end() || estimate == this->estimates.end())
+        return 1;
+    return this->speedOf(pool->second, estimate->second);
+}
+
+double Placement::connectionCost(ServiceId service) const
+{
+    const auto pool = this->pools.find(service);
+    return pool == this->pools.end() ? this->options.connectionCost : this->connectionCostOf(pool->second);
+}
+
 Milliseconds Placement::loadAge(UpstreamId upstream) const
 {
     const auto found = this->estimates.find(upstream);
