--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -120,6 +120,7 @@
 
 void PacketAgent::announce()
 {
+    this->announcer.setEvacuated(this->router.evacuation().isEvacuated());
     const std::optional<PresenceMessage> message = this->announcer.takeMessage();
     if (!message)
         return;
