Remove a variable that the merge left unused

The build stopped at AgentRouter.cpp (-Werror). refusalOf() asks for the state of the upstream itself. Tests: Directive*, Cold*, StoreWire*, Router*, Agent*, Events*, PacketAgent*, HopMess*, Placement*, Even*, Service*, Stall* of unit_tests (166), release build.

--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -339,7 +339,6 @@
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
-    const bool isDown = this->liveness.state() == UpstreamState::Down;
     Flow* known = this->liveness.hasLostFlows() ? nullptr : this->flows.find(key);
     const bool isPortReused = known && known->sequences.isOfOtherFlow(packet);
     if (known && known->isHeld && !isPortReused) { // a late copy of the SYN, which all other upstreams may refuse
