Ignore late denials of a port's earlier flow in searches for the later one

Callers saw: an open flow was reset by the system ("held-nowhere") although its upstream held it, after a late packet of the port's earlier flow, such as its FIN, came to an entry shortly before those of the later flow.

Cause: a denial names a flow by its ends. The holder of the later flow denied the earlier one's packet, and the entry counted that for the later one. For 100 ms after a change of flow such a denial was not remembered, but it still counted in the search; after a SYN it counted in full.

Fix: denials count only once those of the earlier flow have arrived. Agents whose denial was ignored are asked again, so a lost flow of a port that was just used again is reset up to 0.2 s later.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -415,6 +415,34 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of an open flow because its holder denied a late packet of the port's earlier flow: the
+    // denial names the ends only.
+    TEST_F(PortReuseAtEntry, ALateDenialOfAnEarlierFlowEndsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->fromClientAt(1001);
+        this->fromClientAt(900000000);
+        this->agentDenies(agent(0));
+        EXPECT_TRUE(this->resets.empty());
+        this->advance(Milliseconds(200)); // the agent is asked again
+        this->agentDenies(agent(0));
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // The same where the SYN of the later flow came in between.
+    TEST_F(NewFlowAtEntry, ALateDenialOfAnEarlierFlowEndsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->fromClientAt(1001);
+        this->synFromClient(nextClientSequence);
+        this->fromClientAt(nextClientSequence + 1);
+        this->advance(Milliseconds(60)); // the search is extended to the route
+        this->agentDenies(agent(0));
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against the reset of an open flow because an agent lost an earlier flow of the same ends.
     TEST_F(PortReuseAtEntry, TheLossOfAnEarlierFlowResetsNoLaterOne)
     {
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -284,7 +284,11 @@
     logEvent(Event::PacketPortReused,
         { { "flow", toString(key) }, { "agent", flow->holder ? toString(*flow->holder) : std::string("none") },
             { "offers", static_cast<uint64_t>(flow->offers.size()) }, { "directory", this->directoryRevision } });
+    const bool wasSought = !flow->holder;
     this->flows.erase(key);
+    if (wasSought)
+        this->flows.findOrInsert(key, this->clock.now()).deniableSince
+            = this->clock.now() + this->options.lateDenialTime;
 }
 
 ServiceId EntryRouter::chooseService(const Route& route)
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -405,8 +405,9 @@
 void EntryRouter::onDenied(const FlowKey& key, Flow& flow, PacketAddress agent, HopRefusal refusal)
 {
     HolderSearch::Target* target = flow.search ? flow.search->find(agent) : nullptr;
-    const bool isOfThisFlow = this->clock.now() >= flow.deniableSince;
-    if (target && target->packetSent && refusal == HopRefusal::None && isOfThisFlow) {
+    if (this->clock.now() < flow.deniableSince)
+        return; // it may be of an earlier flow; the agent is asked again
+    if (target && target->packetSent && refusal == HopRefusal::None) {
         target->returned = true;
         flow.returnedBy.insert(agent);
     }
