Do not return a flow's packets because of an unanswered SYN

Callers saw: an open flow was reset by the system ("held-nowhere") although its upstream held it, after its agent had restarted and a late copy of the SYN of the port's earlier flow came.

Cause: the new agent knew the port from that SYN only, which the upstream ignores, and took the open flow's packets for those of another flow.

Fix: such a flow counts as known only once the upstream has answered the SYN or a packet after the SYN was handed over; the upstream decides till then. An upstream of an earlier flow may get the packet of a later one by this, so its reset is also kept from the client when the packet was forwarded: it is reported as not held (AResetOfAnEarlierFlowReturnsAForwardedOne).

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -181,6 +181,17 @@
         EXPECT_EQ(this->toUpstream.size(), 1U);
     }
 
+    // Guards against packets of an open flow that its agent returns: it restarted, and knows the port from a late copy
+    // of the earlier flow's SYN only, which the upstream ignores.
+    TEST_F(PortReuseAtAgent, ASynThatTheUpstreamIgnoresShowsNoFlow)
+    {
+        this->openFlow(2);
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->nextFlowPacket(HopKind::Forward);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+        EXPECT_TRUE(this->kinds.empty());
+    }
+
     // Guards against a later flow that its agent does not know: the FIN of the earlier one was lost on the way.
     TEST_F(PortReuseAtAgent, AnAcceptedSynReplacesAFlowThatDidNotEnd)
     {
@@ -233,6 +244,15 @@
         EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
     }
 
+    // The same for a packet of an entry that took this upstream for the holder.
+    TEST_F(PortReuseAtAgent, AResetOfAnEarlierFlowReturnsAForwardedOne)
+    {
+        this->nextFlowPacket(HopKind::Forward);
+        this->fromUpstream(rstFlag, 1); // 500
+        EXPECT_TRUE(this->toClient.empty());
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+    }
+
     // Guards against a reset of the upstream that is kept from its client.
     TEST_F(PortReuseAtAgent, AResetOfTheSearchedFlowReachesTheClient)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -104,9 +104,13 @@
         return;
     }
     const FlowKey key = packet.flowKeyFromClient();
-    if (const Flow* known = this->flows.find(key); known && known->sequences.isOfOtherFlow(packet)) {
-        this->denyOtherFlow(key, *known, entry, message.kind, message.packet);
-        return;
+    if (Flow* known = this->flows.find(key); known && known->sequences.isOfOtherFlow(packet)) {
+        // A SYN without an answer shows nothing: the upstream ignores a late one of an earlier flow.
+        if (known->mayBeOpen) {
+            this->denyOtherFlow(key, *known, entry, message.kind, message.packet);
+            return;
+        }
+        known->sequences = FlowSequences();
     }
     if (this->liveness.hasLostFlows()) {
         this->denyFlow(key, entry, message.kind == HopKind::Find);
@@ -484,7 +488,7 @@
     const FlowKey key = packet.flowKeyFromUpstream();
     if (this->isResetOfEarlierFlow(key, packet)) {
         if (this->flows.find(key))
-            this->denySearchedFlow(key);
+            this->denyAfterReset(key);
         return;
     }
     this->hooks.sendToClient(packet.destination, bytes);
@@ -533,7 +537,7 @@
     }
 }
 
-// An upstream that keeps an ended flow may answer the packet of a search for a later one with a reset. Its number is
+// An upstream that keeps an ended flow may answer a packet of a later one with a reset. Its number is
 // far from what the client of the later flow acknowledged. 0 states nothing.
 bool AgentRouter::isResetOfEarlierFlow(const FlowKey& key, const Packet& packet)
 {
@@ -542,7 +546,7 @@
     const Flow* flow = this->flows.find(key);
     if (!flow) // the packet may have been sent twice
         return this->isReturnedFlow(key);
-    if (flow->isHeld || flow->lastKind != HopKind::Find || packet.sequence == 0)
+    if (flow->isHeld || packet.sequence == 0)
         return false;
     SequenceRange acknowledged;
     if (flow->lastAcknowledgement)
@@ -550,15 +554,19 @@
     return !acknowledged.isNear(packet.sequence);
 }
 
-// The upstream does not hold the flow whose packet it got from a search.
-void AgentRouter::denySearchedFlow(const FlowKey& key)
+// The upstream does not hold the flow whose packet it got.
+void AgentRouter::denyAfterReset(const FlowKey& key)
 {
     Flow* flow = this->flows.find(key);
     const PacketAddress entry = flow->entry;
+    const bool isSearched = flow->lastKind == HopKind::Find;
     this->confirmDelivery(*flow);
     this->removeFlow(key);
     this->returnedFlows.findOrInsert(key, this->clock.now());
-    this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+    if (isSearched)
+        this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
+    else // the next packet of the client starts a search
+        this->reply(entry, HopKind::NotHeld, key, HopRefusal::None);
 }
 
 void AgentRouter::markHeld(const FlowKey& key, Flow& flow)
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -153,7 +153,7 @@
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     void startLaterFlow(const FlowKey&, OtherSyn);
     bool isResetOfEarlierFlow(const FlowKey&, const Packet&);
-    void denySearchedFlow(const FlowKey&);
+    void denyAfterReset(const FlowKey&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
