--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -181,6 +181,17 @@
         EXPECT_EQ(this->toUpstream.size(), 1U);
     }
 
+    // Guards against packets of an open flow that its agent returns: it restarted, and knows the port from a late copy
+    // of the earlier flow's SYN only, which the upstream ignores.
+    TEST_F(PortReuseAtAgent, ASynThatTheUpstreamIgnoresShowsNoFlow)
+    {
+        this->openFlow(2);
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->nextFlowPacket(HopKind::Forward);
+        EXPECT_EQ(this->toUpstream.size(), 1U);
+        EXPECT_TRUE(this->kinds.empty());
+    }
+
     // Guards against a later flow that its agent does not know: the FIN of the earlier one was lost on the way.
     TEST_F(PortReuseAtAgent, AnAcceptedSynReplacesAFlowThatDidNotEnd)
     {
@@ -233,6 +244,15 @@
         EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
     }
 
+    // The same for a packet of an entry that took this upstream for the holder.
+    TEST_F(PortReuseAtAgent, AResetOfAnEarlierFlowReturnsAForwardedOne)
+    {
+        this->nextFlowPacket(HopKind::Forward);
+        this->fromUpstream(rstFlag, 1); // 500
+        EXPECT_TRUE(this->toClient.empty());
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
+    }
+
     // Guards against a reset of the upstream that is kept from its client.
     TEST_F(PortReuseAtAgent, AResetOfTheSearchedFlowReachesTheClient)
     {
@@ -415,6 +435,34 @@
         EXPECT_TRUE(this->resets.empty());
     }
 
+    // Guards against the reset of an open flow because its holder denied a late packet of the port's earlier flow: the
+    // denial names the ends only.
+    TEST_F(PortReuseAtEntry, ALateDenialOfAnEarlierFlowEndsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->fromClientAt(1001);
+        this->fromClientAt(900000000);
+        this->agentDenies(agent(0));
+        EXPECT_TRUE(this->resets.empty());
+        this->advance(Milliseconds(200)); // the agent is asked again
+        this->agentDenies(agent(0));
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // The same where the SYN of the later flow came in between.
+    TEST_F(NewFlowAtEntry, ALateDenialOfAnEarlierFlowEndsNoSearch)
+    {
+        this->useRoutes();
+        this->useUpstreams(1);
+        this->fromClientAt(1001);
+        this->synFromClient(nextClientSequence);
+        this->fromClientAt(nextClientSequence + 1);
+        this->advance(Milliseconds(60)); // the search is extended to the route
+        this->agentDenies(agent(0));
+        EXPECT_TRUE(this->resets.empty());
+    }
+
     // Guards against the reset of an open flow because an agent lost an earlier flow of the same ends.
     TEST_F(PortReuseAtEntry, TheLossOfAnEarlierFlowResetsNoLaterOne)
     {
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -174,7 +174,7 @@
     HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
     void startLaterFlow(const FlowKey&, OtherSyn);
     bool isResetOfEarlierFlow(const FlowKey&, const Packet&);
-    void denySearchedFlow(const FlowKey&);
+    void denyAfterReset(const FlowKey&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
