--- a/schemas/Hop_generated.h
+++ b/schemas/Hop_generated.h
@@ -255,7 +255,7 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamDirective FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t evacuation_position_;
-  uint32_t cold_left_ms_;
+  uint32_t remaining_cold_ms_;
   uint32_t cold_flows_per_second_;
   uint64_t evacuated_;
 
@@ -263,13 +263,13 @@
   struct Traits;
   UpstreamDirective()
       : evacuation_position_(0),
-        cold_left_ms_(0),
+        remaining_cold_ms_(0),
         cold_flows_per_second_(0),
         evacuated_(0) {
   }
-  UpstreamDirective(uint64_t _evacuation_position, uint32_t _cold_left_ms, uint32_t _cold_flows_per_second, uint64_t _evacuated)
+  UpstreamDirective(uint64_t _evacuation_position, uint32_t _remaining_cold_ms, uint32_t _cold_flows_per_second, uint64_t _evacuated)
       : evacuation_position_(flatbuffers::EndianScalar(_evacuation_position)),
-        cold_left_ms_(flatbuffers::EndianScalar(_cold_left_ms)),
+        remaining_cold_ms_(flatbuffers::EndianScalar(_remaining_cold_ms)),
         cold_flows_per_second_(flatbuffers::EndianScalar(_cold_flows_per_second)),
         evacuated_(flatbuffers::EndianScalar(_evacuated)) {
   }
@@ -279,11 +279,11 @@
   void mutate_evacuation_position(uint64_t _evacuation_position) {
     flatbuffers::WriteScalar(&evacuation_position_, _evacuation_position);
   }
-  uint32_t cold_left_ms() const {
-    return flatbuffers::EndianScalar(cold_left_ms_);
+  uint32_t remaining_cold_ms() const {
+    return flatbuffers::EndianScalar(remaining_cold_ms_);
   }
-  void mutate_cold_left_ms(uint32_t _cold_left_ms) {
-    flatbuffers::WriteScalar(&cold_left_ms_, _cold_left_ms);
+  void mutate_remaining_cold_ms(uint32_t _remaining_cold_ms) {
+    flatbuffers::WriteScalar(&remaining_cold_ms_, _remaining_cold_ms);
   }
   uint32_t cold_flows_per_second() const {
     return flatbuffers::EndianScalar(cold_flows_per_second_);
--- a/wasabicroft/Packet.cpp
+++ b/wasabicroft/Packet.cpp
@@ -196,8 +196,8 @@
 
     UpstreamDirective fromWire(const wire::UpstreamDirective& directive)
     {
-        return { directive.evacuation_position(), directive.evacuated() != 0, Milliseconds(directive.cold_left_ms()),
-            directive.cold_flows_per_second() };
+        return { directive.evacuation_position(), directive.evacuated() != 0,
+            Milliseconds(directive.remaining_cold_ms()), directive.cold_flows_per_second() };
     }
 
 } // namespace
