--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -22,6 +22,7 @@
     constexpr Milliseconds maxStopDelay { 60000 };
     constexpr double maxLinkMbps = 1000000;
     constexpr double maxColdExcess = 1000000;
+    constexpr double maxEvacuationBoundMs = 86400000; // a day
     constexpr uint64_t ticksPerLogFlush = 10;
 
     const std::string usage = R"(Options come from flags, environment variables and a settings file.
@@ -46,7 +47,7 @@
   --store IP:PORT          Entry: the platform's store.
   --cold-excess N          Above 0: limits new flows of cold upstreams. The platform's bound is N times what they bear [0].
   --cold-slack N           Flows per second beyond that bound [0].
-  --evacuations ON         Entry: "on" puts evacuation orders in the store in force [off].
+  --evacuation-bound MS    Entry: time within which evacuation orders take effect; 0: they are not read [0].
   --link-mbps N            Entry: bandwidth of its network link in Mbit/s; 0: the default [10].
   --stop-delay MS          Keeps forwarding for this long after SIGTERM [1500].
   --log-level LEVEL        debug, info, warning or error [info].
@@ -141,7 +142,7 @@
     settings.linkMbps = linkMbps > 0 ? linkMbps : PacketSettings().linkMbps;
     settings.coldExcess = reader.decimal("--cold-excess", 0, 0, maxColdExcess);
     settings.coldSlack = reader.decimal("--cold-slack", 0, 0, maxColdExcess);
-    settings.readsEvacuations = reader.onOff("--evacuations", false);
+    settings.readsEvacuations = reader.decimal("--evacuation-bound", 0, 0, maxEvacuationBoundMs) > 0;
     settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
     settings.log.threshold = reader.severity("--log-level", Severity::Info);
     settings.log.maxLinesPerSecond = reader.number("--log-rate", defaultLogRate, 1, 1000000);
--- a/wasabicroft/Settings.cpp
+++ b/wasabicroft/Settings.cpp
@@ -188,16 +188,6 @@
     return defaultValue;
 }
 
-bool SettingsReader::onOff(const std::string& flag, bool defaultValue)
-{
-    const std::string given = this->text(flag, "");
-    if (given == "on" || given == "off")
-        return given == "on";
-    if (!given.empty())
-        this->reject(flag, given, "on or off");
-    return defaultValue;
-}
-
 Severity SettingsReader::severity(const std::string& flag, Severity defaultValue)
 {
     static const std::map<std::string, Severity> names = { { "debug", Severity::Debug }, { "info", Severity::Info },
--- a/wasabicroft/Settings.h
+++ b/wasabicroft/Settings.h
@@ -40,7 +40,6 @@
     std::vector<Endpoint> endpoints(const std::string& flag); // Comma-separated; may be empty.
     std::vector<std::string> list(const std::string& flag); // Comma-separated; may be empty.
     bool boolean(const std::string& flag, bool defaultValue);
-    bool onOff(const std::string& flag, bool defaultValue); // "on" or "off"; an empty value means the default
     Severity severity(const std::string& flag, Severity defaultValue);
 
     // Adds an error for a value; also called by programs that check a value themselves.
