Move orders and directives of EntryRouter into a file of their own

EntryRouter.cpp had grown to 920 lines. The functions are moved as they are; 853 lines remain. Unit tests of evacuation, directives, cold starts and the entry router pass.

--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -164,79 +164,12 @@
     }
 }
 
-void EntryRouter::setEvacuations(EvacuationOrders orders)
-{
-    for (const std::string& domain : this->evacuations.domains) {
-        if (!orders.domains.contains(domain))
-            this->rejoinTimes[domain] = this->clock.now();
-    }
-    for (const std::string& domain : orders.domains)
-        this->rejoinTimes.erase(domain);
-    this->evacuations = std::move(orders);
-    const std::set<std::string> changed = this->directives.setOrders(this->evacuations);
-    std::vector<PacketAddress> receivers;
-    for (const auto& [agent, listed] : this->listedByAgent) {
-        if (changed.contains(listed.failureDomain))
-            receivers.push_back(agent);
-    }
-    if (receivers.empty())
-        return;
-    // Entries begin with different agents, so that each agent soon hears of the order from one of them.
-    const size_t first = this->random() % receivers.size();
-    std::rotate(receivers.begin(), receivers.begin() + static_cast<std::ptrdiff_t>(first), receivers.end());
-    this->directives.enqueue(receivers);
-    this->sendQueuedDirectives();
-}
-
-void EntryRouter::sendQueuedDirectives()
-{
-    HopMessage message;
-    message.kind = HopKind::Directive;
-    for (const PacketAddress agent : this->directives.takeQueued(encodedBytes(message) + datagramHeaderBytes))
-        this->sendDirective(agent);
-}
-
-// The agent may lack an order, or have an outdated one, which decides on the offer that follows.
-void EntryRouter::sendDirectiveBeforeOffer(PacketAddress agent)
-{
-    const auto listed = this->listedByAgent.find(agent);
-    if (listed == this->listedByAgent.end())
-        return;
-    const bool isCold = this->coldUpstreams.flowsPerSecond(listed->second.id) > 0;
-    if (this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, isCold))
-        this->sendDirective(agent);
-}
-
-void EntryRouter::sendDirective(PacketAddress agent)
-{
-    const auto listed = this->listedByAgent.find(agent);
-    if (listed == this->listedByAgent.end())
-        return;
-    HopMessage message;
-    message.kind = HopKind::Directive;
-    message.service = listed->second.service;
-    message.directive.evacuationPosition = this->evacuations.position;
-    message.directive.evacuated = this->evacuations.domains.contains(listed->second.failureDomain);
-    if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
-        message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
-        message.directive.coldFlowsPerSecond = limit;
-    }
-    ++this->counts.directives;
-    this->directives.onSent(agent);
-    this->sendHop(agent, message);
-}
-
 void EntryRouter::setPeers(std::vector<PacketAddress> entries)
 {
     this->peers = std::move(entries);
     this->coldUpstreams.setEntryCount(this->peers.size() + 1);
 }
 
-bool EntryRouter::isEvacuated(const UpstreamRecord& record) const
-{
-    return this->options.excludesEvacuated && this->evacuations.domains.contains(record.failureDomain);
-}
-
 bool EntryRouter::isServing() const
 {
     return this->routes && !this->hasProvisionalRoutes && this->hasUsableUpstream && !this->isolated;
