Split tests that would exceed their time limit with sanitizers

Seen: in an asan run beside load, StallHistories took up to 77 s a test, EvenLoad 61 s, RequestQueue.InABurst 50 s, of 120 s; tsan builds take longer. Change: the histories of StallHistories run in three tests of ten seeds each, the seeds of EvenLoad in a test each, the naive counterparts of InABurst in tests of their own. Seeds, bounds and checks are the same; that eight of ten requests are answered now holds for each ten seeds.

--- a/tests/EvenLoadTest.cpp
+++ b/tests/EvenLoadTest.cpp
@@ -251,65 +251,66 @@
         return Simulation(rule, load, equalSpeeds, seed).run(60, 60);
     }
 
+    // Each seed is a test of its own: with sanitizers, both exceed the time limit.
+    class EvenLoad : public ::testing::TestWithParam<uint64_t> { };
+
+    INSTANTIATE_TEST_SUITE_P(Seeds, EvenLoad, ::testing::Values(1, 2));
+
     // Guards against slow upstreams that get as many flows as fast ones and answer late. At 0.88 of the slots,
     // upstreams of equal speed have 2% late answers, too: the requests of open flows arrive at random.
-    TEST(EvenLoad, FewerAnswersAreLateWhereSpeedsDiffer)
+    TEST_P(EvenLoad, FewerAnswersAreLateWhereSpeedsDiffer)
     {
-        for (const uint64_t seed : { 1U, 2U }) {
-            for (const double load : { 0.7, 0.88 }) {
-                const Outcome former = outcomeOf(formerRule, load, false, seed);
-                const Outcome weighed = outcomeOf({}, load, false, seed);
-                EXPECT_LT(weighed.lateShare, former.lateShare / 2) << "seed " << seed << " load " << load;
-                EXPECT_LE(weighed.busiestOverMean, maxBusiestOverMean) << "seed " << seed << " load " << load;
-                EXPECT_GT(former.busiestOverMean, weighed.busiestOverMean) << "seed " << seed << " load " << load;
-                std::cout << "seed " << seed << " load " << load << " former: late " << former.lateShare << " busiest "
-                          << former.busiestOverMean << "; weighed: late " << weighed.lateShare << " busiest "
-                          << weighed.busiestOverMean << " connection cost " << weighed.connectionCost << '\n';
-            }
+        const uint64_t seed = GetParam();
+        for (const double load : { 0.7, 0.88 }) {
+            const Outcome former = outcomeOf(formerRule, load, false, seed);
+            const Outcome weighed = outcomeOf({}, load, false, seed);
+            EXPECT_LT(weighed.lateShare, former.lateShare / 2) << "seed " << seed << " load " << load;
+            EXPECT_LE(weighed.busiestOverMean, maxBusiestOverMean) << "seed " << seed << " load " << load;
+            EXPECT_GT(former.busiestOverMean, weighed.busiestOverMean) << "seed " << seed << " load " << load;
+            std::cout << "seed " << seed << " load " << load << " former: late " << former.lateShare << " busiest "
+                      << former.busiestOverMean << "; weighed: late " << weighed.lateShare << " busiest "
+                      << weighed.busiestOverMean << " connection cost " << weighed.connectionCost << '\n';
         }
     }
 
     // The target of docs/hard-load.md.
-    TEST(EvenLoad, AtMostOnePercentIsLateAtAModerateLoad)
+    TEST_P(EvenLoad, AtMostOnePercentIsLateAtAModerateLoad)
     {
-        for (const uint64_t seed : { 1U, 2U })
-            EXPECT_LE(outcomeOf({}, 0.7, false, seed).lateShare, maxLateShare) << "seed " << seed;
+        const uint64_t seed = GetParam();
+        EXPECT_LE(outcomeOf({}, 0.7, false, seed).lateShare, maxLateShare) << "seed " << seed;
     }
 
     // The same at the load for which it is stated.
-    TEST(EvenLoad, AtMostOnePercentIsLateWhileThereIsRoom)
+    TEST_P(EvenLoad, AtMostOnePercentIsLateWhileThereIsRoom)
     {
-        for (const uint64_t seed : { 1U, 2U })
-            EXPECT_LE(outcomeOf({}, 0.88, false, seed).lateShare, maxLateShare) << "seed " << seed;
+        const uint64_t seed = GetParam();
+        EXPECT_LE(outcomeOf({}, 0.88, false, seed).lateShare, maxLateShare) << "seed " << seed;
     }
 
     // Guards against service times of equal upstreams, which scatter, and measured weights of connections that make
     // the load less even than before.
-    TEST(EvenLoad, EqualSpeedsAreAsEvenAsBefore)
+    TEST_P(EvenLoad, EqualSpeedsAreAsEvenAsBefore)
     {
-        for (const uint64_t seed : { 1U, 2U }) {
-            const Outcome former = outcomeOf(formerRule, 0.88, true, seed);
-            const Outcome weighed = outcomeOf({}, 0.88, true, seed);
-            EXPECT_LT(weighed.lateShare, former.lateShare + 0.005) << "seed " << seed;
-            EXPECT_LT(weighed.busiestOverMean, former.busiestOverMean + 0.02) << "seed " << seed;
-            std::cout << "seed " << seed << " former: late " << former.lateShare << " busiest "
-                      << former.busiestOverMean << "; weighed: late " << weighed.lateShare << " busiest "
-                      << weighed.busiestOverMean << '\n';
-        }
+        const uint64_t seed = GetParam();
+        const Outcome former = outcomeOf(formerRule, 0.88, true, seed);
+        const Outcome weighed = outcomeOf({}, 0.88, true, seed);
+        EXPECT_LT(weighed.lateShare, former.lateShare + 0.005) << "seed " << seed;
+        EXPECT_LT(weighed.busiestOverMean, former.busiestOverMean + 0.02) << "seed " << seed;
+        std::cout << "seed " << seed << " former: late " << former.lateShare << " busiest " << former.busiestOverMean
+                  << "; weighed: late " << weighed.lateShare << " busiest " << weighed.busiestOverMean << '\n';
     }
 
     // Guards against a smaller penalty: entries whose load reports are old would choose the same few upstreams.
-    TEST(EvenLoad, ASmallerPenaltyMakesMoreAnswersLate)
+    TEST_P(EvenLoad, ASmallerPenaltyMakesMoreAnswersLate)
     {
-        for (const uint64_t seed : { 1U, 2U }) {
-            double previous = 0;
-            for (const double penalty : { 2.0, 1.0, 0.5 }) {
-                const Outcome outcome = outcomeOf({ true, true, penalty }, 0.88, false, seed);
-                EXPECT_GT(outcome.lateShare, previous) << "seed " << seed << " penalty " << penalty;
-                previous = outcome.lateShare;
-                std::cout << "seed " << seed << " penalty " << penalty << ": late " << outcome.lateShare << " busiest "
-                          << outcome.busiestOverMean << " preferred " << outcome.preferredShare << '\n';
-            }
+        const uint64_t seed = GetParam();
+        double previous = 0;
+        for (const double penalty : { 2.0, 1.0, 0.5 }) {
+            const Outcome outcome = outcomeOf({ true, true, penalty }, 0.88, false, seed);
+            EXPECT_GT(outcome.lateShare, previous) << "seed " << seed << " penalty " << penalty;
+            previous = outcome.lateShare;
+            std::cout << "seed " << seed << " penalty " << penalty << ": late " << outcome.lateShare << " busiest "
+                      << outcome.busiestOverMean << " preferred " << outcome.preferredShare << '\n';
         }
     }
 
--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -297,16 +297,25 @@
             EXPECT_EQ(ordered[kind].latePreferred, 0U) << kind;
             EXPECT_LE(ordered[kind].longestPause, 1500) << kind << " was starved";
         }
+    }
 
+    // The naive counterpart of the test above.
+    TEST(RequestQueue, InABurstTheOrderOfArrivalRunsLateRequests)
+    {
         RequestQueueOptions firstComeFirstServed = mapsOptions();
         firstComeFirstServed.orderByObjective = false;
         const std::vector<Outcome> naive = simulateBurst(firstComeFirstServed);
         EXPECT_LT(shareInTime(naive), 0.2);
         EXPECT_GT(naive[0].latePreferred, 100U);
+    }
+
+    // Guards against requests that start at the last moment by the mean: they are often late.
+    TEST(RequestQueue, InABurstTheSpreadOfTheWorkCounts)
+    {
         RequestQueueOptions withoutSpread = mapsOptions();
         withoutSpread.work.spreads = 0;
-        EXPECT_LT(shareInTime(simulateBurst(withoutSpread)), shareInTime(ordered) - 0.02)
-            << "requests that start at the last moment by the mean are often late";
+        const std::vector<Outcome> ordered = simulateBurst(mapsOptions());
+        EXPECT_LT(shareInTime(simulateBurst(withoutSpread)), shareInTime(ordered) - 0.02);
     }
 
     // Guards against a priority that gets no slot while requests of a higher one fill all of them.
--- a/tests/StallTest.cpp
+++ b/tests/StallTest.cpp
@@ -134,15 +134,21 @@
         world.run(Milliseconds(4000));
     }
 
-    // Runs histories with seeds from 1 on. Returns the first finding of each history that has one, with its seed.
-    std::string findingsOf(const StallHistory& history, bool losesMessages,
+    constexpr uint64_t historiesPerTest = 10;
+
+    // Histories with seeds from the parameter on. A test of all seeds would exceed its time limit with sanitizers.
+    class StallHistories : public ::testing::TestWithParam<uint64_t> { };
+
+    INSTANTIATE_TEST_SUITE_P(Seeds, StallHistories, ::testing::Values(1, 11, 21));
+
+    // Returns the first finding of each history that has one, with its seed.
+    std::string findingsOf(uint64_t firstSeed, const StallHistory& history, bool losesMessages,
         const std::function<std::vector<std::string>(const PacketWorld&)>& select)
     {
-        constexpr uint64_t histories = 30;
         std::string all;
         size_t answered = 0;
         size_t total = 0;
-        for (uint64_t seed = 1; seed <= histories; ++seed) {
+        for (uint64_t seed = firstSeed; seed < firstSeed + historiesPerTest; ++seed) {
             PacketWorld world(optionsOf(seed, losesMessages));
             runHistory(world, history);
             for (const PacketWorld::Request& request : world.requests)
@@ -161,55 +167,55 @@
 
     // Guards against resets of held flows from ports that are used again while entries restart in turn: what is known
     // of an earlier flow, and late copies of its packets, must not count against a later one.
-    TEST(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgain)
+    TEST_P(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgain)
     {
-        EXPECT_EQ(findingsOf({ .usesPortsAgain = true }, true, violationsOf), "");
+        EXPECT_EQ(findingsOf(GetParam(), { .usesPortsAgain = true }, true, violationsOf), "");
     }
 
     // The same beside restarts of agents and upstreams.
-    TEST(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgainAndAgentsRestart)
+    TEST_P(StallHistories, NoHeldFlowIsResetWhilePortsAreUsedAgainAndAgentsRestart)
     {
-        EXPECT_EQ(findingsOf(
-                      { .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true }, true, violationsOf),
+        EXPECT_EQ(findingsOf(GetParam(), { .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true },
+                      true, violationsOf),
             "");
     }
 
     // Guards against packets of a later flow that reach an upstream which keeps an earlier one that ended, and answers
     // them with a reset.
-    TEST(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlow)
+    TEST_P(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlow)
     {
-        EXPECT_EQ(findingsOf({ .usesPortsAgain = true }, true,
+        EXPECT_EQ(findingsOf(GetParam(), { .usesPortsAgain = true }, true,
                       [](const PacketWorld& world) { return world.resetsByEarlierHolders; }),
             "");
     }
 
     // The same beside restarts of agents, which forget the earlier flows.
-    TEST(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlowWhileAgentsRestart)
+    TEST_P(StallHistories, NoHeldFlowIsResetByAnUpstreamOfAnEarlierFlowWhileAgentsRestart)
     {
-        EXPECT_EQ(findingsOf({ .usesPortsAgain = true, .restartsAgents = true }, true,
+        EXPECT_EQ(findingsOf(GetParam(), { .usesPortsAgain = true, .restartsAgents = true }, true,
                       [](const PacketWorld& world) { return world.resetsByEarlierHolders; }),
             "");
     }
 
     // The same with stalls.
-    TEST(StallHistories, NoHeldFlowIsResetUnderAllOfThese)
+    TEST_P(StallHistories, NoHeldFlowIsResetUnderAllOfThese)
     {
-        EXPECT_EQ(
-            findingsOf({ .stalls = true, .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true },
-                true, violationsOf),
+        EXPECT_EQ(findingsOf(GetParam(),
+                      { .stalls = true, .usesPortsAgain = true, .restartsAgents = true, .crashesUpstreams = true },
+                      true, violationsOf),
             "");
     }
 
     // Guards against resets of held flows at upstreams that stall while entries restart in turn.
-    TEST(StallHistories, NoHeldFlowIsResetWhileUpstreamsStall)
+    TEST_P(StallHistories, NoHeldFlowIsResetWhileUpstreamsStall)
     {
-        EXPECT_EQ(findingsOf({ .stalls = true }, false, violationsOf), "");
+        EXPECT_EQ(findingsOf(GetParam(), { .stalls = true }, false, violationsOf), "");
     }
 
     // The same in a network that loses, repeats and reorders messages, and beside restarts of agents.
-    TEST(StallHistories, NoHeldFlowIsResetWhileUpstreamsStallAndAgentsRestart)
+    TEST_P(StallHistories, NoHeldFlowIsResetWhileUpstreamsStallAndAgentsRestart)
     {
-        EXPECT_EQ(findingsOf({ .stalls = true, .restartsAgents = true }, true, violationsOf), "");
+        EXPECT_EQ(findingsOf(GetParam(), { .stalls = true, .restartsAgents = true }, true, violationsOf), "");
     }
 
 } // namespace
