Subtract an ended flow from the load of an agent once

Seen: on reading the change. An agent states 4,294,967,295 flows after a client used the port of an ended flow again; entries then avoid its upstream. Ended flows are no longer counted (countFlow), while denyOtherFlow subtracted one by itself when it stopped to claim an ended flow, so that the count went below zero. Change: denyOtherFlow calls countFlow like all other places. Unit tests of the agent, the entry router, port reuse and stalls pass.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -156,6 +156,16 @@
         EXPECT_NE(this->kinds, std::vector<HopKind> { HopKind::Known });
     }
 
+    // Guards against a load of billions of flows, which keeps new flows away from the upstream: an ended flow, which
+    // was counted no more, was subtracted again when another one used its port.
+    TEST_F(PortReuseAtAgent, AnEndedFlowIsSubtractedOnce)
+    {
+        this->openFlow(1);
+        this->endFlow();
+        this->nextFlowPacket(HopKind::Forward);
+        EXPECT_EQ(this->lastHop.heldFlows, 0U);
+    }
+
     // Guards against reporting the later flow as lost: the agent restarted, and a late packet of the earlier flow makes
     // it known again while the packet of the later one is on its way back.
     TEST_F(PortReuseAtAgent, AReturnedPacketOfALaterFlowIsNotReportedAsLost)
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -321,9 +321,11 @@
     logEvent(Event::PacketOfOtherFlow,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "with", nameOf(kind) },
             { "known-flow", isEnded ? "ended" : "open" }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (Flow* ended = isEnded ? this->flows.find(key) : nullptr; ended && std::exchange(ended->isHeld, false))
-        --this->heldFlows; // so that it is not claimed again; the upstream may still answer packets of later flows to
-                           // it
+    // It is not claimed again, but stays known: the upstream may still answer packets of later flows to it.
+    if (Flow* ended = isEnded ? this->flows.find(key) : nullptr) {
+        ended->isHeld = false;
+        this->countFlow(*ended);
+    }
     if (kind == HopKind::Find)
         this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
     else
