Ignore a returned packet of a port's earlier flow

Callers: an open flow was reset by the system while its upstream held it, after a late copy of a packet of the earlier flow from the same port reached the upstream's agent.

Cause: the agent returns a packet that does not fit the flow that it knows (NotHeld, with the packet). EntryRouter::onNotHeld() took that for a denial of the present flow: it forgot the holder and searched with the returned packet, which every agent denied. The reset carried the number that the client of the present flow had acknowledged.

PortReuseAtEntry.AReturnedPacketOfAnEarlierFlowStartsNoSearch failed before.

Why this works: the entry compares the returned packet with the numbers that it has seen of the present flow. A packet of another flow is dropped; denials of the present flow's own packets act as before.

--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -515,6 +515,20 @@
         EXPECT_EQ(this->resets.size(), 1U);
     }
 
+    // Guards against the reset of an open flow because its agent returned a late packet of the port's earlier flow: the
+    // entry forgot the holder, searched with that packet, and all agents denied it.
+    TEST_F(PortReuseAtEntry, AReturnedPacketOfAnEarlierFlowStartsNoSearch)
+    {
+        this->useHolder(agent(0));
+        this->fromAgent(agent(0), HopKind::NotHeld, 0,
+            makePacket(client, routeAddress, ackFlag | finFlag, 900000000, 700000001, 0));
+        EXPECT_TRUE(this->takeHops().empty());
+        this->fromClientAt(1101);
+        ASSERT_EQ(this->hops.size(), 1U);
+        EXPECT_EQ(this->hops[0].kind, HopKind::Forward);
+        EXPECT_EQ(this->hops[0].agent, agent(0));
+    }
+
     // Guards against an entry that forwards to the holder of the earlier flow, whose machine may be gone, after another
     // entry opened the later one elsewhere.
     TEST_F(PortReuseAtEntry, TheHolderOfAnEarlierFlowIsNotTrusted)
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -670,7 +670,7 @@
             this->setHolder(key, *flow, agent);
         break;
     case HopKind::NotHeld:
-        this->onNotHeld(key, agent, message);
+        this->onNotHeld(key, agent, message, packet);
         break;
     case HopKind::Gone:
         this->onGone(key, agent, message);
@@ -747,11 +747,12 @@
         this->refuseFlow(key, 0, nameOf(message.refusal));
 }
 
-void EntryRouter::onNotHeld(const FlowKey& key, PacketAddress agent, const HopMessage& message)
+void EntryRouter::onNotHeld(const FlowKey& key, PacketAddress agent, const HopMessage& message, const Packet* packet)
 {
     ++this->counts.notHeld;
     Flow* flow = this->flows.find(key);
-    if (!flow)
+    // A returned packet of a port's earlier flow says nothing of the present one.
+    if (!flow || (packet && flow->sequences.isOfOtherFlow(*packet)))
         return;
     if (!flow->holder) {
         this->onDenied(key, *flow, agent, message.refusal);
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -299,7 +299,7 @@
     void logShedSearches();
     void onAccepted(const FlowKey&, PacketAddress agent, const HopMessage&);
     void onRefused(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet& syn);
-    void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&);
+    void onNotHeld(const FlowKey&, PacketAddress agent, const HopMessage&, const Packet*);
     void onDenied(const FlowKey&, Flow&, PacketAddress agent, HopRefusal);
     void onGone(const FlowKey&, PacketAddress agent, const HopMessage&);
     void resetLostFlow(const FlowKey&, const Flow&, std::string_view cause);
