Do not take the ignored SYNs of one flow for the loss of an upstream's flows

Callers: open flows of an idle upstream were reset with cause=upstream-down while the upstream held them.

Cause: an upstream answers no SYN of a port whose earlier flow is still open there, because the FIN of that flow was lost. An agent that has restarted since does not know the earlier flow, counts the SYN as unanswered and repeats it every 25 ms.

AgentRouterFixture.AnUpstreamThatIgnoresTheSynsOfOneFlowHasNotLostItsFlows failed before.

Why this works: the loss needs unanswered packets of two flows. Entries offer an upstream that ended many flows, so that its clients still hear of it.

Two tests of the loss offered one flow; they offer two now and check the same.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -263,6 +263,7 @@
         this->openFlow(1);
         this->run(Milliseconds(16000));
         this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->fromEntry(HopKind::Offer, synFlag, 3);
         this->run(Milliseconds(1300));
         ASSERT_EQ(this->router.upstreamState(), UpstreamState::Down);
         this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100); // the agent forgets the flow
@@ -386,6 +387,7 @@
         this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
         this->kinds.clear();
         this->fromEntry(HopKind::Offer, synFlag, 3);
+        this->fromEntry(HopKind::Offer, synFlag, 4);
         this->run(Milliseconds(500));
         ASSERT_EQ(this->router.upstreamState(), UpstreamState::Down);
         this->fromEntry(HopKind::Forward, ackFlag, 2, 1002, 100);
@@ -402,6 +404,22 @@
         EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
     }
 
+    // Guards against the reset of flows that an idle upstream holds: it ignores the SYN of a port whose earlier flow it
+    // did not end, and the agent, which restarted since, does not know that flow.
+    TEST_F(AgentRouterFixture, AnUpstreamThatIgnoresTheSynsOfOneFlowHasNotLostItsFlows)
+    {
+        this->openFlow(1);
+        this->kinds.clear();
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->run(Milliseconds(400));
+        this->fromEntry(HopKind::Offer, synFlag, 2);
+        this->run(Milliseconds(3000));
+        this->ask({ keyOf(1) });
+        EXPECT_EQ(this->kinds.back(), HopKind::Known);
+        this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
+    }
+
     // Guards against requests at an upstream that went on after a silence and does not get them.
     TEST_F(AgentRouterFixture, RequestsWaitForASilentUpstream)
     {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -371,7 +371,7 @@
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "outcome", nameOf(refusal) },
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
             { "flows", static_cast<uint64_t>(this->heldFlows) } });
-    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe()) {
+    if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe(key)) {
         this->coldStartLimiter.onHandedOver();
         this->hooks.sendToUpstream(message.packet);
     }
@@ -400,7 +400,7 @@
     this->assignDeliveryNumber(flow);
     // An upstream may ignore the SYN of a flow that is open there, and of a port whose earlier flow it did not end.
     if (!flow.mayBeOpen && !isPortReused)
-        this->liveness.onSynDelivered(message.packet);
+        this->liveness.onSynDelivered(key, message.packet);
     this->hooks.sendToUpstream(message.packet);
 }
 
@@ -461,7 +461,7 @@
     if (flow.request == RequestState::Waiting && (packet.payloadBytes > 0 || packet.fin)) {
         this->storePacket(flow, packet, message.packet);
         // While the upstream's state is unknown, a copy makes it answer or return the packet.
-        if (this->liveness.state() == UpstreamState::Unknown && this->liveness.tryStartProbe())
+        if (this->liveness.state() == UpstreamState::Unknown && this->liveness.tryStartProbe(key))
             this->hooks.sendToUpstream(message.packet);
         return;
     }
--- a/wasabicroft/UpstreamLiveness.cpp
+++ b/wasabicroft/UpstreamLiveness.cpp
@@ -16,11 +16,22 @@
     this->currentState = UpstreamState::Up;
     this->isLost = false;
     this->unansweredSyn.clear();
+    this->unansweredFlow.reset();
+    this->hasOtherUnansweredFlow = false;
     this->unansweredDeliveries = 0;
 }
 
-void UpstreamLiveness::onSynDelivered(Bytes syn)
+void UpstreamLiveness::noteUnanswered(const FlowKey& flow)
 {
+    this->hasOtherUnansweredFlow
+        = this->hasOtherUnansweredFlow || (this->unansweredFlow && *this->unansweredFlow != flow);
+    if (!this->unansweredFlow)
+        this->unansweredFlow = flow;
+}
+
+void UpstreamLiveness::onSynDelivered(const FlowKey& flow, Bytes syn)
+{
+    this->noteUnanswered(flow);
     this->lastDelivery = this->clock.now();
     if (this->unansweredDeliveries++ == 0) {
         this->firstDelivery = this->lastDelivery;
@@ -38,10 +49,11 @@
     return &this->unansweredSyn;
 }
 
-bool UpstreamLiveness::tryStartProbe()
+bool UpstreamLiveness::tryStartProbe(const FlowKey& flow)
 {
     if (this->clock.now() - this->lastDelivery < this->options.downProbeInterval)
         return false;
+    this->noteUnanswered(flow);
     this->lastDelivery = this->clock.now();
     return true;
 }
@@ -55,7 +67,8 @@
     if (this->unansweredDeliveries >= this->options.unansweredSynsToDown
         && now - this->firstDelivery >= this->options.silenceToDown)
         this->currentState = UpstreamState::Down;
-    if (this->currentState == UpstreamState::Down && now - this->firstDelivery >= this->options.silenceToLoss)
+    if (this->currentState == UpstreamState::Down && this->hasOtherUnansweredFlow
+        && now - this->firstDelivery >= this->options.silenceToLoss)
         this->isLost = true;
 }
 
--- a/wasabicroft/UpstreamLiveness.h
+++ b/wasabicroft/UpstreamLiveness.h
@@ -2,7 +2,8 @@
 //
 // A running upstream answers or returns a SYN within a millisecond. One that answers none of several copies of a SYN
 // over a longer time is down: only probes are sent to it until it answers again. Its process may just not be scheduled,
-// so its flows count as lost only after a much longer silence.
+// so its flows count as lost only after a much longer silence. It ignores the SYN of a port whose earlier flow is still
+// open there, so that the SYNs of a single flow never show that it lost its flows.
 #pragma once
 
 #include "wasabicroft/Clock.h"
@@ -35,22 +36,27 @@
     UpstreamLiveness(LivenessOptions, const Clock&);
 
     void onPacket(); // any packet of the upstream
-    void onSynDelivered(Bytes syn);
+    void onSynDelivered(const FlowKey&, Bytes syn);
 
     // Returns the unanswered SYN if it is to be sent once more now, else null.
     const std::vector<uint8_t>* takeProbe();
 
-    bool tryStartProbe(); // whether a packet may be sent as a probe now; at most one per downProbeInterval
+    // Whether a packet of the flow may be sent as a probe now; at most one per downProbeInterval.
+    bool tryStartProbe(const FlowKey&);
     void onTick(); // call every few milliseconds, after the packets that have arrived
     UpstreamState state() const { return this->currentState; }
     bool hasLostFlows() const { return this->isLost; } // down for so long that its process has probably ended
 
 private:
+    void noteUnanswered(const FlowKey&);
+
     LivenessOptions options;
     const Clock& clock;
     UpstreamState currentState = UpstreamState::Unknown;
     bool isLost = false;
     std::vector<uint8_t> unansweredSyn; // empty if the upstream answered since
+    std::optional<FlowKey> unansweredFlow; // the first one whose packet was not answered
+    bool hasOtherUnansweredFlow = false;
     TimePoint firstDelivery;
     TimePoint lastDelivery;
     unsigned unansweredDeliveries = 0;
