Refresh evacuation orders at agents

Operators: 30 s after an order, no agent of the domain had it any more, so an entry that started without the order placed flows there.

Cause: entries send directives only before offers, and offer nothing to an evacuated domain.

Change: for each agent of an evacuated domain, the 3 entries with the highest rendezvousScore of the addresses of agent and entry send the directive every 10 s, in turn with directives about changes and within the same 2,000 bytes/s. Entries and agents record what /status is to show: agents that were sent the directive, the last refused offer. Without orders nothing is ranked or sent.

Measured: DirectiveRefresh.* (5 tests) pass. With DirectiveOptions::refreshesOrders off, no agent has the order after 31 s and the entry without it places the flow.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -18,6 +18,7 @@
         EntryRouterOptions options;
         options.failureDomain = settings.failureDomain;
         options.agentPort = settings.packets.port;
+        options.hopAddress = settings.hop.address;
         options.seed = hashName(settings.name);
         constexpr double bytesPerMegabit = 125000;
         options.link.bytesPerSecond = settings.linkMbps * bytesPerMegabit;
@@ -458,6 +459,11 @@
         this->evacuations.adoptFromPeer(stated);
         this->applyEvacuations(before, "peer");
     }
+    this->updatePeers();
+}
+
+void PacketEntry::updatePeers()
+{
     std::vector<PacketAddress> peers;
     for (const uint32_t address : this->fleet.knownEntries())
         peers.push_back({ address, this->settings.hop.port });
@@ -483,6 +489,9 @@
     const auto [message, targets] = this->fleet.takeMessage(copy);
     if (targets.empty())
         return;
+    // An entry that receives no presence any more takes over the refresh of orders from the others.
+    if (!this->evacuations.orders().domains.empty())
+        this->updatePeers();
     const std::vector<uint8_t> bytes = encodePresence(message);
     for (const uint32_t target : targets)
         this->agentSocket.send({ target, this->settings.hop.port }, bytes);
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -47,6 +47,7 @@
 
     void onPresence(PacketAddress source, Bytes);
     void applySeeds();
+    void updatePeers();
     void sendPresence();
     std::optional<StoreVersions> storeVersions() const;
     void applyProvisionalState();
--- a/tests/DirectiveTest.cpp
+++ b/tests/DirectiveTest.cpp
@@ -229,5 +229,205 @@
         EXPECT_EQ(this->refusals.back(), HopRefusal::UpstreamDown);
     }
 
+    //-----------------------------------------------------------------------------
+    // Refresh of orders in force
+    //-----------------------------------------------------------------------------
+
+    // Entries and the agents of the failure domain "a", whose messages arrive at once, unless they are lost.
+    struct RefreshFleet {
+        RefreshFleet(uint32_t entryCount, uint32_t agentCount, bool refreshesOrders = true)
+            : directory(DirectoryOptions(), this->clock)
+        {
+            AgentRouterHooks hooks { [this](Bytes) { ++this->packetsAtUpstreams; }, [](PacketAddress, Bytes) {},
+                [](PacketAddress, const HopMessage&) {}, [](PacketAddress) {}, {} };
+            std::vector<UpstreamRecord> records;
+            for (uint32_t i = 0; i < agentCount; ++i) {
+                this->agents.emplace_back(AgentRouterFixture::options(), hooks, this->clock);
+                records.push_back(RouterFixture::upstream(i));
+                records.back().failureDomain = "a";
+            }
+            this->directory.replace(records, 5);
+            for (uint32_t i = 0; i < entryCount; ++i)
+                this->startEntry(i, refreshesOrders);
+            this->listEntries();
+        }
+
+        static PacketAddress entryAddress(uint32_t number) { return { 0x0a010000 + number, 7700 }; }
+
+        EntryRouter& startEntry(uint32_t number, bool refreshesOrders)
+        {
+            EntryRouterOptions options = RouterFixture::options();
+            options.hopAddress = entryAddress(number).address;
+            options.directives.refreshesOrders = refreshesOrders;
+            EntryRouterHooks hooks;
+            hooks.sendHop = [this, number](PacketAddress receiver, const HopMessage& message) {
+                AgentRouter& agent = this->agents.at(receiver.address - RouterFixture::agent(0).address);
+                if (message.kind == HopKind::Offer)
+                    agent.onHop(entryAddress(number), message, platform::decodePacket(message.packet).value());
+                if (message.kind != HopKind::Directive)
+                    return;
+                ++this->directiveCount;
+                if (std::uniform_real_distribution<>()(this->random) >= this->lossRate)
+                    agent.onDirective(entryAddress(number), message);
+            };
+            EntryRouter& router = this->entries.try_emplace(number, options, hooks, this->clock).first->second;
+            const std::shared_ptr<RoutingTable> table = std::make_shared<RoutingTable>();
+            table->routes[routeAddress] = { "r", routeAddress, { { service, 1 } }, std::nullopt };
+            router.setRoutes(table);
+            router.setUpstreams(this->directory);
+            return router;
+        }
+
+        // The entries that run know each other.
+        void listEntries()
+        {
+            std::vector<PacketAddress> running;
+            for (const auto& [number, router] : this->entries)
+                running.push_back(entryAddress(number));
+            for (auto& [number, router] : this->entries)
+                router.setPeers(running);
+        }
+
+        void order(uint64_t position, const std::set<std::string>& domains, uint32_t firstEntry = 0)
+        {
+            for (auto entry = this->entries.lower_bound(firstEntry); entry != this->entries.end(); ++entry)
+                entry->second.setEvacuations({ position, domains });
+        }
+
+        // Returns the lowest number of agents at which the order was in force.
+        size_t run(Milliseconds duration)
+        {
+            size_t lowest = this->agents.size();
+            for (const TimePoint end = this->clock.now() + duration; this->clock.now() < end;) {
+                this->clock.advance(Milliseconds(100));
+                for (auto& [number, router] : this->entries)
+                    router.onTick();
+                for (AgentRouter& agent : this->agents)
+                    agent.onTick();
+                lowest = std::min(lowest, this->evacuatedAgents());
+            }
+            return lowest;
+        }
+
+        size_t evacuatedAgents() const
+        {
+            return static_cast<size_t>(std::count_if(this->agents.begin(), this->agents.end(),
+                [](const AgentRouter& agent) { return agent.evacuation().isEvacuated(); }));
+        }
+
+        // The number of packets that upstreams get of a flow at an entry which starts without knowing the order.
+        size_t openFlowAtUninformedEntry()
+        {
+            const std::vector<uint8_t> bytes = makePacket(client, routeAddress, synFlag, 1001, 0, 0);
+            this->startEntry(99, true).onClientPacket(platform::decodePacket(bytes).value(), bytes);
+            return this->packetsAtUpstreams;
+        }
+
+        ManualClock clock;
+        UpstreamDirectory directory;
+        std::map<uint32_t, EntryRouter> entries; // those that run
+        std::deque<AgentRouter> agents;
+        std::mt19937_64 random { 7 };
+        double lossRate = 0; // of directives
+        size_t directiveCount = 0;
+        size_t packetsAtUpstreams = 0;
+    };
+
+    // Guards against agents that expire an order in force, since nobody offers them flows: an entry that starts without
+    // knowing the order would place flows there. Without the refresh this happens.
+    TEST(DirectiveRefresh, KeepsAnOrderInForceAlthoughDirectivesAreLost)
+    {
+        RefreshFleet fleet(5, 20);
+        fleet.order(8, { "a" });
+        fleet.lossRate = 0.3;
+        EXPECT_EQ(fleet.run(Milliseconds(600000)), 20U);
+        EXPECT_EQ(fleet.entries.at(0).evacuationProgress().at(0).directedAgents, 20U);
+        EXPECT_LE(fleet.directiveCount, 5U * 20 + 3U * 20 * 60);
+        EXPECT_EQ(fleet.openFlowAtUninformedEntry(), 0U);
+        EXPECT_TRUE(std::any_of(fleet.agents.begin(), fleet.agents.end(), [](const AgentRouter& agent) {
+            const std::optional<RefusedOffer>& refused = agent.evacuation().lastRefusedOffer();
+            return refused && refused->entry == RefreshFleet::entryAddress(99);
+        }));
+        RefreshFleet withoutRefresh(5, 20, false);
+        withoutRefresh.order(8, { "a" });
+        EXPECT_EQ(withoutRefresh.run(Milliseconds(31000)), 0U);
+        EXPECT_EQ(withoutRefresh.openFlowAtUninformedEntry(), 1U);
+    }
+
+    // Guards against an order that depends on entries which stop: two of six, which the others notice late, and then
+    // all but one, so that some agents lose the three entries that refreshed them.
+    TEST(DirectiveRefresh, SurvivesStoppedEntries)
+    {
+        RefreshFleet fleet(6, 20);
+        fleet.order(8, { "a" });
+        fleet.run(Milliseconds(9000));
+        for (const auto& [left, unnoticed] :
+            { std::pair(4U, Milliseconds(40000)), std::pair(1U, Milliseconds(5000)) }) {
+            while (fleet.entries.size() > left)
+                fleet.entries.erase(fleet.entries.begin());
+            EXPECT_EQ(fleet.run(unnoticed), 20U);
+            fleet.listEntries();
+            EXPECT_EQ(fleet.run(Milliseconds(120000)), 20U);
+        }
+    }
+
+    // Guards against refreshes of a large domain that exceed the budget, or expire it at some agents.
+    TEST(DirectiveRefresh, ALoneEntryKeepsALargeDomainWithinItsBudget)
+    {
+        RefreshFleet fleet(1, 536);
+        fleet.order(8, { "a" });
+        for (size_t second = 1; second <= 150; ++second) {
+            EXPECT_TRUE(fleet.run(Milliseconds(1000)) == 536 || second <= 27) << second;
+            EXPECT_LE(fleet.directiveCount, (second + 1) * 20); // 100 bytes each
+        }
+    }
+
+    // Guards against an order of a second domain whose announcement uses up the budget for longer than agents keep the
+    // first one, and against refreshes that use it up.
+    TEST(DirectiveRefresh, ChangesAndRefreshesShareTheBudget)
+    {
+        ManualClock clock;
+        DirectiveSchedule schedule(DirectiveOptions(), clock);
+        std::map<PacketAddress, size_t> refreshed;
+        std::vector<PacketAddress> changed;
+        for (uint32_t i = 0; i < 536; ++i) { // more than the budget admits in the time below
+            refreshed.emplace(PacketAddress { i, agentPort }, 0);
+            changed.push_back({ 1000 + i, agentPort });
+        }
+        schedule.setRefreshed(refreshed);
+        schedule.enqueue(changed);
+        std::array<size_t, 2> sent {}; // refreshes, changes
+        for (int tick = 0; tick < 20 * 50; ++tick) {
+            for (const PacketAddress agent : schedule.takeQueued(100))
+                ++sent.at(agent.address < 1000 ? 0 : 1);
+            clock.advance(Milliseconds(20));
+        }
+        EXPECT_GT(std::min(sent[0], sent[1]), 190U);
+    }
+
+    // Guards against agents that stay at a withdrawal which another order followed within a second (the directives of
+    // that order are lost, and some entries saw the last state only), and against entries that keep a withdrawn order
+    // alive or send directives without an order.
+    TEST(DirectiveRefresh, FollowsWithdrawalsAndOrdersGivenAgain)
+    {
+        RefreshFleet fleet(5, 8);
+        fleet.order(8, { "a" });
+        fleet.run(Milliseconds(5000));
+        fleet.order(9, {}, 2);
+        EXPECT_EQ(fleet.evacuatedAgents(), 0U);
+        fleet.run(Milliseconds(500));
+        fleet.lossRate = 1;
+        fleet.order(10, { "a" });
+        fleet.run(Milliseconds(500));
+        fleet.lossRate = 0;
+        fleet.run(Milliseconds(10000));
+        EXPECT_EQ(fleet.evacuatedAgents(), 8U);
+        EXPECT_EQ(fleet.agents[0].evacuation().position(), 10U);
+        fleet.order(11, {});
+        fleet.directiveCount = 0;
+        fleet.run(Milliseconds(60000));
+        EXPECT_EQ(fleet.evacuatedAgents() + fleet.directiveCount, 0U);
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -363,6 +363,7 @@
     const HopRefusal refusal = this->refusalOf(message, isNewFlow);
     if (refusal == HopRefusal::UpstreamDraining && isNewFlow && this->evacuationNotice.isEvacuated()) {
         ++this->counts.refusedEvacuated;
+        this->evacuationNotice.onOfferRefused(entry);
         logEvent(Event::PacketEvacuatedOfferRefused,
             { { "flow", toString(key) }, { "entry", toString(entry) },
                 { "position", this->evacuationNotice.position() } });
--- a/wasabicroft/Directive.cpp
+++ b/wasabicroft/Directive.cpp
@@ -1,5 +1,7 @@
 #include "wasabicroft/Directive.h"
 
+#include "wasabicroft/Placement.h"
+
 #include <algorithm>
 
 namespace wasabicroft {
@@ -8,6 +10,18 @@
 // [SECTION] Entry
 //-----------------------------------------------------------------------------
 
+std::optional<size_t> refreshRank(
+    PacketAddress agent, uint32_t entry, const std::vector<PacketAddress>& otherEntries, size_t maxEntries)
+{
+    const auto scoreOf = [agent](uint32_t address) { return rendezvousScore(agent.address, UpstreamId { address }); };
+    const uint64_t score = scoreOf(entry);
+    size_t rank = 0;
+    // Ends early: of hundreds of entries, most are none of those that refresh this agent.
+    for (auto other = otherEntries.begin(); other != otherEntries.end() && rank < maxEntries; ++other)
+        rank += scoreOf(other->address) > score ? 1U : 0U;
+    return rank < maxEntries ? std::optional(rank) : std::nullopt;
+}
+
 DirectiveSchedule::DirectiveSchedule(DirectiveOptions scheduleOptions, const Clock& timeSource)
     : options(scheduleOptions)
     , clock(timeSource)
@@ -30,6 +44,8 @@
         changed.insert(domain);
         this->withdrawals[domain] = this->clock.now();
     }
+    for (const std::string& domain : changed)
+        this->directed.erase(domain);
     this->evacuated = orders.domains;
     return changed;
 }
@@ -46,7 +62,19 @@
     return sent == this->lastSent.end() || now - sent->second >= this->options.repeatInterval;
 }
 
-void DirectiveSchedule::onSent(PacketAddress agent) { this->lastSent[agent] = this->clock.now(); }
+void DirectiveSchedule::onSent(PacketAddress agent, const std::string& domain)
+{
+    this->lastSent[agent] = this->clock.now();
+    if (this->evacuated.contains(domain))
+        this->directed[domain].insert(agent);
+    this->postponeRefresh(agent);
+}
+
+bool DirectiveSchedule::isDirected(PacketAddress agent, const std::string& domain) const
+{
+    const auto agents = this->directed.find(domain);
+    return agents != this->directed.end() && agents->second.contains(agent);
+}
 
 void DirectiveSchedule::enqueue(const std::vector<PacketAddress>& agents)
 {
@@ -56,6 +84,44 @@
     }
 }
 
+void DirectiveSchedule::setRefreshed(const std::map<PacketAddress, size_t>& ranks)
+{
+    const TimePoint now = this->clock.now();
+    std::erase_if(this->refreshTimes, [&](const auto& item) { return !ranks.contains(item.first); });
+    std::erase_if(this->refreshOrder, [&](const auto& item) { return !ranks.contains(item.second); });
+    for (const auto& [agent, rank] : ranks) {
+        // The entries of one agent begin at different times: the first one at once, since the agent may lack the order.
+        const Duration delay = Duration(this->options.refreshInterval) * rank / this->options.refreshingEntries;
+        if (this->refreshTimes.emplace(agent, now + delay).second)
+            this->refreshOrder.emplace(now + delay, agent);
+    }
+}
+
+void DirectiveSchedule::postponeRefresh(PacketAddress agent)
+{
+    const auto refresh = this->refreshTimes.find(agent);
+    if (refresh == this->refreshTimes.end())
+        return;
+    this->refreshOrder.erase({ refresh->second, agent });
+    refresh->second = this->clock.now() + this->options.refreshInterval;
+    this->refreshOrder.emplace(refresh->second, agent);
+}
+
+// Refreshes and changes take turns while both are due. Either may need the whole budget for longer than agents keep an
+// order, so that the other would starve.
+std::optional<PacketAddress> DirectiveSchedule::takeNext()
+{
+    const bool isRefreshDue = !this->refreshOrder.empty() && this->refreshOrder.begin()->first <= this->clock.now();
+    if (!isRefreshDue && this->queued.empty())
+        return std::nullopt;
+    const bool takesRefresh = isRefreshDue && (this->isRefreshNext || this->queued.empty());
+    this->isRefreshNext = !takesRefresh;
+    const PacketAddress agent = takesRefresh ? this->refreshOrder.begin()->second : this->queued.front();
+    std::erase(this->queued, agent);
+    this->postponeRefresh(agent);
+    return agent;
+}
+
 std::vector<PacketAddress> DirectiveSchedule::takeQueued(size_t bytesPerDirective)
 {
     const TimePoint now = this->clock.now();
@@ -63,10 +129,12 @@
     this->budget = std::min(this->options.bytesPerSecond, this->budget + elapsed * this->options.bytesPerSecond);
     const double cost = static_cast<double>(bytesPerDirective);
     std::vector<PacketAddress> due;
-    while (!this->queued.empty() && this->budget >= cost) {
+    while (this->budget >= cost) {
+        const std::optional<PacketAddress> agent = this->takeNext();
+        if (!agent)
+            break;
         this->budget -= cost;
-        due.push_back(this->queued.front());
-        this->queued.pop_front();
+        due.push_back(*agent);
     }
     return due;
 }
--- a/wasabicroft/Directive.h
+++ b/wasabicroft/Directive.h
@@ -1,7 +1,7 @@
 // Directives: what entries tell agents of the limits of their upstreams' new flows. No I/O.
 //
 // A directive is the second line of defence against entries that do not know an order. It is sent only where an order
-// or a cold start calls for it.
+// or a cold start calls for it. Agents expire orders that no directive repeats, so entries refresh those in force.
 //
 // Index
 //   [SECTION] Entry
@@ -14,6 +14,8 @@
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace wasabicroft {
 
@@ -27,8 +29,16 @@
     // Of directives that are due because an order changed: the control budget of an entry, less its load reports. One
     // second of it is sent at once.
     double bytesPerSecond = 2000;
+    bool refreshesOrders = true; // false: agents expire orders that are in force, for comparison
+    Milliseconds refreshInterval { 10000 }; // a third of the time after which an agent expires an order
+    size_t refreshingEntries = 3; // for each agent: the loss of one or two of them ends no order
 };
 
+// The position of an entry, from 0, among those that refresh the orders of an agent; empty if it is none of them. All
+// entries that know the same others agree on it.
+std::optional<size_t> refreshRank(
+    PacketAddress agent, uint32_t entry, const std::vector<PacketAddress>& otherEntries, size_t maxEntries);
+
 // Decides which agents are told of evacuation orders and cold starts, and when.
 class DirectiveSchedule {
 public:
@@ -39,19 +49,31 @@
 
     // Whether an agent is to get a directive before it is offered a flow.
     bool isDueBeforeOffer(PacketAddress agent, const std::string& domain, bool isCold) const;
-    void onSent(PacketAddress agent);
+    void onSent(PacketAddress agent, const std::string& domain);
 
     void enqueue(const std::vector<PacketAddress>& agents); // their order changed
-    std::vector<PacketAddress> takeQueued(size_t bytesPerDirective); // those that the budget admits now
+    // Agents that this entry refreshes, with its rank for each of them. Others get no further refresh.
+    void setRefreshed(const std::map<PacketAddress, size_t>& ranks);
+    std::vector<PacketAddress> takeQueued(size_t bytesPerDirective); // those that are due and the budget admits now
     void onTick(); // forgets what is no longer needed
 
+    // Whether the agent was sent a directive since the order of this domain came into force.
+    bool isDirected(PacketAddress agent, const std::string& domain) const;
+
 private:
+    std::optional<PacketAddress> takeNext();
+    void postponeRefresh(PacketAddress agent);
+
     DirectiveOptions options;
     const Clock& clock;
     std::set<std::string> evacuated; // failure domains
     std::map<std::string, TimePoint> withdrawals; // by failure domain
     std::map<PacketAddress, TimePoint> lastSent; // by agent, within repeatInterval
+    std::map<std::string, std::set<PacketAddress>> directed; // agents by evacuated domain, see isDirected()
     std::deque<PacketAddress> queued;
+    std::map<PacketAddress, TimePoint> refreshTimes; // next refresh by agent
+    std::set<std::pair<TimePoint, PacketAddress>> refreshOrder; // the same, the one that is due first at the front
+    bool isRefreshNext = false; // if refreshes and changes are both due
     double budget = 0; // bytes
     TimePoint budgetTime;
 };
@@ -60,6 +82,11 @@
 // [SECTION] Agent
 //-----------------------------------------------------------------------------
 
+struct RefusedOffer {
+    PacketAddress entry;
+    TimePoint time;
+};
+
 // Whether the agent's upstream is evacuated, according to the newest directive.
 class EvacuationNotice {
 public:
@@ -71,12 +98,16 @@
     bool isEvacuated() const { return this->evacuated; }
     uint64_t position() const { return this->newestPosition; } // of the orders; 0: not known
 
+    void onOfferRefused(PacketAddress entry) { this->refusedOffer = { entry, this->clock.now() }; }
+    const std::optional<RefusedOffer>& lastRefusedOffer() const { return this->refusedOffer; }
+
 private:
     Milliseconds lifetime;
     const Clock& clock;
     uint64_t newestPosition = 0; // kept when the order is forgotten: a late directive must not restore an older one
     bool evacuated = false;
     TimePoint lastDirective;
+    std::optional<RefusedOffer> refusedOffer; // the last one that was refused because of an order
 };
 
 } // namespace wasabicroft
--- a/wasabicroft/EntryDirectives.cpp
+++ b/wasabicroft/EntryDirectives.cpp
@@ -5,6 +5,13 @@
 
 namespace wasabicroft {
 
+namespace {
+
+    // Ranking the agents of large domains takes about a millisecond, and lists change many times per second at scale.
+    constexpr Milliseconds refreshUpdateInterval { 1000 };
+
+} // namespace
+
 void EntryRouter::setEvacuations(EvacuationOrders orders)
 {
     for (const std::string& domain : this->evacuations.domains) {
@@ -20,6 +27,7 @@
         if (changed.contains(listed.failureDomain))
             receivers.push_back(agent);
     }
+    this->updateRefreshes();
     if (receivers.empty())
         return;
     // Entries begin with different agents, so that each agent soon hears of the order from one of them.
@@ -29,8 +37,27 @@
     this->sendQueuedDirectives();
 }
 
+void EntryRouter::updateRefreshes()
+{
+    std::map<PacketAddress, size_t> ranks;
+    const DirectiveOptions& limits = this->options.directives;
+    for (const auto& [agent, listed] : this->listedByAgent) {
+        if (!limits.refreshesOrders || !this->evacuations.domains.contains(listed.failureDomain))
+            continue;
+        if (const std::optional<size_t> rank
+            = refreshRank(agent, this->options.hopAddress, this->peers, limits.refreshingEntries))
+            ranks.emplace(agent, *rank);
+    }
+    this->directives.setRefreshed(ranks);
+    this->hasOutdatedRefreshes = false;
+    this->nextRefreshUpdate = this->clock.now() + refreshUpdateInterval;
+}
+
 void EntryRouter::sendQueuedDirectives()
 {
+    if (this->hasOutdatedRefreshes && !this->evacuations.domains.empty()
+        && this->clock.now() >= this->nextRefreshUpdate)
+        this->updateRefreshes();
     HopMessage message;
     message.kind = HopKind::Directive;
     for (const PacketAddress agent : this->directives.takeQueued(encodedBytes(message) + datagramHeaderBytes))
@@ -63,10 +90,29 @@
         message.directive.coldFlowsPerSecond = limit;
     }
     ++this->counts.directives;
-    this->directives.onSent(agent);
+    this->directives.onSent(agent, listed->second.failureDomain);
     this->sendHop(agent, message);
 }
 
+std::vector<EvacuationProgress> EntryRouter::evacuationProgress() const
+{
+    std::map<std::string, EvacuationProgress> byDomain;
+    for (const std::string& domain : this->evacuations.domains)
+        byDomain[domain].domain = domain;
+    for (const auto& [agent, listed] : this->listedByAgent) {
+        const auto progress = byDomain.find(listed.failureDomain);
+        if (progress == byDomain.end())
+            continue;
+        ++progress->second.agents;
+        progress->second.directedAgents += this->directives.isDirected(agent, listed.failureDomain) ? 1U : 0U;
+    }
+    std::vector<EvacuationProgress> all;
+    all.reserve(byDomain.size());
+    for (const auto& [domain, progress] : byDomain)
+        all.push_back(progress);
+    return all;
+}
+
 bool EntryRouter::isEvacuated(const UpstreamRecord& record) const
 {
     return this->options.excludesEvacuated && this->evacuations.domains.contains(record.failureDomain);
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -139,6 +139,7 @@
                 = { record.service, record.figures(), record.failureDomain, record.id() };
     }
     this->coldUpstreams.setRecords(directory.allListed());
+    this->hasOutdatedRefreshes = true;
     this->announceDrains(directory, listedBefore);
     this->releaseBuffered();
 }
@@ -166,6 +167,7 @@
 
 void EntryRouter::setPeers(std::vector<PacketAddress> entries)
 {
+    this->hasOutdatedRefreshes = this->hasOutdatedRefreshes || entries != this->peers;
     this->peers = std::move(entries);
     this->coldUpstreams.setEntryCount(this->peers.size() + 1);
 }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -34,6 +34,7 @@
 
 struct EntryRouterOptions {
     std::string failureDomain; // failure domain of this entry
+    uint32_t hopAddress = 0; // address of this entry for hop messages, by which others know it
     uint16_t agentPort = 0; // port for hop messages of agents, at the IP addresses of their upstreams
     size_t maxFlows = 131072; // size of the flow table; the least recently used flow is evicted when it is full
     size_t maxOffersPerSyn = 4; // upstreams that a flow is offered to for one copy of its SYN
@@ -110,6 +111,13 @@
     uint64_t directives = 0; // Directive messages sent to agents
 };
 
+// How far an entry has told the agents of an evacuated domain.
+struct EvacuationProgress {
+    std::string domain;
+    size_t agents = 0; // of listed upstreams
+    size_t directedAgents = 0; // of these, sent a directive since the order came into force at this entry
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] EntryRouter
 //-----------------------------------------------------------------------------
@@ -128,6 +136,7 @@
     void setRoutes(std::shared_ptr<const RoutingTable>, bool provisional = false);
     void setUpstreams(const UpstreamDirectory&); // call after each change of the directory or its completeness
     void setEvacuations(EvacuationOrders); // call after each change, before setUpstreams
+    std::vector<EvacuationProgress> evacuationProgress() const; // by domain
     void setBehindPeers(bool isBehind) { this->isBehindPeers = isBehind; } // other entries have a newer directory
     // An entry whose list has upstreams that this one lacks, by its address for hop messages; empty: none is known, or
     // this one lacks none.
@@ -238,6 +247,7 @@
     void sendHop(PacketAddress agent, const HopMessage&, size_t chargedBytes = 0);
     void sendDirective(PacketAddress agent);
     void sendQueuedDirectives();
+    void updateRefreshes();
     void sendDirectiveBeforeOffer(PacketAddress agent);
     void sendPacket(PacketAddress agent, HopKind, const FlowKey&, ServiceId, Bytes);
     bool isInUse(const Flow&) const;
@@ -328,6 +338,8 @@
     uint64_t directoryRevision = 0;
     EvacuationOrders evacuations;
     DirectiveSchedule directives;
+    bool hasOutdatedRefreshes = false; // upstreams or entries changed since updateRefreshes()
+    TimePoint nextRefreshUpdate; // after such changes
     std::map<std::string, TimePoint> rejoinTimes; // when the orders for failure domains were withdrawn
     std::set<ServiceId> evacuatedServices; // services all of whose usable upstreams are evacuated
     std::set<UpstreamId> evacuatedUpstreams; // usable but for the orders
