Show the reach of evacuation orders in /status

Operators could not see at an entry whether the agents of a domain were told of its order, nor at an agent its failure domain and which entry still offers it flows.

Change: entries list "evacuations" with the agents of each domain and those that they sent the directive; agents state failureDomain and lastRefusedOffer. Present members stay.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -153,11 +153,16 @@
 {
     OperatorStatus status;
     status.ready = this->isReady();
+    boost::json::value refusedOffer;
+    if (const std::optional<RefusedOffer>& refused = this->router.evacuation().lastRefusedOffer()) {
+        const Milliseconds age = std::chrono::duration_cast<Milliseconds>(this->clock.now() - refused->time);
+        refusedOffer = { { "entry", toString(refused->entry) }, { "ageMs", age.count() } };
+    }
     status.json = boost::json::serialize(boost::json::object { { "service", this->settings.service },
-        { "flows", this->router.trackedFlows() }, { "busy", this->router.runningRequests() },
-        { "waiting", this->router.waitingRequests() }, { "upstream", nameOf(this->router.upstreamState()) },
-        { "evacuated", this->router.evacuation().isEvacuated() },
-        { "evacuationPosition", this->router.evacuation().position() },
+        { "failureDomain", this->settings.failureDomain }, { "flows", this->router.trackedFlows() },
+        { "busy", this->router.runningRequests() }, { "waiting", this->router.waitingRequests() },
+        { "upstream", nameOf(this->router.upstreamState()) }, { "evacuated", this->router.evacuation().isEvacuated() },
+        { "evacuationPosition", this->router.evacuation().position() }, { "lastRefusedOffer", std::move(refusedOffer) },
         { "coldLeftMs", this->router.coldStart().timeLeft().count() } });
     return status;
 }
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -574,6 +574,11 @@
             domains.emplace_back(domain);
         json["evacuatedDomains"] = std::move(domains);
         json["evacuationPosition"] = this->evacuations.orders().position;
+        boost::json::array progress;
+        for (const EvacuationProgress& item : this->router.evacuationProgress())
+            progress.push_back(
+                { { "domain", item.domain }, { "agents", item.agents }, { "directedAgents", item.directedAgents } });
+        json["evacuations"] = std::move(progress);
     }
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
