Add wasabictl evacuation

Operators had no single place to see whether an order is in force at all entries and agents, and which entries still offer flows to the domain.

Change: the command reads /status of the given endpoints and compares them in backends/EvacuationStatus (no I/O). Exit codes 0 in force everywhere, 1 not, 2 wrong usage, 3 unreachable. Agents of the previous version do not state their failure domain, so nothing is claimed about them and the code is 1.

Measured: EvacuationStatus.* and WasabictlProcess.ExitCodes* pass; PacketFleet.AnEvacuatedDomainGetsNoNewFlows waits for exit code 0 after the order and 1 after the withdrawal, and passes.

--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -1,5 +1,6 @@
 // Command-line tool for operators: checks, compiles, compares and explains the source of a configuration; shows the
-// status of daemons.
+// status of daemons, and whether evacuations are in force.
+#include "backends/EvacuationStatus.h"
 #include "backends/PublishedDirectory.h"
 #include "wasabicroft/ConfigSource.h"
 #include "wasabicroft/Settings.h"
@@ -29,6 +30,7 @@
   wasabictl diff OLD NEW
   wasabictl explain BASE <overlay-or-path>...
   wasabictl status [--json] ENDPOINT...
+  wasabictl evacuation ENDPOINT...
 
 Commands:
   check    Reports every problem of a base file with overlays.
@@ -38,6 +40,10 @@
   explain  Shows the values at or below a path (the last argument, for example services/label-print/slots) with the
            file and line that set them.
   status   Shows what the operator endpoints of daemons (IP:PORT) report.
+  evacuation
+           Shows for each evacuated failure domain at which of these packet entries and agents the order is in force, at
+           which positions of the store, and which entries still offer flows there. Exit code 1: there is no order, or
+           one is not in force everywhere.
 
 Options:
   --out DIR           Directory of the published values.
@@ -394,13 +400,52 @@
         return errors.empty() ? exit_codes::success : exit_codes::unreachable;
     }
 
+    //-------------------------------------------------------------------------
+    // Evacuations
+    //-------------------------------------------------------------------------
+
+    int evacuation(const Flags& flags)
+    {
+        std::vector<Endpoint> endpoints;
+        for (const std::string& name : split(flags.at("ENDPOINT"), '\n')) {
+            const Result<Endpoint> endpoint = parseEndpoint(name);
+            if (!endpoint) {
+                printErrors({ endpoint.error() });
+                return exit_codes::usageError;
+            }
+            endpoints.push_back(endpoint.value());
+        }
+        std::vector<EvacuationReading> readings;
+        std::vector<Error> unreachable;
+        std::vector<Error> invalid;
+        for (const Endpoint& endpoint : endpoints) {
+            const Result<json::value> answer = fetchStatus(endpoint);
+            if (!answer) {
+                unreachable.push_back(answer.error());
+                continue;
+            }
+            const Result<EvacuationReading> reading = readEvacuation(toString(endpoint), answer.value().get_object());
+            if (reading)
+                readings.push_back(reading.value());
+            else
+                invalid.push_back(reading.error());
+        }
+        const EvacuationReport report = compareEvacuations(readings);
+        std::cout << toText(report);
+        printErrors(unreachable);
+        printErrors(invalid);
+        if (!unreachable.empty())
+            return exit_codes::unreachable;
+        return invalid.empty() && report.isInForceEverywhere() ? exit_codes::success : exit_codes::invalidInput;
+    }
+
     struct Command {
         std::string name;
         int (*run)(const Flags&);
     };
 
     const std::vector<Command> commands = { { "check", check }, { "compile", compile }, { "diff", diff },
-        { "explain", explain }, { "status", status } };
+        { "explain", explain }, { "status", status }, { "evacuation", evacuation } };
 
 } // namespace
 } // namespace wasabicroft
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -1,6 +1,7 @@
 // Evacuation of failure domains: which orders an entry takes for the present ones, and where it places new flows
 // meanwhile.
 #include "EntryRouterFixture.h"
+#include "backends/EvacuationStatus.h"
 #include "platform/StoreWire.h"
 #include "wasabicroft/Presence.h"
 #include "wasabicroft/Settings.h"
@@ -469,5 +470,55 @@
         EXPECT_GT(offers["b"], 10U);
     }
 
+    //-----------------------------------------------------------------------------
+    // Comparison of /status
+    //-----------------------------------------------------------------------------
+
+    EvacuationReport compare(const std::vector<std::string>& statuses)
+    {
+        std::vector<EvacuationReading> readings;
+        readings.reserve(statuses.size());
+        for (const std::string& status : statuses)
+            readings.push_back(
+                readEvacuation("host:" + std::to_string(readings.size()), boost::json::parse(status).as_object())
+                    .value());
+        return compareEvacuations(readings);
+    }
+
+    constexpr const char* entryWithOrder = R"({"routesVersion":1,"evacuatedDomains":["a"],"evacuationPosition":9})";
+    constexpr const char* entryWithoutOrders = R"({"routesVersion":1,"evacuatedDomains":[],"evacuationPosition":8})";
+    constexpr const char* agentWithOrder
+        = R"({"failureDomain":"a","evacuated":true,"evacuationPosition":8,"lastRefusedOffer":null})";
+    constexpr const char* agentElsewhere = R"({"failureDomain":"b","evacuated":false,"evacuationPosition":0})";
+
+    // Guards against a host that is taken away although some process does not know the order.
+    TEST(EvacuationStatus, IsInForceEverywhereOnlyIfNobodyLacksTheOrder)
+    {
+        EXPECT_TRUE(compare({ entryWithOrder, agentWithOrder, agentElsewhere }).isInForceEverywhere());
+        EXPECT_FALSE(compare({ entryWithOrder, entryWithoutOrders }).isInForceEverywhere());
+        EXPECT_FALSE(compare({ entryWithOrder, R"({"routesVersion":1})" }).isInForceEverywhere());
+        EXPECT_FALSE(compare({ entryWithOrder, R"({"failureDomain":"a","evacuated":false})" }).isInForceEverywhere());
+        EXPECT_FALSE(compare({ entryWithoutOrders, agentWithOrder }).isInForceEverywhere()); // not yet withdrawn
+        EXPECT_FALSE(compare({ entryWithoutOrders, agentElsewhere }).isInForceEverywhere()); // no order
+        EXPECT_FALSE(compare({ entryWithOrder, R"({"evacuated":false})" }).isInForceEverywhere()); // previous version
+        EXPECT_FALSE(readEvacuation("host:1", { { "role", "entry" } }));
+    }
+
+    // Guards against output that hides which process lacks the order, or which entry still offers flows.
+    TEST(EvacuationStatus, NamesWhatDiffers)
+    {
+        const auto refusing = [](const std::string& entry, const std::string& age) {
+            return R"({"failureDomain":"a","evacuated":true,"evacuationPosition":9,"lastRefusedOffer":{"entry":")"
+                + entry + R"(","ageMs":)" + age + "}}";
+        };
+        EXPECT_EQ(toText(compare({ entryWithOrder, R"({"routesVersion":1})", agentWithOrder,
+                      refusing("10.0.0.1:7720", "1500"), refusing("10.0.0.2:7720", "60000") })),
+            "a: in force at 1 of 2 entries, 3 of 3 agents\n"
+            "  position 9 at 3\n"
+            "  position 8 at 1: host:2\n"
+            "  not in force at entry host:1 (does not know the orders)\n"
+            "  entry 10.0.0.1:7720 still offers flows: refused by host:3 1500 ms before its status\n");
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -59,6 +59,15 @@
 
         std::string ip(size_t number) const { return this->network + std::to_string(number); }
 
+        // Of wasabictl, for both entries and the two agents of the failure domain z.
+        int evacuationExitCode() const
+        {
+            std::string command = std::string(PROGRAM_DIRECTORY) + "/wasabictl evacuation";
+            for (const size_t host : { 10U, 11U, 20U, 21U })
+                command += ' ' + this->ip(host) + ':' + std::to_string(packet_ports::ready);
+            return WEXITSTATUS(std::system((command + " > /dev/null").c_str()));
+        }
+
         PacketProgramConfig programConfig(const std::string& name, const std::string& address) const
         {
             return { name, address, this->ip(10) + ':' + std::to_string(packet_ports::control) };
@@ -304,6 +313,7 @@
         });
         ASSERT_TRUE(this->isLogged("entry-0", "name=evacuation-ordered")) << this->group.allLogs();
         ASSERT_TRUE(this->isLogged("entry-1", "name=evacuation-ordered")) << this->group.allLogs();
+        EXPECT_TRUE(waitUntil([&] { return this->evacuationExitCode() == 0; }, waitTimeout)) << this->group.allLogs();
         EXPECT_TRUE(this->completesRequest(4000)) << this->group.allLogs();
         const size_t openBefore = openFlowsIn();
         for (uint16_t port = 4101; port < 4121; ++port)
@@ -323,6 +333,7 @@
         });
         EXPECT_TRUE(this->isLogged("entry-0", "name=evacuation-withdrawn")) << this->group.allLogs();
         EXPECT_TRUE(this->isLogged("entry-1", "name=evacuation-withdrawn")) << this->group.allLogs();
+        EXPECT_TRUE(waitUntil([&] { return this->evacuationExitCode() == 1; }, waitTimeout)) << this->group.allLogs();
     }
 
     // Guards against a client that waits until its timeout for a flow that its host has lost.
--- a/tests/WasabictlProcessTest.cpp
+++ b/tests/WasabictlProcessTest.cpp
@@ -62,6 +62,9 @@
     EXPECT_EQ(runTool("check /nonexistent.yaml").exitCode, 1);
     EXPECT_EQ(runTool("check").exitCode, 2);
     EXPECT_EQ(runTool("status 127.0.0.1:1").exitCode, 3);
+    EXPECT_EQ(runTool("evacuation").exitCode, 2);
+    EXPECT_EQ(runTool("evacuation nowhere").exitCode, 2);
+    EXPECT_EQ(runTool("evacuation 127.0.0.1:1").exitCode, 3);
 }
 
 TEST_F(WasabictlProcess, CompiledVersionsRiseOnlyWithAChange)
