Let an entry without peers and seeds take over refreshes

Cause: an entry updated its list of peers only when presence arrived, and its own expiry of silent ones was seen only if it had targets for presence. An entry that is cut off from all others would have left the refresh to them.

Change: while an order is in force, the list is updated in each tick.

Measured: PacketFleet.* (9 process tests) pass.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -487,11 +487,11 @@
     copy.awaitsPeers = this->directory.awaitsPeers();
     copy.evacuations = this->evacuations.orders();
     const auto [message, targets] = this->fleet.takeMessage(copy);
-    if (targets.empty())
-        return;
     // An entry that receives no presence any more takes over the refresh of orders from the others.
     if (!this->evacuations.orders().domains.empty())
         this->updatePeers();
+    if (targets.empty())
+        return;
     const std::vector<uint8_t> bytes = encodePresence(message);
     for (const uint32_t target : targets)
         this->agentSocket.send({ target, this->settings.hop.port }, bytes);
