Spread the refreshes of one agent over the interval

Cause: all entries send the directive about a change at the same time, and scheduled their next refresh a full interval later, so that one short failure affected all three of an agent.

Change: after a change, the entry of rank n sends its first refresh n + 1 thirds of the interval later. The test of lost directives checks it.

--- a/wasabicroft/Directive.cpp
+++ b/wasabicroft/Directive.cpp
@@ -67,7 +67,6 @@
     this->lastSent[agent] = this->clock.now();
     if (this->evacuated.contains(domain))
         this->directed[domain].insert(agent);
-    this->postponeRefresh(agent);
 }
 
 bool DirectiveSchedule::isDirected(PacketAddress agent, const std::string& domain) const
@@ -84,27 +83,29 @@
     }
 }
 
+// The entries of one agent refresh it at different times, so that a short failure does not affect all of them. The
+// first one begins at once, since the agent may lack the order.
 void DirectiveSchedule::setRefreshed(const std::map<PacketAddress, size_t>& ranks)
 {
-    const TimePoint now = this->clock.now();
-    std::erase_if(this->refreshTimes, [&](const auto& item) { return !ranks.contains(item.first); });
+    std::erase_if(this->refreshes, [&](const auto& item) { return !ranks.contains(item.first); });
     std::erase_if(this->refreshOrder, [&](const auto& item) { return !ranks.contains(item.second); });
     for (const auto& [agent, rank] : ranks) {
-        // The entries of one agent begin at different times: the first one at once, since the agent may lack the order.
-        const Duration delay = Duration(this->options.refreshInterval) * rank / this->options.refreshingEntries;
-        if (this->refreshTimes.emplace(agent, now + delay).second)
-            this->refreshOrder.emplace(now + delay, agent);
+        if (this->refreshes.try_emplace(agent, Refresh { rank, {} }).second)
+            this->scheduleRefresh(agent, this->phaseOf(rank));
     }
 }
 
-void DirectiveSchedule::postponeRefresh(PacketAddress agent)
+Duration DirectiveSchedule::phaseOf(size_t rank) const
+{
+    return Duration(this->options.refreshInterval) * rank / this->options.refreshingEntries;
+}
+
+void DirectiveSchedule::scheduleRefresh(PacketAddress agent, Duration delay)
 {
-    const auto refresh = this->refreshTimes.find(agent);
-    if (refresh == this->refreshTimes.end())
-        return;
-    this->refreshOrder.erase({ refresh->second, agent });
-    refresh->second = this->clock.now() + this->options.refreshInterval;
-    this->refreshOrder.emplace(refresh->second, agent);
+    Refresh& refresh = this->refreshes.at(agent);
+    this->refreshOrder.erase({ refresh.due, agent });
+    refresh.due = this->clock.now() + delay;
+    this->refreshOrder.emplace(refresh.due, agent);
 }
 
 // Refreshes and changes take turns while both are due. Either may need the whole budget for longer than agents keep an
@@ -117,8 +118,11 @@
     const bool takesRefresh = isRefreshDue && (this->isRefreshNext || this->queued.empty());
     this->isRefreshNext = !takesRefresh;
     const PacketAddress agent = takesRefresh ? this->refreshOrder.begin()->second : this->queued.front();
-    std::erase(this->queued, agent);
-    this->postponeRefresh(agent);
+    // Entries send directives about a change at the same time: their next refreshes follow in turn.
+    const bool isChange = std::erase(this->queued, agent) > 0;
+    if (const auto refresh = this->refreshes.find(agent); refresh != this->refreshes.end())
+        this->scheduleRefresh(
+            agent, isChange ? this->phaseOf(refresh->second.rank + 1) : Duration(this->options.refreshInterval));
     return agent;
 }
 
--- a/wasabicroft/Directive.h
+++ b/wasabicroft/Directive.h
@@ -61,8 +61,14 @@
     bool isDirected(PacketAddress agent, const std::string& domain) const;
 
 private:
+    struct Refresh {
+        size_t rank = 0; // of this entry
+        TimePoint due;
+    };
+
     std::optional<PacketAddress> takeNext();
-    void postponeRefresh(PacketAddress agent);
+    Duration phaseOf(size_t rank) const;
+    void scheduleRefresh(PacketAddress agent, Duration delay);
 
     DirectiveOptions options;
     const Clock& clock;
@@ -71,8 +77,8 @@
     std::map<PacketAddress, TimePoint> lastSent; // by agent, within repeatInterval
     std::map<std::string, std::set<PacketAddress>> directed; // agents by evacuated domain, see isDirected()
     std::deque<PacketAddress> queued;
-    std::map<PacketAddress, TimePoint> refreshTimes; // next refresh by agent
-    std::set<std::pair<TimePoint, PacketAddress>> refreshOrder; // the same, the one that is due first at the front
+    std::map<PacketAddress, Refresh> refreshes;
+    std::set<std::pair<TimePoint, PacketAddress>> refreshOrder; // by due time
     bool isRefreshNext = false; // if refreshes and changes are both due
     double budget = 0; // bytes
     TimePoint budgetTime;
