--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -18,6 +18,7 @@
         EntryRouterOptions options;
         options.failureDomain = settings.failureDomain;
         options.agentPort = settings.packets.port;
+        options.hopAddress = settings.hop.address;
         options.seed = hashName(settings.name);
         constexpr double bytesPerMegabit = 125000;
         options.link.bytesPerSecond = settings.linkMbps * bytesPerMegabit;
@@ -458,6 +459,11 @@
         this->evacuations.adoptFromPeer(stated);
         this->applyEvacuations(before, "peer");
     }
+    this->updatePeers();
+}
+
+void PacketEntry::updatePeers()
+{
     std::vector<PacketAddress> peers;
     for (const uint32_t address : this->fleet.knownEntries())
         peers.push_back({ address, this->settings.hop.port });
@@ -481,6 +487,9 @@
     copy.awaitsPeers = this->directory.awaitsPeers();
     copy.evacuations = this->evacuations.orders();
     const auto [message, targets] = this->fleet.takeMessage(copy);
+    // An entry that receives no presence any more takes over the refresh of orders from the others.
+    if (!this->evacuations.orders().domains.empty())
+        this->updatePeers();
     if (targets.empty())
         return;
     const std::vector<uint8_t> bytes = encodePresence(message);
@@ -565,6 +574,11 @@
             domains.emplace_back(domain);
         json["evacuatedDomains"] = std::move(domains);
         json["evacuationPosition"] = this->evacuations.orders().position;
+        boost::json::array progress;
+        for (const EvacuationProgress& item : this->router.evacuationProgress())
+            progress.push_back(
+                { { "domain", item.domain }, { "agents", item.agents }, { "directedAgents", item.directedAgents } });
+        json["evacuations"] = std::move(progress);
     }
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
