Rank upstreams in a const function

Ranking changed the means of the pool and took the probe of an ejected upstream; the admission counted while it decided.

Placement::rank() is const now: it gets the means and the source of random numbers, and states the due probe and what excludes each other upstream. rankUpstreams() stores the means and takes the probe; explain() does neither. FlowAdmission::wouldRefuse() is the decision of tryRefuse() without the count.

--- a/wasabicroft/OverloadPolicy.cpp
+++ b/wasabicroft/OverloadPolicy.cpp
@@ -83,17 +83,23 @@
     return *expectedAnswer > longest;
 }
 
-bool FlowAdmission::tryRefuse(PacketAddress route)
+bool FlowAdmission::wouldRefuse(PacketAddress route) const
 {
-    if (!this->refusalsInTurn.contains(route) && this->refusalsInTurn.size() >= this->options.maxRoutes)
-        return false;
-    unsigned& refusals = this->refusalsInTurn[route];
-    if (refusals >= this->options.maxRefusalsInTurn) {
-        refusals = 0;
+    const auto found = this->refusalsInTurn.find(route);
+    if (found == this->refusalsInTurn.end() && this->refusalsInTurn.size() >= this->options.maxRoutes)
         return false;
-    }
-    ++refusals;
-    return true;
+    const unsigned refusals = found == this->refusalsInTurn.end() ? 0 : found->second;
+    return refusals < this->options.maxRefusalsInTurn;
+}
+
+bool FlowAdmission::tryRefuse(PacketAddress route)
+{
+    const bool refuses = this->wouldRefuse(route);
+    if (refuses)
+        ++this->refusalsInTurn[route];
+    else if (const auto found = this->refusalsInTurn.find(route); found != this->refusalsInTurn.end())
+        found->second = 0;
+    return refuses;
 }
 
 //-----------------------------------------------------------------------------
--- a/wasabicroft/OverloadPolicy.h
+++ b/wasabicroft/OverloadPolicy.h
@@ -111,6 +111,9 @@
     // first request is answered; empty: not known.
     bool isTooLate(const RequestLimits&, std::optional<Milliseconds> expectedAnswer) const;
 
+    // Whether the next such flow is refused.
+    bool wouldRefuse(PacketAddress route) const;
+
     // Whether such a flow is refused; counts its route's refusals in turn.
     bool tryRefuse(PacketAddress route);
 
--- a/wasabicroft/Placement.h
+++ b/wasabicroft/Placement.h
@@ -60,7 +60,9 @@
     bool isEjected(UpstreamId) const; // stays true until a probe succeeds
 
     // An upstream of the pool whose ejection is over, to be probed with one flow; empty if none is due.
-    std::optional<UpstreamId> takeProbe(const std::vector<UpstreamId>& pool);
+    std::optional<UpstreamId> dueProbe(const std::vector<UpstreamId>& pool) const;
+    void onProbe(UpstreamId); // a flow goes to this upstream as a probe
+    std::optional<UpstreamId> takeProbe(const std::vector<UpstreamId>& pool); // both of them
     void remove(UpstreamId);
 
     // The pool without ejected upstreams, or the whole pool if more than maxEjectedShare of it is ejected.
@@ -133,6 +135,36 @@
     bool saturated = false; // requests wait at every upstream: queue at once without asking candidates
 };
 
+// Why an upstream of the pool is not in the order of the candidates.
+enum class PlacementExclusion : uint8_t {
+    Leaving,
+    Draining, // its agent refused a flow within the last drainingRetryDelay
+    Ejected, // by the outlier detector
+    AtShare, // see ColdState
+};
+
+// An upstream of a pool, as it is weighed for a new flow.
+struct PlacementExplanation {
+    UpstreamId id;
+    std::string failureDomain;
+    std::optional<PlacementExclusion> exclusion; // empty: it is a candidate
+    double cost = 0; // by which candidates are ordered: utilization and penalties
+    double utilization = 0;
+    double speed = 1; // 1: as the mean of the pool, or not known
+    bool isPreferred = false; // by the hash of the flow; only of candidates
+    bool isOrderRandom = false; // another candidate costs the same: which of them comes first is drawn at random
+    bool isProbe = false; // first because its ejection is over
+    bool isDraining = false; // a candidate all the same, since all upstreams are
+    bool isEjected = false; // a candidate all the same, since too large a share of the pool is
+    bool isRejoining = false; // counts as utilized as the others, see rejoinDuration
+    ColdState coldState = ColdState::Warm;
+    std::optional<Milliseconds> loadAge; // of the report behind utilization; empty: there is none, it counts as idle
+    std::optional<std::chrono::microseconds> serviceTime; // behind speed; empty: not known
+    std::optional<Milliseconds> expectedWait; // empty: not stated in the last performanceLifetime
+    std::optional<Milliseconds> expectedAnswer;
+    std::optional<Milliseconds> performanceAge; // of the statement behind these; empty: there is none
+};
+
 class Placement {
 public:
     Placement(PlacementOptions, const Clock&);
@@ -144,6 +176,11 @@
     std::vector<UpstreamId> candidates(ServiceId, uint64_t flowHash = 0);
     PlacementPlan plan(ServiceId, uint64_t flowHash = 0);
 
+    // All upstreams of the pool: candidates in the order that plan() would find now with these random numbers, without
+    // its limits, then the others.
+    std::vector<PlacementExplanation> explain(
+        ServiceId, uint64_t flowHash, const std::function<uint64_t()>& random) const;
+
     void onLoad(UpstreamId, const Load&); // piggybacked on any reply
     void onPerformance(UpstreamId, const UpstreamPerformance&); // stated with a load
     void onFlowStarted(UpstreamId); // call before the onLoad of the same reply, whose load includes the flow
@@ -180,25 +217,38 @@
         UpstreamId id;
         double cost = 0;
         double utilization = 0; // running and waiting requests divided by slots, these by their speed
+        bool isPreferred = true; // by the flow's hash, or the pool is no larger than preferredUpstreams
     };
 
-    struct Pool {
-        std::vector<PlacementUpstream> upstreams;
+    struct Ranking {
+        std::vector<RankedUpstream> order;
+        std::vector<std::pair<UpstreamId, PlacementExclusion>> excluded;
+        std::optional<UpstreamId> probe; // first in the order
+    };
+
+    struct PoolMeans {
         TimePoint refreshed;
-        double meanServiceTime = 0; // of upstreams whose service time is known, in us; 0: none is
+        double serviceTime = 0; // of upstreams whose service time is known, in us; 0: none is
         std::optional<double> connectionCost; // moving mean; empty: not measured yet
     };
 
+    struct Pool {
+        std::vector<PlacementUpstream> upstreams;
+        PoolMeans means;
+    };
+
     bool isDraining(UpstreamId) const;
     bool knowsServiceTime(const LoadEstimate&) const;
-    double speedOf(const Pool&, const LoadEstimate&) const;
-    double connectionCostOf(const Pool&) const;
-    double estimateUtilization(const Pool&, const PlacementUpstream&) const;
-    void refreshMeans(Pool&) const;
+    double speedOf(const PoolMeans&, const LoadEstimate&) const;
+    double connectionCostOf(const PoolMeans&) const;
+    double estimateUtilization(const PoolMeans&, const PlacementUpstream&) const;
+    PoolMeans currentMeans(const Pool&) const;
     double rejoinShare(const PlacementUpstream&) const;
-    double meanUtilization(const Pool&) const;
+    double meanUtilization(const Pool&, const PoolMeans&) const;
     std::vector<RankedUpstream> rankUpstreams(ServiceId, uint64_t flowHash);
-    void demoteCold(std::vector<RankedUpstream>&) const;
+    Ranking rank(const Pool&, const PoolMeans&, uint64_t flowHash, const std::function<uint64_t()>& random) const;
+    void demoteCold(Ranking&) const;
+    PlacementExplanation explainUpstream(const PoolMeans&, const PlacementUpstream&) const;
 
     PlacementOptions options;
     const Clock& clock;
