Explain the placement of a flow without deciding on it

EntryRouter::explainFlow() states what would happen to the first SYN of a new flow, with the functions that decide: the parts of openFlow() and candidatesOf() that it shares are const now. It draws from a copy of the generator, so that it names the upstream that a SYN right after the question gets, and marks where the order is drawn.

--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -136,7 +136,7 @@
         const UpstreamRecord* current = directory.listedAt(record.address);
         if (current && current->name == record.name)
             this->listedByAgent[toCandidate(record).agent]
-                = { record.service, record.figures(), record.failureDomain, record.id() };
+                = { record.service, record.figures(), record.failureDomain, record.id(), record.name };
     }
     this->coldUpstreams.setRecords(directory.allListed());
     this->announceDrains(directory, listedBefore);
@@ -282,7 +282,7 @@
     }
     const bool isNew = flow.syn.empty() && !flow.lastUse; // only its SYN was seen here
     if (flow.syn.empty()) {
-        flow.service = this->chooseService(*route);
+        flow.service = chooseService(*route, this->random);
         flow.syn = copyOf(syn);
     }
     for (Offer& offer : flow.offers) {
@@ -309,20 +309,30 @@
         ++this->counts.dropped;
         return;
     }
-    const bool isEvacuated = this->evacuatedServices.contains(flow.service);
-    if (isEvacuated)
+    if (this->evacuatedServices.contains(flow.service))
         ++this->counts.refusedEvacuated;
-    this->refuseFlow(key, 0, isEvacuated ? "evacuated" : "no-upstream");
+    this->refuseFlow(key, 0, this->causeWithoutUpstream(flow.service));
+}
+
+std::string_view EntryRouter::causeWithoutUpstream(ServiceId service) const
+{
+    return this->evacuatedServices.contains(service) ? "evacuated" : "no-upstream";
 }
 
 // The upstreams that the flow may go to. Under overload, those that can answer in time come first.
 std::vector<UpstreamId> EntryRouter::candidatesOf(const FlowKey& key, const Flow& flow)
 {
     std::vector<UpstreamId> candidates = this->placement.candidates(flow.service, FlowKeyHash()(key));
+    this->demoteLate(key, candidates);
+    return candidates;
+}
+
+// Among the upstreams that the flow would be offered to.
+void EntryRouter::demoteLate(const FlowKey& key, std::vector<UpstreamId>& candidates) const
+{
     const size_t offered = std::min(candidates.size(), this->options.maxOffersPerSyn);
     std::stable_partition(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(offered),
         [&](UpstreamId candidate) { return !this->isTooLate(key, candidate); });
-    return candidates;
 }
 
 bool EntryRouter::isTooLate(const FlowKey& key, UpstreamId upstream) const
@@ -332,12 +342,18 @@
         && this->admission.isTooLate(*route->limits, this->placement.expectedAnswer(upstream));
 }
 
+// Whether none of the upstreams that a new flow would be offered to can answer in time.
+bool EntryRouter::areAllTooLate(const FlowKey& key, const std::vector<UpstreamId>& candidates) const
+{
+    return !this->hasProvisionalRoutes && !candidates.empty()
+        && this->isTooLate(key, candidates.front()); // those in time would come first
+}
+
 // Whether a new flow is refused because none of the upstreams that it would be offered to can answer in time. Only the
 // first copy of a SYN: another entry may have offered an earlier one to an upstream that accepted it.
 bool EntryRouter::refusesForOverload(const FlowKey& key, const std::vector<UpstreamId>& candidates, const Packet& syn)
 {
-    if (this->hasProvisionalRoutes || syn.acknowledgement > 0 || candidates.empty()
-        || !this->isTooLate(key, candidates.front())) // those in time would come first
+    if (syn.acknowledgement > 0 || !this->areAllTooLate(key, candidates))
         return false;
     this->lastLateFlow = this->clock.now();
     this->lastExpectedAnswer = Milliseconds::max();
@@ -365,12 +381,12 @@
             = this->clock.now() + this->options.lateDenialTime;
 }
 
-ServiceId EntryRouter::chooseService(const Route& route)
+ServiceId EntryRouter::chooseService(const Route& route, std::mt19937_64& random)
 {
     uint64_t total = 0;
     for (const RouteShare& share : route.shares)
         total += share.weight;
-    uint64_t draw = total > 1 ? this->random() % total : 0;
+    uint64_t draw = total > 1 ? random() % total : 0;
     for (const RouteShare& share : route.shares) {
         if (draw < share.weight)
             return share.service;
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -15,6 +15,7 @@
 
 #include "wasabicroft/ColdStart.h"
 #include "wasabicroft/Directive.h"
+#include "wasabicroft/FlowExplanation.h"
 #include "wasabicroft/FlowSequences.h"
 #include "wasabicroft/HolderSearch.h"
 #include "wasabicroft/LinkBudget.h"
@@ -150,6 +151,9 @@
 
     void handOver(); // call before the process ends: other entries learn which agents hold the flows
 
+    // What would happen now to the first SYN of a flow that this entry has not seen. Asking changes nothing.
+    FlowExplanation explainFlow(const FlowKey&) const;
+
     bool isServing() const; // has routes of the store, a usable upstream, and replies of agents
     // Whether a search ended without result because an agent is silent whose upstream may return to the list; true
     // once.
@@ -202,6 +206,7 @@
         std::optional<UpstreamFigures> figures; // empty: not known
         std::string failureDomain;
         UpstreamId id;
+        std::string name;
     };
 
     // Timeout of an offer.
@@ -223,9 +228,15 @@
     void routePacket(const Packet&, Bytes, TimePoint received);
     void openFlow(const FlowKey&, const Packet&, Bytes syn);
     void forgetEarlierFlow(const FlowKey&, const Packet& syn);
-    ServiceId chooseService(const Route&);
+    static ServiceId chooseService(const Route&, std::mt19937_64& random);
     std::vector<UpstreamId> candidatesOf(const FlowKey&, const Flow&);
+    void demoteLate(const FlowKey&, std::vector<UpstreamId>& candidates) const;
     bool isTooLate(const FlowKey&, UpstreamId) const;
+    bool areAllTooLate(const FlowKey&, const std::vector<UpstreamId>& candidates) const;
+    std::string_view causeWithoutUpstream(ServiceId) const;
+    ServiceExplanation explainService(const FlowKey&, const RouteShare&, std::mt19937_64 random) const;
+    UpstreamExplanation explainUpstream(const PlacementExplanation&) const;
+    void explainUnusable(ServiceExplanation&) const;
     bool refusesForOverload(const FlowKey&, const std::vector<UpstreamId>& candidates, const Packet& syn);
     bool offerToNextUpstream(const FlowKey&, Flow&, std::string_view cause);
     bool offerToNextOf(const std::vector<UpstreamId>& candidates, const FlowKey&, Flow&, std::string_view cause);
