Answer /explain-flow on the traffic thread

The HTTP server has a thread of its own and must not read the router. /status is built in advance by the traffic thread, which a question with parameters can't be.

The operator thread passes the question through a bounded ring to the traffic thread, which answers through a second one; only a number names the connection. Without an answer within 2 s, or with 64 questions waiting, the status is 503. Agents don't know the path.

PacketDaemonQuestions: 503 while the loop does not run, then 200 from the thread of the loop, 500 if the handler throws.

--- a/backends/HttpServer.cpp
+++ b/backends/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "backends/Guard.h"
 #include "backends/Link.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,6 +20,8 @@
     constexpr size_t maxConnections = 64;
     constexpr size_t maxRequestBytes = 16 * 1024;
     constexpr std::chrono::seconds requestTimeout { 10 };
+    constexpr std::chrono::seconds answerTimeout { 2 }; // For the traffic thread; below the timeout of wasabictl.
+    constexpr size_t questionRingCapacity = maxConnections; // Each connection asks one question at a time.
 
 } // namespace
 
@@ -28,6 +31,7 @@
         : server(owner)
         , stream(std::move(socket))
         , buffer(maxRequestBytes)
+        , answerTimer(this->stream.get_executor())
     {
         ++this->server.connections;
     }
@@ -47,19 +51,49 @@
             });
     }
 
+    void awaitAnswer(uint64_t question)
+    {
+        this->answerTimer.expires_after(answerTimeout);
+        this->answerTimer.async_wait([self = this->shared_from_this(), question](error_code error) {
+            if (!error && self->server.asking.erase(question) > 0)
+                self->answer({ static_cast<unsigned>(http::status::service_unavailable),
+                    R"({"error":"the traffic thread did not answer in time"})" });
+        });
+    }
+
+    void answer(const OperatorAnswer& answer)
+    {
+        this->answerTimer.cancel();
+        this->response.result(answer.httpStatus);
+        this->response.set(http::field::content_type, "application/json");
+        this->response.body() = answer.json + '\n';
+        this->send();
+    }
+
 private:
     void respond()
     {
+        const std::string target(this->request.target());
         const bool isAllowed = this->request.method() == http::verb::get || this->request.method() == http::verb::head;
         this->response = { http::status::ok, this->request.version() };
         this->response.set(http::field::content_type, "text/plain");
-        if (isAllowed)
-            this->fillResponse(std::string(this->request.target()));
-        else {
+        if (isAllowed && this->server.isQuestion(target)) {
+            this->server.ask(this->shared_from_this(), target);
+            return;
+        }
+        if (isAllowed) {
+            this->fillResponse(target);
+        } else {
             this->response.result(http::status::method_not_allowed);
             this->response.set(http::field::allow, "GET, HEAD");
             this->response.body() = "use GET\n";
         }
+        this->send();
+    }
+
+    void send()
+    {
+        this->stream.expires_after(requestTimeout);
         this->response.keep_alive(this->request.keep_alive());
         this->response.prepare_payload();
         if (this->request.method() == http::verb::head)
@@ -97,6 +131,7 @@
     beast::flat_buffer buffer;
     http::request<http::string_body> request;
     http::response<http::string_body> response;
+    asio::steady_timer answerTimer;
 };
 
 HttpServer::HttpServer(const Endpoint& address, const Metrics& counters)
@@ -105,6 +140,7 @@
     , updates(
           updateRingCapacity, this->context, [this](OperatorStatusPtr& update) { this->status = std::move(update); })
     , status(std::make_shared<OperatorStatus>(OperatorStatus { false, "starting", "{}" }))
+    , answers(questionRingCapacity, this->context, [this](Answer& answer) { this->onAnswer(answer); })
 {
 }
 
@@ -112,6 +148,46 @@
 
 void HttpServer::addEndpoint(const Endpoint& endpoint) { this->endpoints.push_back(endpoint); }
 
+void HttpServer::setQuestionHandler(std::string path, asio::io_context& traffic, OperatorQuestionHandler handler)
+{
+    this->questionPath = std::move(path);
+    this->questions = std::make_unique<Ring<Question>>(
+        questionRingCapacity, traffic, [this, handler = std::move(handler)](Question& question) {
+            OperatorAnswer answer { static_cast<unsigned>(http::status::internal_server_error),
+                R"({"error":"the question could not be answered; see event 5004 in the log"})" };
+            runGuarded("question of an operator", [&] { answer = handler(question.target); });
+            this->answers.push({ question.number, std::move(answer) });
+        });
+}
+
+bool HttpServer::isQuestion(std::string_view target) const
+{
+    return !this->questionPath.empty() && target.substr(0, target.find('?')) == this->questionPath;
+}
+
+void HttpServer::ask(const std::shared_ptr<Connection>& connection, const std::string& target)
+{
+    const uint64_t number = ++this->lastQuestion;
+    if (!this->questions->push({ number, target })) {
+        connection->answer({ static_cast<unsigned>(http::status::service_unavailable),
+            R"({"error":"too many questions wait for the traffic thread"})" });
+        return;
+    }
+    this->asking.emplace(number, connection);
+    connection->awaitAnswer(number);
+}
+
+// The connection is gone from the table if the answer came too late.
+void HttpServer::onAnswer(Answer& answer)
+{
+    const auto found = this->asking.find(answer.number);
+    if (found == this->asking.end())
+        return;
+    const std::shared_ptr<Connection> connection = std::move(found->second);
+    this->asking.erase(found);
+    connection->answer(answer.answer);
+}
+
 Result<Endpoint> HttpServer::start()
 {
     for (const Endpoint& endpoint : this->endpoints) {
--- a/backends/HttpServer.h
+++ b/backends/HttpServer.h
@@ -1,4 +1,5 @@
-// HTTP server for operators: /metrics, /health, /ready and /status, on a thread of its own.
+// HTTP server for operators: /metrics, /health, /ready and /status, on a thread of its own. Questions about the state
+// of the traffic thread are answered by that thread.
 #pragma once
 
 #include "backends/OperatorStatus.h"
@@ -8,6 +9,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <list>
+#include <map>
 #include <thread>
 
 namespace wasabicroft {
@@ -21,6 +23,11 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     void addEndpoint(const Endpoint&); // Adds an address to listen on; call before start().
+
+    // Answers requests for this path, with any query, by a handler that runs on the thread of the given context, which
+    // has to be the one that calls publish(). Call before start().
+    void setQuestionHandler(std::string path, boost::asio::io_context& traffic, OperatorQuestionHandler);
+
     Result<Endpoint> start(); // Returns the bound address, the first one if there are several.
     void stop(); // Returns after the thread has ended.
 
@@ -30,6 +37,19 @@
 private:
     class Connection;
 
+    struct Question {
+        uint64_t number = 0;
+        std::string target;
+    };
+
+    struct Answer {
+        uint64_t number = 0; // Of the question.
+        OperatorAnswer answer;
+    };
+
+    bool isQuestion(std::string_view target) const;
+    void ask(const std::shared_ptr<Connection>&, const std::string& target);
+    void onAnswer(Answer&);
     void accept(boost::asio::ip::tcp::acceptor&);
 
     std::vector<Endpoint> endpoints;
@@ -39,6 +59,11 @@
     std::list<boost::asio::ip::tcp::acceptor> acceptors;
     Ring<OperatorStatusPtr> updates;
     OperatorStatusPtr status; // Used by the operator thread only.
+    std::string questionPath; // Empty: there is no handler.
+    std::unique_ptr<Ring<Question>> questions; // To the traffic thread.
+    Ring<Answer> answers; // From the traffic thread.
+    uint64_t lastQuestion = 0; // Number of the question.
+    std::map<uint64_t, std::shared_ptr<Connection>> asking; // By number of the question; operator thread only.
     std::thread thread;
 };
 
--- a/backends/OperatorStatus.h
+++ b/backends/OperatorStatus.h
@@ -1,6 +1,8 @@
-// Status of a process for its operators. Built on the traffic thread, read on the operator thread.
+// Status of a process for its operators, and answers to their questions. Built on the traffic thread, read on the
+// operator thread.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -15,4 +17,11 @@
 
 using OperatorStatusPtr = std::shared_ptr<const OperatorStatus>;
 
+struct OperatorAnswer {
+    unsigned httpStatus = 200;
+    std::string json; // Body.
+};
+
+using OperatorQuestionHandler = std::function<OperatorAnswer(const std::string& target)>;
+
 } // namespace wasabicroft
--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -216,6 +216,8 @@
         this->server.addEndpoint(this->settings.metrics);
     if (this->settings.peer.port != 0)
         this->server.addEndpoint(this->settings.peer);
+    if (this->handlers.onExplainFlow)
+        this->server.setQuestionHandler("/explain-flow", this->context, this->handlers.onExplainFlow);
     const Result<Endpoint> bound = this->server.start();
     if (!bound)
         return bound.error();
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -72,6 +72,7 @@
     std::function<bool()> isReady;
     std::function<void(Metrics&)> exportMetrics; // Sets the counters. Called before each status update.
     std::function<void()> onTick;
+    OperatorQuestionHandler onExplainFlow; // Answers /explain-flow. Empty: the path is unknown.
     std::function<void()> onStop; // Called on SIGTERM or SIGINT. The process exits after the stop delay.
 };
 
@@ -161,6 +162,8 @@
         logEvent(program.stopping, { { "delay-ms", settings.stopDelay } });
         node.handOver();
     };
+    if constexpr (requires { node.explainFlow(std::string()); })
+        handlers.onExplainFlow = [&](const std::string& target) { return node.explainFlow(target); };
     PacketDaemon daemon(context, settings, source, packetTickInterval, handlers);
     if (configureNode)
         configureNode(node, daemon);
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -575,6 +575,17 @@
     return status;
 }
 
+OperatorAnswer PacketEntry::explainFlow(const std::string& target) const
+{
+    const Result<FlowKey> flow = parseExplainFlowTarget(target);
+    if (!flow)
+        return { static_cast<unsigned>(http::status::bad_request),
+            boost::json::serialize(boost::json::object { { "error", flow.error().message } }) };
+    const FlowExplanation explanation = this->router.explainFlow(flow.value());
+    const bool hasRoute = explanation.outcome != FlowOutcome::Refused || !explanation.services.empty();
+    return { static_cast<unsigned>(hasRoute ? http::status::ok : http::status::not_found), encodeJson(explanation) };
+}
+
 void PacketEntry::exportMetrics(Metrics& metrics) const
 {
     const EntryRouterCounters& counts = this->router.counters();
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -20,6 +20,7 @@
     void handOver(); // Call before the process ends.
     bool isReady() const { return this->router.isServing(); }
     OperatorStatus status() const;
+    OperatorAnswer explainFlow(const std::string& target) const; // 404 for an address without a route.
     void exportMetrics(Metrics&) const;
 
 private:
--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -1,6 +1,7 @@
 // Runs packet entries and agents as processes on loopback: a request, a long flow and a download, restart and loss of
 // entries, signals, the settings file, and a stalled reader of standard output.
 #include "backends/PacketDaemon.h"
+#include "fakes/Http.h"
 #include "fakes/OnThread.h"
 #include "fakes/PacketPlatform.h"
 #include "tests/PacketPrograms.h"
@@ -410,6 +411,44 @@
         thread.join();
     }
 
+    // Guards against a question that is answered on another thread than that of the traffic, or waits without end for
+    // it.
+    TEST(PacketDaemonQuestions, AreAnsweredByTheTrafficThread)
+    {
+        const Endpoint ready = freeEndpoint();
+        std::string name = "daemon";
+        std::array<char*, 1> arguments { name.data() };
+        PacketSettingsSource source(1, arguments.data(), name, "WASABI_TEST");
+        PacketSettings settings;
+        settings.ready = ready;
+        boost::asio::io_context context;
+        std::atomic<std::thread::id> answering;
+        PacketDaemonHandlers handlers;
+        handlers.onTick = [] {};
+        handlers.isReady = [] { return true; };
+        handlers.exportMetrics = [](Metrics&) {};
+        handlers.status = [] { return OperatorStatus { true, "", "{}" }; };
+        handlers.onExplainFlow = [&](const std::string& target) {
+            answering = std::this_thread::get_id();
+            if (target.ends_with("?throw"))
+                throw std::runtime_error("failure of a handler");
+            return OperatorAnswer { 200, "{}" };
+        };
+        PacketDaemon daemon(context, settings, source, packetTickInterval, handlers);
+        ASSERT_TRUE(daemon.start());
+        const Result<fakes::HttpReply> unanswered = fakes::httpCall(ready, "GET", "/explain-flow", waitTimeout);
+        ASSERT_TRUE(unanswered);
+        EXPECT_EQ(unanswered.value().status, 503U); // The loop does not run yet.
+        std::thread thread([&] { daemon.run(); });
+        EXPECT_TRUE(waitForStatus(ready, "/explain-flow?x", 200, waitTimeout));
+        EXPECT_EQ(answering.load(), thread.get_id());
+        EXPECT_TRUE(waitForStatus(ready, "/explain-flow?throw", 500, waitTimeout));
+        EXPECT_TRUE(waitForStatus(ready, "/explain-flow", 200, waitTimeout));
+        EXPECT_TRUE(waitForStatus(ready, "/explain-flows", 404, waitTimeout));
+        context.stop();
+        thread.join();
+    }
+
     TEST(PacketSettings, WrongSettingsAreNamedAndRefused)
     {
         ProcessGroup group(PROGRAM_DIRECTORY);
