Add wasabictl explain-flow

Prints the answer of an entry as a table, or as JSON. Exit code 0 also if the flow would be refused, 1 for refused input and for programs without the path, 2 for wrong usage, 3 for an entry that does not answer.

--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -1,9 +1,11 @@
 // Command-line tool for operators: checks, compiles, compares and explains the source of a configuration; shows the
-// status of daemons.
+// status of daemons, and where an entry would place a flow.
 #include "backends/PublishedDirectory.h"
 #include "wasabicroft/ConfigSource.h"
+#include "wasabicroft/Packet.h"
 #include "wasabicroft/Settings.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -29,6 +31,7 @@
   wasabictl diff OLD NEW
   wasabictl explain BASE <overlay-or-path>...
   wasabictl status [--json] ENDPOINT...
+  wasabictl explain-flow [--json] ENDPOINT CLIENT ROUTE
 
 Commands:
   check    Reports every problem of a base file with overlays.
@@ -38,6 +41,9 @@
   explain  Shows the values at or below a path (the last argument, for example services/label-print/slots) with the
            file and line that set them.
   status   Shows what the operator endpoints of daemons (IP:PORT) report.
+  explain-flow
+           Shows where a packet entry, named by its operator endpoint, would place a new flow from CLIENT to ROUTE (both
+           IP:PORT) now, and why. Sends no packet and changes nothing.
 
 Options:
   --out DIR           Directory of the published values.
@@ -262,17 +268,19 @@
     // Status
     //-------------------------------------------------------------------------
 
-    // Fetches /status of one daemon.
-    Result<json::value> fetchStatus(const Endpoint& endpoint)
+    Error unreachable(const Endpoint& endpoint, const std::string& reason)
+    {
+        return { ErrorKind::Unreachable,
+            toString(endpoint) + ": " + reason + "; check that the daemon runs and that this is its operator address" };
+    }
+
+    using Response = http::response<http::string_body>;
+
+    Result<Response> fetch(const Endpoint& endpoint, const std::string& target)
     {
-        const auto unreachable = [&](const std::string& reason) {
-            return Error { ErrorKind::Unreachable,
-                toString(endpoint) + ": " + reason
-                    + "; check that the daemon runs and that this is its operator address" };
-        };
         boost::asio::io_context context;
         beast::tcp_stream stream(context);
-        http::request<http::empty_body> request(http::verb::get, "/status", 11);
+        http::request<http::empty_body> request(http::verb::get, target, 11);
         request.set(http::field::host, toString(endpoint));
         request.set(http::field::connection, "close");
         http::response_parser<http::string_body> parser;
@@ -294,14 +302,30 @@
             });
         context.run();
         if (result)
-            return unreachable(result.message());
-        if (parser.get().result() != http::status::ok)
-            return unreachable("HTTP status " + std::to_string(parser.get().result_int()));
+            return unreachable(endpoint, result.message());
+        return parser.release();
+    }
+
+    // The body of a response; empty unless it is a JSON object.
+    std::optional<json::object> jsonObjectOf(const Response& response)
+    {
         json::error_code invalid;
-        const json::value status = json::parse(parser.get().body(), invalid);
-        if (invalid || !status.is_object())
-            return unreachable("the answer is not a JSON object");
-        return status;
+        const json::value body = json::parse(response.body(), invalid);
+        return invalid || !body.is_object() ? std::nullopt : std::optional(body.get_object());
+    }
+
+    // Fetches /status of one daemon.
+    Result<json::object> fetchStatus(const Endpoint& endpoint)
+    {
+        const Result<Response> response = fetch(endpoint, "/status");
+        if (!response)
+            return response.error();
+        if (response.value().result() != http::status::ok)
+            return unreachable(endpoint, "HTTP status " + std::to_string(response.value().result_int()));
+        const std::optional<json::object> status = jsonObjectOf(response.value());
+        if (!status)
+            return unreachable(endpoint, "the answer is not a JSON object");
+        return *status;
     }
 
     // Formats a member of the status for the table; nested objects become "key=value,...".
@@ -377,14 +401,14 @@
                 printErrors({ endpoint.error() });
                 return exit_codes::usageError;
             }
-            const Result<json::value> answer = fetchStatus(endpoint.value());
+            const Result<json::object> answer = fetchStatus(endpoint.value());
             if (!answer) {
                 errors.push_back(answer.error());
                 all[name] = nullptr;
                 continue;
             }
             all[name] = answer.value();
-            rows.push_back(statusRow(name, answer.value().get_object()));
+            rows.push_back(statusRow(name, answer.value()));
         }
         if (flags.contains("--json"))
             std::cout << json::serialize(all) << '\n';
@@ -394,13 +418,162 @@
         return errors.empty() ? exit_codes::success : exit_codes::unreachable;
     }
 
+    //-------------------------------------------------------------------------
+    // Placement of a flow
+    //-------------------------------------------------------------------------
+
+    // Text of a member; numbers have at most two decimals.
+    std::string figure(const json::object& object, std::string_view key)
+    {
+        const json::value* value = object.if_contains(key);
+        if (!value || !value->is_double())
+            return cell(object, key);
+        std::ostringstream text;
+        text << std::fixed << std::setprecision(2) << value->get_double();
+        return text.str();
+    }
+
+    bool isSet(const json::object& object, std::string_view key)
+    {
+        const json::value* value = object.if_contains(key);
+        return value && value->is_bool() && value->get_bool();
+    }
+
+    json::array arrayOf(const json::object& object, std::string_view key)
+    {
+        const json::value* value = object.if_contains(key);
+        return value && value->is_array() ? value->get_array() : json::array();
+    }
+
+    // Properties of an upstream that affect its place in the order, or what excludes it.
+    std::string notesOf(const json::object& upstream)
+    {
+        std::string notes;
+        const auto add = [&](const std::string& note) { notes += (notes.empty() ? "" : ", ") + note; };
+        if (upstream.contains("excludedBy"))
+            add(cell(upstream, "excludedBy"));
+        if (isSet(upstream, "preferredByHash"))
+            add("preferred by hash");
+        if (isSet(upstream, "orderIsRandom"))
+            add("order among equal costs is random");
+        if (isSet(upstream, "probe"))
+            add("probe of a silent upstream");
+        else if (isSet(upstream, "silent") && cell(upstream, "excludedBy") != "silent")
+            add("silent, like too many others");
+        if (isSet(upstream, "refusedLately") && cell(upstream, "excludedBy") != "refusing")
+            add("refused lately, like all others");
+        if (isSet(upstream, "tooLate") && cell(upstream, "excludedBy") != "too-late")
+            add("answers too late");
+        if (isSet(upstream, "rejoining"))
+            add("rejoining");
+        if (figure(upstream, "coldLeftMs") != "0")
+            add("cold for " + figure(upstream, "coldLeftMs") + " ms");
+        return notes.empty() ? "-" : notes;
+    }
+
+    void printUpstreams(const json::array& upstreams)
+    {
+        std::vector<std::vector<std::string>> rows = { { "  upstream", "agent", "domain", "cost", "utilization",
+            "load-age-ms", "speed", "wait-ms", "answer-ms", "statement-age-ms", "notes" } };
+        for (const json::value& item : upstreams) {
+            const json::object& upstream = item.as_object();
+            const bool isNamed = cell(upstream, "name") != "-";
+            rows.push_back({ "  " + cell(upstream, isNamed ? "name" : "id"), cell(upstream, "agent"),
+                cell(upstream, "failureDomain"), figure(upstream, "cost"), figure(upstream, "utilization"),
+                figure(upstream, "loadAgeMs"), figure(upstream, "speed"), figure(upstream, "expectedWaitMs"),
+                figure(upstream, "expectedAnswerMs"), figure(upstream, "performanceAgeMs"), notesOf(upstream) });
+        }
+        printTable(rows);
+    }
+
+    std::string outcomeText(const json::object& explained)
+    {
+        const std::string outcome = cell(explained, "outcome");
+        if (outcome == "by-service")
+            return "depends on the service, which is drawn by weight";
+        std::string cause = cell(explained, "cause");
+        if (cause == "-")
+            return "would be " + outcome;
+        std::replace(cause.begin(), cause.end(), '-', ' ');
+        return "would be " + outcome + ", " + cause;
+    }
+
+    void printExplanation(const json::object& explanation)
+    {
+        std::cout << cell(explanation, "client") << '>' << cell(explanation, "route") << ": "
+                  << outcomeText(explanation) << '\n'
+                  << "route " << cell(explanation, "routeName") << ", limits " << cell(explanation, "limits")
+                  << "; routes version " << cell(explanation, "routesVersion") << ", directory revision "
+                  << cell(explanation, "directoryRevision")
+                  << (isSet(explanation, "provisional") ? ", provisional: learned from agents\n" : "\n");
+        for (const json::value& item : arrayOf(explanation, "services")) {
+            const json::object& service = item.as_object();
+            std::cout << "service " << cell(service, "service") << ", weight " << cell(service, "weight") << ": "
+                      << outcomeText(service)
+                      << (isSet(service, "admittedLate") ? ", too late at each: 1 of 10 such flows is admitted" : "")
+                      << '\n';
+            std::cout << "candidates, in the order in which they are asked:\n";
+            printUpstreams(arrayOf(service, "candidates"));
+            std::cout << "not asked:\n";
+            printUpstreams(arrayOf(service, "excluded"));
+        }
+    }
+
+    int explainFlow(const Flags& flags)
+    {
+        const Result<Endpoint> endpoint = parseEndpoint(flags.at("ENDPOINT"));
+        if (!endpoint) {
+            printErrors({ endpoint.error() });
+            return exit_codes::usageError;
+        }
+        for (const std::string name : { "CLIENT", "ROUTE" }) {
+            if (const std::optional<PacketAddress> address = parsePacketAddress(flags.at(name));
+                !address || address->port == 0) {
+                printErrors({ { ErrorKind::InvalidSetting,
+                    "'" + flags.at(name) + "' is no " + name
+                        + "; use IP:PORT with an IPv4 address and a port above 0" } });
+                return exit_codes::invalidInput;
+            }
+        }
+        const Result<Response> response
+            = fetch(endpoint.value(), "/explain-flow?client=" + flags.at("CLIENT") + "&route=" + flags.at("ROUTE"));
+        if (!response) {
+            printErrors({ response.error() });
+            return exit_codes::unreachable;
+        }
+        const http::status status = response.value().result();
+        const std::optional<json::object> body = jsonObjectOf(response.value());
+        const bool isExplained = status == http::status::ok || status == http::status::not_found;
+        if (isExplained && body && body->contains("outcome")) {
+            if (flags.contains("--json"))
+                std::cout << json::serialize(*body) << '\n';
+            else
+                printExplanation(*body);
+            return exit_codes::success;
+        }
+        // Programs of versions without explain-flow, and agents, do not know the path.
+        if (status == http::status::not_found) {
+            printErrors({ { ErrorKind::InvalidSetting,
+                toString(endpoint.value())
+                    + ": the entry does not know explain-flow; name an entry of this version" } });
+            return exit_codes::invalidInput;
+        }
+        if (status == http::status::bad_request) {
+            printErrors(
+                { { ErrorKind::InvalidSetting, body ? cell(*body, "error") : "the entry refused the request" } });
+            return exit_codes::invalidInput;
+        }
+        printErrors({ unreachable(endpoint.value(), "HTTP status " + std::to_string(response.value().result_int())) });
+        return exit_codes::unreachable;
+    }
+
     struct Command {
         std::string name;
         int (*run)(const Flags&);
     };
 
     const std::vector<Command> commands = { { "check", check }, { "compile", compile }, { "diff", diff },
-        { "explain", explain }, { "status", status } };
+        { "explain", explain }, { "status", status }, { "explain-flow", explainFlow } };
 
 } // namespace
 } // namespace wasabicroft
