Vary service times and flows in the random states of the explanation test

A trial in which the explanation used the pool's means without refreshing them passed all tests: every upstream stated the same service time. Random numbers are drawn in a fixed order.

--- a/tests/FlowExplanationTest.cpp
+++ b/tests/FlowExplanationTest.cpp
@@ -18,14 +18,16 @@
             this->onPeerListState(ListState::Complete);
         }
 
-        void onLoadOf(uint32_t number, uint16_t running, std::optional<Milliseconds> wait = std::nullopt)
+        void onLoadOf(uint32_t number, uint16_t running, std::optional<Milliseconds> wait = std::nullopt,
+            Milliseconds serviceTime = Milliseconds(20))
         {
             HopMessage load;
             load.kind = HopKind::Load;
             load.slots = 2;
             load.runningRequests = running;
+            load.heldFlows = 4U * running;
             if (wait)
-                load.performance = { *wait, Milliseconds(20) };
+                load.performance = { *wait, serviceTime };
             this->router.onHop(agent(number), load, nullptr);
         }
     };
@@ -94,16 +96,20 @@
         void step()
         {
             const uint64_t change = this->random.below(8);
+            const uint32_t number = static_cast<uint32_t>(this->random.below(this->records.size()));
+            const uint16_t running = static_cast<uint16_t>(this->random.below(4));
+            const Milliseconds wait = this->random.between(Milliseconds(0), Milliseconds(240));
+            const Milliseconds serviceTime = this->random.between(Milliseconds(10), Milliseconds(60));
             if (change == 0)
                 this->changeDirectory();
             else if (change == 1)
                 this->changeEvacuation();
             else if (change == 2)
-                this->advance(Milliseconds(20 + 20 * this->random.below(60)));
+                this->advance(this->random.between(Milliseconds(20), Milliseconds(1200)));
+            else if (change == 3)
+                this->onLoadOf(number, running);
             else
-                this->onLoadOf(static_cast<uint32_t>(this->random.below(this->records.size())),
-                    static_cast<uint16_t>(this->random.below(4)),
-                    change % 2 == 0 ? std::optional(Milliseconds(this->random.below(6) * 40)) : std::nullopt);
+                this->onLoadOf(number, running, wait, serviceTime);
             this->seenHops = this->hops.size();
         }
 
