RequestQueue: limit what starts through a hook

The queue started what the slots allow. A limit on what an upstream gets per second needs a second condition, which the queue can't decide itself. mayStart admits a request, onStarted reports each that occupies a slot, probes once they turn out to be held. Requests that are not admitted wait and hold up none that is. Without hooks nothing changes.

--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -48,7 +48,7 @@
 RequestQueue::Decision RequestQueue::submit(const QueuedRequest& request)
 {
     const bool isNext = this->waitingRequests.empty() || request.isProbe;
-    if (this->canStart(request.isProbe) && isNext && !request.isAbandoned) {
+    if (this->canStart(request.isProbe) && isNext && !request.isAbandoned && this->isAdmitted(request)) {
         this->start(request);
         return Decision::Start;
     }
@@ -68,6 +68,8 @@
         chargeAtStart = this->serviceTime.onStarted();
     this->runningRequests[request.flow] = { request, this->clock.now(), chargeAtStart };
     this->lastStarts[request.priority] = this->clock.now();
+    if (!request.isProbe && this->onStarted)
+        this->onStarted(request.flow);
 }
 
 void RequestQueue::endRunning(RunningRequests::iterator item, bool isAnswered)
@@ -113,6 +115,8 @@
         return;
     found->second.request.isProbe = false;
     this->serviceTime.onStarted(); // it occupies a slot; when it started at the upstream is not known
+    if (this->onStarted)
+        this->onStarted(flow);
 }
 
 void RequestQueue::onTurnedBack(const FlowKey& flow)
@@ -156,13 +160,13 @@
         && (lastStart == this->lastStarts.end() || this->clock.now() - lastStart->second >= longest);
 }
 
-// The waiting request to start next; the end if all have timed out.
+// The waiting request to start next; the end if none may start.
 std::vector<QueuedRequest>::iterator RequestQueue::nextRequest()
 {
     std::optional<unsigned> passedOver; // the highest priority with a request that was passed over for too long
     std::map<unsigned, std::pair<RequestUrgency, std::vector<QueuedRequest>::iterator>> mostUrgent; // by priority
     for (auto request = this->waitingRequests.begin(); request != this->waitingRequests.end(); ++request) {
-        if (this->isExpired(*request))
+        if (this->isExpired(*request) || !this->isAdmitted(*request))
             continue;
         if (!this->options.orderByObjective)
             return request;
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -5,6 +5,9 @@
 // that has missed it loses little by waiting longer; the others follow until they time out. Last come requests that can
 // hardly be answered before their timeout and those whose client has closed the flow. OverloadPolicy has the details.
 //
+// A hook may limit further what starts, as for cold upstreams. Requests that it does not admit wait, and hold up none
+// that it admits.
+//
 // Admission, its counterpart for session flows, grants reservations before any request is sent. Here the flow is open
 // and the request has arrived: it can wait or be dropped, but not be sent to another upstream.
 #pragma once
@@ -14,6 +17,7 @@
 #include "wasabicroft/Packet.h"
 #include "wasabicroft/ServiceTime.h"
 
+#include <functional>
 #include <vector>
 
 namespace wasabicroft {
@@ -54,6 +58,9 @@
 
     RequestQueue(RequestQueueOptions, const Clock&);
 
+    std::function<bool(const QueuedRequest&)> mayStart; // limits what starts besides the slots; empty: all may
+    std::function<void(const FlowKey&)> onStarted; // a request that is not a probe, or turned out to be held
+
     void setSlots(uint16_t);
     void setPaused(bool); // while paused, nothing starts
 
@@ -85,6 +92,7 @@
     using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
 
     bool canStart(bool isProbe) const;
+    bool isAdmitted(const QueuedRequest& request) const { return !this->mayStart || this->mayStart(request); }
     size_t unansweredProbes() const;
     RequestUrgency urgencyOf(const QueuedRequest&) const;
     bool isExpired(const QueuedRequest&) const;
