Count requests on open flows of cold upstreams

The limit of a cold upstream counted new flows only. In a test load of 50 requests/s on 60 open flows and 12.5 new flows/s, with a limit of 10 and a rule of 20, the upstream got 60 in one second. Its agent now counts both in one sliding window. Requests beyond the limit wait in the queue, in queue order, until the window admits them. A first request within a second of its SYN takes over the SYN's place.

Requests come before new flows, and each kind leaves the other some places for 5 s after that one got none. Copies of requests that timed out in the queue wait anew. Nothing of this applies without a directive that states a cold time.

--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -188,6 +188,7 @@
     metrics.setCount("wasabi_busy", "", this->router.runningRequests());
     metrics.setCount("wasabi_waiting", "", this->router.waitingRequests());
     metrics.setCount("wasabi_requests_waited_total", "", counts.waited);
+    metrics.setCount("wasabi_requests_waited_cold_total", "", counts.waitedCold);
     metrics.setCount("wasabi_requests_expired_total", "", counts.expired);
     const std::optional<UpstreamPerformance> performance = this->router.performance();
     metrics.set("wasabi_service_time_ms", "",
--- a/tests/AgentRouterFixture.h
+++ b/tests/AgentRouterFixture.h
@@ -12,14 +12,15 @@
 inline constexpr PacketAddress entry { 0x0a010000, 7700 };
 
 struct AgentRouterFixture : ::testing::Test {
-    AgentRouterFixture()
-        : router(options(), hooks(), this->clock)
+    explicit AgentRouterFixture(bool countsRequests = true)
+        : router(options(countsRequests), hooks(), this->clock)
     {
     }
 
-    static AgentRouterOptions options()
+    static AgentRouterOptions options(bool countsRequests = true)
     {
         AgentRouterOptions routerOptions;
+        routerOptions.coldStart.countsRequests = countsRequests;
         routerOptions.service = { 1 };
         routerOptions.self = { 0x0a020000, 8000 };
         routerOptions.denialInterval = Milliseconds(0);
@@ -96,6 +97,15 @@
         this->fromUpstream(ackFlag, clientPort);
     }
 
+    void becomeCold(uint32_t limit, Milliseconds left)
+    {
+        HopMessage message;
+        message.service = { 1 };
+        message.directive = { 0, false, left, limit };
+        this->router.limitColdStarts(true);
+        this->router.onDirective(entry, message);
+    }
+
     void ask(std::vector<FlowKey> keys, std::optional<Milliseconds> idleTimeout = Milliseconds(15000))
     {
         this->kinds.clear();
--- a/tests/ColdStartTest.cpp
+++ b/tests/ColdStartTest.cpp
@@ -358,7 +358,7 @@
         limiter.onDirective(coldDirective(Milliseconds(10), 1));
         EXPECT_EQ(limiter.timeLeft(), Milliseconds(1000));
         EXPECT_TRUE(limiter.mayHandOver());
-        limiter.onHandedOver();
+        limiter.onHandedOver(AgentRouterFixture::keyOf(1));
         EXPECT_FALSE(limiter.mayHandOver());
         clock.advance(Milliseconds(999));
         EXPECT_FALSE(limiter.mayHandOver());
@@ -376,29 +376,29 @@
             limiter.onDirective(coldDirective(coldTime, limit));
             uint32_t handedOver = 0;
             for (; limiter.mayHandOver() && handedOver <= limit; ++handedOver)
-                limiter.onHandedOver();
+                limiter.onHandedOver(AgentRouterFixture::keyOf(1));
             EXPECT_EQ(handedOver, std::max(1U, limit / 2));
+            EXPECT_FALSE(limiter.mayStart(AgentRouterFixture::keyOf(2)) || limiter.mayStartProbe());
             clock.advance(Milliseconds(999));
             EXPECT_FALSE(limiter.mayHandOver());
             clock.advance(Milliseconds(1));
             for (handedOver = 0; limiter.mayHandOver() && handedOver <= limit; ++handedOver)
-                limiter.onHandedOver();
+                limiter.onHandedOver(AgentRouterFixture::keyOf(1));
             EXPECT_EQ(handedOver, limit);
+            EXPECT_FALSE(limiter.mayStart(AgentRouterFixture::keyOf(2)));
+            for (; limiter.mayStartProbe() && handedOver <= 2 * limit; ++handedOver) // requests of searches
+                limiter.onStarted(AgentRouterFixture::keyOf(2));
+            EXPECT_EQ(handedOver, limit + limit / 2);
         }
     }
 
     // Guards against flows that count although they went before the directive, and copies that count twice.
     TEST_F(AgentRouterFixture, AColdUpstreamGetsNoFurtherNewFlowsButCopies)
     {
-        this->router.limitColdStarts(true);
         this->run(Milliseconds(1000));
         this->fromEntry(HopKind::Offer, synFlag, 1);
         this->fromUpstream(synFlag | ackFlag, 1);
-        HopMessage message;
-        message.kind = HopKind::Directive;
-        message.service = { 1 };
-        message.directive = coldDirective(coldTime, 2);
-        this->router.onDirective(entry, message);
+        this->becomeCold(2, coldTime);
         this->fromEntry(HopKind::Offer, synFlag, 2);
         this->fromUpstream(synFlag | ackFlag, 2);
         for (int copy = 0; copy < 3; ++copy)
@@ -413,5 +413,107 @@
         EXPECT_EQ(this->toUpstream.size(), 6U);
     }
 
+    // The agent of an upstream that answers within 20 ms.
+    struct ColdAgent : AgentRouterFixture {
+        explicit ColdAgent(bool countsRequests = true)
+            : AgentRouterFixture(countsRequests)
+        {
+            this->stated->slots = 200;
+            this->statedLimits->timeout = Milliseconds(500);
+            this->fromUpstream(ackFlag, UINT16_MAX);
+            AgentRouterFixture::run(Milliseconds(1000));
+        }
+        void TestBody() override { }
+
+        void run(size_t steps) // of 20 ms
+        {
+            for (size_t i = 0; i < steps; ++i) {
+                for (const std::vector<uint8_t>& bytes : std::exchange(this->toUpstream, {})) {
+                    const Packet packet = platform::decodePacket(bytes).value();
+                    this->times.push_back(this->clock.now());
+                    if (!packet.isSyn())
+                        this->requests.push_back(packet.source.port);
+                    this->fromUpstream(ackFlag, packet.source.port, packet.payloadBytes);
+                }
+                AgentRouterFixture::run(Milliseconds(20));
+                const auto first
+                    = std::lower_bound(this->times.begin(), this->times.end(), this->clock.now() - Milliseconds(1000));
+                this->mostPerSecond = std::max(this->mostPerSecond, static_cast<size_t>(this->times.end() - first));
+            }
+        }
+
+        // For 4 s, requests on 60 open flows and new flows without requests.
+        void runLoad(uint16_t stepsPerRequest, uint16_t stepsPerFlow)
+        {
+            this->becomeCold(coldLimit, Milliseconds(5000));
+            for (uint16_t i = 0; i < 200; ++i) {
+                if (i % stepsPerRequest == 0)
+                    this->fromEntry(HopKind::Forward, ackFlag, 1 + i % 60, 1002 + i, 100);
+                if (i % stepsPerFlow == 0)
+                    this->fromEntry(HopKind::Offer, synFlag, 1000 + i);
+                this->run(1);
+            }
+        }
+
+        std::vector<TimePoint> times; // of new flows and requests that the upstream got
+        std::vector<uint16_t> requests; // their ports
+        size_t mostPerSecond = 0;
+    };
+
+    // Guards against requests that exceed the limit together with new flows, and against either that take all places.
+    // Without counting requests, the same load breaks the rule.
+    TEST(ColdStartRequests, CountLikeNewFlows)
+    {
+        ColdAgent manyRequests;
+        manyRequests.runLoad(1, 4);
+        EXPECT_LE(manyRequests.mostPerSecond, coldLimit);
+        EXPECT_GE(manyRequests.times.size() - manyRequests.requests.size(), 4U);
+        ColdAgent manyFlows;
+        manyFlows.runLoad(10, 1);
+        EXPECT_LE(manyFlows.mostPerSecond, coldLimit);
+        EXPECT_GE(manyFlows.requests.size(), 15U) << "of 20; 10 if new flows leave them no places";
+        ColdAgent withoutCounting(false);
+        withoutCounting.runLoad(1, 4);
+        EXPECT_GT(withoutCounting.mostPerSecond, hardLimit);
+    }
+
+    // Guards against flows that count twice, and copies of requests that timed out in the queue and pass the limit.
+    TEST(ColdStartRequests, CountOnceWithTheSynAndWaitAnewAfterATimeout)
+    {
+        ColdAgent agent;
+        agent.becomeCold(1, coldTime);
+        agent.fromEntry(HopKind::Offer, synFlag, 1);
+        agent.run(5);
+        agent.fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        agent.fromEntry(HopKind::Forward, ackFlag, 2, 1002, 100);
+        agent.run(30);
+        EXPECT_EQ(agent.router.counters().expired, 1U);
+        agent.fromEntry(HopKind::Forward, ackFlag, 2, 1002, 100);
+        agent.run(18);
+        EXPECT_EQ(agent.requests, (std::vector<uint16_t> { 1 })) << "its SYN counts from the time of the request";
+        agent.clock.advance(Milliseconds(60));
+        agent.fromEntry(HopKind::Offer, synFlag, 3); // before the tick: the request that waits comes first
+        agent.run(1);
+        EXPECT_EQ(agent.requests, (std::vector<uint16_t> { 1, 2 }));
+    }
+
+    // Guards against requests that wait on after the cold time or not in queue order, and against any wait before it.
+    TEST(ColdStartRequests, StartInQueueOrderWhenTheUpstreamIsWarm)
+    {
+        ColdAgent agent;
+        for (uint16_t port = 10; port < 100; ++port)
+            agent.fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        agent.becomeCold(1, Milliseconds(400));
+        for (const uint16_t port : threePorts) {
+            agent.statedLimits->priority = port == 3 ? 0 : 1;
+            agent.fromEntry(HopKind::Forward, ackFlag, port, 1002, 100);
+        }
+        agent.run(20);
+        EXPECT_EQ(std::exchange(agent.requests, {}).size(), 90U);
+        EXPECT_EQ(agent.router.counters().waitedCold, 3U);
+        agent.run(2);
+        EXPECT_EQ(agent.requests, (std::vector<uint16_t> { 3, 1, 2 }));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -26,9 +26,11 @@
     , rejection(this->options.rejection, timeSource)
     , overload(this->options.overload, timeSource)
     , evacuationNotice(this->options.evacuationLifetime, timeSource)
-    , coldStartLimiter(timeSource)
+    , coldStartLimiter(timeSource, this->options.coldStart)
 {
     this->requestQueue.setPaused(true);
+    this->requestQueue.mayStart = [this](const QueuedRequest& request) { return this->mayStart(request); };
+    this->requestQueue.onStarted = [this](const FlowKey& flow) { this->coldStartLimiter.onStarted(flow); };
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
         if (flow.request != RequestState::None)
             this->requestQueue.remove(key);
@@ -350,6 +352,8 @@
     Subscriber& subscriber = this->subscribers[entry];
     subscriber.lastOffer = this->clock.now();
     subscriber.reportInterval = std::max(this->options.loadInterval, message.loadInterval);
+    if (this->isColdLimited()) // requests get the free places before the new flow
+        this->startWaitingRequests();
     Flow* known = this->liveness.hasLostFlows() ? nullptr : this->flows.find(key);
     const bool isPortReused = known && known->sequences.isOfOtherFlow(packet);
     if (known && known->isHeld && !isPortReused) { // a late copy of the SYN, which all other upstreams may refuse
@@ -372,7 +376,7 @@
             { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() },
             { "flows", static_cast<uint64_t>(this->heldFlows) } });
     if (refusal == HopRefusal::UpstreamDown && this->liveness.tryStartProbe(key)) {
-        this->coldStartLimiter.onHandedOver();
+        this->coldStartLimiter.onHandedOver(key);
         this->hooks.sendToUpstream(message.packet);
     }
     if (refusal != HopRefusal::None) {
@@ -381,7 +385,7 @@
         return;
     }
     if (isNewFlow)
-        this->coldStartLimiter.onHandedOver();
+        this->coldStartLimiter.onHandedOver(key);
     // The SYN may be a late copy of an earlier flow's: the known flow goes on unless the upstream accepts the SYN.
     if (isPortReused && known->isHeld && !(known->clientSentFin && known->upstreamSentFin)) {
         known->otherSyn = OtherSyn { entry, packet.sequence };
@@ -419,6 +423,7 @@
         return HopRefusal::UpstreamDraining; // the entry lacks a change of the record
     if (isNewFlow && this->options.limitsColdStarts && !this->coldStartLimiter.mayHandOver()) {
         ++this->counts.refusedCold;
+        this->coldStartLimiter.onRefused();
         return HopRefusal::UpstreamBusy; // the entry asks the next candidate
     }
     return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
@@ -438,17 +443,20 @@
     }
     const bool isProbe = message.kind == HopKind::Find && !flow.isHeld;
     const bool isFirstRequest = !flow.hasNextSequence;
-    if (this->startsRequest(flow, packet) && flow.request == RequestState::None) {
+    const bool isNewRequest = this->startsRequest(flow, packet);
+    if ((isNewRequest || this->isUnsentRequest(flow, packet)) && flow.request == RequestState::None) {
         const RequestLimits limits = this->limitsOf(key.route, message);
         const RequestQueue::Decision decision = this->requestQueue.submit({ key, this->arrivalOf(flow, isFirstRequest),
             limits.objective, limits.timeout, limits.priority, isProbe, flow.clientClosed });
-        if (decision == RequestQueue::Decision::Drop) {
+        flow.isUnsent = decision == RequestQueue::Decision::Drop;
+        if (flow.isUnsent) {
             ++this->counts.dropped;
             return;
         }
         const bool starts = decision == RequestQueue::Decision::Start;
         flow.request = starts ? RequestState::Running : RequestState::Waiting;
-        this->counts.waited += starts ? 0 : 1;
+        if (!starts)
+            this->onWaiting();
     }
     const bool closes = packet.fin && packet.payloadBytes == 0;
     flow.clientClosed = flow.clientClosed || closes; // the FIN may overtake the request
@@ -530,6 +538,7 @@
         logEvent(Event::PacketRequestExpired,
             { { "flow", toString(key) }, { "state", flow->request == RequestState::Waiting ? "waiting" : "running" },
                 { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() } });
+        flow->isUnsent = flow->request == RequestState::Waiting;
         flow->request = RequestState::None;
         flow->storedPackets.clear();
     }
@@ -854,7 +863,8 @@
         logEvent(Event::PacketEvacuationEnded,
             { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
     if (this->coldStartLimiter.onTick())
-        logEvent(Event::PacketUpstreamWarm, { { "refused", this->counts.refusedCold } });
+        logEvent(Event::PacketUpstreamWarm,
+            { { "refused", this->counts.refusedCold }, { "waited", this->counts.waitedCold } });
     this->startWaitingRequests();
     this->updateOverload();
     this->flows.expire(now - this->options.flowIdleTimeout);
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -46,6 +46,7 @@
     Milliseconds reorderWindow { 10 }; // longer than reordering delays packets of the upstream
     Milliseconds pauseThreshold { 1000 }; // a longer gap between ticks is a pause, in which packets may be lost
     bool limitsColdStarts = false; // keeps the limits that directives state of a cold upstream
+    ColdStartOptions coldStart;
     Milliseconds evacuationLifetime { 30000 }; // without a directive for longer, the upstream is not evacuated any more
 };
 
@@ -63,6 +64,7 @@
     uint64_t gone = 0; // open flows that the upstream lost
     uint64_t upstreamResets = 0; // flows that the upstream reset
     uint64_t waited = 0; // requests that did not start at once
+    uint64_t waitedCold = 0; // of these, while the upstream was cold
     uint64_t expired = 0; // requests that timed out while waiting, or were stuck
     uint64_t dropped = 0; // packets
 };
@@ -142,6 +144,7 @@
         bool upstreamSentFin = false;
         bool isCounted = false; // in heldFlows
         RequestState request = RequestState::None;
+        bool isUnsent = false; // the last request was dropped or timed out in the queue
         std::vector<StoredPacket> storedPackets; // packets of a waiting request
         bool hasNextSequence = false;
         uint32_t nextSequence = 0; // end of the client's payload seen so far
@@ -179,6 +182,15 @@
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
     bool startsRequest(Flow&, const Packet&);
     TimePoint arrivalOf(const Flow&, bool isFirstRequest) const;
+    bool isColdLimited() const { return this->options.limitsColdStarts && this->coldStartLimiter.isCold(); }
+    bool mayStart(const QueuedRequest&) const;
+    void onWaiting(); // a request that does not start at once
+    // Whether the packet is a copy of a request that the upstream did not get. Without a limit the copy is sent
+    // directly; here it would pass the limit.
+    bool isUnsentRequest(const Flow& flow, const Packet& packet) const
+    {
+        return this->isColdLimited() && flow.isUnsent && packet.payloadBytes > 0;
+    }
     void storePacket(Flow&, const Packet&, Bytes);
     void startWaitingRequests();
     void expireRequests();
@@ -240,4 +252,20 @@
     AgentRouterCounters counts;
 };
 
+inline void AgentRouter::onWaiting()
+{
+    ++this->counts.waited;
+    if (!this->isColdLimited())
+        return;
+    ++this->counts.waitedCold;
+    this->coldStartLimiter.onWaiting();
+}
+
+inline bool AgentRouter::mayStart(const QueuedRequest& request) const
+{
+    if (!this->isColdLimited())
+        return true;
+    return request.isProbe ? this->coldStartLimiter.mayStartProbe() : this->coldStartLimiter.mayStart(request.flow);
+}
+
 } // namespace wasabicroft
--- a/wasabicroft/ColdStart.cpp
+++ b/wasabicroft/ColdStart.cpp
@@ -8,8 +8,9 @@
 // [SECTION] Agent
 //-----------------------------------------------------------------------------
 
-ColdStartLimiter::ColdStartLimiter(const Clock& timeSource)
-    : clock(timeSource)
+ColdStartLimiter::ColdStartLimiter(const Clock& timeSource, ColdStartOptions limiterOptions)
+    : options(limiterOptions)
+    , clock(timeSource)
     , started(timeSource.now())
 {
 }
@@ -28,7 +29,7 @@
 bool ColdStartLimiter::onTick()
 {
     const TimePoint windowStart = this->clock.now() - window;
-    while (!this->handedOver.empty() && this->handedOver.front() <= windowStart)
+    while (!this->handedOver.empty() && this->handedOver.front().time <= windowStart)
         this->handedOver.pop_front();
     return this->clock.now() >= this->coldUntil && std::exchange(this->cold, false);
 }
@@ -38,6 +39,8 @@
     this->cold = false;
     this->coldUntil = TimePoint();
     this->handedOver.clear();
+    this->reservesFlowsUntil = TimePoint();
+    this->reservesRequestsUntil = TimePoint();
 }
 
 Milliseconds ColdStartLimiter::timeLeft() const
@@ -48,17 +51,83 @@
 
 // In the first second, half the limit: a former process of this agent may have handed over the full limit within the
 // same second, and the upstream may get at most one and a half times the limit.
-bool ColdStartLimiter::mayHandOver() const
+size_t ColdStartLimiter::admitted() const
+{
+    return this->isFirstSecond() ? std::max(1U, this->limit / 2) : this->limit;
+}
+
+ColdStartLimiter::Entries::const_iterator ColdStartLimiter::windowBegin() const
+{
+    return std::upper_bound(this->handedOver.begin(), this->handedOver.end(), this->clock.now() - window,
+        [](TimePoint windowStart, const HandedOver& item) { return windowStart < item.time; });
+}
+
+size_t ColdStartLimiter::countInWindow() const
+{
+    return static_cast<size_t>(this->handedOver.end() - this->windowBegin());
+}
+
+ColdStartLimiter::Entries::const_iterator ColdStartLimiter::findAwaitingRequest(const FlowKey& flow) const
+{
+    return std::find_if(this->windowBegin(), this->handedOver.end(),
+        [&](const HandedOver& item) { return item.awaitsRequest && item.flow == flow; });
+}
+
+// Requests have more places, because a new flow can go to another upstream and would bring more requests. The places of
+// new flows keep these from being refused throughout where requests alone reach the limit.
+bool ColdStartLimiter::hasPlaceFor(bool isNewFlow) const
 {
     const TimePoint now = this->clock.now();
-    if (!this->cold || now >= this->coldUntil)
+    const size_t places = this->admitted();
+    size_t reserved = 0; // for the other kind
+    if (isNewFlow && now < this->reservesRequestsUntil)
+        reserved = places / placesPerReservedRequest;
+    else if (!isNewFlow && now < this->reservesFlowsUntil && places > 1)
+        reserved = std::max<size_t>(1, places / placesPerReservedFlow);
+    const auto ofThisKind = std::count_if(this->windowBegin(), this->handedOver.end(),
+        [&](const HandedOver& item) { return item.isNewFlow == isNewFlow; });
+    return this->countInWindow() < places && static_cast<size_t>(ofThisKind) + reserved < places;
+}
+
+bool ColdStartLimiter::mayHandOver() const { return !this->isLimiting() || this->hasPlaceFor(true); }
+
+void ColdStartLimiter::onRefused() { this->reservesFlowsUntil = this->clock.now() + this->options.reservationTime; }
+
+void ColdStartLimiter::onWaiting() { this->reservesRequestsUntil = this->clock.now() + this->options.reservationTime; }
+
+void ColdStartLimiter::onHandedOver(const FlowKey& flow)
+{
+    this->handedOver.push_back({ this->clock.now(), flow, true, true });
+}
+
+bool ColdStartLimiter::mayStart(const FlowKey& flow) const
+{
+    if (!this->options.countsRequests || !this->isLimiting())
         return true;
-    const size_t admitted = now - this->started < window ? std::max(1U, this->limit / 2) : this->limit;
-    const auto first = std::upper_bound(this->handedOver.begin(), this->handedOver.end(), now - window);
-    return static_cast<size_t>(this->handedOver.end() - first) < admitted;
+    return this->findAwaitingRequest(flow) != this->handedOver.end() || this->hasPlaceFor(false);
 }
 
-void ColdStartLimiter::onHandedOver() { this->handedOver.push_back(this->clock.now()); }
+// Most probes are returned at once, and a search ends sooner with an early answer. Held ones may exceed the limit by
+// half, as a restart of the agent may, but not in the same second.
+bool ColdStartLimiter::mayStartProbe() const
+{
+    if (!this->options.countsRequests || !this->isLimiting())
+        return true;
+    const size_t excess = this->isFirstSecond() ? 0 : this->limit / 2;
+    return this->countInWindow() < this->admitted() + excess;
+}
+
+// The request takes over the place of its flow's SYN, so that requests alone do not exceed the limit in any second.
+void ColdStartLimiter::onStarted(const FlowKey& flow)
+{
+    if (!this->options.countsRequests)
+        return;
+    const auto syn = this->findAwaitingRequest(flow);
+    const bool isFirstRequest = syn != this->handedOver.end();
+    if (isFirstRequest)
+        this->handedOver.erase(syn);
+    this->handedOver.push_back({ this->clock.now(), flow, isFirstRequest, false });
+}
 
 //-----------------------------------------------------------------------------
 // [SECTION] Entry
--- a/wasabicroft/ColdStart.h
+++ b/wasabicroft/ColdStart.h
@@ -1,7 +1,9 @@
-// Limits the new flows of upstreams that started lately and bear less than later. No I/O.
+// Limits the new flows and requests of upstreams that started lately and bear less than later. No I/O.
 //
 // Entries know from the store how long an upstream stays cold and how much it bears; they prefer others and keep to
-// their share. The agent, which sees the flows of all entries, keeps the limit by refusing.
+// their share. The agent, which sees the flows of all entries, keeps the limit: it refuses new flows beyond it, and
+// requests on open flows wait. The difference between the limit and the platform's rule is the reserve for requests of
+// searches and for a restart of the agent; docs/design/cold-start.md states how much of it each uses.
 //
 // Index
 //   [SECTION] Agent
@@ -9,6 +11,7 @@
 #pragma once
 
 #include "wasabicroft/Clock.h"
+#include "wasabicroft/Packet.h"
 #include "wasabicroft/Published.h"
 
 #include <deque>
@@ -22,10 +25,17 @@
 // [SECTION] Agent
 //-----------------------------------------------------------------------------
 
-// Limits the new flows that a cold upstream gets in any second.
+struct ColdStartOptions {
+    bool countsRequests = true; // false: only new flows count and are limited
+    // How long requests leave places to new flows after one was refused, and new flows to requests after one waited.
+    Milliseconds reservationTime { 5000 };
+};
+
+// Limits the new flows and requests that a cold upstream gets in any second. A new flow and its first request count as
+// one if the request follows within a second.
 class ColdStartLimiter {
 public:
-    explicit ColdStartLimiter(const Clock&);
+    explicit ColdStartLimiter(const Clock&, ColdStartOptions = {});
 
     // Returns whether the upstream became cold. A directive without a limit says nothing: the entry may not know it.
     bool onDirective(const UpstreamDirective&);
@@ -33,20 +43,47 @@
     void reset(); // another upstream runs here
 
     bool mayHandOver() const; // a SYN of a new flow
-    void onHandedOver(); // call for each new flow, also while the upstream is not known to be cold
+    void onRefused(); // a SYN that may not be handed over
+    void onWaiting(); // a request that does not start at once
+    bool mayStart(const FlowKey&) const; // a request on an open flow
+    bool mayStartProbe() const; // a request on a flow that the upstream may not hold
+    // Call these also while the upstream is not known to be cold, since the directive may come later.
+    void onHandedOver(const FlowKey&); // a SYN of a new flow
+    void onStarted(const FlowKey&); // a request; for a probe, once the upstream turns out to hold the flow
     bool isCold() const { return this->cold; }
     uint32_t flowsPerSecond() const { return this->limit; } // while cold
     Milliseconds timeLeft() const;
 
 private:
     static constexpr Milliseconds window { 1000 };
+    static constexpr size_t placesPerReservedFlow = 10; // at least one place is reserved
+    static constexpr size_t placesPerReservedRequest = 2;
+
+    struct HandedOver {
+        TimePoint time;
+        FlowKey flow;
+        bool isNewFlow = false;
+        bool awaitsRequest = false; // of a new flow: its first request has not started
+    };
+    using Entries = std::deque<HandedOver>;
+
+    bool isLimiting() const { return this->cold && this->clock.now() < this->coldUntil; }
+    bool isFirstSecond() const { return this->clock.now() - this->started < window; }
+    size_t admitted() const; // new flows and requests in any second
+    Entries::const_iterator windowBegin() const;
+    Entries::const_iterator findAwaitingRequest(const FlowKey&) const;
+    size_t countInWindow() const;
+    bool hasPlaceFor(bool isNewFlow) const;
 
+    ColdStartOptions options;
     const Clock& clock;
     TimePoint started; // a former process may have handed over flows that this one does not know
     bool cold = false;
     TimePoint coldUntil;
     uint32_t limit = 0;
-    std::deque<TimePoint> handedOver; // new flows within the window
+    Entries handedOver; // within the window, ordered by time
+    TimePoint reservesFlowsUntil; // requests leave places to new flows until then
+    TimePoint reservesRequestsUntil;
 };
 
 //-----------------------------------------------------------------------------
