Remove the setting cold-slack

It was read but no decision used it. Agents hand over what a cold upstream bears, and the rest of the platform's rule is the reserve for searches and restarts, whose use docs/design/cold-start.md states. Settings files that still have the line stay valid: names that a program does not read are ignored.

--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -45,8 +45,7 @@
   --peer IP:PORT           Serves the same paths; port 0: disabled [0].
   --seeds LIST             Addresses of entries that may be running, separated by commas.
   --store IP:PORT          Entry: the platform's store.
-  --cold-excess N          Above 0: limits new flows of cold upstreams. The platform's bound is N times what they bear [0].
-  --cold-slack N           Flows per second beyond that bound [0].
+  --cold-excess N          Above 0: limits new flows and requests of cold upstreams to what they bear [0].
   --evacuation-bound MS    Entry: time within which evacuation orders take effect; 0: they are not read [0].
   --link-mbps N            Entry: bandwidth of its network link in Mbit/s; 0: the default [10].
   --stop-delay MS          Keeps forwarding for this long after SIGTERM [1500].
@@ -141,7 +140,6 @@
     const double linkMbps = reader.decimal("--link-mbps", 0, 0, maxLinkMbps);
     settings.linkMbps = linkMbps > 0 ? linkMbps : PacketSettings().linkMbps;
     settings.coldExcess = reader.decimal("--cold-excess", 0, 0, maxColdExcess);
-    settings.coldSlack = reader.decimal("--cold-slack", 0, 0, maxColdExcess);
     settings.readsEvacuations = reader.decimal("--evacuation-bound", 0, 0, maxEvacuationBoundMs) > 0;
     settings.stopDelay = reader.duration("--stop-delay", settings.stopDelay, Milliseconds(0), maxStopDelay);
     settings.log.threshold = reader.severity("--log-level", Severity::Info);
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -31,7 +31,6 @@
     // How far new flows of a cold upstream may exceed what it bears: a factor, and flows per second beyond it. The
     // factor 0 leaves cold upstreams without a limit.
     double coldExcess = 0;
-    double coldSlack = 0;
     double linkMbps = 10; // Entry: bandwidth of its network link, in each direction.
     // Milliseconds for which the process keeps forwarding after SIGTERM. Routers need this time to notice that an entry
     // is not ready.
