Refuse new flows while the upstream hangs

Cause: an upstream that accepts flows and answers nothing looks idle, since its clients close their flows early; entries prefer it. Change: the agent refuses new flows as UpstreamRejecting while StallDetector finds its upstream stalled, but for a probe after 250 ms, doubled up to 4 s. A request that may be a copy of an answered one, the first that a restarted agent sees on a flow, does not count. Events 4239 and 4240, the metrics wasabi_upstream_stalled and wasabi_stuck_requests_total, and stalled in /status.

--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -108,6 +108,7 @@
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
     const OverloadCounts& overloadCounts() const { return this->requestQueue.counts(); }
+    const StallDetector& stall() const { return this->requestQueue.stallDetector(); }
     bool isOverloaded() const { return this->overload.isOverloaded(); }
 
 private:
@@ -185,6 +186,7 @@
     void updateState();
     void denyLostFlows();
     void updateRejection();
+    void updateStall(); // AgentStall.cpp
     void updateOverload();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
@@ -232,6 +234,8 @@
     RejectionDetector rejection;
     OverloadMonitor overload;
     bool wasRejecting = false;
+    bool wasStalled = false;
+    TimePoint stalledSince;
     EvacuationNotice evacuationNotice;
     ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
