--- a/backends/PacketDaemon.cpp
+++ b/backends/PacketDaemon.cpp
@@ -40,7 +40,7 @@
   --outbound IP:PORT       Agent: receives the packets of its upstream.
   --upstream IP:PORT       Agent: address at which its upstream receives packets.
   --service NAME           Agent: service of its upstream.
-  --ready IP:PORT          Serves /ready, /status, /health and /metrics.
+  --ready IP:PORT          Serves /ready, /status, /health and /metrics; entry: /explain-flow too.
   --metrics IP:PORT        Serves the same paths; port 0: disabled [0].
   --peer IP:PORT           Serves the same paths; port 0: disabled [0].
   --seeds LIST             Addresses of entries that may be running, separated by commas.
--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -23,7 +23,7 @@
     PacketAddress outbound; // Agent: receives the packets of its upstream.
     PacketAddress upstream; // Agent: address at which its upstream receives packets.
     std::string service; // Agent: service of its upstream.
-    Endpoint ready; // Serves /ready, /status, /health and /metrics.
+    Endpoint ready; // Serves /ready, /status, /health and /metrics. Entry: /explain-flow, too.
     Endpoint metrics; // Serves the same paths. Port 0: disabled.
     Endpoint peer; // Serves the same paths. Port 0: disabled.
     std::vector<Endpoint> seeds; // Entries that may be running; their ports are not used.
