--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -110,7 +110,6 @@
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
     const OverloadCounts& overloadCounts() const { return this->requestQueue.counts(); }
-    const StallDetector& stall() const { return this->requestQueue.stallDetector(); }
     bool isOverloaded() const { return this->overload.isOverloaded(); }
 
 private:
@@ -198,7 +197,6 @@
     void updateState();
     void denyLostFlows();
     void updateRejection();
-    void updateStall(); // AgentStall.cpp
     void updateOverload();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
@@ -246,8 +244,6 @@
     RejectionDetector rejection;
     OverloadMonitor overload;
     bool wasRejecting = false;
-    bool wasStalled = false;
-    TimePoint stalledSince;
     EvacuationNotice evacuationNotice;
     ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
--- a/wasabicroft/ServiceTime.cpp
+++ b/wasabicroft/ServiceTime.cpp
@@ -10,6 +10,7 @@
     : options(initialOptions)
     , clock(timeSource)
     , lastAdvance(timeSource.now())
+    , lastAnswer(timeSource.now())
 {
 }
 
@@ -18,7 +19,7 @@
     this->advance();
     this->slots = newSlots;
     if (newSlots == 0)
-        this->answeredMean.requests = this->allMean.requests = 0;
+        this->requests = 0;
 }
 
 void ServiceTime::advance()
@@ -42,22 +43,10 @@
     this->onRemoved();
     if (this->slots == 0)
         return;
-    this->add(this->answeredMean, this->charge - chargeAtStart);
-    this->add(this->allMean, this->charge - chargeAtStart);
-}
-
-void ServiceTime::onUnanswered(Seconds chargeAtStart)
-{
-    this->advance();
-    if (this->slots > 0)
-        this->add(this->allMean, this->charge - chargeAtStart);
-}
-
-void ServiceTime::add(MovingMean& mean, Seconds requestCharge) const
-{
-    mean.requests = std::min(this->options.window, this->decayedRequests(mean) + 1);
-    mean.lastRequest = this->clock.now();
-    mean.value += (requestCharge - mean.value) / mean.requests;
+    this->requests = std::min(this->options.window, this->decayedRequests() + 1);
+    this->lastAnswer = this->clock.now();
+    const Seconds own = this->charge - chargeAtStart;
+    this->meanCharge += (own - this->meanCharge) / this->requests;
 }
 
 void ServiceTime::onRemoved()
@@ -66,23 +55,22 @@
     this->running -= std::min<size_t>(1, this->running);
 }
 
-double ServiceTime::decayedRequests(const MovingMean& mean) const
+double ServiceTime::decayedRequests() const
 {
-    const double halfLives = Seconds(this->clock.now() - mean.lastRequest) / Seconds(this->options.halfLife);
-    return mean.requests * std::exp2(-halfLives);
+    const double halfLives = Seconds(this->clock.now() - this->lastAnswer) / Seconds(this->options.halfLife);
+    return this->requests * std::exp2(-halfLives);
 }
 
-std::optional<ServiceTime::Seconds> ServiceTime::mean(Requests counted) const
+std::optional<ServiceTime::Seconds> ServiceTime::mean() const
 {
-    const MovingMean& mean = counted == Requests::All ? this->allMean : this->answeredMean;
-    if (this->decayedRequests(mean) < this->options.minRequests)
+    if (this->decayedRequests() < this->options.minRequests)
         return std::nullopt;
-    return mean.value;
+    return this->meanCharge;
 }
 
-std::optional<ServiceTime::Seconds> ServiceTime::expectedWait(size_t waiting, Requests counted) const
+std::optional<ServiceTime::Seconds> ServiceTime::expectedWait(size_t waiting) const
 {
-    const std::optional<Seconds> serviceTime = this->mean(counted);
+    const std::optional<Seconds> serviceTime = this->mean();
     if (!serviceTime)
         return std::nullopt;
     const size_t ahead = this->running + waiting;
