Count the silence towards a second flow before an upstream's flows are lost

Found by review: the loss was declared with the first probe of a second flow, before its answer could arrive, since the silence was measured from the first flow's SYN. Open flows whose requests waited would have been reset while the upstream held them. AgentRouterFixture.AnUpstreamThatIgnoresTheSynsOfOneFlowHasNotLostItsFlows offers the second flow now, and failed before. The packets of both flows must stay unanswered for the same time, pauses left out.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -417,6 +417,11 @@
         this->ask({ keyOf(1) });
         EXPECT_EQ(this->kinds.back(), HopKind::Known);
         this->fromEntry(HopKind::Forward, ackFlag, 1, 1002, 100);
+        this->fromEntry(HopKind::Offer, synFlag, 3); // a probe of another flow, before its answer
+        this->run(Milliseconds(20));
+        EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
+        this->fromUpstream(synFlag | ackFlag, 3);
+        EXPECT_EQ(this->router.upstreamState(), UpstreamState::Up);
         EXPECT_EQ(std::count(this->kinds.begin(), this->kinds.end(), HopKind::Gone), 0);
     }
 
--- a/wasabicroft/UpstreamLiveness.cpp
+++ b/wasabicroft/UpstreamLiveness.cpp
@@ -17,14 +17,14 @@
     this->isLost = false;
     this->unansweredSyn.clear();
     this->unansweredFlow.reset();
-    this->hasOtherUnansweredFlow = false;
+    this->otherFlowSince.reset();
     this->unansweredDeliveries = 0;
 }
 
 void UpstreamLiveness::noteUnanswered(const FlowKey& flow)
 {
-    this->hasOtherUnansweredFlow
-        = this->hasOtherUnansweredFlow || (this->unansweredFlow && *this->unansweredFlow != flow);
+    if (this->unansweredFlow && *this->unansweredFlow != flow && !this->otherFlowSince)
+        this->otherFlowSince = this->clock.now();
     if (!this->unansweredFlow)
         this->unansweredFlow = flow;
 }
@@ -62,13 +62,17 @@
 {
     const TimePoint now = this->clock.now();
     const Duration gap = now - std::exchange(this->lastTick, now).value_or(now);
-    if (gap > this->options.maxTickGap)
-        this->firstDelivery = std::min(now, this->firstDelivery + (gap - this->options.maxTickGap));
+    if (gap > this->options.maxTickGap) {
+        const Duration pause = gap - this->options.maxTickGap;
+        this->firstDelivery = std::min(now, this->firstDelivery + pause);
+        if (this->otherFlowSince)
+            this->otherFlowSince = std::min(now, *this->otherFlowSince + pause);
+    }
     if (this->unansweredDeliveries >= this->options.unansweredSynsToDown
         && now - this->firstDelivery >= this->options.silenceToDown)
         this->currentState = UpstreamState::Down;
-    if (this->currentState == UpstreamState::Down && this->hasOtherUnansweredFlow
-        && now - this->firstDelivery >= this->options.silenceToLoss)
+    if (this->currentState == UpstreamState::Down && this->otherFlowSince
+        && now - *this->otherFlowSince >= this->options.silenceToLoss)
         this->isLost = true;
 }
 
--- a/wasabicroft/UpstreamLiveness.h
+++ b/wasabicroft/UpstreamLiveness.h
@@ -3,7 +3,7 @@
 // A running upstream answers or returns a SYN within a millisecond. One that answers none of several copies of a SYN
 // over a longer time is down: only probes are sent to it until it answers again. Its process may just not be scheduled,
 // so its flows count as lost only after a much longer silence. It ignores the SYN of a port whose earlier flow is still
-// open there, so that the SYNs of a single flow never show that it lost its flows.
+// open there, so that the SYNs of a single flow never show that it lost its flows: packets of another one must stay unanswered as long.
 #pragma once
 
 #include "wasabicroft/Clock.h"
@@ -56,7 +56,7 @@
     bool isLost = false;
     std::vector<uint8_t> unansweredSyn; // empty if the upstream answered since
     std::optional<FlowKey> unansweredFlow; // the first one whose packet was not answered
-    bool hasOtherUnansweredFlow = false;
+    std::optional<TimePoint> otherFlowSince; // first unanswered packet of another flow
     TimePoint firstDelivery;
     TimePoint lastDelivery;
     unsigned unansweredDeliveries = 0;
