Cold starts: count held requests of searches, do nothing where no limit is set

Found by review: a request of a search that waited for the limit started uncounted if its flow turned out to be held meanwhile (RequestQueue.AWaitingRequestOfASearchCounts* failed before); every started request was recorded even without the setting cold-excess; a full window was scanned by kind for each waiting request. The fixture of the cold agent sets the limit before packets arrive, as the settings do.

--- a/tests/ColdStartTest.cpp
+++ b/tests/ColdStartTest.cpp
@@ -418,6 +418,7 @@
         explicit ColdAgent(bool countsRequests = true)
             : AgentRouterFixture(countsRequests)
         {
+            this->router.limitColdStarts(true); // as the settings do before any packet arrives
             this->stated->slots = 200;
             this->statedLimits->timeout = Milliseconds(500);
             this->fromUpstream(ackFlag, UINT16_MAX);
--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -464,5 +464,24 @@
         EXPECT_EQ(this->queue.submit(requestOf(600, this->clock.now())), RequestQueue::Decision::Drop);
     }
 
+    // Guards against requests of searches that pass a limit uncounted, because their flow turned out to be held while
+    // they waited for it.
+    TEST(RequestQueue, AWaitingRequestOfASearchCountsOnceItsFlowIsHeld)
+    {
+        ManualClock clock;
+        RequestQueue queue({ .slots = 1, .prefetch = 0 }, clock);
+        bool isAdmitted = false;
+        size_t counted = 0;
+        queue.mayStart = [&](const QueuedRequest&) { return isAdmitted; };
+        queue.onStarted = [&](const FlowKey&) { ++counted; };
+        QueuedRequest request = requestOf(1, clock.now());
+        request.isProbe = true;
+        ASSERT_EQ(queue.submit(request), RequestQueue::Decision::Wait);
+        queue.onHeld(request.flow);
+        isAdmitted = true;
+        EXPECT_EQ(queue.startWaiting().size(), 1U);
+        EXPECT_EQ(counted, 1U);
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -30,7 +30,10 @@
 {
     this->requestQueue.setPaused(true);
     this->requestQueue.mayStart = [this](const QueuedRequest& request) { return this->mayStart(request); };
-    this->requestQueue.onStarted = [this](const FlowKey& flow) { this->coldStartLimiter.onStarted(flow); };
+    this->requestQueue.onStarted = [this](const FlowKey& flow) {
+        if (this->options.limitsColdStarts)
+            this->coldStartLimiter.onStarted(flow);
+    };
     this->flows.onDrop = [this](const FlowKey& key, Flow& flow) {
         if (flow.request != RequestState::None)
             this->requestQueue.remove(key);
--- a/wasabicroft/ColdStart.cpp
+++ b/wasabicroft/ColdStart.cpp
@@ -79,6 +79,8 @@
 {
     const TimePoint now = this->clock.now();
     const size_t places = this->admitted();
+    if (this->countInWindow() >= places)
+        return false;
     size_t reserved = 0; // for the other kind
     if (isNewFlow && now < this->reservesRequestsUntil)
         reserved = places / placesPerReservedRequest;
@@ -86,7 +88,7 @@
         reserved = std::max<size_t>(1, places / placesPerReservedFlow);
     const auto ofThisKind = std::count_if(this->windowBegin(), this->handedOver.end(),
         [&](const HandedOver& item) { return item.isNewFlow == isNewFlow; });
-    return this->countInWindow() < places && static_cast<size_t>(ofThisKind) + reserved < places;
+    return static_cast<size_t>(ofThisKind) + reserved < places;
 }
 
 bool ColdStartLimiter::mayHandOver() const { return !this->isLimiting() || this->hasPlaceFor(true); }
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -110,6 +110,8 @@
 
 void RequestQueue::onHeld(const FlowKey& flow)
 {
+    for (QueuedRequest& request : this->waitingRequests)
+        request.isProbe = request.isProbe && request.flow != flow;
     const auto found = this->runningRequests.find(flow);
     if (found == this->runningRequests.end() || !found->second.request.isProbe)
         return;
