--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -484,6 +484,9 @@
         return value && value->is_bool() && value->get_bool();
     }
 
+    // Another program may answer at the endpoint, with other values.
+    json::object objectOf(const json::value& value) { return value.is_object() ? value.get_object() : json::object(); }
+
     json::array arrayOf(const json::object& object, std::string_view key)
     {
         const json::value* value = object.if_contains(key);
@@ -521,7 +524,7 @@
         std::vector<std::vector<std::string>> rows = { { "  upstream", "agent", "domain", "cost", "utilization",
             "load-age-ms", "speed", "wait-ms", "answer-ms", "statement-age-ms", "notes" } };
         for (const json::value& item : upstreams) {
-            const json::object& upstream = item.as_object();
+            const json::object upstream = objectOf(item);
             const bool isNamed = cell(upstream, "name") != "-";
             rows.push_back({ "  " + cell(upstream, isNamed ? "name" : "id"), cell(upstream, "agent"),
                 cell(upstream, "failureDomain"), figure(upstream, "cost"), figure(upstream, "utilization"),
@@ -552,7 +555,7 @@
                   << cell(explanation, "directoryRevision")
                   << (isSet(explanation, "provisional") ? ", provisional: learned from agents\n" : "\n");
         for (const json::value& item : arrayOf(explanation, "services")) {
-            const json::object& service = item.as_object();
+            const json::object service = objectOf(item);
             std::cout << "service " << cell(service, "service") << ", weight " << cell(service, "weight") << ": "
                       << outcomeText(service)
                       << (isSet(service, "admittedLate") ? ", too late at each: 1 of 10 such flows is admitted" : "")
