--- a/wasabicroft/UpstreamLiveness.h
+++ b/wasabicroft/UpstreamLiveness.h
@@ -3,7 +3,8 @@
 // A running upstream answers or returns a SYN within a millisecond. One that answers none of several copies of a SYN
 // over a longer time is down: only probes are sent to it until it answers again. Its process may just not be scheduled,
 // so its flows count as lost only after a much longer silence. It ignores the SYN of a port whose earlier flow is still
-// open there, so that the SYNs of a single flow never show that it lost its flows: packets of another one must stay unanswered as long.
+// open there, so that the SYNs of a single flow never show that it lost its flows: packets of another one must stay
+// unanswered as long.
 #pragma once
 
 #include "wasabicroft/Clock.h"
