Give the outcomes of explain-flow a name of their own

Cause: wasabicroft/FlowExplanation.h and wasabicroft/Flow.h both declared FlowOutcome and nameOf(FlowOutcome) in one namespace, so that the session path could link the table of the other enumeration and read past its end.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -596,7 +596,7 @@
         return { static_cast<unsigned>(http::status::bad_request),
             boost::json::serialize(boost::json::object { { "error", flow.error().message } }) };
     const FlowExplanation explanation = this->router.explainFlow(flow.value());
-    const bool hasRoute = explanation.outcome != FlowOutcome::Refused || !explanation.services.empty();
+    const bool hasRoute = explanation.outcome != NewFlowOutcome::Refused || !explanation.services.empty();
     return { static_cast<unsigned>(hasRoute ? http::status::ok : http::status::not_found), encodeJson(explanation) };
 }
 
--- a/tests/FlowExplanationTest.cpp
+++ b/tests/FlowExplanationTest.cpp
@@ -156,7 +156,7 @@
                     EXPECT_EQ(static_cast<std::ptrdiff_t>(stated.size()),
                         std::count_if(entry.records.begin(), entry.records.end(),
                             [&](const UpstreamRecord& record) { return record.service == item.service; }));
-                    const bool isOffered = item.outcome == FlowOutcome::Offered;
+                    const bool isOffered = item.outcome == NewFlowOutcome::Offered;
                     ASSERT_EQ(isOffered, !item.candidates.empty());
                     if (offers.empty())
                         isExplained = isExplained || (!isOffered && entry.resets.size() == resets + 1);
@@ -312,16 +312,16 @@
 
     TEST_F(Explained, StatesMissingRoutesAndConfiguration)
     {
-        EXPECT_EQ(this->router.explainFlow(flow).outcome, FlowOutcome::Buffered);
+        EXPECT_EQ(this->router.explainFlow(flow).outcome, NewFlowOutcome::Buffered);
         this->useRoutes();
         EXPECT_EQ(this->router.explainFlow(flow).cause, "no-configuration"); // the list of upstreams is missing
         this->useUpstreams(0);
         EXPECT_EQ(this->router.explainFlow(flow).cause, "no-upstream");
         const FlowExplanation unknown = this->router.explainFlow({ client, { routeAddress.address, 1 } });
-        EXPECT_EQ(unknown.outcome, FlowOutcome::Refused);
+        EXPECT_EQ(unknown.outcome, NewFlowOutcome::Refused);
         EXPECT_EQ(unknown.cause, "no-route");
         this->router.setRoutes(std::make_shared<RoutingTable>(), true);
-        EXPECT_EQ(this->router.explainFlow(flow).outcome, FlowOutcome::Buffered);
+        EXPECT_EQ(this->router.explainFlow(flow).outcome, NewFlowOutcome::Buffered);
     }
 
     // Guards against a guess at what was meant: the operator would get the explanation of another flow.
--- a/wasabicroft/FlowExplanation.cpp
+++ b/wasabicroft/FlowExplanation.cpp
@@ -43,12 +43,12 @@
     const Route* route = this->routes ? this->routes->find(key.route) : nullptr;
     const bool isConfigured = this->routes && this->hasUpstreamList;
     if (!isConfigured || (this->hasProvisionalRoutes && !route)) {
-        result.outcome = FlowOutcome::Buffered;
+        result.outcome = NewFlowOutcome::Buffered;
         result.cause = isConfigured ? "no-route" : "no-configuration";
         return result;
     }
     if (!route) {
-        result.outcome = FlowOutcome::Refused;
+        result.outcome = NewFlowOutcome::Refused;
         result.cause = "no-route";
         return result;
     }
@@ -109,10 +109,10 @@
         result.excluded.begin(), std::make_move_iterator(notAsked.begin()), std::make_move_iterator(notAsked.end()));
     this->explainUnusable(result);
     if (isOverloaded) {
-        result.outcome = FlowOutcome::Refused;
+        result.outcome = NewFlowOutcome::Refused;
         result.cause = nameOf(OverloadCause::Overloaded);
     } else if (order.empty()) {
-        result.outcome = this->hasProvisionalRoutes ? FlowOutcome::Ignored : FlowOutcome::Refused;
+        result.outcome = this->hasProvisionalRoutes ? NewFlowOutcome::Ignored : NewFlowOutcome::Refused;
         result.cause = this->causeWithoutUpstream(share.service);
     }
     return result;
--- a/wasabicroft/FlowExplanation.h
+++ b/wasabicroft/FlowExplanation.h
@@ -9,16 +9,16 @@
 
 namespace wasabicroft {
 
-enum class FlowOutcome : uint8_t {
+enum class NewFlowOutcome : uint8_t {
     Offered, // to the candidates in turn
     Refused,
     Buffered, // until the entry has routes and upstreams of the store
     Ignored, // on provisional routes, a flow without an upstream gets no answer
 };
 
-inline constexpr std::array<std::string_view, 4> flowOutcomeNames = { "offered", "refused", "buffered", "ignored" };
+inline constexpr std::array<std::string_view, 4> newFlowOutcomeNames = { "offered", "refused", "buffered", "ignored" };
 
-inline std::string_view nameOf(FlowOutcome outcome) { return flowOutcomeNames.at(static_cast<size_t>(outcome)); }
+inline std::string_view nameOf(NewFlowOutcome outcome) { return newFlowOutcomeNames.at(static_cast<size_t>(outcome)); }
 
 // Why an upstream of the service is not among those that the flow would be offered to.
 enum class UpstreamExclusion : uint8_t {
@@ -53,7 +53,7 @@
 struct ServiceExplanation {
     ServiceId service;
     uint32_t weight = 1; // relative to the other services of the route
-    FlowOutcome outcome = FlowOutcome::Offered;
+    NewFlowOutcome outcome = NewFlowOutcome::Offered;
     std::string cause; // of a refusal, as in log line 4202; empty if offered
     bool isAdmittedLate = false; // all candidates are too late, but a share of such flows is admitted
     std::vector<UpstreamExplanation> candidates; // in the order in which they would be asked
@@ -67,7 +67,7 @@
     bool isProvisional = false; // routes come from agents, since the store is unavailable
     std::string routeName;
     std::optional<RequestLimits> limits; // of the route; empty: not known
-    std::optional<FlowOutcome> outcome; // empty: it depends on the service, which is drawn by weight
+    std::optional<NewFlowOutcome> outcome; // empty: it depends on the service, which is drawn by weight
     std::string cause; // empty if offered, or if it depends on the service
     std::vector<ServiceExplanation> services; // of the route; empty without a route
 };
