--- a/backends/PacketDaemon.h
+++ b/backends/PacketDaemon.h
@@ -28,8 +28,8 @@
     Endpoint peer; // Serves the same paths. Port 0: disabled.
     std::vector<Endpoint> seeds; // Entries that may be running; their ports are not used.
     Endpoint store; // Entry: the platform's store.
-    // How far new flows of a cold upstream may exceed what it bears: a factor, and flows per second beyond it. The
-    // factor 0 leaves cold upstreams without a limit.
+    // Above 0: new flows and requests of cold upstreams are limited to what they bear. The platform's rule allows this
+    // factor more; the limit does not use it.
     double coldExcess = 0;
     double linkMbps = 10; // Entry: bandwidth of its network link, in each direction.
     // Milliseconds for which the process keeps forwarding after SIGTERM. Routers need this time to notice that an entry
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -215,8 +215,7 @@
     std::vector<FlowKey> held;
     std::set<PacketAddress> entries;
     this->flows.forEach([&](const FlowKey& key, const Flow& flow) {
-        const bool isEnded = flow.clientSentFin && flow.upstreamSentFin;
-        if (flow.isHeld && !isEnded) // the receivers may search for a later flow of the same ends
+        if (flow.isHeld && !flow.isEnded()) // the receivers may search for a later flow of the same ends
             held.push_back(key);
         if (flow.entry != PacketAddress())
             entries.insert(flow.entry);
@@ -322,7 +321,7 @@
 // of a packet that does not fit the known one.
 void AgentRouter::denyOtherFlow(const FlowKey& key, const Flow& known, PacketAddress entry, HopKind kind, Bytes packet)
 {
-    const bool isEnded = known.clientSentFin && known.upstreamSentFin;
+    const bool isEnded = known.isEnded();
     logEvent(Event::PacketOfOtherFlow,
         { { "flow", toString(key) }, { "entry", toString(entry) }, { "with", nameOf(kind) },
             { "known-flow", isEnded ? "ended" : "open" }, { "flows", static_cast<uint64_t>(this->heldFlows) } });
@@ -391,7 +390,7 @@
     if (isNewFlow)
         this->coldStartLimiter.onHandedOver(key);
     // The SYN may be a late copy of an earlier flow's: the known flow goes on unless the upstream accepts the SYN.
-    if (isPortReused && known->isHeld && !(known->clientSentFin && known->upstreamSentFin)) {
+    if (isPortReused && known->isHeld && !known->isEnded()) {
         known->otherSyn = OtherSyn { entry, packet.sequence };
         this->hooks.sendToUpstream(message.packet);
         return;
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -152,6 +152,8 @@
         uint32_t upstreamSequence = 0; // sequence number of the SYN+ACK
         std::optional<OtherSyn> otherSyn;
         uint64_t deliveryNumber = 0; // of the first packet that the upstream has yet to answer or return; 0: none
+
+        bool isEnded() const { return this->clientSentFin && this->upstreamSentFin; }
     };
 
     // A packet of a Find that was sent to the upstream.
