Let the silence of a gone upstream count while a search waits for the list

Cause: one upstream had drained and left with its agent. Its silence counted as a denial after unlistedTimeout, but only in that moment: if the entry was behind another one just then, as it often is while 51 upstreams register again, the silent agent was asked again, and each round of questions took about 0.2 s and ended at another such moment. Change: a search remembers which removed upstreams were silent for unlistedTimeout. While it waits for the list it looks at the list every 50 ms, as for upstreams that have denied the flow, and asks nobody again. An upstream that is listed again is asked. Evidence: RouterFixture.SilenceOfRemovedUpstreamsCountsWhileTheListIsBehind fails without the change, RouterFixture.AGoneUpstreamThatReturnsIsAsked without the update of the listings.

--- a/tests/EntryRouterTest.cpp
+++ b/tests/EntryRouterTest.cpp
@@ -399,6 +399,49 @@
         EXPECT_EQ(this->resets.size(), 1U);
     }
 
+    // A search whose list has three removed upstreams with silent agents, and which waits for the list since this entry
+    // is behind another one.
+    void awaitListBesideRemovedUpstreams(RouterFixture& fixture)
+    {
+        fixture.useRoutes();
+        fixture.useUpstreams(4);
+        fixture.useUpstreams(1);
+        fixture.clock.advance(DirectoryOptions().recoveryGrace);
+        fixture.directory.onRead(fixture.clock.now());
+        fixture.router.setUpstreams(fixture.directory);
+        fixture.router.setBehindPeers(true);
+        fixture.fromClient(ackFlag, 7, 100);
+        fixture.agentDenies(RouterFixture::agent(0));
+        fixture.advance(Milliseconds(300));
+        EXPECT_TRUE(fixture.resets.empty());
+        fixture.takeHops();
+    }
+
+    // Guards against clients that wait while agents of removed upstreams are asked again and again: after a loss of all
+    // power, entries are behind for short moments, and each round of questions missed the moments between them.
+    TEST_F(RouterFixture, SilenceOfRemovedUpstreamsCountsWhileTheListIsBehind)
+    {
+        awaitListBesideRemovedUpstreams(*this);
+        this->advance(Milliseconds(300));
+        EXPECT_TRUE(this->takeHops().empty()) << "nobody is asked again";
+        this->router.setBehindPeers(false);
+        this->advance(Milliseconds(60));
+        EXPECT_EQ(this->resets.size(), 1U);
+    }
+
+    // Guards against the reset of a flow at an upstream that counted as gone and is listed again.
+    TEST_F(RouterFixture, AGoneUpstreamThatReturnsIsAsked)
+    {
+        awaitListBesideRemovedUpstreams(*this);
+        this->directory.update(upstream(1, 6));
+        this->router.setUpstreams(this->directory);
+        this->router.setBehindPeers(false);
+        this->advance(Milliseconds(60));
+        EXPECT_TRUE(this->resets.empty());
+        const std::vector<SentHop> asked = this->takeHops();
+        EXPECT_TRUE(std::any_of(asked.begin(), asked.end(), [](const SentHop& hop) { return hop.agent == agent(1); }));
+    }
+
     // Guards against a search with an empty packet: a late denial carries no packet.
     TEST_F(RouterFixture, ADenialWithoutPacketStartsNoSearch)
     {
--- a/wasabicroft/EntrySearch.cpp
+++ b/wasabicroft/EntrySearch.cpp
@@ -676,6 +676,7 @@
             continue;
         }
         if (flow->search && std::exchange(flow->search->awaitsList, false)) {
+            this->updateListings(*flow->search); // an upstream that was gone may be listed again
             this->widenScope(key, *flow, SearchScope::All);
             if (flow->search->isDeniedByAll())
                 this->endFailedSearch(key, *flow);
@@ -688,6 +689,7 @@
         if (flow->search && flow->search->isDeniedByAllNeeded()) {
             const TimePoint end = flow->search->started + this->options.unlistedTimeout;
             if (now >= end) {
+                flow->search->markUnneededAsGone();
                 this->endFailedSearch(key, *flow);
                 continue;
             }
@@ -753,6 +755,7 @@
         const bool wasNeeded = target.isNeeded();
         const auto listing = this->listingByAgent.find(target.agent);
         target.listing = listing == this->listingByAgent.end() ? Listing::Removed : listing->second;
+        target.isGone = target.isGone && !target.isNeeded();
         if (wasNeeded && !target.isNeeded())
             search.started = this->clock.now(); // its agent has unlistedTimeout to answer
     }
--- a/wasabicroft/HolderSearch.cpp
+++ b/wasabicroft/HolderSearch.cpp
@@ -60,6 +60,12 @@
         [](const Target& target) { return target.packetSent && !target.denied && target.isNeeded(); });
 }
 
+void HolderSearch::markUnneededAsGone()
+{
+    for (Target& target : this->targets)
+        target.isGone = target.isGone || (!target.denied && !target.isNeeded());
+}
+
 bool HolderSearch::isDeniedByAllNeeded() const
 {
     return std::all_of(this->targets.begin(), this->targets.end(),
@@ -84,7 +90,8 @@
 
 bool HolderSearch::isDeniedByAll() const
 {
-    return std::all_of(this->targets.begin(), this->targets.end(), [](const Target& target) { return target.denied; });
+    return std::all_of(this->targets.begin(), this->targets.end(),
+        [](const Target& target) { return target.denied || target.isGone; });
 }
 
 } // namespace wasabicroft
--- a/wasabicroft/HolderSearch.h
+++ b/wasabicroft/HolderSearch.h
@@ -35,6 +35,7 @@
         bool packetSent = false; // the upstream got the packet
         bool isHinted = false; // another entry has forwarded packets of the flow there
         bool denied = false; // the upstream doesn't hold the flow
+        bool isGone = false; // removed for good, and its agent was silent for long: its silence counts as a denial
         bool returned = false; // the upstream returned a packet, perhaps in an earlier search: it gets no other
         unsigned resends = 0; // of the packet, after its agent was silent
 
@@ -65,8 +66,9 @@
     bool hasHint() const; // a target that has not denied the flow is hinted
     void forgetAnswers(); // of targets that got the packet
     size_t countUnanswered() const; // needed targets whose agents have not answered
+    void markUnneededAsGone(); // those that have not denied the flow
     bool isDeniedByAllNeeded() const;
-    bool isDeniedByAll() const;
+    bool isDeniedByAll() const; // except those that are gone
     bool awaitsUpstreamReply() const; // a needed upstream got the packet and has not denied the flow
     size_t countSilent(Listing) const; // targets in this state that have not denied the flow
     std::vector<PacketAddress> silentAgents() const; // of targets that have not denied the flow
