Check the evacuation of a restarted entry in the output of its new process

Cause: a fault of the test. The output of a process name is appended, so that the line by which the former process had learned the order satisfied the wait for the new one. The store was up again before the new process ran; it read no order and logged no withdrawal. Change: the test looks at the output after the restart only, and waits until the new process knows the order while the store is away. It is stricter than before: the former check said nothing of the new process.

--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -162,10 +162,11 @@
                     + R"(","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq_no":1,"born":1})");
         }
 
-        bool isLogged(const std::string& process, const std::string& text)
+        // offset: of the output where to begin, which former processes of this name have written before.
+        bool isLogged(const std::string& process, const std::string& text, size_t offset = 0)
         {
             return waitUntil(
-                [&] { return this->group[process].output().find(text) != std::string::npos; }, waitTimeout);
+                [&] { return this->group[process].output().find(text, offset) != std::string::npos; }, waitTimeout);
         }
 
         bool readsEvacuations = false;
@@ -324,16 +325,17 @@
             this->store.setDown(true);
             return 0;
         });
+        const size_t formerOutput = this->group["entry-1"].output().size();
         this->group.remove("entry-1");
         this->startEntry(1);
-        ASSERT_TRUE(this->isLogged("entry-1", "source=peer")) << this->group.allLogs();
+        ASSERT_TRUE(this->isLogged("entry-1", "name=evacuation-ordered", formerOutput)) << this->group.allLogs();
         this->runOnLoopThread([&] {
             this->store.setDown(false);
             this->store.remove("op/evacuate/z");
             return 0;
         });
         EXPECT_TRUE(this->isLogged("entry-0", "name=evacuation-withdrawn")) << this->group.allLogs();
-        EXPECT_TRUE(this->isLogged("entry-1", "name=evacuation-withdrawn")) << this->group.allLogs();
+        EXPECT_TRUE(this->isLogged("entry-1", "name=evacuation-withdrawn", formerOutput)) << this->group.allLogs();
         EXPECT_TRUE(waitUntil([&] { return this->evacuationExitCode() == 1; }, waitTimeout)) << this->group.allLogs();
     }
 
