Do not count late requests as waiting while an upstream has capacity to spare

Cause: the wait that agents state counts requests that have missed their objective. These yield to a new request, so that it does not wait for them. Change: after an agent has started a late request because none that can be in time waited, late ones do not count for 250 ms. Evidence: RequestQueue.LateRequestsDoNotCountAsWaitingWhileTheyStart; with spareCapacityWindow 0 it sees a wait above the objective.

--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -483,5 +483,50 @@
         EXPECT_EQ(counted, 1U);
     }
 
+    // Runs one request at a time until the mean service time of 10 ms is known, then lets 40 requests wait that have
+    // missed their objective. Returns the wait that the agent states once it has started one of them.
+    std::optional<Milliseconds> statedWaitAfterAnOutage(RequestQueue& queue, ManualClock& clock)
+    {
+        uint32_t number = 0;
+        for (; number < 30; ++number) {
+            queue.submit(requestOf(number, clock.now()));
+            clock.advance(Milliseconds(10));
+            queue.onAnswered(flowKeyOf(number));
+        }
+        for (; number < 71; ++number)
+            queue.submit(requestOf(number, clock.now() - 2 * objective));
+        EXPECT_GT(queue.performance()->expectedWait, objective);
+        clock.advance(Milliseconds(10));
+        queue.onAnswered(flowKeyOf(30));
+        EXPECT_EQ(queue.startWaiting().size(), 1U);
+        const std::optional<UpstreamPerformance> performance = queue.performance();
+        return performance ? std::optional(performance->expectedWait) : std::nullopt;
+    }
+
+    // Guards against the refusal of new flows after an outage: their requests go before those that have waited for too
+    // long already, so that these do not delay them.
+    TEST(RequestQueue, LateRequestsDoNotCountAsWaitingWhileTheyStart)
+    {
+        RequestQueueOptions options;
+        options.slots = 1;
+        options.prefetch = 0;
+        for (const Milliseconds window : { Milliseconds(0), Milliseconds(250) }) {
+            ManualClock clock;
+            options.spareCapacityWindow = window;
+            RequestQueue queue(options, clock);
+            const std::optional<Milliseconds> wait = statedWaitAfterAnOutage(queue, clock);
+            ASSERT_TRUE(wait);
+            if (window == Milliseconds(0))
+                EXPECT_GT(*wait, objective) << "they always count";
+            else
+                EXPECT_LE(*wait, Milliseconds(10));
+            // Requests that can be in time take the slots: late ones start no more and count again.
+            for (uint32_t number = 100; number < 104; ++number)
+                queue.submit(requestOf(number, clock.now()));
+            clock.advance(Milliseconds(251));
+            EXPECT_GT(queue.performance()->expectedWait, objective);
+        }
+    }
+
 } // namespace
 } // namespace wasabicroft
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -193,8 +193,15 @@
         const auto next = this->nextRequest();
         if (next == this->waitingRequests.end() || !this->canStart(next->isProbe))
             break;
-        if (this->urgencyOf(*next).prospect != Prospect::MeetsObjective && next->objective > Milliseconds(0))
+        if (!this->canMeetObjective(*next)) {
             this->overloadCounts.add(next->flow.route, OverloadCause::StartedLate);
+            const bool noneCanBeInTime = std::none_of(
+                this->waitingRequests.begin(), this->waitingRequests.end(), [this](const QueuedRequest& request) {
+                    return !request.isAbandoned && this->canMeetObjective(request);
+                });
+            if (noneCanBeInTime && this->options.spareCapacityWindow > Milliseconds(0))
+                this->lastSpareStart = this->clock.now();
+        }
         this->start(*next);
         started.push_back(next->flow);
         this->waitingRequests.erase(next);
@@ -202,13 +209,20 @@
     return started;
 }
 
+bool RequestQueue::canMeetObjective(const QueuedRequest& request) const
+{
+    return request.objective == Milliseconds(0) || this->urgencyOf(request).prospect == Prospect::MeetsObjective;
+}
+
+bool RequestQueue::hasSpareCapacity() const
+{
+    return this->lastSpareStart && this->clock.now() - *this->lastSpareStart <= this->options.spareCapacityWindow;
+}
+
 size_t RequestQueue::lateCount() const
 {
-    return static_cast<size_t>(
-        std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(), [this](const QueuedRequest& request) {
-            return !request.isAbandoned && request.objective > Milliseconds(0)
-                && this->urgencyOf(request).prospect != Prospect::MeetsObjective;
-        }));
+    return static_cast<size_t>(std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(),
+        [this](const QueuedRequest& request) { return !request.isAbandoned && !this->canMeetObjective(request); }));
 }
 
 std::vector<FlowKey> RequestQueue::takeExpired()
@@ -239,8 +253,11 @@
 
 std::optional<UpstreamPerformance> RequestQueue::performance() const
 {
-    const auto waiting = std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(),
-        [](const QueuedRequest& request) { return !request.isAbandoned; });
+    const bool countsLate = !this->hasSpareCapacity();
+    const auto waiting
+        = std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(), [&](const QueuedRequest& request) {
+              return !request.isAbandoned && (countsLate || this->canMeetObjective(request));
+          });
     const std::optional<ServiceTime::Seconds> mean = this->serviceTime.mean();
     const std::optional<ServiceTime::Seconds> wait = this->serviceTime.expectedWait(static_cast<size_t>(waiting));
     if (this->paused || !mean || !wait)
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -40,6 +40,9 @@
     // How long requests of a priority are passed over by those of higher ones, as a share of their timeout; 0: forever.
     double maxPassedOverShare = 0.5;
     WorkEstimatorOptions work {};
+    // After the queue started a late request because none that can be in time waited, late ones do not count as waiting
+    // for this long: a new request goes before them. 0: they always count.
+    Milliseconds spareCapacityWindow { 250 };
 };
 
 struct QueuedRequest {
@@ -95,6 +98,8 @@
     bool isAdmitted(const QueuedRequest& request) const { return !this->mayStart || this->mayStart(request); }
     size_t unansweredProbes() const;
     RequestUrgency urgencyOf(const QueuedRequest&) const;
+    bool canMeetObjective(const QueuedRequest&) const; // or has none
+    bool hasSpareCapacity() const; // late requests were started lately for want of others
     bool isExpired(const QueuedRequest&) const;
     bool isPassedOver(const QueuedRequest&, Prospect) const;
     std::vector<QueuedRequest>::iterator nextRequest();
@@ -112,6 +117,7 @@
     double meanServiceSeconds = 0; // moving average of the time from start to the first packet of the answer
     WorkEstimator work; // the same by route
     std::map<unsigned, TimePoint> lastStarts; // by priority
+    std::optional<TimePoint> lastSpareStart; // of a late request while none that can be in time waited
     OverloadCounts overloadCounts;
 };
 
