Plan the starts of waiting requests by their work

Cause: waiting requests are ordered by priority, slack and work. Slack is never equal, so work decides nothing; under overload one long request takes the slots of several short ones. Change: StartPlan defers the requests with the most work (Moore and Hodgson) while the lanes can't run all requests of the first priority and prospect in time. A route with deferred requests that has not started from the wait for half of its time limit gets the next start.

--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -162,28 +162,85 @@
         && (lastStart == this->lastStarts.end() || this->clock.now() - lastStart->second >= longest);
 }
 
+// Whether no waiting request of this route has started for so long that a plan must not defer all of them. A route that
+// never starts would also keep an estimate of its work that is no longer true.
+bool RequestQueue::isRoutePassedOver(const QueuedRequest& request)
+{
+    const bool isFull = this->lastRouteStarts.size() >= this->options.work.maxRoutes;
+    if (this->options.maxPassedOverShare <= 0 || (isFull && !this->lastRouteStarts.contains(request.flow.route)))
+        return false;
+    const TimePoint lastStart = this->lastRouteStarts.try_emplace(request.flow.route, this->clock.now()).first->second;
+    return this->clock.now() - lastStart >= this->effectiveTimeout(request) * this->options.maxPassedOverShare;
+}
+
+// A sufficient condition that needs no order: the last of these requests starts before the least slack has passed.
+bool RequestQueue::areAllInTime(const Leader& leader, StartLanes lanes) const
+{
+    return leader.requests <= lanes.free
+        || leader.work <= leader.urgency.slack * static_cast<Duration::rep>(lanes.total);
+}
+
+// The request to start next of those with the leader's priority and prospect.
+std::vector<QueuedRequest>::iterator RequestQueue::planNext(const Leader& leader)
+{
+    if (!this->options.plansByWork || this->options.slots == 0 || leader.urgency.prospect == Prospect::Hopeless
+        || !this->canStart(false))
+        return leader.request;
+    const size_t total = this->options.slots + this->options.prefetch;
+    const StartLanes lanes { total, total - (this->runningRequests.size() - this->unansweredProbes()) };
+    if (this->areAllInTime(leader, lanes))
+        return leader.request;
+    this->startPlan.clear();
+    std::optional<StartCandidate> passedOver;
+    for (size_t i = 0; i < this->waitingRequests.size(); ++i) {
+        const QueuedRequest& request = this->waitingRequests[i];
+        if (request.priority != leader.urgency.priority || this->isExpired(request) || !this->isAdmitted(request))
+            continue;
+        const RequestUrgency urgency = this->urgencyOf(request);
+        if (urgency.prospect != leader.urgency.prospect)
+            continue;
+        const StartCandidate candidate { urgency.slack, urgency.work, i };
+        this->startPlan.add(candidate);
+        if (this->isRoutePassedOver(request) && (!passedOver || candidate.slack < passedOver->slack))
+            passedOver = candidate;
+    }
+    const std::span<const StartCandidate> inTime = this->startPlan.make(lanes);
+    if (inTime.empty() || (inTime.size() == std::min(leader.requests, StartPlan::maxPlanned)))
+        return leader.request;
+    const size_t position = passedOver ? passedOver->position : inTime.front().position;
+    return this->waitingRequests.begin() + static_cast<std::ptrdiff_t>(position);
+}
+
 // The waiting request to start next; the end if none may start.
 std::vector<QueuedRequest>::iterator RequestQueue::nextRequest()
 {
     std::optional<unsigned> passedOver; // the highest priority with a request that was passed over for too long
-    std::map<unsigned, std::pair<RequestUrgency, std::vector<QueuedRequest>::iterator>> mostUrgent; // by priority
+    std::map<unsigned, Leader> leaders; // by priority
     for (auto request = this->waitingRequests.begin(); request != this->waitingRequests.end(); ++request) {
         if (this->isExpired(*request) || !this->isAdmitted(*request))
             continue;
         if (!this->options.orderByObjective)
             return request;
         const RequestUrgency urgency = this->urgencyOf(*request);
-        const auto known = mostUrgent.try_emplace(request->priority, urgency, request).first;
-        if (urgency < known->second.first)
-            known->second = { urgency, request };
+        Leader& leader = leaders.try_emplace(request->priority, Leader { request, urgency }).first->second;
+        if (urgency.prospect < leader.urgency.prospect)
+            leader = { request, urgency };
+        if (urgency < leader.urgency) {
+            leader.request = request;
+            leader.urgency = urgency;
+        }
+        if (urgency.prospect == leader.urgency.prospect) {
+            ++leader.requests;
+            leader.work += urgency.work;
+        }
         if (this->isPassedOver(*request, urgency.prospect))
             passedOver = std::min(request->priority, passedOver.value_or(request->priority));
     }
     if (passedOver)
-        return mostUrgent.at(*passedOver).second;
-    const auto first = std::min_element(mostUrgent.begin(), mostUrgent.end(),
-        [](const auto& a, const auto& b) { return a.second.first < b.second.first; });
-    return first == mostUrgent.end() ? this->waitingRequests.end() : first->second.second;
+        return leaders.at(*passedOver).request;
+    const auto first = std::min_element(leaders.begin(), leaders.end(),
+        [](const auto& a, const auto& b) { return a.second.urgency < b.second.urgency; });
+    return first == leaders.end() ? this->waitingRequests.end() : this->planNext(first->second);
 }
 
 std::vector<FlowKey> RequestQueue::startWaiting()
@@ -196,6 +253,8 @@
         if (this->urgencyOf(*next).prospect != Prospect::MeetsObjective && next->objective > Milliseconds(0))
             this->overloadCounts.add(next->flow.route, OverloadCause::StartedLate);
         this->start(*next);
+        if (const auto route = this->lastRouteStarts.find(next->flow.route); route != this->lastRouteStarts.end())
+            route->second = this->clock.now();
         started.push_back(next->flow);
         this->waitingRequests.erase(next);
     }
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -4,6 +4,7 @@
 // enough to keep it busy. Requests that can still be answered within their latency objective start first, because one
 // that has missed it loses little by waiting longer; the others follow until they time out. Last come requests that can
 // hardly be answered before their timeout and those whose client has closed the flow. OverloadPolicy has the details.
+// With plansByWork, requests with the most work yield while not all of the first priority can be in time (StartPlan).
 //
 // A hook may limit further what starts, as for cold upstreams. Requests that it does not admit wait, and hold up none
 // that it admits.
@@ -16,6 +17,7 @@
 #include "wasabicroft/OverloadPolicy.h"
 #include "wasabicroft/Packet.h"
 #include "wasabicroft/ServiceTime.h"
+#include "wasabicroft/StartPlan.h"
 
 #include <functional>
 #include <vector>
@@ -36,6 +38,7 @@
     Milliseconds minStuckTime { 300 };
     double stuckFactor = 8;
     bool orderByObjective = true; // false: first come, first served
+    bool plansByWork = false; // true: those with the most work yield if not all of a priority can be in time
     ServiceTimeOptions serviceTime {};
     // How long requests of a priority are passed over by those of higher ones, as a share of their timeout; 0: forever.
     double maxPassedOverShare = 0.5;
@@ -90,6 +93,13 @@
         std::optional<ServiceTime::Seconds> chargeAtStart; // empty: of a probe, which may not run
     };
     using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
+    // The most urgent waiting request of a priority, and all with the same priority and prospect.
+    struct Leader {
+        std::vector<QueuedRequest>::iterator request;
+        RequestUrgency urgency;
+        size_t requests = 0;
+        Duration work { 0 };
+    };
 
     bool canStart(bool isProbe) const;
     bool isAdmitted(const QueuedRequest& request) const { return !this->mayStart || this->mayStart(request); }
@@ -97,6 +107,9 @@
     RequestUrgency urgencyOf(const QueuedRequest&) const;
     bool isExpired(const QueuedRequest&) const;
     bool isPassedOver(const QueuedRequest&, Prospect) const;
+    bool isRoutePassedOver(const QueuedRequest&);
+    bool areAllInTime(const Leader&, StartLanes) const;
+    std::vector<QueuedRequest>::iterator planNext(const Leader&);
     std::vector<QueuedRequest>::iterator nextRequest();
     Milliseconds effectiveTimeout(const QueuedRequest&) const;
     void start(const QueuedRequest&);
@@ -112,6 +125,8 @@
     double meanServiceSeconds = 0; // moving average of the time from start to the first packet of the answer
     WorkEstimator work; // the same by route
     std::map<unsigned, TimePoint> lastStarts; // by priority
+    StartPlan startPlan; // kept for its memory
+    std::map<PacketAddress, TimePoint> lastRouteStarts; // of waiting requests, or when a plan first contained one
     OverloadCounts overloadCounts;
 };
 
