Count a reset in answer to a search as a denial unless the upstream accepted the flow

An entry that knows no holder sends it the packet of a search, and the upstream answers with a reset of the ended flow. Its number is by accident near what the client of the later flow acknowledged: 47,500, 51,500 and 72,500 before it, 1,500 after it; the limit is 76,800. The agent passed the reset on and answered Gone, and the entry reset the flow without asking the others. Change: a reset in answer to a search is a denial if the agent has seen nothing of the upstream in this flow. It shows that this upstream does not hold the flow, whichever one ended there; the search goes on, and its client gets a reset once all have denied it. The reset of a flow whose SYN+ACK the agent saw, or of a forwarded packet, still reaches the client. Tests: AResetWithANearNumberDeniesASearchedFlow and AResetInAnswerToASearchEndsTheSearch fail without the new condition. The latter and AResetOfTheSearchedFlowReachesTheClient demanded Gone and the reset from an agent that knew nothing of the flow, which is the fault. The first now demands the denial, which ends the search as well; the second demands both for a flow that the upstream accepted, and a new test for a forwarded packet.

--- a/tests/AgentRouterTest.cpp
+++ b/tests/AgentRouterTest.cpp
@@ -749,9 +749,8 @@
         this->fromEntry(HopKind::Find, ackFlag, 1, 1002, 100);
         this->kinds.clear();
         this->fromUpstream(fakes::packet_flags::reset, 1);
-        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Gone });
-        EXPECT_EQ(this->lastHop.flow, keyOf(1));
-        EXPECT_NE(this->lastHop.upstreamSequence, 0U) << "the entry tells by it which flow of these ends is meant";
+        EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied });
+        EXPECT_EQ(this->lastHop.flowKeys, std::vector<FlowKey> { keyOf(1) });
     }
 
 } // namespace
--- a/tests/PortReuseTest.cpp
+++ b/tests/PortReuseTest.cpp
@@ -98,6 +98,12 @@
             this->fromUpstream(ackFlag | finFlag, 1);
         }
 
+        void resetFromUpstream(uint32_t sequence)
+        {
+            const std::vector<uint8_t> bytes = makePacket(routeAddress, { client.address, 1 }, rstFlag, sequence, 0, 0);
+            this->router.onUpstreamPacket(platform::decodePacket(bytes).value(), bytes);
+        }
+
         std::vector<uint8_t> nextFlowPacket(HopKind kind)
         {
             const std::vector<uint8_t> bytes = makePacket(
@@ -263,14 +269,37 @@
         EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::NotHeld });
     }
 
-    // Guards against a reset of the upstream that is kept from its client.
+    // The same where the numbers of the two flows are near each other by accident: the entry took the agent's word for
+    // the loss of the later flow, and the client took the reset for its own.
+    TEST_F(PortReuseAtAgent, AResetWithANearNumberDeniesASearchedFlow)
+    {
+        for (const uint32_t sequence : { nextUpstreamSequence - 51500, nextUpstreamSequence + 1500 }) {
+            this->nextFlowPacket(HopKind::Find);
+            this->resetFromUpstream(sequence);
+            EXPECT_TRUE(this->toClient.empty()) << sequence;
+            EXPECT_EQ(this->repliesToSearches(), std::vector<HopKind> { HopKind::Denied }) << sequence;
+        }
+    }
+
+    // Guards against a reset of the upstream that is kept from its client: the entry knows the holder.
+    TEST_F(PortReuseAtAgent, AResetOfTheForwardedFlowReachesTheClient)
+    {
+        this->nextFlowPacket(HopKind::Forward);
+        this->resetFromUpstream(nextUpstreamSequence);
+        EXPECT_EQ(this->toClient.size(), 1U);
+    }
+
+    // The same for a searched flow whose SYN the upstream accepted.
     TEST_F(PortReuseAtAgent, AResetOfTheSearchedFlowReachesTheClient)
     {
-        this->nextFlowPacket(HopKind::Find);
-        const std::vector<uint8_t> reset
-            = makePacket(routeAddress, { client.address, 1 }, rstFlag, nextUpstreamSequence, 0, 0);
-        this->router.onUpstreamPacket(platform::decodePacket(reset).value(), reset);
+        this->fromEntry(HopKind::Offer, synFlag, 1);
+        this->fromUpstream(synFlag | ackFlag, 1);
+        this->fromEntry(HopKind::Find, ackFlag, 1, 1001, 100);
+        this->toClient.clear();
+        this->kinds.clear();
+        this->resetFromUpstream(501);
         EXPECT_EQ(this->toClient.size(), 1U);
+        EXPECT_EQ(this->kinds, std::vector<HopKind> { HopKind::Gone });
     }
 
     // Guards against entries that can't tell which flow of the port an agent reports as lost.
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -561,7 +561,7 @@
         return;
     }
     const FlowKey key = packet.flowKeyFromUpstream();
-    if (this->isResetOfEarlierFlow(key, packet)) {
+    if (this->mayBeResetOfEarlierFlow(key, packet)) {
         if (this->flows.find(key))
             this->denyAfterReset(key);
         return;
@@ -616,8 +616,9 @@
     }
 }
 
-// The upstream answers data of a flow that has ended there with a reset. Without an answer of its agent, the search
-// would send the packet again and again. The entry tells by the sequence number whether the flow is the one it seeks.
+// The upstream answers data of a flow that it accepted and that has ended there with a reset. Without an answer of its
+// agent, the search would send the packet again and again. The entry tells by the sequence number whether the flow is
+// the one it seeks.
 void AgentRouter::answerSearchForEndedFlow(const FlowKey& key, PacketAddress entry, uint32_t sequence)
 {
     if (sequence != 0)
@@ -626,16 +627,21 @@
         this->queuedDenials[{ entry, HopRefusal::None }].flows.push_back(key);
 }
 
-// An upstream that keeps an ended flow may answer a packet of a later one with a reset. Its number is
+// An upstream that keeps an ended flow may answer a packet of a later one with a reset. Its number is usually
 // far from what the client of the later flow acknowledged. 0 states nothing.
-bool AgentRouter::isResetOfEarlierFlow(const FlowKey& key, const Packet& packet)
+bool AgentRouter::mayBeResetOfEarlierFlow(const FlowKey& key, const Packet& packet)
 {
     if (!packet.rst)
         return false;
     const Flow* flow = this->flows.find(key);
     if (!flow) // the packet may have been sent twice
         return this->isReturnedFlow(key);
-    if (flow->isHeld || packet.sequence == 0)
+    if (flow->isHeld)
+        return false;
+    // The flow of a search may never have been here, and the numbers of two flows may be near each other by accident.
+    if (flow->lastKind == HopKind::Find && !flow->sequences.fromUpstream().isKnown())
+        return true;
+    if (packet.sequence == 0)
         return false;
     SequenceRange acknowledged;
     if (flow->lastAcknowledgement)
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -178,7 +178,7 @@
     void onOffer(PacketAddress entry, const HopMessage&, const Packet&);
     HopRefusal refusalOf(const HopMessage&, bool isNewFlow);
     void startLaterFlow(const FlowKey&, OtherSyn);
-    bool isResetOfEarlierFlow(const FlowKey&, const Packet&);
+    bool mayBeResetOfEarlierFlow(const FlowKey&, const Packet&);
     void denyAfterReset(const FlowKey&);
     void onBounce(const FlowKey&, const Packet&, Bytes);
     void deliver(const FlowKey&, Flow&, const HopMessage&, const Packet&);
