State evacuation orders to agents only while they are confirmed

An entry that is cut off from the store and its peers repeats an order that was withdrawn meanwhile, so an agent that restarts believes the order for as long as the entry is cut off.

EvacuationConfirmation keeps the age of the last confirmation by the store or a peer, with the clock that includes pauses. DirectiveSchedule sends no refresh and no directive about a change once the age exceeds 30 s, and directives before offers state position 0. Refreshes start anew at their places in the interval after an outage. Routers without the new hook behave as before.

--- a/tests/DirectiveTest.cpp
+++ b/tests/DirectiveTest.cpp
@@ -235,8 +235,9 @@
 
     // Entries and the agents of the failure domain "a", whose messages arrive at once, unless they are lost.
     struct RefreshFleet {
-        RefreshFleet(uint32_t entryCount, uint32_t agentCount, bool refreshesOrders = true)
+        RefreshFleet(uint32_t entryCount, uint32_t agentCount, DirectiveOptions directives = {})
             : directory(DirectoryOptions(), this->clock)
+            , directiveOptions(directives)
         {
             AgentRouterHooks hooks { [this](Bytes) { ++this->packetsAtUpstreams; }, [](PacketAddress, Bytes) {},
                 [](PacketAddress, const HopMessage&) {}, [](PacketAddress) {}, {} };
@@ -248,18 +249,21 @@
             }
             this->directory.replace(records, 5);
             for (uint32_t i = 0; i < entryCount; ++i)
-                this->startEntry(i, refreshesOrders);
+                this->startEntry(i);
             this->listEntries();
         }
 
         static PacketAddress entryAddress(uint32_t number) { return { 0x0a010000 + number, 7700 }; }
 
-        EntryRouter& startEntry(uint32_t number, bool refreshesOrders)
+        EntryRouter& startEntry(uint32_t number)
         {
             EntryRouterOptions options = RouterFixture::options();
             options.hopAddress = entryAddress(number).address;
-            options.directives.refreshesOrders = refreshesOrders;
+            options.directives = this->directiveOptions;
             EntryRouterHooks hooks;
+            hooks.sendReset = [](const FlowKey&, uint32_t) {};
+            this->confirmed[number] = this->clock.now();
+            hooks.evacuationAge = [this, number] { return this->clock.now() - this->confirmed[number]; };
             hooks.sendHop = [this, number](PacketAddress receiver, const HopMessage& message) {
                 AgentRouter& agent = this->agents.at(receiver.address - RouterFixture::agent(0).address);
                 if (message.kind == HopKind::Offer)
@@ -300,8 +304,11 @@
             size_t lowest = this->agents.size();
             for (const TimePoint end = this->clock.now() + duration; this->clock.now() < end;) {
                 this->clock.advance(Milliseconds(100));
-                for (auto& [number, router] : this->entries)
+                for (auto& [number, router] : this->entries) {
+                    if (!this->cutOff.contains(number))
+                        this->confirmed[number] = this->clock.now();
                     router.onTick();
+                }
                 for (AgentRouter& agent : this->agents)
                     agent.onTick();
                 lowest = std::min(lowest, this->evacuatedAgents());
@@ -316,15 +323,20 @@
         }
 
         // The number of packets that upstreams get of a flow at an entry which starts without knowing the order.
-        size_t openFlowAtUninformedEntry()
+        size_t openFlowAtUninformedEntry() { return this->openFlow(this->startEntry(99)); }
+
+        size_t openFlow(EntryRouter& router)
         {
             const std::vector<uint8_t> bytes = makePacket(client, routeAddress, synFlag, 1001, 0, 0);
-            this->startEntry(99, true).onClientPacket(platform::decodePacket(bytes).value(), bytes);
+            router.onClientPacket(platform::decodePacket(bytes).value(), bytes);
             return this->packetsAtUpstreams;
         }
 
         ManualClock clock;
         UpstreamDirectory directory;
+        DirectiveOptions directiveOptions;
+        std::map<uint32_t, TimePoint> confirmed; // when the orders of entries were confirmed
+        std::set<uint32_t> cutOff; // entries whose orders nobody confirms
         std::map<uint32_t, EntryRouter> entries; // those that run
         std::deque<AgentRouter> agents;
         std::mt19937_64 random { 7 };
@@ -352,7 +364,7 @@
             const std::optional<RefusedOffer>& refused = agent.evacuation().lastRefusedOffer();
             return refused && refused->entry == RefreshFleet::entryAddress(99);
         }));
-        RefreshFleet withoutRefresh(5, 20, false);
+        RefreshFleet withoutRefresh(5, 20, { .refreshesOrders = false });
         withoutRefresh.order(8, { "a" });
         EXPECT_EQ(withoutRefresh.run(Milliseconds(31000)), 0U);
         EXPECT_EQ(withoutRefresh.openFlowAtUninformedEntry(), 1U);
@@ -433,5 +445,77 @@
         EXPECT_EQ(fleet.evacuatedAgents() + fleet.directiveCount, 0U);
     }
 
+    // Guards against a withdrawn order that an entry without store and peers repeats to agents which restart, here
+    // those that got no directive before, and against flows of this entry in the domain because nobody confirms the
+    // order.
+    TEST(DirectiveConfirmation, AnEntryThatIsCutOffStopsRepeatingItsOrder)
+    {
+        for (const bool needsConfirmation : { true, false }) {
+            RefreshFleet fleet(5, 20, { .needsConfirmation = needsConfirmation });
+            fleet.lossRate = 1;
+            fleet.order(8, { "a" });
+            fleet.cutOff = { 0 };
+            fleet.entries.at(0).setPeers({});
+            fleet.entries.at(0).setUpstreams(fleet.directory);
+            fleet.order(9, {}, 1);
+            fleet.run(Milliseconds(61000));
+            fleet.lossRate = 0;
+            fleet.run(Milliseconds(30000));
+            EXPECT_EQ(fleet.evacuatedAgents(), needsConfirmation ? 0U : 20U);
+            EXPECT_EQ(fleet.openFlow(fleet.entries.at(0)), 0U);
+        }
+    }
+
+    // Guards against lone entries that keep an order for ever, and against refreshes that all entries send at the same
+    // time once they are confirmed again.
+    TEST(DirectiveConfirmation, EntriesResumeInTurnOnceTheyAreConfirmed)
+    {
+        RefreshFleet fleet(3, 20);
+        fleet.order(8, { "a" });
+        fleet.cutOff = { 0, 1, 2 };
+        EXPECT_EQ(fleet.run(Milliseconds(49000)), 20U);
+        EXPECT_EQ(fleet.run(Milliseconds(12000)), 0U);
+        fleet.cutOff.clear();
+        fleet.directiveCount = 0;
+        for (size_t refreshes = 20; refreshes <= 60; refreshes += 20) {
+            fleet.run(Milliseconds(3300));
+            EXPECT_EQ(fleet.directiveCount, refreshes);
+        }
+    }
+
+    // Guards against a directive before an offer that states a withdrawal which may be outdated.
+    TEST(DirectiveConfirmation, StatesPositionZeroBeforeOffersWhileUnconfirmed)
+    {
+        RefreshFleet fleet(1, 1);
+        fleet.lossRate = 1;
+        fleet.order(8, { "a" });
+        fleet.order(9, {});
+        fleet.cutOff = { 0 };
+        fleet.run(Milliseconds(31000));
+        fleet.lossRate = 0;
+        EXPECT_EQ(fleet.openFlow(fleet.entries.at(0)), 1U);
+        EXPECT_EQ(fleet.agents[0].evacuation().position(), 0U);
+    }
+
+    // Guards against statements that confirm nothing: earlier positions, and messages that waited during a pause.
+    TEST(DirectiveConfirmation, IgnoresEarlierPositionsAndIncludesPauses)
+    {
+        ManualClock clock;
+        EvacuationConfirmation confirmation(clock);
+        const EvacuationOrders known { 20, { "a" } };
+        confirmation.onPeerStated(19, known);
+        confirmation.onStoreConfirmed(19, Duration::zero(), known);
+        EXPECT_FALSE(confirmation.age());
+        clock.advance(Milliseconds(40000));
+        confirmation.onPeerStated(20, known);
+        EXPECT_EQ(confirmation.age(), Milliseconds(40000));
+        DirectiveSchedule schedule(DirectiveOptions(), clock);
+        schedule.setConfirmationAge(confirmation.age());
+        EXPECT_FALSE(schedule.statesOrders());
+        confirmation.onStoreConfirmed(20, Milliseconds(30000), known);
+        schedule.setConfirmationAge(confirmation.age());
+        EXPECT_TRUE(schedule.statesOrders());
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/Directive.cpp
+++ b/wasabicroft/Directive.cpp
@@ -50,6 +50,17 @@
     return changed;
 }
 
+// After an outage many entries are confirmed at about the same time. Each begins anew at its place in the interval, so
+// that the refreshes of one agent stay spread.
+void DirectiveSchedule::setConfirmationAge(std::optional<Duration> age)
+{
+    const bool isNowConfirmed = !this->options.needsConfirmation || (age && *age <= this->options.maxConfirmationAge);
+    if (std::exchange(this->isConfirmed, isNowConfirmed) || !isNowConfirmed)
+        return;
+    for (const auto& [agent, refresh] : this->refreshes)
+        this->scheduleRefresh(agent, this->phaseOf(refresh.rank));
+}
+
 bool DirectiveSchedule::isDueBeforeOffer(PacketAddress agent, const std::string& domain, bool isCold) const
 {
     const TimePoint now = this->clock.now();
@@ -65,7 +76,7 @@
 void DirectiveSchedule::onSent(PacketAddress agent, const std::string& domain)
 {
     this->lastSent[agent] = this->clock.now();
-    if (this->evacuated.contains(domain))
+    if (this->isConfirmed && this->evacuated.contains(domain))
         this->directed[domain].insert(agent);
 }
 
@@ -133,7 +144,7 @@
     this->budget = std::min(this->options.bytesPerSecond, this->budget + elapsed * this->options.bytesPerSecond);
     const double cost = static_cast<double>(bytesPerDirective);
     std::vector<PacketAddress> due;
-    while (this->budget >= cost) {
+    while (this->isConfirmed && this->budget >= cost) {
         const std::optional<PacketAddress> agent = this->takeNext();
         if (!agent)
             break;
--- a/wasabicroft/Directive.h
+++ b/wasabicroft/Directive.h
@@ -1,7 +1,8 @@
 // Directives: what entries tell agents of the limits of their upstreams' new flows. No I/O.
 //
 // A directive is the second line of defence against entries that do not know an order. It is sent only where an order
-// or a cold start calls for it. Agents expire orders that no directive repeats, so entries refresh those in force.
+// or a cold start calls for it. Agents expire orders that no directive repeats, so entries refresh those in force. An
+// entry that cannot know whether its orders are in force states none.
 //
 // Index
 //   [SECTION] Entry
@@ -32,6 +33,8 @@
     bool refreshesOrders = true; // false: agents expire orders that are in force, for comparison
     Milliseconds refreshInterval { 10000 }; // a third of the time after which an agent expires an order
     size_t refreshingEntries = 3; // for each agent: the loss of one or two of them ends no order
+    bool needsConfirmation = true; // false: orders are stated whatever the age of their confirmation, for comparison
+    Milliseconds maxConfirmationAge = maxEvacuationConfirmationAge;
 };
 
 // The position of an entry, from 0, among those that refresh the orders of an agent; empty if it is none of them. All
@@ -47,6 +50,11 @@
     // Returns the failure domains whose order changed.
     std::set<std::string> setOrders(const EvacuationOrders&);
 
+    // How long ago the orders were confirmed; empty: never. Call before each use. While the confirmation is too old, no
+    // directive states the orders, and those about changes and refreshes wait.
+    void setConfirmationAge(std::optional<Duration>);
+    bool statesOrders() const { return this->isConfirmed; }
+
     // Whether an agent is to get a directive before it is offered a flow.
     bool isDueBeforeOffer(PacketAddress agent, const std::string& domain, bool isCold) const;
     void onSent(PacketAddress agent, const std::string& domain);
@@ -80,6 +88,7 @@
     std::map<PacketAddress, Refresh> refreshes;
     std::set<std::pair<TimePoint, PacketAddress>> refreshOrder; // by due time
     bool isRefreshNext = false; // if refreshes and changes are both due
+    bool isConfirmed = true; // see setConfirmationAge()
     double budget = 0; // bytes
     TimePoint budgetTime;
 };
--- a/wasabicroft/EntryDirectives.cpp
+++ b/wasabicroft/EntryDirectives.cpp
@@ -58,6 +58,7 @@
     if (this->hasOutdatedRefreshes && !this->evacuations.domains.empty()
         && this->clock.now() >= this->nextRefreshUpdate)
         this->updateRefreshes();
+    this->directives.setConfirmationAge(this->hooks.evacuationAge());
     HopMessage message;
     message.kind = HopKind::Directive;
     for (const PacketAddress agent : this->directives.takeQueued(encodedBytes(message) + datagramHeaderBytes))
@@ -71,8 +72,10 @@
     if (listed == this->listedByAgent.end())
         return;
     const bool isCold = this->coldUpstreams.flowsPerSecond(listed->second.id) > 0;
-    if (this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, isCold))
-        this->sendDirective(agent);
+    if (!this->directives.isDueBeforeOffer(agent, listed->second.failureDomain, isCold))
+        return;
+    this->directives.setConfirmationAge(this->hooks.evacuationAge());
+    this->sendDirective(agent);
 }
 
 void EntryRouter::sendDirective(PacketAddress agent)
@@ -83,8 +86,10 @@
     HopMessage message;
     message.kind = HopKind::Directive;
     message.service = listed->second.service;
-    message.directive.evacuationPosition = this->evacuations.position;
-    message.directive.evacuated = this->evacuations.domains.contains(listed->second.failureDomain);
+    if (this->directives.statesOrders()) { // else position 0, which says nothing of orders
+        message.directive.evacuationPosition = this->evacuations.position;
+        message.directive.evacuated = this->evacuations.domains.contains(listed->second.failureDomain);
+    }
     if (const uint32_t limit = this->coldUpstreams.flowsPerSecond(listed->second.id); limit > 0) {
         message.directive.coldLeft = this->coldUpstreams.timeLeft(listed->second.id);
         message.directive.coldFlowsPerSecond = limit;
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -126,6 +126,8 @@
 struct EntryRouterHooks {
     std::function<void(PacketAddress receiver, const HopMessage&)> sendHop; // to an agent or another entry
     std::function<void(const FlowKey&, uint32_t sequence)> sendReset; // to the client
+    // How long ago the evacuation orders were confirmed; empty: never. See EvacuationConfirmation.
+    std::function<std::optional<Duration>()> evacuationAge = [] { return Duration::zero(); };
 };
 
 class EntryRouter {
--- a/wasabicroft/Evacuation.cpp
+++ b/wasabicroft/Evacuation.cpp
@@ -86,4 +86,30 @@
 
 bool EvacuationState::takeReadRequest() { return std::exchange(this->needsRead, false); }
 
+EvacuationConfirmation::EvacuationConfirmation(const Clock& pauseClock)
+    : clock(pauseClock)
+    , lastPoll(pauseClock.now())
+{
+}
+
+void EvacuationConfirmation::onStoreConfirmed(uint64_t completePosition, Duration age, const EvacuationOrders& known)
+{
+    if (known.position > 0 && completePosition >= known.position)
+        this->confirmed = std::max(this->confirmed, std::optional(this->clock.now() - age));
+}
+
+// Positions only grow: a confirmation of earlier orders also limits the age of later ones.
+void EvacuationConfirmation::onPeerStated(uint64_t position, const EvacuationOrders& known)
+{
+    if (known.position > 0 && position >= known.position)
+        this->confirmed = std::max(this->confirmed, std::optional(this->lastPoll));
+}
+
+void EvacuationConfirmation::onPolled() { this->lastPoll = this->clock.now(); }
+
+std::optional<Duration> EvacuationConfirmation::age() const
+{
+    return this->confirmed ? std::optional(this->clock.now() - *this->confirmed) : std::nullopt;
+}
+
 } // namespace wasabicroft
--- a/wasabicroft/Evacuation.h
+++ b/wasabicroft/Evacuation.h
@@ -2,8 +2,11 @@
 // I/O.
 #pragma once
 
+#include "wasabicroft/Clock.h"
+
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -22,6 +25,10 @@
 inline constexpr size_t maxEvacuatedDomains = 64;
 inline constexpr size_t maxDomainNameBytes = 64;
 
+// An entry whose orders nobody has confirmed for longer does not state them to agents: they may have been withdrawn.
+// The time after which an agent forgets an order that is not repeated, and longer than the wait of a watch (20 s).
+inline constexpr Milliseconds maxEvacuationConfirmationAge { 30000 };
+
 // Whether text can be the name of a failure domain: printable ASCII without spaces and slashes, of limited length.
 bool isDomainName(std::string_view text);
 
@@ -62,4 +69,24 @@
     bool needsRead = false;
 };
 
+// How long ago the orders that an entry knows were last confirmed, by the store or by another entry.
+class EvacuationConfirmation {
+public:
+    explicit EvacuationConfirmation(const Clock& pauseClock); // see BootClock: the age includes pauses
+
+    // The store confirmed this long ago that the entry's copy of the topic Routes is complete up to a position. A copy
+    // that is older than the orders, which a peer stated, confirms nothing.
+    void onStoreConfirmed(uint64_t completePosition, Duration age, const EvacuationOrders& known);
+    // Another entry stated its position. The message may have waited since the last call of onPolled().
+    void onPeerStated(uint64_t position, const EvacuationOrders& known);
+    void onPolled(); // all messages that have arrived were handled
+
+    std::optional<Duration> age() const; // empty: never confirmed
+
+private:
+    const Clock& clock;
+    TimePoint lastPoll;
+    std::optional<TimePoint> confirmed;
+};
+
 } // namespace wasabicroft
