Confirm an entry's evacuation orders by the store and by peers

PacketEntry passes to EvacuationConfirmation each confirmation of the topic Routes that comes from the store itself, and the positions that peers state in their presence. An answer to a read that began before a pause does not count, also if it is handled before the first tick after the pause (StoreRefresh::confirmedByStore). /status of an entry states the age as evacuationConfirmedMs, null if there was no confirmation.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -50,6 +50,7 @@
     , agentSocket(loop)
     , storeSync(syncOptions(this->settings), timeSource)
     , directory(DirectoryOptions(), timeSource, this->bootClock)
+    , evacuationConfirmation(this->bootClock)
     , fleet(fleetOptions(this->settings), timeSource)
     , storeRefresh({}, this->storeSync, this->fleet, timeSource, this->bootClock)
     , router(routerOptions(this->settings),
@@ -61,7 +62,8 @@
               [this](const FlowKey& flow, uint32_t sequence) {
                   this->clientSocket.send(
                       { flow.client.address, this->settings.packets.port }, platform::makeReset(flow, sequence));
-              } },
+              },
+              [this] { return this->evacuationConfirmation.age(); } },
           timeSource)
     , storeTimers { asio::steady_timer(loop), asio::steady_timer(loop) }
 {
@@ -336,6 +338,7 @@
         if (!orders.domains.contains(domain))
             logChange(Event::EvacuationWithdrawn, domain);
     }
+    this->updateEvacuationConfirmation(); // directives about the change are sent at once
     this->router.setEvacuations(orders);
     if (this->hasStoreState())
         this->applyStoreState();
@@ -343,6 +346,13 @@
         this->router.setUpstreams(*this->provisionalDirectory);
 }
 
+void PacketEntry::updateEvacuationConfirmation()
+{
+    if (const std::optional<TimePoint> confirmation = this->storeRefresh.confirmedByStore(StoreTopic::Routes))
+        this->evacuationConfirmation.onStoreConfirmed(this->storeSync.completeRevision(StoreTopic::Routes),
+            this->clock.now() - *confirmation, this->evacuations.orders());
+}
+
 void PacketEntry::onWatchEvents(const StoreRead& read, const platform::StoreResponse& response)
 {
     if (!this->storeSync.onEvents(read, response.revision))
@@ -457,7 +467,10 @@
     if (this->settings.readsEvacuations && stated.position > this->evacuations.orders().position) {
         const EvacuationState before = this->evacuations;
         this->evacuations.adoptFromPeer(stated);
+        this->evacuationConfirmation.onPeerStated(message.value().evacuations.position, this->evacuations.orders());
         this->applyEvacuations(before, "peer");
+    } else if (message.value().fromEntry) {
+        this->evacuationConfirmation.onPeerStated(message.value().evacuations.position, this->evacuations.orders());
     }
     this->updatePeers();
 }
@@ -519,6 +532,7 @@
 void PacketEntry::onTick()
 {
     this->agentSocket.poll(); // Handles replies that have arrived before checking timeouts.
+    this->evacuationConfirmation.onPolled();
     bool isDirectoryChanged = this->directory.onTick();
     const std::optional<ListState> peerState
         = this->directory.isLoaded() ? this->fleet.takePeerListState(this->directory.revision()) : std::nullopt;
@@ -539,6 +553,7 @@
         this->readStore();
     this->updateDelegate();
     this->sendPresence();
+    this->updateEvacuationConfirmation();
     this->router.onTick();
     this->flush();
 }
@@ -574,6 +589,9 @@
             domains.emplace_back(domain);
         json["evacuatedDomains"] = std::move(domains);
         json["evacuationPosition"] = this->evacuations.orders().position;
+        const std::optional<Duration> age = this->evacuationConfirmation.age();
+        json["evacuationConfirmedMs"] = age ? boost::json::value(std::chrono::duration_cast<Milliseconds>(*age).count())
+                                            : boost::json::value(nullptr);
         boost::json::array progress;
         for (const EvacuationProgress& item : this->router.evacuationProgress())
             progress.push_back(
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -39,6 +39,7 @@
     void applyStoreState();
     void applyEvacuations(const EvacuationState& before, std::string_view source);
     void mergeEvacuations(const platform::StoreResponse&);
+    void updateEvacuationConfirmation();
     std::string upstreamsIn(const std::string& failureDomain) const;
     void updateDelegate();
     void applyRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
@@ -64,6 +65,7 @@
     UpstreamDirectory directory;
     std::shared_ptr<const RoutingTable> routes;
     EvacuationState evacuations;
+    EvacuationConfirmation evacuationConfirmation;
     FleetView fleet;
     StoreRefresh storeRefresh;
     std::optional<UpstreamDirectory> provisionalDirectory; // Upstreams learned from agents, until the store responds.
--- a/tests/StoreRefreshTest.cpp
+++ b/tests/StoreRefreshTest.cpp
@@ -307,5 +307,14 @@
         EXPECT_FALSE(this->refresh.confirmedAt(StoreTopic::Routes));
     }
 
+    // Guards against the same for an answer that is handled before the first tick after the pause.
+    TEST_F(StoreRefreshFixture, AnAnswerFromBeforeAPauseConfirmsNothingBeforeTheFirstTick)
+    {
+        EXPECT_FALSE(this->tick());
+        this->clock.advance(Milliseconds(5000));
+        this->sync.onEvents(this->watches.front(), 1);
+        EXPECT_FALSE(this->refresh.confirmedByStore(StoreTopic::Routes));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -50,6 +50,12 @@
     this->confirmations = {};
 }
 
+std::optional<TimePoint> StoreRefresh::confirmedByStore(StoreTopic topic)
+{
+    this->checkForPause(); // an answer may be handled before the first tick after a pause
+    return this->sync.confirmedAt(topic, this->pauseEnd);
+}
+
 uint64_t StoreRefresh::announcedVersion(StoreTopic topic) const
 {
     return topic == StoreTopic::Routes ? this->fleet.newestRoutesVersion() : this->fleet.newestDirectoryRevision();
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -49,6 +49,9 @@
     {
         return this->confirmations.at(static_cast<size_t>(topic));
     }
+    // The same for confirmations to this entry alone, as of now. Answers to reads that began before a pause don't
+    // count.
+    std::optional<TimePoint> confirmedByStore(StoreTopic);
     bool isBehindPeers(StoreTopic topic) const // other entries have a newer state; as of the last tick
     {
         return this->isBehind.at(static_cast<size_t>(topic));
