Name entries whose evacuation order is unconfirmed in wasabictl evacuation

Such an entry places no flow in the domain, but no longer states the order to agents. Nothing in the output told it from the others. The exit code does not depend on it.

--- a/backends/EvacuationStatus.cpp
+++ b/backends/EvacuationStatus.cpp
@@ -1,5 +1,7 @@
 #include "backends/EvacuationStatus.h"
 
+#include "wasabicroft/Evacuation.h"
+
 #include <algorithm>
 
 namespace wasabicroft {
@@ -35,6 +37,12 @@
             if (domain.is_string())
                 reading.evacuatedDomains.emplace(domain.get_string());
         }
+        // Programs of the previous version state no age. Null: never confirmed.
+        const json::value* age = status.if_contains("evacuationConfirmedMs");
+        reading.isUnconfirmed = age
+            && (age->is_null()
+                || numberOf(status, "evacuationConfirmedMs")
+                    > static_cast<uint64_t>(maxEvacuationConfirmationAge.count()));
     }
 
     void readAgent(const json::object& status, bool isEvacuated, EvacuationReading& reading)
@@ -64,6 +72,8 @@
         if (isInForce) {
             ++(reading.isEntry ? evacuation.entriesInForce : evacuation.agentsInForce);
             evacuation.positions[reading.position].push_back(reading.endpoint);
+            if (reading.isUnconfirmed)
+                evacuation.unconfirmed.push_back(reading.endpoint);
         } else {
             evacuation.missing.push_back(describeMissing(reading));
         }
@@ -92,6 +102,8 @@
         }
         for (const std::string& missing : evacuation.missing)
             text += "  not in force at " + missing + '\n';
+        for (const std::string& endpoint : evacuation.unconfirmed)
+            text += "  unconfirmed at entry " + endpoint + '\n';
         for (const ReportedOffer& offer : evacuation.offers)
             text += "  entry " + offer.entry + " still offers flows: refused by " + offer.agent + ' '
                 + std::to_string(offer.ageMs) + " ms before its status\n";
--- a/backends/EvacuationStatus.h
+++ b/backends/EvacuationStatus.h
@@ -29,6 +29,7 @@
     std::set<std::string> evacuatedDomains; // of an agent: its own one, if it is evacuated
     std::string failureDomain; // of an agent; empty: not stated, by programs of the previous version
     std::optional<ReportedOffer> refusedOffer; // by an agent
+    bool isUnconfirmed = false; // an entry that does not state its orders to agents; see maxEvacuationConfirmationAge
 };
 
 Result<EvacuationReading> readEvacuation(const std::string& endpoint, const boost::json::object& status);
@@ -43,7 +44,9 @@
     std::map<uint64_t, std::vector<std::string>> positions; // endpoints where the order is in force, by position
     std::vector<std::string> missing; // descriptions of entries and agents without the order
     std::vector<ReportedOffer> offers; // of entries that still offer flows there
+    std::vector<std::string> unconfirmed; // endpoints of entries where the order is in force, but unconfirmed
 
+    // An unconfirmed order counts: its entry places no flow in the domain.
     bool isInForceEverywhere() const { return this->missing.empty(); }
 };
 
--- a/daemons/wasabictl.cpp
+++ b/daemons/wasabictl.cpp
@@ -45,8 +45,8 @@
   status   Shows what the operator endpoints of daemons (IP:PORT) report.
   evacuation
            Shows for each evacuated failure domain at which of these packet entries and agents the order is in force, at
-           which positions of the store, and which entries still offer flows there. Exit code 1: there is no order, or
-           one is not in force everywhere.
+           which positions of the store, at which entries it is unconfirmed, and which entries still offer flows there.
+           Exit code 1: there is no order, or one is not in force everywhere.
   explain-flow
            Shows where a packet entry, named by its operator endpoint, would place a new flow from CLIENT to ROUTE (both
            IP:PORT) now, and why. Sends no packet and changes nothing.
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -504,19 +504,23 @@
         EXPECT_FALSE(readEvacuation("host:1", { { "role", "entry" } }));
     }
 
-    // Guards against output that hides which process lacks the order, or which entry still offers flows.
+    // Guards against output that hides which process lacks the order, which entry still offers flows, and which one no
+    // longer states the order to agents.
     TEST(EvacuationStatus, NamesWhatDiffers)
     {
         const auto refusing = [](const std::string& entry, const std::string& age) {
             return R"({"failureDomain":"a","evacuated":true,"evacuationPosition":9,"lastRefusedOffer":{"entry":")"
                 + entry + R"(","ageMs":)" + age + "}}";
         };
-        EXPECT_EQ(toText(compare({ entryWithOrder, R"({"routesVersion":1})", agentWithOrder,
+        const std::string unconfirmed
+            = R"({"routesVersion":1,"evacuatedDomains":["a"],"evacuationPosition":9,"evacuationConfirmedMs":30001})";
+        EXPECT_EQ(toText(compare({ unconfirmed, R"({"routesVersion":1})", agentWithOrder,
                       refusing("10.0.0.1:7720", "1500"), refusing("10.0.0.2:7720", "60000") })),
             "a: in force at 1 of 2 entries, 3 of 3 agents\n"
             "  position 9 at 3\n"
             "  position 8 at 1: host:2\n"
             "  not in force at entry host:1 (does not know the orders)\n"
+            "  unconfirmed at entry host:0\n"
             "  entry 10.0.0.1:7720 still offers flows: refused by host:3 1500 ms before its status\n");
     }
 
