--- a/backends/PacketAgent.cpp
+++ b/backends/PacketAgent.cpp
@@ -163,7 +163,8 @@
         { "busy", this->router.runningRequests() }, { "waiting", this->router.waitingRequests() },
         { "upstream", nameOf(this->router.upstreamState()) }, { "evacuated", this->router.evacuation().isEvacuated() },
         { "evacuationPosition", this->router.evacuation().position() }, { "lastRefusedOffer", std::move(refusedOffer) },
-        { "coldLeftMs", this->router.coldStart().timeLeft().count() } });
+        { "coldLeftMs", this->router.coldStart().timeLeft().count() },
+        { "stalled", this->router.stall().isStalled() } });
     return status;
 }
 
@@ -200,6 +201,8 @@
         performance ? std::chrono::duration<double, std::milli>(performance->serviceTime).count() : -1);
     metrics.set(
         "wasabi_expected_wait_ms", "", performance ? static_cast<double>(performance->expectedWait.count()) : -1);
+    metrics.setCount("wasabi_upstream_stalled", "", this->router.stall().isStalled() ? 1 : 0);
+    metrics.setCount("wasabi_stuck_requests_total", "", this->router.stall().stuckRequests());
     metrics.setCount("wasabi_overloaded", "", this->router.isOverloaded() ? 1 : 0);
     for (const auto& [item, count] : this->router.overloadCounts().all())
         metrics.setCount("wasabi_requests_not_in_time_total", overloadLabels(item.first, item.second), count);
--- a/tests/PacketWorld.h
+++ b/tests/PacketWorld.h
@@ -43,6 +43,7 @@
     bool patientClients = false; // clients retransmit for 8 s, in growing intervals, and copies of SYNs may come late
     uint32_t sequenceStep = 1; // sequence numbers of upstreams are multiples; flows of one port need distant ones
     std::optional<Milliseconds> endedFlowMemory; // how long upstreams keep flows that ended; empty: for good
+    StallOptions stall;
     std::function<void(HopMessage&)> tamper; // modifies hop messages before they are sent; may be empty
 };
 
@@ -371,6 +372,7 @@
         std::unique_ptr<AgentRouter> router;
         bool agentIsUp = true;
         bool isUp = true;
+        bool hangs = false; // it accepts flows and requests, and answers none of these
         bool isListed = true;
         std::optional<TimePoint> stalledUntil;
         uint64_t incarnation = 0;
@@ -466,6 +468,7 @@
         AgentRouterOptions routerOptions;
         routerOptions.service = upstream.record.service;
         routerOptions.self = upstream.agent;
+        routerOptions.requestQueue.stall = this->options.stall;
         Upstream* self = &upstream;
         AgentRouterHooks hooks;
         hooks.sendToUpstream = [this, self](Bytes packet) {
@@ -720,6 +723,8 @@
         if (packet.payloadBytes == 0 || packet.sequence + packet.payloadBytes <= flow.highest)
             return;
         flow.highest = packet.sequence + packet.payloadBytes;
+        if (host.hangs)
+            return;
         const uint64_t boot = host.incarnation;
         this->enqueue(host, [this, &host, key, boot] {
             if (host.incarnation != boot)
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -249,7 +249,10 @@
     const TimePoint pauseClockNow = this->pauseClock.now();
     const TimePoint lastRun = std::exchange(this->lastTick, now).value_or(now);
     const TimePoint lastPauseClockTime = std::exchange(this->lastPauseClockTick, pauseClockNow).value_or(pauseClockNow);
-    if (pauseClockNow - lastPauseClockTime > this->options.pauseThreshold && !this->hasSeenAllFlows(lastRun))
+    if (pauseClockNow - lastPauseClockTime <= this->options.pauseThreshold)
+        return;
+    this->requestQueue.stallDetector().discardObservations();
+    if (!this->hasSeenAllFlows(lastRun))
         this->trackingSince = now;
 }
 
@@ -429,6 +432,8 @@
         this->coldStartLimiter.onRefused();
         return HopRefusal::UpstreamBusy; // the entry asks the next candidate
     }
+    if (isNewFlow && !this->requestQueue.stallDetector().tryAdmit())
+        return HopRefusal::UpstreamRejecting;
     return this->rejection.tryAdmit() ? HopRefusal::None : HopRefusal::UpstreamRejecting;
 }
 
@@ -449,8 +454,9 @@
     const bool isNewRequest = this->startsRequest(flow, packet);
     if ((isNewRequest || this->isUnsentRequest(flow, packet)) && flow.request == RequestState::None) {
         const RequestLimits limits = this->limitsOf(key.route, message);
-        const RequestQueue::Decision decision = this->requestQueue.submit({ key, this->arrivalOf(flow, isFirstRequest),
-            limits.objective, limits.timeout, limits.priority, isProbe, flow.clientClosed });
+        const RequestQueue::Decision decision
+            = this->requestQueue.submit({ key, this->arrivalOf(flow, isFirstRequest), limits.objective, limits.timeout,
+                limits.priority, isProbe, flow.clientClosed, isFirstRequest && !flow.offered });
         flow.isUnsent = decision == RequestQueue::Decision::Drop;
         if (flow.isUnsent) {
             ++this->counts.dropped;
@@ -531,22 +537,6 @@
     }
 }
 
-void AgentRouter::expireRequests()
-{
-    for (const FlowKey& key : this->requestQueue.takeExpired()) {
-        ++this->counts.expired;
-        Flow* flow = this->flows.find(key);
-        if (!flow)
-            continue;
-        logEvent(Event::PacketRequestExpired,
-            { { "flow", toString(key) }, { "state", flow->request == RequestState::Waiting ? "waiting" : "running" },
-                { "busy", this->runningRequests() }, { "waiting", this->waitingRequests() } });
-        flow->isUnsent = flow->request == RequestState::Waiting;
-        flow->request = RequestState::None;
-        flow->storedPackets.clear();
-    }
-}
-
 //-----------------------------------------------------------------------------
 // Packets of the upstream
 //-----------------------------------------------------------------------------
@@ -555,6 +545,7 @@
 {
     ++this->counts.fromUpstream;
     this->liveness.onPacket();
+    this->requestQueue.stallDetector().onPacket();
     this->updateState();
     if (packet.bounced) {
         this->onBounce(packet.flowKeyFromClient(), packet, bytes);
@@ -613,6 +604,8 @@
         flow.request = RequestState::None;
         this->requestQueue.onAnswered(key);
         this->startWaitingRequests();
+    } else if (packet.payloadBytes > 0) {
+        this->requestQueue.stallDetector().onPayload(key);
     }
 }
 
@@ -862,6 +855,7 @@
     this->confirmHeldFlows();
     this->flushDenials();
     this->expireRequests();
+    this->updateStall();
     if (this->evacuationNotice.onTick())
         logEvent(Event::PacketEvacuationEnded,
             { { "cause", "not-repeated" }, { "position", this->evacuationNotice.position() } });
--- a/wasabicroft/AgentRouter.h
+++ b/wasabicroft/AgentRouter.h
@@ -110,6 +110,7 @@
     const std::optional<UpstreamFigures>& upstreamFigures() const { return this->figures; }
     const AgentRouterCounters& counters() const { return this->counts; }
     const OverloadCounts& overloadCounts() const { return this->requestQueue.counts(); }
+    const StallDetector& stall() const { return this->requestQueue.stallDetector(); }
     bool isOverloaded() const { return this->overload.isOverloaded(); }
 
 private:
@@ -195,10 +196,11 @@
     }
     void storePacket(Flow&, const Packet&, Bytes);
     void startWaitingRequests();
-    void expireRequests();
+    void expireRequests(); // AgentStall.cpp
     void updateState();
     void denyLostFlows();
     void updateRejection();
+    void updateStall(); // AgentStall.cpp
     void updateOverload();
     void denyFlow(const FlowKey&, PacketAddress entry, bool isSearched);
     bool isReturnedFlow(const FlowKey&);
@@ -246,6 +248,8 @@
     RejectionDetector rejection;
     OverloadMonitor overload;
     bool wasRejecting = false;
+    bool wasStalled = false;
+    TimePoint stalledSince;
     EvacuationNotice evacuationNotice;
     ColdStartLimiter coldStartLimiter;
     UpstreamState loggedState = UpstreamState::Unknown;
--- a/wasabicroft/Events.cpp
+++ b/wasabicroft/Events.cpp
@@ -92,6 +92,8 @@
         EventInfo { Event::PacketUpstreamOverloadEnded, Severity::Info, "packet-upstream-overload-ended" },
         EventInfo { Event::PacketEntryOverloaded, Severity::Warning, "packet-entry-overloaded" },
         EventInfo { Event::PacketEntryOverloadEnded, Severity::Info, "packet-entry-overload-ended" },
+        EventInfo { Event::PacketUpstreamStalled, Severity::Warning, "packet-upstream-stalled" },
+        EventInfo { Event::PacketUpstreamStallEnded, Severity::Info, "packet-upstream-stall-ended" },
         EventInfo { Event::SettingsRejected, Severity::Error, "settings-rejected" },
         EventInfo { Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
         EventInfo { Event::LogLinesSuppressed, Severity::Warning, "log-lines-suppressed" },
--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -96,6 +96,8 @@
     PacketUpstreamOverloadEnded = 4236,
     PacketEntryOverloaded = 4237,
     PacketEntryOverloadEnded = 4238,
+    PacketUpstreamStalled = 4239,
+    PacketUpstreamStallEnded = 4240,
     SettingsRejected = 5001,
     SettingsReloaded = 5002,
     LogLinesSuppressed = 5003,
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -14,18 +14,25 @@
     : options(queueOptions)
     , clock(timeSource)
     , serviceTime(queueOptions.serviceTime, timeSource)
+    , stall(queueOptions.stall, timeSource)
     , work(queueOptions.work)
 {
     this->serviceTime.setSlots(queueOptions.slots);
+    this->stall.setSlots(queueOptions.slots);
 }
 
 void RequestQueue::setSlots(uint16_t slots)
 {
     this->options.slots = slots;
     this->serviceTime.setSlots(slots);
+    this->stall.setSlots(slots);
 }
 
-void RequestQueue::setPaused(bool isPaused) { this->paused = isPaused; }
+void RequestQueue::setPaused(bool isPaused)
+{
+    this->paused = isPaused;
+    this->stall.discardObservations(); // the upstream is, or was, silent as a whole
+}
 
 bool RequestQueue::canStart(bool isProbe) const
 {
@@ -97,10 +104,21 @@
     const Duration time = this->clock.now() - found->second.started;
     const double seconds = std::chrono::duration<double>(time).count();
     this->work.onAnswered(flow.route, time);
+    this->stall.onAnswered(flow);
     this->meanServiceSeconds += serviceTimeWeight * (seconds - this->meanServiceSeconds);
     this->endRunning(found, true);
 }
 
+// Whether a probe or a copy runs at the upstream is not known, so that its missing answer shows nothing.
+void RequestQueue::reportUnanswered(const Running& running)
+{
+    if (running.request.isProbe || running.request.mayBeCopy)
+        return;
+    this->stall.onUnanswered(running.request.flow, running.started, this->effectiveTimeout(running.request));
+    if (running.chargeAtStart)
+        this->serviceTime.onUnanswered(*running.chargeAtStart);
+}
+
 void RequestQueue::onClientClosed(const FlowKey& flow)
 {
     this->removeRunning(flow);
@@ -230,6 +248,7 @@
         if (this->paused || now - item.started <= stuckTime)
             continue;
         this->overloadCounts.add(flow.route, OverloadCause::Unanswered);
+        this->reportUnanswered(item);
         expired.push_back(flow);
     }
     for (const FlowKey& flow : expired)
@@ -241,8 +260,11 @@
 {
     const auto waiting = std::count_if(this->waitingRequests.begin(), this->waitingRequests.end(),
         [](const QueuedRequest& request) { return !request.isAbandoned; });
-    const std::optional<ServiceTime::Seconds> mean = this->serviceTime.mean();
-    const std::optional<ServiceTime::Seconds> wait = this->serviceTime.expectedWait(static_cast<size_t>(waiting));
+    const ServiceTime::Requests counted
+        = this->stall.isPartiallyStalled() ? ServiceTime::Requests::All : ServiceTime::Requests::Answered;
+    const std::optional<ServiceTime::Seconds> mean = this->serviceTime.mean(counted);
+    const std::optional<ServiceTime::Seconds> wait
+        = this->serviceTime.expectedWait(static_cast<size_t>(waiting), counted);
     if (this->paused || !mean || !wait)
         return std::nullopt;
     return UpstreamPerformance { std::chrono::ceil<Milliseconds>(*wait),
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -16,6 +16,7 @@
 #include "wasabicroft/OverloadPolicy.h"
 #include "wasabicroft/Packet.h"
 #include "wasabicroft/ServiceTime.h"
+#include "wasabicroft/StallDetector.h"
 
 #include <functional>
 #include <vector>
@@ -40,6 +41,7 @@
     // How long requests of a priority are passed over by those of higher ones, as a share of their timeout; 0: forever.
     double maxPassedOverShare = 0.5;
     WorkEstimatorOptions work {};
+    StallOptions stall {};
 };
 
 struct QueuedRequest {
@@ -50,6 +52,7 @@
     unsigned priority = 0; // 0 is highest
     bool isProbe = false; // the upstream may not hold the flow
     bool isAbandoned = false; // the client has closed the flow
+    bool mayBeCopy = false; // of a request that was answered before the agent knew the flow
 };
 
 class RequestQueue {
@@ -77,10 +80,12 @@
     size_t runningCount() const { return this->runningRequests.size(); }
     size_t waitingCount() const { return this->waitingRequests.size(); }
     size_t lateCount() const; // waiting requests of present clients that can't meet their objective
+    StallDetector& stallDetector() { return this->stall; }
+    const StallDetector& stallDetector() const { return this->stall; }
     const OverloadCounts& counts() const { return this->overloadCounts; }
 
     // Mean service time of the upstream, and the wait of a request that arrives now. Empty while the service time is
-    // not known or nothing starts.
+    // not known or nothing starts. While a share of the requests hangs, both include the stuck requests.
     std::optional<UpstreamPerformance> performance() const;
 
 private:
@@ -102,12 +107,14 @@
     void start(const QueuedRequest&);
     void endRunning(RunningRequests::iterator, bool isAnswered);
     void removeRunning(const FlowKey&);
+    void reportUnanswered(const Running&);
 
     RequestQueueOptions options;
     const Clock& clock;
     std::vector<QueuedRequest> waitingRequests;
     RunningRequests runningRequests;
     ServiceTime serviceTime;
+    StallDetector stall;
     bool paused = false;
     double meanServiceSeconds = 0; // moving average of the time from start to the first packet of the answer
     WorkEstimator work; // the same by route
--- a/wasabicroft/ServiceTime.cpp
+++ b/wasabicroft/ServiceTime.cpp
@@ -10,7 +10,6 @@
     : options(initialOptions)
     , clock(timeSource)
     , lastAdvance(timeSource.now())
-    , lastAnswer(timeSource.now())
 {
 }
 
@@ -19,7 +18,7 @@
     this->advance();
     this->slots = newSlots;
     if (newSlots == 0)
-        this->requests = 0;
+        this->answeredMean.requests = this->allMean.requests = 0;
 }
 
 void ServiceTime::advance()
@@ -43,10 +42,22 @@
     this->onRemoved();
     if (this->slots == 0)
         return;
-    this->requests = std::min(this->options.window, this->decayedRequests() + 1);
-    this->lastAnswer = this->clock.now();
-    const Seconds own = this->charge - chargeAtStart;
-    this->meanCharge += (own - this->meanCharge) / this->requests;
+    this->add(this->answeredMean, this->charge - chargeAtStart);
+    this->add(this->allMean, this->charge - chargeAtStart);
+}
+
+void ServiceTime::onUnanswered(Seconds chargeAtStart)
+{
+    this->advance();
+    if (this->slots > 0)
+        this->add(this->allMean, this->charge - chargeAtStart);
+}
+
+void ServiceTime::add(MovingMean& mean, Seconds requestCharge) const
+{
+    mean.requests = std::min(this->options.window, this->decayedRequests(mean) + 1);
+    mean.lastRequest = this->clock.now();
+    mean.value += (requestCharge - mean.value) / mean.requests;
 }
 
 void ServiceTime::onRemoved()
@@ -55,22 +66,23 @@
     this->running -= std::min<size_t>(1, this->running);
 }
 
-double ServiceTime::decayedRequests() const
+double ServiceTime::decayedRequests(const MovingMean& mean) const
 {
-    const double halfLives = Seconds(this->clock.now() - this->lastAnswer) / Seconds(this->options.halfLife);
-    return this->requests * std::exp2(-halfLives);
+    const double halfLives = Seconds(this->clock.now() - mean.lastRequest) / Seconds(this->options.halfLife);
+    return mean.requests * std::exp2(-halfLives);
 }
 
-std::optional<ServiceTime::Seconds> ServiceTime::mean() const
+std::optional<ServiceTime::Seconds> ServiceTime::mean(Requests counted) const
 {
-    if (this->decayedRequests() < this->options.minRequests)
+    const MovingMean& mean = counted == Requests::All ? this->allMean : this->answeredMean;
+    if (this->decayedRequests(mean) < this->options.minRequests)
         return std::nullopt;
-    return this->meanCharge;
+    return mean.value;
 }
 
-std::optional<ServiceTime::Seconds> ServiceTime::expectedWait(size_t waiting) const
+std::optional<ServiceTime::Seconds> ServiceTime::expectedWait(size_t waiting, Requests counted) const
 {
-    const std::optional<Seconds> serviceTime = this->mean();
+    const std::optional<Seconds> serviceTime = this->mean(counted);
     if (!serviceTime)
         return std::nullopt;
     const size_t ahead = this->running + waiting;
--- a/wasabicroft/ServiceTime.h
+++ b/wasabicroft/ServiceTime.h
@@ -32,16 +32,27 @@
     // A request starts. The returned value is passed to onAnswered when it is answered.
     Seconds onStarted();
     void onAnswered(Seconds chargeAtStart);
+    void onUnanswered(Seconds chargeAtStart); // it is given up; call onRemoved(), too
     // A request no longer counts as running, and its time is not known: it was removed, or its start was not seen.
     void onRemoved();
 
-    std::optional<Seconds> mean() const; // empty: not known
+    // Requests that a mean covers. Unanswered ones count with the time for which they occupied a slot.
+    enum class Requests : uint8_t { Answered, All };
+
+    std::optional<Seconds> mean(Requests = Requests::Answered) const; // empty: not known
     // Time until a request that arrives now would start behind the running and this number of waiting requests.
-    std::optional<Seconds> expectedWait(size_t waiting) const;
+    std::optional<Seconds> expectedWait(size_t waiting, Requests = Requests::Answered) const;
 
 private:
+    struct MovingMean {
+        Seconds value { 0 };
+        double requests = 0; // that count, at most the window
+        TimePoint lastRequest;
+    };
+
     void advance();
-    double decayedRequests() const;
+    double decayedRequests(const MovingMean&) const;
+    void add(MovingMean&, Seconds charge) const;
 
     ServiceTimeOptions options;
     const Clock& clock;
@@ -49,9 +60,8 @@
     size_t running = 0;
     Seconds charge { 0 }; // what a request that runs all the time would have been charged
     TimePoint lastAdvance;
-    double requests = 0; // answered requests that count, at most the window
-    TimePoint lastAnswer;
-    Seconds meanCharge { 0 };
+    MovingMean answeredMean;
+    MovingMean allMean; // of answered and unanswered requests
 };
 
 } // namespace wasabicroft
