Do not take uploads for requests that hang

Each packet of an upload that came after its request was given up, after 300 ms, counted as a further stuck request. A request is now stuck only when the stuck time has passed since its last bytes, and further bytes withdraw it, also when it was counted before; the gap between them raises the stuck time. When requests run is unchanged.

--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -157,6 +157,66 @@
         }
     }
 
+    // An agent that knows the service time of its upstream, which answers packets with acknowledgements at once.
+    struct StallFixture : AgentRouterFixture {
+        StallFixture()
+        {
+            this->stated = UpstreamFigures { 5, slots, false };
+            this->learnServiceTime(100);
+        }
+
+        void request(uint16_t port, uint32_t sequence = 1002)
+        {
+            this->fromEntry(HopKind::Forward, ackFlag, port, sequence, 100);
+            this->fromUpstream(ackFlag, port);
+        }
+
+        void learnServiceTime(uint16_t firstPort)
+        {
+            for (uint16_t port = firstPort; port < firstPort + 20; ++port) {
+                this->openFlow(port);
+                this->request(port);
+                this->fromUpstream(ackFlag, port, 100);
+            }
+        }
+
+        // Lets requests on open flows without an answer become stuck.
+        void hang(std::vector<uint16_t> ports, Milliseconds duration = Milliseconds(400))
+        {
+            for (const uint16_t port : ports)
+                this->request(port);
+            this->run(duration);
+            this->openFlow(900);
+            this->run(Milliseconds(200));
+        }
+    };
+
+    // Guards against uploads that count as stuck, once for each 300 ms. Their end without an answer does count.
+    TEST_F(StallFixture, UploadsToAHealthyUpstreamAreNotStuck)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        for (uint32_t sequence = 1002; sequence < 1002 + 100 * 100; sequence += 100) {
+            for (const uint16_t port : threePorts)
+                this->request(port, sequence);
+            this->run(Milliseconds(40));
+            ASSERT_EQ(this->router.stall().stuckRequests(), 0U) << sequence;
+        }
+        this->run(Milliseconds(600));
+        EXPECT_EQ(this->router.stall().stuckRequests(), 3U) << "one request on each flow";
+    }
+
+    // Guards against a stall that outlasts the proof that a request is still arriving, after a gap above 300 ms.
+    TEST_F(StallFixture, AnUploadThatGoesOnAfterAGapIsNoLongerStuck)
+    {
+        for (const uint16_t port : threePorts)
+            this->openFlow(port);
+        this->hang({ 1, 2 });
+        EXPECT_TRUE(this->router.stall().isStalled());
+        this->request(1, 1102);
+        EXPECT_FALSE(this->router.stall().isStalled());
+    }
+
     // Upstreams of a service behind an entry. Flows stay open for 5 s with five requests per second, but clients
     // that wait for 1 s close them.
     struct HangingFleet {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -452,6 +452,8 @@
     const bool isProbe = message.kind == HopKind::Find && !flow.isHeld;
     const bool isFirstRequest = !flow.hasNextSequence;
     const bool isNewRequest = this->startsRequest(flow, packet);
+    if (isNewRequest && !isFirstRequest)
+        this->requestQueue.onContinued(key);
     if ((isNewRequest || this->isUnsentRequest(flow, packet)) && flow.request == RequestState::None) {
         const RequestLimits limits = this->limitsOf(key.route, message);
         const RequestQueue::Decision decision
@@ -489,7 +491,8 @@
         this->startWaitingRequests();
 }
 
-// A packet with payload beyond the payload seen so far starts or continues a request.
+// A packet with payload beyond the payload seen so far starts or continues a request. An upload that takes longer than
+// RequestQueue lets a request run is submitted again with each further packet, but StallDetector counts it once.
 bool AgentRouter::startsRequest(Flow& flow, const Packet& packet)
 {
     if (packet.payloadBytes == 0)
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -73,7 +73,7 @@
     std::optional<ServiceTime::Seconds> chargeAtStart;
     if (!request.isProbe)
         chargeAtStart = this->serviceTime.onStarted();
-    this->runningRequests[request.flow] = { request, this->clock.now(), chargeAtStart };
+    this->runningRequests[request.flow] = { request, this->clock.now(), chargeAtStart, this->clock.now() };
     this->lastStarts[request.priority] = this->clock.now();
     if (!request.isProbe && this->onStarted)
         this->onStarted(request.flow);
@@ -96,6 +96,14 @@
         this->endRunning(found, false);
 }
 
+void RequestQueue::onContinued(const FlowKey& flow)
+{
+    this->stall.onContinued(flow);
+    const auto found = this->runningRequests.find(flow);
+    if (found != this->runningRequests.end())
+        found->second.lastBytes = this->clock.now();
+}
+
 void RequestQueue::onAnswered(const FlowKey& flow)
 {
     const auto found = this->runningRequests.find(flow);
@@ -110,11 +118,12 @@
 }
 
 // Whether a probe or a copy runs at the upstream is not known, so that its missing answer shows nothing.
-void RequestQueue::reportUnanswered(const Running& running)
+void RequestQueue::reportUnanswered(const Running& running, Duration minStuckTime)
 {
     if (running.request.isProbe || running.request.mayBeCopy)
         return;
-    this->stall.onUnanswered(running.request.flow, running.started, this->effectiveTimeout(running.request));
+    this->stall.onUnanswered(running.request.flow,
+        { running.started, running.lastBytes, this->effectiveTimeout(running.request), minStuckTime });
     if (running.chargeAtStart)
         this->serviceTime.onUnanswered(*running.chargeAtStart);
 }
@@ -248,7 +257,7 @@
         if (this->paused || now - item.started <= stuckTime)
             continue;
         this->overloadCounts.add(flow.route, OverloadCause::Unanswered);
-        this->reportUnanswered(item);
+        this->reportUnanswered(item, stuckTime);
         expired.push_back(flow);
     }
     for (const FlowKey& flow : expired)
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -68,6 +68,7 @@
     void setPaused(bool); // while paused, nothing starts
 
     Decision submit(const QueuedRequest&); // Start: the request may be sent and counts as running
+    void onContinued(const FlowKey&); // the client sent further bytes of its request
     void onAnswered(const FlowKey&); // the upstream began to answer
     void onClientClosed(const FlowKey&); // the client sent a FIN after its request: it has probably given up
     void onHeld(const FlowKey&); // the upstream turned out to hold the flow of a probe
@@ -93,6 +94,7 @@
         QueuedRequest request;
         TimePoint started;
         std::optional<ServiceTime::Seconds> chargeAtStart; // empty: of a probe, which may not run
+        TimePoint lastBytes {}; // of the client
     };
     using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
 
@@ -107,7 +109,7 @@
     void start(const QueuedRequest&);
     void endRunning(RunningRequests::iterator, bool isAnswered);
     void removeRunning(const FlowKey&);
-    void reportUnanswered(const Running&);
+    void reportUnanswered(const Running&, Duration minStuckTime);
 
     RequestQueueOptions options;
     const Clock& clock;
--- a/wasabicroft/StallDetector.cpp
+++ b/wasabicroft/StallDetector.cpp
@@ -41,25 +41,40 @@
     this->addAnswer();
 }
 
-void StallDetector::onUnanswered(const FlowKey& flow, TimePoint started, Milliseconds timeout)
+void StallDetector::onUnanswered(const FlowKey& flow, const UnansweredRequest& request)
 {
-    if (!this->options.isEnabled || started < this->observedSince)
+    if (!this->options.isEnabled || request.started < this->observedSince)
         return;
     this->unanswered.erase(flow);
-    this->unanswered.findOrInsert(flow, this->clock.now()) = { started, timeout };
+    this->unanswered.findOrInsert(flow, this->clock.now()) = { request };
     ++this->pending;
 }
 
+void StallDetector::onContinued(const FlowKey& flow)
+{
+    const Unanswered* found = this->unanswered.find(flow);
+    if (!found)
+        return;
+    const Unanswered unansweredRequest = *found;
+    this->unanswered.erase(flow);
+    if (unansweredRequest.isStuck)
+        this->removeStuck(unansweredRequest);
+    // Other uploads to this upstream may have gaps as long.
+    this->lateAnswerTime
+        = std::max<Duration>(this->lateAnswerTime, this->clock.now() - unansweredRequest.request.lastBytes);
+}
+
 void StallDetector::onPayload(const FlowKey& flow)
 {
     const Unanswered* found = this->unanswered.find(flow);
     if (!found)
         return;
-    const Unanswered request = *found;
+    const Unanswered unansweredRequest = *found;
     this->unanswered.erase(flow);
-    if (request.isStuck) // it is counted as answered instead
-        this->stuckWeight = std::max(0.0, this->stuckWeight - 1);
-    this->lateAnswerTime = std::max<Duration>(this->lateAnswerTime, this->clock.now() - request.started);
+    if (unansweredRequest.isStuck) // it is counted as answered instead
+        this->removeStuck(unansweredRequest);
+    this->lateAnswerTime
+        = std::max<Duration>(this->lateAnswerTime, this->clock.now() - unansweredRequest.request.lastBytes);
     this->addAnswer();
 }
 
@@ -79,38 +94,51 @@
     this->stalled = false;
 }
 
-// How long a request may be unanswered before it is stuck; at least the time after which it is reported. How long an
-// upstream needs that has answered few is not known: its requests are stuck when their clients have given up.
-Duration StallDetector::stuckTime(const Unanswered& request) const
+// How long a request may be unanswered after its last bytes before it is stuck. How long an upstream needs that has
+// answered few is not known: its requests are stuck when their clients have given up.
+Duration StallDetector::stuckTime(const Unanswered& item) const
 {
     if (this->answers < this->options.minAnswers)
-        return request.timeout;
-    return std::chrono::duration_cast<Duration>(this->lateAnswerTime * this->options.lateAnswerFactor);
+        return item.request.timeout;
+    return std::max(item.request.minStuckTime,
+        std::chrono::duration_cast<Duration>(this->lateAnswerTime * this->options.lateAnswerFactor));
 }
 
-void StallDetector::addStuck(Unanswered& request)
+void StallDetector::addStuck(Unanswered& item)
 {
-    request.isStuck = true;
+    item.isStuck = true;
     --this->pending;
     ++this->stuckCount;
     this->decayObservations();
     ++this->stuckWeight;
-    if (request.started >= this->lastAnswer) // of the others, an answer to a later request may have come since
+    if (item.request.lastBytes >= this->lastAnswer) // of the others, an answer to a later request may have come since
         ++this->stuckInSequence;
 }
 
+void StallDetector::removeStuck(const Unanswered& item)
+{
+    this->stuckWeight = std::max(0.0, this->stuckWeight - 1);
+    if (item.request.lastBytes < this->lastAnswer || this->stuckInSequence == 0) // it is not part of the sequence
+        return;
+    --this->stuckInSequence;
+    this->stalled = this->stalled && this->stuckInSequence >= this->stuckToStall();
+    if (this->stuckInSequence == 0)
+        this->clearSequence();
+}
+
+unsigned StallDetector::stuckToStall() const { return std::max<unsigned>(this->slots, this->options.minStuckToStall); }
+
 void StallDetector::onTick()
 {
     const TimePoint now = this->clock.now();
     if (this->pending > 0) {
-        this->unanswered.forEach([&](const FlowKey&, Unanswered& request) {
-            if (!request.isStuck && now - request.started >= this->stuckTime(request))
-                this->addStuck(request);
+        this->unanswered.forEach([&](const FlowKey&, Unanswered& item) {
+            if (!item.isStuck && now - item.request.lastBytes >= this->stuckTime(item))
+                this->addStuck(item);
         });
     }
     this->unanswered.expire(now - this->options.unansweredLifetime);
-    const unsigned stuckToStall = std::max<unsigned>(this->slots, this->options.minStuckToStall);
-    if (this->stalled || this->slots == 0 || this->stuckInSequence < stuckToStall || !this->activeSince
+    if (this->stalled || this->slots == 0 || this->stuckInSequence < this->stuckToStall() || !this->activeSince
         || now - *this->activeSince < this->options.confirmTime)
         return;
     this->stalled = true;
--- a/wasabicroft/StallDetector.h
+++ b/wasabicroft/StallDetector.h
@@ -6,7 +6,7 @@
 // share of them hangs, the agent states a service time that includes them.
 //
 // A request that RequestQueue reports as unanswered may still be answered, by a slow upstream. It counts as stuck only
-// when it has waited for longer than such late answers took.
+// when it has waited for longer than such late answers took, counted from its last bytes: an upload may take much longer.
 #pragma once
 
 #include "wasabicroft/Clock.h"
@@ -34,6 +34,14 @@
     Milliseconds unansweredLifetime { 60000 }; // since it was reported
 };
 
+// A request without an answer after the time that RequestQueue allows.
+struct UnansweredRequest {
+    TimePoint started;
+    TimePoint lastBytes; // when the client's last bytes of it were handed over
+    Milliseconds timeout { 0 };
+    Duration minStuckTime { 0 }; // since the last bytes
+};
+
 class StallDetector {
 public:
     StallDetector(StallOptions, const Clock&);
@@ -42,8 +50,10 @@
 
     void onPacket(); // any packet of the upstream: its process runs
     void onAnswered(const FlowKey&); // a running request
-    // The request has no answer after the time that RequestQueue allows and no longer counts as running.
-    void onUnanswered(const FlowKey&, TimePoint started, Milliseconds timeout);
+    void onUnanswered(const FlowKey&, const UnansweredRequest&);
+    // The client sent further bytes of a request that was reported as unanswered: it is not stuck, and is reported again
+    // if it stays unanswered.
+    void onContinued(const FlowKey&);
     void onPayload(const FlowKey&); // without a running request: an answer to an unanswered one, if there is one
     void onTick();
     // Discards what was observed so far: the agent or the upstream paused, and answers may be lost.
@@ -56,13 +66,14 @@
 
 private:
     struct Unanswered {
-        TimePoint started;
-        Milliseconds timeout { 0 };
+        UnansweredRequest request;
         bool isStuck = false;
     };
 
     Duration stuckTime(const Unanswered&) const;
     void addStuck(Unanswered&);
+    void removeStuck(const Unanswered&); // it turned out not to be stuck
+    unsigned stuckToStall() const;
     void addAnswer();
     void decayObservations();
     void clearSequence();
