Do not count requests that clients abort as stuck

Aborted requests, and those that the upstream resets or returns, are no longer reported, or forgotten if they are not stuck yet. One that was stuck before its client gave up still counts. The mean of all requests covers stuck requests only, so that neither aborted requests nor uploads make it longer.

--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -217,6 +217,33 @@
         EXPECT_FALSE(this->router.stall().isStalled());
     }
 
+    // Guards against requests that count as stuck because their clients aborted them, before or after they are given
+    // up.
+    TEST_F(StallFixture, RequestsThatClientsAbortAreNotStuck)
+    {
+        this->statedLimits = RequestLimits { Milliseconds(100), Milliseconds(8000), 0 };
+        for (const uint16_t wait : { uint16_t(40), uint16_t(400) }) {
+            for (uint16_t port = wait; port < wait + 3; ++port)
+                this->openFlow(port);
+            // An answer after 600 ms makes the stuck time longer than 400 ms.
+            this->request(wait + 2);
+            this->run(Milliseconds(wait == 400 ? 600 : 0));
+            this->fromUpstream(ackFlag, wait + 2, 100);
+            const uint64_t before = this->router.stall().stuckRequests();
+            this->request(wait);
+            this->request(wait + 1);
+            this->run(Milliseconds(wait));
+            this->fromEntry(HopKind::Forward, rstFlag, wait, 1102);
+            this->fromEntry(HopKind::Forward, rstFlag, wait + 1, 1102);
+            this->run(Milliseconds(2000));
+            EXPECT_EQ(this->router.stall().stuckRequests(), before) << wait;
+        }
+        this->openFlow(1);
+        this->openFlow(2);
+        this->hang({ 1, 2 }, Milliseconds(1000));
+        EXPECT_TRUE(this->router.stall().isStalled()) << "clients that wait";
+    }
+
     // Upstreams of a service behind an entry. Flows stay open for 5 s with five requests per second, but clients
     // that wait for 1 s close them.
     struct HangingFleet {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -441,6 +441,7 @@
 void AgentRouter::deliver(const FlowKey& key, Flow& flow, const HopMessage& message, const Packet& packet)
 {
     if (packet.rst) {
+        this->requestQueue.onClientReset(key);
         if (flow.request == RequestState::Waiting) {
             this->requestQueue.remove(key);
             flow.request = RequestState::None;
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -19,6 +19,7 @@
 {
     this->serviceTime.setSlots(queueOptions.slots);
     this->stall.setSlots(queueOptions.slots);
+    this->stall.onStuck = [this](const UnansweredRequest& request) { this->serviceTime.onUnanswered(request.charge); };
 }
 
 void RequestQueue::setSlots(uint16_t slots)
@@ -117,15 +118,24 @@
     this->endRunning(found, true);
 }
 
-// Whether a probe or a copy runs at the upstream is not known, so that its missing answer shows nothing.
+// Whether a probe or a copy runs at the upstream is not known, so that its missing answer shows nothing. Neither does
+// that of a request that its client aborted.
 void RequestQueue::reportUnanswered(const Running& running, Duration minStuckTime)
 {
-    if (running.request.isProbe || running.request.mayBeCopy)
+    if (running.request.isProbe || running.request.mayBeCopy || running.isAborted)
         return;
+    const ServiceTime::Seconds charge
+        = running.chargeAtStart ? this->serviceTime.chargeSince(*running.chargeAtStart) : ServiceTime::Seconds(0);
     this->stall.onUnanswered(running.request.flow,
-        { running.started, running.lastBytes, this->effectiveTimeout(running.request), minStuckTime });
-    if (running.chargeAtStart)
-        this->serviceTime.onUnanswered(*running.chargeAtStart);
+        { running.started, running.lastBytes, this->effectiveTimeout(running.request), minStuckTime, charge });
+}
+
+void RequestQueue::onClientReset(const FlowKey& flow)
+{
+    this->stall.onAborted(flow);
+    const auto found = this->runningRequests.find(flow);
+    if (found != this->runningRequests.end())
+        found->second.isAborted = true;
 }
 
 void RequestQueue::onClientClosed(const FlowKey& flow)
@@ -150,6 +160,7 @@
 
 void RequestQueue::onTurnedBack(const FlowKey& flow)
 {
+    this->stall.onAborted(flow);
     const auto found = this->runningRequests.find(flow);
     if (found != this->runningRequests.end() && !found->second.request.isProbe)
         this->overloadCounts.add(flow.route, OverloadCause::TurnedBack);
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -70,6 +70,7 @@
     Decision submit(const QueuedRequest&); // Start: the request may be sent and counts as running
     void onContinued(const FlowKey&); // the client sent further bytes of its request
     void onAnswered(const FlowKey&); // the upstream began to answer
+    void onClientReset(const FlowKey&); // the client aborted its request, which may still run at the upstream
     void onClientClosed(const FlowKey&); // the client sent a FIN after its request: it has probably given up
     void onHeld(const FlowKey&); // the upstream turned out to hold the flow of a probe
     void onTurnedBack(const FlowKey&); // the upstream reset the flow or returned its packet; call before remove()
@@ -95,6 +96,7 @@
         TimePoint started;
         std::optional<ServiceTime::Seconds> chargeAtStart; // empty: of a probe, which may not run
         TimePoint lastBytes {}; // of the client
+        bool isAborted = false; // by the client
     };
     using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
 
--- a/wasabicroft/ServiceTime.cpp
+++ b/wasabicroft/ServiceTime.cpp
@@ -46,11 +46,16 @@
     this->add(this->allMean, this->charge - chargeAtStart);
 }
 
-void ServiceTime::onUnanswered(Seconds chargeAtStart)
+ServiceTime::Seconds ServiceTime::chargeSince(Seconds chargeAtStart)
 {
     this->advance();
+    return this->charge - chargeAtStart;
+}
+
+void ServiceTime::onUnanswered(Seconds requestCharge)
+{
     if (this->slots > 0)
-        this->add(this->allMean, this->charge - chargeAtStart);
+        this->add(this->allMean, requestCharge);
 }
 
 void ServiceTime::add(MovingMean& mean, Seconds requestCharge) const
--- a/wasabicroft/ServiceTime.h
+++ b/wasabicroft/ServiceTime.h
@@ -32,7 +32,8 @@
     // A request starts. The returned value is passed to onAnswered when it is answered.
     Seconds onStarted();
     void onAnswered(Seconds chargeAtStart);
-    void onUnanswered(Seconds chargeAtStart); // it is given up; call onRemoved(), too
+    Seconds chargeSince(Seconds chargeAtStart); // of a request that still runs
+    void onUnanswered(Seconds requestCharge); // it turned out to be stuck
     // A request no longer counts as running, and its time is not known: it was removed, or its start was not seen.
     void onRemoved();
 
--- a/wasabicroft/StallDetector.cpp
+++ b/wasabicroft/StallDetector.cpp
@@ -94,6 +94,13 @@
     this->stalled = false;
 }
 
+void StallDetector::onAborted(const FlowKey& flow)
+{
+    const Unanswered* found = this->unanswered.find(flow);
+    if (found && !found->isStuck)
+        this->unanswered.erase(flow);
+}
+
 // How long a request may be unanswered after its last bytes before it is stuck. How long an upstream needs that has
 // answered few is not known: its requests are stuck when their clients have given up.
 Duration StallDetector::stuckTime(const Unanswered& item) const
@@ -113,6 +120,8 @@
     ++this->stuckWeight;
     if (item.request.lastBytes >= this->lastAnswer) // of the others, an answer to a later request may have come since
         ++this->stuckInSequence;
+    if (this->onStuck)
+        this->onStuck(item.request);
 }
 
 void StallDetector::removeStuck(const Unanswered& item)
--- a/wasabicroft/StallDetector.h
+++ b/wasabicroft/StallDetector.h
@@ -6,12 +6,14 @@
 // share of them hangs, the agent states a service time that includes them.
 //
 // A request that RequestQueue reports as unanswered may still be answered, by a slow upstream. It counts as stuck only
-// when it has waited for longer than such late answers took, counted from its last bytes: an upload may take much longer.
+// when it has waited for longer than such late answers took, counted from its last bytes: an upload may take much
+// longer.
 #pragma once
 
 #include "wasabicroft/Clock.h"
 #include "wasabicroft/Packet.h"
 
+#include <functional>
 #include <optional>
 
 namespace wasabicroft {
@@ -40,20 +42,26 @@
     TimePoint lastBytes; // when the client's last bytes of it were handed over
     Milliseconds timeout { 0 };
     Duration minStuckTime { 0 }; // since the last bytes
+    std::chrono::duration<double> charge { 0 }; // time for which it occupied a slot; see ServiceTime
 };
 
 class StallDetector {
 public:
     StallDetector(StallOptions, const Clock&);
 
+    std::function<void(const UnansweredRequest&)> onStuck; // may be empty
+
     void setSlots(uint16_t); // 0: unknown, the upstream never counts as stalled; forgets what was observed
 
     void onPacket(); // any packet of the upstream: its process runs
     void onAnswered(const FlowKey&); // a running request
     void onUnanswered(const FlowKey&, const UnansweredRequest&);
-    // The client sent further bytes of a request that was reported as unanswered: it is not stuck, and is reported again
-    // if it stays unanswered.
+    // The client sent further bytes of a request that was reported as unanswered: it is not stuck, and is reported
+    // again if it stays unanswered.
     void onContinued(const FlowKey&);
+    // The client aborted its request, or the upstream reset or returned it. One that is stuck by then remains so: its
+    // client waited for the whole stuck time.
+    void onAborted(const FlowKey&);
     void onPayload(const FlowKey&); // without a running request: an answer to an unanswered one, if there is one
     void onTick();
     // Discards what was observed so far: the agent or the upstream paused, and answers may be lost.
