Judge a restarted upstream by its own requests only

After a restart, the answers and late answers of the former process decided when requests of the new one are stuck, and a stall went on. The detector now starts anew when an upstream answers after it lost its flows and when its record has a newer revision: messages do not state the incarnation.

RestartFixture.AChangedRecordEndsAStall failed before. The other test fails in a trial build without the call in updateState().

--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -244,6 +244,43 @@
         EXPECT_TRUE(this->router.stall().isStalled()) << "clients that wait";
     }
 
+    // The requests of a process that has answered nothing yet are stuck at the time limit of their route, 1 s.
+    struct RestartFixture : StallFixture {
+        void expectNothingIsKnown()
+        {
+            this->openFlow(200);
+            this->openFlow(201);
+            this->hang({ 200, 201 });
+            EXPECT_FALSE(this->router.stall().isStalled());
+            this->run(Milliseconds(500));
+            this->openFlow(901);
+            this->run(Milliseconds(200));
+            EXPECT_TRUE(this->router.stall().isStalled());
+        }
+    };
+
+    // Guards against an upstream that is judged by what its former process did, after a change of its record.
+    TEST_F(RestartFixture, AChangedRecordEndsAStall)
+    {
+        this->openFlow(1);
+        this->openFlow(2);
+        this->hang({ 1, 2 });
+        EXPECT_TRUE(this->router.stall().isStalled());
+        this->stated = UpstreamFigures { 6, slots, false };
+        this->expectNothingIsKnown();
+    }
+
+    // Guards against an upstream that is judged by how fast its former process was, after a silence in which it lost
+    // its flows.
+    TEST_F(RestartFixture, AnUpstreamThatLostItsFlowsIsNotJudgedByItsFormerProcess)
+    {
+        this->fromEntry(HopKind::Offer, synFlag, 400);
+        this->fromEntry(HopKind::Offer, synFlag, 401);
+        this->run(Milliseconds(2000));
+        this->openFlow(402); // a probe: the upstream is up again
+        this->expectNothingIsKnown();
+    }
+
     // Upstreams of a service behind an entry. Flows stay open for 5 s with five requests per second, but clients
     // that wait for 1 s close them.
     struct HangingFleet {
--- a/wasabicroft/AgentRouter.cpp
+++ b/wasabicroft/AgentRouter.cpp
@@ -69,6 +69,8 @@
         return;
     if (this->figures && message.upstream->revision <= this->figures->revision)
         return;
+    if (this->figures) // messages do not state the incarnation, but its record is a newer one
+        this->requestQueue.onNewProcess();
     const bool isChanged = !this->figures || message.upstream->slots != this->figures->slots
         || message.upstream->draining != this->figures->draining;
     this->figures = message.upstream;
@@ -786,10 +788,12 @@
 {
     if (this->liveness.hasLostFlows() != this->hasDeniedLostFlows) {
         this->hasDeniedLostFlows = this->liveness.hasLostFlows();
-        if (this->hasDeniedLostFlows)
+        if (this->hasDeniedLostFlows) {
             this->denyLostFlows();
-        else // an upstream that was silent may have kept the flows that the agent forgot meanwhile
+        } else { // an upstream that was silent may have kept the flows that the agent forgot meanwhile
             this->trackingSince = this->clock.now();
+            this->requestQueue.onNewProcess();
+        }
     }
     const UpstreamState state = this->liveness.state();
     if (state == this->loggedState)
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -35,6 +35,12 @@
     this->stall.discardObservations(); // the upstream is, or was, silent as a whole
 }
 
+void RequestQueue::onNewProcess()
+{
+    this->stall.onNewProcess();
+    this->serviceTime.discardUnanswered();
+}
+
 bool RequestQueue::canStart(bool isProbe) const
 {
     if (this->paused)
@@ -113,7 +119,7 @@
     const Duration time = this->clock.now() - found->second.started;
     const double seconds = std::chrono::duration<double>(time).count();
     this->work.onAnswered(flow.route, time);
-    this->stall.onAnswered(flow);
+    this->stall.onAnswered(flow, found->second.started);
     this->meanServiceSeconds += serviceTimeWeight * (seconds - this->meanServiceSeconds);
     this->endRunning(found, true);
 }
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -66,6 +66,7 @@
 
     void setSlots(uint16_t);
     void setPaused(bool); // while paused, nothing starts
+    void onNewProcess(); // the upstream restarted, or may have: requests without an answer say nothing of it
 
     Decision submit(const QueuedRequest&); // Start: the request may be sent and counts as running
     void onContinued(const FlowKey&); // the client sent further bytes of its request
--- a/wasabicroft/ServiceTime.h
+++ b/wasabicroft/ServiceTime.h
@@ -34,6 +34,7 @@
     void onAnswered(Seconds chargeAtStart);
     Seconds chargeSince(Seconds chargeAtStart); // of a request that still runs
     void onUnanswered(Seconds requestCharge); // it turned out to be stuck
+    void discardUnanswered() { this->allMean = this->answeredMean; }
     // A request no longer counts as running, and its time is not known: it was removed, or its start was not seen.
     void onRemoved();
 
--- a/wasabicroft/StallDetector.cpp
+++ b/wasabicroft/StallDetector.cpp
@@ -11,6 +11,7 @@
     , clock(timeSource)
     , unanswered(detectorOptions.maxUnanswered)
     , observedSince(timeSource.now())
+    , processSince(timeSource.now())
     , lastAnswer(timeSource.now())
     , lastDecay(timeSource.now())
 {
@@ -21,11 +22,16 @@
 void StallDetector::setSlots(uint16_t newSlots)
 {
     this->slots = newSlots;
-    if (newSlots > 0)
-        return;
+    if (newSlots == 0)
+        this->onNewProcess();
+}
+
+void StallDetector::onNewProcess()
+{
     this->discardObservations();
     this->answers = 0;
     this->lateAnswerTime = Duration(0);
+    this->processSince = this->clock.now();
 }
 
 void StallDetector::onPacket()
@@ -34,8 +40,10 @@
         this->activeSince = this->clock.now();
 }
 
-void StallDetector::onAnswered(const FlowKey& flow)
+void StallDetector::onAnswered(const FlowKey& flow, TimePoint started)
 {
+    if (started < this->processSince)
+        return;
     this->unanswered.erase(flow); // of several requests on one flow, the answer does not show which it is for
     this->lateAnswerTime -= std::chrono::duration_cast<Duration>(this->lateAnswerTime / this->options.maxObservations);
     this->addAnswer();
--- a/wasabicroft/StallDetector.h
+++ b/wasabicroft/StallDetector.h
@@ -54,7 +54,7 @@
     void setSlots(uint16_t); // 0: unknown, the upstream never counts as stalled; forgets what was observed
 
     void onPacket(); // any packet of the upstream: its process runs
-    void onAnswered(const FlowKey&); // a running request
+    void onAnswered(const FlowKey&, TimePoint started); // a running request
     void onUnanswered(const FlowKey&, const UnansweredRequest&);
     // The client sent further bytes of a request that was reported as unanswered: it is not stuck, and is reported
     // again if it stays unanswered.
@@ -66,6 +66,7 @@
     void onTick();
     // Discards what was observed so far: the agent or the upstream paused, and answers may be lost.
     void discardObservations();
+    void onNewProcess(); // the upstream restarted, or may have: nothing is known of its process
 
     bool isStalled() const { return this->stalled; }
     bool isPartiallyStalled() const;
@@ -92,6 +93,7 @@
     FlowTable<Unanswered> unanswered;
     size_t pending = 0; // unanswered requests that are not stuck yet
     TimePoint observedSince; // requests that started before count for nothing
+    TimePoint processSince; // answers to requests that started before count for nothing
     unsigned answers = 0; // of the upstream, up to minAnswers
     Duration lateAnswerTime { 0 }; // the longest lately, of answers to unanswered requests
 
