Bound the stuck time by the time limit of the route

Late answers and a long mean service time, 8 times which RequestQueue waits, made the stuck time longer than any client waits. The queue now reports a request at its time limit although it still counts it as running, and the detector waits no longer than that.

StallFixture.TheTimeLimitOfTheRouteBoundsTheStuckTime failed before, in both cases. With and without the detector, the 77 tests of PacketWorld*, RestartSeries*, RouterFixture* and EvenLoad give the same results to the line, among these five known failures.

--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -281,6 +281,33 @@
         this->expectNothingIsKnown();
     }
 
+    // Guards against stuck times above the time limit of a route, after an answer that came much later, and of an
+    // upstream whose mean service time makes RequestQueue wait for longer.
+    TEST_F(StallFixture, TheTimeLimitOfTheRouteBoundsTheStuckTime)
+    {
+        this->openFlow(1);
+        this->request(1);
+        this->run(Milliseconds(5000));
+        this->fromUpstream(ackFlag, 1, 100);
+        for (uint16_t port = 2; port < 62; ++port) {
+            this->openFlow(port);
+            if (port == 4) {
+                this->hang({ 2, 3 }, Milliseconds(1020));
+                EXPECT_TRUE(this->router.stall().isStalled()) << "after a late answer";
+            }
+            if (port > 3) {
+                this->request(port);
+                this->run(Milliseconds(240));
+                this->fromUpstream(ackFlag, port, 100);
+            }
+        }
+        EXPECT_FALSE(this->router.stall().isStalled());
+        this->openFlow(62);
+        this->openFlow(63);
+        this->hang({ 62, 63 }, Milliseconds(1020));
+        EXPECT_TRUE(this->router.stall().isStalled()) << "8 times the mean service time is longer";
+    }
+
     // Upstreams of a service behind an entry. Flows stay open for 5 s with five requests per second, but clients
     // that wait for 1 s close them.
     struct HangingFleet {
--- a/wasabicroft/RequestQueue.cpp
+++ b/wasabicroft/RequestQueue.cpp
@@ -1,6 +1,7 @@
 #include "wasabicroft/RequestQueue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabicroft {
 
@@ -107,8 +108,10 @@
 {
     this->stall.onContinued(flow);
     const auto found = this->runningRequests.find(flow);
-    if (found != this->runningRequests.end())
-        found->second.lastBytes = this->clock.now();
+    if (found == this->runningRequests.end())
+        return;
+    found->second.lastBytes = this->clock.now();
+    found->second.isReported = false;
 }
 
 void RequestQueue::onAnswered(const FlowKey& flow)
@@ -126,9 +129,10 @@
 
 // Whether a probe or a copy runs at the upstream is not known, so that its missing answer shows nothing. Neither does
 // that of a request that its client aborted.
-void RequestQueue::reportUnanswered(const Running& running, Duration minStuckTime)
+void RequestQueue::reportUnanswered(Running& running, Duration minStuckTime)
 {
-    if (running.request.isProbe || running.request.mayBeCopy || running.isAborted)
+    if (running.request.isProbe || running.request.mayBeCopy || running.isAborted
+        || std::exchange(running.isReported, true))
         return;
     const ServiceTime::Seconds charge
         = running.chargeAtStart ? this->serviceTime.chargeSince(*running.chargeAtStart) : ServiceTime::Seconds(0);
@@ -270,11 +274,13 @@
     const Duration stuckTime
         = std::max<Duration>(this->options.minStuckTime, std::chrono::duration_cast<Duration>(scaledTime));
     // A silent upstream may answer them later; once it is lost, their clients are told.
-    for (const auto& [flow, item] : this->runningRequests) {
-        if (this->paused || now - item.started <= stuckTime)
+    for (auto& [flow, item] : this->runningRequests) {
+        const bool isExpired = now - item.started > stuckTime;
+        if (!this->paused && (isExpired || now - item.lastBytes > this->effectiveTimeout(item.request)))
+            this->reportUnanswered(item, stuckTime);
+        if (this->paused || !isExpired)
             continue;
         this->overloadCounts.add(flow.route, OverloadCause::Unanswered);
-        this->reportUnanswered(item, stuckTime);
         expired.push_back(flow);
     }
     for (const FlowKey& flow : expired)
--- a/wasabicroft/RequestQueue.h
+++ b/wasabicroft/RequestQueue.h
@@ -98,6 +98,7 @@
         std::optional<ServiceTime::Seconds> chargeAtStart; // empty: of a probe, which may not run
         TimePoint lastBytes {}; // of the client
         bool isAborted = false; // by the client
+        bool isReported = false; // to the stall detector
     };
     using RunningRequests = std::unordered_map<FlowKey, Running, FlowKeyHash>;
 
@@ -112,7 +113,7 @@
     void start(const QueuedRequest&);
     void endRunning(RunningRequests::iterator, bool isAnswered);
     void removeRunning(const FlowKey&);
-    void reportUnanswered(const Running&, Duration minStuckTime);
+    void reportUnanswered(Running&, Duration minStuckTime);
 
     RequestQueueOptions options;
     const Clock& clock;
--- a/wasabicroft/StallDetector.cpp
+++ b/wasabicroft/StallDetector.cpp
@@ -44,6 +44,11 @@
 {
     if (started < this->processSince)
         return;
+    // A request that was reported at its time limit may still run.
+    if (const Unanswered* found = this->unanswered.find(flow); found && found->request.started == started) {
+        this->onPayload(flow);
+        return;
+    }
     this->unanswered.erase(flow); // of several requests on one flow, the answer does not show which it is for
     this->lateAnswerTime -= std::chrono::duration_cast<Duration>(this->lateAnswerTime / this->options.maxObservations);
     this->addAnswer();
@@ -115,8 +120,9 @@
 {
     if (this->answers < this->options.minAnswers)
         return item.request.timeout;
-    return std::max(item.request.minStuckTime,
-        std::chrono::duration_cast<Duration>(this->lateAnswerTime * this->options.lateAnswerFactor));
+    const Duration lateTime
+        = std::chrono::duration_cast<Duration>(this->lateAnswerTime * this->options.lateAnswerFactor);
+    return std::min<Duration>(item.request.timeout, std::max(item.request.minStuckTime, lateTime));
 }
 
 void StallDetector::addStuck(Unanswered& item)
--- a/wasabicroft/StallDetector.h
+++ b/wasabicroft/StallDetector.h
@@ -79,7 +79,7 @@
         bool isStuck = false;
     };
 
-    Duration stuckTime(const Unanswered&) const;
+    Duration stuckTime(const Unanswered&) const; // at most the time limit of its route
     void addStuck(Unanswered&);
     void removeStuck(const Unanswered&); // it turned out not to be stuck
     unsigned stuckToStall() const;
