Keep lines about the state of a process out of the limit of log lines

An entry that logged over 400 lines about flows in a second left out 3020 (routes in force) and 3028 as well: in a burst, nobody could tell when a version came into force.

Events state now whether a line is about the process or about a single flow, request, packet or record; the limit counts the latter.

--- a/wasabicroft/Events.h
+++ b/wasabicroft/Events.h
@@ -103,10 +103,17 @@
     InvariantViolated = 9001,
 };
 
+// What one line of an event is about.
+enum class EventScope : uint8_t {
+    Process, // a change of the state of the process
+    Item, // a single flow, request, packet or record: the limit of log lines applies
+};
+
 struct EventInfo {
     Event event;
     Severity severity;
     std::string_view name;
+    EventScope scope = EventScope::Process;
 };
 
 // All events, ordered by number.
--- a/wasabicroft/Log.cpp
+++ b/wasabicroft/Log.cpp
@@ -39,7 +39,7 @@
     size_t batchLimit = 0;
 
     std::string processName;
-    std::atomic<uint64_t> maxLinesPerSecond = 0; // 0 disables the limit.
+    std::atomic<uint64_t> maxLinesPerSecond = 0; // see LogOptions
     std::atomic<uint64_t> linesInSecond = 0;
     std::atomic<int64_t> rateLimitSecond = 0; // Second of the steady clock that linesInSecond counts.
 
@@ -327,8 +327,10 @@
 
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
-    const Severity severity = infoOf(event).severity;
-    if (severity < threshold || (severity < Severity::Warning && !passesRateLimit()))
+    const EventInfo& info = infoOf(event);
+    const Severity severity = info.severity;
+    const bool isLimited = severity < Severity::Warning && info.scope == EventScope::Item;
+    if (severity < threshold || (isLimited && !passesRateLimit()))
         return;
     std::string line;
     line.reserve(256);
--- a/wasabicroft/Log.h
+++ b/wasabicroft/Log.h
@@ -39,7 +39,8 @@
     std::string process; // Name of the process in every line, such as "entry-1".
     bool toStandardOutput = false; // Write to standard output instead of standard error.
     size_t batchBytes = 0; // Lines are collected up to this size or until flushLog(); 0 queues each line.
-    uint64_t maxLinesPerSecond = 0; // Limit for lines below Warning; the number suppressed is logged. 0: no limit.
+    // Limit for lines below Warning about single items (EventScope); the number suppressed is logged. 0: no limit.
+    uint64_t maxLinesPerSecond = 0;
 };
 
 // Starts the writer thread. While it is not running, lines at Warning and above go to standard error and others are
