State how long routes took to arrive, to be applied, and by which version a service was chosen

3020 (routes in force) states the kind of the read, the time of the transfer, the time until the table was in force, and how long other entries had announced a newer version; 3028 the last of these, and the gauge wasabi_routes_behind_ms as well. 4201 states the version by which the service of the flow was chosen beside the one in force. Together with the agent's 4207, which names the entry, this tells apart a version that came late, a packet that was handled by an older version than the entry had, and one that another process handled.

No decision changes. HttpClient reads the header of an answer separately, to time the transfer.

--- a/backends/HttpClient.cpp
+++ b/backends/HttpClient.cpp
@@ -76,11 +76,27 @@
         if (error)
             self->fail(error);
         else
-            self->read();
+            self->readHeader();
     });
 }
 
-void HttpClient::read()
+void HttpClient::readHeader()
+{
+    http::async_read_header(
+        this->stream, this->buffer, *this->parser, [self = this->shared_from_this()](beast::error_code error, size_t) {
+            if (!self->callback)
+                return;
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            if (self->onHeader)
+                self->onHeader();
+            self->readBody();
+        });
+}
+
+void HttpClient::readBody()
 {
     http::async_read(
         this->stream, this->buffer, *this->parser, [self = this->shared_from_this()](beast::error_code error, size_t) {
--- a/backends/HttpClient.h
+++ b/backends/HttpClient.h
@@ -28,11 +28,14 @@
 
     bool isBusy() const { return this->callback != nullptr; }
 
+    std::function<void()> onHeader; // Called when the header of a response has arrived. May be empty.
+
 private:
     bool hasUnrequestedBytes();
     void connect();
     void write();
-    void read();
+    void readHeader();
+    void readBody();
     void disconnect();
     void fail(boost::beast::error_code);
     void finish(HttpResult);
--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -185,7 +185,10 @@
         std::exchange(client, nullptr)->close();
     if (!client)
         client = std::make_shared<HttpClient>(this->context);
+    AnswerTimes& times = this->answerTimes.at(static_cast<size_t>(read.topic));
+    client->onHeader = [this, &times] { times.headerReceived = this->clock.now(); };
     client->start(this->settings.store, platform::requestTarget(read), read.timeout, [this, read](HttpResult result) {
+        this->answerTimes.at(static_cast<size_t>(read.topic)).received = this->clock.now();
         if (!runGuarded("answer of the store", [&] { this->onStoreResponse(read, std::move(result)); }))
             this->storeSync.onFailure(read);
         this->flush();
@@ -286,7 +289,7 @@
         this->applyEvacuations(before, "store");
     }
     if (const std::shared_ptr<const RoutingTable> table = std::exchange(this->listedRoutes, nullptr))
-        this->applyRoutes(table, "store");
+        this->applyRoutes(table, read);
 }
 
 void PacketEntry::mergeEvacuations(const platform::StoreResponse& response)
@@ -360,7 +363,7 @@
     this->noteRecovery();
     this->mergeEvacuations(response);
     if (response.routes)
-        this->applyRoutes(response.routes, "store");
+        this->applyRoutes(response.routes, read);
     bool isChanged = this->mergeUpstreams(response);
     if (read.topic == StoreTopic::Upstreams)
         isChanged = this->directory.onRead(this->storeSync.lastReadStart(read.topic)) || isChanged;
@@ -390,15 +393,20 @@
 }
 
 // Ignores a table unless it is newer than the current one: the version never decreases while the process runs.
-void PacketEntry::applyRoutes(std::shared_ptr<const RoutingTable> table, std::string_view source)
+void PacketEntry::applyRoutes(std::shared_ptr<const RoutingTable> table, const StoreRead& read)
 {
     if (this->routes && table->version <= this->routes->version)
         return;
     this->routes = std::move(table);
+    const Milliseconds behind = this->storeRefresh.behindTime(StoreTopic::Routes);
+    this->applyStoreState();
+    const AnswerTimes& times = this->answerTimes.at(static_cast<size_t>(StoreTopic::Routes));
     logEvent(Event::RoutesInForce,
         { { "version", this->routes->version }, { "routes", static_cast<uint64_t>(this->routes->routes.size()) },
-            { "source", source } });
-    this->applyStoreState();
+            { "read", read.isWatch ? "watch" : "list" },
+            { "transfer-ms", std::chrono::duration_cast<Milliseconds>(times.received - times.headerReceived) },
+            { "apply-ms", std::chrono::duration_cast<Milliseconds>(this->clock.now() - times.received) },
+            { "behind-ms", behind } });
 }
 
 // Replaces the provisional state learned from agents as soon as the store's routes and upstreams are both known.
@@ -663,6 +671,8 @@
     metrics.setCount("wasabi_flow_evictions_total", "", this->router.flowEvictions());
     metrics.setCount("wasabi_routes_version", "", this->router.routesVersion());
     metrics.setCount("wasabi_routes_version_announced", "", this->fleet.newestRoutesVersion());
+    metrics.setCount("wasabi_routes_behind_ms", "",
+        static_cast<uint64_t>(this->storeRefresh.behindTime(StoreTopic::Routes).count()));
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
         const std::string label = "topic=\"" + std::string(nameOf(topic)) + '"';
--- a/backends/PacketEntry.h
+++ b/backends/PacketEntry.h
@@ -24,6 +24,12 @@
     void exportMetrics(Metrics&) const;
 
 private:
+    // Of an answer of the store, in the time of the clock.
+    struct AnswerTimes {
+        TimePoint headerReceived;
+        TimePoint received; // All of it.
+    };
+
     void onClientDatagram(PacketAddress source, std::span<uint8_t>);
     void onHopDatagram(PacketAddress source, std::span<uint8_t>);
     void logInvalid(PacketAddress source, const Error&);
@@ -42,7 +48,7 @@
     void updateEvacuationConfirmation();
     std::string upstreamsIn(const std::string& failureDomain) const;
     void updateDelegate();
-    void applyRoutes(std::shared_ptr<const RoutingTable>, std::string_view source);
+    void applyRoutes(std::shared_ptr<const RoutingTable>, const StoreRead&);
     void logProblems(const platform::StoreResponse&);
     void updateReachability();
     bool mergeUpstreams(const platform::StoreResponse&);
@@ -72,6 +78,7 @@
     EntryRouter router;
     std::array<std::shared_ptr<HttpClient>, storeTopicCount> storeClients;
     std::array<boost::asio::steady_timer, storeTopicCount> storeTimers;
+    std::array<AnswerTimes, storeTopicCount> answerTimes; // Of the last answer of each topic.
     std::shared_ptr<const RoutingTable> listedRoutes; // From the pages of a list that is being read.
     std::set<std::string> listedEvacuations; // From the pages of a list that is being read.
     std::vector<UpstreamRecord> listedUpstreams; // Upstreams from the pages of a list that is being read.
--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -285,6 +285,7 @@
     const bool isNew = flow.syn.empty() && !flow.lastUse; // only its SYN was seen here
     if (flow.syn.empty()) {
         flow.service = chooseService(*route, this->random);
+        flow.serviceVersion = this->routes->version;
         flow.syn = copyOf(syn);
     }
     for (Offer& offer : flow.offers) {
@@ -426,7 +427,7 @@
                 { "speed", this->placement.speed(flow.service, candidate) },
                 { "answer-ms", this->placement.expectedAnswer(candidate).value_or(Milliseconds(-1)) },
                 { "load-age-ms", this->placement.loadAge(candidate) }, { "routes", this->routes->version },
-                { "directory", this->directoryRevision } });
+                { "chosen-by", flow.serviceVersion }, { "directory", this->directoryRevision } });
         this->sendOffer(key, flow, flow.offers.back());
         return true;
     }
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -192,6 +192,7 @@
 
     struct Flow {
         ServiceId service;
+        uint64_t serviceVersion = 0; // version of the routes by which the service was chosen
         std::vector<Offer> offers; // one per upstream; those of earlier rounds may still be answered
         unsigned offerRound = 0;
         std::vector<uint8_t> syn; // SYN of the client, until the flow is open
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -23,6 +23,12 @@
     return std::chrono::duration_cast<Milliseconds>(this->clock.now() - lastAnswer);
 }
 
+Milliseconds StoreRefresh::behindTime(StoreTopic topic) const
+{
+    const std::optional<TimePoint>& since = this->behindSince.at(static_cast<size_t>(topic));
+    return since ? std::chrono::duration_cast<Milliseconds>(this->clock.now() - *since) : Milliseconds(0);
+}
+
 ListState StoreRefresh::listState(const UpstreamDirectory& directory) const
 {
     const ListState state = directory.listState();
@@ -107,19 +113,25 @@
     bool isReadDue = false;
     for (size_t i = 0; i < storeTopicCount; ++i) {
         const StoreTopic topic = static_cast<StoreTopic>(i);
-        std::optional<TimePoint>& since = this->behindSince.at(i);
+        const TimePoint now = this->clock.now();
+        std::optional<TimePoint>& due = this->readDue.at(i);
         this->isBehind.at(i) = versions.of(topic) < this->announcedVersion(topic);
         if (!this->isBehind.at(i)) {
-            since.reset();
-        } else if (!since) {
-            since = this->clock.now();
-        } else if (this->clock.now() - *since > this->options.maxBehindTime) {
-            since.reset();
+            this->behindSince.at(i).reset();
+            due.reset();
+            continue;
+        }
+        this->behindSince.at(i) = this->behindSince.at(i).value_or(now);
+        if (!due) {
+            due = now + this->options.maxBehindTime;
+        } else if (now > *due) {
+            due.reset();
             isReadDue = true;
             if (this->sync.onNewerRevision(topic, UINT64_MAX))
                 logEvent(Event::StoreReadRepeated,
                     { { "topic", nameOf(topic) }, { "answer-age-ms", this->answerAge(topic) },
-                        { "version", versions.of(topic) }, { "announced", this->announcedVersion(topic) } });
+                        { "version", versions.of(topic) }, { "announced", this->announcedVersion(topic) },
+                        { "behind-ms", this->behindTime(topic) } });
         }
     }
     return isReadDue;
--- a/wasabicroft/StoreRefresh.h
+++ b/wasabicroft/StoreRefresh.h
@@ -56,6 +56,7 @@
     {
         return this->isBehind.at(static_cast<size_t>(topic));
     }
+    Milliseconds behindTime(StoreTopic) const; // for how long other entries have had a newer state; 0: none has
     bool usesShortWatches(StoreTopic topic) const
     {
         return this->isSentinel || this->wasUnconfirmed.at(static_cast<size_t>(topic));
@@ -87,6 +88,7 @@
     std::array<bool, storeTopicCount> isBehind {}; // see isBehindPeers()
     // For each topic, when other entries were first seen to announce a newer state than this one has read.
     std::array<std::optional<TimePoint>, storeTopicCount> behindSince;
+    std::array<std::optional<TimePoint>, storeTopicCount> readDue; // for each topic behind, when it is read in full
 };
 
 } // namespace wasabicroft
