--- a/tests/EventLoopTest.cpp
+++ b/tests/EventLoopTest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <stdexcept>
+#include <thread>
 
 namespace wasabicroft::tests {
 namespace {
@@ -109,6 +110,69 @@
         tcp::acceptor acceptor;
     };
 
+    // Answers the first request of each connection with a body of the given size.
+    class LargeAnswerServer {
+    public:
+        LargeAnswerServer(asio::io_context& context, size_t bodyBytes)
+            : acceptor(context, tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0))
+            , socket(context)
+            , answer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                  + std::string(bodyBytes, 'x'))
+        {
+            this->acceptor.async_accept(this->socket, [this](boost::system::error_code error) {
+                if (error)
+                    return;
+                asio::async_read_until(
+                    this->socket, this->request, "\r\n\r\n", [this](boost::system::error_code readError, size_t) {
+                        if (!readError)
+                            asio::async_write(
+                                this->socket, asio::buffer(this->answer), [](boost::system::error_code, size_t) {});
+                    });
+            });
+        }
+
+        Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+
+    private:
+        tcp::acceptor acceptor;
+        tcp::socket socket;
+        asio::streambuf request;
+        std::string answer;
+    };
+
+    // Guards against a large configuration that an entry under load reads too late: between two reads from the
+    // connection, its event loop handles datagrams for up to 0.1 s. Incident CONFIG on rigcheck-ph-grown, report 2.
+    TEST(HttpClient, ALargeAnswerTakesFewTurnsOfABusyEventLoop)
+    {
+        constexpr size_t bodyBytes = 1400000; // a value of 1 MiB in base64
+        constexpr int maxTurns = 50; // 5 s, the bound of a change, at 0.1 s each
+        std::thread serverThread;
+        asio::io_context serverContext;
+        LargeAnswerServer server(serverContext, bodyBytes);
+        serverThread = std::thread([&] { serverContext.run_for(std::chrono::seconds(20)); });
+        asio::io_context context;
+        int turns = 0;
+        bool isBusy = false; // once the answer arrives
+        std::function<void()> handleDatagrams = [&] {
+            turns += isBusy ? 1 : 0;
+            std::this_thread::sleep_for(Milliseconds(2)); // the server fills the connection meanwhile
+            asio::post(context, handleDatagrams);
+        };
+        const std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(context);
+        size_t received = 0;
+        client->onHeader = [&] { isBusy = true; };
+        client->start(server.endpoint(), "/", Milliseconds(10000), [&](const HttpResult& result) {
+            received = result ? result.value().body().size() : 0;
+            context.stop();
+        });
+        asio::post(context, handleDatagrams);
+        context.run_for(std::chrono::seconds(15));
+        serverContext.stop();
+        serverThread.join();
+        EXPECT_EQ(received, bodyBytes);
+        EXPECT_LE(turns, maxTurns);
+    }
+
     // Guards against a second copy of an answer that is taken for the answer to the next request on the connection.
     TEST(HttpClient, ASecondCopyOfAnAnswerIsNotTheAnswerToTheNextRequest)
     {
