Read large answers of the store in pieces of 64 KB

Flows on a dropped route were still taken over 5 s after the acknowledgement (CONFIG).

Cause: HttpClient gave Beast an empty buffer, which grows with need only, and Beast reads as much as the buffer holds, 512 bytes at least: every read took 512 bytes. Between two reads, the event loop of an entry handles up to 256 datagrams. At an entry with 0.038 of a core in a burst, this takes tens of milliseconds, and a configuration with 2,849 routes is 605 KB, 1,180 reads. The time limit of a read does not end a transfer that goes on.

Why it works: a read takes what has arrived, up to 64 KB, so the transfer keeps up with the link however long the turns are: what arrives during a turn is read after it.

--- a/backends/HttpClient.cpp
+++ b/backends/HttpClient.cpp
@@ -11,11 +11,16 @@
     // The largest response is the instance list of 6,400 processes, with about 150 bytes per row.
     constexpr uint64_t maxResponseBytes = 4 * 1024 * 1024;
 
+    // Read from the connection at a time: the most that Beast reads. Without it, Beast reads 512 bytes at a time, and
+    // an event loop that handles many datagrams in each turn takes seconds for a large response.
+    constexpr size_t readBytes = 64 * 1024;
+
 } // namespace
 
 HttpClient::HttpClient(asio::io_context& context)
     : stream(context)
 {
+    this->buffer.reserve(readBytes);
 }
 
 void HttpClient::start(
