Offer an opening flow by the routes in force, not by those of its first SYN

What callers may see: a flow opens at the service to which an earlier configuration led, or on a withdrawn route, after the entry had the newer one.

Cause: EntryRouter chose the service at the first SYN and kept it with the flow. Copies of the SYN, the offers that follow a silent or refusing upstream, and late copies that go to the holder went by that record, whatever the routes said by then.

Change: the service is checked against the route before each offer and chosen again if the route does not name it; a flow without a route is offered no further. Offers of the former service stay known, since the client may have got an answer to one.

--- a/wasabicroft/EntryRouter.cpp
+++ b/wasabicroft/EntryRouter.cpp
@@ -33,6 +33,12 @@
         return placement;
     }
 
+    bool isNamedBy(const Route& route, ServiceId service)
+    {
+        return std::any_of(route.shares.begin(), route.shares.end(),
+            [service](const RouteShare& share) { return share.service == service; });
+    }
+
     // Upstreams whose slots are not known (0) are weighed as if they had as many as the largest known one.
     void assumeSlots(std::vector<PlacementUpstream>& pool)
     {
@@ -273,8 +279,12 @@
     Flow& flow = this->flows.findOrInsert(key, this->clock.now());
     flow.sequences.onClientPacket(packet);
     if (flow.holder) {
-        // A late copy of the SYN: the holder gives the same answer again.
-        this->sendPacket(*flow.holder, HopKind::Offer, key, flow.service, syn);
+        // A late copy of the SYN: the holder gives the same answer again. An upstream that lost the flow meanwhile
+        // would open another one.
+        const bool isNamed = isNamedBy(*route, flow.service);
+        if (isNamed)
+            this->sendPacket(*flow.holder, HopKind::Offer, key, flow.service, syn);
+        this->counts.dropped += isNamed ? 0 : 1;
         return;
     }
     // A late copy, too: the client has got an answer to its SYN and used the flow.
@@ -288,8 +298,9 @@
         flow.serviceVersion = this->routes->version;
         flow.syn = copyOf(syn);
     }
+    this->updateService(key, flow);
     for (Offer& offer : flow.offers) {
-        if (offer.state == OfferState::Accepted) {
+        if (offer.state == OfferState::Accepted && offer.service == flow.service) {
             this->sendOffer(key, flow, offer);
             return;
         }
@@ -398,10 +409,25 @@
     return route.shares.front().service;
 }
 
+// The route may have changed since the service of the flow was chosen: chooses another one if the route does not name
+// it any more. Returns false if the flow has no route.
+bool EntryRouter::updateService(const FlowKey& key, Flow& flow)
+{
+    const Route* route = this->routes->find(key.route);
+    if (!route)
+        return false;
+    if (isNamedBy(*route, flow.service))
+        return true;
+    flow.service = chooseService(*route, this->random);
+    flow.serviceVersion = this->routes->version;
+    ++flow.offerRound; // earlier offers may still be answered
+    return true;
+}
+
 // Offers the flow to the best upstream that it was not offered to in this round. Returns false if there is none.
 bool EntryRouter::offerToNextUpstream(const FlowKey& key, Flow& flow, std::string_view cause)
 {
-    return offersInRound(flow) < this->options.maxOffersPerSyn
+    return this->updateService(key, flow) && offersInRound(flow) < this->options.maxOffersPerSyn
         && this->offerToNextOf(this->candidatesOf(key, flow), key, flow, cause);
 }
 
@@ -417,7 +443,8 @@
             continue;
         if (earlier != flow.offers.end())
             flow.offers.erase(earlier);
-        flow.offers.push_back({ candidate, agent->second, OfferState::Pending, this->clock.now(), 0, flow.offerRound });
+        flow.offers.push_back(
+            { candidate, agent->second, flow.service, OfferState::Pending, this->clock.now(), 0, flow.offerRound });
         logEvent(Event::PacketFlowOffered,
             { { "flow", toString(key) }, { "service", flow.service }, { "upstream", candidate },
                 { "agent", toString(agent->second) }, { "cause", cause },
--- a/wasabicroft/EntryRouter.h
+++ b/wasabicroft/EntryRouter.h
@@ -184,6 +184,7 @@
     struct Offer {
         UpstreamId upstream;
         PacketAddress agent;
+        ServiceId service; // of the flow at that time
         OfferState state = OfferState::Pending;
         TimePoint sentAt;
         uint32_t upstreamSequence = 0; // once accepted
@@ -241,6 +242,7 @@
     void openFlow(const FlowKey&, const Packet&, Bytes syn);
     void forgetEarlierFlow(const FlowKey&, const Packet& syn);
     static ServiceId chooseService(const Route&, std::mt19937_64& random);
+    bool updateService(const FlowKey&, Flow&);
     std::vector<UpstreamId> candidatesOf(const FlowKey&, const Flow&);
     void demoteLate(const FlowKey&, std::vector<UpstreamId>& candidates) const;
     bool isTooLate(const FlowKey&, UpstreamId) const;
