--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -225,6 +225,41 @@
             + R"(],"has_more":false,"store_revision":9})";
     }
 
+    std::string routesEvent(const std::string& value, int revision)
+    {
+        return R"({"key":"op/config","value":")" + base64(value) + R"(","rev":)" + std::to_string(revision) + '}';
+    }
+
+    StoreRead routesWatch()
+    {
+        StoreRead read = listRead(StoreTopic::Routes);
+        read.isWatch = true;
+        return read;
+    }
+
+    // Guards against an entry that decodes every version of a storm of changes, although the last one replaces them
+    // all.
+    TEST(StoreWire, OnlyTheNewestConfigurationOfAWatchIsDecoded)
+    {
+        const std::string withProblem = routesEvent(R"({"version":4,"routes":[{"name":"without address"}]})", 4);
+        const std::string newest = routesEvent(R"({"version":5,"routes":[]})", 5);
+        const StoreResponse answer = decodeResponse(routesWatch(), bodyOf(true, withProblem + ',' + newest)).value();
+        ASSERT_TRUE(answer.routes);
+        EXPECT_EQ(answer.routes->version, 5U);
+        EXPECT_TRUE(answer.problems.empty());
+    }
+
+    // Guards against a valid version that is lost because an invalid one follows it in the same answer.
+    TEST(StoreWire, AnInvalidConfigurationDoesNotHideTheValidOneBeforeIt)
+    {
+        const std::string valid = routesEvent(R"({"version":5,"routes":[]})", 5);
+        const std::string invalid = routesEvent("not JSON", 6);
+        const StoreResponse answer = decodeResponse(routesWatch(), bodyOf(true, valid + ',' + invalid)).value();
+        ASSERT_TRUE(answer.routes);
+        EXPECT_EQ(answer.routes->version, 5U);
+        EXPECT_EQ(answer.problems.size(), 1U);
+    }
+
     StoreRead upstreamRead(bool isWatch)
     {
         StoreRead read = listRead(StoreTopic::Upstreams);
