Do not read a change in full while a watch is delivering it

An entry whose peers have a newer version for 0.35 s reads in full, and dropped its watch for that, even if the watch's answer was arriving.

The answer is kept if it holds a single change by its size. A larger one has several versions; the list is shorter. StoreRefreshFixture.AChangeThatArrivesIsNotReadInFull fails without the check; AnAnswerWithSeveralLargeChangesIsReplacedByAReadInFull guards the other side.

--- a/backends/PacketEntry.cpp
+++ b/backends/PacketEntry.cpp
@@ -186,7 +186,10 @@
     if (!client)
         client = std::make_shared<HttpClient>(this->context);
     AnswerTimes& times = this->answerTimes.at(static_cast<size_t>(read.topic));
-    client->onHeader = [this, &times](std::optional<uint64_t>) { times.headerReceived = this->clock.now(); };
+    client->onHeader = [this, read, &times](std::optional<uint64_t> bytes) {
+        times.headerReceived = this->clock.now();
+        this->storeSync.onAnswerStarted(read, bytes);
+    };
     const HttpTimeouts timeouts { read.timeout, read.pauseTimeout };
     client->start(
         this->settings.store, platform::requestTarget(read), timeouts, [this, read, &times](HttpResult result) {
--- a/tests/StoreRefreshTest.cpp
+++ b/tests/StoreRefreshTest.cpp
@@ -316,5 +316,38 @@
         EXPECT_FALSE(this->refresh.confirmedByStore(StoreTopic::Routes));
     }
 
+    // Guards against a large configuration that an entry with a narrow link reads twice: while a watch delivered it,
+    // other entries had it already, and the entry began to read in full. Incident CONFIG on rigcheck-ph-grown,
+    // report 2.
+    TEST_F(StoreRefreshFixture, AChangeThatArrivesIsNotReadInFull)
+    {
+        constexpr uint64_t largeChangeBytes = 1400000;
+        EXPECT_FALSE(this->tick());
+        this->confirm(2, Milliseconds(0));
+        this->sync.onAnswerStarted(this->watches.front(), largeChangeBytes);
+        for (int i = 0; i < 20; ++i) {
+            EXPECT_FALSE(this->tick()) << "after " << i * 100 << " ms";
+            this->clock.advance(Milliseconds(100));
+        }
+        EXPECT_TRUE(this->sync.onEvents(this->watches.front(), 1));
+        EXPECT_TRUE(this->tick()) << "the answer did not bring the newest version";
+        const std::optional<StoreRead> read = this->sync.nextRead(StoreTopic::Routes);
+        ASSERT_TRUE(read);
+        EXPECT_FALSE(read->isWatch);
+    }
+
+    // Guards against an answer with many versions that keeps an entry from the newest one, and against a watch that is
+    // kept although no answer arrives.
+    TEST_F(StoreRefreshFixture, AnAnswerWithSeveralLargeChangesIsReplacedByAReadInFull)
+    {
+        EXPECT_FALSE(this->tick());
+        this->confirm(2, Milliseconds(0));
+        this->sync.onAnswerStarted(this->watches.front(), StoreSyncOptions().maxSingleChangeBytes + 1);
+        EXPECT_FALSE(this->tick());
+        this->clock.advance(Milliseconds(400));
+        EXPECT_TRUE(this->tick());
+        EXPECT_FALSE(this->sync.onEvents(this->watches.front(), 1));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/StoreRefresh.cpp
+++ b/wasabicroft/StoreRefresh.cpp
@@ -124,7 +124,7 @@
         this->behindSince.at(i) = this->behindSince.at(i).value_or(now);
         if (!due) {
             due = now + this->options.maxBehindTime;
-        } else if (now > *due) {
+        } else if (now > *due && !this->sync.isChangeArriving(topic)) {
             due.reset();
             isReadDue = true;
             if (this->sync.onNewerRevision(topic, UINT64_MAX))
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -22,7 +22,7 @@
 {
     TopicState& topic = this->at(which);
     topic.watchWait = wait;
-    if (!topic.inFlight || !topic.inFlight->isWatch || topic.inFlight->wait <= wait)
+    if (!topic.inFlight || !topic.inFlight->isWatch || topic.inFlight->wait <= wait || this->isChangeArriving(which))
         return false;
     topic.inFlight.reset();
     topic.due = this->clock.now();
@@ -47,6 +47,7 @@
     read.timeout = this->options.readTimeout + read.wait;
     read.pauseTimeout = this->options.readTimeout;
     topic.inFlight = read;
+    topic.isChangeArriving = false;
     if (read.pageAfter.empty())
         topic.readStart = this->clock.now();
     return read;
@@ -58,6 +59,20 @@
     return topic.inFlight ? TimePoint::max() : topic.due;
 }
 
+void StoreSync::onAnswerStarted(const StoreRead& read, std::optional<uint64_t> bytes)
+{
+    TopicState& topic = this->at(read.topic);
+    if (!topic.inFlight || topic.inFlight->number != read.number)
+        return;
+    topic.isChangeArriving = read.isWatch && bytes && *bytes <= this->options.maxSingleChangeBytes;
+}
+
+bool StoreSync::isChangeArriving(StoreTopic which) const
+{
+    const TopicState& topic = this->at(which);
+    return topic.inFlight && topic.isChangeArriving;
+}
+
 bool StoreSync::finishRead(const StoreRead& read)
 {
     TopicState& topic = this->at(read.topic);
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -46,6 +46,9 @@
     Milliseconds checkWait { 1 };
     Milliseconds watchSpacing { 250 }; // least time between two watches; changes in between come in one answer
     Milliseconds readTimeout { 1000 }; // longer than a slow store takes to answer
+    // An answer to a watch up to this size takes no longer than a list: one change of the largest value of the store
+    // (1 MiB, in base64). Larger ones have several changes of which only the last counts.
+    uint64_t maxSingleChangeBytes = 1536 * 1024;
     Milliseconds minBackOff { 50 };
     Milliseconds maxBackOff { 400 };
     Milliseconds maxInitialBackOff { 80 }; // for a topic that was never read, as nothing can be served without it
@@ -66,6 +69,9 @@
     std::optional<StoreRead> nextRead(StoreTopic);
     TimePoint nextReadTime(StoreTopic) const; // TimePoint::max() while a read is in flight
 
+    // The answer to a read begins to arrive. bytes is its size, if stated.
+    void onAnswerStarted(const StoreRead&, std::optional<uint64_t> bytes);
+
     // Report the outcome of a read. Return whether the answer is to be used: it was the read in flight, and the answer
     // is not part of a list or watch that began in a former era.
     bool onPage(const StoreRead&, uint64_t revision, bool hasMore, const std::string& lastKey);
@@ -78,6 +84,8 @@
     // Returns whether it is read.
     bool onNewerRevision(StoreTopic, uint64_t revision);
 
+    // Whether the answer to a watch arrives that brings a change sooner than a read in full, which would start anew.
+    bool isChangeArriving(StoreTopic) const;
     bool isReachable(StoreTopic) const; // the last read was answered
     // Whether the store answered again after a failure since the last call. A failure of one topic counts for the next
     // answer of every topic: the other one may not have been read during the outage.
@@ -93,6 +101,7 @@
 private:
     struct TopicState {
         std::optional<StoreRead> inFlight;
+        bool isChangeArriving = false; // the read in flight is a watch; see isChangeArriving()
         TimePoint due;
         uint64_t revision = 0; // revision to watch from; 0 requires a full read
         uint64_t completeRevision = 0; // see completeRevision()
