Count the state of an answer as confirmed from the time when it began to arrive

A watch confirmed its copy as of the end of its answer. The state is as old as the transfer took, seconds for a large configuration, and other entries rely on the stated age. StoreRefreshFixture.AnAnswerConfirmsTheStateOfTheTimeWhenItBeganToArrive failed before. Found by looking for the class of fault elsewhere; not seen to cause a failure.

--- a/tests/StoreRefreshTest.cpp
+++ b/tests/StoreRefreshTest.cpp
@@ -349,5 +349,16 @@
         EXPECT_FALSE(this->sync.onEvents(this->watches.front(), 1));
     }
 
+    // Guards against a state that counts as just confirmed although it is as old as the transfer of the answer took.
+    TEST_F(StoreRefreshFixture, AnAnswerConfirmsTheStateOfTheTimeWhenItBeganToArrive)
+    {
+        EXPECT_FALSE(this->tick());
+        const TimePoint begin = this->clock.now();
+        this->sync.onAnswerStarted(this->watches.front(), 1400000);
+        this->clock.advance(Milliseconds(900));
+        EXPECT_TRUE(this->sync.onEvents(this->watches.front(), 1));
+        EXPECT_EQ(this->sync.confirmedAt(StoreTopic::Routes, TimePoint::min()), std::optional(begin));
+    }
+
 } // namespace
 } // namespace wasabicroft::tests
--- a/wasabicroft/StoreSync.cpp
+++ b/wasabicroft/StoreSync.cpp
@@ -47,6 +47,7 @@
     read.timeout = this->options.readTimeout + read.wait;
     read.pauseTimeout = this->options.readTimeout;
     topic.inFlight = read;
+    topic.answerStart.reset();
     topic.isChangeArriving = false;
     if (read.pageAfter.empty())
         topic.readStart = this->clock.now();
@@ -64,6 +65,7 @@
     TopicState& topic = this->at(read.topic);
     if (!topic.inFlight || topic.inFlight->number != read.number)
         return;
+    topic.answerStart = this->clock.now();
     topic.isChangeArriving = read.isWatch && bytes && *bytes <= this->options.maxSingleChangeBytes;
 }
 
@@ -143,7 +145,7 @@
         return false;
     topic.revision = std::max(topic.revision, revision);
     topic.completeRevision = topic.revision;
-    topic.confirmedAt = this->clock.now();
+    topic.confirmedAt = topic.answerStart.value_or(this->clock.now()); // a large answer may arrive for seconds
     topic.confirmingReadStart = topic.readStart;
     topic.due = this->clock.now() + this->options.watchSpacing;
     return true;
--- a/wasabicroft/StoreSync.h
+++ b/wasabicroft/StoreSync.h
@@ -101,6 +101,7 @@
 private:
     struct TopicState {
         std::optional<StoreRead> inFlight;
+        std::optional<TimePoint> answerStart; // when the answer to the read in flight began to arrive
         bool isChangeArriving = false; // the read in flight is a watch; see isChangeArriving()
         TimePoint due;
         uint64_t revision = 0; // revision to watch from; 0 requires a full read
