Wait for the agent before PacketFleet.SignalsStopAndReload signals it

The test waited for the entry only, and the signal reached the agent's process before its main(). Such a signal ends any process; one that arrives later, during the start, is what PacketFleet.ASignalDuringTheStartIsHandledAfterIt covers.

The test waits for the agent's first line. What it checks stays: the reload and the planned stop of a running agent.

--- a/tests/PacketPathProcessTest.cpp
+++ b/tests/PacketPathProcessTest.cpp
@@ -365,6 +365,10 @@
     {
         this->startAll();
         ASSERT_TRUE(this->isReady(0)) << this->group.allLogs();
+        // A signal ends a process that has not begun to handle signals.
+        const auto hasAgentStarted
+            = [&] { return this->group.allLogs().find("name=agent-started process=agent-0") != std::string::npos; };
+        ASSERT_TRUE(waitUntil(hasAgentStarted, waitTimeout)) << this->group.allLogs();
         this->group["entry-0"].signal(SIGHUP);
         this->group["agent-0"].signal(SIGHUP);
         EXPECT_TRUE(this->openFlowThrough(0, 4001)) << this->group.allLogs();
