--- a/review/standin-2/config-storm.cpp
+++ b/review/standin-2/config-storm.cpp
@@ -38,10 +38,10 @@
 {
     std::string text = R"({"version":)" + std::to_string(version) + R"(,"services":[{"name":"api",)"
         + R"("health_path":"/health","max_conns":2000}],"limits":{"header_bytes":16384,"body_bytes":262144,)"
-        + R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"routes":[)" + routeJson("198.18.0.1", keptPort) + ','
-        + routeJson("198.18.0.1", isLast ? addedPort : droppedPort);
+        + R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"routes":[)" + routeJson("127.18.0.1", keptPort) + ','
+        + routeJson("127.18.0.1", isLast ? addedPort : droppedPort);
     for (unsigned i = 0; text.size() + 300 < bytes; ++i)
-        text += ',' + routeJson("198.18." + std::to_string(1 + i / 250) + '.' + std::to_string(1 + i % 250), 443);
+        text += ',' + routeJson("127.18." + std::to_string(1 + i / 250) + '.' + std::to_string(1 + i % 250), 443);
     return text + "]}";
 }
 
@@ -131,7 +131,7 @@
     const auto attempt = [&](size_t entry, uint16_t port) {
         const std::string request = "request " + std::to_string(++number);
         const int64_t sent = nowMs();
-        const Outcome outcome = clients.attempt(entries[entry], parseIp("198.18.0.1"), port, request);
+        const Outcome outcome = clients.attempt(entries[entry], parseIp("127.18.0.1"), port, request);
         record.line("'%s' sent at %.3f through entry %zu to route port %u: %s", request.c_str(),
             static_cast<double>(sent) / 1000, entry, port, nameOf(outcome));
         return outcome;
